Add the design, the workspace and the foundation packages

Cause: the repository was empty. Adds docs/design.md, one module per program in a workspace, the root package with the shared types and interfaces, and the packages timer (the only clock, real and virtual), eventbox and chart. Ruled out: a dependency on time.AfterFunc per subscriber, since Go's monotonic clock stops while a host is suspended; the timer service reads CLOCK_BOOTTIME. Before: nothing. Conclusion: the interfaces in serve.go and platform.go are fixed enough for the parts to be written side by side.

--- /dev/null
+++ b/cmd/cuminstair/main.go
@@ -0,0 +1,4 @@
+// Command cuminstair is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/cuminstaird/main.go
@@ -0,0 +1,4 @@
+// Command cuminstaird is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fakeplatform/main.go
@@ -0,0 +1,4 @@
+// Command fakeplatform is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fakeupstream/main.go
@@ -0,0 +1,4 @@
+// Command fakeupstream is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/quickstart/main.go
@@ -0,0 +1,4 @@
+// Command quickstart is not implemented yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/timer/timer_test.go
@@ -0,0 +1,54 @@
+package timer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/timer"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against subscribers that run out of order or see another time than the one they asked for.
+func TestVirtualOrder(t *testing.T) {
+	is := is.New(t)
+	v := timer.NewVirtual(start)
+	var got []time.Duration
+	note := func(now time.Time) { got = append(got, now.Sub(start)) }
+	v.After(30*time.Millisecond, note)
+	v.Every(20*time.Millisecond, note)
+	stop := v.After(25*time.Millisecond, note)
+	is.True(stop())
+	is.True(!stop())
+	v.Advance(50 * time.Millisecond)
+	is.Equal(got, []time.Duration{20 * time.Millisecond, 30 * time.Millisecond, 40 * time.Millisecond})
+	is.Equal(v.Now(), start.Add(50*time.Millisecond))
+}
+
+// Guards against a subscriber that is added by a subscriber and never called.
+func TestVirtualNested(t *testing.T) {
+	is := is.New(t)
+	v := timer.NewVirtual(start)
+	var at time.Duration
+	v.After(10*time.Millisecond, func(time.Time) {
+		v.After(10*time.Millisecond, func(now time.Time) { at = now.Sub(start) })
+	})
+	v.Advance(time.Second)
+	is.Equal(at, 20*time.Millisecond)
+}
+
+// Guards against a real clock whose subscribers are not called or that goes backwards.
+func TestServiceFires(t *testing.T) {
+	is := is.New(t)
+	s := timer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.Run(ctx) }()
+	before := s.Now()
+	fired := make(chan time.Time, 1)
+	s.After(time.Millisecond, func(now time.Time) { fired <- now })
+	is.True((<-fired).Sub(before) >= time.Millisecond)
+}
