--- /dev/null
+++ b/standin/table/service.go
@@ -0,0 +1,138 @@
+// Package table is a stand-in for the platform: its table service, object store, host list and task runner. It serves
+// the protocol of docs/platform.md over HTTP, and it can be used without HTTP as a cuminstair.Platform. Faults can be
+// switched on. All times come from a cuminstair.Timer, so that tests drive it in virtual time.
+package table
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+var _ cuminstair.Platform = (*Service)(nil)
+
+// Defaults of the times that a Service takes.
+const (
+	DefaultReboot  = 2 * time.Minute
+	DefaultReplace = 10 * time.Minute
+	DefaultUsage   = 5 * time.Second // between two usage reports of a running task
+)
+
+// Service is the stand-in. The fields must be set before its first use; only Timer is needed. It is safe for concurrent
+// use.
+type Service struct {
+	Timer   cuminstair.Timer
+	Reboot  time.Duration // time of a reboot; 0: DefaultReboot
+	Replace time.Duration // time until a replaced host is live again; 0: DefaultReplace
+	Report  time.Duration // time between two usage reports of a running task; 0: DefaultUsage
+	// Behave returns how a task really behaves; nil: as declared, for DefaultRun.
+	Behave func(t cuminstair.Task) Behaviour
+	// OnHost is called by the timer when a host changes its state, whatever the list shows. It may be nil.
+	OnHost func(name, state string)
+
+	mu      sync.Mutex
+	faults  Faults
+	store   store
+	objects map[string][]byte
+	hosts   map[string]*host
+	acts    map[string]bool // ids of host actions that were accepted
+	workers map[string]Worker
+	tasks   map[string]*task
+	reports []report
+	stats   Stats
+}
+
+// Stats counts requests, for tests of budgets.
+type Stats struct {
+	Reads  int `json:"reads"`  // row scans, object reads, lists and usage reads
+	Writes int `json:"writes"` // commits, object writes, host actions, task starts and actions
+}
+
+// Stats returns the counts since the start.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// read waits for the slow fault, then runs fn under the lock.
+func (s *Service) read(ctx context.Context, fn func() error) error {
+	if err := s.delay(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Reads++
+	if s.faults.Down {
+		return cuminstair.ErrUnavailable
+	}
+	return fn()
+}
+
+// write runs fn under the lock once the slow fault allows it. As on the real platform, a write that a caller gave up
+// on still takes effect later.
+func (s *Service) write(ctx context.Context, fn func() error) error {
+	done := make(chan error, 1)
+	run := func(time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		done <- s.effect(fn)
+	}
+	s.mu.Lock()
+	slow, down := s.faults.Slow.D(), s.faults.Down
+	s.mu.Unlock()
+	if down {
+		return cuminstair.ErrUnavailable
+	}
+	if slow == 0 {
+		run(time.Time{})
+		return <-done
+	}
+	s.Timer.After(slow, run)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return cuminstair.ErrUncertain
+	}
+}
+
+// effect runs a write and loses its answer if that fault is on.
+func (s *Service) effect(fn func() error) error {
+	s.stats.Writes++
+	if s.faults.Down {
+		return cuminstair.ErrUnavailable
+	}
+	err := fn()
+	if s.faults.Lose > 0 {
+		s.faults.Lose--
+		return cuminstair.ErrUncertain
+	}
+	return err
+}
+
+func (s *Service) delay(ctx context.Context) error {
+	s.mu.Lock()
+	slow := s.faults.Slow.D()
+	s.mu.Unlock()
+	if slow == 0 {
+		return nil
+	}
+	done := make(chan struct{})
+	s.Timer.After(slow, func(time.Time) { close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return cuminstair.ErrUnavailable
+	}
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
