--- a/fleet/section_test.go
+++ b/fleet/section_test.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// Guards against a removed host that changes the blocks of other hosts in a large pool.
+func TestRemovedHostChangesOneBlock(t *testing.T) {
+	is := is.New(t)
+	f := fleet.Generate(rand.New(rand.NewPCG(1, 1)), fleet.Size{Hosts: 2000, Pools: 1, Teams: 1, Centres: 1, Regions: 1, Rack: 4})
+	before := fleet.ManifestOf(fleet.Split(f))
+	f.Hosts = f.Hosts[1:]
+	d := before.Diff(fleet.ManifestOf(fleet.Split(f)))
+	is.Equal(len(d.Set)+len(d.Gone), 1)
+}
+
 // Guards against a damaged section that is accepted or that leaves an index half changed.
 func TestDamagedSection(t *testing.T) {
 	is := is.New(t)
