Add the rollout of configuration generations

Every daemon has to have an accepted configuration in force within 3 s and must never go back, while daemons restart, the platform fails and data centres are cut off.

The node is a state machine without I/O; package rollout/runner runs its fetches and the applies.

Found by the harness on the way: a starting daemon waited 2 s for a lost answer (now 1 s); a section fetch from a peer had the long timeout that is meant for the platform; peers that had skipped generations answered with the whole manifest and without sections, and replaced sections were gone when the request for them arrived, so that a daemon with 300 ms of delay chased the newest generation for more than 3 s. Changes over several generations are now kept as deltas that lead from any generation between, and the last replaced sections are kept.

--- a/fleet/section.go
+++ b/fleet/section.go
@@ -25,6 +25,7 @@
 
 // Section is a part of a fleet that is stored and sent as a whole. Hash is the hash of Data.
 type Section struct {
+	_    struct{} `cbor:",toarray"`
 	Name string
 	Hash Hash
 	Data []byte
--- /dev/null
+++ b/rollout/runner/proof_test.go
@@ -0,0 +1,294 @@
+package runner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/standin/table"
+)
+
+// seeds is the number of seeds of each proof.
+const seeds = 20
+
+// begin returns a sim of nine daemons in three data centres that have the first generation in force.
+func begin(t *testing.T, seed uint64) *sim {
+	s := newSim(t, seed, 9, 3)
+	first := fleet.Generate(s.rng, fleet.Size{Hosts: 150, Pools: 5, Teams: 4, Centres: 3, Regions: 1, Rack: 4})
+	for i := range first.Services {
+		first.Services[i].Budget.Down = 0.5
+	}
+	s.v.Advance(time.Second)
+	_, err := s.apply(s.daemons[0], first, 0)
+	s.checkf(err == nil, "first apply: %v", err)
+	s.v.Advance(bound)
+	return s
+}
+
+// each runs a proof for every seed.
+func each(t *testing.T, proof func(s *sim)) {
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := begin(t, seed)
+			proof(s)
+			s.v.Advance(2 * bound)
+			s.checkf(len(s.accepted) > 1, "nothing was accepted")
+			s.demand(s.accepted[len(s.accepted)-1].head.Gen)
+		})
+	}
+}
+
+// applyAny applies a change through a random daemon that has the highest generation in force. It may lose against one
+// that the daemons have not learned of yet.
+func (s *sim) applyAny() {
+	for _, i := range s.rng.Perm(len(s.daemons)) {
+		d := s.daemons[i]
+		if d.alive && !s.cut[d.centre] && d.node.Head().Gen == s.highest() && d.node.Head().Gen > 0 {
+			f, base := s.edit(d)
+			_, err := s.apply(d, f, base)
+			s.checkf(err == nil || !errors.Is(err, fleet.ErrInvalid), "apply: %v", err)
+			return
+		}
+	}
+}
+
+// Guards against a configuration that a restarted daemon does not get, or a daemon that learns it only from one that
+// was killed.
+func TestInForceWhileDaemonsRestart(t *testing.T) {
+	each(t, func(s *sim) {
+		for range 20 {
+			s.applyAny()
+			d := s.daemons[s.rng.IntN(len(s.daemons))]
+			d.kill()
+			s.v.Advance(s.upTo(time.Second))
+			d.start()
+			s.v.Advance(s.upTo(time.Second))
+		}
+	})
+}
+
+// Guards against a configuration that only the platform can hand out.
+func TestInForceWhenThePlatformFailsAfterTheAccept(t *testing.T) {
+	each(t, func(s *sim) {
+		for range 5 {
+			s.applyAny()
+			s.platform.SetFaults(table.Faults{Down: true})
+			s.v.Advance(s.upTo(10 * time.Second))
+			d := s.daemons[s.rng.IntN(len(s.daemons))]
+			d.kill()
+			s.v.Advance(time.Second)
+			d.start() // learns from peers
+			s.v.Advance(bound + time.Second)
+			ok, reason := d.node.Ready()
+			s.checkf(ok && d.node.Head().Gen == s.highest(), "%s started during the outage: %s", d.name, reason)
+			s.platform.SetFaults(table.Faults{})
+			s.v.Advance(2 * time.Second)
+		}
+	})
+}
+
+// Guards against a data centre that rejoins and puts its older generation into force elsewhere, keeps it, or gets the
+// whole fleet again.
+func TestRejoinWithAnOlderGeneration(t *testing.T) {
+	each(t, func(s *sim) {
+		s.setCut(2, true)
+		old := s.daemons[2].node.Head().Gen
+		for range 8 {
+			s.applyAny()
+			s.v.Advance(s.upTo(5 * time.Second))
+		}
+		s.checkf(s.daemons[2].node.Head().Gen == old, "the cut-off data centre has a later generation")
+		s.daemons[2].kill()
+		s.v.Advance(time.Second)
+		s.daemons[2].start() // may learn the older generation only
+		s.v.Advance(bound)
+		s.checkf(s.daemons[2].node.Head().Gen == old, "the restarted daemon has not learned from its data centre")
+		before := s.daemons[5].node.Work().Sections
+		s.setCut(2, false)
+		s.v.Advance(2 * bound)
+		changed := 1 + 8 // the teams, and one block of hosts for each change at most
+		s.checkf(s.daemons[5].node.Work().Sections-before <= changed, "more than the changed sections were fetched")
+	})
+}
+
+// Guards against an answer to an old read that arrives after a later generation came into force and replaces it.
+func TestSlowReader(t *testing.T) {
+	each(t, func(s *sim) {
+		fast := s.delay
+		slow := s.daemons[4]
+		s.delay = func(from, to *daemon) time.Duration {
+			if (from == slow && to == nil) || (to == slow && from == nil) {
+				return 2*time.Second + s.upTo(4*time.Second)
+			}
+			return fast(from, to)
+		}
+		for range 20 {
+			s.applyAny()
+			s.v.Advance(s.upTo(2 * time.Second))
+		}
+		s.v.Advance(10 * time.Second)
+	})
+}
+
+// Guards against two operators who both get their change accepted from the same generation, and against a loser who
+// does not learn the generation, the other operator and what differs.
+func TestTwoOperators(t *testing.T) {
+	each(t, func(s *sim) {
+		for range 5 {
+			a, b := s.daemons[s.rng.IntN(4)], s.daemons[4+s.rng.IntN(4)]
+			fa, base := s.edit(a)
+			fb, _ := s.edit(b)
+			fa.Hosts[0].Cores, fb.Hosts[0].Cores = 1000, 2000
+			won, err := s.apply(a, fa, base)
+			s.checkf(err == nil && won.Head.Gen == base+1, "the first operator lost: %v", err)
+			_, err = s.apply(b, fb, base)
+			var c *rollout.Conflict
+			s.checkf(errors.As(err, &c) && errors.Is(err, rollout.ErrStale), "the second operator did not lose: %v", err)
+			s.checkf(c.Head == base+1 && c.Base == base && len(c.By) == 1 && c.By[0] == a.name, "the conflict names %+v", c)
+			s.checkf(len(c.Changed) >= 2, "the conflict does not say what differs: %v", c)
+			s.v.Advance(bound)
+			_, err = s.apply(b, fb, base)
+			s.checkf(errors.As(err, &c) && len(c.Overlap) >= 1, "the repeat did not lose or does not name the overlap: %v", err)
+			fa.Hosts[0].Cores = 3000 + s.rng.IntN(1000)
+			_, err = s.apply(b, fa, base+1)
+			s.checkf(err == nil, "an apply on the new generation lost: %v", err)
+			s.v.Advance(bound)
+		}
+	})
+}
+
+// Guards against an apply whose answer was lost and that is accepted twice when it is repeated, also after others
+// changed the fleet, and against one that both raced and lost its answer.
+func TestLostAnswerAndRepeat(t *testing.T) {
+	each(t, func(s *sim) {
+		for round := range 6 {
+			d := s.daemons[s.rng.IntN(len(s.daemons))]
+			f, base := s.edit(d)
+			s.lose = func() {}
+			if round%3 == 0 {
+				res, err := s.apply(d, f, base) // settled by reading back
+				s.checkf(err == nil && !res.Again && res.Head.Gen == base+1, "the lost answer was not settled: %v", err)
+				s.v.Advance(bound)
+				continue
+			}
+			s.lose = func() { s.platform.SetFaults(table.Faults{Down: true}) }
+			_, err := s.apply(d, f, base)
+			s.checkf(errors.Is(err, cuminstair.ErrUncertain), "the open apply was called %v", err)
+			s.platform.SetFaults(table.Faults{})
+			if round%2 == 0 {
+				s.v.Advance(bound) // The others may have learned of it from the platform.
+				s.applyAny()
+			}
+			other := s.daemons[s.rng.IntN(len(s.daemons))]
+			res, err := s.apply(other, f, base)
+			s.checkf(err == nil && res.Head.Gen == base+1, "the repeat got generation %d: %v", res.Head.Gen, err)
+			s.v.Advance(bound)
+		}
+		gens := make(map[string]int)
+		err := s.platform.Replay(func(rows map[string]cuminstair.Row, _ table.Committed) error {
+			h, err := rollout.Decode[rollout.Head](rows[rollout.HeadKey].Value)
+			gens[rollout.ChangeKey(h.Gen)]++
+			if h.Gen != uint64(len(gens)) || gens[rollout.ChangeKey(h.Gen)] > 1 {
+				return errors.New("the head did not go up by one")
+			}
+			return err
+		})
+		s.checkf(err == nil, "history: %v", err)
+	})
+}
+
+// Guards against messages that arrive in another order, late or twice.
+func TestReorderedAnswers(t *testing.T) {
+	each(t, func(s *sim) {
+		s.twice = 0.3
+		s.delay = func(*daemon, *daemon) time.Duration { return s.upTo(300 * time.Millisecond) }
+		for range 20 {
+			s.applyAny()
+			s.v.Advance(s.upTo(time.Second))
+		}
+	})
+}
+
+// Guards against a daemon that starts without the platform and begins with the older one of two generations, and
+// against one that is ready without a configuration.
+func TestStartWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1e6, 0)
+	n := &rollout.Node{Name: "a", Incarnation: 1, Rand: rand.New(rand.NewPCG(1, 1))}
+	n.SetPeers([]rollout.Peer{{Name: "b"}, {Name: "c"}})
+	out := n.Tick(now)
+	is.True(out.Poll)
+	is.Equal(len(out.Announce), 2)
+	_, reason := n.Ready()
+	is.Equal(reason, "no configuration: neither the platform nor one of 2 peers has answered")
+	n.PlatformFailed("connection refused")
+	_, reason = n.Ready()
+	is.Equal(reason, "no configuration: no peer of 2 has one, and the platform: connection refused")
+	out = n.Announced(now, rollout.Announcement{From: "b", Head: rollout.Head{Gen: 4}})
+	is.True(out.Fetch == nil) // waits for more peers
+	n.Announced(now, rollout.Announcement{From: "c", Head: rollout.Head{Gen: 5}})
+	out = n.Tick(now.Add(time.Second))
+	is.Equal(out.Fetch.Source.Peer, "c")
+	is.Equal(out.Fetch.Request.To.Gen, uint64(5))
+}
+
+// Guards against new work on a view from before a pause, and against an answer from before the pause that makes the
+// view count as current.
+func TestViewAfterAPause(t *testing.T) {
+	is := is.New(t)
+	s := begin(t, 1)
+	n := s.daemons[0].node
+	now := s.v.Now()
+	is.True(n.Usable(now))
+	woke := now.Add(rollout.ViewAge + time.Second)
+	is.True(!n.Usable(woke))
+	head := n.Head()
+	n.PlatformHead(woke, now, head)
+	is.True(!n.Usable(woke)) // asked before the pause
+	reply := rollout.Announcement{From: "d1", Incarnation: 1, Head: head, Asked: woke.UnixNano()}
+	n.Announced(woke, reply)
+	is.True(!n.Usable(woke)) // a peer of another data centre
+	reply.From, reply.Asked = "d3", 0
+	n.Announced(woke, reply)
+	is.True(!n.Usable(woke)) // not an answer
+	later := head
+	later.Gen++
+	n.PlatformHead(woke, woke, later)
+	is.True(!n.Usable(woke)) // current, but behind
+	n = s.daemons[3].node
+	is.True(!n.Usable(woke))
+	reply.From, reply.Asked = "d0", woke.UnixNano()
+	n.Announced(woke, reply)
+	is.True(n.Usable(woke))
+	is.True(n.Usable(woke.Add(rollout.ViewAge)))
+}
+
+// Guards against an invalid fleet that is accepted and against a daemon that accepts on a generation that it does not
+// have in force.
+func TestApplyChecks(t *testing.T) {
+	is := is.New(t)
+	s := begin(t, 1)
+	f, base := s.edit(s.daemons[0])
+	f.Hosts[0].Pool = "none"
+	_, err := s.apply(s.daemons[0], f, base)
+	is.True(errors.Is(err, fleet.ErrInvalid))
+	f, _ = s.edit(s.daemons[0])
+	s.daemons[1].kill()
+	s.daemons[1].start()
+	_, err = s.apply(s.daemons[1], f, base)
+	is.True(err != nil)
+	s.platform.SetFaults(table.Faults{Down: true})
+	_, err = s.apply(s.daemons[0], f, base)
+	is.True(errors.Is(err, cuminstair.ErrUnavailable))
+	is.Equal(len(s.accepted), 1)
+	in, missing := s.daemons[2].node.InForce([]string{"d2", "d9"}, base)
+	is.Equal(in, []string{"d2"})
+	is.Equal(missing, []string{"d9"})
+}
--- /dev/null
+++ b/rollout/runner/runner.go
@@ -0,0 +1,178 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/rollout"
+)
+
+// Runner drives a node. The exported fields must be set before Run; OnInstall and Recorder may be nil. It is safe for
+// concurrent use.
+type Runner struct {
+	Node     *rollout.Node
+	Timer    cuminstair.Timer
+	Table    cuminstair.Table
+	Objects  cuminstair.Objects
+	Exchange cuminstair.Exchange
+	Recorder cuminstair.Recorder
+	// OnInstall is called under the runner's lock for each generation, in order. It must not block or call the runner.
+	OnInstall func(node *rollout.Node, in rollout.Install)
+	// NewID returns a unique id for a commit.
+	NewID func() string
+
+	mu  sync.Mutex
+	ctx context.Context //nolint:containedctx // ends the fetches with Run
+	wg  sync.WaitGroup
+}
+
+// Run drives the node until ctx ends and waits for what it started.
+func (r *Runner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
+	tick := func(now time.Time) {
+		r.with(func() rollout.Actions { return r.Node.Tick(now) })
+	}
+	tick(r.Timer.Now())
+	stop := r.Timer.Every(rollout.TickEvery, tick)
+	<-ctx.Done()
+	stop()
+	r.wg.Wait()
+	return nil
+}
+
+// with runs an event under the lock and carries out the actions.
+func (r *Runner) with(event func() rollout.Actions) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.do(event())
+}
+
+func (r *Runner) do(a rollout.Actions) {
+	if a.Install != nil && r.OnInstall != nil {
+		r.OnInstall(r.Node, *a.Install)
+	}
+	if r.Recorder != nil {
+		for _, d := range a.Decisions {
+			r.Recorder.Record(d)
+		}
+	}
+	for _, m := range a.Announce {
+		r.Exchange.Tell(m.To, rollout.Encode(m.Message))
+	}
+	if a.Poll {
+		r.spawn(r.poll)
+	}
+	if a.Fetch != nil {
+		f := *a.Fetch
+		r.spawn(func(ctx context.Context) { r.fetch(ctx, f) })
+	}
+}
+
+// spawn runs fn on its own goroutine unless Run has not begun or has ended.
+func (r *Runner) spawn(fn func(ctx context.Context)) {
+	ctx := r.ctx
+	if ctx == nil || ctx.Err() != nil {
+		return
+	}
+	r.wg.Go(func() { fn(ctx) })
+}
+
+func (r *Runner) poll(ctx context.Context) {
+	asked := r.Timer.Now()
+	h, err := ReadHead(ctx, r.Table)
+	r.with(func() rollout.Actions {
+		if err != nil {
+			r.Node.PlatformFailed(err.Error())
+			return rollout.Actions{}
+		}
+		return r.Node.PlatformHead(r.Timer.Now(), asked, h)
+	})
+}
+
+func (r *Runner) fetch(ctx context.Context, f rollout.Fetch) {
+	u, err := r.ask(ctx, f)
+	r.with(func() rollout.Actions {
+		if err != nil {
+			return r.Node.FetchFailed(r.Timer.Now(), f.ID, err.Error())
+		}
+		return r.Node.SeeUpdate(r.Timer.Now(), f.ID, f.Source, u)
+	})
+}
+
+func (r *Runner) ask(ctx context.Context, f rollout.Fetch) (rollout.Update, error) {
+	if f.Source.Peer == "" {
+		return ReadUpdate(ctx, r.Table, r.Objects, f.Request)
+	}
+	data, err := r.Exchange.Ask(ctx, f.Source.Peer, rollout.Encode(f.Request))
+	if err != nil {
+		return rollout.Update{}, fmt.Errorf("ask peer %s: %w", f.Source.Peer, err)
+	}
+	return rollout.Decode[rollout.Update](data)
+}
+
+// Told takes an announcement of a peer.
+func (r *Runner) Told(message []byte) error {
+	a, err := rollout.Decode[rollout.Announcement](message)
+	if err != nil {
+		return fmt.Errorf("read announcement: %w", err)
+	}
+	r.with(func() rollout.Actions { return r.Node.Announced(r.Timer.Now(), a) })
+	return nil
+}
+
+// Asked answers the request of a peer.
+func (r *Runner) Asked(message []byte) ([]byte, error) {
+	req, err := rollout.Decode[rollout.Request](message)
+	if err != nil {
+		return nil, fmt.Errorf("read request: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rollout.Encode(r.Node.Serve(req)), nil
+}
+
+// Apply accepts a configuration; see Applier.Apply. It is in force here when Apply returns.
+func (r *Runner) Apply(ctx context.Context, in rollout.Apply) (Result, error) {
+	a := &Applier{Table: r.Table, Objects: r.Objects, State: r.state, NewID: r.NewID, Pause: r.pause}
+	res, err := a.Apply(ctx, in)
+	if err != nil {
+		return res, err
+	}
+	r.with(func() rollout.Actions { return r.Node.Accepted(r.Timer.Now(), res.Plan, res.Head.Version) })
+	return res, nil
+}
+
+func (r *Runner) state() rollout.Base {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Node.Base()
+}
+
+// settlePause is the time between two reads of an open commit.
+const settlePause = 200 * time.Millisecond
+
+func (r *Runner) pause(ctx context.Context) bool {
+	done := make(chan struct{})
+	stop := r.Timer.After(settlePause, func(time.Time) { close(done) })
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		stop()
+		return false
+	}
+}
+
+// View calls fn with the node under the lock, for reads.
+func (r *Runner) View(fn func(n *rollout.Node)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn(r.Node)
+}
--- /dev/null
+++ b/rollout/runner/sim_test.go
@@ -0,0 +1,324 @@
+package runner_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/rollout/runner"
+	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/timer"
+)
+
+// bound is the time within which an accepted configuration is in force (invariant 8 of the design page).
+const bound = 3 * time.Second
+
+// overhead is counted for each message on top of its bytes: IP, UDP, QUIC and the frame of a stream.
+const overhead = 100
+
+// sim runs the nodes of several daemons against the stand-in of the platform in virtual time. Messages take a random
+// time, so that they overtake each other, and some are lost or arrive twice.
+type sim struct {
+	t        *testing.T
+	rng      *rand.Rand
+	v        *timer.Virtual
+	platform *table.Service
+	daemons  []*daemon
+	centres  int
+	cut      map[int]bool                         // data centres that are cut off from the others and the platform
+	loss     float64                              // share of messages between daemons
+	twice    float64                              // share of messages that arrive twice
+	delay    func(from, to *daemon) time.Duration // to is nil for the platform
+	accepted []acceptance
+	commits  int
+	lose     func() // called after the next commit, whose answer is lost; nil: it is not
+}
+
+// losing is a table that loses the answers of commits.
+type losing struct {
+	*table.Service
+	lose *func()
+}
+
+func (l losing) Commit(ctx context.Context, c cuminstair.Commit) (uint64, error) {
+	version, err := l.Service.Commit(ctx, c)
+	if fn := *l.lose; fn != nil {
+		*l.lose = nil
+		fn()
+		return 0, cuminstair.ErrUncertain
+	}
+	return version, err
+}
+
+// acceptance is a generation that the platform accepted.
+type acceptance struct {
+	head rollout.Head
+	at   time.Time
+}
+
+type daemon struct {
+	s      *sim
+	node   *rollout.Node
+	name   string
+	centre int
+	life   uint64 // counts restarts
+	alive  bool
+	since  time.Time // when it started or its data centre was connected again
+	bytes  int       // sent and received
+	stop   func() bool
+}
+
+func newSim(t *testing.T, seed uint64, count, centres int) *sim {
+	v := timer.NewVirtual(time.Unix(1e6, 0))
+	s := &sim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), v: v, platform: &table.Service{Timer: v}, centres: centres,
+		cut: make(map[int]bool), loss: 0.02, twice: 0.02,
+	}
+	s.delay = func(*daemon, *daemon) time.Duration { return s.upTo(20 * time.Millisecond) }
+	for i := range count {
+		s.daemons = append(s.daemons, &daemon{s: s, name: fmt.Sprintf("d%d", i), centre: i % centres})
+	}
+	for _, d := range s.daemons {
+		d.start()
+	}
+	return s
+}
+
+func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
+
+func (d *daemon) start() {
+	d.life++
+	d.alive, d.since = true, d.s.v.Now()
+	d.node = &rollout.Node{
+		Name: d.name, Incarnation: d.life, Centre: fmt.Sprint(d.centre),
+		Rand: rand.New(rand.NewPCG(d.s.rng.Uint64(), 1)),
+	}
+	var peers []rollout.Peer
+	for _, x := range d.s.daemons {
+		peers = append(peers, rollout.Peer{Name: x.name, Centre: fmt.Sprint(x.centre)})
+	}
+	d.node.SetPeers(peers)
+	// Starts at a random moment of the tick, so that daemons don't act at the same time.
+	life := d.life
+	d.s.v.After(d.s.upTo(rollout.TickEvery), func(time.Time) {
+		if d.life == life && d.alive {
+			d.stop = d.s.v.Every(rollout.TickEvery, func(now time.Time) { d.do(d.node.Tick(now)) })
+		}
+	})
+}
+
+func (d *daemon) kill() {
+	d.alive = false
+	if d.stop != nil {
+		d.stop()
+	}
+}
+
+// connected tells whether messages between two daemons pass.
+func (s *sim) connected(a, b *daemon) bool {
+	return a.centre == b.centre || (!s.cut[a.centre] && !s.cut[b.centre])
+}
+
+// later calls fn in d after a delay if d has not been restarted meanwhile.
+func (d *daemon) later(wait time.Duration, fn func(now time.Time)) {
+	life := d.life
+	d.s.v.After(wait, func(now time.Time) {
+		if d.alive && d.life == life {
+			fn(now)
+		}
+	})
+}
+
+// send delivers a message of a size to another daemon.
+func (d *daemon) send(to *daemon, size int, fn func(now time.Time)) {
+	s := d.s
+	d.bytes += size + overhead
+	if !s.connected(d, to) || !to.alive || s.rng.Float64() < s.loss {
+		return
+	}
+	copies := 1
+	if s.rng.Float64() < s.twice {
+		copies = 2
+	}
+	for range copies {
+		to.later(s.delay(d, to), func(now time.Time) {
+			to.bytes += size + overhead
+			fn(now)
+		})
+	}
+}
+
+func (d *daemon) do(a rollout.Actions) {
+	if a.Install != nil {
+		d.installed(a.Install)
+	}
+	for _, m := range a.Announce {
+		to := d.s.named(m.To)
+		data := rollout.Encode(m.Message)
+		d.send(to, len(data), func(now time.Time) {
+			got, err := rollout.Decode[rollout.Announcement](data)
+			d.s.checkf(err == nil, "announcement: %v", err)
+			to.do(to.node.Announced(now, got))
+		})
+	}
+	if a.Poll {
+		d.poll()
+	}
+	if a.Fetch != nil {
+		d.fetch(*a.Fetch)
+	}
+}
+
+// installed checks that what came into force is what the platform accepted under that generation.
+func (d *daemon) installed(in *rollout.Install) {
+	root := fleet.Root(d.node.Index().Fleet())
+	d.s.checkf(root == in.Head.Root, "%s: the fleet in force does not have the root hash of generation %d", d.name, in.Head.Gen)
+	for _, a := range d.s.accepted {
+		if a.head.Gen == in.Head.Gen {
+			d.s.checkf(a.head.Root == in.Head.Root, "%s: generation %d has another root hash", d.name, in.Head.Gen)
+		}
+	}
+}
+
+// poll reads the head: the request, the read and the answer each happen at their own time.
+func (d *daemon) poll() {
+	s, asked := d.s, d.s.v.Now()
+	d.later(s.delay(d, nil), func(time.Time) {
+		if s.cut[d.centre] {
+			d.node.PlatformFailed("cut off")
+			return
+		}
+		h, err := runner.ReadHead(context.Background(), s.platform)
+		d.bytes += 2*overhead + 80
+		d.later(s.delay(nil, d), func(now time.Time) {
+			if err != nil {
+				d.node.PlatformFailed(err.Error())
+				return
+			}
+			d.do(d.node.PlatformHead(now, asked, h))
+		})
+	})
+}
+
+func (d *daemon) fetch(f rollout.Fetch) {
+	s := d.s
+	if f.Source.Peer != "" {
+		from := s.named(f.Source.Peer)
+		d.send(from, len(rollout.Encode(f.Request)), func(time.Time) {
+			data := rollout.Encode(from.node.Serve(f.Request))
+			from.send(d, len(data), func(now time.Time) { d.update(now, f, data) })
+		})
+		return
+	}
+	d.later(s.delay(d, nil), func(time.Time) {
+		if s.cut[d.centre] {
+			return
+		}
+		u, err := runner.ReadUpdate(context.Background(), s.platform, s.platform, f.Request)
+		data := rollout.Encode(u)
+		d.bytes += len(data) + 2*overhead
+		d.later(s.delay(nil, d), func(now time.Time) {
+			if err != nil {
+				d.do(d.node.FetchFailed(now, f.ID, err.Error()))
+				return
+			}
+			d.update(now, f, data)
+		})
+	})
+}
+
+func (d *daemon) update(now time.Time, f rollout.Fetch, data []byte) {
+	u, err := rollout.Decode[rollout.Update](data)
+	d.s.checkf(err == nil, "update: %v", err)
+	before := d.node.Head().Gen
+	d.do(d.node.SeeUpdate(now, f.ID, f.Source, u))
+	d.s.checkf(d.node.Head().Gen >= before, "%s: went back from generation %d to %d", d.name, before, d.node.Head().Gen)
+}
+
+func (s *sim) named(name string) *daemon {
+	for _, d := range s.daemons {
+		if d.name == name {
+			return d
+		}
+	}
+	return nil
+}
+
+func (s *sim) checkf(ok bool, format string, args ...any) {
+	if !ok {
+		s.t.Helper()
+		s.t.Fatalf("at %s: %s", s.v.Now().Sub(time.Unix(1e6, 0)), fmt.Sprintf(format, args...))
+	}
+}
+
+// apply sends a file through a daemon, as an operator does.
+func (s *sim) apply(d *daemon, f *cuminstair.Fleet, base uint64) (runner.Result, error) {
+	a := &runner.Applier{
+		Table: losing{s.platform, &s.lose}, Objects: s.platform, State: d.node.Base,
+		NewID: func() string { s.commits++; return fmt.Sprintf("%s-%d", d.name, s.commits) },
+		Pause: func(context.Context) bool { return false },
+	}
+	res, err := a.Apply(context.Background(), rollout.Apply{Fleet: f, Base: base, By: d.name})
+	if err == nil {
+		s.note(res.Head)
+		d.do(d.node.Accepted(s.v.Now(), res.Plan, res.Head.Version))
+	}
+	return res, err
+}
+
+// note demands that every daemon that stays reachable has the generation in force within the bound.
+func (s *sim) note(h rollout.Head) {
+	s.accepted = append(s.accepted, acceptance{h, s.v.Now()})
+	s.v.After(bound, func(time.Time) { s.demand(h.Gen) })
+}
+
+// demand checks the daemons that were alive and connected for the whole bound.
+func (s *sim) demand(gen uint64) {
+	for _, d := range s.daemons {
+		if d.alive && !s.cut[d.centre] && s.v.Now().Sub(d.since) >= bound {
+			s.checkf(d.node.Head().Gen >= gen, "%s has generation %d in force, and %d was accepted %s ago; %+v",
+				d.name, d.node.Head().Gen, gen, bound, d.node.Work())
+		}
+	}
+}
+
+// setCut cuts a data centre off or connects it again. Afterwards all have the highest generation within the bound.
+func (s *sim) setCut(centre int, cut bool) {
+	s.cut[centre] = cut
+	for _, d := range s.daemons {
+		if d.centre == centre || len(s.cut) > 1 {
+			d.since = s.v.Now()
+		}
+	}
+	if !cut {
+		gen := s.highest()
+		s.v.After(bound, func(time.Time) { s.demand(gen) })
+	}
+}
+
+func (s *sim) highest() uint64 {
+	gen := uint64(0)
+	for _, d := range s.daemons {
+		if d.alive {
+			gen = max(gen, d.node.Head().Gen)
+		}
+	}
+	return gen
+}
+
+// edit returns the fleet of a daemon with one change, and the generation that it was read at.
+func (s *sim) edit(d *daemon) (*cuminstair.Fleet, uint64) {
+	f := d.node.Index().Fleet()
+	s.change(f)
+	return f, d.node.Head().Gen
+}
+
+func (s *sim) change(f *cuminstair.Fleet) {
+	f.Teams[s.rng.IntN(len(f.Teams))].Quota.Burst += 1 + s.rng.IntN(1000)
+	f.Hosts[s.rng.IntN(len(f.Hosts))].Cores++
+}
--- /dev/null
+++ b/rollout/update.go
@@ -0,0 +1,183 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+)
+
+// staged is a generation whose manifest is verified and whose sections are still missing in part.
+type staged struct {
+	head     Head
+	change   kept
+	manifest fleet.Manifest
+	have     map[fleet.Hash][]byte
+	missing  []fleet.Entry
+}
+
+// SeeUpdate takes the answer to the fetch with an id. It may come late and out of order: it is used only if it leads to
+// a generation above the one in force and has its root hash.
+func (n *Node) SeeUpdate(now time.Time, id uint64, from Source, u Update) Actions {
+	var out Actions
+	mine := n.fetch != nil && n.fetch.ID == id
+	switch {
+	case u.Head.Gen <= n.force.Gen:
+		n.work.Stale++
+		n.decide(now, &out, u.Head.Gen, "dropped", ReasonOlder, fmt.Sprintf("generation %d is in force", n.force.Gen))
+	case u.Head.Gen == n.target.Gen && u.Head.Root != n.target.Root:
+		n.reject(now, &out, from, u.Head, ReasonSplit)
+	default:
+		n.take(now, &out, from, u)
+	}
+	if mine {
+		if u.Head.Gen < n.fetch.Request.To.Gen {
+			n.retryAt = n.fetch.at.Add(fetchPause)
+			n.avoid(from, "it does not have the generation")
+		}
+		n.fetch = nil
+	}
+	n.next(now, &out)
+	return out
+}
+
+func (n *Node) reject(now time.Time, out *Actions, from Source, h Head, reason cuminstair.Reason) {
+	n.work.Rejected++
+	n.full = true
+	n.staged = nil
+	n.avoid(from, "its update does not have its root hash")
+	n.decide(now, out, h.Gen, "rejected", reason, from.String())
+}
+
+// take verifies an update and installs its generation if no section is missing.
+func (n *Node) take(now time.Time, out *Actions, from Source, u Update) {
+	if u.Delta != nil || u.Manifest != nil {
+		manifest, ok := n.verify(u)
+		if !ok {
+			n.reject(now, out, from, u.Head, ReasonRoot)
+			return
+		}
+		n.staged = &staged{head: u.Head, change: n.changeOf(u), manifest: manifest, have: make(map[fleet.Hash][]byte)}
+	}
+	s := n.staged
+	if s == nil || s.head.Gen != u.Head.Gen || s.head.Root != u.Head.Root {
+		return
+	}
+	for _, x := range u.Sections {
+		if fleet.Sum(x.Data) == x.Hash {
+			s.have[x.Hash] = x.Data
+		}
+	}
+	n.complete(now, out, from, len(u.Sections) == 0 && u.Delta == nil && u.Manifest == nil)
+}
+
+// verify returns the manifest that an update leads to, if it has the root hash of the update's head.
+func (n *Node) verify(u Update) (fleet.Manifest, bool) {
+	if u.Manifest != nil {
+		m, err := fleet.ReadManifest(u.Manifest, u.Head.Root)
+		n.work.Hashed += len(m)
+		return m, err == nil
+	}
+	if u.From > n.force.Gen {
+		return nil, false
+	}
+	// A delta from an earlier generation leads to the same manifest if it sets all that changed since, as that of Squash
+	// does. If it does not, the root hash shows it, and the manifest is fetched.
+	m := n.manifest.Apply(*u.Delta)
+	n.work.Hashed += len(m)
+	return m, m.Root() == u.Head.Root
+}
+
+// changeOf returns what is kept of an update for peers that are behind.
+func (n *Node) changeOf(u Update) kept {
+	if u.Delta != nil {
+		return kept{from: u.From, gen: u.Head.Gen, delta: *u.Delta}
+	}
+	return kept{gen: u.Head.Gen, exact: true}
+}
+
+// complete installs the staged generation, or notes what is missing. If the last answer brought nothing, the source no
+// longer has the sections, and the fetch starts again elsewhere.
+func (n *Node) complete(now time.Time, out *Actions, from Source, nothing bool) {
+	s := n.staged
+	delta := n.manifest.Diff(s.manifest)
+	set := make([]fleet.Section, 0, len(delta.Set))
+	s.missing = nil
+	for _, e := range delta.Set {
+		data, ok := s.have[e.Hash]
+		if !ok {
+			s.missing = append(s.missing, e)
+			continue
+		}
+		set = append(set, fleet.Section{Name: e.Name, Hash: e.Hash, Data: data})
+	}
+	switch {
+	case len(s.missing) > 0 && nothing:
+		n.staged = nil
+		n.avoid(from, "it no longer has the sections")
+	case len(s.missing) == 0:
+		if s.change.exact {
+			s.change.from, s.change.delta = n.force.Gen, delta
+		}
+		n.install(now, out, s, delta, set)
+	}
+}
+
+// install puts a verified generation into force. It is the only place that changes what is in force.
+func (n *Node) install(now time.Time, out *Actions, s *staged, delta fleet.Delta, set []fleet.Section) {
+	h := s.head
+	if h.Gen <= n.force.Gen {
+		return
+	}
+	touched, err := n.index.Apply(set, delta.Gone)
+	if err != nil {
+		n.reject(now, out, Source{}, h, ReasonRoot)
+		return
+	}
+	n.keep(s.change)
+	n.work.Entries += touched
+	n.work.Sections += len(set)
+	if n.sections == nil {
+		n.sections = make(map[string]fleet.Section)
+	}
+	for _, name := range delta.Gone {
+		n.replace(name)
+		delete(n.sections, name)
+	}
+	for _, x := range set {
+		n.replace(x.Name)
+		n.sections[x.Name] = x
+	}
+	n.force, n.manifest, n.staged, n.full = h, s.manifest, nil, false
+	if h.Gen > n.target.Gen {
+		n.target = h
+	}
+	n.decide(now, out, h.Gen, "installed", ReasonNewer, fmt.Sprintf("%d sections changed, %d gone", len(set), len(delta.Gone)))
+	n.view.installed(h.Gen)
+	out.Install = &Install{Head: h, Sections: set, Gone: delta.Gone}
+	behind := func(p Peer) bool { return n.heard[p.Name].gen < h.Gen }
+	out.Announce = append(out.Announce, n.announceTo(now, n.sample(fanout, behind))...)
+}
+
+// Accepted takes a configuration that this daemon wrote itself, with the table version of its commit.
+func (n *Node) Accepted(now time.Time, p *Plan, version uint64) Actions {
+	var out Actions
+	h := p.Head
+	h.Version = version
+	n.learn(now, &out, h, Source{})
+	if n.platform.Gen < h.Gen {
+		n.platform = h
+	}
+	if p.Change.From == n.force.Gen && !p.Again {
+		manifest := n.manifest.Apply(p.Change.Delta)
+		n.work.Hashed += len(manifest)
+		if manifest.Root() == h.Root {
+			sections := p.Objects[:len(p.Change.Delta.Set)]
+			change := kept{from: p.Change.From, gen: h.Gen, delta: p.Change.Delta}
+			n.install(now, &out, &staged{head: h, manifest: manifest, change: change}, p.Change.Delta, sections)
+		}
+	}
+	n.next(now, &out)
+	return out
+}
--- a/standin/table/http.go
+++ b/standin/table/http.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return fmt.Errorf("read body: %w", err)
 	}
-	if err := s.PutObject(c.Request().Context(), c.Param("hash"), data); err != nil {
+	if err := s.putObject(c.Request().Context(), c.Param("hash"), data); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusNoContent)
--- a/standin/table/store.go
+++ b/standin/table/store.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"cuminstair.org/cuminstair"
 )
 
@@ -135,8 +137,16 @@
 	return nil
 }
 
-// PutObject implements cuminstair.Objects.
+// PutObject implements cuminstair.Objects. A lost answer is ErrUnavailable, since the object can be stored again.
 func (s *Service) PutObject(ctx context.Context, hash string, data []byte) error {
+	err := s.putObject(ctx, hash, data)
+	if errors.Is(err, cuminstair.ErrUncertain) {
+		return fmt.Errorf("put object %s: the answer was lost: %w", hash, cuminstair.ErrUnavailable)
+	}
+	return err
+}
+
+func (s *Service) putObject(ctx context.Context, hash string, data []byte) error {
 	sum := sha256.Sum256(data)
 	if hex.EncodeToString(sum[:]) != hash {
 		return fmt.Errorf("object %s: content has another hash", hash)
