Send changed sections as patches and answer announcements only if needed

A team change sent the whole set of 310 teams, about 8 KB, to each node and from it to the next, and every announcement was answered.

Sections go to peers compressed with the version before as the dictionary, which is checked by the section's hash; a peer with another version asks for the whole section. An announcement of the same generation is answered only if the sender asks for it.

A late answer is used anyway, so that the timeouts after which another source is asked are now 400 ms and 600 ms instead of 700 ms and 1 s.

--- a/rollout/head.go
+++ b/rollout/head.go
@@ -66,7 +66,7 @@
 	// Asked is the time on the receiver's clock that it sent the announcement that this one answers; 0 if it answers
 	// none. It proves that the answer is not from before a pause.
 	Asked int64
-	// Sent is the time on the sender's clock, to be returned as Asked.
+	// Sent is the time on the sender's clock, to be returned as Asked; 0 if the sender needs no answer.
 	Sent int64
 }
 
@@ -90,6 +90,7 @@
 	Delta    *fleet.Delta
 	Manifest []byte
 	Sections []fleet.Section
+	Patches  []Patch // sections as their difference from the version before
 }
 
 var messages = mustMode()
@@ -124,15 +125,15 @@
 const (
 	// TickEvery is the time between two calls of Node.Tick.
 	TickEvery = 100 * time.Millisecond
-	// announceEvery is the time between two announcements to a random peer. With the bound of 3 s until a configuration
-	// is in force, a daemon that missed the first announcements has five more chances.
+	// announceEvery is the time between two announcements to a random peer. Each daemon sends and gets one in that time
+	// on average, about 200 bytes each.
 	announceEvery = 500 * time.Millisecond
-	// fetchTimeout is the time until a fetch is given up and another source is asked; four fit into the 3 s. A starting
-	// daemon fetches the whole fleet, about 1 MB for 28,000 hosts, and has startTimeout (an answer that comes later
-	// is used all the same); each section that the
-	// platform is asked for adds sectionTimeout, since its reads are limited.
-	fetchTimeout   = 700 * time.Millisecond
-	startTimeout   = time.Second
+	// fetchTimeout is the time until another source is asked; an answer that comes later is used all the same. It is
+	// above the longest round trip between regions, about 200 ms, and six fit into the 3 s. A starting daemon fetches the
+	// whole fleet, about 1 MB for 28,000 hosts, and has startTimeout. Each section that the platform is asked for adds
+	// sectionTimeout, since its reads are limited.
+	fetchTimeout   = 400 * time.Millisecond
+	startTimeout   = 600 * time.Millisecond
 	sectionTimeout = 100 * time.Millisecond
 	// fetchPause is the least time between the starts of two fetches when the first one failed.
 	fetchPause = 200 * time.Millisecond
--- a/rollout/learn.go
+++ b/rollout/learn.go
@@ -41,10 +41,10 @@
 		n.view.confirm(time.Unix(0, a.Asked), a.Head.Gen, n.force.Gen)
 	}
 	n.learn(now, &out, a.Head, Source{Peer: a.From})
-	if a.Asked == 0 && a.Head.Gen <= n.force.Gen {
+	if a.Asked == 0 && (a.Head.Gen < n.force.Gen || (a.Head.Gen == n.force.Gen && a.Sent != 0)) {
 		// Tells the peer that it is behind, or confirms its view.
 		reply := n.announceTo(now, []string{a.From})
-		reply[0].Message.Asked = a.Sent
+		reply[0].Message.Sent, reply[0].Message.Asked = 0, max(a.Sent, 1)
 		out.Announce = append(out.Announce, reply...)
 	}
 	n.next(now, &out)
--- a/rollout/node.go
+++ b/rollout/node.go
@@ -73,6 +73,8 @@
 	changes  []kept          // the last ones, in order; each begins at or before the end of the one before
 	replaced []fleet.Section // the last sections that were replaced, for peers that still fetch them
 
+	patches map[string]Patch // the last patches that were made, by section name
+
 	target       Head // highest generation that is known to be accepted
 	platform     Head // what the platform last said
 	platformSeen bool
@@ -164,7 +166,12 @@
 	}
 	if !now.Before(n.announceAt) {
 		n.announceAt = now.Add(announceEvery)
-		out.Announce = n.announceTo(now, n.sample(1, nil))
+		out.Announce = append(out.Announce, n.announceTo(now, n.sample(1, nil))...)
+		if !n.view.resumed.IsZero() {
+			// Asks peers whose answer confirms the view.
+			near := n.sample(1, func(p Peer) bool { return p.Centre == n.Centre })
+			out.Announce = append(out.Announce, n.announceTo(now, near)...)
+		}
 	}
 	if n.fetch != nil && now.Sub(n.fetch.at) >= n.fetch.timeout() {
 		n.drop(now, &out, "no answer")
@@ -202,7 +209,10 @@
 func (n *Node) announceTo(now time.Time, peers []string) []Announce {
 	var out []Announce
 	for _, p := range peers {
-		m := Announcement{From: n.Name, Incarnation: n.Incarnation, Head: n.force, Sent: now.UnixNano()}
+		m := Announcement{From: n.Name, Incarnation: n.Incarnation, Head: n.force}
+		if n.force.Gen == 0 || !n.view.resumed.IsZero() {
+			m.Sent = now.UnixNano()
+		}
 		out = append(out, Announce{To: p, Message: m})
 	}
 	return out
--- /dev/null
+++ b/rollout/runner/cost_test.go
@@ -0,0 +1,146 @@
+package runner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/rollout"
+)
+
+const (
+	// changeEvery is the time between two changes at 19,000 a day.
+	changeEvery = 24 * time.Hour / 19000
+	// nodeBytes is the bound for a node in bytes a second (design page, section 1.8).
+	nodeBytes = 3000
+)
+
+// mixed is a day's mixture: mostly single hosts, and some teams, services and waves.
+func mixed(s *sim, f *cuminstair.Fleet, i int) {
+	switch i % 10 {
+	case 0:
+		f.Teams[s.rng.IntN(len(f.Teams))].Quota.Burst++
+	case 1:
+		f.Services[s.rng.IntN(len(f.Services))].Slots++
+	case 2:
+		w := &f.Waves[s.rng.IntN(len(f.Waves))]
+		w.Hold = !w.Hold
+	case 3:
+		f.Hosts[s.rng.IntN(len(f.Hosts))].Pool = f.Pools[s.rng.IntN(len(f.Pools))].Name
+	default:
+		f.Hosts[s.rng.IntN(len(f.Hosts))].Cores++
+	}
+}
+
+// largest changes the set of teams, which is the largest section.
+func largest(s *sim, f *cuminstair.Fleet, _ int) { f.Teams[s.rng.IntN(len(f.Teams))].Quota.Burst++ }
+
+// Guards against changes that cost a node more than 3 KB/s at 28,000 hosts and 19,000 changes a day, and against a
+// change that is in force everywhere only after 3 s. Counted are all messages of the configuration that a node sends and
+// receives, those to and from the platform included, with 100 bytes for each on top.
+func TestBytesPerNode(t *testing.T) {
+	for name, edit := range map[string]func(*sim, *cuminstair.Fleet, int){"mixed changes": mixed, "teams only": largest} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const changes = 30
+			s := newSim(t, 1, 21, fleet.Large.Centres)
+			s.trust, s.loss, s.twice = true, 0, 0
+			f := fleet.Generate(s.rng, fleet.Large)
+			s.v.Advance(time.Second)
+			_, err := s.apply(s.daemons[0], f, 0)
+			is.NoErr(err)
+			s.v.Advance(2 * bound)
+			is.Equal(s.lowest(), uint64(1))
+			full := s.bytes()
+			idle := s.run(changeEvery * changes)
+			before := s.daemons[1].node.Work()
+			total, gen := 0, uint64(1)
+			for i := range changes {
+				edit(s, f, i)
+				res, err := s.apply(s.daemons[i%len(s.daemons)], f, gen)
+				is.NoErr(err)
+				gen = res.Head.Gen
+				total += s.run(changeEvery)
+			}
+			work := s.daemons[1].node.Work()
+			seconds := (changeEvery * changes).Seconds()
+			nodes := float64(len(s.daemons))
+			rate := float64(total) / nodes / seconds
+			t.Logf("%s: %.0f bytes/s per node, of which %.0f without changes; %.0f bytes per node per change",
+				name, rate, float64(idle)/nodes/seconds, float64(total-idle)/nodes/changes)
+			t.Logf("in force everywhere after %s on average, %s at most; start of all nodes %.1f MB per node",
+				s.everywhere(false), s.everywhere(true), float64(full)/nodes/1e6)
+			t.Logf("per node and change: %.1f sections, %.0f index entries, %.0f manifest entries hashed",
+				float64(work.Sections-before.Sections)/changes, float64(work.Entries-before.Entries)/changes,
+				float64(work.Hashed-before.Hashed)/changes)
+			is.True(rate <= nodeBytes)
+			is.True(s.everywhere(true) <= bound)
+		})
+	}
+}
+
+// run advances the clock and returns the bytes that all nodes sent and received meanwhile.
+func (s *sim) run(d time.Duration) int {
+	before := s.bytes()
+	s.v.Advance(d)
+	return s.bytes() - before
+}
+
+func (s *sim) bytes() int {
+	total := 0
+	for _, d := range s.daemons {
+		total += d.bytes
+	}
+	return total
+}
+
+// everywhere returns the mean or the longest time until a generation was in force in all daemons.
+func (s *sim) everywhere(longest bool) time.Duration {
+	var sum, most time.Duration
+	for _, a := range s.accepted {
+		sum += a.everywhere
+		most = max(most, a.everywhere)
+	}
+	if longest {
+		return most
+	}
+	return (sum / time.Duration(len(s.accepted))).Round(time.Millisecond)
+}
+
+// Guards against work for a change of one section that grows with the fleet. What grows is stated: one pass over the
+// manifest, which has one entry for about 45 hosts, to apply the delta, to compare and to hash it. The sections that are
+// fetched and the index entries that are moved must not grow.
+func TestWorkPerChange(t *testing.T) {
+	is := is.New(t)
+	measure := func(size fleet.Size) (work rollout.Work, manifest int) {
+		s := newSim(t, 1, 2, 1)
+		s.trust = true
+		f := fleet.Generate(s.rng, size)
+		s.v.Advance(time.Second)
+		_, err := s.apply(s.daemons[0], f, 0)
+		is.NoErr(err)
+		s.v.Advance(bound)
+		before := s.daemons[1].node.Work()
+		f.Hosts[size.Hosts/2].Cores++
+		_, err = s.apply(s.daemons[0], f, 1)
+		is.NoErr(err)
+		s.v.Advance(bound)
+		after := s.daemons[1].node.Work()
+		work.Sections = after.Sections - before.Sections
+		work.Entries = after.Entries - before.Entries
+		work.Hashed = after.Hashed - before.Hashed
+		return work, len(s.daemons[1].node.Manifest())
+	}
+	small, smallManifest := measure(fleet.Size{Hosts: 1232, Pools: 2, Teams: 310, Centres: 7, Regions: 3, Rack: 4})
+	large, largeManifest := measure(fleet.Large)
+	t.Log(fmt.Sprintf("1,232 hosts: %+v; 28,000 hosts: %+v", small, large))
+	is.Equal(small.Sections, 1)
+	is.Equal(large.Sections, 1)
+	is.True(large.Entries <= 4*64)
+	is.Equal(small.Hashed, smallManifest)
+	is.Equal(large.Hashed, largeManifest)
+}
--- a/rollout/serve.go
+++ b/rollout/serve.go
@@ -53,7 +53,7 @@
 	}
 	if delta, ok := n.since(r.After); ok && !r.Full {
 		u.From, u.Delta = r.After, &delta
-		u.Sections = n.named(delta.Set)
+		u.Sections, u.Patches = n.patched(delta.Set)
 		return u
 	}
 	u.Manifest = n.manifest.Encode()
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -69,6 +69,11 @@
 			s.have[x.Hash] = x.Data
 		}
 	}
+	for _, p := range u.Patches {
+		if x, ok := p.apply(n.sections[p.Name]); ok {
+			s.have[x.Hash] = x.Data
+		}
+	}
 	n.complete(now, out, from, len(u.Sections) == 0 && u.Delta == nil && u.Manifest == nil)
 }
 
