Make patches from the common head and tail and run nodes under a runner

The runner stopped with a race between its last fetch and the end of Run; it now starts nothing once Run ends.

--- a/rollout/node.go
+++ b/rollout/node.go
@@ -73,8 +73,6 @@
 	changes  []kept          // the last ones, in order; each begins at or before the end of the one before
 	replaced []fleet.Section // the last sections that were replaced, for peers that still fetch them
 
-	patches map[string]Patch // the last patches that were made, by section name
-
 	target       Head // highest generation that is known to be accepted
 	platform     Head // what the platform last said
 	platformSeen bool
--- a/rollout/node_test.go
+++ b/rollout/node_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
@@ -234,6 +235,8 @@
 	_, err = rollout.Make(later, rollout.Apply{Fleet: edited, Base: 1, ID: "z"})
 	is.Equal(err.Error(), "the file is based on generation 1, but generation 2 is accepted; since then: "+
 		"changed host h00001: cores from 1 to 2; read the fleet again and repeat the change")
-	is.True(err.(*rollout.Conflict).Overlap[0] == "changed host h00001: cores from 1 to 2")
+	var c *rollout.Conflict
+	is.True(errors.As(err, &c))
+	is.Equal(c.Overlap, []string{"changed host h00001: cores from 1 to 2"})
 	is.Equal(first.Commit.Checks, []cuminstair.Check{{Key: rollout.HeadKey, Version: base.Head.Version}})
 }
--- a/rollout/patch.go
+++ b/rollout/patch.go
@@ -1,47 +1,47 @@
 package rollout
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
+	"slices"
 
 	"cuminstair.org/cuminstair/fleet"
 )
 
-// maxSection bounds a section that a patch expands to, in bytes. The largest one of 28,000 hosts, the set of 310 teams,
-// is about 8 KB.
-const maxSection = 16 << 20
-
-// Patch is a section as its difference from an earlier version. Data is compressed with that version as the dictionary:
-// one changed entry takes some tens of bytes instead of the whole section.
+// Patch is a section as its difference from an earlier version: the first Head and the last Tail bytes of that version,
+// with Data between. The encoding of sections is deterministic, so that one changed entry takes a few bytes.
 type Patch struct {
 	_    struct{} `cbor:",toarray"`
 	Name string
 	Hash fleet.Hash // of the section
 	Base fleet.Hash // of the earlier version
+	Head uint32
+	Tail uint32
 	Data []byte
 }
 
 // makePatch returns the difference between two versions of a section.
 func makePatch(from, to fleet.Section) Patch {
-	var b bytes.Buffer
-	w, err := flate.NewWriterDict(&b, flate.BestCompression, from.Data)
-	if err != nil {
-		panic("flate: " + err.Error()) // The level is valid.
+	most := min(len(from.Data), len(to.Data))
+	head := 0
+	for head < most && from.Data[head] == to.Data[head] {
+		head++
+	}
+	tail := 0
+	for tail < most-head && from.Data[len(from.Data)-1-tail] == to.Data[len(to.Data)-1-tail] {
+		tail++
+	}
+	return Patch{
+		Name: to.Name, Hash: to.Hash, Base: from.Hash, Head: uint32(head), Tail: uint32(tail),
+		Data: to.Data[head : len(to.Data)-tail],
 	}
-	_, _ = w.Write(to.Data) // A buffer does not fail.
-	_ = w.Close()
-	return Patch{Name: to.Name, Hash: to.Hash, Base: from.Hash, Data: b.Bytes()}
 }
 
 // apply returns the section if base is the version that the patch starts from and the result has its hash.
 func (p Patch) apply(base fleet.Section) (fleet.Section, bool) {
-	if base.Hash != p.Base {
+	if base.Hash != p.Base || uint64(p.Head)+uint64(p.Tail) > uint64(len(base.Data)) {
 		return fleet.Section{}, false
 	}
-	r := flate.NewReaderDict(bytes.NewReader(p.Data), base.Data)
-	data, err := io.ReadAll(io.LimitReader(r, maxSection))
-	if err != nil || fleet.Sum(data) != p.Hash {
+	data := slices.Concat(base.Data[:p.Head], p.Data, base.Data[len(base.Data)-int(p.Tail):])
+	if fleet.Sum(data) != p.Hash {
 		return fleet.Section{}, false
 	}
 	return fleet.Section{Name: p.Name, Hash: p.Hash, Data: data}, true
@@ -60,24 +60,13 @@
 	return sections, patches
 }
 
-// patchOf returns the patch of a section, which is made once.
+// patchOf returns the patch of a section if the version before is known and the patch is shorter.
 func (n *Node) patchOf(s fleet.Section) (Patch, bool) {
-	if p, ok := n.patches[s.Name]; ok && p.Hash == s.Hash {
-		return p, true
-	}
 	for i := len(n.replaced) - 1; i >= 0; i-- {
-		if n.replaced[i].Name != s.Name || n.replaced[i].Hash == s.Hash {
-			continue
-		}
-		p := makePatch(n.replaced[i], s)
-		if len(p.Data) >= len(s.Data) {
-			return Patch{}, false
-		}
-		if n.patches == nil || len(n.patches) >= keptSections {
-			n.patches = make(map[string]Patch)
+		if old := n.replaced[i]; old.Name == s.Name && old.Hash != s.Hash {
+			p := makePatch(old, s)
+			return p, len(p.Data) < len(s.Data)/2
 		}
-		n.patches[s.Name] = p
-		return p, true
 	}
 	return Patch{}, false
 }
--- a/rollout/runner/apply.go
+++ b/rollout/runner/apply.go
@@ -16,15 +16,12 @@
 	settleTries = 5
 	// applyTries is the number of plans that are tried while others change the head.
 	applyTries = 3
-	// maxWords is the number of changes above which a conflict does not say what differs.
+	// maxConflict is the number of changes above which a conflict does not say what differs.
 	maxConflict = 1000
 )
 
-// Errors of Apply.
-const (
-	// ErrBehind means that the daemon does not have the accepted generation in force yet.
-	ErrBehind = errors.ConstError("the accepted generation is not in force in this daemon yet; try again")
-)
+// ErrBehind means that the daemon does not have the accepted generation in force yet.
+const ErrBehind = errors.ConstError("the accepted generation is not in force in this daemon yet; try again")
 
 // Result is an accepted configuration.
 type Result struct {
@@ -132,7 +129,7 @@
 		verdict, readErr := platform.Settle(ctx, a.Table, p.Commit, 0)
 		switch {
 		case readErr == nil && verdict == platform.Done:
-			return a.versionOf(ctx, p)
+			return a.versionOf(ctx, p), nil
 		case readErr == nil && verdict != platform.Pending:
 			// Nobody overwrites a change row, so that moved can't happen; never is a conflict.
 			return 0, fmt.Errorf("swap the head: the commit is %s: %w", verdict, cuminstair.ErrConflict)
@@ -145,10 +142,10 @@
 }
 
 // versionOf returns the table version of a plan that is known to be accepted; 0 if it can't be read now.
-func (a *Applier) versionOf(ctx context.Context, p *rollout.Plan) (uint64, error) {
+func (a *Applier) versionOf(ctx context.Context, p *rollout.Plan) uint64 {
 	rows, _, err := a.Table.Rows(ctx, rollout.ChangeKey(p.Head.Gen), 0)
 	if err != nil || len(rows) == 0 {
-		return 0, nil //nolint:nilerr // The plan is accepted; the version only saves a read later.
+		return 0 // The plan is accepted; the version only saves a read later.
 	}
-	return rows[0].Version, nil
+	return rows[0].Version
 }
--- a/rollout/runner/cost_test.go
+++ b/rollout/runner/cost_test.go
@@ -1,7 +1,6 @@
 package runner_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -137,7 +136,7 @@
 	}
 	small, smallManifest := measure(fleet.Size{Hosts: 1232, Pools: 2, Teams: 310, Centres: 7, Regions: 3, Rack: 4})
 	large, largeManifest := measure(fleet.Large)
-	t.Log(fmt.Sprintf("1,232 hosts: %+v; 28,000 hosts: %+v", small, large))
+	t.Logf("1,232 hosts: %+v; 28,000 hosts: %+v", small, large)
 	is.Equal(small.Sections, 1)
 	is.Equal(large.Sections, 1)
 	is.True(large.Entries <= 4*64)
--- a/rollout/runner/runner.go
+++ b/rollout/runner/runner.go
@@ -25,7 +25,7 @@
 	NewID func() string
 
 	mu  sync.Mutex
-	ctx context.Context //nolint:containedctx // ends the fetches with Run
+	ctx context.Context // ends what Run started; nil while Run does not run
 	wg  sync.WaitGroup
 }
 
@@ -43,6 +43,9 @@
 	stop := r.Timer.Every(rollout.TickEvery, tick)
 	<-ctx.Done()
 	stop()
+	r.mu.Lock()
+	r.ctx = nil // Nothing is started any more.
+	r.mu.Unlock()
 	r.wg.Wait()
 	return nil
 }
@@ -75,10 +78,10 @@
 	}
 }
 
-// spawn runs fn on its own goroutine unless Run has not begun or has ended.
+// spawn runs fn on its own goroutine while Run runs. The lock must be held.
 func (r *Runner) spawn(fn func(ctx context.Context)) {
 	ctx := r.ctx
-	if ctx == nil || ctx.Err() != nil {
+	if ctx == nil {
 		return
 	}
 	r.wg.Go(func() { fn(ctx) })
