--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,215 @@
+// Package operator is the operators' interface of the entry daemon: JSON over HTTP, and its client.
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"cuminstair.org/cuminstair"
+)
+
+// maxBody bounds a request body in bytes. A fleet file of 28,000 hosts has about 6 MB.
+const maxBody = 64 << 20
+
+// Server answers operators. Its fields are set before Handler is called.
+type Server struct {
+	Operations cuminstair.Operations
+	Log        hclog.Logger
+}
+
+// Failure is the body of every answer that is not a success.
+type Failure struct {
+	Error   string             `json:"error"`
+	Code    string             `json:"code"` // one of the codes below
+	Faults  []cuminstair.Fault `json:"faults,omitempty"`
+	Base    uint64             `json:"base,omitempty"`
+	Current uint64             `json:"current,omitempty"`
+	Changes []string           `json:"changes,omitempty"`
+}
+
+// Codes of a Failure.
+const (
+	CodeFaults      = "faults"      // the file has faults
+	CodeConflict    = "conflict"    // another change was accepted first
+	CodeMissing     = "missing"     // there is no such host, wave, job or request
+	CodeUnavailable = "unavailable" // the platform can't be reached; nothing was changed
+	CodeUncertain   = "uncertain"   // the change may have been accepted; repeat it
+	CodeMalformed   = "malformed"   // the request itself is wrong
+	CodeInternal    = "internal"
+)
+
+// Handler returns the routes of the interface.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = s.fail
+	e.Use(limitBody)
+	ops := s.Operations
+	e.POST("/fleet", body(ops.Apply))
+	e.GET("/fleet", single(ops.Current))
+	e.POST("/fleet/check", body(s.check))
+	e.POST("/fleet/diff", body(s.difference))
+	e.GET("/force/:generation", s.force)
+	e.GET("/daemons", list(ops.Daemons))
+	e.GET("/pools", list(ops.Pools))
+	e.GET("/hosts", list(ops.Hosts))
+	e.GET("/waves", list(ops.Waves))
+	e.GET("/budgets", list(ops.Budgets))
+	e.GET("/jobs", list(ops.Jobs))
+	e.POST("/hosts/:id/:action", change(ops.ChangeHost, "drain", "hold", "resume"))
+	e.POST("/waves/:id/:action", change(ops.ChangeWave, "start", "hold", "resume"))
+	e.POST("/jobs", body(ops.Submit))
+	e.POST("/jobs/cancel", body(ops.Cancel))
+	e.GET("/explain/:kind/:id", s.explain)
+	return e
+}
+
+func limitBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		r := c.Request()
+		r.Body = http.MaxBytesReader(c.Response(), r.Body, maxBody)
+		return next(c)
+	}
+}
+
+// single answers with the value that fn returns.
+func single[T any](fn func(context.Context) (T, error)) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		v, err := fn(c.Request().Context())
+		if err != nil {
+			return fmt.Errorf("get %s: %w", c.Path(), err)
+		}
+		return c.JSON(http.StatusOK, v)
+	}
+}
+
+// list answers with the rows that fn returns; an empty list is written as [] and not as null.
+func list[T any](fn func(context.Context) ([]T, error)) echo.HandlerFunc {
+	return single(func(ctx context.Context) ([]T, error) {
+		rows, err := fn(ctx)
+		if rows == nil {
+			rows = []T{}
+		}
+		return rows, err
+	})
+}
+
+// body decodes the request into an In and answers with the value that fn returns.
+func body[In, Out any](fn func(context.Context, In) (Out, error)) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		var in In
+		if err := (&echo.DefaultBinder{}).BindBody(c, &in); err != nil {
+			return fmt.Errorf("decode the body: %w", err)
+		}
+		out, err := fn(c.Request().Context(), in)
+		if err != nil {
+			return fmt.Errorf("post %s: %w", c.Path(), err)
+		}
+		return c.JSON(http.StatusOK, out)
+	}
+}
+
+// change applies one of the allowed actions to the thing named in the path.
+func change(fn func(ctx context.Context, id, action string) error, allowed ...string) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		action := c.Param("action")
+		for _, a := range allowed {
+			if a != action {
+				continue
+			}
+			if err := fn(c.Request().Context(), c.Param("id"), action); err != nil {
+				return fmt.Errorf("%s %s: %w", action, c.Param("id"), err)
+			}
+			return c.NoContent(http.StatusNoContent)
+		}
+		return echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf("unknown action %q; use one of %v", action, allowed))
+	}
+}
+
+// Lines is a list of changes in words.
+type Lines struct {
+	Lines []string `json:"lines"`
+}
+
+func (s *Server) check(ctx context.Context, a cuminstair.Application) (Lines, error) {
+	return Lines{}, s.Operations.Check(ctx, a.File, a.Text)
+}
+
+func (s *Server) difference(ctx context.Context, a cuminstair.Application) (Lines, error) {
+	lines, err := s.Operations.Difference(ctx, a.File, a.Text)
+	return Lines{Lines: lines}, err
+}
+
+func (s *Server) force(c echo.Context) error {
+	generation, err := strconv.ParseUint(c.Param("generation"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf("generation %q is not a number", c.Param("generation")))
+	}
+	return single(func(ctx context.Context) (cuminstair.Force, error) {
+		return s.Operations.Force(ctx, generation)
+	})(c)
+}
+
+func (s *Server) explain(c echo.Context) error {
+	return single(func(ctx context.Context) (cuminstair.Explanation, error) {
+		return s.Operations.Explain(ctx, c.Param("kind"), c.Param("id"))
+	})(c)
+}
+
+// fail writes an error as a Failure.
+func (s *Server) fail(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, failure := describe(err)
+	if status >= http.StatusInternalServerError {
+		s.Log.Warn("request failed", "method", c.Request().Method, "path", c.Request().URL.Path, "error", err)
+	}
+	if err := c.JSON(status, failure); err != nil {
+		s.Log.Debug("answer not written", "error", err)
+	}
+}
+
+func describe(err error) (int, Failure) {
+	f := Failure{Error: err.Error(), Code: CodeInternal}
+	if faults, ok := errors.AsType[*cuminstair.FaultsError](err); ok {
+		f.Code, f.Faults = CodeFaults, faults.Faults
+		return http.StatusUnprocessableEntity, f
+	}
+	if stale, ok := errors.AsType[*cuminstair.StaleError](err); ok {
+		f.Code, f.Base, f.Current, f.Changes = CodeConflict, stale.Base, stale.Current, stale.Changes
+		return http.StatusConflict, f
+	}
+	if tooBig, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		f.Code, f.Error = CodeMalformed, fmt.Sprintf("the body has more than %d bytes", tooBig.Limit)
+		return http.StatusRequestEntityTooLarge, f
+	}
+	if he, ok := errors.AsType[*echo.HTTPError](err); ok {
+		f.Code, f.Error = CodeMalformed, fmt.Sprint(he.Message)
+		if he.Code == http.StatusNotFound {
+			f.Code = CodeMissing
+		}
+		return he.Code, f
+	}
+	switch {
+	case errors.Is(err, cuminstair.ErrConflict):
+		f.Code = CodeConflict
+		return http.StatusConflict, f
+	case errors.Is(err, cuminstair.ErrNotFound):
+		f.Code = CodeMissing
+		return http.StatusNotFound, f
+	case errors.Is(err, cuminstair.ErrUncertain):
+		f.Code = CodeUncertain
+		return http.StatusServiceUnavailable, f
+	case errors.Is(err, cuminstair.ErrUnavailable):
+		f.Code = CodeUnavailable
+		return http.StatusServiceUnavailable, f
+	default:
+		return http.StatusInternalServerError, f
+	}
+}
