Serve callers end to end with separate processes

A caller's request goes through cuminstaird to fakeupstream and back, with the headers of section 3 of the design. The routing and admission of a daemon that is given no others are plain (round robin, unlimited); the real ones are fields.

upstream writes to connections of its own instead of using http.Transport: the transport sends a request again when a reused connection breaks, and a transport per connection was ruled out because it costs two goroutines for each and hides the number of bytes handed over.

--- /dev/null
+++ b/caller/decisions.go
@@ -0,0 +1,232 @@
+package caller
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Decisions drives the decision packages of the request path. They are not safe for concurrent use; one mutex guards
+// all of them, since a decision takes about a microsecond. Exported fields are set before the first use.
+type Decisions struct {
+	Timer        cuminstair.Timer
+	Router       cuminstair.Router
+	NewAdmission func() cuminstair.Admission // called once for each service
+	Quotas       cuminstair.Quotas           // nil: no quotas
+	Retries      cuminstair.RetryBudget      // nil: no retries
+	Health       cuminstair.Health           // nil: hosts are active unless SetHostState says otherwise
+
+	view atomic.Pointer[view]
+
+	mu         sync.Mutex
+	admissions map[string]cuminstair.Admission
+	waiters    map[*cuminstair.Request]chan cuminstair.Verdict
+	planned    map[string]cuminstair.HostState
+	live       int
+}
+
+// SetFleet installs a fleet. live is the number of daemons that share the quotas.
+func (d *Decisions) SetFleet(f *cuminstair.Fleet, live int) {
+	v := newView(f)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.view.Load()
+	d.prepare()
+	for name, s := range v.services {
+		d.Router.SetUpstreams(name, s.upstreams)
+		if d.admissions[name] == nil {
+			d.admissions[name] = d.NewAdmission()
+		}
+		d.admissions[name].Configure(s.Kinds)
+	}
+	if old != nil {
+		for name := range old.services {
+			if v.services[name] == nil {
+				d.Router.SetUpstreams(name, nil)
+			}
+		}
+	}
+	if d.Quotas != nil {
+		d.Quotas.Configure(f.Teams, max(live, 1))
+	}
+	d.live = live
+	d.view.Store(v)
+	for host := range v.hosts {
+		d.Router.SetState(host, d.state(host))
+	}
+	d.refresh()
+}
+
+// SetLive tells how many daemons share the quotas, when that changes without a new fleet.
+func (d *Decisions) SetLive(teams []cuminstair.Team, live int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Quotas != nil && live != d.live {
+		d.Quotas.Configure(teams, max(live, 1))
+		d.live = live
+	}
+}
+
+// SetHostState tells the state that the row of a host has. Any state but active overrides the health of the host.
+func (d *Decisions) SetHostState(host string, state cuminstair.HostState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.prepare()
+	d.planned[host] = state
+	d.Router.SetState(host, d.state(host))
+	d.refresh()
+}
+
+// SetRemote tells the loads of a peer.
+func (d *Decisions) SetRemote(peer string, loads []cuminstair.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Router.SetRemote(peer, loads)
+	d.refresh()
+}
+
+// Loads returns the requests in flight at each host.
+func (d *Decisions) Loads() []cuminstair.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Router.Loads()
+}
+
+// Confirm reports whether this daemon sends nothing new to a host and has nothing in flight there.
+func (d *Decisions) Confirm(host string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state(host) == cuminstair.HostActive && d.view.Load() != nil && len(d.view.Load().hosts[host]) > 0 {
+		return false
+	}
+	for _, load := range d.Router.Loads() {
+		if load.Host == host && load.Inflight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Probe takes the result of an active check.
+func (d *Decisions) Probe(host string, ok, leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Health == nil {
+		return
+	}
+	d.Health.Probe(d.Timer.Now(), host, ok, leaving)
+	d.applyHealth()
+}
+
+// Report takes a peer's opinion of a host.
+func (d *Decisions) Report(peer, host string, state cuminstair.HostState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Health == nil {
+		return
+	}
+	d.Health.Report(d.Timer.Now(), peer, host, state)
+	d.applyHealth()
+}
+
+// State returns the state of a host that routing uses.
+func (d *Decisions) State(host string) cuminstair.HostState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state(host)
+}
+
+// Quiet returns for how long a request at the host may be quiet; 0 if nothing is known.
+func (d *Decisions) Quiet(host string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.Health == nil {
+		return 0
+	}
+	return d.Health.Quiet(host)
+}
+
+// Tick ends queued requests that can't finish in time and applies changes of health. It is called every TickInterval.
+func (d *Decisions) Tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.admissions {
+		for _, r := range a.Expire(now) {
+			d.wake(r, cuminstair.Verdict{Reason: cuminstair.ReasonLate})
+		}
+	}
+	if d.Health != nil {
+		d.applyHealth()
+	}
+}
+
+// Upstreams returns one upstream for each host of the fleet that runs an instance.
+func (d *Decisions) Upstreams() []cuminstair.Upstream {
+	v := d.view.Load()
+	if v == nil {
+		return nil
+	}
+	seen := make(map[string]bool, len(v.hosts))
+	var list []cuminstair.Upstream
+	for _, s := range v.services {
+		for _, u := range s.upstreams {
+			if !seen[u.Host] {
+				seen[u.Host] = true
+				list = append(list, u)
+			}
+		}
+	}
+	return list
+}
+
+// Ready reports whether a fleet is installed.
+func (d *Decisions) Ready() bool { return d.view.Load() != nil }
+
+func (d *Decisions) prepare() {
+	if d.admissions == nil {
+		d.admissions = map[string]cuminstair.Admission{}
+		d.waiters = map[*cuminstair.Request]chan cuminstair.Verdict{}
+		d.planned = map[string]cuminstair.HostState{}
+	}
+}
+
+// state joins the row of a host with its health.
+func (d *Decisions) state(host string) cuminstair.HostState {
+	if s := d.planned[host]; s != "" && s != cuminstair.HostActive {
+		return s
+	}
+	if d.Health == nil {
+		return cuminstair.HostActive
+	}
+	return d.Health.State(host)
+}
+
+// applyHealth hands changes of health to the router.
+func (d *Decisions) applyHealth() {
+	changed := d.Health.Changed()
+	for _, host := range changed {
+		d.Router.SetState(host, d.state(host))
+	}
+	if len(changed) > 0 {
+		d.refresh()
+	}
+}
+
+// refresh hands the capacities to admission and wakes the requests that may run now.
+func (d *Decisions) refresh() {
+	now := d.Timer.Now()
+	for name, a := range d.admissions {
+		for _, r := range a.SetCapacity(now, d.Router.Capacity(name)) {
+			d.wake(r, cuminstair.Verdict{Run: true})
+		}
+	}
+}
+
+func (d *Decisions) wake(r *cuminstair.Request, v cuminstair.Verdict) {
+	if ch := d.waiters[r]; ch != nil {
+		delete(d.waiters, r)
+		ch <- v
+	}
+}
--- /dev/null
+++ b/daemon/events.go
@@ -0,0 +1,140 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"cuminstair.org/cuminstair"
+)
+
+// tickInterval is how often queued requests are checked for their deadlines: a hundredth of an ordinary deadline.
+const tickInterval = 10 * time.Millisecond
+
+// Kind is a kind of event.
+type Kind string
+
+// Kinds of events. Key.Name is empty for EventFleet and EventLive.
+const (
+	EventFleet Kind = "fleet" // Event.Fleet is the configuration in force
+	EventLive  Kind = "live"  // Event.Live daemons share the quotas
+	EventHost  Kind = "host"  // the row of host Key.Name has Event.State
+	EventLoads Kind = "loads" // peer Key.Name has Event.Loads; an empty list forgets it
+	EventState Kind = "state" // peer Event.Peer holds host Key.Name to be in Event.State
+)
+
+// Key names what an event is about; a box holds the latest event of each key.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Event is what a part tells the request path; the fields that its kind names are set.
+type Event struct {
+	Fleet *cuminstair.Fleet
+	Live  int
+	State cuminstair.HostState
+	Peer  string
+	Loads []cuminstair.Load
+}
+
+// runEvents hands events to the decisions until ctx ends.
+func (d *Daemon) runEvents(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, d.Events.Close)
+	defer stop()
+	for {
+		events, ok := d.Events.Wait()
+		if !ok {
+			return nil
+		}
+		d.apply(events)
+	}
+}
+
+// apply installs a fleet before the events that may be about its hosts.
+func (d *Daemon) apply(events map[Key]Event) {
+	live := d.live(events)
+	if e, ok := events[Key{Kind: EventFleet}]; ok {
+		d.mu.Lock()
+		d.fleet = e.Fleet
+		d.mu.Unlock()
+		d.decisions.SetFleet(e.Fleet, live)
+		d.warnOfStop(e.Fleet)
+		d.Log.Info("fleet installed", "name", e.Fleet.Name, "hosts", len(e.Fleet.Hosts), "services", len(e.Fleet.Services))
+	}
+	for key, e := range events {
+		switch key.Kind {
+		case EventLive:
+			if f := d.installed(); f != nil {
+				d.decisions.SetLive(f.Teams, live)
+			}
+		case EventHost:
+			d.decisions.SetHostState(key.Name, e.State)
+		case EventLoads:
+			d.decisions.SetRemote(key.Name, e.Loads)
+		case EventState:
+			d.decisions.Report(e.Peer, key.Name, e.State)
+		default:
+		}
+	}
+}
+
+// live returns the number of daemons that share the quotas, which outlives the event that told it.
+func (d *Daemon) live(events map[Key]Event) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := events[Key{Kind: EventLive}]; ok {
+		d.daemons = e.Live
+	}
+	return max(d.daemons, 1)
+}
+
+func (d *Daemon) installed() *cuminstair.Fleet {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet
+}
+
+// warnOfStop names the kinds of work whose requests may outlast a planned stop.
+func (d *Daemon) warnOfStop(f *cuminstair.Fleet) {
+	room := d.Settings.Stop.D() - d.Settings.Wait.D()
+	for _, s := range f.Services {
+		for _, k := range s.Kinds {
+			if k.Deadline.D() > room {
+				d.Log.Warn("requests may outlast a planned stop", "service", s.Name, "kind", k.Name, "deadline", k.Deadline, "room", room)
+			}
+		}
+	}
+}
+
+// runTicks moves the decisions on until ctx ends.
+func (d *Daemon) runTicks(ctx context.Context) error {
+	stop := d.Timer.Every(tickInterval, d.decisions.Tick)
+	<-ctx.Done()
+	stop()
+	return nil
+}
+
+// ReadFleet reads a fleet file for a daemon without platform.
+func ReadFleet(path string) (*cuminstair.Fleet, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read fleet file: %w", err)
+	}
+	plain, err := hujson.Standardize(data)
+	if err != nil {
+		return nil, fmt.Errorf("parse fleet file %s: %w", path, err)
+	}
+	f := &cuminstair.Fleet{}
+	dec := json.NewDecoder(bytes.NewReader(plain))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(f); err != nil {
+		return nil, fmt.Errorf("parse fleet file %s: %w", path, err)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/daemon/listen.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"cuminstair.org/cuminstair/settings"
+)
+
+// headerLimit bounds the head of a request of an operator or of a metrics reader.
+const headerLimit = 10 * time.Second
+
+// addListeners opens the listeners and adds their servers.
+func (d *Daemon) addListeners(g *run.Group) error {
+	callers, err := d.listen("callers", d.Settings.Listen.Callers, d.Settings.TLS.Callers)
+	if err != nil {
+		return err
+	}
+	g.Add(func() error { return d.callers.Serve(callers) }, func(error) { _ = d.callers.Close() })
+	if addr := d.Settings.Listen.Operators; addr != "" && d.Operators != nil {
+		if err := d.addServer(g, "operators", addr, d.Settings.TLS.Operators, d.Operators); err != nil {
+			return err
+		}
+	}
+	if addr := d.Settings.Listen.Metrics; addr != "" {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+		return d.addServer(g, "metrics", addr, settings.Files{}, mux)
+	}
+	return nil
+}
+
+// addServer adds a listener that is not the callers'.
+func (d *Daemon) addServer(g *run.Group, name, addr string, files settings.Files, h http.Handler) error {
+	l, err := d.listen(name, addr, files)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit}
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", name, err)
+		}
+		return nil
+	}, func(error) { _ = s.Close() })
+	return nil
+}
+
+// listen opens a listener, with TLS if the settings have files for it.
+func (d *Daemon) listen(name, addr string, files settings.Files) (net.Listener, error) {
+	config, err := files.Config()
+	if err != nil {
+		return nil, fmt.Errorf("read TLS files of %s: %w", name, err)
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", name, err)
+	}
+	d.mu.Lock()
+	d.addrs[name] = l.Addr()
+	d.mu.Unlock()
+	d.Log.Info("listening", "for", name, "addr", l.Addr().String(), "tls", config != nil)
+	if config == nil {
+		return l, nil
+	}
+	return tls.NewListener(l, config), nil
+}
--- /dev/null
+++ b/daemon/stop.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// stop makes a planned stop: the load balancer learns that the daemon is unready, requests in flight finish, queued ones
+// end as not run, and what has to be kept goes to a successor. It takes at most Settings.Stop.
+func (d *Daemon) stop() error {
+	d.Log.Info("stopping", "bound", d.Settings.Stop, "wait", d.Settings.Wait)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer d.Timer.After(d.Settings.Stop.D(), func(time.Time) { cancel() })()
+
+	d.unready.Store(true)
+	d.callers.Drain()
+	d.sleep(ctx, d.Settings.Wait.D())
+	close(d.stopping)
+	if err := d.callers.Shutdown(ctx); err != nil {
+		if errors.Is(err, context.Canceled) {
+			return fmt.Errorf("stop: %w", ErrCut)
+		}
+		return fmt.Errorf("stop: %w", err)
+	}
+	if d.HandOver != nil {
+		if err := d.HandOver(ctx); err != nil {
+			return fmt.Errorf("hand over at the stop: %w", err)
+		}
+	}
+	d.Log.Info("stopped")
+	return nil
+}
+
+func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
+	passed := make(chan struct{})
+	stop := d.Timer.After(t, func(time.Time) { close(passed) })
+	defer stop()
+	select {
+	case <-passed:
+	case <-ctx.Done():
+	}
+}
--- a/serve.go
+++ b/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -138,6 +139,11 @@
 	Reason  Reason        `cbor:"13,keyasint,omitempty"`
 	// Spilled marks a request that another data centre sent on; it is not sent on again.
 	Spilled bool `cbor:"14,keyasint,omitempty"`
+	// Idempotent is copied from the kind of work; a request that may have run may be sent again.
+	Idempotent bool `cbor:"15,keyasint,omitempty"`
+	// Sink takes an answer longer than 1 MiB, part by part. It is called once with the head of the answer, whose Body is
+	// empty. Without a Sink such an answer ends as OutcomeUnknown. It never crosses an edge.
+	Sink func(head *Message) (io.Writer, error) `cbor:"-"`
 }
 
 // Peers is what a daemon asks of other daemons. Package peer implements it.
--- /dev/null
+++ b/standin/instance/instance.go
@@ -0,0 +1,180 @@
+// Package instance is a stand-in for an upstream: one service instance with a bounded number of slots and connections.
+// It records every run by request id and has faults that a test can set.
+package instance
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Limits of an instance, from the table of section 1.2 of docs/design.md.
+const (
+	DefaultSlots = 8
+	DefaultConns = 64
+)
+
+// Health is the answer to GET /health.
+type Health struct {
+	State string `json:"state"` // "ok" or "leaving"
+	Slots int    `json:"slots"`
+	Used  int    `json:"used"` // requests received and not answered yet; above Slots when some wait for a slot
+}
+
+// Server is one instance. Exported fields are set before Serve. It is safe for concurrent use.
+type Server struct {
+	Timer cuminstair.Timer // drives Faults.Delay
+	Slots int              // requests that run at once; 0: DefaultSlots
+	Conns int              // connections; one above it is closed at once; 0: DefaultConns
+	// Answer returns the body of an answer; nil echoes the body of the request.
+	Answer func(r *http.Request, body []byte) []byte
+
+	once   sync.Once
+	slots  chan struct{}
+	record record
+
+	mu     sync.Mutex
+	faults Faults
+	conns  map[*conn]bool
+	used   int
+	shed   int // connections closed because of Conns
+	server http.Server
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		if s.Slots == 0 {
+			s.Slots = DefaultSlots
+		}
+		if s.Conns == 0 {
+			s.Conns = DefaultConns
+		}
+		s.slots = make(chan struct{}, s.Slots)
+		s.conns = map[*conn]bool{}
+		s.server.Handler = s
+	})
+}
+
+// Serve accepts connections until Close. It returns http.ErrServerClosed after Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.init()
+	return s.server.Serve(&listener{Listener: l, server: s})
+}
+
+// Close closes the listeners and all connections.
+func (s *Server) Close() error {
+	s.init()
+	return s.server.Close()
+}
+
+// ServeHTTP answers /health and runs everything else as a request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.init()
+	if r.URL.Path == "/health" {
+		s.health(w)
+		return
+	}
+	s.run(w, r)
+}
+
+func (s *Server) health(w http.ResponseWriter) {
+	s.mu.Lock()
+	h := Health{State: "ok", Slots: s.Slots, Used: s.used}
+	leaving := s.faults.Leaving
+	s.mu.Unlock()
+	if leaving {
+		h.State = "leaving"
+		w.Header().Set("Leaving", "1")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(h)
+}
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	faults := s.faultsOf(r)
+	if faults.Leaving {
+		w.Header().Set("Leaving", "1")
+	}
+	w.Header().Set("Request", s.identity(r, faults))
+	if faults.Refuse {
+		w.Header().Set("Outcome", cuminstair.OutcomeNotRun.String())
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	s.addUsed(1)
+	defer s.addUsed(-1)
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	// A run counts from here, before the body is read, so that a test that trusts the record is strict.
+	s.record.begin(r)
+	defer s.record.end()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, "read the body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.wait(r, faults)
+	s.answer(w, r, body, faults)
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte, f Faults) {
+	if s.Answer != nil {
+		body = s.Answer(r, body)
+	}
+	if f.Extra {
+		writeExtra(w, r, body)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if f.Truncate {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
+
+// writeExtra sends the answer and, right after it on the same connection, an answer that nobody asked for.
+func writeExtra(w http.ResponseWriter, r *http.Request, body []byte) {
+	id := r.Header.Get("Request")
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	const format = "HTTP/1.1 200 OK\r\nRequest: %s\r\nContent-Length: %d\r\n\r\n%s"
+	first := fmt.Sprintf(format, id, len(body), body)
+	extra := fmt.Sprintf(format, id+"x", len("extra"), "extra")
+	_, _ = io.WriteString(c, first+extra)
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func (s *Server) addUsed(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used += n
+}
+
+// wait lets Faults.Delay pass, or returns when the connection closes.
+func (s *Server) wait(r *http.Request, f Faults) {
+	if f.Delay <= 0 {
+		return
+	}
+	passed := make(chan struct{})
+	stop := s.Timer.After(f.Delay, func(time.Time) { close(passed) })
+	select {
+	case <-passed:
+	case <-r.Context().Done():
+		stop()
+	}
+}
--- /dev/null
+++ b/upstream/attempt.go
@@ -0,0 +1,237 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Errors of an answer.
+const (
+	errMismatch = errors.ConstError("the answer carries another request's id")
+	errLength   = errors.ConstError("the answer does not tell its length")
+	errRefused  = errors.ConstError("the upstream did not run the request")
+	errPath     = errors.ConstError("the path of the request is malformed")
+	errTooLong  = errors.ConstError("the answer is too long and nobody takes it in parts")
+)
+
+// attempt is one request on one connection.
+type attempt struct {
+	pool    *pool
+	conn    *conn
+	message *cuminstair.Message
+	request *http.Request
+	began   time.Time
+	leaving bool
+	left    atomic.Bool // the connection was found silent
+}
+
+// run sends the request, reads the answer and gives the connection back.
+func (a *attempt) run(ctx context.Context) (*cuminstair.Message, cuminstair.Result) {
+	a.began = a.pool.sender.Timer.Now()
+	stop := context.AfterFunc(ctx, a.conn.abort)
+	answer, reusable, err := a.exchange()
+	keep := stop() && reusable && !a.left.Load()
+	r := a.result(ctx, err)
+	a.pool.give(a.conn, keep)
+	if err != nil {
+		return nil, r
+	}
+	return answer, r
+}
+
+func (a *attempt) exchange() (answer *cuminstair.Message, reusable bool, err error) {
+	a.request, err = newRequest(a.pool.addr, a.message)
+	if err != nil {
+		return nil, false, err
+	}
+	writeErr := a.write()
+	if writeErr != nil && a.conn.sent == 0 {
+		return nil, false, writeErr
+	}
+	// After a write that broke off the answer is read nevertheless: the upstream may have refused the request before it
+	// read all of it.
+	defer a.watch()()
+	answer, reusable, err = a.read()
+	return answer, reusable && writeErr == nil, err
+}
+
+func (a *attempt) write() error {
+	if err := a.request.Write(a.conn.bw); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	if err := a.conn.bw.Flush(); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	return nil
+}
+
+func (a *attempt) read() (answer *cuminstair.Message, reusable bool, err error) {
+	resp, err := a.head()
+	if err != nil {
+		return nil, false, fmt.Errorf("read answer: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.leaving = resp.Header.Get("Leaving") == "1"
+	if resp.Header.Get("Request") != a.message.ID {
+		return nil, false, errMismatch
+	}
+	if refused(resp) {
+		_, drainErr := io.CopyN(io.Discard, resp.Body, maxHealth)
+		return nil, errors.Is(drainErr, io.EOF) && a.clean(resp), errRefused
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, false, errLength
+	}
+	answer = newAnswer(a.message.ID, resp)
+	if err := a.body(answer, resp); err != nil {
+		return nil, false, err
+	}
+	return answer, a.clean(resp), nil
+}
+
+// head reads the head of the final answer and passes over interim ones.
+func (a *attempt) head() (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(a.conn.br, a.request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// body buffers an answer to MaxBody and streams a longer one.
+func (a *attempt) body(answer *cuminstair.Message, resp *http.Response) error {
+	if resp.ContentLength > MaxBody {
+		return a.stream(answer, resp, nil)
+	}
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	}
+	if _, err := buf.ReadFrom(io.LimitReader(resp.Body, MaxBody+1)); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if buf.Len() > MaxBody {
+		return a.stream(answer, resp, buf.Bytes())
+	}
+	answer.Body = buf.Bytes()
+	return nil
+}
+
+func (a *attempt) stream(answer *cuminstair.Message, resp *http.Response, first []byte) error {
+	if a.message.Sink == nil {
+		return errTooLong
+	}
+	if resp.ContentLength >= 0 {
+		answer.Header["Content-Length"] = strconv.FormatInt(resp.ContentLength, 10)
+	}
+	w, err := a.message.Sink(answer)
+	if err != nil {
+		return fmt.Errorf("pass on the answer: %w", err)
+	}
+	if _, err := w.Write(first); err != nil {
+		return fmt.Errorf("pass on the answer: %w", err)
+	}
+	if _, err := io.Copy(w, resp.Body); err != nil {
+		return fmt.Errorf("pass on the answer: %w", err)
+	}
+	return nil
+}
+
+// clean reports whether the connection is between two answers.
+func (a *attempt) clean(resp *http.Response) bool {
+	return !resp.Close && a.conn.br.Buffered() == 0
+}
+
+// result tells what became of the attempt. It is notrun only if no byte was handed to the connection or the
+// upstream said so.
+func (a *attempt) result(ctx context.Context, err error) cuminstair.Result {
+	r := cuminstair.Result{Outcome: cuminstair.OutcomeUnknown, Reason: cuminstair.ReasonBroken, Leaving: a.leaving}
+	if a.conn.sent > 0 {
+		r.Latency = a.pool.sender.Timer.Now().Sub(a.began)
+	}
+	switch {
+	case err == nil:
+		r.Outcome, r.Reason = cuminstair.OutcomeDone, cuminstair.ReasonOK
+	case errors.Is(err, errRefused):
+		r.Outcome, r.Reason = cuminstair.OutcomeNotRun, cuminstair.ReasonRefused
+	case errors.Is(err, errPath):
+		r.Outcome, r.Reason = cuminstair.OutcomeNotRun, cuminstair.ReasonMalformed
+	case a.conn.sent == 0:
+		r.Outcome, r.Reason = cuminstair.OutcomeNotRun, cuminstair.ReasonNoUpstream
+	case errors.Is(err, errMismatch):
+		r.Reason = cuminstair.ReasonMismatch
+	case a.left.Load():
+		r.Reason = cuminstair.ReasonSilent
+	case ctx.Err() != nil:
+		r.Reason = cuminstair.ReasonDeadline
+	}
+	return r
+}
+
+// refused reports whether the upstream said that it did not run the request.
+func refused(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable &&
+		resp.Header.Get("Outcome") == cuminstair.OutcomeNotRun.String()
+}
+
+// newRequest returns the request in the form that is written. Its body can't be read a second time.
+func newRequest(addr string, m *cuminstair.Message) (*http.Request, error) {
+	target, err := url.ParseRequestURI(m.Path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errPath, err)
+	}
+	r := &http.Request{Method: m.Method, URL: target, Host: addr, Header: make(http.Header, len(m.Header)+4)}
+	for name, value := range m.Header {
+		r.Header[http.CanonicalHeaderKey(name)] = []string{value}
+	}
+	if r.Header["User-Agent"] == nil {
+		r.Header["User-Agent"] = []string{""}
+	}
+	r.Header["Request"] = []string{m.ID}
+	r.Header["Team"] = []string{m.Team}
+	r.Header["Deadline"] = []string{m.Timeout.String()}
+	if len(m.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(m.Body))
+		r.ContentLength = int64(len(m.Body))
+	}
+	return r, nil
+}
+
+// hop lists the headers that belong to one connection (RFC 9110, section 7.6.1) and those that the daemon sets itself.
+var hop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Request": true, "Outcome": true, "Reason": true, "Leaving": true,
+}
+
+func newAnswer(id string, resp *http.Response) *cuminstair.Message {
+	m := &cuminstair.Message{
+		ID:      id,
+		Status:  resp.StatusCode,
+		Header:  make(map[string]string, len(resp.Header)),
+		Outcome: cuminstair.OutcomeDone,
+		Reason:  cuminstair.ReasonOK,
+	}
+	for name, values := range resp.Header {
+		if !hop[name] {
+			m.Header[name] = strings.Join(values, ", ")
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/upstream/check.go
@@ -0,0 +1,83 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// minPing is the shortest time that a GET /health may take: 50 round trips between two data centres.
+const minPing = 100 * time.Millisecond
+
+// maxHealth bounds the answer to GET /health, in bytes.
+const maxHealth = 4096
+
+// healthState is what an upstream says about itself.
+type healthState struct {
+	leaving bool
+	used    int // requests received and not answered yet; -1 if the upstream does not say
+}
+
+var healthRequest = []byte("GET /health HTTP/1.1\r\nHost: upstream\r\n\r\n")
+
+// check asks for the health on a new connection.
+func (p *pool) check(ctx context.Context) (healthState, error) {
+	c, err := dial(ctx, p.sender.Timer, p.addr)
+	if err != nil {
+		return healthState{}, err
+	}
+	defer c.close()
+	return p.ping(ctx, c, DialTimeout)
+}
+
+// ping asks for the health on this connection. The connection can be used again if the error is nil.
+func (p *pool) ping(ctx context.Context, c *conn, limit time.Duration) (healthState, error) {
+	stopTimer := p.sender.Timer.After(limit, func(time.Time) { c.abort() })
+	defer stopTimer()
+	stop := context.AfterFunc(ctx, c.abort)
+	defer stop()
+	h, err := c.health()
+	if err != nil {
+		return h, fmt.Errorf("check upstream: %w", err)
+	}
+	if !stop() || !stopTimer() {
+		return h, errors.New("check upstream: the time is over")
+	}
+	c.sent = 0
+	return h, nil
+}
+
+func (c *conn) health() (healthState, error) {
+	if _, err := c.Write(healthRequest); err != nil {
+		return healthState{}, err
+	}
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return healthState{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHealth+1))
+	if err != nil {
+		return healthState{}, err
+	}
+	if resp.StatusCode != http.StatusOK || resp.Close || len(body) > maxHealth {
+		return healthState{}, errors.Errorf("status %d", resp.StatusCode)
+	}
+	said := struct {
+		State string `json:"state"`
+		Used  *int   `json:"used"`
+	}{}
+	if err := json.Unmarshal(body, &said); err != nil {
+		return healthState{}, err
+	}
+	h := healthState{leaving: said.State == "leaving" || resp.Header.Get("Leaving") == "1", used: -1}
+	if said.Used != nil {
+		h.used = *said.Used
+	}
+	return h, nil
+}
