--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,192 @@
+// Package admit decides which requests of a service run now, wait or are refused. Kinds of work have weighted fair
+// shares of the capacity: an idle share is lent and comes back as the requests on it finish. Urgency orders requests
+// inside one share only. A Queue is not safe for concurrent use.
+package admit
+
+import (
+	"container/heap"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+var _ cuminstair.Admission = (*Queue)(nil)
+
+// Limits of queues and hints.
+const (
+	// MaxWaiting is how many requests of one kind wait at most.
+	MaxWaiting = 1024
+	// MinAfter and MaxAfter bound the hint of when to come back.
+	MinAfter = 50 * time.Millisecond
+	MaxAfter = 30 * time.Second
+)
+
+// Queue implements cuminstair.Admission for one service.
+type Queue struct {
+	capacity int
+	running  int
+	weights  int // sum of the weights of all kinds
+	shares   map[string]*share
+	order    []*share // as configured; fixes the order among equals
+	items    map[*cuminstair.Request]*item
+	seq      uint64
+}
+
+// share is one kind of work.
+type share struct {
+	kind    cuminstair.Kind
+	gone    bool // no longer configured; new requests are refused, queued ones still run
+	running int  // never below zero
+	waiting queue
+	time    serviceTime
+	pass    float64 // slot seconds received relative to the weight; orders kinds that run equally much
+}
+
+// Configure implements cuminstair.Admission. Requests of a kind that is no longer listed still run.
+func (q *Queue) Configure(kinds []cuminstair.Kind) {
+	if q.shares == nil {
+		q.shares = map[string]*share{}
+		q.items = map[*cuminstair.Request]*item{}
+	}
+	listed := map[string]bool{}
+	order := make([]*share, 0, len(kinds))
+	q.weights = 0
+	for _, k := range kinds {
+		s := q.shares[k.Name]
+		if s == nil {
+			s = &share{}
+			q.shares[k.Name] = s
+		}
+		k.Weight = max(k.Weight, 1)
+		s.kind, s.gone = k, false
+		q.weights += k.Weight
+		listed[k.Name] = true
+		order = append(order, s)
+	}
+	for _, s := range q.order {
+		if listed[s.kind.Name] {
+			continue
+		}
+		s.gone = true
+		if s.running == 0 && len(s.waiting) == 0 {
+			delete(q.shares, s.kind.Name)
+			continue
+		}
+		order = append(order, s)
+	}
+	q.order = order
+}
+
+// SetCapacity implements cuminstair.Admission.
+func (q *Queue) SetCapacity(now time.Time, n int) []*cuminstair.Request {
+	q.capacity = max(n, 0)
+	return q.fill(now)
+}
+
+// Offer implements cuminstair.Admission. A request that was offered already and did not end is refused as malformed.
+func (q *Queue) Offer(now time.Time, r *cuminstair.Request) cuminstair.Verdict {
+	s := q.shares[r.Kind]
+	if s == nil || s.gone || q.items[r] != nil {
+		return cuminstair.Verdict{Reason: cuminstair.ReasonMalformed}
+	}
+	if now.Add(s.time.need()).After(r.Deadline) {
+		return cuminstair.Verdict{Reason: cuminstair.ReasonLate}
+	}
+	if len(s.waiting) == 0 && q.running < q.capacity && q.mayRun(s) {
+		q.start(s, r)
+		return cuminstair.Verdict{Run: true, Reason: cuminstair.ReasonOK}
+	}
+	wait := q.wait(s, r)
+	if len(s.waiting) >= MaxWaiting {
+		return cuminstair.Verdict{Reason: cuminstair.ReasonFull, After: hint(wait)}
+	}
+	if now.Add(wait + s.time.need()).After(r.Deadline) {
+		return cuminstair.Verdict{Reason: cuminstair.ReasonLate, After: hint(wait)}
+	}
+	q.seq++
+	it := &item{req: r, share: s, seq: q.seq}
+	q.items[r] = it
+	heap.Push(&s.waiting, it)
+	return cuminstair.Verdict{Wait: true, Reason: cuminstair.ReasonOK}
+}
+
+// Finish implements cuminstair.Admission. A request that does not run is ignored.
+func (q *Queue) Finish(now time.Time, r *cuminstair.Request, res cuminstair.Result) []*cuminstair.Request {
+	it := q.items[r]
+	if it == nil || it.index >= 0 {
+		return nil
+	}
+	delete(q.items, r)
+	s := it.share
+	s.running--
+	q.running--
+	s.time.observe(res)
+	return q.fill(now)
+}
+
+// Cancel implements cuminstair.Admission.
+func (q *Queue) Cancel(_ time.Time, r *cuminstair.Request) bool {
+	it := q.items[r]
+	if it == nil || it.index < 0 {
+		return false
+	}
+	heap.Remove(&it.share.waiting, it.index)
+	delete(q.items, r)
+	return true
+}
+
+// Expire implements cuminstair.Admission.
+func (q *Queue) Expire(now time.Time) []*cuminstair.Request {
+	var out []*cuminstair.Request
+	for _, s := range q.order {
+		for _, it := range s.waiting.late(now, s.time.need()) {
+			delete(q.items, it.req)
+			out = append(out, it.req)
+		}
+	}
+	return out
+}
+
+// Running returns how many requests of a kind run.
+func (q *Queue) Running(kind string) int {
+	if s := q.shares[kind]; s != nil {
+		return s.running
+	}
+	return 0
+}
+
+// Waiting returns how many requests of a kind wait.
+func (q *Queue) Waiting(kind string) int {
+	if s := q.shares[kind]; s != nil {
+		return len(s.waiting)
+	}
+	return 0
+}
+
+// fill starts queued requests while there is room. A request that can't end in time any more is left for Expire, so
+// that it does not take a place.
+func (q *Queue) fill(now time.Time) []*cuminstair.Request {
+	var out []*cuminstair.Request
+	for q.running < q.capacity {
+		s := q.next(now)
+		if s == nil {
+			return out
+		}
+		it := heap.Pop(&s.waiting).(*item)
+		q.start(s, it.req)
+		out = append(out, it.req)
+	}
+	return out
+}
+
+func (q *Queue) start(s *share, r *cuminstair.Request) {
+	it := q.items[r]
+	if it == nil {
+		it = &item{req: r, share: s}
+		q.items[r] = it
+	}
+	it.index = -1
+	s.running++
+	q.running++
+	s.pass = max(s.pass, q.leastPass(s)) + max(s.time.mean, 0.001)/float64(s.kind.Weight)
+}
--- /dev/null
+++ b/health/mine.go
@@ -0,0 +1,34 @@
+package health
+
+import "slices"
+
+// Mine reports whether self checks a host, by rendezvous hashing over the live daemons of the data centre. Each host is
+// checked by exactly one of them, and when a daemon joins or leaves only its own part of the hosts moves. It returns
+// true if the list is empty or does not name self, so that no host is left unchecked.
+func Mine(host string, daemons []string, self string) bool {
+	if !slices.Contains(daemons, self) {
+		return true
+	}
+	own := weight(host, self)
+	for _, d := range daemons {
+		if w := weight(host, d); w > own || (w == own && d > self) {
+			return false
+		}
+	}
+	return true
+}
+
+// weight is FNV-1a over both names followed by a finaliser, without which the last bytes decide too little.
+func weight(host, daemon string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range [...]string{host, "\x00", daemon} {
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,172 @@
+// Package route chooses an upstream for each request: power of two random choices on the requests in flight, own and
+// reported by peers, among the upstreams that are below their limit. A Router is not safe for concurrent use.
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+var _ cuminstair.Router = (*Router)(nil)
+
+// trialEvery is how many picks of a service pass between two requests for upstreams in probation.
+const trialEvery = 32
+
+// Router implements cuminstair.Router. Exported fields are set before the first call.
+type Router struct {
+	// Centre is the own data centre; upstreams of others are never picked, since work for them goes through their own
+	// daemons. Empty picks from all.
+	Centre string
+	// Rand draws the candidates. It is required.
+	Rand *rand.Rand
+
+	live     int
+	hosts    map[string]*host
+	services map[string]*service
+	entries  []*entry // by Pick.Index; nil where free
+	free     []int    // free positions of entries
+	gen      uint64   // last value of entry.gen
+	peers    map[string][]cuminstair.Load
+	lead     string // the peer whose next report starts a new round of reports
+	looked   uint64 // upstreams looked at by Pick since the start
+}
+
+// SetLive sets how many live daemons of the own data centre share its upstreams, this one included. Without it the
+// peers that reported loads are counted.
+func (r *Router) SetLive(n int) { r.live = n }
+
+// Pick implements cuminstair.Router. Its work does not depend on the number of upstreams and it allocates nothing.
+func (r *Router) Pick(_ time.Time, service, avoid string) cuminstair.Pick {
+	s := r.services[service]
+	if s == nil {
+		return cuminstair.Pick{Reason: cuminstair.ReasonNoService}
+	}
+	e := r.choose(s, r.find(s, avoid))
+	if e == nil {
+		return cuminstair.Pick{Reason: cuminstair.ReasonNoUpstream}
+	}
+	e.own++
+	e.host.own++
+	s.own++
+	e.place()
+	return cuminstair.Pick{Upstream: e.up, Reason: cuminstair.ReasonLocal, Index: e.index, Epoch: e.gen}
+}
+
+// Release implements cuminstair.Router. A pick that was released already or that picked nothing is ignored as far as
+// that can be seen, so that a count never drops below zero.
+func (r *Router) Release(now time.Time, p cuminstair.Pick, res cuminstair.Result) {
+	if p.Upstream == nil || p.Index < 0 || p.Index >= len(r.entries) {
+		return
+	}
+	e := r.entries[p.Index]
+	if e == nil || e.gen != p.Epoch || e.own == 0 {
+		return
+	}
+	if res.Outcome == cuminstair.OutcomeDone && res.Latency > 0 {
+		e.limit.observe(now, res.Latency, e.load())
+	}
+	e.own--
+	e.host.own--
+	e.service.own--
+	if e.gone && e.own == 0 {
+		r.drop(e)
+		return
+	}
+	e.place()
+}
+
+// Loads implements cuminstair.Router.
+func (r *Router) Loads() []cuminstair.Load {
+	var loads []cuminstair.Load
+	for _, e := range r.entries {
+		if e != nil && e.host.own > 0 && e.host.entries[0] == e {
+			loads = append(loads, cuminstair.Load{Host: e.host.name, Inflight: e.host.own})
+		}
+	}
+	return loads
+}
+
+// Capacity implements cuminstair.Router. Each live daemon is sure of an equal part of the limits of all upstreams. Of
+// what the reports show as free it takes one part for each live daemon in a round of reports, so that daemons that
+// grow at the same time do not take the same places twice.
+func (r *Router) Capacity(service string) int {
+	s := r.services[service]
+	if s == nil || s.total <= 0 {
+		return 0
+	}
+	n := max(r.live, 1+len(r.peers))
+	if r.live > 0 {
+		n = r.live
+	}
+	lent := s.ownAt + (s.total-s.ownAt-s.remote)/n
+	return min(max(s.total/n, lent, 1), s.total)
+}
+
+// choose returns the upstream for the next request, or nil.
+func (r *Router) choose(s *service, avoid *entry) *entry {
+	s.picks++
+	if s.picks%trialEvery == 0 || len(s.sets[setOpen])+len(s.sets[setFull]) == 0 {
+		if e := r.draw(s.sets[setTrial], setTrial, avoid); e != nil && e.load() == 0 {
+			return e
+		}
+	}
+	if e := r.better(s, setOpen, avoid); e != nil {
+		return e
+	}
+	e := r.better(s, setFull, avoid)
+	if e == nil || (e.up.Conns > 0 && e.load() >= e.up.Conns) {
+		return nil
+	}
+	return e
+}
+
+// better returns the less loaded of two random members of a set.
+func (r *Router) better(s *service, set int, avoid *entry) *entry {
+	a := r.draw(s.sets[set], set, avoid)
+	b := r.draw(s.sets[set], set, avoid)
+	if a == nil || a == b {
+		return a
+	}
+	if b.load()*a.limit.whole() < a.load()*b.limit.whole() {
+		return b
+	}
+	return a
+}
+
+// draw returns a random member of a set other than avoid, or nil.
+func (r *Router) draw(members []*entry, set int, avoid *entry) *entry {
+	n := len(members)
+	skip := n
+	if avoid != nil && avoid.set == set {
+		skip = avoid.pos
+		n--
+	}
+	if n <= 0 {
+		return nil
+	}
+	r.looked++
+	i := r.Rand.IntN(n)
+	if i >= skip {
+		i++
+	}
+	return members[i]
+}
+
+// find returns the instance of a service on a host, or nil.
+func (r *Router) find(s *service, name string) *entry {
+	if name == "" {
+		return nil
+	}
+	h := r.hosts[name]
+	if h == nil {
+		return nil
+	}
+	for _, e := range h.entries {
+		if e.service == s {
+			return e
+		}
+	}
+	return nil
+}
--- a/serve.go
+++ b/serve.go
@@ -42,7 +42,7 @@
 type Router interface {
 	// SetUpstreams replaces the upstreams of a service. Requests in flight keep their place.
 	SetUpstreams(service string, ups []Upstream)
-	// SetState tells whether a host may take new work; only HostActive may.
+	// SetState tells whether a host may take new work; only HostActive may, and HostProbation a trickle.
 	SetState(host string, state HostState)
 	// SetRemote replaces the loads that one peer reported. An empty list forgets the peer.
 	SetRemote(peer string, loads []Load)
