--- a/health/evidence.go
+++ b/health/evidence.go
@@ -26,11 +26,11 @@
 }
 
 // faulty reports whether a result speaks against the upstream. A refusal does not, since the upstream answered, nor does
-// a caller that left. A deadline that passed does only if the request was given the time that the upstream takes at
+// a silent connection, since the check on a fresh one was answered, nor a caller that left. A deadline that passed does only if the request was given the time that the upstream takes at
 // most.
 func (u *upstream) faulty(r cuminstair.Result) bool {
 	switch r.Reason {
-	case cuminstair.ReasonBroken, cuminstair.ReasonSilent, cuminstair.ReasonMismatch, cuminstair.ReasonNoUpstream:
+	case cuminstair.ReasonBroken, cuminstair.ReasonMismatch, cuminstair.ReasonNoUpstream:
 		return true
 	case cuminstair.ReasonDeadline:
 		return r.Latency >= u.tail.quiet()
@@ -167,14 +167,15 @@
 	m.withdraw(now, m.host(host), from)
 }
 
-// Opinion returns what to tell peers about a host: the state as far as it rests on own evidence. It returns false if it
-// rests on peers' reports, which are not passed on, since two daemons would otherwise confirm each other for ever.
-func (m *Monitor) Opinion(host string) (cuminstair.HostState, bool) {
+// Opinion returns what to tell peers about a host: the state as far as it rests on own evidence, which for an active host
+// must be recent. It returns false if there is none. What rests on peers' reports is not passed on, since two daemons
+// would otherwise confirm each other for ever.
+func (m *Monitor) Opinion(now time.Time, host string) (cuminstair.HostState, bool) {
 	u := m.hosts[host]
-	if u == nil || u.heard {
+	if u == nil || u.heard || (u.state == "leaving" && u.leaving == SourcePeer) {
 		return "", false
 	}
-	if u.state == "leaving" && u.leaving == SourcePeer {
+	if u.state == "active" && now.Sub(u.ownPass) > OwnFor {
 		return "", false
 	}
 	return cuminstair.HostState(u.state), true
--- /dev/null
+++ b/trace/measure.go
@@ -0,0 +1,158 @@
+package trace
+
+import (
+	"slices"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Measure names a figure over the requests or picks of a time.
+type Measure string
+
+// Measures. Shares are between 0 and 1, times are in seconds.
+const (
+	MeasureOffered Measure = "offered" // requests that ended
+	MeasureKept    Measure = "kept"    // share of the requests that were done on time
+	MeasureDone    Measure = "done"    // requests done on time
+	MeasureUnknown Measure = "unknown" // share of the requests that ended as unknown, without those that were cancelled
+	MeasureRefused Measure = "refused" // share of the requests that ended as not run
+	MeasureP50     Measure = "p50"     // median time from arrival to the answer
+	MeasureP99     Measure = "p99"     // 99th percentile of the same
+	MeasureSent50  Measure = "sent50"  // median time from the pick to the answer of the upstream
+	MeasureSent99  Measure = "sent99"  // 99th percentile of the same
+	MeasurePicks   Measure = "picks"   // attempts sent
+	MeasureOver    Measure = "over"    // share of the picks above the real slots of the instance
+	MeasureRetries Measure = "retries" // retries for each first attempt
+	MeasureTwice   Measure = "twice"   // requests that aren't idempotent and ran more than once; the time is ignored
+	MeasureFalse   Measure = "false"   // requests that ran and ended as not run; the time is ignored
+	MeasureLeaked  Measure = "leaked"  // places taken in routers and queues without a request; only at the end
+)
+
+func (m Measure) known() bool {
+	return slices.Contains([]Measure{
+		MeasureOffered, MeasureKept, MeasureDone, MeasureUnknown, MeasureRefused, MeasureP50, MeasureP99, MeasureSent50,
+		MeasureSent99, MeasurePicks, MeasureOver, MeasureRetries, MeasureTwice, MeasureFalse, MeasureLeaked,
+	}, m)
+}
+
+// sent is one attempt.
+type sent struct {
+	at    time.Duration
+	kind  string
+	host  string
+	retry bool
+	over  bool
+	took  time.Duration // 0 if there was no answer
+}
+
+// Value returns a measure over what happened between from and to; kind and host, unless empty, narrow it.
+func (p *Player) Value(m Measure, kind, host string, from, to time.Duration) float64 {
+	switch m {
+	case MeasureTwice, MeasureFalse:
+		return p.faults(m)
+	case MeasureLeaked:
+		return float64(p.leaked())
+	case MeasurePicks, MeasureOver, MeasureRetries, MeasureSent50, MeasureSent99:
+		return p.picksValue(m, kind, host, from, to)
+	default:
+		return p.callsValue(m, kind, from, to)
+	}
+}
+
+func (p *Player) faults(m Measure) float64 {
+	n := 0
+	for _, c := range p.calls {
+		twice := m == MeasureTwice && !c.req.Idempotent && c.ran > 1
+		wrong := m == MeasureFalse && c.ended && c.outcome == cuminstair.OutcomeNotRun && c.ran > 0
+		if twice || wrong {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+func (p *Player) callsValue(m Measure, kind string, from, to time.Duration) float64 {
+	var offered, onTime, unknown, refused int
+	var times []time.Duration
+	for _, c := range p.calls {
+		at := c.req.Arrived.Sub(p.start)
+		if !c.ended || c.cancelled || at < from || at >= to || (kind != "" && c.req.Kind != kind) {
+			continue
+		}
+		offered++
+		switch c.outcome {
+		case cuminstair.OutcomeDone:
+			onTime++
+			times = append(times, c.endedAt.Sub(c.req.Arrived))
+		case cuminstair.OutcomeNotRun:
+			refused++
+		default:
+			unknown++
+		}
+	}
+	switch m {
+	case MeasureOffered:
+		return float64(offered)
+	case MeasureDone:
+		return float64(onTime)
+	case MeasureKept:
+		return ratio(onTime, offered)
+	case MeasureUnknown:
+		return ratio(unknown, offered)
+	case MeasureRefused:
+		return ratio(refused, offered)
+	case MeasureP50:
+		return quantile(times, 0.5)
+	default:
+		return quantile(times, 0.99)
+	}
+}
+
+func (p *Player) picksValue(m Measure, kind, host string, from, to time.Duration) float64 {
+	var picks, over, retries int
+	var times []time.Duration
+	for _, s := range p.sent {
+		if s.at < from || s.at >= to || (kind != "" && s.kind != kind) || (host != "" && s.host != host) {
+			continue
+		}
+		picks++
+		if s.over {
+			over++
+		}
+		if s.retry {
+			retries++
+		}
+		if s.took > 0 {
+			times = append(times, s.took)
+		}
+	}
+	switch m {
+	case MeasurePicks:
+		return float64(picks)
+	case MeasureOver:
+		return ratio(over, picks)
+	case MeasureRetries:
+		return ratio(retries, picks-retries)
+	case MeasureSent50:
+		return quantile(times, 0.5)
+	default:
+		return quantile(times, 0.99)
+	}
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// quantile returns a quantile in seconds, or 0 if there are no times.
+func quantile(times []time.Duration, q float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[int(q*float64(len(times)-1))].Seconds()
+}
