Try credits first, then reported places, under per-instance limits

Cause: with reports 200 ms old and requests of 100 ms, power of two choices sees hardly more of its peers than chance. Each daemon now owns a part of each instance's limit and goes beyond it only to places that are reported free.

--- a/route/route.go
+++ b/route/route.go
@@ -1,5 +1,6 @@
-// Package route chooses an upstream for each request: power of two random choices on the requests in flight, own and
-// reported by peers, among the upstreams that are below their limit. A Router is not safe for concurrent use.
+// Package route chooses an upstream for each request. Each daemon owns a part of the limit of each instance, its credits,
+// and uses them first; beyond them it takes places that the reports of its peers show as free. Among the instances that
+// qualify it takes the less loaded of two random ones. A Router is not safe for concurrent use.
 package route
 
 import (
@@ -22,7 +23,8 @@
 	// Rand draws the candidates. It is required.
 	Rand *rand.Rand
 
-	live     int
+	live     int // daemons that share the upstreams
+	self     int // position of this daemon among them
 	hosts    map[string]*host
 	services map[string]*service
 	entries  []*entry // by Pick.Index; nil where free
@@ -33,9 +35,16 @@
 	looked   uint64 // upstreams looked at by Pick since the start
 }
 
-// SetLive sets how many live daemons of the own data centre share its upstreams, this one included. Without it the
-// peers that reported loads are counted.
-func (r *Router) SetLive(n int) { r.live = n }
+// SetLive sets how many live daemons of the own data centre share its upstreams, this one included, and the position of
+// this one in the sorted list of them, from 0. Until it is called the daemon owns all slots.
+func (r *Router) SetLive(n, self int) {
+	r.live, r.self = max(n, 1), self
+	for _, e := range r.entries {
+		if e != nil {
+			e.place()
+		}
+	}
+}
 
 // Pick implements cuminstair.Router. Its work does not depend on the number of upstreams and it allocates nothing.
 func (r *Router) Pick(_ time.Time, service, avoid string) cuminstair.Pick {
@@ -88,32 +97,30 @@
 	return loads
 }
 
-// Capacity implements cuminstair.Router. Each live daemon is sure of an equal part of the limits of all upstreams. Of
-// what the reports show as free it takes one part for each live daemon in a round of reports, so that daemons that
-// grow at the same time do not take the same places twice.
+// Capacity implements cuminstair.Router: the credits, or more if others leave places unused. Of what the reports show
+// as free the daemon takes one part for each live daemon in a round of reports, so that daemons that grow at the same
+// time do not take the same places twice.
 func (r *Router) Capacity(service string) int {
 	s := r.services[service]
-	if s == nil || s.total <= 0 {
+	if s == nil {
 		return 0
 	}
-	n := max(r.live, 1+len(r.peers))
-	if r.live > 0 {
-		n = r.live
-	}
-	lent := s.ownAt + (s.total-s.ownAt-s.remote)/n
-	return min(max(s.total/n, lent, 1), s.total)
+	lent := s.ownAt + (s.total-s.ownAt-s.remote)/max(r.live, 1)
+	return min(max(s.credits, lent), s.total)
 }
 
 // choose returns the upstream for the next request, or nil.
 func (r *Router) choose(s *service, avoid *entry) *entry {
 	s.picks++
-	if s.picks%trialEvery == 0 || len(s.sets[setOpen])+len(s.sets[setFull]) == 0 {
+	if s.picks%trialEvery == 0 || s.total == 0 {
 		if e := r.draw(s.sets[setTrial], setTrial, avoid); e != nil && e.load() == 0 {
 			return e
 		}
 	}
-	if e := r.better(s, setOpen, avoid); e != nil {
-		return e
+	for set := setOwned; set < setFull; set++ {
+		if e := r.better(s, set, avoid); e != nil {
+			return e
+		}
 	}
 	e := r.better(s, setFull, avoid)
 	if e == nil || (e.up.Conns > 0 && e.load() >= e.up.Conns) {
--- a/route/rules_test.go
+++ b/route/rules_test.go
@@ -106,19 +106,17 @@
 }
 
 // rules are the routing rules that are compared, by name.
-func rules() map[string]func(*rand.Rand, string, int) cuminstair.Router {
-	self := 0
-	return map[string]func(*rand.Rand, string, int) cuminstair.Router{
-		"round robin": func(_ *rand.Rand, centre string, live int) cuminstair.Router {
+func rules() map[string]func(*rand.Rand, string, int, int) cuminstair.Router {
+	return map[string]func(*rand.Rand, string, int, int) cuminstair.Router{
+		"round robin": func(_ *rand.Rand, centre string, live, _ int) cuminstair.Router {
 			return &roundRobin{table{centre: centre, live: live}}
 		},
-		"split credits": func(_ *rand.Rand, centre string, live int) cuminstair.Router {
-			self++
+		"split credits": func(_ *rand.Rand, centre string, live, self int) cuminstair.Router {
 			return &splitCredits{table: table{centre: centre, live: live}, self: self}
 		},
-		"route": func(rnd *rand.Rand, centre string, live int) cuminstair.Router {
+		"route": func(rnd *rand.Rand, centre string, live, self int) cuminstair.Router {
 			r := &route.Router{Centre: centre, Rand: rnd}
-			r.SetLive(live)
+			r.SetLive(live, self)
 			return r
 		},
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"hash/fnv"
 	"slices"
 
 	"cuminstair.org/cuminstair"
@@ -9,6 +10,7 @@
 // Sets of the instances of a service. An instance is in at most one.
 const (
 	setNone  = iota - 1
+	setOwned // active, below its limit, and with credits left
 	setOpen  // active and below its limit
 	setFull  // active and at its limit
 	setTrial // in probation
@@ -26,16 +28,18 @@
 
 // service is the table of one service.
 type service struct {
-	sets   [setCount][]*entry
-	picks  uint64
-	own    int // own requests in flight
-	ownAt  int // own at the start of the round of reports
-	total  int // sum of the limits of the active instances
-	remote int // reported requests in flight at the active instances
+	sets    [setCount][]*entry
+	picks   uint64
+	own     int // own requests in flight
+	ownAt   int // own at the start of the round of reports
+	total   int // sum of the limits of the active instances
+	credits int // sum of the own credits at the active instances
+	remote  int // reported requests in flight at the active instances
 }
 
 // entry is one instance.
 type entry struct {
+	router  *Router
 	up      *cuminstair.Upstream // never changed in place, since a Pick points to it
 	service *service
 	host    *host
@@ -45,7 +49,9 @@
 	gone    bool   // no longer listed; kept until own is zero
 	set     int
 	pos     int // position in the set
+	turn    int // decides which daemons own the places that are left over by the division of the limit
 	counted int // what it adds to service.total
+	credits int // what it adds to service.credits
 	remote  int // what it adds to service.remote
 	limit   limiter
 }
@@ -60,26 +66,48 @@
 // place moves the instance to the set where it belongs and keeps the sums of the service.
 func (e *entry) place() {
 	set := setNone
-	counted, remote := 0, 0
+	counted, credits, remote := 0, 0, 0
 	switch {
 	case e.gone:
 	case e.host.state == cuminstair.HostActive:
 		counted, remote = e.limit.whole(), e.load()-e.own
-		set = setOpen
-		if e.load() >= counted {
-			set = setFull
-		}
+		credits = e.router.credits(e, counted)
+		set = e.activeSet(counted, credits)
 	case e.host.state == cuminstair.HostProbation:
 		set = setTrial
 	}
-	e.service.total += counted - e.counted
-	e.service.remote += remote - e.remote
-	e.counted, e.remote = counted, remote
+	s := e.service
+	s.total += counted - e.counted
+	s.credits += credits - e.credits
+	s.remote += remote - e.remote
+	e.counted, e.credits, e.remote = counted, credits, remote
 	if set != e.set {
 		e.move(set)
 	}
 }
 
+func (e *entry) activeSet(limit, credits int) int {
+	switch {
+	case e.load() >= limit:
+		return setFull
+	case e.own < credits:
+		return setOwned
+	default:
+		return setOpen
+	}
+}
+
+// credits returns the part of an instance's limit that this daemon owns. All daemons of the data centre together own
+// the whole limit.
+func (r *Router) credits(e *entry, limit int) int {
+	n := max(r.live, 1)
+	credits := limit / n
+	if (e.turn+r.self)%n < limit%n {
+		credits++
+	}
+	return credits
+}
+
 func (e *entry) move(set int) {
 	sets := &e.service.sets
 	if e.set != setNone {
@@ -149,7 +177,10 @@
 func (r *Router) add(s *service, up cuminstair.Upstream) *entry {
 	h := r.host(up.Host)
 	r.gen++
-	e := &entry{up: &up, service: s, host: h, gen: r.gen, set: setNone, limit: newLimiter(up.Slots)}
+	e := &entry{
+		router: r, up: &up, service: s, host: h, gen: r.gen, turn: turnOf(up.Host), set: setNone,
+		limit: newLimiter(up.Slots),
+	}
 	if n := len(r.free); n > 0 {
 		e.index = r.free[n-1]
 		r.free = r.free[:n-1]
@@ -236,3 +267,10 @@
 	r.refresh(h)
 	r.tidy(h)
 }
+
+// turnOf derives a number from a host's name, the same in every daemon.
+func turnOf(name string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return int(h.Sum32() >> 1)
+}
--- a/trace/daemon.go
+++ b/trace/daemon.go
@@ -42,11 +42,11 @@
 	d         *daemon // where it waits or runs
 }
 
-func (p *Player) newDaemon(name, centre string, live int, seed uint64) *daemon {
+func (p *Player) newDaemon(name, centre string, live, self int, seed uint64) *daemon {
 	rnd := rand.New(rand.NewPCG(seed, seed+1))
 	d := &daemon{
 		p: p, name: name, centre: centre,
-		router:    p.NewRouter(rnd, centre, live),
+		router:    p.NewRouter(rnd, centre, live, self),
 		admission: p.NewAdmission(),
 		budget:    &retry.Budget{Rand: rnd},
 		health:    &health.Monitor{},
--- a/trace/player.go
+++ b/trace/player.go
@@ -24,9 +24,9 @@
 
 // Player replays one trace. Exported fields are set before Play; a Player plays once.
 type Player struct {
-	// NewRouter makes the router of a daemon; live is the number of daemons of its data centre. The default is
-	// route.Router.
-	NewRouter func(rnd *rand.Rand, centre string, live int) cuminstair.Router
+	// NewRouter makes the router of a daemon; live is the number of daemons of its data centre and self the daemon's
+	// position among them. The default is route.Router.
+	NewRouter func(rnd *rand.Rand, centre string, live, self int) cuminstair.Router
 	// NewAdmission makes the admission of a daemon. The default is admit.Queue.
 	NewAdmission func() cuminstair.Admission
 	// NewBudget makes the retry budget of a daemon. The default is retry.Budget.
@@ -115,9 +115,9 @@
 	p.cut = map[string]bool{}
 	p.loads = map[string]*load{}
 	if p.NewRouter == nil {
-		p.NewRouter = func(rnd *rand.Rand, centre string, live int) cuminstair.Router {
+		p.NewRouter = func(rnd *rand.Rand, centre string, live, self int) cuminstair.Router {
 			r := &route.Router{Centre: centre, Rand: rnd}
-			r.SetLive(live)
+			r.SetLive(live, self)
 			return r
 		}
 	}
@@ -163,7 +163,7 @@
 	}
 	for i := range p.fleet.Daemons {
 		centre := p.centre(i)
-		d := p.newDaemon("d"+strconv.Itoa(i+1), centre, live[centre], p.fleet.Seed*1000+uint64(i))
+		d := p.newDaemon("d"+strconv.Itoa(i+1), centre, live[centre], i/p.fleet.Centres, p.fleet.Seed*1000+uint64(i))
 		p.daemons = append(p.daemons, d)
 		var ups []cuminstair.Upstream
 		var names []string
