Keep the periodic ticks of the virtual clock

Cause: Virtual.Advance handed the end of the step to the queue, which took all ticks up to then for missed ones, so that a periodic subscriber fired once in a step of any length. Seen as reports that reached other daemons only every 5 s. TestVirtualEveryTick failed before with 2 ticks instead of 50. Virtual now steps to the time of each entry.

--- a/timer/queue.go
+++ b/timer/queue.go
@@ -8,7 +8,6 @@
 // entry is one subscription.
 type entry struct {
 	at     time.Time     // when it is due next
-	fired  time.Time     // when it was due last
 	period time.Duration // 0: once
 	fn     func(now time.Time)
 	seq    uint64 // orders entries that are due at the same time
@@ -66,7 +65,6 @@
 		return nil, wait
 	}
 	heap.Pop(q)
-	e.fired = e.at
 	if e.period > 0 {
 		e.at = e.at.Add(e.period)
 		if late := now.Sub(e.at); late > e.period {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -148,14 +148,12 @@
 func (v *Virtual) Advance(d time.Duration) {
 	v.mu.Lock()
 	end := v.now.Add(d)
-	for {
-		e, _ := v.queue.due(end)
-		if e == nil {
-			break
-		}
-		if e.fired.After(v.now) {
-			v.now = e.fired
+	for len(v.queue.entries) > 0 && !v.queue.entries[0].at.After(end) {
+		if at := v.queue.entries[0].at; at.After(v.now) {
+			v.now = at
 		}
+		// The time of the entry, not end: a periodic subscriber would lose the ticks in between otherwise.
+		e, _ := v.queue.due(v.now)
 		now := v.now
 		v.mu.Unlock()
 		e.fn(now)
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -28,6 +28,16 @@
 	is.Equal(v.Now(), start.Add(50*time.Millisecond))
 }
 
+// Guards against ticks that are lost when the clock is advanced by several periods at once.
+func TestVirtualEveryTick(t *testing.T) {
+	is := is.New(t)
+	v := timer.NewVirtual(start)
+	ticks := 0
+	v.Every(20*time.Millisecond, func(time.Time) { ticks++ })
+	v.Advance(time.Second)
+	is.Equal(ticks, 50)
+}
+
 // Guards against a subscriber that is added by a subscriber and never called.
 func TestVirtualNested(t *testing.T) {
 	is := is.New(t)
