--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,304 @@
+// Package budget is the one definition of availability in the system.
+//
+// A service declares one instance on each host that the fleet file puts in its pool. A declared instance is
+// unavailable while its host is not in the pool, is in any state other than active, or is unhealthy; an instance to
+// which several apply counts once. An extra instance is an available one on a host that the fleet file puts in another
+// pool, such as a lent spare host; it offsets one unavailable instance.
+//
+// In each data centre and over the fleet, the unavailable instances less the extra ones must not exceed the allowed
+// number: the budget's share of the declared instances, rounded down. Planned work may take the room that is left after
+// a reserve for the loss of one more rack: the most available instances of the service that any rack holds.
+package budget
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Fleet names the scope of the whole fleet where a data centre is asked for.
+const Fleet = ""
+
+// Account is the availability of one service in one scope.
+type Account struct {
+	Service     string `json:"service"`
+	Centre      string `json:"centre,omitempty"` // empty: the whole fleet
+	Declared    int    `json:"declared"`
+	Unavailable int    `json:"unavailable"` // declared instances that are unavailable
+	Planned     int    `json:"planned"`     // those of them that planned work took
+	Extra       int    `json:"extra"`       // available instances beyond the declared ones
+	Allowed     int    `json:"allowed"`     // unavailable instances that the budget permits
+	Reserve     int    `json:"reserve"`     // available instances in the rack that holds the most
+}
+
+// Net returns the unavailable instances less the extra ones; it may be negative.
+func (a Account) Net() int { return a.Unavailable - a.Extra }
+
+// Within tells whether the service is within its budget.
+func (a Account) Within() bool { return a.Net() <= a.Allowed }
+
+// Room returns how many instances planned work may take; negative when even the reserve is used up.
+func (a Account) Room() int { return a.Allowed - a.Net() - a.Reserve }
+
+// String explains the account in words.
+func (a Account) String() string {
+	scope := "the fleet"
+	if a.Centre != Fleet {
+		scope = a.Centre
+	}
+	return fmt.Sprintf("%s in %s: %d of %d instances unavailable (%d of them planned), %d extra, %d allowed, "+
+		"%d reserved for the loss of a rack, room for %d",
+		a.Service, scope, a.Unavailable, a.Declared, a.Planned, a.Extra, a.Allowed, a.Reserve, a.Room())
+}
+
+// Allowed returns how many of n instances may be unavailable.
+func Allowed(b cuminstair.Budget, n int) int {
+	// Decimal fractions are not exact in binary: 0.29 * 100 is below 29.
+	const rounding = 1e-9
+	return int(math.Floor(b.Down*float64(n) + rounding))
+}
+
+// Planned tells whether a host in this state was taken out by planned work.
+func Planned(s cuminstair.HostState) bool {
+	switch s {
+	case cuminstair.HostLeaving, cuminstair.HostDrained, cuminstair.HostRebooting, cuminstair.HostMoving, cuminstair.HostProbation:
+		return true
+	default:
+		return false
+	}
+}
+
+// Host is what the budget knows about a host.
+type Host struct {
+	Centre  string
+	Rack    string
+	Home    string // pool in the fleet file; empty if the host is not in it any more
+	Pool    string // pool in its row
+	State   cuminstair.HostState
+	Healthy bool
+}
+
+// Available tells whether instances on the host count as available in its pool.
+func (h Host) Available() bool { return h.State == cuminstair.HostActive && h.Healthy }
+
+// scope counts one service in one data centre or over the fleet.
+type scope struct {
+	declared    int
+	unavailable int
+	planned     int
+	extra       int
+	racks       map[rack]int // available instances in each rack
+	sizes       []int        // sizes[n]: racks that hold n available instances
+	most        int          // largest n with sizes[n] > 0
+}
+
+type rack struct{ centre, name string }
+
+type service struct {
+	name   string
+	budget cuminstair.Budget
+	scopes map[string]*scope // by data centre; Fleet for all
+}
+
+// Budgets keeps the accounts of all services up to date, one host at a time. A change of one host costs a constant
+// number of steps for each service of its pools. It is not safe for concurrent use.
+type Budgets struct {
+	services map[string]*service
+	byPool   map[string][]*service
+	hosts    map[string]Host
+	// Work counts the scopes that were updated, for tests of the cost.
+	Work int
+}
+
+// New returns the accounts of the fleet's services, with no hosts yet.
+func New(services []cuminstair.Service) *Budgets {
+	b := &Budgets{services: map[string]*service{}, byPool: map[string][]*service{}, hosts: map[string]Host{}}
+	for _, s := range services {
+		v := &service{name: s.Name, budget: s.Budget, scopes: map[string]*scope{}}
+		b.services[s.Name] = v
+		b.byPool[s.Pool] = append(b.byPool[s.Pool], v)
+	}
+	return b
+}
+
+// Host returns what is known about a host.
+func (b *Budgets) Host(name string) (Host, bool) {
+	h, ok := b.hosts[name]
+	return h, ok
+}
+
+// Set adds or replaces a host.
+func (b *Budgets) Set(name string, h Host) {
+	old, ok := b.hosts[name]
+	if ok && old == h {
+		return
+	}
+	if ok {
+		b.count(old, -1)
+	}
+	b.hosts[name] = h
+	b.count(h, 1)
+}
+
+// Remove forgets a host.
+func (b *Budgets) Remove(name string) {
+	if old, ok := b.hosts[name]; ok {
+		b.count(old, -1)
+		delete(b.hosts, name)
+	}
+}
+
+func (b *Budgets) count(h Host, n int) {
+	for _, s := range b.byPool[h.Home] {
+		for _, c := range []string{h.Centre, Fleet} {
+			b.Work++
+			s.scope(c).declare(h, n)
+		}
+	}
+	if !h.Available() {
+		return
+	}
+	for _, s := range b.byPool[h.Pool] {
+		for _, c := range []string{h.Centre, Fleet} {
+			b.Work++
+			s.scope(c).supply(h, n)
+		}
+	}
+}
+
+func (s *service) scope(centre string) *scope {
+	c, ok := s.scopes[centre]
+	if !ok {
+		c = &scope{racks: map[rack]int{}, sizes: []int{0}}
+		s.scopes[centre] = c
+	}
+	return c
+}
+
+// declare counts a declared instance.
+func (c *scope) declare(h Host, n int) {
+	c.declared += n
+	if h.Pool == h.Home && h.Available() {
+		return
+	}
+	c.unavailable += n
+	if Planned(h.State) || h.Pool != h.Home {
+		c.planned += n
+	}
+}
+
+// supply counts an available instance.
+func (c *scope) supply(h Host, n int) {
+	if h.Pool != h.Home {
+		c.extra += n
+	}
+	key := rack{centre: h.Centre, name: h.Rack}
+	old := c.racks[key]
+	c.racks[key] = old + n
+	if old+n == 0 {
+		delete(c.racks, key)
+	}
+	if old > 0 {
+		c.sizes[old]--
+	}
+	if old+n > 0 {
+		c.grow(old + n)
+		c.sizes[old+n]++
+		c.most = max(c.most, old+n)
+	}
+	for c.most > 0 && c.sizes[c.most] == 0 {
+		c.most--
+	}
+}
+
+func (c *scope) grow(n int) {
+	for len(c.sizes) <= n {
+		c.sizes = append(c.sizes, 0)
+	}
+}
+
+// Account returns the account of a service in a data centre, or over the fleet if centre is Fleet.
+func (b *Budgets) Account(name, centre string) Account {
+	a := Account{Service: name, Centre: centre}
+	s, ok := b.services[name]
+	if !ok {
+		return a
+	}
+	c, ok := s.scopes[centre]
+	if !ok {
+		return a
+	}
+	a.Declared, a.Unavailable, a.Planned, a.Extra = c.declared, c.unavailable, c.planned, c.extra
+	a.Allowed = Allowed(s.budget, c.declared)
+	a.Reserve = c.most
+	return a
+}
+
+// Tightest returns the account with the least room among the services of a pool, in a data centre and over the fleet.
+// ok is false if the pool has no services, so that its hosts need no budget.
+func (b *Budgets) Tightest(pool, centre string) (tightest Account, ok bool) {
+	for _, s := range b.byPool[pool] {
+		for _, c := range []string{centre, Fleet} {
+			a := b.Account(s.name, c)
+			if !ok || a.Room() < tightest.Room() {
+				tightest, ok = a, true
+			}
+		}
+	}
+	return tightest, ok
+}
+
+// MayTake tells whether planned work may make the host unavailable. A host that is unavailable already costs nothing.
+// why is the account that refuses, or the tightest one.
+func (b *Budgets) MayTake(name string) (why Account, ok bool) {
+	h, known := b.hosts[name]
+	if !known {
+		return Account{}, false
+	}
+	a, limited := b.Tightest(h.Pool, h.Centre)
+	return a, !limited || !h.Available() || a.Room() >= 1
+}
+
+// Buffer is the cost of hosts held idle in one data centre.
+type Buffer struct {
+	Idle  int // hosts beyond those that the services declare: in pools without a service, or lent
+	Least int // the fewest that let planned work take one host of each pool in turn within the budget
+}
+
+// Buffer returns the buffer cost of a data centre. It visits all hosts.
+func (b *Budgets) Buffer(centre string) Buffer {
+	var f Buffer
+	for _, h := range b.hosts {
+		if h.Centre == centre && len(b.byPool[h.Home]) == 0 {
+			f.Idle++
+		}
+	}
+	for _, s := range b.services {
+		c, ok := s.scopes[centre]
+		if ok && c.declared > 0 {
+			f.Least = max(f.Least, 1+c.most-Allowed(s.budget, c.declared))
+		}
+	}
+	return f
+}
+
+// Services returns the names of all services in order.
+func (b *Budgets) Services() []string {
+	names := make([]string, 0, len(b.services))
+	for name := range b.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// PoolServices returns the names of the services of a pool.
+func (b *Budgets) PoolServices(pool string) []string {
+	var names []string
+	for _, s := range b.byPool[pool] {
+		names = append(names, s.name)
+	}
+	return names
+}
