Add maintenance waves, moves between pools and repairs

First version: a step starts when the step before it is complete, and spare hosts are lent to one pool at a time, as many as it can use.

Ruled out: lending any spare host.

--- /dev/null
+++ b/wave/lend.go
@@ -0,0 +1,226 @@
+package wave
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// supply is what lending knows about one pool in this data centre.
+type supply struct {
+	lent   int // active hosts of the spare pool in it
+	coming int // hosts of the spare pool on their way to it
+}
+
+// lend moves hosts of the spare pool to pools that need them and back. A spare host joins before the hosts of the pool
+// drain. A shortage by unplanned loss has to last for Settle, and so has its end: bursts cause no moves.
+func (p *Planner) lend(now time.Time, waiting []*status) {
+	if p.spare == "" {
+		return
+	}
+	supplies, racks := p.supplies(), p.rackCounts()
+	free := p.free(now, waiting)
+	for _, pool := range p.pools {
+		if pool == p.spare {
+			continue
+		}
+		for n := p.wants(now, pool, supplies[pool]); n > 0 && len(free) > 0; n-- {
+			i := p.bestSpare(pool, free, racks)
+			if i < 0 {
+				break
+			}
+			s := free[i]
+			racks[place{pool, s.host.Rack}]++
+			free = slices.Delete(free, i, i+1)
+			p.send(s, pool)
+		}
+	}
+	for _, s := range free {
+		if s.row.Pool != p.spare {
+			p.send(s, p.spare)
+		}
+	}
+}
+
+func (p *Planner) send(s *status, pool string) {
+	if s.row.Pool == pool {
+		return
+	}
+	p.take(s, GoalMove, ReasonSpare, "moves from pool "+s.row.Pool+" to "+pool, func(h *Host) { h.To = pool })
+}
+
+// supplies counts the lent hosts of all pools.
+func (p *Planner) supplies() map[string]supply {
+	all := map[string]supply{}
+	for _, s := range p.out {
+		if s.host.Pool != p.spare || !s.has {
+			continue
+		}
+		to := s.destination()
+		v := all[to]
+		switch {
+		case s.active() && s.healthy:
+			v.lent++
+		case s.row.State != cuminstair.HostFailed && s.row.State != cuminstair.HostQuarantined:
+			v.coming++
+		}
+		all[to] = v
+	}
+	return all
+}
+
+// wants returns how many more spare hosts a pool needs.
+func (p *Planner) wants(now time.Time, pool string, have supply) int {
+	a, limited := p.room(pool)
+	if !limited {
+		return 0
+	}
+	need := 0
+	for _, name := range p.names {
+		r := p.runs[name]
+		q := r.queues[pool]
+		if r.row.State != Running || q == nil || len(q.hosts) == 0 {
+			continue
+		}
+		// Lending speeds nothing up that can proceed without it: moves have a cost.
+		if a.Room()+q.out-have.lent < 1 {
+			need = max(need, min(len(q.hosts)+q.out, r.wave.Limit)-a.Room()-q.out)
+		}
+	}
+	if p.shortFor(now, pool) >= Settle {
+		need = max(need, -a.Room())
+	}
+	return need - have.coming
+}
+
+// shortFor returns how long a pool has been short of instances by unplanned loss.
+func (p *Planner) shortFor(now time.Time, pool string) time.Duration {
+	a, limited := p.room(pool)
+	if !limited || a.Room() >= 0 || a.Unavailable == a.Planned {
+		delete(p.short, pool)
+		if _, ok := p.enough[pool]; !ok {
+			p.enough[pool] = now
+		}
+		return 0
+	}
+	delete(p.enough, pool)
+	if _, ok := p.short[pool]; !ok {
+		p.short[pool] = now
+	}
+	return now.Sub(p.short[pool])
+}
+
+// free returns the hosts of the spare pool that may be sent elsewhere: idle ones first.
+func (p *Planner) free(now time.Time, waiting []*status) []*status {
+	var idle, lent []*status
+	for _, s := range waiting {
+		if s.host.Pool != p.spare || !s.active() || !s.healthy || s.taken || s.row.Hold || s.orderAt > s.row.Order {
+			continue
+		}
+		switch {
+		case s.row.Pool == p.spare && !p.due(s):
+			idle = append(idle, s)
+		case s.row.Pool != p.spare && !p.needed(now, s.row.Pool):
+			lent = append(lent, s)
+		}
+	}
+	return append(idle, lent...)
+}
+
+// due tells whether a running wave has still to take a host of the spare pool; it goes first.
+func (p *Planner) due(s *status) bool {
+	for _, r := range p.runs {
+		if q := r.queues[s.host.Pool]; q != nil && r.row.State == Running && q.queued[s.name] {
+			return true
+		}
+	}
+	return false
+}
+
+// needed tells whether a pool has still use for lent hosts.
+func (p *Planner) needed(now time.Time, pool string) bool {
+	covered := false
+	for _, r := range p.runs {
+		q := r.queues[pool]
+		if q == nil || r.row.State == Done || r.row.State == Ready {
+			continue
+		}
+		if len(q.hosts) > 0 {
+			return true
+		}
+		covered = true
+	}
+	p.shortFor(now, pool)
+	a, _ := p.room(pool)
+	if covered && a.Unavailable == a.Planned {
+		return false
+	}
+	since, ok := p.enough[pool]
+	return !ok || now.Sub(since) < Settle
+}
+
+// place is a pool in a rack.
+type place struct{ pool, rack string }
+
+// bestSpare returns the index of the host whose rack holds the fewest hosts of the pool, or -1 if none of them helps. A
+// host that makes the fullest rack of the pool fuller adds as much to the reserve as it offsets; two of them in
+// different racks help, but only if no better one is to be had.
+func (p *Planner) bestSpare(pool string, free []*status, racks map[place]int) int {
+	best, least := -1, 0
+	for i, s := range free {
+		n := racks[place{pool, s.host.Rack}]
+		if best < 0 || n < least {
+			best, least = i, n
+		}
+	}
+	if best < 0 || least < p.fullest(pool, racks) {
+		return best
+	}
+	if len(free) < 2 || p.betterElsewhere(pool, racks) {
+		return -1
+	}
+	return best
+}
+
+// fullest returns the number of hosts of the pool in the rack that holds the most.
+func (p *Planner) fullest(pool string, racks map[place]int) int {
+	most := 0
+	for at, n := range racks {
+		if at.pool == pool {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// betterElsewhere tells whether some spare host that is not free now would help the pool.
+func (p *Planner) betterElsewhere(pool string, racks map[place]int) bool {
+	most := p.fullest(pool, racks)
+	for _, s := range p.out {
+		if s.host.Pool == p.spare && s.row.Pool != pool && racks[place{pool, s.host.Rack}] < most {
+			return true
+		}
+	}
+	return false
+}
+
+// racks counts the hosts of each pool in each rack, by the fleet file and with the lent ones, whatever their state.
+func (p *Planner) rackCounts() map[place]int {
+	racks := maps.Clone(p.homes)
+	for _, s := range p.out {
+		if s.host.Pool == p.spare && s.has {
+			racks[place{s.destination(), s.host.Rack}]++
+		}
+	}
+	return racks
+}
+
+// destination returns the pool that the host is in or on its way to.
+func (s *status) destination() string {
+	if s.row.Goal == GoalMove && s.row.To != "" {
+		return s.row.To
+	}
+	return s.row.Pool
+}
--- /dev/null
+++ b/wave/progress.go
@@ -0,0 +1,271 @@
+package wave
+
+import (
+	"fmt"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// progress makes the next step of a host that is out of service, or notices that one has failed. It returns false if
+// the host is to be considered for other work.
+func (p *Planner) progress(now time.Time, s *status) bool {
+	switch {
+	case !s.has:
+		return p.create(s)
+	case s.orderAt > s.row.Order && s.order.Event != "drain":
+		return p.obeyHost(s)
+	case p.gone(now, s):
+		return p.step(s, "lose", s.lostRow(), ReasonHealth, "listed as gone for "+LoseAfter.String())
+	}
+	age := now.Sub(s.entered)
+	switch s.row.State {
+	case cuminstair.HostLeaving:
+		return p.leaving(s, age)
+	case cuminstair.HostDrained:
+		return p.drained(s, age)
+	case cuminstair.HostMoving:
+		return p.step(s, "admit", s.row, ReasonSpare, "joins pool "+s.row.Pool)
+	case cuminstair.HostRebooting:
+		return p.rebooting(s, age)
+	case cuminstair.HostProbation:
+		return p.probation(now, s, age)
+	case cuminstair.HostQuarantined:
+		return p.quarantined(s, age)
+	case cuminstair.HostFailed:
+		return p.failed(now, s, age)
+	default:
+		return false
+	}
+}
+
+// create makes the row of a host that the fleet file has added.
+func (p *Planner) create(s *status) bool {
+	if s.host.Pool == "" {
+		return true
+	}
+	p.plan.Hosts = append(p.plan.Hosts, HostChange{
+		Name: s.name, Event: "create", Reason: ReasonFile,
+		Row: Host{Pool: s.host.Pool, State: cuminstair.HostState(hostChart.Start), Why: "added by the fleet file"},
+	})
+	return true
+}
+
+// gone tells whether a host is lost. A host that reboots is expected to be gone for a while.
+func (p *Planner) gone(now time.Time, s *status) bool {
+	if s.row.State == cuminstair.HostFailed || s.row.State == cuminstair.HostRebooting {
+		return false
+	}
+	return s.listed == listGone && now.Sub(s.listedAt) >= LoseAfter
+}
+
+// lostRow is the row of a host that fails. One that fails after the wave's action counts as late.
+func (s *status) lostRow() Host {
+	row := s.row
+	if row.Goal == GoalWave && (row.State == cuminstair.HostRebooting || row.State == cuminstair.HostProbation) {
+		row.Late++
+		return row
+	}
+	row.Goal, row.To = GoalNone, ""
+	return row
+}
+
+// wanted tells whether the reason for which the host was taken still holds.
+func (p *Planner) wanted(s *status) bool {
+	switch s.row.Goal {
+	case GoalWave:
+		r, ok := p.runs[s.row.Wave]
+		return ok && r.row.State == Running && !s.row.Hold
+	case GoalMove:
+		return s.row.To != s.row.Pool
+	case GoalRemove:
+		return s.host.Pool == ""
+	case GoalRepair, GoalOperate:
+		return true
+	default:
+		return false
+	}
+}
+
+// patient tells whether the host may take as long as it needs to become idle.
+func (s *status) patient() bool {
+	return s.row.Goal == GoalOperate || s.row.Goal == GoalRepair || s.row.Goal == GoalRemove
+}
+
+func (p *Planner) drainLimit(s *status) time.Duration {
+	if r, ok := p.runs[s.row.Wave]; ok && s.row.Goal == GoalWave && r.wave.Drain > 0 {
+		return r.wave.Drain.D()
+	}
+	return DrainLimit
+}
+
+func (p *Planner) cancel(s *status, reason cuminstair.Reason, why string) bool {
+	row := s.row
+	row.Goal, row.To = GoalNone, ""
+	return p.step(s, "cancel", row, reason, why)
+}
+
+func (p *Planner) leaving(s *status, age time.Duration) bool {
+	switch {
+	case !p.wanted(s):
+		return p.cancel(s, ReasonHeld, "no longer wanted: back to work")
+	case s.idle && p.frozen == "":
+		return p.step(s, "idle", s.row, ReasonIdle, "every live daemon confirmed that it is idle")
+	case age >= p.drainLimit(s) && !s.patient():
+		return p.cancel(s, ReasonIdle, "not idle within "+p.drainLimit(s).String()+": back to work")
+	}
+	return true
+}
+
+func (p *Planner) drained(s *status, age time.Duration) bool {
+	switch {
+	case !p.wanted(s):
+		return p.cancel(s, ReasonHeld, "no longer wanted: back to work")
+	case s.row.Goal == GoalOperate:
+		return true
+	case !s.idle || p.frozen != "":
+		if age >= p.drainLimit(s) && !s.patient() {
+			return p.cancel(s, ReasonFrozen, "not confirmed idle within "+p.drainLimit(s).String()+": back to work")
+		}
+		return true
+	}
+	switch s.row.Goal {
+	case GoalWave:
+		return p.act(s, s.row, "boot", cuminstair.HostAction(p.runs[s.row.Wave].wave.Action), ReasonWave)
+	case GoalRepair:
+		return p.act(s, s.row, "boot", cuminstair.ActionReplace, ReasonHealth)
+	case GoalRemove:
+		p.plan.Hosts = append(p.plan.Hosts, HostChange{Name: s.name, Row: s.row, Event: "remove", Reason: ReasonFile, Delete: true})
+		return true
+	default:
+		return p.move(s)
+	}
+}
+
+// act starts an action of the platform. The commit that writes the row names the action.
+func (p *Planner) act(s *status, row Host, event string, action cuminstair.HostAction, reason cuminstair.Reason) bool {
+	row.Act, row.Verb, row.Mark = "", string(action), s.changed
+	return p.step(s, event, row, reason, "platform action "+string(action))
+}
+
+// move changes the pool in one write. The host is drained before it and admitted after it.
+func (p *Planner) move(s *status) bool {
+	row := s.row
+	row.Pool, row.To, row.Goal = s.row.To, "", GoalNone
+	return p.step(s, "move", row, ReasonSpare, "from pool "+s.row.Pool+" to "+row.Pool)
+}
+
+// rebooting waits for the platform's list to show the host live with a newer change than before the action. Nothing
+// leaves this state before the platform has accepted the action with the row's id: an action that a paused controller
+// sends later is then a repeat, which the platform ignores.
+func (p *Planner) rebooting(s *status, age time.Duration) bool {
+	if s.acted != s.row.Act {
+		return true
+	}
+	limit := RepairBack
+	if r, ok := p.runs[s.row.Wave]; ok && s.row.Goal == GoalWave && r.wave.Back > 0 {
+		limit = r.wave.Back.D()
+	}
+	switch {
+	case s.listed == listLive && s.changed != s.row.Mark && s.healthy:
+		return p.step(s, "back", s.row, ReasonHealth, "back after "+s.row.Verb)
+	case age >= limit:
+		return p.step(s, "lose", s.lostRow(), ReasonLate, fmt.Sprintf("not back within %s after %s", limit, s.row.Verb))
+	}
+	return true
+}
+
+func (p *Planner) probation(now time.Time, s *status, age time.Duration) bool {
+	well := now.Sub(s.since)
+	if age < well {
+		well = age
+	}
+	if s.healthy && s.listed != listGone && well >= Probation {
+		row := s.row
+		row.Done = row.Done || row.Goal == GoalWave
+		row.Goal, row.Act, row.Verb, row.Mark = GoalNone, "", "", 0
+		return p.step(s, "pass", row, ReasonHealth, "healthy for "+Probation.String())
+	}
+	limit := RepairAfter
+	if r, ok := p.runs[s.row.Wave]; ok && s.row.Goal == GoalWave && r.wave.Back > 0 {
+		limit = r.wave.Back.D()
+	}
+	if age < limit {
+		return true
+	}
+	row := s.row
+	if row.Goal == GoalWave {
+		row.Late++
+	}
+	return p.step(s, "fail", row, ReasonLate, "not healthy within "+limit.String())
+}
+
+func (p *Planner) quarantined(s *status, age time.Duration) bool {
+	if age < RepairAfter || p.frozen != "" || !p.mayRepair() {
+		return true
+	}
+	row := s.row
+	row.Goal = GoalRepair
+	return p.step(s, "repair", row, ReasonHealth, "to be replaced after "+RepairAfter.String()+" in quarantine")
+}
+
+func (p *Planner) failed(now time.Time, s *status, age time.Duration) bool {
+	if s.listed == listLive && s.healthy && now.Sub(s.listedAt) >= LoseAfter {
+		return p.step(s, "back", s.row, ReasonHealth, "listed as live and healthy again")
+	}
+	// The list may be wrong about a host that still answers, so that a failed one is replaced only when it is idle.
+	if age < RepairAfter || !s.idle || p.frozen != "" || !p.mayRepair() {
+		return true
+	}
+	row := s.row
+	row.Goal = GoalRepair
+	return p.act(s, row, "replace", cuminstair.ActionReplace, ReasonHealth)
+}
+
+// obeyHost follows an operator's hold or resume. A drain is followed when the budget has room.
+func (p *Planner) obeyHost(s *status) bool {
+	row := s.row
+	row.Order = s.orderAt
+	row.Hold = s.order.Event == "hold"
+	if s.order.Event == "resume" && row.State == cuminstair.HostQuarantined {
+		return p.step(s, "cancel", row, ReasonOrder, "resumed by an operator")
+	}
+	if s.order.Event == "resume" && row.Goal == GoalOperate {
+		row.Goal, row.To = GoalNone, ""
+	}
+	p.plan.Hosts = append(p.plan.Hosts, HostChange{
+		Name: s.name, Row: row, Event: s.order.Event, Reason: ReasonOrder,
+	})
+	return true
+}
+
+// Asks returns the own hosts about which the daemons of the data centre have to be asked whether they are idle.
+func (p *Planner) Asks() []string {
+	var names []string
+	for name, s := range p.out {
+		switch s.row.State {
+		case cuminstair.HostLeaving, cuminstair.HostDrained, cuminstair.HostFailed:
+			names = append(names, name)
+		default:
+		}
+	}
+	return names
+}
+
+// Action is a platform action that a row asks for.
+type Action struct {
+	ID   string
+	Host string
+	Verb cuminstair.HostAction
+}
+
+// Actions returns the actions of own hosts that rebooting rows ask for and that the platform has not accepted yet.
+func (p *Planner) Actions() []Action {
+	var acts []Action
+	for name, s := range p.out {
+		if s.row.State == cuminstair.HostRebooting && s.row.Act != "" && s.acted != s.row.Act {
+			acts = append(acts, Action{ID: s.row.Act, Host: name, Verb: cuminstair.HostAction(s.row.Verb)})
+		}
+	}
+	return acts
+}
--- /dev/null
+++ b/wave/wave_test.go
@@ -0,0 +1,103 @@
+package wave_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/wave"
+)
+
+// Measures the rollout of a wave over the fleets of page 1.2.
+func TestRolloutTime(t *testing.T) {
+	for _, centres := range []int{3, 4} {
+		w := newWorld(t, smallFleet(centres, 0.5))
+		took := w.runWave("w", 24*time.Hour)
+		w.is.Equal(w.refused, 0)
+		t.Logf("%d data centres: %s, %d host moves", centres, took, w.moves)
+	}
+}
+
+// Guards against a wave that goes on when its own hosts do not come back, that does not say why, or that can't be
+// resumed by a successor of the controller.
+func TestWaveStopsAndResumes(t *testing.T) {
+	w := newWorld(t, smallFleet(3, 0.5))
+	for w.planners["c0"].Waves()[0].Done < 6 {
+		w.step()
+	}
+	for _, m := range w.hosts {
+		m.broken = true
+	}
+	for range int(40 * time.Minute / tick) {
+		w.step()
+		w.is.True(w.within())
+	}
+	out := 0
+	for _, c := range w.names {
+		p := w.planners[c].Waves()[0]
+		w.is.Equal(p.State, wave.Stopped)
+		w.is.True(strings.Contains(p.Reason, "did not come back healthy within 10m0s"))
+		w.is.True(p.Done > 0)
+	}
+	for name, m := range w.hosts {
+		if m.dead {
+			out++
+		}
+		m.broken = false
+		if m.dead {
+			m.dead = false
+			w.account(name)
+		}
+	}
+	w.is.True(out <= 12)
+	for range int(10 * time.Minute / tick) {
+		w.step()
+	}
+	for _, c := range w.names {
+		w.is.Equal(w.planners[c].Waves()[0].State, wave.Stopped) // it waits for an operator
+		w.restart(c)
+		w.planners[c].SetWaveOrder("w", wave.Order{Event: "resume"}, 7)
+	}
+	w.runWave("w", 24*time.Hour)
+	w.is.Equal(w.refused, 0)
+}
+
+// Guards against planned work that goes on after the loss of a rack, and against a budget that a lost rack breaks
+// because planned work left no reserve for it.
+func TestRackLossDuringWave(t *testing.T) {
+	for seed := range 12 {
+		w := newWorld(t, smallFleet(3, 0.5))
+		for range 300 + 120*seed {
+			w.step()
+		}
+		lost := w.lose(fmt.Sprintf("c%d-r%d", seed%3, seed%4))
+		for range int(5 * time.Minute / tick) {
+			w.step()
+			w.is.True(w.within())
+			if len(lost) > 1 {
+				w.is.True(w.planners[fmt.Sprint("c", seed%3)].Waves()[0].State != wave.Running)
+			}
+		}
+		for _, name := range lost {
+			w.hosts[name].dead = false
+			w.account(name)
+		}
+		w.runWave("w", 24*time.Hour)
+		w.is.Equal(w.refused, 0)
+	}
+}
+
+// lose kills a rack and returns the hosts that were up.
+func (w *world) lose(rack string) []string {
+	var lost []string
+	for name, m := range w.hosts {
+		if m.rack == rack && w.up(m) && m.row.State == cuminstair.HostActive {
+			m.dead = true
+			lost = append(lost, name)
+			w.account(name)
+		}
+	}
+	return lost
+}
