Test the path of a request and its connections under failure

One probe judges all quiet connections of an upstream: with a probe for each of them, a pool of 64 silent connections would have needed 64 quiet times to empty. A connection is left when the upstream has fewer requests in use than this daemon alone waits for, twice in a row, or after eight quiet times; a merely slow upstream has them all in use and is kept.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -113,7 +113,7 @@
 }
 
 func (d *Daemon) useDefaults() {
-	d.checker = &upstream.Sender{Timer: d.Timer, Share: d.Settings.Share, Left: d.left}
+	d.checker = &upstream.Sender{Timer: d.Timer, Share: d.Settings.Share, Probed: d.probed}
 	if d.Sender == nil {
 		d.Sender = d.checker
 	}
@@ -125,15 +125,20 @@
 	}
 }
 
-// left explains that a silent connection left its pool.
-func (d *Daemon) left(host string) {
+// probed explains what a probe because of quiet connections led to.
+func (d *Daemon) probed(host string, answered bool, left int) {
+	choice := "keep connections"
+	if left > 0 {
+		choice = "leave connections"
+	}
 	d.ring.Record(cuminstair.Decision{
 		At:     d.Timer.Now(),
 		Part:   "upstream",
 		Kind:   "host",
 		ID:     host,
-		Choice: "leave connection",
+		Choice: choice,
 		Reason: cuminstair.ReasonSilent,
+		Detail: fmt.Sprintf("answered %t left %d", answered, left),
 	})
 }
 
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -13,14 +13,15 @@
 	"cuminstair.org/cuminstair"
 )
 
-// decode reads the file and notes the line of each field.
-func (c *checker) decode(data []byte, s *Settings) {
+// decode reads the file and notes the line of each field. It returns false if the file is not JSON with comments.
+func (c *checker) decode(data []byte, s *Settings) bool {
 	root, err := hujson.Parse(data)
 	if err != nil {
 		c.faults = append(c.faults, Fault{Where: c.file, Text: err.Error()})
-		return
+		return false
 	}
 	c.object(data, "", &root, reflect.ValueOf(s).Elem())
+	return true
 }
 
 // object reads an object into a struct.
--- a/settings/load.go
+++ b/settings/load.go
@@ -37,10 +37,11 @@
 	}
 	s := &Settings{}
 	c := &checker{file: file, dir: filepath.Dir(file), lines: map[string]int{}, flags: flags}
-	c.decode(data, s)
-	c.override(s)
-	c.defaults(s)
-	c.check(s)
+	if c.decode(data, s) {
+		c.override(s)
+		c.defaults(s)
+		c.check(s)
+	}
 	if len(c.faults) > 0 {
 		return nil, fmt.Errorf("%s: %w", c.text(), ErrInvalid)
 	}
--- a/standin/instance/conn.go
+++ b/standin/instance/conn.go
@@ -58,6 +58,9 @@
 			return n, err
 		}
 		if c.silent.Load() {
+			if c.server.Dropped != nil {
+				c.server.Dropped <- struct{}{}
+			}
 			continue
 		}
 		if cut := c.cut(); cut != nil && !cut.Answer {
--- a/standin/instance/faults.go
+++ b/standin/instance/faults.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// Disconnect closes all connections that are open now.
+func (s *Server) Disconnect() {
+	s.init()
+	s.mu.Lock()
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
 // faultsOf returns the faults of all requests together with those that the request itself asks for.
 func (s *Server) faultsOf(r *http.Request) Faults {
 	s.mu.Lock()
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -35,6 +35,14 @@
 	Conns int              // connections; one above it is closed at once; 0: DefaultConns
 	// Answer returns the body of an answer; nil echoes the body of the request.
 	Answer func(r *http.Request, body []byte) []byte
+	// Chunked sends answers in chunks, without a Content-Length.
+	Chunked bool
+	// Raw, if set, is sent instead of every answer, and the connection is closed.
+	Raw string
+	// Waiting, if set, gets a value when a request begins to wait for Faults.Delay.
+	Waiting chan struct{}
+	// Dropped, if set, gets a value when bytes arrive on a silent connection.
+	Dropped chan struct{}
 
 	once   sync.Once
 	slots  chan struct{}
@@ -132,11 +140,19 @@
 	if s.Answer != nil {
 		body = s.Answer(r, body)
 	}
+	if s.Raw != "" {
+		writeRaw(w, s.Raw, false)
+		return
+	}
 	if f.Extra {
 		writeExtra(w, r, body)
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if s.Chunked {
+		w.Header().Set("Transfer-Encoding", "chunked")
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	if f.Truncate {
 		_, _ = w.Write(body[:len(body)/2])
 		panic(http.ErrAbortHandler)
@@ -147,16 +163,23 @@
 // writeExtra sends the answer and, right after it on the same connection, an answer that nobody asked for.
 func writeExtra(w http.ResponseWriter, r *http.Request, body []byte) {
 	id := r.Header.Get("Request")
+	const format = "HTTP/1.1 200 OK\r\nRequest: %s\r\nContent-Length: %d\r\n\r\n%s"
+	first := fmt.Sprintf(format, id, len(body), body)
+	extra := fmt.Sprintf(format, id+"x", len("extra"), "extra")
+	writeRaw(w, first+extra, true)
+}
+
+// writeRaw sends bytes on the connection and closes it, or leaves that to the other end.
+func writeRaw(w http.ResponseWriter, text string, open bool) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = c.Close() }()
-	const format = "HTTP/1.1 200 OK\r\nRequest: %s\r\nContent-Length: %d\r\n\r\n%s"
-	first := fmt.Sprintf(format, id, len(body), body)
-	extra := fmt.Sprintf(format, id+"x", len("extra"), "extra")
-	_, _ = io.WriteString(c, first+extra)
-	_, _ = io.Copy(io.Discard, c)
+	_, _ = io.WriteString(c, text)
+	if open {
+		_, _ = io.Copy(io.Discard, c)
+	}
 }
 
 func (s *Server) addUsed(n int) {
@@ -172,6 +195,9 @@
 	}
 	passed := make(chan struct{})
 	stop := s.Timer.After(f.Delay, func(time.Time) { close(passed) })
+	if s.Waiting != nil {
+		s.Waiting <- struct{}{}
+	}
 	select {
 	case <-passed:
 	case <-r.Context().Done():
--- /dev/null
+++ b/upstream/export_test.go
@@ -0,0 +1,26 @@
+package upstream
+
+// Watched returns how many requests to an address are written and wait for their answers.
+func (s *Sender) Watched(addr string) int {
+	p := s.existing(addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.attempts)
+}
+
+// Unused returns how many connections to an address are unused.
+func (s *Sender) Unused(addr string) int {
+	p := s.existing(addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
+// Inflight returns how many places of an address are taken.
+func (s *Sender) Inflight(addr string) int { return len(s.existing(addr).places) }
+
+func (s *Sender) existing(addr string) *pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pools[addr]
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -22,6 +22,7 @@
 	suspect  time.Time
 	attempts map[*attempt]bool // those whose request is written and whose answer is not complete
 	probing  bool
+	probed   time.Time // when the last probe began
 }
 
 func newPool(s *Sender, u *cuminstair.Upstream, limit int) *pool {
--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,57 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Guards against more connections than the shared limit, and against callers that never get one.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.sender.Share = 0.25
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			_, result := r.send(context.Background(), request(fmt.Sprint("r", i), "body"))
+			is.Equal(result.Outcome, cuminstair.OutcomeDone)
+		})
+	}
+	wg.Wait()
+	is.True(r.instance.Open() <= 15) // a quarter of 64 connections, one of which is kept for probes
+	is.Equal(r.instance.Shed(), 0)
+	is.Equal(r.sender.Inflight(r.upstream.Addr), 0)
+}
+
+// Guards against a wait for a connection that outlives the request, and against claiming more than "not run" then.
+func TestCancelled(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, result := r.send(ctx, request("r1", "body"))
+	is.Equal(result.Outcome, cuminstair.OutcomeNotRun)
+	is.Equal(r.instance.Runs("r1"), 0)
+}
+
+// Guards against unused connections that are kept for good.
+func TestIdleLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- r.sender.Run(ctx) }()
+	_, result := r.send(context.Background(), request("r1", "body"))
+	is.Equal(result.Outcome, cuminstair.OutcomeDone)
+	cancel()
+	is.NoErr(<-done)
+	is.Equal(r.sender.Unused(r.upstream.Addr), 0)
+	r.clock.Advance(time.Hour)
+}
--- a/upstream/silent.go
+++ b/upstream/silent.go
@@ -2,131 +2,122 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 )
 
-// watch probes the upstream each time that the connection was quiet for the quiet time of the host. The returned
-// function ends it.
+// Rules for leaving a connection.
+const (
+	// PatienceFactor bounds, in multiples of the quiet time, how long a connection is kept while the upstream answers on
+	// new connections and its count of requests in use does not show a loss. The count may include requests of other
+	// daemons, so that a lost request can hide behind theirs.
+	PatienceFactor = 8
+	// missesToLeave is how many probes in a row must show a loss, since an answer may be on its way during one.
+	missesToLeave = 2
+)
+
+// watch looks for silence on the connection until the returned function is called.
 func (a *attempt) watch() (stop func()) {
 	p := a.pool
-	quiet := p.sender.quiet(p.host)
-	ctx, cancel := context.WithCancel(context.Background())
-	w := &watcher{attempt: a, quiet: quiet, seen: a.conn.got.Load(), ctx: ctx}
+	a.seen = a.conn.got.Load()
+	a.quiet = p.sender.quiet(p.host)
+	stopTimer := p.sender.Timer.Every(a.quiet, a.tick)
 	p.mu.Lock()
 	p.attempts[a] = true
 	p.mu.Unlock()
-	stopTimer := p.sender.Timer.Every(quiet, w.tick)
 	return func() {
 		stopTimer()
-		cancel()
 		p.mu.Lock()
 		delete(p.attempts, a)
 		p.mu.Unlock()
 	}
 }
 
-// watcher looks for silence on the connection of one attempt. tick is called by the timer, one call at a time.
-type watcher struct {
-	attempt *attempt
-	quiet   time.Duration
-	seen    int64 // bytes received at the last tick
-	ticks   int   // ticks without a byte
-	ctx     context.Context
-}
-
-func (w *watcher) tick(time.Time) {
-	got := w.attempt.conn.got.Load()
-	if got != w.seen {
-		w.seen, w.ticks = got, 0
-		return
-	}
-	w.ticks++
-	if w.attempt.left.Load() || !w.attempt.pool.beginProbe() {
-		return
-	}
-	go w.probe(got, w.ticks > PatienceFactor)
-}
-
-// probe asks the upstream for its health on a new connection. If the upstream answers, its connection is left if fewer
-// requests are in use there than this daemon alone waits for, or if the patience is over. A merely slow upstream has
-// them all in use.
-func (w *watcher) probe(seen int64, over bool) {
-	p := w.attempt.pool
-	defer p.endProbe()
-	before := p.waiting()
-	h, err := p.check(w.ctx)
-	if err != nil {
-		return
-	}
-	lost := h.used >= 0 && h.used < p.stillWaiting(before)
-	if !lost && !over {
+// tick is called each quiet time. If the connection received nothing since the last call, the upstream is probed.
+func (a *attempt) tick(now time.Time) {
+	p := a.pool
+	got := a.conn.got.Load()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if got != a.seen {
+		a.seen, a.ticks, a.misses = got, 0, 0
 		return
 	}
-	if w.attempt.conn.got.Load() != seen || w.ctx.Err() != nil {
+	a.ticks++
+	// One probe judges all quiet connections of the upstream.
+	if a.left.Load() || p.probing || now.Sub(p.probed) < a.quiet/2 {
 		return
 	}
-	w.attempt.leave()
+	p.probing = true
+	p.probed = now
+	go p.probe()
 }
 
-// leave takes the connection out of the pool. An idempotent request ends at once, so that it can be sent again;
-// another one waits for its deadline.
-func (a *attempt) leave() {
-	if a.left.Swap(true) {
-		return
-	}
-	p := a.pool
+// probe asks the upstream for its health on a new connection and judges the quiet connections by the answer.
+func (p *pool) probe() {
+	before := p.quietOnes()
+	h, err := p.check(context.Background())
+	var lost []*attempt
 	p.mu.Lock()
-	// The unused connections may share the fate of this one.
-	p.suspect = p.sender.Timer.Now()
-	p.mu.Unlock()
-	if a.message.Idempotent {
-		a.conn.abort()
+	if err == nil {
+		lost = p.judge(before, h.used)
 	}
-	if p.sender.Left != nil {
-		p.sender.Left(p.host)
+	p.probing = false
+	p.mu.Unlock()
+	for _, a := range lost {
+		// An idempotent request ends now, so that it can be sent again; another one waits for its deadline.
+		if a.message.Idempotent {
+			a.conn.abort()
+		}
 	}
-}
-
-// beginProbe allows one probe at a time for each upstream.
-func (p *pool) beginProbe() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.probing {
-		return false
+	if p.sender.Probed != nil {
+		p.sender.Probed(p.host, err == nil, len(lost))
 	}
-	p.probing = true
-	return true
-}
-
-func (p *pool) endProbe() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.probing = false
 }
 
-// waiting returns the attempts that wait for an answer on connections that are not known as silent.
-func (p *pool) waiting() []*attempt {
+// quietOnes returns the attempts that are quiet, the oldest first.
+func (p *pool) quietOnes() []*attempt {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []*attempt
 	for a := range p.attempts {
-		if !a.left.Load() {
+		if a.ticks > 0 && !a.left.Load() {
 			list = append(list, a)
 		}
 	}
+	sort.Slice(list, func(i, j int) bool { return list[i].began.Before(list[j].began) })
 	return list
 }
 
-// stillWaiting returns how many of the attempts still wait, at most the slots: an upstream may count as used only those
-// that run.
-func (p *pool) stillWaiting(before []*attempt) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
+// judge marks the attempts whose connections leave the pool. All attempts that were quiet before the probe and still
+// are would be in use at the upstream if their connections worked, as a merely slow upstream shows. If the upstream has
+// fewer in use, the difference is lost, and the oldest ones are taken for it.
+func (p *pool) judge(before []*attempt, used int) (lost []*attempt) {
+	var still []*attempt
 	for _, a := range before {
-		if p.attempts[a] {
-			n++
+		if p.attempts[a] && a.conn.got.Load() == a.seen {
+			still = append(still, a)
 		}
 	}
-	return min(n, p.slots)
+	missing := 0
+	if used >= 0 {
+		// An upstream may count only the requests that run.
+		missing = min(len(still), p.slots) - used
+	}
+	for i, a := range still {
+		if i < missing {
+			a.misses++
+		} else {
+			a.misses = 0
+		}
+		if a.misses >= missesToLeave || a.ticks > PatienceFactor {
+			a.left.Store(true)
+			lost = append(lost, a)
+		}
+	}
+	if len(lost) > 0 {
+		// The unused connections may share the fate of these.
+		p.suspect = p.sender.Timer.Now()
+	}
+	return lost
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,9 +28,6 @@
 	// FreshLimit is how long a connection may be unused before a request that is not idempotent may use it without a
 	// GET /health on the same connection.
 	FreshLimit = time.Second
-	// PatienceFactor bounds, in multiples of the quiet time, how long a connection stays in the pool while the upstream
-	// answers on new connections and its count of requests in use does not show a loss.
-	PatienceFactor = 8
 )
 
 // Sender implements cuminstair.Sender. Exported fields are set before the first Send. It is safe for concurrent use.
@@ -41,8 +38,9 @@
 	// Share is the part of Upstream.Conns that this daemon may use, above 0 and at most 1; 0 means 1. Daemons that share
 	// an upstream divide its connections with it. One connection of the share is kept for probes.
 	Share float64
-	// Left is called, if set, when a connection to the host was found silent and left its pool.
-	Left func(host string)
+	// Probed is called, if set, after each probe because of quiet connections. left is the number of connections that
+	// were found silent and left their pool.
+	Probed func(host string, answered bool, left int)
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -78,17 +76,6 @@
 	return nil
 }
 
-// Inflight returns the number of connections to an address that are in use.
-func (s *Sender) Inflight(addr string) int {
-	s.mu.Lock()
-	p := s.pools[addr]
-	s.mu.Unlock()
-	if p == nil {
-		return 0
-	}
-	return len(p.places)
-}
-
 func (s *Sender) pool(u *cuminstair.Upstream) *pool {
 	limit := s.limit(u)
 	s.mu.Lock()
