Stop a daemon without cutting requests, and compare it with direct requests

A planned stop ended at once: the callers' listener is the first part of the run group that returns, which ended the other parts while requests were in flight. It now stays until the stop has ended; TestPlannedStopCutsNothing failed without that.

--- /dev/null
+++ b/daemon/bench_test.go
@@ -0,0 +1,103 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/standin/instance"
+	"cuminstair.org/cuminstair/timer"
+)
+
+// benchConns is the number of connections of an instance (section 1.2 of docs/design.md).
+const benchConns = 64
+
+// BenchmarkThroughDaemon compares requests through one daemon with direct requests to the same instance, in turns in the
+// same run. The target is a throughput of at least half of the direct one.
+func BenchmarkThroughDaemon(b *testing.B) {
+	for name, fault := range map[string]string{"work=0": "", "work=1ms": "delay=1ms"} {
+		b.Run(name, func(b *testing.B) { compare(b, fault) })
+	}
+}
+
+func compare(b *testing.B, fault string) {
+	clock := timer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = clock.Run(ctx) }()
+	// The daemon keeps some connections for itself; the limit is not what is measured.
+	s := &instance.Server{Timer: clock, Conns: 4 * benchConns}
+	addr := serve(b, s)
+	d := start(b, load(b, []string{addr}, `"wait": "0s"`), clock, nil)
+	direct := &load64{clock: clock, client: newClient(b, benchConns), url: "http://" + addr, fault: fault}
+	through := &load64{clock: clock, client: newClient(b, benchConns), url: d.url, fault: fault}
+	direct.run(b, benchConns)
+	through.run(b, benchConns)
+	direct.reset()
+	through.reset()
+	const turn = 1000
+	b.ResetTimer()
+	for n := 0; n < b.N; n += turn {
+		direct.run(b, turn)
+		through.run(b, turn)
+	}
+	b.ReportMetric(through.rate()/direct.rate(), "throughput/direct")
+	b.ReportMetric(float64(through.median())/float64(direct.median()), "median/direct")
+	b.ReportMetric(through.rate(), "req/s")
+	b.ReportMetric(direct.rate(), "direct-req/s")
+	b.ReportMetric(through.median().Seconds()*1000, "median-ms")
+	b.ReportMetric(0, "ns/op")
+	through.client.CloseIdleConnections()
+	d.stop()
+	is.New(b).NoErr(<-d.ended)
+}
+
+// load64 makes requests over benchConns connections.
+type load64 struct {
+	clock  *timer.Service
+	client *http.Client
+	url    string
+	fault  string
+	took   time.Duration
+	times  []time.Duration
+}
+
+func (l *load64) reset() { l.took, l.times = 0, nil }
+
+func (l *load64) run(b *testing.B, n int) {
+	var next atomic.Int64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	began := l.clock.Now()
+	for range benchConns {
+		wg.Go(func() {
+			for next.Add(1) <= int64(n) {
+				sent := l.clock.Now()
+				answer, err := post(context.Background(), l.client, l.url, "portion", l.fault, "body")
+				if err != nil || answer.body != "body" {
+					b.Error(answer, err)
+					return
+				}
+				mu.Lock()
+				l.times = append(l.times, l.clock.Now().Sub(sent))
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	l.took += l.clock.Now().Sub(began)
+}
+
+// rate returns requests a second.
+func (l *load64) rate() float64 { return float64(len(l.times)) / l.took.Seconds() }
+
+func (l *load64) median() time.Duration {
+	sorted := slices.Sorted(slices.Values(l.times))
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/daemon/export_test.go
@@ -0,0 +1,11 @@
+package daemon
+
+// Stopping reports whether the wait for the load balancer is over.
+func (d *Daemon) Stopping() bool {
+	select {
+	case <-d.stopping:
+		return true
+	default:
+		return false
+	}
+}
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -24,7 +24,18 @@
 	if err != nil {
 		return err
 	}
-	g.Add(func() error { return d.callers.Serve(callers) }, func(error) { _ = d.callers.Close() })
+	ended := make(chan struct{})
+	g.Add(func() error {
+		// Serve returns at the beginning of a planned stop, which the first part that returns would cut short.
+		err := d.callers.Serve(callers)
+		if err == nil {
+			<-ended
+		}
+		return err
+	}, func(error) {
+		close(ended)
+		_ = d.callers.Close()
+	})
 	if addr := d.Settings.Listen.Operators; addr != "" && d.Operators != nil {
 		if err := d.addServer(g, "operators", addr, d.Settings.TLS.Operators, d.Operators); err != nil {
 			return err
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -16,9 +16,14 @@
 	defer cancel()
 	defer d.Timer.After(d.Settings.Stop.D(), func(time.Time) { cancel() })()
 
+	told := make(chan struct{})
+	defer d.Timer.After(d.Settings.Wait.D(), func(time.Time) { close(told) })()
 	d.unready.Store(true)
 	d.callers.Drain()
-	d.sleep(ctx, d.Settings.Wait.D())
+	select {
+	case <-told:
+	case <-ctx.Done():
+	}
 	close(d.stopping)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		if errors.Is(err, context.Canceled) {
@@ -34,13 +39,3 @@
 	d.Log.Info("stopped")
 	return nil
 }
-
-func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
-	passed := make(chan struct{})
-	stop := d.Timer.After(t, func(time.Time) { close(passed) })
-	defer stop()
-	select {
-	case <-passed:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/daemon/stop_test.go
@@ -0,0 +1,108 @@
+package daemon_test
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/daemon"
+	"cuminstair.org/cuminstair/standin/instance"
+	"cuminstair.org/cuminstair/timer"
+)
+
+// stopRig is a daemon with requests in flight. Both clocks move only when the test says so.
+type stopRig struct {
+	clock    *timer.Virtual // of the daemon
+	work     *timer.Virtual // of the instance
+	instance *instance.Server
+	*running
+	replies chan *reply
+}
+
+const held = 7 // requests in flight; one slot of the instance is left
+
+func newStopRig(t *testing.T, change func(d *daemon.Daemon)) *stopRig {
+	t.Helper()
+	r := &stopRig{
+		clock:   timer.NewVirtual(time.Unix(1000, 0)),
+		work:    timer.NewVirtual(time.Unix(1000, 0)),
+		replies: make(chan *reply, held),
+	}
+	r.instance = &instance.Server{Timer: r.work, Waiting: make(chan struct{})}
+	s := load(t, []string{serve(t, r.instance)}, `"wait": "1s", "stop": "20m"`)
+	r.running = start(t, s, r.clock, change)
+	client := newClient(t, held)
+	for range held {
+		go func() {
+			answer, err := post(context.Background(), client, r.url, "portion", "delay=1s", "own body")
+			if err != nil {
+				t.Log(err)
+			}
+			r.replies <- answer
+		}()
+	}
+	for range held {
+		<-r.instance.Waiting
+	}
+	return r
+}
+
+// beginStop begins a planned stop and returns when the daemon is unready.
+func (r *stopRig) beginStop() {
+	r.stop()
+	for r.Ready() == nil {
+		runtime.Gosched()
+	}
+}
+
+// Guards against a planned stop that cuts off requests in flight, refuses requests before the load balancer knows, or
+// hands over outcomes before the last of them is there.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	var handed int // replies that were there at the hand-over
+	var r *stopRig
+	r = newStopRig(t, func(d *daemon.Daemon) {
+		d.HandOver = func(context.Context) error {
+			handed = r.instance.Total() - r.instance.Used()
+			return nil
+		}
+	})
+	r.beginStop()
+	resp, err := http.Get(r.url + "/ready")
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	answer, err := post(context.Background(), newClient(t, 1), r.url, "portion", "", "late body")
+	is.NoErr(err)
+	is.Equal(answer.body, "late body")
+
+	r.clock.Advance(time.Second)
+	for !r.Stopping() {
+		runtime.Gosched()
+	}
+	is.Equal(len(r.ended), 0)
+	is.Equal(r.instance.Used(), held)
+	r.work.Advance(time.Second)
+	for range held {
+		answer := <-r.replies
+		is.True(answer != nil)
+		is.Equal(answer.header.Get("Outcome"), "done")
+		is.Equal(answer.body, "own body")
+	}
+	is.NoErr(<-r.ended)
+	is.Equal(handed, held+1)
+}
+
+// Guards against a stop that waits for ever, or that reports success although it cut off requests.
+func TestStopBound(t *testing.T) {
+	is := is.New(t)
+	r := newStopRig(t, nil)
+	r.beginStop()
+	r.clock.Advance(20 * time.Minute)
+	is.True(errors.Is(<-r.ended, daemon.ErrCut))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -24,6 +24,9 @@
 	userTimeout       = 10 * time.Second // TCP_USER_TIMEOUT: bytes may stay unacknowledged for this long
 )
 
+// lingerLimit bounds the wait for an upstream to close its end: 1000 one-way latencies between two data centres.
+const lingerLimit = 500 * time.Millisecond
+
 // past is a deadline that makes blocked reads and writes return at once.
 var past = time.Unix(1, 0)
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -100,8 +101,7 @@
 // give ends the use of a connection and keeps it if it can be used again.
 func (p *pool) give(c *conn, keep bool) {
 	if !keep {
-		c.close()
-		<-p.places
+		go p.linger(c)
 		return
 	}
 	c.used = p.sender.Timer.Now()
@@ -112,6 +112,20 @@
 	<-p.places
 }
 
+// linger closes a connection and frees its place once the upstream has closed it, too, or lingerLimit has passed. A place
+// that is freed at once would let a new connection reach the upstream before it knows that the old one is closed, and
+// the upstream would have more connections than it accepts.
+func (p *pool) linger(c *conn) {
+	defer func() { <-p.places }()
+	defer c.close()
+	_ = c.raw.SetDeadline(time.Time{})
+	defer p.sender.Timer.After(lingerLimit, func(time.Time) { c.abort() })()
+	if err := c.raw.CloseWrite(); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.raw)
+}
+
 // sweep closes unused connections that were last used before the given time.
 func (p *pool) sweep(before time.Time) {
 	p.mu.Lock()
