Let steps of a wave overlap and lend spare hosts to several pools

Cause: a step waited for its last host, and all spare hosts went to one pool at a time, so that every change of pool cost a move of each of them. Now each host that comes back lets two others go, spare hosts (nothing runs on them) are not counted against the step once one host has come back, each pool first gets what it needs to go on, and a tick goes on until nothing more is to be written. Probation is 10 s instead of 20 s, still several checks.

--- a/wave/decide.go
+++ b/wave/decide.go
@@ -8,6 +8,10 @@
 	"cuminstair.org/cuminstair"
 )
 
+// Rounds bounds how often a controller calls Decide in one tick. A host that is idle passes from active to rebooting in
+// three rounds.
+const Rounds = 4
+
 // Decide returns what to write now. Its cost grows with the hosts that need attention and those it takes, not with the
 // fleet.
 func (p *Planner) Decide(now time.Time) Plan {
@@ -121,12 +125,18 @@
 	return true
 }
 
-// advance takes hosts for a wave until the step is full or the budget has no room.
+// advance takes hosts for a wave until the step is full or the budget has no room. A step does not wait for the last
+// host of the step before it: each host that comes back makes room for two. Once one host has come back, hosts of the
+// spare pool are not counted against the step, since nothing runs on them.
 func (p *Planner) advance(r *run) {
 	if r.row.State != Running {
 		return
 	}
 	out, fleet, window := r.inflight, r.fleet, r.window()
+	proven := r.done > r.row.Base
+	if q := r.queues[p.spare]; q != nil && proven {
+		out -= q.out
+	}
 	for _, pool := range p.order(r) {
 		q := r.queues[pool]
 		delete(r.block, pool)
@@ -134,8 +144,8 @@
 		for range len(q.hosts) {
 			why := ""
 			switch {
-			case r.inflight > 0 || out >= window:
-				why = fmt.Sprintf("the step of %d hosts is not complete: %d are out", window, out)
+			case out >= window && (!proven || pool != p.spare):
+				why = fmt.Sprintf("%d hosts are out, as many as the step allows", out)
 			case fleet >= r.wave.Limit:
 				why = fmt.Sprintf("%d hosts are out over the fleet, as many as the wave's limit", fleet)
 			default:
@@ -152,8 +162,10 @@
 			if p.takeForWave(r, s) {
 				delete(q.queued, s.name)
 				p.popped = append(p.popped, s)
-				out++
 				fleet++
+				if !proven || pool != p.spare {
+					out++
+				}
 				continue
 			}
 			q.hosts = append(q.hosts, s)
--- /dev/null
+++ b/wave/least_test.go
@@ -0,0 +1,102 @@
+package wave_test
+
+import (
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/budget"
+)
+
+// rollout is the state of the best possible rollout of one data centre: which spare hosts are done and how many hosts
+// each pool has left.
+type rollout struct {
+	spares int // bit set
+	left   [4]int
+}
+
+// least returns the shortest time in which the budgets permit to reboot all hosts of a data centre. It tries, round by
+// round, every way to lend each spare host or reboot it, with the rooms that package budget gives when all hosts of a
+// round are up. It counts no time for moves, probation or growing steps; the last round is at least a spare's.
+func least(f *cuminstair.Fleet, centre string) time.Duration {
+	l := newLeast(f, centre)
+	level := map[rollout]bool{l.start: true}
+	for rounds := 1; ; rounds++ {
+		next := map[rollout]bool{}
+		for s := range level {
+			l.expand(s, make([]int, len(l.spares)), 0, next)
+		}
+		if next[rollout{spares: 1<<len(l.spares) - 1}] {
+			return time.Duration(rounds)*(drain+reboot+lag) - drain
+		}
+		level = next
+	}
+}
+
+type leastOf struct {
+	fleet  *cuminstair.Fleet
+	centre string
+	pools  []string
+	spares []cuminstair.Host
+	start  rollout
+	rooms  map[[2]int]int // pool, bit set of spares lent to it
+}
+
+func newLeast(f *cuminstair.Fleet, centre string) *leastOf {
+	l := &leastOf{fleet: f, centre: centre, rooms: map[[2]int]int{}}
+	for _, s := range f.Services {
+		l.pools = append(l.pools, s.Pool)
+	}
+	for _, h := range f.Hosts {
+		for i, pool := range l.pools {
+			if h.Centre == centre && h.Pool == pool {
+				l.start.left[i]++
+			}
+		}
+		if h.Centre == centre && h.Pool == "spare" {
+			l.spares = append(l.spares, h)
+		}
+	}
+	return l
+}
+
+// room asks package budget for the room of a pool with some spare hosts lent to it.
+func (l *leastOf) room(pool, lent int) int {
+	key := [2]int{pool, lent}
+	if n, ok := l.rooms[key]; ok {
+		return n
+	}
+	b := budget.New(l.fleet.Services)
+	for _, h := range l.fleet.Hosts {
+		b.Set(h.Name, budget.Host{Centre: h.Centre, Rack: h.Rack, Home: h.Pool, Pool: h.Pool, State: cuminstair.HostActive, Healthy: true})
+	}
+	for i, h := range l.spares {
+		if lent&(1<<i) != 0 {
+			b.Set(h.Name, budget.Host{Centre: h.Centre, Rack: h.Rack, Home: h.Pool, Pool: l.pools[pool], State: cuminstair.HostActive, Healthy: true})
+		}
+	}
+	l.rooms[key] = max(0, b.Account("s"+l.pools[pool], l.centre).Room())
+	return l.rooms[key]
+}
+
+// expand tries every use of the spare hosts from the i-th on: a pool, or a reboot.
+func (l *leastOf) expand(s rollout, use []int, i int, next map[rollout]bool) {
+	if i < len(use) {
+		for to := range len(l.pools) + 1 {
+			use[i] = to
+			l.expand(s, use, i+1, next)
+		}
+		return
+	}
+	lent := make([]int, len(l.pools))
+	for spare, to := range use {
+		if to == len(l.pools) {
+			s.spares |= 1 << spare
+		} else {
+			lent[to] |= 1 << spare
+		}
+	}
+	for pool := range l.pools {
+		s.left[pool] = max(0, s.left[pool]-l.room(pool, lent[pool]))
+	}
+	next[s] = true
+}
--- a/wave/lend.go
+++ b/wave/lend.go
@@ -20,35 +20,84 @@
 	if p.spare == "" {
 		return
 	}
-	supplies, racks := p.supplies(), p.rackCounts()
-	free := p.free(now, waiting)
+	l := &lending{racks: p.rackCounts(), free: p.free(now, waiting)}
+	supplies := p.supplies()
 	for _, pool := range p.pools {
-		if pool == p.spare {
-			continue
-		}
-		for n := p.wants(now, pool, supplies[pool]); n > 0 && len(free) > 0; n-- {
-			i := p.bestSpare(pool, free, racks)
-			if i < 0 {
-				break
-			}
-			s := free[i]
-			racks[place{pool, s.host.Rack}]++
-			free = slices.Delete(free, i, i+1)
-			p.send(s, pool)
+		if d := p.demand(now, pool, supplies[pool]); d.first > 0 || d.left > d.room {
+			l.demands = append(l.demands, d)
 		}
 	}
-	for _, s := range free {
+	p.satisfy(l)
+	for _, s := range l.free {
 		if s.row.Pool != p.spare {
 			p.send(s, p.spare)
 		}
 	}
 }
 
-func (p *Planner) send(s *status, pool string) {
-	if s.row.Pool == pool {
-		return
+// lending is the state of one call of lend.
+type lending struct {
+	racks   map[place]int
+	free    []*status
+	demands []*demand
+}
+
+// demand is what a pool could do with spare hosts.
+type demand struct {
+	pool  string
+	first int // spare hosts without which nothing can go on
+	room  int // hosts that can be out at once with what it has
+	left  int // hosts that a wave has still to take, and those that are out
+}
+
+// satisfy gives each pool what it needs to go on, the pool with the most hosts left first, and then one more host at a
+// time to the pool that would otherwise take the longest. Pools that proceed side by side need fewer moves than pools
+// that get all spare hosts in turn.
+func (p *Planner) satisfy(l *lending) {
+	slices.SortStableFunc(l.demands, func(a, b *demand) int { return b.left - a.left })
+	for _, d := range l.demands {
+		for d.first > 0 && p.give(l, d) {
+			d.first--
+		}
+	}
+	for len(l.free) > 0 {
+		var next *demand
+		for _, d := range l.demands {
+			if d.room < d.left && d.room > 0 && (next == nil || d.left*next.room > next.left*d.room) {
+				next = d
+			}
+		}
+		if next == nil {
+			return
+		}
+		if !p.give(l, next) {
+			l.demands = slices.DeleteFunc(l.demands, func(d *demand) bool { return d == next })
+		}
+	}
+}
+
+// give sends the best of the free hosts to a pool. It returns false if none helps.
+func (p *Planner) give(l *lending, d *demand) bool {
+	for {
+		i := p.bestSpare(d.pool, l.free, l.racks)
+		if i < 0 {
+			return false
+		}
+		s := l.free[i]
+		l.free = slices.Delete(l.free, i, i+1)
+		from := s.destination()
+		if !p.send(s, d.pool) {
+			continue // its pool can't spare it yet
+		}
+		l.racks[place{from, s.host.Rack}]--
+		l.racks[place{d.pool, s.host.Rack}]++
+		d.room++
+		return true
 	}
-	p.take(s, GoalMove, ReasonSpare, "moves from pool "+s.row.Pool+" to "+pool, func(h *Host) { h.To = pool })
+}
+
+func (p *Planner) send(s *status, pool string) bool {
+	return p.take(s, GoalMove, ReasonSpare, "moves from pool "+s.row.Pool+" to "+pool, func(h *Host) { h.To = pool })
 }
 
 // supplies counts the lent hosts of all pools.
@@ -71,28 +120,28 @@
 	return all
 }
 
-// wants returns how many more spare hosts a pool needs.
-func (p *Planner) wants(now time.Time, pool string, have supply) int {
+// demand returns what a pool could do with spare hosts. A wave that can go on without them gets none: moves have a
+// cost.
+func (p *Planner) demand(now time.Time, pool string, have supply) *demand {
+	d := &demand{pool: pool}
 	a, limited := p.room(pool)
-	if !limited {
-		return 0
+	if !limited || pool == p.spare {
+		return d
 	}
-	need := 0
 	for _, name := range p.names {
 		r := p.runs[name]
 		q := r.queues[pool]
-		if r.row.State != Running || q == nil || len(q.hosts) == 0 {
+		if r.row.State != Running || q == nil || len(q.hosts) == 0 || a.Room()+q.out-have.lent >= 1 {
 			continue
 		}
-		// Lending speeds nothing up that can proceed without it: moves have a cost.
-		if a.Room()+q.out-have.lent < 1 {
-			need = max(need, min(len(q.hosts)+q.out, r.wave.Limit)-a.Room()-q.out)
-		}
+		d.room = a.Room() + q.out + have.coming
+		d.left = min(len(q.hosts)+q.out, r.wave.Limit)
+		d.first = 1 - d.room
 	}
 	if p.shortFor(now, pool) >= Settle {
-		need = max(need, -a.Room())
+		d.first = max(d.first, -a.Room()-have.coming)
 	}
-	return need - have.coming
+	return d
 }
 
 // shortFor returns how long a pool has been short of instances by unplanned loss.
@@ -123,7 +172,9 @@
 		case s.row.Pool == p.spare && !p.due(s):
 			idle = append(idle, s)
 		case s.row.Pool != p.spare && !p.needed(now, s.row.Pool):
-			lent = append(lent, s)
+			if _, ok := p.Budgets.MayTake(s.name); ok {
+				lent = append(lent, s)
+			}
 		}
 	}
 	return append(idle, lent...)
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -11,7 +11,7 @@
 // Times of the planner.
 const (
 	// Probation is how long a host is healthy without a break before it takes work.
-	Probation = 20 * time.Second
+	Probation = 10 * time.Second
 	// LoseAfter is how long a host is listed as gone before it counts as failed; the list lags and flaps.
 	LoseAfter = 10 * time.Second
 	// RepairAfter is how long a broken host has to recover by itself, as after the loss of a switch.
