--- a/budget/budget.go
+++ b/budget/budget.go
@@ -250,15 +250,29 @@
 	return tightest, ok
 }
 
-// MayTake tells whether planned work may make the host unavailable. A host that is unavailable already costs nothing.
+// MayTake tells whether planned work may make the host unavailable. A host that is unavailable already costs nothing,
+// and an extra instance may go when no declared one is unavailable: the budget asks for no more than what is declared.
 // why is the account that refuses, or the tightest one.
 func (b *Budgets) MayTake(name string) (why Account, ok bool) {
 	h, known := b.hosts[name]
 	if !known {
 		return Account{}, false
 	}
-	a, limited := b.Tightest(h.Pool, h.Centre)
-	return a, !limited || !h.Available() || a.Room() >= 1
+	tightest, limited := b.Tightest(h.Pool, h.Centre)
+	if !limited || !h.Available() || tightest.Room() >= 1 {
+		return tightest, true
+	}
+	if h.Pool == h.Home {
+		return tightest, false
+	}
+	for _, s := range b.byPool[h.Pool] {
+		for _, c := range []string{h.Centre, Fleet} {
+			if a := b.Account(s.name, c); a.Room() < 1 && a.Unavailable > 0 {
+				return a, false
+			}
+		}
+	}
+	return tightest, true
 }
 
 // Buffer is the cost of hosts held idle in one data centre.
--- a/wave/decide.go
+++ b/wave/decide.go
@@ -63,8 +63,11 @@
 
 // takeAll takes hosts out of service for orders, removals, moves, repairs, waves and lending, in this order.
 func (p *Planner) takeAll(now time.Time, waiting []*status) {
+	clear(p.blocked)
 	for _, s := range waiting {
-		p.takeOne(now, s)
+		if !p.takeOne(now, s) {
+			p.blocked[s.row.Pool]++
+		}
 	}
 	for _, name := range p.names {
 		p.advance(p.runs[name])
@@ -72,23 +75,24 @@
 	p.lend(now, waiting)
 }
 
-// takeOne takes a host that is to go for a reason of its own.
-func (p *Planner) takeOne(now time.Time, s *status) {
+// takeOne takes a host that is to go for a reason of its own. It returns false if the budget does not let it go.
+func (p *Planner) takeOne(now time.Time, s *status) bool {
 	if !s.active() || s.taken {
-		return
+		return true
 	}
 	switch {
 	case s.orderAt > s.row.Order && s.order.Event == "drain":
-		p.take(s, GoalOperate, ReasonOrder, "drained by an operator", func(h *Host) { h.Order = s.orderAt })
+		return p.take(s, GoalOperate, ReasonOrder, "drained by an operator", func(h *Host) { h.Order = s.orderAt })
 	case s.row.Hold:
+		return true
 	case s.host.Pool == "":
-		p.take(s, GoalRemove, ReasonFile, "the fleet file does not name it any more", nil)
+		return p.take(s, GoalRemove, ReasonFile, "the fleet file does not name it any more", nil)
 	case !s.healthy && s.listed != listGone && now.Sub(s.since) >= RepairAfter:
-		if p.mayRepair() {
-			p.take(s, GoalRepair, ReasonHealth, "unhealthy for "+RepairAfter.String(), nil)
-		}
+		return !p.mayRepair() || p.take(s, GoalRepair, ReasonHealth, "unhealthy for "+RepairAfter.String(), nil)
 	case s.row.Pool != s.host.Pool && s.host.Pool != p.spare:
-		p.take(s, GoalMove, ReasonFile, "the fleet file puts it into pool "+s.host.Pool, func(h *Host) { h.To = s.host.Pool })
+		return p.take(s, GoalMove, ReasonFile, "the fleet file puts it into pool "+s.host.Pool, func(h *Host) { h.To = s.host.Pool })
+	default:
+		return true
 	}
 }
 
@@ -140,6 +144,7 @@
 	for _, pool := range p.order(r) {
 		q := r.queues[pool]
 		delete(r.block, pool)
+		q.fresh = 0
 		// A host that can't be taken now goes to the end; each is looked at once.
 		for range len(q.hosts) {
 			why := ""
@@ -162,6 +167,7 @@
 			if p.takeForWave(r, s) {
 				delete(q.queued, s.name)
 				p.popped = append(p.popped, s)
+				q.fresh++
 				fleet++
 				if !proven || pool != p.spare {
 					out++
--- a/wave/lend.go
+++ b/wave/lend.go
@@ -20,14 +20,17 @@
 	if p.spare == "" {
 		return
 	}
-	l := &lending{racks: p.rackCounts(), free: p.free(now, waiting)}
+	l := &lending{free: p.free(now, waiting)}
 	supplies := p.supplies()
 	for _, pool := range p.pools {
 		if d := p.demand(now, pool, supplies[pool]); d.first > 0 || d.left > d.room {
 			l.demands = append(l.demands, d)
 		}
 	}
-	p.satisfy(l)
+	if len(l.demands) > 0 && len(l.free) > 0 {
+		l.racks = p.rackCounts()
+		p.satisfy(l)
+	}
 	for _, s := range l.free {
 		if s.row.Pool != p.spare {
 			p.send(s, p.spare)
@@ -131,13 +134,20 @@
 	for _, name := range p.names {
 		r := p.runs[name]
 		q := r.queues[pool]
-		if r.row.State != Running || q == nil || len(q.hosts) == 0 || a.Room()+q.out-have.lent >= 1 {
+		if r.row.State != Running || q == nil || len(q.hosts) == 0 {
+			continue
+		}
+		out := q.out + q.fresh
+		if a.Room()+out-have.lent >= 1 {
 			continue
 		}
-		d.room = a.Room() + q.out + have.coming
-		d.left = min(len(q.hosts)+q.out, r.wave.Limit)
+		d.room = a.Room() + out + have.coming
+		d.left = min(len(q.hosts)+out, r.wave.Limit)
 		d.first = 1 - d.room
 	}
+	if p.blocked[pool] > 0 {
+		d.first = max(d.first, 1-a.Room()-have.coming)
+	}
 	if p.shortFor(now, pool) >= Settle {
 		d.first = max(d.first, -a.Room()-have.coming)
 	}
@@ -192,13 +202,16 @@
 
 // needed tells whether a pool has still use for lent hosts.
 func (p *Planner) needed(now time.Time, pool string) bool {
+	if p.blocked[pool] > 0 {
+		return true
+	}
 	covered := false
 	for _, r := range p.runs {
 		q := r.queues[pool]
 		if q == nil || r.row.State == Done || r.row.State == Ready {
 			continue
 		}
-		if len(q.hosts) > 0 {
+		if len(q.hosts) > 0 && (r.row.State == Running || r.row.State == Paused) {
 			return true
 		}
 		covered = true
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -71,8 +71,9 @@
 	calm      time.Time            // since when there is no loss
 	plan      Plan
 	undo      []*status
-	popped    []*status // taken from a queue by the last Decide
-	repairing int       // replacements in the running Decide
+	popped    []*status      // taken from a queue by the last Decide
+	blocked   map[string]int // pool: hosts that the budget did not let go in the running Decide
+	repairing int            // replacements in the running Decide
 }
 
 // rackLoss counts the hosts of a rack that were lost without plan.
@@ -85,7 +86,7 @@
 func New(centre string) *Planner {
 	return &Planner{
 		Centre: centre, hosts: map[string]*status{}, out: map[string]*status{}, runs: map[string]*run{},
-		short: map[string]time.Time{}, enough: map[string]time.Time{},
+		short: map[string]time.Time{}, enough: map[string]time.Time{}, blocked: map[string]int{},
 	}
 }
 
--- a/wave/run.go
+++ b/wave/run.go
@@ -33,6 +33,7 @@
 	hosts  []*status
 	queued map[string]bool
 	out    int // hosts of the pool that are out for the wave
+	fresh  int // hosts that the running Decide takes
 }
 
 func newRun(w cuminstair.Wave, old *run) *run {
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -46,7 +46,7 @@
 	for _, m := range w.hosts {
 		m.broken = true
 	}
-	for range int(40 * time.Minute / tick) {
+	for range int(40 * time.Minute / w.tick) {
 		w.step()
 		w.is.True(w.within())
 	}
@@ -68,7 +68,7 @@
 		}
 	}
 	w.is.True(out <= bound)
-	for range int(10 * time.Minute / tick) {
+	for range int(10 * time.Minute / w.tick) {
 		w.step()
 	}
 	for _, c := range w.names {
@@ -89,7 +89,7 @@
 			w.step()
 		}
 		lost := w.lose(fmt.Sprintf("c%d-r%d", seed%3, seed%4))
-		for range int(5 * time.Minute / tick) {
+		for range int(5 * time.Minute / w.tick) {
 			w.step()
 			w.is.True(w.within())
 			if len(lost) > 1 {
--- a/wave/world_test.go
+++ b/wave/world_test.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	tick   = time.Second
 	drain  = 30 * time.Second // requests in flight finish
 	reboot = 4 * time.Minute
 	lag    = 15 * time.Second // of the platform's list
@@ -38,17 +37,20 @@
 type world struct {
 	is       *is.I
 	now      time.Time
+	tick     time.Duration
 	fleet    *cuminstair.Fleet
 	planners map[string]*wave.Planner
 	names    []string
 	hosts    map[string]*machine
-	busy     map[string]bool // hosts that are not simply active
+	homes    map[string]string // pool in the fleet file
+	busy     map[string]bool   // hosts that are not simply active
 	waves    map[string]wave.Wave
 	truth    *budget.Budgets
 	rand     *rand.Rand
 	frozen   string
 	moves    int
 	spares   time.Duration // time that lent hosts spent in pools
+	writes   int
 	steps    int
 	history  []string
 	ended    map[string]time.Duration // data centre: when its wave was done
@@ -57,9 +59,9 @@
 
 func newWorld(t *testing.T, f *cuminstair.Fleet) *world {
 	w := &world{
-		is: is.New(t), now: start, fleet: f, planners: map[string]*wave.Planner{}, hosts: map[string]*machine{},
+		is: is.New(t), now: start, tick: time.Second, fleet: f, planners: map[string]*wave.Planner{}, hosts: map[string]*machine{},
 		busy: map[string]bool{}, waves: map[string]wave.Wave{}, truth: budget.New(f.Services), rand: rand.New(rand.NewPCG(1, 1)),
-		ended: map[string]time.Duration{},
+		ended: map[string]time.Duration{}, homes: map[string]string{},
 	}
 	for _, c := range f.Centres {
 		w.names = append(w.names, c.Name)
@@ -67,6 +69,7 @@
 	}
 	for _, h := range f.Hosts {
 		w.hosts[h.Name] = &machine{centre: h.Centre, rack: h.Rack}
+		w.homes[h.Name] = h.Pool
 		w.put(h.Name, wave.Host{Pool: h.Pool, State: cuminstair.HostActive})
 	}
 	return w
@@ -90,23 +93,16 @@
 	w.planners[centre] = p
 }
 
-func (w *world) home(name string) string {
-	for i := range w.fleet.Hosts {
-		if w.fleet.Hosts[i].Name == name {
-			return w.fleet.Hosts[i].Pool
-		}
-	}
-	return ""
-}
-
 func (w *world) put(name string, row wave.Host) {
 	m := w.hosts[name]
 	if m.row.Pool != row.Pool && m.row.Pool != "" {
 		w.moves++
+		w.history = append(w.history, fmt.Sprintf("%s %s: %s %s -> %s %s", w.now.Sub(start), name, m.row.Pool, m.row.Why, row.Pool, w.truth.Account("s"+row.Pool, m.centre)))
 	}
 	if row.State == cuminstair.HostLeaving && m.row.State == cuminstair.HostActive {
 		m.left = w.now
 	}
+	w.writes++
 	m.row = row
 	for _, p := range w.planners {
 		p.SetHost(w.now, m.centre, name, row)
@@ -119,21 +115,18 @@
 // account updates the true availability of a host.
 func (w *world) account(name string) {
 	m := w.hosts[name]
-	old, ok := w.truth.Host(name)
-	if !ok {
-		old.Home = w.home(name)
-	}
+	home := w.homes[name]
 	w.truth.Set(name, budget.Host{
-		Centre: m.centre, Rack: m.rack, Home: old.Home, Pool: m.row.Pool, State: m.row.State, Healthy: w.up(m),
+		Centre: m.centre, Rack: m.rack, Home: home, Pool: m.row.Pool, State: m.row.State, Healthy: w.up(m),
 	})
-	if m.row.State != cuminstair.HostActive || !w.up(m) || m.row.Pool != old.Home || m.act != "" {
+	if m.row.State != cuminstair.HostActive || !w.up(m) || m.row.Pool != home || m.act != "" {
 		w.busy[name] = true
 	}
 }
 
 // step runs one tick of all planners.
 func (w *world) step() {
-	w.now = w.now.Add(tick)
+	w.now = w.now.Add(w.tick)
 	w.steps++
 	busy := make([]string, 0, len(w.busy))
 	for name := range w.busy {
@@ -152,8 +145,8 @@
 func (w *world) observe(name string) {
 	m := w.hosts[name]
 	w.account(name)
-	if h, _ := w.truth.Host(name); m.row.Pool != h.Home {
-		w.spares += tick
+	if m.row.Pool != w.homes[name] {
+		w.spares += w.tick
 	}
 	state, changed := "live", m.until
 	switch {
@@ -166,16 +159,11 @@
 		p.SetHealthy(w.now, name, w.up(m))
 		p.SetListed(w.now, cuminstair.HostStatus{Name: name, State: state, Changed: changed})
 	}
-	if m.row.State == cuminstair.HostActive && w.up(m) && state == "live" && m.row.Pool == w.homeOf(name) {
+	if m.row.State == cuminstair.HostActive && w.up(m) && state == "live" && m.row.Pool == w.homes[name] {
 		delete(w.busy, name)
 	}
 }
 
-func (w *world) homeOf(name string) string {
-	h, _ := w.truth.Host(name)
-	return h.Home
-}
-
 // run lets a planner decide until it has nothing more to write, as the controller does.
 func (w *world) run(centre string) {
 	for range wave.Rounds {
