Add the controller of a data centre

It reads rows by version, holds the lease, plans, commits with the lease's and the rows' versions as checks, starts platform actions under ids that come from the rows, and asks live daemons before a host is rebooted or moved. Every commit that takes an instance also replaces the row drain, so that data centres can't take the last room of a fleet-wide budget at the same time.

go test ./control -run TestWave: 24 hosts, 2 data centres, 3 daemons each, wave done within budgets, no request cut off. Seen to fail with the guard out: TestStepsGrow (step size).

--- /dev/null
+++ b/control/world_test.go
@@ -0,0 +1,311 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/budget"
+	"cuminstair.org/cuminstair/control"
+	"cuminstair.org/cuminstair/timer"
+	"cuminstair.org/cuminstair/wave"
+)
+
+const (
+	spare  = "spare"
+	reboot = time.Minute
+	lag    = 10 * time.Second // of the platform's list
+)
+
+// machine is an upstream host as it really is.
+type machine struct {
+	centre, rack string
+	until        time.Time // end of the platform's action
+	changed      time.Time // when the platform last noticed a change
+	dead         bool
+	broken       bool // does not come back from an action
+	sick         bool // fails its health checks
+	acts         map[string]bool
+}
+
+func (m *machine) up(w *world) bool { return !m.dead && !w.v.Now().Before(m.until) }
+
+// world is a fleet in virtual time with several daemons in each data centre. It checks the invariants on every row that
+// is written and every second.
+type world struct {
+	is        *is.I
+	v         *timer.Virtual
+	rand      *rand.Rand
+	fleet     *cuminstair.Fleet
+	table     *table
+	hosts     map[string]*machine
+	rows      map[string]wave.Host
+	homes     map[string]string
+	daemons   map[string]*daemon
+	order     []*daemon
+	gone      map[string]bool // daemons that the platform lists as gone
+	truth     *budget.Budgets
+	decisions []cuminstair.Decision
+	faults    bool // answers are lost
+	pauses    int  // one in so many calls pauses its daemon past the lease; 0: none
+	pausing   bool
+	down      bool // the platform is unavailable
+	acted     int
+	moves     int
+	outside   string // the first account that was outside its budget
+	cut       string // the first reboot that cut requests off
+	fence     string // the first write of an epoch that had ended
+}
+
+var start = time.Unix(1000, 0)
+
+func newWorld(t *testing.T, seed uint64, f *cuminstair.Fleet, perCentre int) *world {
+	w := &world{
+		is: is.New(t), v: timer.NewVirtual(start), rand: rand.New(rand.NewPCG(seed, 3)), fleet: f,
+		table: &table{rows: map[string]cuminstair.Row{}}, hosts: map[string]*machine{}, rows: map[string]wave.Host{},
+		homes: map[string]string{}, daemons: map[string]*daemon{}, gone: map[string]bool{}, truth: budget.New(f.Services),
+	}
+	w.table.onWrite = w.written
+	for _, h := range f.Hosts {
+		w.hosts[h.Name] = &machine{centre: h.Centre, rack: h.Rack, acts: map[string]bool{}}
+		w.homes[h.Name] = h.Pool
+		w.write(wave.HostKey(h.Centre, h.Name), wave.Host{Pool: h.Pool, State: cuminstair.HostActive})
+	}
+	for _, c := range f.Centres {
+		for n := range perCentre {
+			w.start(fmt.Sprintf("%s-d%d", c.Name, n), c.Name)
+		}
+	}
+	return w
+}
+
+func (w *world) write(key string, value any) {
+	data, err := json.Marshal(value)
+	w.is.NoErr(err)
+	_, err = w.table.commit(cuminstair.Commit{ID: "test", Puts: []cuminstair.Put{{Key: key, Value: data}}})
+	w.is.NoErr(err)
+}
+
+func (w *world) start(name, centre string) {
+	d := &daemon{
+		w: w, name: name, centre: centre, view: map[string]cuminstair.HostState{}, pools: map[string]string{},
+		inflight: map[string][]time.Time{},
+	}
+	d.c = &control.Control{
+		Centre: centre, Self: name, Boot: "1", Table: d, Hosts: d, Peers: d, Timer: w.v, Recorder: d, Idle: d.idle,
+		Rand:  rand.New(rand.NewPCG(uint64(len(w.order)), 5)),
+		State: func(host string, state cuminstair.HostState) { d.view[host] = state },
+		Moved: func(host, pool string) { d.pools[host] = pool },
+	}
+	w.write("entry/"+name, map[string]string{"centre": centre})
+	d.c.SetFleet(w.fleet)
+	w.daemons[name] = d
+	w.order = append(w.order, d)
+}
+
+// written checks one row write and takes it into the true accounts.
+func (w *world) written(r cuminstair.Row) {
+	key, ok := strings.CutPrefix(r.Key, wave.HostPrefix)
+	if !ok || r.Deleted {
+		return
+	}
+	_, name, _ := strings.Cut(key, "/")
+	var h wave.Host
+	w.is.NoErr(json.Unmarshal(r.Value, &h))
+	old, known := w.rows[name]
+	if known && h.Epoch < old.Epoch {
+		w.fence = fmt.Sprintf("%s: epoch %d after %d", name, h.Epoch, old.Epoch)
+	}
+	if known && old.Pool != h.Pool {
+		w.moves++
+		w.is.Equal(old.State, cuminstair.HostDrained) // moved without a drain
+		w.is.True(w.idle(name))                       // moved with requests in flight
+	}
+	w.rows[name] = h
+	w.account(name)
+}
+
+func (w *world) idle(name string) bool {
+	for _, d := range w.order {
+		if len(d.inflight[name]) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// account updates the true availability of a host and checks the budgets of its services.
+func (w *world) account(name string) {
+	m, row := w.hosts[name], w.rows[name]
+	w.truth.Set(name, budget.Host{
+		Centre: m.centre, Rack: m.rack, Home: w.homes[name], Pool: row.Pool, State: row.State, Healthy: m.up(w) && !m.sick,
+	})
+	for _, pool := range []string{row.Pool, w.homes[name]} {
+		for _, s := range w.truth.PoolServices(pool) {
+			for _, c := range []string{m.centre, budget.Fleet} {
+				if a := w.truth.Account(s, c); !a.Within() && w.outside == "" {
+					w.outside = fmt.Sprintf("%s: %s", w.v.Now().Sub(start), a)
+				}
+			}
+		}
+	}
+}
+
+// act starts a platform action unless its id is a repeat.
+func (w *world) act(id, name string) {
+	m := w.hosts[name]
+	if m.acts[id] {
+		return
+	}
+	m.acts[id] = true
+	w.acted++
+	if m.up(w) && !w.idle(name) && w.cut == "" {
+		w.cut = fmt.Sprintf("%s: %s by %s, row %+v", w.v.Now().Sub(start), name, id, w.rows[name])
+	}
+	m.until, m.dead = w.v.Now().Add(reboot), m.broken
+	m.changed = m.until.Add(lag)
+	w.account(name)
+}
+
+// list is the platform's list, which lags.
+func (w *world) list() []cuminstair.HostStatus {
+	var all []cuminstair.HostStatus
+	for _, h := range w.fleet.Hosts {
+		m := w.hosts[h.Name]
+		s := cuminstair.HostStatus{Name: h.Name, Centre: h.Centre, Role: "upstream", State: "live", Changed: m.changed}
+		switch {
+		case m.dead:
+			s.State = "gone"
+		case w.v.Now().Before(m.until.Add(lag)):
+			s.State, s.Changed = "rebooting", m.until
+		}
+		all = append(all, s)
+	}
+	for _, d := range w.order {
+		s := cuminstair.HostStatus{Name: d.name, Centre: d.centre, Role: "entry", State: "live"}
+		if w.gone[d.name] {
+			s.State = "gone"
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// maybePause stops a daemon in the middle of a call, for longer than its lease, while all others go on.
+func (w *world) maybePause(d *daemon) {
+	if w.pauses == 0 || w.pausing || w.rand.IntN(w.pauses) > 0 {
+		return
+	}
+	w.pause(d, 40+w.rand.IntN(60))
+}
+
+func (w *world) pause(d *daemon, seconds int) {
+	w.pausing, d.paused = true, true
+	for range seconds {
+		w.tick()
+	}
+	w.pausing, d.paused = false, false
+}
+
+// tick lets one second pass.
+func (w *world) tick() {
+	w.v.Advance(time.Second)
+	for _, h := range w.fleet.Hosts {
+		w.account(h.Name)
+		ok := w.hosts[h.Name].up(w) && !w.hosts[h.Name].sick
+		for _, d := range w.order {
+			d.c.SetHealthy(h.Name, ok)
+		}
+	}
+	for _, i := range w.rand.Perm(len(w.order)) {
+		d := w.order[i]
+		if d.paused {
+			continue
+		}
+		d.c.Step(context.Background())
+		d.serve()
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.v.Now().Add(d); w.v.Now().Before(end); {
+		w.tick()
+	}
+}
+
+// state returns the state of the wave in a data centre, as its row says.
+func (w *world) wave(centre string) wave.Wave {
+	var row wave.Wave
+	if r, ok := w.table.rows[wave.Key("w", centre)]; ok {
+		w.is.NoErr(json.Unmarshal(r.Value, &row))
+	}
+	return row
+}
+
+func (w *world) done() bool {
+	for _, c := range w.fleet.Centres {
+		if w.wave(c.Name).State != wave.Done {
+			return false
+		}
+	}
+	return true
+}
+
+// finish runs until the wave is done everywhere.
+func (w *world) finish(limit time.Duration) {
+	w.is.Helper()
+	for end := w.v.Now().Add(limit); !w.done(); {
+		w.tick()
+		w.is.True(w.v.Now().Before(end)) // the wave does not finish
+	}
+}
+
+// ok checks that no invariant was broken so far.
+func (w *world) ok() {
+	w.is.Helper()
+	w.is.Equal(w.outside, "")
+	w.is.Equal(w.cut, "")
+	w.is.Equal(w.fence, "")
+}
+
+// holder returns the daemon of a data centre that holds the lease, or nil.
+func (w *world) holder(centre string) *daemon {
+	for _, d := range w.order {
+		if d.centre == centre && !d.paused && d.c.Holding() {
+			return d
+		}
+	}
+	return nil
+}
+
+// smallFleet has pools of 6 hosts and a spare pool of 6 in two data centres, in racks of 4.
+func smallFleet() *cuminstair.Fleet {
+	f := &cuminstair.Fleet{Name: "small", Centres: []cuminstair.Centre{{Name: "a"}, {Name: "b"}}}
+	pools := []string{"p0", "p1", "p2", spare}
+	for _, name := range pools {
+		f.Pools = append(f.Pools, cuminstair.Pool{Name: name, Spare: name == spare})
+		if name != spare {
+			f.Services = append(f.Services, cuminstair.Service{Name: "s" + name, Pool: name, Budget: cuminstair.Budget{Down: 0.34}})
+		}
+	}
+	for n := range 6 {
+		centre := f.Centres[n%2].Name
+		for i, pool := range pools {
+			f.Hosts = append(f.Hosts, cuminstair.Host{
+				Name: fmt.Sprintf("%s-%d", pool, n), Centre: centre, Rack: fmt.Sprintf("%s-r%d", centre, (n/2+i/3)%4), Pool: pool,
+			})
+		}
+	}
+	f.Waves = []cuminstair.Wave{{
+		Name: "w", Pools: pools, Action: "reboot", Limit: 20,
+		Drain: cuminstair.Duration(time.Minute), Back: cuminstair.Duration(3 * time.Minute),
+	}}
+	return f
+}
--- /dev/null
+++ b/control/write.go
@@ -0,0 +1,175 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/lease"
+	"cuminstair.org/cuminstair/wave"
+)
+
+// errLease means that the lease can't be shown to hold.
+const errLease = errors.ConstError("the lease is not held")
+
+// drainValue is the value of the row DrainKey.
+type drainValue struct {
+	Centre string `json:"centre"`
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// write commits a plan, the changes of waves first, in commits of bounded size. It stops at the first that fails; what
+// is left is planned again from the rows.
+func (c *Control) write(ctx context.Context, plan wave.Plan) error {
+	if len(plan.Waves) > 0 {
+		if err := c.commitWaves(ctx, plan.Waves); err != nil {
+			return err
+		}
+	}
+	for hosts := plan.Hosts; len(hosts) > 0; {
+		n := min(batch, len(hosts))
+		if err := c.commitHosts(ctx, hosts[:n]); err != nil {
+			return err
+		}
+		hosts = hosts[n:]
+	}
+	return nil
+}
+
+// begin returns a commit that is fenced by the lease.
+func (c *Control) begin() (*cuminstair.Commit, lease.Fence, error) {
+	fence, ok := c.lease.Held(c.Timer.Now())
+	if !ok {
+		return nil, fence, errLease
+	}
+	c.count++
+	commit := &cuminstair.Commit{ID: fmt.Sprintf("control/%s/%s/%d", c.Self, c.Boot, c.count)}
+	commit.Checks = append(commit.Checks, fence.Check)
+	return commit, fence, nil
+}
+
+// replace adds the write of a row and the check that it is still as it was read.
+func (c *Control) replace(commit *cuminstair.Commit, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	commit.Checks = append(commit.Checks, cuminstair.Check{Key: key, Version: c.view.versions[key]})
+	commit.Puts = append(commit.Puts, cuminstair.Put{Key: key, Value: data})
+	return nil
+}
+
+// send commits. After an answer that was lost nothing is written until the rows have been read again; a commit that
+// arrives even later fails on the checks of whatever was written since, or is read like any other.
+func (c *Control) send(ctx context.Context, commit *cuminstair.Commit) (uint64, error) {
+	version, err := c.Table.Commit(ctx, *commit)
+	if err == nil {
+		return version, nil
+	}
+	if !settled(err) {
+		c.unsure = commit
+	}
+	return 0, fmt.Errorf("commit %s: %w", commit.ID, err)
+}
+
+func (c *Control) commitWaves(ctx context.Context, changes []wave.Change) error {
+	commit, fence, err := c.begin()
+	if err != nil {
+		return err
+	}
+	for i := range changes {
+		changes[i].Row.Epoch = fence.Epoch
+		if err := c.replace(commit, wave.Key(changes[i].Name, c.Centre), changes[i].Row); err != nil {
+			return err
+		}
+	}
+	version, err := c.send(ctx, commit)
+	if err != nil {
+		return err
+	}
+	for _, w := range changes {
+		c.view.versions[wave.Key(w.Name, c.Centre)] = version
+		c.setWave(w.Name, w.Row)
+		c.record(kindWave, w.Name, string(w.Row.State), w.Reason, w.Row.Reason)
+	}
+	return nil
+}
+
+func (c *Control) commitHosts(ctx context.Context, changes []wave.HostChange) error {
+	commit, fence, err := c.begin()
+	if err != nil {
+		return err
+	}
+	takes := false
+	for i := range changes {
+		if err := c.putHost(commit, fence, &changes[i]); err != nil {
+			return err
+		}
+		takes = takes || changes[i].Takes
+	}
+	if takes {
+		if err := c.putDrain(commit, fence); err != nil {
+			return err
+		}
+	}
+	version, err := c.send(ctx, commit)
+	if err != nil {
+		return err
+	}
+	if takes {
+		c.view.drain = version
+	}
+	for i := range changes {
+		c.wrote(&changes[i], version)
+	}
+	return nil
+}
+
+func (c *Control) putHost(commit *cuminstair.Commit, fence lease.Fence, h *wave.HostChange) error {
+	key := wave.HostKey(c.Centre, h.Name)
+	if h.Delete {
+		commit.Checks = append(commit.Checks, cuminstair.Check{Key: key, Version: c.view.versions[key]})
+		commit.Deletes = append(commit.Deletes, key)
+		return nil
+	}
+	h.Row.Epoch = fence.Epoch
+	if h.Row.State == cuminstair.HostRebooting && h.Row.Act == "" {
+		// The row names the action, so that any holder repeats it under the same id.
+		h.Row.Act = commit.ID + "/" + h.Name
+	}
+	return c.replace(commit, key, h.Row)
+}
+
+func (c *Control) putDrain(commit *cuminstair.Commit, fence lease.Fence) error {
+	data, err := json.Marshal(drainValue{Centre: c.Centre, Holder: c.Self, Epoch: fence.Epoch})
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", DrainKey, err)
+	}
+	commit.Checks = append(commit.Checks, cuminstair.Check{Key: DrainKey, Version: c.view.drain})
+	commit.Puts = append(commit.Puts, cuminstair.Put{Key: DrainKey, Value: data})
+	return nil
+}
+
+// wrote takes a change that is in force.
+func (c *Control) wrote(h *wave.HostChange, version uint64) {
+	if h.Delete {
+		key := wave.HostKey(c.Centre, h.Name)
+		delete(c.view.versions, key)
+		now := c.Timer.Now()
+		c.plan(func(p *wave.Planner) { p.RemoveHost(now, h.Name) })
+	} else {
+		c.adopt(c.Centre, h.Name, h.Row, version)
+	}
+	c.record(kindHost, h.Name, h.Event, h.Reason, h.Row.Why)
+}
+
+func (c *Control) record(kind, id, choice string, reason cuminstair.Reason, detail string) {
+	c.Log.Info("Decided", "kind", kind, "id", id, "choice", choice, "reason", reason, "detail", detail)
+	c.Recorder.Record(cuminstair.Decision{
+		At: c.Timer.Now(), Part: "control", Kind: kind, ID: id, Choice: choice, Reason: reason, Detail: detail,
+	})
+}
--- a/wave/progress.go
+++ b/wave/progress.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -240,15 +242,20 @@
 }
 
 // Asks returns the own hosts about which the daemons of the data centre have to be asked whether they are idle.
-func (p *Planner) Asks() []string {
+func (p *Planner) Asks(now time.Time) []string {
 	var names []string
 	for name, s := range p.out {
 		switch s.row.State {
-		case cuminstair.HostLeaving, cuminstair.HostDrained, cuminstair.HostFailed:
+		case cuminstair.HostLeaving, cuminstair.HostDrained:
 			names = append(names, name)
+		case cuminstair.HostFailed:
+			if now.Sub(s.entered) >= RepairAfter {
+				names = append(names, name)
+			}
 		default:
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -267,5 +274,6 @@
 			acts = append(acts, Action{ID: s.row.Act, Host: name, Verb: cuminstair.HostAction(s.row.Verb)})
 		}
 	}
+	slices.SortFunc(acts, func(a, b Action) int { return strings.Compare(a.Host, b.Host) })
 	return acts
 }
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -117,3 +117,20 @@
 	}
 	return lost
 }
+
+// Guards against steps that do not grow from one host: a budget that permits everything must not let a wave take all
+// hosts before any has come back.
+func TestStepsGrow(t *testing.T) {
+	w := newWorld(t, smallFleet(3, 0.9))
+	w.fleet.Waves[0].Pools = []string{"p0", "p1", "p2", "p3"}
+	for _, c := range w.names {
+		w.restart(c)
+	}
+	for !w.finished("w") {
+		w.step()
+		for _, c := range w.names {
+			p := w.planners[c].Waves()[0]
+			w.is.True(p.Out <= 1+p.Done)
+		}
+	}
+}
--- a/wave/world_test.go
+++ b/wave/world_test.go
@@ -184,7 +184,7 @@
 		}
 		p.SetActed(a.Host, a.ID)
 	}
-	for _, name := range p.Asks() {
+	for _, name := range p.Asks(w.now) {
 		p.SetIdle(name, w.idle(name))
 	}
 	plan := p.Decide(w.now)
