--- a/wave/decide.go
+++ b/wave/decide.go
@@ -8,6 +8,10 @@
 	"cuminstair.org/cuminstair"
 )
 
+// Rounds bounds how often a controller calls Decide in one tick. A host that is idle passes from active to rebooting in
+// three rounds.
+const Rounds = 4
+
 // Decide returns what to write now. Its cost grows with the hosts that need attention and those it takes, not with the
 // fleet.
 func (p *Planner) Decide(now time.Time) Plan {
@@ -59,8 +63,11 @@
 
 // takeAll takes hosts out of service for orders, removals, moves, repairs, waves and lending, in this order.
 func (p *Planner) takeAll(now time.Time, waiting []*status) {
+	clear(p.blocked)
 	for _, s := range waiting {
-		p.takeOne(now, s)
+		if !p.takeOne(now, s) {
+			p.blocked[s.row.Pool]++
+		}
 	}
 	for _, name := range p.names {
 		p.advance(p.runs[name])
@@ -68,23 +75,24 @@
 	p.lend(now, waiting)
 }
 
-// takeOne takes a host that is to go for a reason of its own.
-func (p *Planner) takeOne(now time.Time, s *status) {
+// takeOne takes a host that is to go for a reason of its own. It returns false if the budget does not let it go.
+func (p *Planner) takeOne(now time.Time, s *status) bool {
 	if !s.active() || s.taken {
-		return
+		return true
 	}
 	switch {
 	case s.orderAt > s.row.Order && s.order.Event == "drain":
-		p.take(s, GoalOperate, ReasonOrder, "drained by an operator", func(h *Host) { h.Order = s.orderAt })
+		return p.take(s, GoalOperate, ReasonOrder, "drained by an operator", func(h *Host) { h.Order = s.orderAt })
 	case s.row.Hold:
+		return true
 	case s.host.Pool == "":
-		p.take(s, GoalRemove, ReasonFile, "the fleet file does not name it any more", nil)
+		return p.take(s, GoalRemove, ReasonFile, "the fleet file does not name it any more", nil)
 	case !s.healthy && s.listed != listGone && now.Sub(s.since) >= RepairAfter:
-		if p.mayRepair() {
-			p.take(s, GoalRepair, ReasonHealth, "unhealthy for "+RepairAfter.String(), nil)
-		}
+		return !p.mayRepair() || p.take(s, GoalRepair, ReasonHealth, "unhealthy for "+RepairAfter.String(), nil)
 	case s.row.Pool != s.host.Pool && s.host.Pool != p.spare:
-		p.take(s, GoalMove, ReasonFile, "the fleet file puts it into pool "+s.host.Pool, func(h *Host) { h.To = s.host.Pool })
+		return p.take(s, GoalMove, ReasonFile, "the fleet file puts it into pool "+s.host.Pool, func(h *Host) { h.To = s.host.Pool })
+	default:
+		return true
 	}
 }
 
@@ -121,21 +129,28 @@
 	return true
 }
 
-// advance takes hosts for a wave until the step is full or the budget has no room.
+// advance takes hosts for a wave until the step is full or the budget has no room. A step does not wait for the last
+// host of the step before it: each host that comes back makes room for two. Once one host has come back, hosts of the
+// spare pool are not counted against the step, since nothing runs on them.
 func (p *Planner) advance(r *run) {
 	if r.row.State != Running {
 		return
 	}
 	out, fleet, window := r.inflight, r.fleet, r.window()
+	proven := r.done > r.row.Base
+	if q := r.queues[p.spare]; q != nil && proven {
+		out -= q.out
+	}
 	for _, pool := range p.order(r) {
 		q := r.queues[pool]
 		delete(r.block, pool)
+		q.fresh = 0
 		// A host that can't be taken now goes to the end; each is looked at once.
 		for range len(q.hosts) {
 			why := ""
 			switch {
-			case r.inflight > 0 || out >= window:
-				why = fmt.Sprintf("the step of %d hosts is not complete: %d are out", window, out)
+			case out >= window && (!proven || pool != p.spare):
+				why = fmt.Sprintf("%d hosts are out, as many as the step allows", out)
 			case fleet >= r.wave.Limit:
 				why = fmt.Sprintf("%d hosts are out over the fleet, as many as the wave's limit", fleet)
 			default:
@@ -152,8 +167,11 @@
 			if p.takeForWave(r, s) {
 				delete(q.queued, s.name)
 				p.popped = append(p.popped, s)
-				out++
+				q.fresh++
 				fleet++
+				if !proven || pool != p.spare {
+					out++
+				}
 				continue
 			}
 			q.hosts = append(q.hosts, s)
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -11,7 +11,7 @@
 // Times of the planner.
 const (
 	// Probation is how long a host is healthy without a break before it takes work.
-	Probation = 20 * time.Second
+	Probation = 10 * time.Second
 	// LoseAfter is how long a host is listed as gone before it counts as failed; the list lags and flaps.
 	LoseAfter = 10 * time.Second
 	// RepairAfter is how long a broken host has to recover by itself, as after the loss of a switch.
@@ -71,8 +71,9 @@
 	calm      time.Time            // since when there is no loss
 	plan      Plan
 	undo      []*status
-	popped    []*status // taken from a queue by the last Decide
-	repairing int       // replacements in the running Decide
+	popped    []*status      // taken from a queue by the last Decide
+	blocked   map[string]int // pool: hosts that the budget did not let go in the running Decide
+	repairing int            // replacements in the running Decide
 }
 
 // rackLoss counts the hosts of a rack that were lost without plan.
@@ -85,7 +86,7 @@
 func New(centre string) *Planner {
 	return &Planner{
 		Centre: centre, hosts: map[string]*status{}, out: map[string]*status{}, runs: map[string]*run{},
-		short: map[string]time.Time{}, enough: map[string]time.Time{},
+		short: map[string]time.Time{}, enough: map[string]time.Time{}, blocked: map[string]int{},
 	}
 }
 
