Add gossip membership of entry daemons

Cause: daemons need to know which others take forwarded repeats and spilled requests, which generation they have and which upstreams leave, without a special host. Heartbeats of a whole data centre travel as blocks of two bytes a daemon, which sender and receiver can read if a hash of their lists agrees; otherwise they exchange identities and versions and ask for what they lack. The age of a heartbeat follows from its count, so a relayed one counts for what it is. Ruled out, after trials: one byte rate for all digests (a daemon that only answered never pushed, and fleets stayed split); nine bytes a heartbeat (at 25 daemons a data centre they came too late within the byte rate); taking daemons for gone while many become known (false claims filled the byte rate). At 280 daemons that all start at once the membership does not settle yet.

--- /dev/null
+++ b/member/members_test.go
@@ -0,0 +1,184 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/member"
+)
+
+// Guards against a killed daemon that stays in use for more than 2 s, and against daemons that are taken for gone
+// though a fifth of the messages are lost.
+func TestKilledDaemonIsOutOfUse(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		n := newNetwork(t, seed, 9, 3, 0.2)
+		n.run(15 * time.Second)
+		for range 100 {
+			n.run(100 * time.Millisecond)
+			for _, d := range n.daemons {
+				if got := n.count(d, member.Healthy); got != 8 {
+					t.Fatalf("seed %d: %s sees %d of 8 healthy", seed, d.Self.Name, got)
+				}
+			}
+		}
+		dead := n.daemons[4]
+		dead.up = false
+		n.run(2 * time.Second)
+		for _, d := range n.daemons {
+			if d != dead && n.sees(d, dead) == member.Healthy {
+				t.Fatalf("seed %d: %s still uses the killed daemon", seed, d.Self.Name)
+			}
+		}
+	}
+}
+
+// Guards against more bytes than a node has for the control plane, and digests that don't fit into a datagram.
+func TestBytesPerSecond(t *testing.T) {
+	for _, count := range []int{9, 50} {
+		n := newNetwork(t, 7, count, 4, 0)
+		n.run(40 * time.Second)
+		for _, d := range n.daemons {
+			d.sent = 0
+		}
+		n.run(10 * time.Second)
+		for _, d := range n.daemons {
+			if d.sent > 10*3000 {
+				t.Fatalf("%d daemons: %s sent %d bytes in 10 s", count, d.Self.Name, d.sent)
+			}
+		}
+		if n.largest > member.MaxDigest {
+			t.Fatalf("digest of %d bytes", n.largest)
+		}
+	}
+}
+
+// Guards against news of a leaving upstream that reach a live daemon of the data centre later than 3 s.
+func TestLeavingUpstreamIsKnownInTime(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		n := newNetwork(t, seed, 50, 4, 0.2)
+		n.run(40 * time.Second)
+		from := n.daemons[int(seed)]
+		sends, dropped := from.SetUpstreams(n.now, []string{"host-17"}, nil)
+		if len(dropped) > 0 {
+			t.Fatal("no room for one host")
+		}
+		n.send(from, sends)
+		n.run(3 * time.Second)
+		for _, d := range n.daemons {
+			if d.Self.Centre == from.Self.Centre && !knowsLeaving(n, d, "host-17") {
+				t.Fatalf("seed %d: %s does not know it after 3 s", seed, d.Self.Name)
+			}
+		}
+	}
+}
+
+func knowsLeaving(n *network, d *daemon, host string) bool {
+	for _, m := range d.List(n.now) {
+		for _, h := range m.Leaving {
+			if h == host {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Guards against daemons that stay apart after a partition between data centres.
+func TestRejoinAfterPartition(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 3, 9, 3, 0)
+	n.run(15 * time.Second)
+	n.cut = func(a, b *daemon) bool {
+		return (a.Self.Centre == "centre-0") != (b.Self.Centre == "centre-0")
+	}
+	n.run(time.Minute)
+	is.Equal(n.count(n.daemons[0], member.Gone), 6)
+	is.Equal(n.count(n.daemons[1], member.Gone), 3)
+	n.send(n.daemons[0], n.daemons[0].SetGeneration(n.now, 12))
+	n.cut = nil
+	n.run(15 * time.Second)
+	for _, d := range n.daemons {
+		is.Equal(n.count(d, member.Healthy), 8)
+		is.Equal(d.Top(), uint64(12))
+	}
+}
+
+// Guards against a fleet that loses its members, or the successors of those that left, when all daemons are replaced
+// one by one under the same names.
+func TestReplaceAll(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 5, 9, 3, 0.2)
+	n.run(15 * time.Second)
+	old := n.daemons
+	for i, d := range old {
+		next := n.daemons[(i+1)%len(old)]
+		if i == len(old)-1 {
+			next = n.daemons[len(n.daemons)-1]
+		}
+		n.send(d, d.SetState(n.now, member.Left, next.Self.Name, next.Self.Start))
+		n.run(time.Second)
+		d.up = false
+		n.add(d.Self.Name, d.Self.Centre, 2000+uint64(i))
+		n.run(8 * time.Second)
+	}
+	n.run(10 * time.Second)
+	for _, d := range n.daemons[len(old):] {
+		is.Equal(n.count(d, member.Healthy), 8)
+	}
+	for _, d := range n.daemons[len(old):] {
+		r, _, ok := d.Find("entry-007", 1007)
+		is.True(ok) // the run that left is still found by its tickets
+		is.Equal(r.State, member.Left)
+		is.Equal(r.Successor, "entry-008")
+	}
+}
+
+// Guards against a daemon that stays out of use after others called it gone, or after its clock went back at a restart.
+func TestRaisesIncarnation(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 6, 9, 3, 0)
+	n.run(15 * time.Second)
+	alone := n.daemons[2]
+	n.cut = func(a, b *daemon) bool { return a == alone || b == alone }
+	n.run(10 * time.Second)
+	n.cut = nil
+	n.run(10 * time.Second)
+	r, _, ok := n.daemons[0].Find(alone.Self.Name, alone.Self.Start)
+	is.True(ok)
+	is.True(r.Incarnation > r.Start)
+	is.Equal(n.count(n.daemons[0], member.Healthy), 8)
+	n.daemons[5].up = false
+	earlier := n.add("entry-005", "centre-2", 17)
+	n.run(20 * time.Second)
+	is.Equal(n.sees(n.daemons[0], earlier), member.Healthy)
+}
+
+// Guards against a panic or an endless list from bytes of the network.
+func FuzzReceive(f *testing.F) {
+	n := newNetwork(f, 1, 3, 1, 0)
+	f.Add([]byte{})
+	f.Add([]byte{0xa1, 0x08, 0x43, 1, 2, 3})
+	for _, d := range n.daemons {
+		for i := range 20 {
+			for _, s := range d.Tick(start.Add(time.Duration(i) * time.Second)) {
+				f.Add(s.Data)
+				f.Add(s.Data[:len(s.Data)/2])
+			}
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d := newNetwork(t, 2, 1, 1, 0).daemons[0]
+		if _, err := d.Receive(start, "entry-9", data); err != nil && !errors.Is(err, member.ErrDigest) {
+			t.Fatalf("error without a kind: %v", err)
+		}
+		for _, s := range d.Tick(start.Add(time.Second)) {
+			if len(s.Data) > member.MaxDigest {
+				t.Fatal(fmt.Sprint("digest of ", len(s.Data), " bytes"))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/member/rate.go
@@ -0,0 +1,51 @@
+package member
+
+import "time"
+
+// Shares of the byte rate. They are apart so that neither many pushes of others nor many news stop the own pushes.
+const (
+	pushShare   = 0.4
+	replyShare  = 0.4
+	urgentShare = 0.2
+)
+
+// Bursts, in seconds of the whole byte rate.
+const (
+	ordinaryBurst = 0.25
+	urgentBurst   = 1
+	// ownDebt is what own urgent news may overdraw.
+	ownDebt = 1
+)
+
+// bucket holds the bytes that may be sent now.
+type bucket struct {
+	tokens float64
+}
+
+func (b *bucket) fill(bytes, most float64) { b.tokens = min(b.tokens+bytes, most) }
+
+// take charges a digest, which may overdraw the bucket by its own size.
+func (b *bucket) take(to Seed, data []byte) Send {
+	b.tokens -= float64(len(data) + Overhead)
+	return Send{Name: to.Name, Addr: to.Addr, Data: data}
+}
+
+// budget bounds the bytes sent in any t seconds to Rate * (t + 2.5) and one digest of each kind.
+type budget struct {
+	push, reply, urgent bucket
+	filled              time.Time
+}
+
+func (b *budget) start(now time.Time, rate int) {
+	b.filled = now
+	b.urgent.tokens = urgentBurst * float64(rate)
+	b.reply.tokens = ordinaryBurst * float64(rate)
+}
+
+func (b *budget) refill(now time.Time, rate int) {
+	bytes := float64(rate) * now.Sub(b.filled).Seconds()
+	b.filled = now
+	b.push.fill(pushShare*bytes, ordinaryBurst*float64(rate))
+	b.reply.fill(replyShare*bytes, ordinaryBurst*float64(rate))
+	b.urgent.fill(urgentShare*bytes, urgentBurst*float64(rate))
+}
--- /dev/null
+++ b/member/record.go
@@ -0,0 +1,85 @@
+// Package member lets entry daemons know of each other by gossip. No daemon is special. The package decides what to
+// send to whom; package peer carries it. Controllers don't take liveness from here but from the platform's list and
+// the registrations.
+package member
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+
+	"cuminstair.org/cuminstair"
+)
+
+// State is what a daemon says about itself.
+type State uint8
+
+// States of a daemon.
+const (
+	Alive   State = iota
+	Leaving       // stopping: finishes what it has and takes nothing new
+	Left          // stopped; its tickets are with its successor
+)
+
+// Health is how this daemon sees another one.
+type Health uint8
+
+// Health of a daemon, by the age of its latest heartbeat.
+const (
+	Healthy Health = iota
+	Suspect        // routing prefers others
+	Gone           // routing does not use it
+)
+
+// Record is what a daemon tells about itself. Only the daemon itself changes it.
+type Record struct {
+	Name   string `cbor:"1,keyasint"`
+	Centre string `cbor:"2,keyasint"`
+	Addr   string `cbor:"3,keyasint"` // IP address and port
+	// Start names this run of the daemon; no other run of the same name has the same. Tickets carry it.
+	Start uint64 `cbor:"4,keyasint"`
+	// Incarnation is at least Start. Of two records of one name the higher incarnation wins. A daemon that hears itself
+	// called gone raises it.
+	Incarnation uint64 `cbor:"5,keyasint"`
+	Version     uint64 `cbor:"6,keyasint"` // raised with each change of this record
+	State       State  `cbor:"7,keyasint,omitempty"`
+	// Successor and SuccessorStart name the run of the daemon that took over the tickets; set in state Left.
+	Successor      string `cbor:"8,keyasint,omitempty"`
+	SuccessorStart uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Note is what a daemon tells its data centre about upstreams. Hosts in it were observed by the daemon itself.
+type Note struct {
+	ID      uint32   `cbor:"1,keyasint"`
+	Version uint64   `cbor:"2,keyasint"` // raised with each change
+	Leaving []string `cbor:"3,keyasint,omitempty"`
+	Suspect []string `cbor:"4,keyasint,omitempty"`
+}
+
+// loads is what a daemon has in flight at the hosts of its data centre.
+type loads struct {
+	ID    uint32            `cbor:"1,keyasint"`
+	Seq   uint64            `cbor:"2,keyasint"`
+	Loads []cuminstair.Load `cbor:"3,keyasint"`
+}
+
+// Member is a daemon as this daemon sees it.
+type Member struct {
+	Record
+	Health     Health
+	Generation uint64 // of the configuration in force there, as last heard; 0 if unknown or more than 254 behind
+	Leaving    []string
+	Suspect    []string
+	Loads      []cuminstair.Load
+}
+
+// idOf returns the short identity of one run of a daemon. With 280 daemons two of them collide with a probability of
+// 1 in 100,000; the later one then stays invisible until it restarts.
+func idOf(name string, start uint64) uint32 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], start)
+	_, _ = h.Write(b[:])
+	sum := h.Sum64()
+	return uint32(sum ^ sum>>32)
+}
