--- a/serve.go
+++ b/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -42,7 +43,7 @@
 type Router interface {
 	// SetUpstreams replaces the upstreams of a service. Requests in flight keep their place.
 	SetUpstreams(service string, ups []Upstream)
-	// SetState tells whether a host may take new work; only HostActive may.
+	// SetState tells whether a host may take new work; only HostActive may, and HostProbation a trickle.
 	SetState(host string, state HostState)
 	// SetRemote replaces the loads that one peer reported. An empty list forgets the peer.
 	SetRemote(peer string, loads []Load)
@@ -138,6 +139,11 @@
 	Reason  Reason        `cbor:"13,keyasint,omitempty"`
 	// Spilled marks a request that another data centre sent on; it is not sent on again.
 	Spilled bool `cbor:"14,keyasint,omitempty"`
+	// Idempotent is copied from the kind of work; a request that may have run may be sent again.
+	Idempotent bool `cbor:"15,keyasint,omitempty"`
+	// Sink takes an answer longer than 1 MiB, part by part. It is called once with the head of the answer, whose Body is
+	// empty. Without a Sink such an answer ends as OutcomeUnknown. It never crosses an edge.
+	Sink func(head *Message) (io.Writer, error) `cbor:"-"`
 }
 
 // Peers is what a daemon asks of other daemons. Package peer implements it.
