Prove the controller's invariants over the history of row writes

Found by these tests and corrected: hosts that rebooted when their rack was lost stopped the wave as its own failure; two pools that each held a part of the spare hosts waited for each other for ever.

The lease check alone was not seen at first: the test compared epochs only for one host; it now compares with the lease row at the time of the write. The version check was not seen until commits could arrive late.

--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -90,18 +89,23 @@
 
 func (d *daemon) Commit(_ context.Context, c cuminstair.Commit) (uint64, error) {
 	d.w.maybePause(d)
-	lost := d.w.faults && d.w.rand.IntN(25) == 0
-	if lost && d.w.rand.IntN(2) == 0 || d.w.down {
-		if d.w.down {
-			return 0, cuminstair.ErrUnavailable
-		}
-		return 0, fmt.Errorf("lost before: %w", cuminstair.ErrUncertain)
+	if d.w.onTake != nil && c.Puts[len(c.Puts)-1].Key == control.DrainKey {
+		d.w.onTake()
+	}
+	switch {
+	case d.w.down:
+		return 0, cuminstair.ErrUnavailable
+	case !d.w.faults || d.w.rand.IntN(25) > 0:
+		return d.w.table.commit(c)
 	}
-	version, err := d.w.table.commit(c)
-	if lost {
-		return 0, fmt.Errorf("lost after: %w", cuminstair.ErrUncertain)
+	switch d.w.rand.IntN(3) {
+	case 0: // lost on the way there
+	case 1: // arrives late
+		d.w.delayed = append(d.w.delayed, c)
+	case 2: // took effect, or not, and the answer is lost
+		_, _ = d.w.table.commit(c)
 	}
-	return version, err
+	return 0, cuminstair.ErrUncertain
 }
 
 func (d *daemon) Rows(_ context.Context, prefix string, since uint64) ([]cuminstair.Row, uint64, error) {
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -14,6 +14,7 @@
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/budget"
 	"cuminstair.org/cuminstair/control"
+	"cuminstair.org/cuminstair/lease"
 	"cuminstair.org/cuminstair/timer"
 	"cuminstair.org/cuminstair/wave"
 )
@@ -48,6 +49,7 @@
 	hosts     map[string]*machine
 	rows      map[string]wave.Host
 	homes     map[string]string
+	epochs    map[string]uint64 // data centre: epoch of its lease row
 	daemons   map[string]*daemon
 	order     []*daemon
 	gone      map[string]bool // daemons that the platform lists as gone
@@ -56,7 +58,9 @@
 	faults    bool // answers are lost
 	pauses    int  // one in so many calls pauses its daemon past the lease; 0: none
 	pausing   bool
-	down      bool // the platform is unavailable
+	delayed   []cuminstair.Commit
+	onTake    func() // called before a commit that takes an instance
+	down      bool   // the platform is unavailable
 	acted     int
 	moves     int
 	outside   string // the first account that was outside its budget
@@ -70,7 +74,7 @@
 	w := &world{
 		is: is.New(t), v: timer.NewVirtual(start), rand: rand.New(rand.NewPCG(seed, 3)), fleet: f,
 		table: &table{rows: map[string]cuminstair.Row{}}, hosts: map[string]*machine{}, rows: map[string]wave.Host{},
-		homes: map[string]string{}, daemons: map[string]*daemon{}, gone: map[string]bool{}, truth: budget.New(f.Services),
+		homes: map[string]string{}, epochs: map[string]uint64{}, daemons: map[string]*daemon{}, gone: map[string]bool{}, truth: budget.New(f.Services),
 	}
 	w.table.onWrite = w.written
 	for _, h := range f.Hosts {
@@ -112,6 +116,11 @@
 
 // written checks one row write and takes it into the true accounts.
 func (w *world) written(r cuminstair.Row) {
+	if centre, ok := strings.CutPrefix(r.Key, lease.Prefix); ok {
+		var l lease.Record
+		w.is.NoErr(json.Unmarshal(r.Value, &l))
+		w.epochs[centre] = l.Epoch
+	}
 	key, ok := strings.CutPrefix(r.Key, wave.HostPrefix)
 	if !ok || r.Deleted {
 		return
@@ -120,8 +129,8 @@
 	var h wave.Host
 	w.is.NoErr(json.Unmarshal(r.Value, &h))
 	old, known := w.rows[name]
-	if known && h.Epoch < old.Epoch {
-		w.fence = fmt.Sprintf("%s: epoch %d after %d", name, h.Epoch, old.Epoch)
+	if known && h.Epoch != w.epochs[w.hosts[name].centre] {
+		w.fence = fmt.Sprintf("%s: epoch %d written in %d", name, h.Epoch, w.epochs[w.hosts[name].centre])
 	}
 	if known && old.Pool != h.Pool {
 		w.moves++
@@ -217,6 +226,11 @@
 // tick lets one second pass.
 func (w *world) tick() {
 	w.v.Advance(time.Second)
+	if len(w.delayed) > 0 && w.rand.IntN(3) == 0 {
+		// A conflict is what a late commit should meet; the checks are what is tested.
+		_, _ = w.table.commit(w.delayed[0])
+		w.delayed = w.delayed[1:]
+	}
 	for _, h := range w.fleet.Hosts {
 		w.account(h.Name)
 		ok := w.hosts[h.Name].up(w) && !w.hosts[h.Name].sick
@@ -263,7 +277,10 @@
 	w.is.Helper()
 	for end := w.v.Now().Add(limit); !w.done(); {
 		w.tick()
-		w.is.True(w.v.Now().Before(end)) // the wave does not finish
+		if !w.v.Now().Before(end) {
+			fmt.Println(w)
+			w.is.Fail() // the wave does not finish
+		}
 	}
 }
 
@@ -309,3 +326,20 @@
 	}}
 	return f
 }
+
+// String shows what is not as it should be at the end.
+func (w *world) String() string {
+	var b strings.Builder
+	for _, c := range w.fleet.Centres {
+		fmt.Fprintf(&b, "%s: %+v\n", c.Name, w.wave(c.Name))
+		if d := w.holder(c.Name); d != nil {
+			fmt.Fprintf(&b, "held by %s: %+v\n", d.name, d.c.Waves())
+		}
+	}
+	for _, h := range w.fleet.Hosts {
+		if row := w.rows[h.Name]; row.State != cuminstair.HostActive || row.Pool != h.Pool || !w.hosts[h.Name].up(w) {
+			fmt.Fprintf(&b, "%s in %s: up %t, %+v\n", h.Name, h.Rack, w.hosts[h.Name].up(w), row)
+		}
+	}
+	return b.String()
+}
--- a/wave/lend.go
+++ b/wave/lend.go
@@ -20,8 +20,8 @@
 	if p.spare == "" {
 		return
 	}
-	l := &lending{free: p.free(now, waiting)}
 	supplies := p.supplies()
+	l := &lending{free: p.free(waiting, p.idlePools(now, supplies))}
 	for _, pool := range p.pools {
 		if d := p.demand(now, pool, supplies[pool]); d.first > 0 || d.left > d.room {
 			l.demands = append(l.demands, d)
@@ -59,7 +59,8 @@
 func (p *Planner) satisfy(l *lending) {
 	slices.SortStableFunc(l.demands, func(a, b *demand) int { return b.left - a.left })
 	for _, d := range l.demands {
-		for d.first > 0 && p.give(l, d) {
+		// Fewer than it needs would only be missing elsewhere.
+		for p.enoughFor(l, d) && d.first > 0 && p.give(l, d) {
 			d.first--
 		}
 	}
@@ -79,6 +80,23 @@
 	}
 }
 
+// enoughFor tells whether the free hosts that help are as many as a pool needs to go on.
+func (p *Planner) enoughFor(l *lending, d *demand) bool {
+	if d.first <= 1 {
+		return true
+	}
+	racks, free := maps.Clone(l.racks), slices.Clone(l.free)
+	for range d.first {
+		i := p.bestSpare(d.pool, free, racks)
+		if i < 0 {
+			return false
+		}
+		racks[place{d.pool, free[i].host.Rack}]++
+		free = slices.Delete(free, i, i+1)
+	}
+	return true
+}
+
 // give sends the best of the free hosts to a pool. It returns false if none helps.
 func (p *Planner) give(l *lending, d *demand) bool {
 	for {
@@ -172,7 +190,7 @@
 }
 
 // free returns the hosts of the spare pool that may be sent elsewhere: idle ones first.
-func (p *Planner) free(now time.Time, waiting []*status) []*status {
+func (p *Planner) free(waiting []*status, pools map[string]bool) []*status {
 	var idle, lent []*status
 	for _, s := range waiting {
 		if s.host.Pool != p.spare || !s.active() || !s.healthy || s.taken || s.row.Hold || s.orderAt > s.row.Order {
@@ -181,7 +199,7 @@
 		switch {
 		case s.row.Pool == p.spare && !p.due(s):
 			idle = append(idle, s)
-		case s.row.Pool != p.spare && !p.needed(now, s.row.Pool):
+		case s.row.Pool != p.spare && pools[s.row.Pool]:
 			if _, ok := p.Budgets.MayTake(s.name); ok {
 				lent = append(lent, s)
 			}
@@ -190,6 +208,51 @@
 	return append(idle, lent...)
 }
 
+// idlePools returns the pools that have no use for lent hosts. When several pools have some and none of them enough to go
+// on, all but the first let theirs go.
+func (p *Planner) idlePools(now time.Time, supplies map[string]supply) map[string]bool {
+	idle := map[string]bool{}
+	stuck := false
+	for _, pool := range p.pools {
+		have := supplies[pool]
+		if pool == p.spare || have.lent == 0 {
+			continue
+		}
+		switch {
+		case !p.needed(now, pool):
+			idle[pool] = true
+		case p.stuckFor(now, pool, have) >= Settle:
+			idle[pool] = stuck
+			stuck = true
+		}
+	}
+	return idle
+}
+
+// stuckFor returns for how long a wave has been unable to take any host of a pool with what the pool was lent.
+func (p *Planner) stuckFor(now time.Time, pool string, have supply) time.Duration {
+	a, _ := p.room(pool)
+	if a.Room() >= 1 || have.coming > 0 || p.outFor(pool) > 0 {
+		delete(p.stuck, pool)
+		return 0
+	}
+	if _, ok := p.stuck[pool]; !ok {
+		p.stuck[pool] = now
+	}
+	return now.Sub(p.stuck[pool])
+}
+
+// outFor returns the number of hosts of a pool that are out for waves.
+func (p *Planner) outFor(pool string) int {
+	n := 0
+	for _, r := range p.runs {
+		if q := r.queues[pool]; q != nil {
+			n += q.out + q.fresh
+		}
+	}
+	return n
+}
+
 // due tells whether a running wave has still to take a host of the spare pool; it goes first.
 func (p *Planner) due(s *status) bool {
 	for _, r := range p.runs {
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -68,6 +68,7 @@
 	frozen    string
 	short     map[string]time.Time // pool: since when it is short of instances
 	enough    map[string]time.Time // pool: since when it is not
+	stuck     map[string]time.Time // pool: since when it can't go on with what it was lent
 	calm      time.Time            // since when there is no loss
 	plan      Plan
 	undo      []*status
@@ -86,7 +87,7 @@
 func New(centre string) *Planner {
 	return &Planner{
 		Centre: centre, hosts: map[string]*status{}, out: map[string]*status{}, runs: map[string]*run{},
-		short: map[string]time.Time{}, enough: map[string]time.Time{}, blocked: map[string]int{},
+		short: map[string]time.Time{}, enough: map[string]time.Time{}, blocked: map[string]int{}, stuck: map[string]time.Time{},
 	}
 }
 
--- a/wave/progress.go
+++ b/wave/progress.go
@@ -18,7 +18,7 @@
 	case s.orderAt > s.row.Order && s.order.Event != "drain":
 		return p.obeyHost(s)
 	case p.gone(now, s):
-		return p.step(s, "lose", s.lostRow(), ReasonHealth, "listed as gone for "+LoseAfter.String())
+		return p.step(s, "lose", p.lostRow(s), ReasonHealth, "listed as gone for "+LoseAfter.String())
 	}
 	age := now.Sub(s.entered)
 	switch s.row.State {
@@ -61,10 +61,11 @@
 	return s.listed == listGone && now.Sub(s.listedAt) >= LoseAfter
 }
 
-// lostRow is the row of a host that fails. One that fails after the wave's action counts as late.
-func (s *status) lostRow() Host {
+// lostRow is the row of a host that fails. One that fails after the wave's action counts as late, unless its whole rack
+// is lost.
+func (p *Planner) lostRow(s *status) Host {
 	row := s.row
-	if row.Goal == GoalWave && (row.State == cuminstair.HostRebooting || row.State == cuminstair.HostProbation) {
+	if row.Goal == GoalWave && !p.rack(s).down() && (row.State == cuminstair.HostRebooting || row.State == cuminstair.HostProbation) {
 		row.Late++
 		return row
 	}
@@ -172,7 +173,7 @@
 	case s.listed == listLive && s.changed != s.row.Mark && s.healthy:
 		return p.step(s, "back", s.row, ReasonHealth, "back after "+s.row.Verb)
 	case age >= limit:
-		return p.step(s, "lose", s.lostRow(), ReasonLate, fmt.Sprintf("not back within %s after %s", limit, s.row.Verb))
+		return p.step(s, "lose", p.lostRow(s), ReasonLate, fmt.Sprintf("not back within %s after %s", limit, s.row.Verb))
 	}
 	return true
 }
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/wave"
 )
@@ -134,3 +136,27 @@
 		}
 	}
 }
+
+// Guards against a host that leaves the rebooting state before the platform has accepted its action: a paused controller
+// that sends the action later would then reboot a host at work.
+func TestRebootingWaitsForAction(t *testing.T) {
+	f := smallFleet(3, 0.5)
+	p := wave.New("c0")
+	p.SetFleet(start, f)
+	p.SetHost(start, "c0", "p0-0", wave.Host{Pool: "p0", State: cuminstair.HostRebooting, Act: "x", Verb: "reboot", Goal: wave.GoalWave, Wave: "w"})
+	now := start.Add(time.Hour)
+	p.SetListed(now, cuminstair.HostStatus{Name: "p0-0", State: "live", Changed: now})
+	is := is.New(t)
+	count := func() (n int) {
+		for _, c := range p.Decide(now).Hosts {
+			if c.Name == "p0-0" {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(count(), 0)
+	is.Equal(p.Actions(), []wave.Action{{ID: "x", Host: "p0-0", Verb: cuminstair.ActionReboot}})
+	p.SetActed("p0-0", "x")
+	is.Equal(count(), 1)
+}
