Join the parts of the daemon

Cause: request path, membership, tickets, configuration and control were separate packages. Before: each part ran only in its own tests.

--- a/caller/decisions.go
+++ b/caller/decisions.go
@@ -80,6 +80,18 @@
 	d.refresh()
 }
 
+// Update calls fn, which may change the router and the health, under the lock, and applies what it changed.
+func (d *Decisions) Update(fn func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.prepare()
+	fn()
+	if d.Health != nil {
+		d.applyHealth()
+	}
+	d.refresh()
+}
+
 // SetRemote tells the loads of a peer.
 func (d *Decisions) SetRemote(peer string, loads []cuminstair.Load) {
 	d.mu.Lock()
--- a/cmd/cuminstair/app.go
+++ b/cmd/cuminstair/app.go
@@ -77,6 +77,7 @@
 		waveCommand(),
 		jobCommand(),
 		explainCommand(),
+		certCommand(),
 		completionCommand(),
 		manCommand(),
 	})
--- a/cmd/cuminstaird/main.go
+++ b/cmd/cuminstaird/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,7 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v2"
 
-	"cuminstair.org/cuminstair/daemon"
+	"cuminstair.org/cuminstair/node"
 	"cuminstair.org/cuminstair/settings"
 	"cuminstair.org/cuminstair/timer"
 )
@@ -57,6 +58,7 @@
 	clockCtx, stopClock := context.WithCancel(context.Background())
 	defer stopClock()
 	go func() { _ = clock.Run(clockCtx) }()
-	d := &daemon.Daemon{Settings: s, Log: log, Timer: clock}
-	return d.Run(ctx)
+	seed := uint64(clock.Now().UnixNano())
+	n := &node.Node{Settings: s, Log: log, Timer: clock, Rand: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))}
+	return n.Run(ctx)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -58,6 +58,8 @@
 	Fresh func() bool
 	// Owns reports whether this daemon makes the active checks of a host; optional: all hosts.
 	Owns func(host string) bool
+	// Leave is called at the beginning of a planned stop; optional.
+	Leave func()
 	// HandOver gives tickets and outcomes to a successor at a planned stop, after the last answer; optional.
 	HandOver func(ctx context.Context) error
 	// Events takes what other parts tell the request path.
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -19,6 +19,9 @@
 	told := make(chan struct{})
 	defer d.Timer.After(d.Settings.Wait.D(), func(time.Time) { close(told) })()
 	d.unready.Store(true)
+	if d.Leave != nil {
+		d.Leave()
+	}
 	d.callers.Drain()
 	select {
 	case <-told:
--- /dev/null
+++ b/node/install.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"sync"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/daemon"
+	"cuminstair.org/cuminstair/rollout"
+)
+
+// install puts a generation in force. It is called under the lock of the runner.
+func (n *Node) install(r *rollout.Node, in rollout.Install) {
+	f := r.Base().Fleet
+	n.network.setGeneration(in.Head.Gen)
+	n.view.setFleet(f)
+	n.control.SetFleet(f)
+}
+
+// hostView joins the fleet file with the rows of the hosts: a host serves the pool in its row, wherever the file wants
+// it to be.
+type hostView struct {
+	node *Node
+
+	mu     sync.Mutex
+	fleet  *cuminstair.Fleet
+	region string                          // of the own data centre
+	own    []string                        // hosts of the own data centre
+	pools  map[string]string               // host, pool in its row
+	states map[string]cuminstair.HostState // host, state in its row
+}
+
+func (v *hostView) setFleet(f *cuminstair.Fleet) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleet = f
+	v.region = v.regionOf(v.node.Settings.Centre)
+	v.publish()
+}
+
+// setPool takes the pool in the row of a host.
+func (v *hostView) setPool(host, pool string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.pools == nil {
+		v.pools = map[string]string{}
+	}
+	v.pools[host] = pool
+	if v.differs(host, pool) {
+		v.publish()
+	}
+}
+
+func (v *hostView) differs(host, pool string) bool {
+	if v.fleet == nil {
+		return false
+	}
+	for i := range v.fleet.Hosts {
+		if v.fleet.Hosts[i].Name == host {
+			return v.fleet.Hosts[i].Pool != pool
+		}
+	}
+	return false
+}
+
+// setState takes the state in the row of a host.
+func (v *hostView) setState(host string, state cuminstair.HostState) {
+	v.mu.Lock()
+	if v.states == nil {
+		v.states = map[string]cuminstair.HostState{}
+	}
+	v.states[host] = state
+	v.mu.Unlock()
+	v.node.daemon.Events.Set(daemon.Key{Kind: daemon.EventHost, Name: host}, daemon.Event{State: state})
+}
+
+// poolOf returns the pool that a host serves.
+func (v *hostView) poolOf(h *cuminstair.Host) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if pool, ok := v.pools[h.Name]; ok {
+		return pool
+	}
+	return h.Pool
+}
+
+// stateOf returns the state in the row of a host; a host without a row is active.
+func (v *hostView) stateOf(host string) cuminstair.HostState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if state, ok := v.states[host]; ok {
+		return state
+	}
+	return cuminstair.HostActive
+}
+
+// hosts returns the hosts of the own data centre; the list is not changed afterwards.
+func (v *hostView) hosts() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.own
+}
+
+// sameRegion reports whether a data centre is in the own region.
+func (v *hostView) sameRegion(centre string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.regionOf(centre) == v.region
+}
+
+func (v *hostView) regionOf(centre string) string {
+	if v.fleet == nil {
+		return ""
+	}
+	for _, c := range v.fleet.Centres {
+		if c.Name == centre {
+			return c.Region
+		}
+	}
+	return ""
+}
+
+// publish hands the request path the hosts of the own data centre, each in the pool of its row.
+func (v *hostView) publish() {
+	if v.fleet == nil {
+		return
+	}
+	own := *v.fleet
+	own.Hosts = nil
+	v.own = nil
+	for _, h := range v.fleet.Hosts {
+		if h.Centre != v.node.Settings.Centre {
+			continue
+		}
+		if pool, ok := v.pools[h.Name]; ok {
+			h.Pool = pool
+		}
+		own.Hosts = append(own.Hosts, h)
+		v.own = append(v.own, h.Name)
+	}
+	v.group(&own)
+	v.node.daemon.Events.Set(daemon.Key{Kind: daemon.EventFleet}, daemon.Event{Fleet: &own})
+}
+
+// group tells health which hosts run the same service.
+func (v *hostView) group(f *cuminstair.Fleet) {
+	byPool := map[string][]string{}
+	for i := range f.Hosts {
+		byPool[f.Hosts[i].Pool] = append(byPool[f.Hosts[i].Pool], f.Hosts[i].Name)
+	}
+	v.node.daemon.Decisions().Update(func() {
+		for i := range f.Services {
+			v.node.health.SetGroup(f.Services[i].Name, byPool[f.Services[i].Pool])
+		}
+	})
+}
--- /dev/null
+++ b/node/network.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/member"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/ticket"
+)
+
+// errNoPeers means that the settings name no listener for peers.
+const errNoPeers = errors.ConstError("this daemon has no peers")
+
+// transport carries messages between daemons.
+type transport interface {
+	cuminstair.Peers
+	cuminstair.Exchange
+	// Gossip sends a digest; it may be lost.
+	Gossip(s member.Send)
+	// HandOver gives tickets to a daemon.
+	HandOver(ctx context.Context, daemon string, data []byte) error
+}
+
+// network is what this daemon knows of the others and the way to them. It is safe for concurrent use.
+type network struct {
+	name, centre string
+	timer        cuminstair.Timer
+	log          hclog.Logger
+	carrier      transport // nil without peers
+
+	mu      sync.Mutex
+	members member.Members
+	seeds   []member.Seed
+}
+
+var (
+	_ cuminstair.Peers    = (*network)(nil)
+	_ cuminstair.Exchange = (*network)(nil)
+)
+
+// Forward implements cuminstair.Peers.
+func (w *network) Forward(ctx context.Context, daemon string, m *cuminstair.Message) *cuminstair.Message {
+	if w.carrier == nil {
+		return reply(m, cuminstair.OutcomeNotRun, cuminstair.ReasonNoUpstream, errNoPeers.Error())
+	}
+	return w.carrier.Forward(ctx, daemon, m)
+}
+
+// Confirm implements cuminstair.Peers.
+func (w *network) Confirm(ctx context.Context, daemons []string, host string) []string {
+	if w.carrier == nil {
+		return daemons
+	}
+	return w.carrier.Confirm(ctx, daemons, host)
+}
+
+// Tell implements cuminstair.Exchange.
+func (w *network) Tell(daemon string, message []byte) {
+	if w.carrier != nil {
+		w.carrier.Tell(daemon, message)
+	}
+}
+
+// Ask implements cuminstair.Exchange.
+func (w *network) Ask(ctx context.Context, daemon string, message []byte) ([]byte, error) {
+	if w.carrier == nil {
+		return nil, errNoPeers
+	}
+	return w.carrier.Ask(ctx, daemon, message)
+}
+
+// run gossips until ctx ends.
+func (w *network) run(ctx context.Context) error {
+	stop := w.timer.Every(member.Tick, func(now time.Time) {
+		w.with(func() []member.Send { return w.members.Tick(now) })
+	})
+	<-ctx.Done()
+	stop()
+	return nil
+}
+
+// with runs an event of the membership and sends what it returns.
+func (w *network) with(event func() []member.Send) {
+	w.mu.Lock()
+	sends := event()
+	w.mu.Unlock()
+	for _, s := range sends {
+		w.send(s)
+	}
+}
+
+func (w *network) send(s member.Send) {
+	if w.carrier != nil {
+		w.carrier.Gossip(s)
+	}
+}
+
+// heard takes a digest of a peer.
+func (w *network) heard(from string, data []byte) {
+	w.with(func() []member.Send {
+		sends, err := w.members.Receive(w.timer.Now(), from, data)
+		if err != nil {
+			w.log.Warn("digest ignored", "from", from, "error", err)
+		}
+		return sends
+	})
+}
+
+// seed tells of daemons to try besides the known ones.
+func (w *network) seed(seeds []member.Seed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seeds = seeds
+	w.members.Seed(seeds)
+}
+
+// locate returns the address of a daemon that the membership or the seeds name.
+func (w *network) locate(daemon string) (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.members.List(w.timer.Now()) {
+		if m.Name == daemon && m.Addr != "" {
+			return m.Addr, true
+		}
+	}
+	for _, s := range w.seeds {
+		if s.Name == daemon {
+			return s.Addr, true
+		}
+	}
+	return "", false
+}
+
+// addr returns the address that peers reach this daemon at; empty without peers.
+func (w *network) addr() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.members.Self.Addr
+}
+
+// list returns the daemons that did not leave, this one included.
+func (w *network) list() []member.Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.members.List(w.timer.Now())
+}
+
+// member implements ticket.Members.
+func (w *network) member(h ticket.Home) (ticket.Member, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r, health, ok := w.members.Find(h.Name, h.Incarnation)
+	if !ok {
+		return ticket.Member{}, false
+	}
+	return ticket.Member{
+		Alive:     r.State != member.Left && health != member.Gone,
+		Left:      r.State == member.Left,
+		Successor: ticket.Home{Name: r.Successor, Incarnation: r.SuccessorStart},
+	}, true
+}
+
+func (w *network) setGeneration(gen uint64) {
+	w.with(func() []member.Send { return w.members.SetGeneration(w.timer.Now(), gen) })
+}
+
+func (w *network) setLoads(loads []cuminstair.Load) {
+	w.with(func() []member.Send {
+		w.members.SetLoads(w.timer.Now(), loads)
+		return nil
+	})
+}
+
+func (w *network) setUpstreams(leaving, suspect []string) {
+	w.with(func() []member.Send {
+		sends, dropped := w.members.SetUpstreams(w.timer.Now(), leaving, suspect)
+		if len(dropped) > 0 {
+			w.log.Warn("hosts left out of the digest", "count", len(dropped))
+		}
+		return sends
+	})
+}
+
+func (w *network) setState(s member.State, successor ticket.Home) {
+	w.with(func() []member.Send {
+		return w.members.SetState(w.timer.Now(), s, successor.Name, successor.Incarnation)
+	})
+}
+
+// peers returns the other daemons for the exchange of configurations.
+func (w *network) peers() []rollout.Peer {
+	var list []rollout.Peer
+	for _, m := range w.list() {
+		if m.Name != w.name && m.Health != member.Gone {
+			list = append(list, rollout.Peer{Name: m.Name, Centre: m.Centre})
+		}
+	}
+	return list
+}
+
+// handOver gives tickets to the first daemon that takes them and returns it. The order is the own data centre first.
+func (w *network) handOver(ctx context.Context, export func(to ticket.Home) ([]byte, error), redirect func(to ticket.Home)) (ticket.Home, error) {
+	exported := false
+	var data []byte
+	for _, m := range w.successors() {
+		to := ticket.Home{Name: m.Name, Incarnation: m.Start}
+		if !exported {
+			var err error
+			if data, err = export(to); err != nil {
+				return ticket.Home{}, fmt.Errorf("export tickets: %w", err)
+			}
+			exported = true
+		} else {
+			redirect(to)
+		}
+		err := w.carrier.HandOver(ctx, to.Name, data)
+		if err == nil {
+			return to, nil
+		}
+		w.log.Warn("hand-over failed", "to", to.Name, "error", err)
+		if !errors.Is(err, ticket.ErrFull) && !errors.Is(err, ticket.ErrStopping) {
+			// The daemon may have imported them; another one must not.
+			return to, nil
+		}
+	}
+	return ticket.Home{}, cuminstair.ErrNotFound
+}
+
+// successors returns the daemons that may take over tickets, those of the own data centre first.
+func (w *network) successors() []member.Member {
+	var near, far []member.Member
+	if w.carrier == nil {
+		return nil
+	}
+	for _, m := range w.list() {
+		switch {
+		case m.Name == w.name || m.Health != member.Healthy || m.State != member.Alive:
+		case m.Centre == w.centre:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	return append(near, far...)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,203 @@
+// Package node joins the parts of an entry daemon: the request path, the platform, the other daemons, the configuration
+// and the control of its data centre.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/admit"
+	"cuminstair.org/cuminstair/control"
+	"cuminstair.org/cuminstair/daemon"
+	"cuminstair.org/cuminstair/health"
+	"cuminstair.org/cuminstair/operator"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/retry"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/rollout/runner"
+	"cuminstair.org/cuminstair/route"
+	"cuminstair.org/cuminstair/settings"
+	"cuminstair.org/cuminstair/ticket"
+)
+
+// Node is an entry daemon with all its parts. Exported fields are set before Run.
+type Node struct {
+	Settings *settings.Settings
+	Log      hclog.Logger
+	Timer    cuminstair.Timer // its Run is called by the owner
+	Rand     *rand.Rand       // used while the parts are made; each of them gets a generator of its own
+	// Platform is optional: a client of Settings.Platform. A daemon without either serves the file Settings.Fleet.
+	Platform cuminstair.Platform
+	// PeerTLS is optional: read from the files of Settings.TLS.Peers.
+	PeerTLS *tls.Config
+
+	start   uint64 // names this run of the daemon
+	commits atomic.Uint64
+	daemon  *daemon.Daemon
+	config  *runner.Runner
+	control *control.Control
+	network *network
+	tickets *Tickets
+	health  *health.Monitor
+	router  *route.Router
+	view    *hostView
+	owners  atomic.Pointer[[]string] // usable daemons of the data centre
+}
+
+// Run runs the daemon until ctx ends, which is a planned stop, or a part fails.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.Build(); err != nil {
+		return err
+	}
+	return n.daemon.Run(ctx)
+}
+
+// Addr returns the address of a running listener, "callers", "operators" or "metrics", or nil. Build has been called.
+func (n *Node) Addr(name string) net.Addr { return n.daemon.Addr(name) }
+
+// Ready returns nil if callers may be sent here, and otherwise why not. Build has been called.
+func (n *Node) Ready() error { return n.daemon.Ready() }
+
+// Build makes the parts and joins them. Run calls it if nobody did.
+func (n *Node) Build() error {
+	if n.daemon != nil {
+		return nil
+	}
+	n.start = uint64(n.Timer.Now().UnixNano())
+	n.buildRequestPath()
+	if err := n.buildNetwork(); err != nil {
+		return err
+	}
+	if n.Platform == nil && n.Settings.Platform != "" {
+		n.Platform = &platform.Client{Base: "http://" + n.Settings.Platform, Timer: n.Timer, Rand: n.rand(), HTTP: &http.Client{}}
+	}
+	if n.Platform != nil {
+		n.buildConfig()
+		n.buildControl()
+		n.daemon.Parts = append(n.daemon.Parts,
+			daemon.Part{Name: "rollout", Run: n.config.Run},
+			daemon.Part{Name: "control", Run: n.control.Run},
+			daemon.Part{Name: "register", Run: n.register},
+		)
+		n.daemon.Operators = (&operator.Server{Operations: &operations{node: n}, Log: n.Log.Named("operator")}).Handler()
+	}
+	return n.buildTickets()
+}
+
+// rand returns a generator for one part.
+func (n *Node) rand() *rand.Rand {
+	return rand.New(rand.NewPCG(n.Rand.Uint64(), n.Rand.Uint64()))
+}
+
+// buildRequestPath makes the daemon with its decisions.
+func (n *Node) buildRequestPath() {
+	n.router = &route.Router{Centre: n.Settings.Centre, Rand: n.rand()}
+	n.health = &health.Monitor{}
+	n.daemon = &daemon.Daemon{
+		Settings:     n.Settings,
+		Log:          n.Log,
+		Timer:        n.Timer,
+		Router:       n.router,
+		NewAdmission: func() cuminstair.Admission { return &admit.Queue{} },
+		Quotas:       &admit.Quotas{},
+		Retries:      &retry.Budget{Rand: n.rand()},
+		Health:       n.health,
+	}
+	n.view = &hostView{node: n}
+}
+
+// buildConfig makes the part that brings configurations into force.
+func (n *Node) buildConfig() {
+	n.config = &runner.Runner{
+		Node: &rollout.Node{
+			Name:        n.Settings.Name,
+			Incarnation: n.start,
+			Centre:      n.Settings.Centre,
+			Rand:        n.rand(),
+		},
+		Timer:     n.Timer,
+		Table:     n.Platform,
+		Objects:   n.Platform,
+		Exchange:  n.network,
+		Recorder:  n.daemon.Explain(),
+		OnInstall: n.install,
+		NewID:     n.newCommit,
+	}
+	n.daemon.Fresh = n.fresh
+}
+
+// newCommit returns an id that no other commit has.
+func (n *Node) newCommit() string {
+	return n.Settings.Name + "-" + strconv.FormatUint(n.start, 36) + "-" + strconv.FormatUint(n.commits.Add(1), 36)
+}
+
+// fresh reports whether the view of the hosts may be used for new work.
+func (n *Node) fresh() bool {
+	ok := false
+	n.config.View(func(r *rollout.Node) { ok = r.Usable(n.Timer.Now()) })
+	return ok
+}
+
+// buildControl makes the part that plans maintenance.
+func (n *Node) buildControl() {
+	n.control = &control.Control{
+		Centre:   n.Settings.Centre,
+		Self:     n.Settings.Name,
+		Boot:     strconv.FormatUint(n.start, 36),
+		Table:    n.Platform,
+		Hosts:    n.Platform,
+		Peers:    n.network,
+		Timer:    n.Timer,
+		Rand:     n.rand(),
+		Recorder: n.daemon.Explain(),
+		Log:      n.Log.Named("control"),
+		State:    n.view.setState,
+		Moved:    n.view.setPool,
+		Idle:     n.daemon.Decisions().Confirm,
+	}
+}
+
+// buildTickets makes the part that makes repeats harmless, if the settings name a key.
+func (n *Node) buildTickets() error {
+	if n.Settings.Key == "" {
+		return nil
+	}
+	key, err := os.ReadFile(n.Settings.Key)
+	if err != nil {
+		return fmt.Errorf("read the ticket key: %w", err)
+	}
+	if err := ticket.Key(key).Check(); err != nil {
+		return fmt.Errorf("use the ticket key: %w", err)
+	}
+	n.tickets = &Tickets{
+		Timer:   n.Timer,
+		Log:     n.Log.Named("ticket"),
+		Key:     key,
+		Store:   &ticket.Store{Self: ticket.Home{Name: n.Settings.Name, Incarnation: n.start}},
+		Members: n.network.member,
+		Peers:   n.network,
+	}
+	n.daemon.Tickets = n.tickets
+	n.daemon.HandOver = n.handOver
+	n.daemon.Parts = append(n.daemon.Parts, daemon.Part{Name: "ticket", Run: n.expireTickets})
+	return nil
+}
+
+// expireTickets frees the memory of old tickets until ctx ends.
+func (n *Node) expireTickets(ctx context.Context) error {
+	stop := n.Timer.Every(time.Second, func(time.Time) { n.tickets.Expire() })
+	<-ctx.Done()
+	stop()
+	return nil
+}
--- /dev/null
+++ b/node/operations.go
@@ -0,0 +1,203 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/member"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/rollout/runner"
+)
+
+var _ cuminstair.Operations = (*operations)(nil)
+
+// operations answers the operators of this daemon.
+type operations struct {
+	node *Node
+}
+
+// Check implements cuminstair.Operations.
+func (o *operations) Check(_ context.Context, file, text string) error {
+	_, err := parse(file, text)
+	return err
+}
+
+// parse reads a fleet file. The error is a *cuminstair.FaultsError.
+func parse(file, text string) (*cuminstair.Fleet, error) {
+	f, err := fleet.Parse(file, []byte(text))
+	if err != nil {
+		return nil, faults(err)
+	}
+	return f, nil
+}
+
+// faults turns the faults of package fleet into those of the operators' interface.
+func faults(err error) error {
+	found, ok := errors.AsType[*fleet.Faults](err)
+	if !ok {
+		return err
+	}
+	out := &cuminstair.FaultsError{}
+	for _, x := range found.List {
+		out.Faults = append(out.Faults, cuminstair.Fault{File: found.File, Line: x.Line, Field: x.Path, Message: x.Problem + "; " + x.Change})
+	}
+	return out
+}
+
+// Difference implements cuminstair.Operations.
+func (o *operations) Difference(_ context.Context, file, text string) ([]string, error) {
+	f, err := parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	current := o.node.current()
+	if current.Fleet == nil {
+		current.Fleet = &cuminstair.Fleet{}
+	}
+	return fleet.Diff(current.Fleet, f), nil
+}
+
+// Apply implements cuminstair.Operations.
+func (o *operations) Apply(ctx context.Context, a cuminstair.Application) (cuminstair.Accepted, error) {
+	f, err := parse(a.File, a.Text)
+	if err != nil {
+		return cuminstair.Accepted{}, err
+	}
+	res, err := o.node.config.Apply(ctx, rollout.Apply{Fleet: f, Base: a.Base, By: o.node.Settings.Name})
+	if err != nil {
+		return cuminstair.Accepted{}, applyError(err)
+	}
+	out := cuminstair.Accepted{Generation: res.Head.Gen, Root: res.Head.Root.String(), Repeat: res.Again, Changes: []string{}}
+	if !res.Again && res.Plan != nil {
+		out.Changes = append(out.Changes, res.Plan.Change.Words...)
+	}
+	return out, nil
+}
+
+// applyError turns an error of package rollout into one of the operators' interface.
+func applyError(err error) error {
+	if c, ok := errors.AsType[*rollout.Conflict](err); ok {
+		return &cuminstair.StaleError{Base: c.Base, Current: c.Head, Changes: c.Changed}
+	}
+	if errors.Is(err, runner.ErrBehind) {
+		return fmt.Errorf("%w: %w", err, cuminstair.ErrUnavailable)
+	}
+	return faults(err)
+}
+
+// Current implements cuminstair.Operations.
+func (o *operations) Current(context.Context) (cuminstair.Current, error) {
+	current := o.node.current()
+	if current.Fleet == nil {
+		return current, fmt.Errorf("no fleet was applied yet: %w", cuminstair.ErrNotFound)
+	}
+	return current, nil
+}
+
+// current returns the configuration in force; Fleet is nil if there is none.
+func (n *Node) current() cuminstair.Current {
+	var out cuminstair.Current
+	n.config.View(func(r *rollout.Node) {
+		base := r.Base()
+		out = cuminstair.Current{Generation: base.Head.Gen, Root: base.Head.Root.String(), Fleet: base.Fleet}
+	})
+	return out
+}
+
+// Force implements cuminstair.Operations. A daemon counts as missing until it has confirmed, unless it left or is gone.
+func (o *operations) Force(_ context.Context, generation uint64) (cuminstair.Force, error) {
+	var names []string
+	for _, m := range o.node.network.list() {
+		if m.Health != member.Gone {
+			names = append(names, m.Name)
+		}
+	}
+	out := cuminstair.Force{Generation: generation}
+	o.node.config.View(func(r *rollout.Node) { out.Confirmed, out.Missing = r.InForce(names, generation) })
+	return out, nil
+}
+
+// Daemons implements cuminstair.Operations.
+func (o *operations) Daemons(context.Context) ([]cuminstair.DaemonStatus, error) {
+	var rows []cuminstair.DaemonStatus
+	for _, m := range o.node.network.list() {
+		rows = append(rows, cuminstair.DaemonStatus{
+			Name: m.Name, Centre: m.Centre, State: stateOf(m), Incarnation: m.Incarnation, Generation: m.Generation,
+		})
+	}
+	return rows, nil
+}
+
+func stateOf(m member.Member) string {
+	switch {
+	case m.Health == member.Gone:
+		return "gone"
+	case m.Health == member.Suspect:
+		return "suspect"
+	case m.State == member.Leaving:
+		return "leaving"
+	default:
+		return "alive"
+	}
+}
+
+// ChangeHost implements cuminstair.Operations.
+func (o *operations) ChangeHost(ctx context.Context, host, action string) error {
+	f := o.node.current().Fleet
+	if f == nil || !slices.ContainsFunc(f.Hosts, func(h cuminstair.Host) bool { return h.Name == host }) {
+		return fmt.Errorf("host %s is not in the fleet: %w", host, cuminstair.ErrNotFound)
+	}
+	return o.node.control.OrderHost(ctx, host, action)
+}
+
+// ChangeWave implements cuminstair.Operations.
+func (o *operations) ChangeWave(ctx context.Context, name, action string) error {
+	f := o.node.current().Fleet
+	if f == nil || !slices.ContainsFunc(f.Waves, func(w cuminstair.Wave) bool { return w.Name == name }) {
+		return fmt.Errorf("wave %s is not in the fleet: %w", name, cuminstair.ErrNotFound)
+	}
+	return o.node.control.OrderWave(ctx, name, action)
+}
+
+// Explain implements cuminstair.Operations.
+func (o *operations) Explain(_ context.Context, kind, id string) (cuminstair.Explanation, error) {
+	out := cuminstair.Explanation{Kind: kind, ID: id, Decisions: o.node.daemon.Explain().Lookup(kind, id)}
+	slices.Reverse(out.Decisions)
+	switch kind {
+	case "host":
+		reason, detail := o.node.control.WhyHost(id)
+		out.Summary = fmt.Sprintf("%s (%s)", detail, reason)
+	case "wave":
+		out.Summary = o.whyWave(id)
+	default:
+		if len(out.Decisions) == 0 {
+			return out, fmt.Errorf("no recent decision about %s %s: %w", kind, id, cuminstair.ErrNotFound)
+		}
+		last := out.Decisions[0]
+		out.Summary = fmt.Sprintf("%s: %s (%s)", last.Part, last.Choice, last.Reason)
+	}
+	return out, nil
+}
+
+// whyWave explains a wave in this data centre.
+func (o *operations) whyWave(name string) string {
+	for _, w := range o.node.control.Waves() {
+		if w.Name != name {
+			continue
+		}
+		text := fmt.Sprintf("%s in %s: %d done, %d out, %d pending", w.State, w.Centre, w.Done, w.Out, w.Pending)
+		if w.Reason != "" {
+			text += "; " + w.Reason
+		}
+		for pool, block := range w.Blocks {
+			text += fmt.Sprintf("; pool %s: %s", pool, block)
+		}
+		return text
+	}
+	return "unknown in data centre " + o.node.Settings.Centre
+}
--- a/peer/cert.go
+++ b/peer/cert.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/big"
+	"net"
 	"os"
 	"time"
 
@@ -100,6 +101,7 @@
 	}
 	template := a.template(daemon)
 	template.DNSNames = []string{daemon}
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(a.rand, template, a.cert, key.Public(), a.key)
--- /dev/null
+++ b/peer/files.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Modes of the files that Write makes.
+const (
+	certMode = 0o644
+	keyMode  = 0o600
+)
+
+// Write makes a certificate for a daemon and writes it in PEM to dir: <daemon>.crt, <daemon>.key and authority.crt. The
+// certificate also holds the loopback addresses, so that the listeners for callers and operators can use it in trials.
+func (a *Authority) Write(dir, daemon string) error {
+	config, err := a.Config(daemon)
+	if err != nil {
+		return err
+	}
+	cert := config.Certificates[0]
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return fmt.Errorf("encode key of %s: %w", daemon, err)
+	}
+	for _, f := range []struct {
+		name string
+		kind string
+		der  []byte
+		mode os.FileMode
+	}{
+		{daemon + ".crt", "CERTIFICATE", cert.Certificate[0], certMode},
+		{daemon + ".key", "PRIVATE KEY", key, keyMode},
+		{"authority.crt", "CERTIFICATE", a.cert.Raw, certMode},
+	} {
+		data := pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.der})
+		if err := os.WriteFile(filepath.Join(dir, f.name), data, f.mode); err != nil {
+			return fmt.Errorf("write %s: %w", f.name, err)
+		}
+	}
+	return nil
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -100,7 +100,12 @@
 		seen[l.addr] = l.field
 	}
 	c.address("platform", s.Platform)
-	for _, addr := range s.Peers {
+	for _, text := range s.Peers {
+		name, addr := SplitPeer(text)
+		if name == "" || addr == "" {
+			c.faultf("peers", "%q is not a name and an address such as e2=10.0.0.2:7003", text)
+			continue
+		}
 		c.address("peers", addr)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,8 @@
 package settings
 
 import (
+	"strings"
+
 	"cuminstair.org/cuminstair"
 )
 
@@ -11,7 +13,7 @@
 	Name     string              `json:"name"`     // of the daemon, unique among daemons
 	Centre   string              `json:"centre"`   // the data centre that it is in
 	Listen   Listen              `json:"listen"`   // its listeners
-	Peers    []string            `json:"peers"`    // optional: addresses of other daemons; needs listen.peers and tls.peers
+	Peers    []string            `json:"peers"`    // optional: other daemons as name=address; needs listen.peers and tls.peers
 	Platform string              `json:"platform"` // optional: address of the platform; excludes fleet
 	Key      string              `json:"key"`      // optional: file with the key of tickets
 	TLS      TLS                 `json:"tls"`      // optional, but for peers
@@ -46,3 +48,13 @@
 
 // Used reports whether the listener uses TLS.
 func (f Files) Used() bool { return f != Files{} }
+
+// SplitPeer splits an entry of Settings.Peers into the name of a daemon and its address. Both are empty if it has not
+// the form name=address.
+func SplitPeer(text string) (name, addr string) {
+	name, addr, ok := strings.Cut(text, "=")
+	if !ok || name == "" || addr == "" {
+		return "", ""
+	}
+	return name, addr
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -59,7 +59,7 @@
 	},
 	"stop": "20", "wait": "30s",
 	"platform": "127.0.0.1:7000", "fleet": "fleet.json",
-	"peers": ["127.0.0.1:7001"],
+	"peers": ["e2=127.0.0.1:7001"],
 	"key": "short.key",
 	"tls": {"callers": {"certificate": "bad.pem", "key": "bad.pem"}, "metrics": {}},
 	"share": 2,
--- /dev/null
+++ b/standin/local/local.go
@@ -0,0 +1,219 @@
+// Package local runs a whole system in one process: the stand-in for the platform, instances and entry daemons, which
+// talk over real sockets on the loopback interface. Tests, the quick start and the measurements use it.
+package local
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/node"
+	"cuminstair.org/cuminstair/operator"
+	"cuminstair.org/cuminstair/peer"
+	"cuminstair.org/cuminstair/settings"
+	"cuminstair.org/cuminstair/standin/instance"
+	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/timer"
+)
+
+// Times of the system.
+const (
+	poll     = 5 * time.Millisecond
+	stopTime = 5 * time.Second
+)
+
+// ErrNotReady means that a daemon was not ready in time.
+const ErrNotReady = errors.ConstError("not ready in time")
+
+// System is a system in one process. Exported fields are set before Start.
+type System struct {
+	Dir     string // for the key of tickets
+	Centres []Centre
+	Log     hclog.Logger
+	Seed    uint64
+
+	Timer     *timer.Service
+	Platform  *table.Service
+	Instances map[string]*instance.Server // by host
+	Daemons   map[string]*Daemon          // by name
+
+	addrs     map[string]string // host, address of its instance
+	authority *peer.Authority
+	stopClock context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+// Centre is a data centre of the system.
+type Centre struct {
+	Name    string
+	Daemons int
+	Hosts   int // each runs one instance; two hosts share a rack
+}
+
+// Daemon is a running entry daemon.
+type Daemon struct {
+	Name   string
+	Centre string
+	Node   *node.Node
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Start starts all parts. Stop must be called also after an error.
+func (s *System) Start(ctx context.Context) error {
+	s.Timer = timer.New()
+	clock, stop := context.WithCancel(context.Background())
+	s.stopClock = stop
+	s.wg.Go(func() { _ = s.Timer.Run(clock) })
+	s.Platform = &table.Service{Timer: s.Timer, Reboot: time.Second, Replace: time.Second}
+	s.Instances = map[string]*instance.Server{}
+	s.Daemons = map[string]*Daemon{}
+	s.addrs = map[string]string{}
+	var err error
+	if s.authority, err = peer.NewAuthority(rand.Reader, s.Timer.Now()); err != nil {
+		return fmt.Errorf("make the authority: %w", err)
+	}
+	if err := os.WriteFile(s.keyFile(), []byte("a key for tests and the quick start"), 0o600); err != nil {
+		return fmt.Errorf("write the ticket key: %w", err)
+	}
+	for _, c := range s.Centres {
+		for i := range c.Hosts {
+			if err := s.startInstance(ctx, c.Name, i); err != nil {
+				return err
+			}
+		}
+	}
+	for _, c := range s.Centres {
+		for i := range c.Daemons {
+			if _, err := s.StartDaemon(fmt.Sprintf("%s-e%d", c.Name, i+1), c.Name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *System) keyFile() string { return filepath.Join(s.Dir, "ticket.key") }
+
+func (s *System) startInstance(ctx context.Context, centre string, i int) error {
+	host := fmt.Sprintf("%s-h%d", centre, i+1)
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for instance %s: %w", host, err)
+	}
+	server := &instance.Server{Timer: s.Timer}
+	s.Instances[host] = server
+	s.addrs[host] = l.Addr().String()
+	s.Platform.AddHosts(table.Host{Name: host, Centre: centre, Rack: rackOf(i), Role: "upstream"})
+	s.Platform.AddWorkers(table.Worker{Name: host, Centre: centre, Rack: rackOf(i), Cores: cores, Memory: memory})
+	s.wg.Go(func() { _ = server.Serve(l) })
+	return nil
+}
+
+// StartDaemon starts an entry daemon. A name that was used before is a later run of that daemon.
+func (s *System) StartDaemon(name, centre string) (*Daemon, error) {
+	config, err := s.authority.Config(name)
+	if err != nil {
+		return nil, fmt.Errorf("make the certificate of %s: %w", name, err)
+	}
+	s.Seed++
+	n := &node.Node{
+		Settings: &settings.Settings{
+			Name: name, Centre: centre, Key: s.keyFile(), Share: 1,
+			Listen: settings.Listen{Callers: loopback, Operators: loopback, Peers: loopback},
+			Stop:   cuminstair.Duration(stopTime),
+		},
+		Log:      s.Log.Named(name),
+		Timer:    s.Timer,
+		Rand:     mathrand.New(mathrand.NewPCG(s.Seed, 1)),
+		Platform: s.Platform,
+		PeerTLS:  config,
+	}
+	if err := n.Build(); err != nil {
+		return nil, fmt.Errorf("build %s: %w", name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{Name: name, Centre: centre, Node: n, cancel: cancel, done: make(chan error, 1)}
+	s.Daemons[name] = d
+	s.Platform.AddHosts(table.Host{Name: name, Centre: centre, Rack: "entry", Role: "entry"})
+	s.wg.Go(func() { d.done <- n.Run(ctx) })
+	return d, s.await(func() bool { return n.Addr("operators") != nil })
+}
+
+// loopback lets the system choose a free port.
+const loopback = "127.0.0.1:0"
+
+// Stop makes a planned stop of the daemon and returns its error.
+func (d *Daemon) Stop() error {
+	d.cancel()
+	err := <-d.done
+	d.done <- nil
+	return err
+}
+
+// Callers returns the base URL for callers.
+func (d *Daemon) Callers() string { return "http://" + d.Node.Addr("callers").String() }
+
+// Operators returns a client of the operators' interface.
+func (d *Daemon) Operators() *operator.Client {
+	return &operator.Client{
+		Servers: []string{"http://" + d.Node.Addr("operators").String()},
+		HTTP:    &http.Client{Timeout: stopTime},
+	}
+}
+
+// Ready waits until all daemons are ready.
+func (s *System) Ready() error {
+	for _, d := range s.Daemons {
+		if err := s.await(func() bool { return d.Node.Ready() == nil }); err != nil {
+			return fmt.Errorf("%s: %w: %w", d.Name, d.Node.Ready(), err)
+		}
+	}
+	return nil
+}
+
+// Await waits until a condition holds. Error: ErrNotReady.
+func (s *System) Await(cond func() bool) error { return s.await(cond) }
+
+func (s *System) await(cond func() bool) error {
+	end := s.Timer.Now().Add(2 * stopTime)
+	for !cond() {
+		if s.Timer.Now().After(end) {
+			return ErrNotReady
+		}
+		passed := make(chan struct{})
+		s.Timer.After(poll, func(time.Time) { close(passed) })
+		<-passed
+	}
+	return nil
+}
+
+// Stop stops the daemons that still run, then the rest.
+func (s *System) Stop() {
+	for _, d := range s.Daemons {
+		d.cancel()
+	}
+	for _, d := range s.Daemons {
+		if err := <-d.done; err != nil {
+			s.Log.Warn("daemon failed", "name", d.Name, "error", err)
+		}
+	}
+	for _, i := range s.Instances {
+		_ = i.Close()
+	}
+	if s.stopClock != nil {
+		s.stopClock()
+	}
+	s.wg.Wait()
+}
