--- /dev/null
+++ b/caller/hooks_test.go
@@ -0,0 +1,75 @@
+package caller_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+)
+
+// hooks keeps one outcome, and takes requests for another data centre.
+type hooks struct {
+	kept    *cuminstair.Message
+	ended   []string // outcomes that were kept
+	spilled int
+}
+
+func (h *hooks) Begin(context.Context, *cuminstair.Message) *cuminstair.Message { return h.kept }
+func (h *hooks) End(_, answer *cuminstair.Message) {
+	h.ended = append(h.ended, answer.Outcome.String())
+}
+
+func (h *hooks) Issue(int) ([]string, error) { return []string{"ticket"}, nil }
+
+func (h *hooks) Lookup(context.Context, string) *cuminstair.Message { return h.kept }
+
+func (h *hooks) Spill(_ context.Context, m *cuminstair.Message) *cuminstair.Message {
+	h.spilled++
+	return &cuminstair.Message{ID: m.ID, Status: http.StatusOK, Outcome: cuminstair.OutcomeDone}
+}
+
+// Guards against a repeat that runs, an outcome that is kept twice or not at all, and a request with a ticket that is
+// cancelled because its caller left.
+func TestTicketHook(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, done)
+	h := &hooks{kept: &cuminstair.Message{Status: 200, Outcome: cuminstair.OutcomeDone, Body: []byte("kept")}}
+	r.server.Path.Tickets = h
+	is.Equal(r.do(context.Background(), "portion", "Ticket", "x").Body.String(), "kept")
+	is.Equal(len(r.sender.hosts), 0)
+	is.Equal(len(h.ended), 0)
+
+	h.kept = nil
+	is.Equal(r.do(context.Background(), "portion", "Ticket", "x").Body.String(), "body")
+	is.Equal(h.ended, []string{"done"})
+
+	ctx, leave := context.WithCancel(context.Background())
+	ended := r.hold(ctx, "Ticket", "x")
+	leave()
+	is.NoErr(r.sender.ctx.Err()) // the request goes on for its ticket
+	r.clock.Advance(r.limit)
+	is.Equal((<-ended).Header().Get("Reason"), "deadline")
+	is.Equal(h.ended, []string{"done", "unknown"})
+	r.idle(is)
+}
+
+// Guards against a request that is sent on although it may have run, or that is sent on twice.
+func TestSpillHook(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, unknown)
+	h := &hooks{}
+	r.server.Path.Spill = h
+	r.places.full = true
+	is.Equal(r.do(context.Background(), "portion").Header().Get("Outcome"), "done")
+	is.Equal(h.spilled, 1)
+	spilled := &cuminstair.Message{ID: "s1", Service: "scale", Kind: "portion", Team: "t1", Timeout: r.limit, Spilled: true}
+	is.Equal(r.server.Path.Do(context.Background(), spilled).Outcome, cuminstair.OutcomeNotRun)
+	r.places.full = false
+	r.places.none = true // no upstream after the first attempt
+	is.Equal(r.do(context.Background(), "convert").Header().Get("Outcome"), "unknown")
+	is.Equal(h.spilled, 1)
+	r.idle(is)
+}
--- a/caller/setup_test.go
+++ b/caller/setup_test.go
@@ -31,6 +31,8 @@
 	t       *testing.T
 	picked  int
 	running int
+	full    bool // admission refuses everything
+	none    bool // no upstream may take a second attempt
 	queue   []*cuminstair.Request
 	expired []*cuminstair.Request
 }
@@ -44,6 +46,9 @@
 func (p *places) SetCapacity(time.Time, int) []*cuminstair.Request { return nil }
 
 func (p *places) Pick(_ time.Time, _, avoid string) cuminstair.Pick {
+	if p.none && avoid != "" {
+		return cuminstair.Pick{Reason: cuminstair.ReasonNoUpstream}
+	}
 	p.picked++
 	host := "h1"
 	if avoid == "h1" {
@@ -60,6 +65,9 @@
 }
 
 func (p *places) Offer(_ time.Time, r *cuminstair.Request) cuminstair.Verdict {
+	if p.full {
+		return cuminstair.Verdict{Reason: cuminstair.ReasonFull}
+	}
 	if p.running > 0 {
 		p.queue = append(p.queue, r)
 		return cuminstair.Verdict{Wait: true}
@@ -113,11 +121,13 @@
 	results []cuminstair.Result
 	hosts   []string
 	sending chan struct{}
+	ctx     context.Context // of the request that waits
 }
 
 func (s *sender) Send(ctx context.Context, u *cuminstair.Upstream, m *cuminstair.Message) (*cuminstair.Message, cuminstair.Result) {
 	s.hosts = append(s.hosts, u.Host)
 	if len(s.results) == 0 {
+		s.ctx = ctx
 		s.sending <- struct{}{}
 		<-ctx.Done()
 		return nil, cuminstair.Result{Outcome: cuminstair.OutcomeUnknown, Reason: cuminstair.ReasonDeadline}
@@ -140,12 +150,14 @@
 	places *places
 	sender *sender
 	server *caller.Server
+	limit  time.Duration // the deadline of requests
 }
 
 func newRig(t *testing.T, results ...cuminstair.Result) *rig {
 	t.Helper()
 	r := &rig{
 		clock:  timer.NewVirtual(time.Unix(1000, 0)),
+		limit:  5 * time.Second,
 		places: &places{t: t},
 		sender: &sender{results: results, sending: make(chan struct{})},
 	}
@@ -166,7 +178,7 @@
 	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "/s/scale/work", strings.NewReader("body"))
 	req.Header.Set("Team", "t1")
 	req.Header.Set("Kind", kind)
-	req.Header.Set("Deadline", "5s")
+	req.Header.Set("Deadline", r.limit.String())
 	for i := 0; i < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -27,10 +27,7 @@
 }
 
 func compare(b *testing.B, fault string) {
-	clock := timer.New()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() { _ = clock.Run(ctx) }()
+	clock := realClock(b)
 	// The daemon keeps some connections for itself; the limit is not what is measured.
 	s := &instance.Server{Timer: clock, Conns: 4 * benchConns}
 	addr := serve(b, s)
--- a/daemon/callers_test.go
+++ b/daemon/callers_test.go
@@ -13,7 +13,6 @@
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair/standin/instance"
-	"cuminstair.org/cuminstair/timer"
 )
 
 const (
@@ -39,10 +38,7 @@
 // request that ran, while answers are late, out of order, cancelled and truncated on reused connections.
 func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
 	is := is.New(t)
-	clock := timer.New()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() { _ = clock.Run(ctx) }()
+	clock := realClock(t)
 	c := &crowd{t: t, client: newClient(t, callers)}
 	var addrs []string
 	for range 4 {
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -42,6 +42,9 @@
 			return err
 		}
 	}
+	if d.Settings.Listen.Operators != "" && d.Operators == nil {
+		d.Log.Warn("the operators' listener is set, but this program has no handler for it")
+	}
 	if addr := d.Settings.Listen.Metrics; addr != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
--- a/daemon/setup_test.go
+++ b/daemon/setup_test.go
@@ -19,6 +19,7 @@
 	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/settings"
 	"cuminstair.org/cuminstair/standin/instance"
+	"cuminstair.org/cuminstair/timer"
 )
 
 const fleetHead = `{"name": "test", "centres": [{"name": "c1", "region": "r1"}], "pools": [{"name": "p1"}],
@@ -40,6 +41,16 @@
 	return l.Addr().String()
 }
 
+// realClock returns a clock that runs until the test ends.
+func realClock(tb testing.TB) *timer.Service {
+	tb.Helper()
+	clock := timer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	go func() { _ = clock.Run(ctx) }()
+	return clock
+}
+
 // load writes a fleet file for the addresses and returns settings that use it.
 func load(tb testing.TB, addrs []string, extra string) *settings.Settings {
 	tb.Helper()
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -22,7 +21,6 @@
 	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/settings"
 	"cuminstair.org/cuminstair/standin/instance"
-	"cuminstair.org/cuminstair/timer"
 )
 
 // certify writes a self-signed certificate, which is also its own authority, and its key into dir.
@@ -57,10 +55,7 @@
 // Guards against listeners that speak plain HTTP in spite of TLS files, or that let clients in without a certificate.
 func TestListenersUseTLS(t *testing.T) {
 	is := is.New(t)
-	clock := timer.New()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() { _ = clock.Run(ctx) }()
+	clock := realClock(t)
 	files := certify(t, t.TempDir(), "e1", clock.Now())
 	s := load(t, []string{serve(t, &instance.Server{Timer: clock})}, `"wait": "0s"`)
 	s.Listen.Operators = "127.0.0.1:0"
