Read bodies of known length exactly, and keep connections for checks

A probe and an active check at the same time would have been one connection more than an upstream accepts, so two are kept.

--- a/caller/message.go
+++ b/caller/message.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -98,19 +97,20 @@
 	r := c.Request()
 	rc := http.NewResponseController(c.Response().Writer)
 	defer s.Path.Timer.After(limit, func(time.Time) { _ = rc.SetReadDeadline(past) })()
-	var buf bytes.Buffer
+	var err error
 	if r.ContentLength > 0 {
-		buf.Grow(int(r.ContentLength) + bytes.MinRead)
+		m.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, m.Body)
+	} else {
+		m.Body, err = io.ReadAll(http.MaxBytesReader(c.Response().Writer, r.Body, MaxBody))
 	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(c.Response().Writer, r.Body, MaxBody))
-	m.Body = buf.Bytes()
 	var tooLong *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &tooLong):
 		return oversized()
-	case errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return malformed("the body is shorter than its Content-Length")
 	default:
 		return late()
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -135,10 +135,17 @@
 	if resp.ContentLength > MaxBody {
 		return a.stream(answer, resp, nil)
 	}
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	if resp.ContentLength >= 0 {
+		answer.Body = make([]byte, resp.ContentLength)
+		if a.request.Method == http.MethodHead {
+			answer.Body = nil
+		}
+		if _, err := io.ReadFull(resp.Body, answer.Body); err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
+		return nil
 	}
+	var buf bytes.Buffer
 	if _, err := buf.ReadFrom(io.LimitReader(resp.Body, MaxBody+1)); err != nil {
 		return fmt.Errorf("read answer: %w", err)
 	}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -25,7 +25,7 @@
 		})
 	}
 	wg.Wait()
-	is.True(r.instance.Open() <= 15) // a quarter of 64 connections, one of which is kept for probes
+	is.True(r.instance.Open() <= 14) // a quarter of 64 connections, two of which are kept for checks
 	is.Equal(r.instance.Shed(), 0)
 	is.Equal(r.sender.Inflight(r.upstream.Addr), 0)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,6 +16,10 @@
 // MaxBody is the longest answer that is buffered whole, in bytes (section 5.1 of docs/design.md).
 const MaxBody = 1 << 20
 
+// reserved is the number of connections of an upstream that requests don't use: one for a probe because of quiet
+// connections and one for an active check.
+const reserved = 2
+
 // Times of connections.
 const (
 	// DefaultQuiet is used when Sender.Quiet is nil or returns 0: ten times the service time of a small request.
@@ -36,7 +40,7 @@
 	// Quiet returns for how long a request at the host may be quiet before its connection is probed.
 	Quiet func(host string) time.Duration
 	// Share is the part of Upstream.Conns that this daemon may use, above 0 and at most 1; 0 means 1. Daemons that share
-	// an upstream divide its connections with it. One connection of the share is kept for probes.
+	// an upstream divide its connections with it. reserved connections of the share are kept.
 	Share float64
 	// Probed is called, if set, after each probe because of quiet connections. left is the number of connections that
 	// were found silent and left their pool.
@@ -100,7 +104,7 @@
 	if share <= 0 || share > 1 {
 		share = 1
 	}
-	return max(int(float64(u.Conns)*share)-1, 1)
+	return max(int(float64(u.Conns)*share)-reserved, 1)
 }
 
 func (s *Sender) quiet(host string) time.Duration {
