--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -40,7 +40,7 @@
 	// Quiet returns for how long a request at the host may be quiet before its connection is probed.
 	Quiet func(host string) time.Duration
 	// Share is the part of Upstream.Conns that this daemon may use, above 0 and at most 1; 0 means 1. Daemons that share
-	// an upstream divide its connections with it. reserved connections of the share are kept.
+	// an upstream divide its connections with it. Two connections of the share are kept for checks.
 	Share float64
 	// Probed is called, if set, after each probe because of quiet connections. left is the number of connections that
 	// were found silent and left their pool.
