--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -46,9 +46,18 @@
 // run sends the request, reads the answer and gives the connection back.
 func (a *attempt) run(ctx context.Context) (*cuminstair.Message, cuminstair.Result) {
 	a.began = a.pool.sender.Timer.Now()
-	stop := context.AfterFunc(ctx, a.conn.abort)
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		a.conn.abort()
+		close(aborted)
+	})
 	answer, reusable, err := a.exchange()
-	keep := stop() && reusable && !a.left.Load()
+	keep := reusable && !a.left.Load()
+	if !stop() {
+		// An abort after this point would end the wait of pool.linger.
+		<-aborted
+		keep = false
+	}
 	now := a.pool.sender.Timer.Now()
 	r := a.result(ctx, now, err)
 	a.pool.give(a.conn, now, keep)
@@ -126,10 +135,17 @@
 	if resp.ContentLength > MaxBody {
 		return a.stream(answer, resp, nil)
 	}
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 {
-		buf.Grow(int(resp.ContentLength) + bytes.MinRead)
+	if resp.ContentLength >= 0 {
+		answer.Body = make([]byte, resp.ContentLength)
+		if a.request.Method == http.MethodHead {
+			answer.Body = nil
+		}
+		if _, err := io.ReadFull(resp.Body, answer.Body); err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
+		return nil
 	}
+	var buf bytes.Buffer
 	if _, err := buf.ReadFrom(io.LimitReader(resp.Body, MaxBody+1)); err != nil {
 		return fmt.Errorf("read answer: %w", err)
 	}
