Compare latencies within their kind of work and make the real slots more certain

Cause: the scale of a service compared mean latencies over all kinds of work. Result carries the kind now, and a latency is compared with that of its kind at low load. Also: the load is lowered until 160 latencies are counted, and the verdict needs a complete window before; nothing is raised or cut before the latency was seen at low load; credits that were lent are given back at once. Seen to fail first: TestCapacityLentAndTakenBack (37 instead of 24 places) before loans were given back at once.

--- a/route/limit.go
+++ b/route/limit.go
@@ -22,7 +22,7 @@
 	settleMeans = 4
 	windowMeans = 6
 	// cutRatio is the mean latency, relative to that at low load, above which the scale is lowered.
-	cutRatio = 1.15
+	cutRatio = 1.25
 	// clearRatio is the ratio at which one window is enough; below, two in a row are, since 1% of the windows are above
 	// cutRatio by chance.
 	clearRatio = 1.5
@@ -34,7 +34,7 @@
 	// learnWeight is the weight of a window in the latency at low load.
 	learnWeight = 0.3
 	// growRatio is the mean latency, relative to that at low load, up to which the scale may be raised.
-	growRatio = 1.1
+	growRatio = 1.15
 	// growStep is the factor of one raise, and maxCut that of the largest cut. A raise by half shows clearly in one window
 	// whether the instances have the slots, and if they have only some, the cut that follows leaves these.
 	growStep = 1.5
@@ -59,35 +59,41 @@
 	// otherwise. It happens at multiples of the period on the clock, so that all daemons do it at the same time. The
 	// short period holds as long as the last time told something new.
 	lowPeriodShort = growPeriod
-	lowPeriodLong  = 32 * time.Second
+	lowPeriodLong  = 16 * time.Second
 	minLowFor      = time.Second
-	maxLowFor      = 6 * time.Second
-	lowSamples     = 128 // that such a phase must bring to count
-	lowScale       = 0.6
+	maxLowFor      = 8 * time.Second
+	followed       = 1.3 // load relative to the lowered limit up to which the other daemons must have lowered theirs
+	// fellShare is the latency relative to that before, below which it fell with the load. It falls to lowScale if the
+	// load was too high; the comparison of 256 with 160 latencies is off by 10%.
+	fellShare  = 0.75
+	lowSamples = 160 // that such a phase must bring to count
+	lowScale   = 0.6
 )
 
 // scale finds by which factor the declared slots of a service are off, from the latencies of all its instances. While
 // the load is at most the real capacity, the latency does not depend on it; above, it grows in proportion.
 type scale struct {
-	factor  float64 // between 1/maxOff and maxOff
-	base    float64 // mean latency at low load in seconds; 0 while unknown
-	baseN   float64 // latencies that the base averages, as far as they are counted
-	window  window
-	since   time.Time // of the last change
-	typical float64   // mean latency of the last window in seconds
-	growAt  time.Time // no raise before
-	wait    time.Duration
-	doubt   bool    // the last window was above cutRatio, but not clearly
-	armed   bool    // the next start of a period brings a raise
-	grown   float64 // factor before the last change if that was a raise, else 0
-	cutFrom float64 // factor before the last change if that was a cut, else 0
-	cutMean float64 // mean latency before that cut
-	low     lowering
+	factor   float64 // between 1/maxOff and maxOff
+	kinds    map[string]*kindTime
+	ratio    float64 // mean latency of the last window relative to that at low load
+	measured bool    // ratio holds for the present factor
+	window   window
+	since    time.Time // of the last change
+	typical  float64   // mean latency of the last window in seconds
+	growAt   time.Time // no raise before
+	wait     time.Duration
+	doubt    bool    // the last window was above cutRatio, but not clearly
+	armed    bool    // the next start of a period brings a raise
+	grown    float64 // factor before the last change if that was a raise, else 0
+	cutFrom  float64 // factor before the last change if that was a cut, else 0
+	cutMean  float64 // ratio before that cut
+	low      lowering
 }
 
 // window sums up samples.
 type window struct {
 	latency float64 // seconds
+	ratio   float64 // latencies relative to those of their kinds at low load
 	load    float64 // relative to the limit of the instance
 	n       int
 }
@@ -101,7 +107,7 @@
 }
 
 func newScale() scale {
-	return scale{factor: 1, wait: minWait, low: lowering{period: lowPeriodShort}}
+	return scale{factor: 1, ratio: 1, wait: minWait, low: lowering{period: lowPeriodShort}}
 }
 
 // value returns the factor on declared slots that holds now.
@@ -116,46 +122,64 @@
 	return !s.low.from.IsZero() && now.Sub(s.low.from) < maxLowFor
 }
 
-// observe takes the latency of a request and the load of its instance relative to its limit. It returns true if the
-// value may have changed.
-func (s *scale) observe(now time.Time, latency time.Duration, load float64) bool {
+// observe takes the latency of a request of a kind, and the load of its instance relative to its limit. It returns the
+// latency relative to the usual one of the kind, or 0 while that is unknown.
+func (s *scale) observe(now time.Time, kind string, latency time.Duration, load float64) float64 {
 	if s.since.IsZero() {
 		s.since, s.low.lastLow = now, now
 	}
 	if now.Sub(s.since) < seconds(settleMeans*s.typical) {
-		return s.start(now)
-	}
-	s.window.latency += latency.Seconds()
-	s.window.load += load
-	s.window.n++
-	mean := s.window.latency / float64(s.window.n)
-	if !s.low.from.IsZero() {
-		return s.endLow(now, mean)
+		s.start(now)
+		return 0
 	}
 	if s.typical == 0 {
-		return s.settle(now, mean)
+		s.settle(now, latency)
+		return 0
 	}
-	if !s.complete(now, mean) {
-		return s.start(now)
+	relative, ok := s.relative(kind, latency.Seconds())
+	if !ok {
+		return 0
 	}
-	s.typical = mean
-	before := s.factor
-	s.decide(now, mean, s.window.load/float64(s.window.n))
-	s.window = window{}
-	if s.factor != before {
-		s.since = now
-		return true
+	s.window.latency += latency.Seconds()
+	s.window.ratio += relative
+	s.window.load += load
+	s.window.n++
+	s.advance(now)
+	return relative
+}
+
+// advance decides if the window is complete.
+func (s *scale) advance(now time.Time) {
+	n := float64(s.window.n)
+	mean, ratio := s.window.latency/n, s.window.ratio/n
+	switch {
+	case !s.low.from.IsZero():
+		s.endLow(now, ratio)
+	case !s.complete(now, mean):
+		s.start(now)
+	default:
+		s.typical = mean
+		before := s.factor
+		s.ratio, s.measured = ratio, true
+		s.decide(now, ratio, s.window.load/n)
+		s.restart()
+		if s.factor != before {
+			s.since, s.measured = now, false
+			return
+		}
+		s.start(now)
 	}
-	return s.start(now)
 }
 
 // settle takes from the first latencies only how long they are, so that the first window is not too short.
-func (s *scale) settle(now time.Time, mean float64) bool {
-	if s.window.n >= minSamples {
-		s.typical = mean
-		s.since, s.window = now, window{}
+func (s *scale) settle(now time.Time, latency time.Duration) {
+	s.window.latency += latency.Seconds()
+	s.window.n++
+	if s.window.n < minSamples {
+		return
 	}
-	return false
+	s.typical, s.since = s.window.latency/float64(s.window.n), now
+	s.restart()
 }
 
 // complete reports whether the window is long enough for a decision. At low load fewer latencies do, since they only
@@ -168,20 +192,24 @@
 }
 
 // start makes the changes that all daemons make at the same time.
-func (s *scale) start(now time.Time) bool {
+func (s *scale) start(now time.Time) {
 	if s.grown > 0 && now.Sub(s.since) > max(maxTrial, s.lowFor()) {
 		s.set(s.grown) // the load went away before the raise showed anything
-		s.since, s.window = now, window{}
-		return true
+		s.since = now
+		s.restart()
+		return
+	}
+	if now.Sub(now.Truncate(growPeriod)) >= atOnce {
+		return
 	}
-	if s.armed && s.busy(busyShare) && now.Sub(now.Truncate(growPeriod)) < atOnce {
+	if s.armed && s.busy(busyShare) {
 		from := s.factor
 		s.set(from * growStep)
-		s.grown = from
-		s.since, s.window = now, window{}
-		return true
+		s.grown, s.since, s.measured = from, now, false
+		s.restart()
+		return
 	}
-	return s.startLow(now)
+	s.startLow(now)
 }
 
 // busy reports whether the load in the current window is above a share of the limit.
@@ -190,37 +218,46 @@
 }
 
 // startLow brings the load down if it was not low for a period.
-func (s *scale) startLow(now time.Time) bool {
+func (s *scale) startLow(now time.Time) {
 	due := s.low.lastLow.Truncate(s.low.period).Add(2 * s.low.period)
 	if !s.low.known {
 		due = s.low.lastLow
 	}
-	if !s.low.from.IsZero() || now.Before(due) || !s.busy(lowShare) || now.Sub(now.Truncate(growPeriod)) >= atOnce {
-		return false
+	if !s.low.from.IsZero() || now.Before(due) || now.Sub(now.Truncate(lowPeriodShort)) >= atOnce || !s.busy(lowShare) || !s.measured {
+		return
 	}
-	s.low.from, s.since, s.window = now, now, window{}
-	return true
+	s.low.from, s.since = now, now
+	s.restart()
 }
 
-// endLow ends the phase of lowered load when it is due; mean is the mean latency in it.
-func (s *scale) endLow(now time.Time, mean float64) bool {
+// endLow ends the phase of lowered load when it is due; ratio is the relative latency in it.
+func (s *scale) endLow(now time.Time, ratio float64) {
 	passed := now.Sub(s.low.from)
 	if passed < s.lowFor() || (s.window.n < lowSamples && passed < maxLowFor) {
-		return false
+		return
 	}
-	if s.window.n >= lowSamples {
-		before := s.typical
-		s.learn(now, mean)
-		s.low.known = true
-		s.low.period = lowPeriodLong
-		if s.busy(busyShare) && mean < (1+lowScale)/2*before {
-			s.low.period = lowPeriodShort
-			s.base, s.baseN = mean, float64(s.window.n)
-			s.set(s.factor * lowScale) // the latency fell with the load, so that the load was too high
-		}
+	s.low.lastLow = now
+	// The other daemons must have lowered their load as well, or the phase tells nothing.
+	if s.window.n >= lowSamples && !s.busy(followed) {
+		s.judgeLow(now, ratio)
 	}
-	s.low.from, s.since, s.window = time.Time{}, now, window{}
-	return true
+	s.low.from, s.since = time.Time{}, now
+	s.restart()
+}
+
+// judgeLow takes the relative latency at lowered load.
+func (s *scale) judgeLow(now time.Time, ratio float64) {
+	s.low.known = true
+	if s.busy(busyShare) && ratio < fellShare*s.ratio {
+		// The latency fell with the load, so that the load was too high.
+		s.low.period = lowPeriodShort
+		s.stretch(ratio)
+		s.measured = true
+		s.set(s.factor * lowScale)
+		return
+	}
+	s.low.period = lowPeriodLong
+	s.learn(now, ratio)
 }
 
 // lowFor returns how long a phase of lowered load lasts.
@@ -228,28 +265,42 @@
 	return min(max(minLowFor, seconds((settleMeans+windowMeans)*s.typical)), maxLowFor)
 }
 
-func (s *scale) decide(now time.Time, mean, load float64) {
-	if s.base == 0 || load <= lowShare {
-		s.learn(now, mean)
-		s.low.known = s.low.known || load <= lowShare
+func (s *scale) decide(now time.Time, ratio, load float64) {
+	if load <= lowShare {
+		s.learn(now, ratio)
+		s.low.known = true
 		s.armed = false
 		if s.grown > 0 {
 			s.set(s.grown) // the load went away before the raise showed anything
 		}
 		return
 	}
-	if s.cutFrom > 0 && s.undo(mean) {
+	if s.cutFrom > 0 && s.undo(ratio) {
+		return
+	}
+	if !s.low.known {
+		s.learnKinds()
+		return
+	}
+	if ratio < clearFall {
+		s.stretch(ratio)
+		s.armed = false // the ratio of this window says nothing
 		return
 	}
-	ratio := mean / s.base
 	grown := s.grown
 	s.grown, s.armed = 0, false
+	s.react(now, ratio, load, grown)
+}
+
+// react compares a window at high load with the latency at low load. grown is the factor before a raise that the window
+// was to judge, or 0.
+func (s *scale) react(now time.Time, ratio, load, grown float64) {
 	switch {
 	case ratio > cutRatio && grown == 0 && ratio < clearRatio && !s.doubt:
 		s.doubt = true
 		return
 	case ratio > cutRatio:
-		s.cut(now, mean, load/ratio, grown)
+		s.cut(now, ratio, load/ratio, grown)
 	case grown > 0 && load < busyShare:
 		// Other daemons did not raise. Keeps what was in use, and these see that more works.
 		s.set(max(grown, s.factor*load))
@@ -266,20 +317,18 @@
 	s.doubt = false
 }
 
-// learn takes the mean latency at low load.
-func (s *scale) learn(now time.Time, mean float64) {
+// learn takes a window at low load.
+func (s *scale) learn(now time.Time, ratio float64) {
 	s.low.lastLow = now
-	n := float64(s.window.n)
-	if s.base == 0 || mean < clearFall*s.base {
-		s.base, s.baseN = mean, n
+	if ratio < clearFall {
+		s.stretch(ratio)
 		return
 	}
-	s.baseN += n
-	s.base += max(learnWeight*n/windowSamples, n/s.baseN) * (mean - s.base)
+	s.learnKinds()
 }
 
 // cut lowers the factor to part of it. If it was raised from grown just before, it does not go below that.
-func (s *scale) cut(now time.Time, mean, part, grown float64) {
+func (s *scale) cut(now time.Time, ratio, part, grown float64) {
 	before := s.factor
 	s.set(max(s.factor*min(max(part, maxCut), 1), grown))
 	if grown > 0 {
@@ -288,21 +337,21 @@
 		return
 	}
 	if s.factor <= undoBelow*before {
-		s.cutFrom, s.cutMean = before, mean
+		s.cutFrom, s.cutMean = before, ratio
 	}
 }
 
 // undo takes a cut back that did not lower the latency by at least half of what it would have if the load were the
 // cause. The requests take longer whatever the load is, so that their latency is the new base.
-func (s *scale) undo(mean float64) bool {
+func (s *scale) undo(ratio float64) bool {
 	expected := s.cutMean * (1 + s.factor/s.cutFrom) / 2
 	from := s.cutFrom
 	s.cutFrom = 0
-	if mean <= expected {
+	if ratio <= expected {
 		return false
 	}
 	s.set(from)
-	s.base = mean
+	s.stretch(ratio)
 	return true
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -76,7 +76,7 @@
 	// A request that ran into its deadline took at least that long; without these the latency would seem bounded.
 	timed := res.Outcome == cuminstair.OutcomeDone || res.Reason == cuminstair.ReasonDeadline
 	if timed && res.Latency > 0 {
-		r.learn(now, e, res.Latency)
+		r.learn(now, e, res)
 	}
 	e.own--
 	e.host.own--
@@ -90,12 +90,12 @@
 
 // learn takes the latency of a request. Only when the factor of the service changes, which is at most once in each window
 // of samples, all its instances are placed anew.
-func (r *Router) learn(now time.Time, e *entry, latency time.Duration) {
+func (r *Router) learn(now time.Time, e *entry, res cuminstair.Result) {
 	load := float64(e.load()) / float64(e.limit)
-	if e.share.observe(latency, load, e.service.scale.base) {
+	relative := e.service.scale.observe(now, res.Kind, res.Latency, load)
+	if e.share.observe(relative, load) {
 		e.limit = e.limitOf(e.service.value)
 	}
-	e.service.scale.observe(now, latency, load)
 	if v := e.service.scale.value(now); v != e.service.value {
 		e.service.value = v
 		r.scaled(e.service)
@@ -115,14 +115,17 @@
 
 // Capacity implements cuminstair.Router: the credits, or more if others leave places unused. Of what the reports show
 // as free the daemon takes one part for each live daemon in a round of reports, so that daemons that grow at the same
-// time do not take the same places twice.
+// time do not take the same places twice; what it took too much it gives back at once.
 func (r *Router) Capacity(service string) int {
 	s := r.services[service]
 	if s == nil {
 		return 0
 	}
-	lent := s.ownAt + (int(lendShare*float64(s.total))-s.ownAt-s.remote)/max(r.live, 1)
-	return min(max(s.credits, lent), s.total)
+	free := int(lendShare*float64(s.total)) - s.ownAt - s.remote
+	if free > 0 {
+		free /= max(r.live, 1)
+	}
+	return min(max(s.credits, s.ownAt+free), s.total)
 }
 
 // choose returns the upstream for the next request, or nil.
--- a/route/share.go
+++ b/route/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 )
 
 // Steps of the limit of one instance.
@@ -20,21 +19,21 @@
 // share is by how much one instance gets less than the others of its service, because it is slower.
 type share struct {
 	factor  float64 // between 1/maxOff and 1
-	latency float64 // sum in seconds
+	latency float64 // sum, relative to the service at low load
 	load    float64 // sum, relative to the limit
 	n       int
 }
 
-// observe takes a latency of the instance, the load relative to its limit, and the latency of the service at low load
-// in seconds, and returns true if the factor changed.
-func (s *share) observe(latency time.Duration, load, base float64) bool {
-	if base == 0 {
+// observe takes a latency of the instance relative to those of the service at low load, and the load relative to the
+// limit. It returns true if the factor changed.
+func (s *share) observe(relative, load float64) bool {
+	if relative == 0 {
 		return false
 	}
-	s.latency += latency.Seconds()
+	s.latency += relative
 	s.load += load
 	s.n++
-	ratio := s.latency / float64(s.n) / base
+	ratio := s.latency / float64(s.n)
 	if s.n < shareSamples && (s.n < shareClear || ratio < 2*shareSlow) {
 		return false
 	}
--- a/serve.go
+++ b/serve.go
@@ -36,6 +36,7 @@
 	Reason  Reason
 	Latency time.Duration // from the first byte sent to the last byte received; 0 if nothing was sent
 	Leaving bool          // the upstream announced that it is leaving
+	Kind    string        // kind of work of the request; latencies of unlike kinds are not compared
 }
 
 // Router picks upstreams. Package route implements it.
--- a/trace/daemon.go
+++ b/trace/daemon.go
@@ -102,6 +102,7 @@
 	}
 	a.ended = true
 	a.stop()
+	res.Kind = a.call.req.Kind
 	d.remove(a)
 	now := d.p.clock.Now()
 	d.router.Release(now, a.pick, res)
