Bound the retries at a pool at each moment

Change: a pool gathers 0.08 retries for each request that ends there for the first time, over all teams, and at most 2.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,6 +16,12 @@
 	Share = 0.1
 	// Window is what counts as recent. It is counted in two halves.
 	Window = 30 * time.Second
+	// Pace is the number of retries at a pool, over all teams, for each request that ends there for the first time. It
+	// bounds what the teams spend at one moment. It is below Share, so that the retries of a second stay below 10% of
+	// its first attempts although they follow a little later.
+	Pace = 0.08
+	// MaxPace is how many retries the pace gathers at most.
+	MaxPace = 2
 	// MaxAttempts is how often one request is sent at most, the first time included.
 	MaxAttempts = 3
 	// BaseBackoff is the longest pause before the first retry; it doubles with each attempt up to MaxBackoff.
@@ -30,9 +36,16 @@
 	Rand *rand.Rand
 
 	teams map[key]*count
+	pools map[string]*pace
 	swept time.Time
 }
 
+// pace is what a pool may take in retries now.
+type pace struct {
+	credit float64 // between 0 and MaxPace
+	at     time.Time
+}
+
 type key struct{ team, pool string }
 
 // count is what a team did at a pool in the current and the previous half window.
@@ -48,12 +61,32 @@
 func (b *Budget) Success(now time.Time, team, pool string) {
 	b.sweep(now)
 	b.at(now, key{team, pool}).successes[0]++
+	b.ended(now, pool)
+}
+
+// ended credits the pace of a pool with one first attempt.
+func (b *Budget) ended(now time.Time, pool string) *pace {
+	p := b.pools[pool]
+	if p == nil {
+		if b.pools == nil {
+			b.pools = map[string]*pace{}
+		}
+		p = &pace{}
+		b.pools[pool] = p
+	}
+	p.at = now
+	p.credit = min(p.credit+Pace, MaxPace)
+	return p
 }
 
 // Retry implements cuminstair.RetryBudget. It charges the budget only if it returns true.
 func (b *Budget) Retry(now time.Time, r *cuminstair.Request, pool string) (time.Duration, bool) {
 	b.sweep(now)
-	if r.Attempt+1 >= MaxAttempts {
+	p := b.pools[pool]
+	if r.Attempt == 0 {
+		p = b.ended(now, pool)
+	}
+	if r.Attempt+1 >= MaxAttempts || p == nil || p.credit < 1 {
 		return 0, false
 	}
 	backoff := b.backoff(r.Attempt)
@@ -69,6 +102,7 @@
 		return 0, false
 	}
 	c.retries[0]++
+	p.credit--
 	return backoff, true
 }
 
@@ -82,7 +116,7 @@
 }
 
 // Size returns the number of entries kept.
-func (b *Budget) Size() int { return len(b.teams) }
+func (b *Budget) Size() int { return len(b.teams) + len(b.pools) }
 
 func (b *Budget) at(now time.Time, k key) *count {
 	c := b.teams[k]
@@ -109,6 +143,11 @@
 			delete(b.teams, k)
 		}
 	}
+	for pool, p := range b.pools {
+		if now.Sub(p.at) > Window {
+			delete(b.pools, pool)
+		}
+	}
 }
 
 func halfOf(now time.Time) int64 { return now.UnixNano() / int64(halfWindow) }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -91,3 +91,93 @@
 	}
 	return rates
 }
+
+// Guards against a budget that is too small for the failures of every day: 2% at random must nearly all be retried.
+func TestOrdinaryFailuresAreRetried(t *testing.T) {
+	is := is.New(t)
+	b := newBudget()
+	rnd := rand.New(rand.NewPCG(5, 6))
+	failed, retried := 0, 0
+	for i := range 60_000 { // 310 teams with 2 requests a second each, about 100 s
+		now := start.Add(time.Duration(i) * time.Second / 620)
+		team := fmt.Sprint("t", rnd.IntN(310))
+		if rnd.Float64() >= 0.02 || i < 20_000 {
+			b.Success(now, team, "pool")
+			continue
+		}
+		failed++
+		if _, ok := b.Retry(now, request(team, now), "pool"); ok {
+			retried++
+		}
+	}
+	t.Logf("%d of %d retried", retried, failed)
+	is.True(float64(retried) >= 0.9*float64(failed))
+}
+
+// Guards against a backoff that is not spread, grows without bound or passes the deadline, and against charging for it.
+func TestBackoff(t *testing.T) {
+	is := is.New(t)
+	b := newBudget()
+	for range 10_000 {
+		b.Success(start, "t", "pool")
+	}
+	low, high := time.Hour, time.Duration(0)
+	for range 500 {
+		b.Success(start, "t", "pool")
+		for range 20 {
+			b.Success(start, "t", "pool")
+		}
+		wait, ok := b.Retry(start, request("t", start), "pool")
+		is.True(ok)
+		low, high = min(low, wait), max(high, wait)
+	}
+	is.True(low > 0 && low < retry.BaseBackoff/10)
+	is.True(high > retry.BaseBackoff*9/10 && high <= retry.BaseBackoff)
+	late := request("t", start)
+	late.Deadline = start
+	_, ok := b.Retry(start, late, "pool")
+	is.True(!ok)
+	tired := request("t", start)
+	tired.Attempt = retry.MaxAttempts - 1
+	_, ok = b.Retry(start, tired, "pool")
+	is.True(!ok)
+}
+
+// Guards against memory that grows with all teams and pools that were ever seen (310 teams, 45 pools).
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBudget()
+	for team := range 310 {
+		for pool := range 45 {
+			b.Success(start, fmt.Sprint("t", team), fmt.Sprint("p", pool))
+		}
+	}
+	is.Equal(b.Size(), 310*45+45)
+	b.Success(start.Add(2*retry.Window), "t1", "p1")
+	is.Equal(b.Size(), 2)
+	_, ok := b.Retry(start.Add(2*retry.Window), request("stranger", start.Add(2*retry.Window)), "nowhere")
+	is.True(!ok)
+	is.Equal(b.Size(), 3) // a failure alone makes no entry for the team
+}
+
+// Guards against a second run of a request that may have run and is not idempotent (page 1.3, invariant 5): over all
+// outcomes and reasons, only a proof that it did not run allows another attempt.
+func TestMayNeverRepeatsEffects(t *testing.T) {
+	is := is.New(t)
+	once := &cuminstair.Request{}
+	again := &cuminstair.Request{Idempotent: true}
+	reasons := []cuminstair.Reason{
+		"", cuminstair.ReasonBroken, cuminstair.ReasonDeadline, cuminstair.ReasonMismatch, cuminstair.ReasonRefused,
+		cuminstair.ReasonSilent, cuminstair.ReasonStopping, cuminstair.ReasonNoUpstream,
+	}
+	for _, reason := range reasons {
+		for _, outcome := range []cuminstair.Outcome{cuminstair.OutcomeUnknown, cuminstair.OutcomeDone} {
+			is.True(!retry.May(once, cuminstair.Result{Outcome: outcome, Reason: reason}))
+		}
+		is.True(!retry.May(again, cuminstair.Result{Outcome: cuminstair.OutcomeDone, Reason: reason}))
+	}
+	broken := cuminstair.Result{Reason: cuminstair.ReasonBroken}
+	is.True(retry.May(again, broken))
+	refused := cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonRefused}
+	is.True(retry.May(once, refused) && retry.May(again, refused))
+}
