--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,286 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cuminstair.org/cuminstair"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	done   = cuminstair.Result{Outcome: cuminstair.OutcomeDone, Latency: 20 * time.Millisecond}
+	broken = cuminstair.Result{Reason: cuminstair.ReasonBroken, Latency: time.Millisecond}
+)
+
+// fail makes a host fail by its requests.
+func fail(m *Monitor, now time.Time, host string) {
+	for range FailResults {
+		m.Observe(now, host, broken)
+	}
+}
+
+// Guards against a host that fails late, comes back without checks, or takes full work during probation.
+func TestFailProbationActive(t *testing.T) {
+	is := is.New(t)
+	m := &Monitor{}
+	now := start
+	fail(m, now, "h")
+	is.Equal(m.State("h"), cuminstair.HostFailed)
+	is.Equal(m.Changed(), []string{"h"})
+	is.Equal(len(m.Changed()), 0)
+	m.Probe(now, "h", true, false)
+	m.Probe(now, "h", true, false)
+	is.Equal(m.State("h"), cuminstair.HostFailed) // not before MinHold
+	now = now.Add(MinHold)
+	m.Probe(now, "h", true, false)
+	is.Equal(m.State("h"), cuminstair.HostProbation)
+	for range PassTrials {
+		is.Equal(m.State("h"), cuminstair.HostProbation)
+		m.Observe(now, "h", done)
+	}
+	is.Equal(m.State("h"), cuminstair.HostActive)
+	m.Probe(now, "h", false, false)
+	m.Probe(now, "h", false, false)
+	is.Equal(m.State("h"), cuminstair.HostFailed)
+	m.Probe(now.Add(MinHold), "h", true, false)
+	m.Probe(now.Add(MinHold), "h", true, false)
+	is.Equal(m.State("h"), cuminstair.HostFailed) // the hold doubles when it fails again
+	m.Probe(now.Add(2*MinHold), "h", true, false)
+	is.Equal(m.State("h"), cuminstair.HostProbation)
+	m.Observe(now, "h", broken)
+	is.Equal(m.State("h"), cuminstair.HostFailed)
+}
+
+// Guards against a host that answers some requests, fails most, and never fails several in a row.
+func TestFailsMostly(t *testing.T) {
+	is := is.New(t)
+	m := &Monitor{}
+	for range 10 {
+		m.Observe(start, "h", broken)
+		m.Observe(start, "h", broken)
+		m.Observe(start, "h", done)
+	}
+	is.Equal(m.State("h"), cuminstair.HostFailed)
+}
+
+// Guards against results that are no fault of the upstream: refusals, cancelled requests, silent connections whose
+// upstream answers on a fresh one, and short deadlines.
+func TestNoFaultOfTheUpstream(t *testing.T) {
+	is := is.New(t)
+	m := &Monitor{}
+	for range 100 {
+		m.Observe(start, "h", cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonRefused})
+		m.Observe(start, "h", cuminstair.Result{})
+		m.Observe(start, "h", cuminstair.Result{Reason: cuminstair.ReasonSilent, Latency: time.Minute})
+		m.Observe(start, "h", cuminstair.Result{Reason: cuminstair.ReasonDeadline, Latency: time.Millisecond})
+	}
+	is.Equal(m.State("h"), cuminstair.HostActive)
+}
+
+// Guards against new work for a host after the news from any source that it leaves, and against a return before all
+// sources have withdrawn.
+func TestLeavingFromEachSource(t *testing.T) {
+	for name, say := range map[string]func(m *Monitor){
+		"answer": func(m *Monitor) {
+			m.Observe(start, "h", cuminstair.Result{Outcome: cuminstair.OutcomeDone, Leaving: true})
+		},
+		"refusal": func(m *Monitor) {
+			m.Observe(start, "h", cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Leaving: true})
+		},
+		"check":    func(m *Monitor) { m.Probe(start, "h", true, true) },
+		"list":     func(m *Monitor) { m.Leave(start, "h", SourceList) },
+		"operator": func(m *Monitor) { m.Leave(start, "h", SourceOperator) },
+		"peer":     func(m *Monitor) { m.Report(start, "d2", "h", cuminstair.HostLeaving) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := &Monitor{}
+			m.SetGroup("s", []string{"h"}) // the panic threshold does not hold it
+			say(m)
+			is.Equal(m.State("h"), cuminstair.HostLeaving)
+			fail(m, start, "h")
+			is.Equal(m.State("h"), cuminstair.HostLeaving)
+			m.Leave(start, "h", SourceOperator)
+			m.Probe(start, "h", true, false)
+			m.Return(start, "h", SourceList)
+			m.Tick(start.Add(2 * ReportFor))
+			is.Equal(m.State("h"), cuminstair.HostLeaving)
+			m.Return(start, "h", SourceOperator)
+			is.Equal(m.State("h"), cuminstair.HostProbation)
+		})
+	}
+}
+
+// Guards against old reports, reports that override own evidence, and two daemons that confirm each other for ever.
+func TestReports(t *testing.T) {
+	is := is.New(t)
+	m := &Monitor{}
+	m.Observe(start, "h", done)
+	m.Report(start.Add(time.Second), "d2", "h", cuminstair.HostFailed)
+	is.Equal(m.State("h"), cuminstair.HostActive)
+	state, ok := m.Opinion(start, "h")
+	is.True(ok && state == cuminstair.HostActive)
+	_, ok = m.Opinion(start.Add(time.Minute), "h")
+	is.True(!ok) // too old to tell
+	m.Report(start.Add(OwnFor+time.Second), "d2", "h", cuminstair.HostFailed)
+	is.Equal(m.State("h"), cuminstair.HostFailed)
+	_, ok = m.Opinion(start.Add(OwnFor+time.Second), "h")
+	is.True(!ok) // only heard
+	m.Report(start, "d2", "g", cuminstair.HostLeaving)
+	_, ok = m.Opinion(start, "g")
+	is.True(!ok)
+	m.Tick(start.Add(ReportFor + time.Second))
+	is.Equal(m.State("g"), cuminstair.HostProbation)
+}
+
+// Guards against a correlated failure that takes out more upstreams than the rest can carry, and against one that keeps
+// leaving ones in.
+func TestPanicThreshold(t *testing.T) {
+	is := is.New(t)
+	m := &Monitor{}
+	var names []string
+	for i := range 10 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	m.SetGroup("s", names)
+	for _, h := range names {
+		fail(m, start, h)
+	}
+	count := func(state cuminstair.HostState) int {
+		n := 0
+		for _, h := range names {
+			if m.State(h) == state {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(count(cuminstair.HostActive), 5)
+	is.Equal(m.State("h0"), cuminstair.HostFailed) // the first that failed is out
+	for _, h := range names[6:] {
+		m.Leave(start, h, SourceList)
+	}
+	is.Equal(count(cuminstair.HostLeaving), 4)
+	is.Equal(count(cuminstair.HostFailed), 3) // half of those that stay
+	for _, h := range names {
+		m.Leave(start, h, SourceOperator)
+	}
+	is.Equal(count(cuminstair.HostLeaving), 10)
+}
+
+// Guards against Quiet values that are far from the measured tail, for two upstreams of unlike speed.
+func TestQuietFollowsTail(t *testing.T) {
+	is := is.New(t)
+	m := &Monitor{}
+	is.Equal(m.Quiet("fast"), defaultQuiet)
+	for i := range 2000 {
+		res := done
+		res.Latency = time.Duration(i%100+1) * time.Millisecond
+		m.Observe(start, "fast", res)
+		res.Latency *= 30
+		m.Observe(start, "slow", res)
+	}
+	is.True(m.Quiet("fast") >= 99*time.Millisecond && m.Quiet("fast") <= 130*time.Millisecond)
+	is.True(m.Quiet("slow") >= 2970*time.Millisecond && m.Quiet("slow") <= 3800*time.Millisecond)
+}
+
+// Guards against hosts that no daemon or several daemons check, an uneven division, and a division that changes for
+// hosts whose checker stays.
+func TestMinePartitions(t *testing.T) {
+	is := is.New(t)
+	daemons := []string{"d1", "d2", "d3", "d4", "d5"}
+	counts := map[string]int{}
+	for i := range 4000 {
+		host := fmt.Sprint("h", i)
+		checker := ""
+		for _, d := range daemons {
+			if Mine(host, daemons, d) {
+				is.Equal(checker, "")
+				checker = d
+			}
+		}
+		counts[checker]++
+		if checker != "d3" {
+			is.True(Mine(host, []string{"d5", "d4", "d2", "d1"}, checker))
+		}
+	}
+	is.Equal(len(counts), 5)
+	for d, n := range counts {
+		is.True(d != "" && n > 700 && n < 900)
+	}
+	is.True(Mine("h", nil, "d1"))
+}
+
+// Guards against states outside the chart, a panic threshold that is passed and changes that are not told, under any
+// order of events.
+func TestMonitorProperties(t *testing.T) { rapid.Check(t, drive) }
+
+// FuzzMonitor drives the same calls from the fuzzer's bytes.
+func FuzzMonitor(f *testing.F) {
+	f.Add(make([]byte, 1<<14))
+	f.Fuzz(rapid.MakeFuzz(drive))
+}
+
+func drive(t *rapid.T) {
+	m := &Monitor{}
+	names := []string{"h0", "h1", "h2", "h3", "h4", "h5"}
+	m.SetGroup("s", names)
+	told := map[string]cuminstair.HostState{}
+	now := start
+	states := []cuminstair.HostState{cuminstair.HostActive, cuminstair.HostFailed, cuminstair.HostLeaving, cuminstair.HostProbation}
+	for range 200 {
+		op := rapid.IntRange(0, 1<<16).Draw(t, "op")
+		now = now.Add(time.Duration(op%300) * time.Millisecond)
+		arg := op / 8
+		host := names[arg%6]
+		switch op % 8 {
+		case 0, 1:
+			fail(m, now, host)
+		case 2:
+			m.Observe(now, host, done)
+		case 3:
+			m.Probe(now, host, arg%2 == 0, arg%7 == 0)
+		case 4:
+			m.Report(now, fmt.Sprint("d", arg%3), host, states[arg/6%4])
+		case 5:
+			m.Leave(now, host, SourceList)
+		case 6:
+			m.Return(now, host, SourceList)
+		case 7:
+			m.Tick(now)
+			m.SetGroup("s", names[:3+arg%4])
+		}
+		compare(t, m, told)
+	}
+}
+
+func compare(t *rapid.T, m *Monitor, told map[string]cuminstair.HostState) {
+	for _, h := range m.Changed() {
+		told[h] = m.State(h)
+	}
+	out, staying := 0, 0
+	for _, u := range m.groups["s"].hosts {
+		if u.state != "leaving" {
+			staying++
+		}
+		if u.shown == cuminstair.HostFailed {
+			out++
+		}
+		if u.state == "leaving" && u.shown != cuminstair.HostLeaving {
+			t.Fatalf("%s is leaving and shown as %s", u.name, u.shown)
+		}
+	}
+	if out > int(MaxOut*float64(staying)) {
+		t.Fatalf("%d of %d out", out, staying)
+	}
+	for h, u := range m.hosts {
+		if was, ok := told[h]; ok && was != u.shown || !ok && u.shown != cuminstair.HostActive {
+			t.Fatalf("%s is %s and was told as %s", h, u.shown, was)
+		}
+	}
+}
