Hold hosts in probation as well when the rest can't carry the load

Cause: when a whole pool failed and came back, all its hosts were in probation at once and took a trickle each. Change: the panic threshold counts failed hosts and hosts in probation together. A change of one host costs a pass over the bad hosts of its service instead of comparisons among all of them. Seen to fail first: TestPanicThreshold (6 instead of 3 in probation) and TestMonitorProperties (2 of 3 out). TestLeavingFromEachSource now returns the host into a group of two, since a host alone in its group is needed at once.

--- a/health/group.go
+++ b/health/group.go
@@ -4,8 +4,15 @@
 
 // group is the instances of one service in the own data centre.
 type group struct {
-	hosts []*upstream
-	bad   []*upstream // failed or in probation, in the order in which they failed
+	hosts   []*upstream
+	bad     []badHost // failed or in probation, in the order in which they failed
+	staying int       // hosts that are not leaving
+}
+
+// badHost is a host that would be out for bad health. It is held in rotation if the group can't do without it.
+type badHost struct {
+	host *upstream
+	held bool
 }
 
 // SetGroup replaces the hosts that run a service. MaxOut holds for each group by itself.
@@ -30,50 +37,70 @@
 		g.hosts = append(g.hosts, u)
 		g.update(u)
 	}
+	g.count()
 	m.groups[service] = g
 	if len(hosts) == 0 {
 		delete(m.groups, service)
 	}
-	m.showGroup(g)
+	for _, u := range g.hosts {
+		m.show(u)
+	}
 }
 
 // update puts a host into the list of the bad ones or takes it out.
 func (g *group) update(u *upstream) {
 	bad := u.state == "failed" || u.state == "probation"
-	at := slices.Index(g.bad, u)
+	at := g.index(u)
 	switch {
 	case bad && at < 0:
-		g.bad = append(g.bad, u)
+		g.bad = append(g.bad, badHost{host: u})
 	case !bad && at >= 0:
 		g.bad = slices.Delete(g.bad, at, at+1)
 	}
 }
 
+func (g *group) index(u *upstream) int {
+	return slices.IndexFunc(g.bad, func(b badHost) bool { return b.host == u })
+}
+
 func (g *group) remove(u *upstream) {
-	same := func(o *upstream) bool { return o == u }
-	g.hosts = slices.DeleteFunc(g.hosts, same)
-	g.bad = slices.DeleteFunc(g.bad, same)
+	g.hosts = slices.DeleteFunc(g.hosts, func(o *upstream) bool { return o == u })
+	if at := g.index(u); at >= 0 {
+		g.bad = slices.Delete(g.bad, at, at+1)
+	}
 }
 
-// maxOut returns how many hosts may be out for bad health. Hosts that are leaving are out in any case and carry
-// nothing, so that the share is taken of the others.
-func (g *group) maxOut() int {
-	staying := 0
-	for _, u := range g.hosts {
-		if u.state != "leaving" {
-			staying++
+// hold decides which of the bad hosts stay in rotation: those that failed first are out, as many as MaxOut allows. Hosts
+// that are leaving are out in any case and carry nothing, so that the share is taken of the others. It returns the hosts
+// for which that changed.
+func (g *group) hold() []*upstream {
+	var changed []*upstream
+	out := int(MaxOut * float64(g.staying))
+	for i := range g.bad {
+		if held := i >= out; held != g.bad[i].held {
+			g.bad[i].held = held
+			changed = append(changed, g.bad[i].host)
 		}
 	}
-	return int(MaxOut * float64(staying))
+	return changed
 }
 
-// held reports whether a failed host stays in rotation, because one of its groups can't do without it. The hosts that
-// failed first are out.
+// held reports whether a bad host stays in rotation because one of its groups can't do without it.
 func (u *upstream) held() bool {
 	for _, g := range u.groups {
-		if slices.Index(g.bad, u) >= g.maxOut() {
+		if at := g.index(u); at >= 0 && g.bad[at].held {
 			return true
 		}
 	}
 	return false
 }
+
+// count sets how many hosts of the group are not leaving.
+func (g *group) count() {
+	g.staying = 0
+	for _, u := range g.hosts {
+		if u.state != "leaving" {
+			g.staying++
+		}
+	}
+}
--- a/health/health.go
+++ b/health/health.go
@@ -154,7 +154,10 @@
 	delete(m.hosts, host)
 	for _, g := range u.groups {
 		g.remove(u)
-		m.showGroup(g)
+		g.count()
+		for _, o := range g.hold() {
+			m.set(o, o.visible())
+		}
 	}
 }
 
@@ -164,6 +167,9 @@
 	if err != nil {
 		return
 	}
+	for _, g := range u.groups {
+		g.staying += stays(next) - stays(u.state)
+	}
 	u.state, u.heard = next, false
 	u.passed, u.passedProbes, u.failedProbes = 0, 0, 0
 	u.failedResults, u.results, u.failures = 0, 0, 0
@@ -177,27 +183,30 @@
 	m.show(u)
 }
 
-// show updates the state that routing uses.
-func (m *Monitor) show(u *upstream) {
-	if len(u.groups) == 0 {
-		m.set(u, cuminstair.HostState(u.state))
-		return
+func stays(state string) int {
+	if state == "leaving" {
+		return 0
 	}
+	return 1
+}
+
+// show updates the state that routing uses, of the host and of those that are held or let go because of it.
+func (m *Monitor) show(u *upstream) {
 	for _, g := range u.groups {
 		g.update(u)
-		m.showGroup(g)
+		for _, o := range g.hold() {
+			m.set(o, o.visible())
+		}
 	}
+	m.set(u, u.visible())
 }
 
-// showGroup updates the hosts of a group. A host that is in several groups is out only if all of them can do without.
-func (m *Monitor) showGroup(g *group) {
-	for _, u := range g.hosts {
-		state := cuminstair.HostState(u.state)
-		if state == cuminstair.HostFailed && u.held() {
-			state = cuminstair.HostActive
-		}
-		m.set(u, state)
+// visible returns the state that routing uses. A host that is in several groups is out only if all can do without it.
+func (u *upstream) visible() cuminstair.HostState {
+	if (u.state == "failed" || u.state == "probation") && u.held() {
+		return cuminstair.HostActive
 	}
+	return cuminstair.HostState(u.state)
 }
 
 func (m *Monitor) set(u *upstream, state cuminstair.HostState) {
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -110,6 +110,7 @@
 			m.Return(start, "h", SourceList)
 			m.Tick(start.Add(2 * ReportFor))
 			is.Equal(m.State("h"), cuminstair.HostLeaving)
+			m.SetGroup("s", []string{"h", "other"}) // alone it would be needed at once
 			m.Return(start, "h", SourceOperator)
 			is.Equal(m.State("h"), cuminstair.HostProbation)
 		})
@@ -167,6 +168,13 @@
 	}
 	is.Equal(count(cuminstair.HostLeaving), 4)
 	is.Equal(count(cuminstair.HostFailed), 3) // half of those that stay
+	for range PassProbes {                    // all that stay are well again at the same time
+		for _, h := range names[:6] {
+			m.Probe(start.Add(MinHold), h, true, false)
+		}
+	}
+	is.Equal(count(cuminstair.HostProbation), 3)
+	is.Equal(count(cuminstair.HostActive), 3)
 	for _, h := range names {
 		m.Leave(start, h, SourceOperator)
 	}
@@ -268,7 +276,7 @@
 		if u.state != "leaving" {
 			staying++
 		}
-		if u.shown == cuminstair.HostFailed {
+		if u.shown == cuminstair.HostFailed || u.shown == cuminstair.HostProbation {
 			out++
 		}
 		if u.state == "leaving" && u.shown != cuminstair.HostLeaving {
