--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -181,3 +181,13 @@
 	refused := cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonRefused}
 	is.True(retry.May(once, refused) && retry.May(again, refused))
 }
+
+// Guards against a request that is reported as not run although an earlier attempt may have run (page 1.3, invariant 4).
+func TestSettle(t *testing.T) {
+	is := is.New(t)
+	notRun, unknown, done := cuminstair.OutcomeNotRun, cuminstair.OutcomeUnknown, cuminstair.OutcomeDone
+	is.Equal(retry.Settle(notRun, notRun), notRun)
+	is.Equal(retry.Settle(unknown, notRun), unknown)
+	is.Equal(retry.Settle(notRun, unknown), unknown)
+	is.Equal(retry.Settle(unknown, done), done)
+}
--- a/retry/rule.go
+++ b/retry/rule.go
@@ -16,14 +16,24 @@
 	}
 }
 
-// lasting reports whether another attempt would end for the same reason.
+// lasting reports whether another attempt would end for the same reason. An upstream that can't be reached is no such
+// reason, since another one may be.
 func lasting(reason cuminstair.Reason) bool {
 	switch reason {
 	case cuminstair.ReasonMalformed, cuminstair.ReasonNoService, cuminstair.ReasonQuota, cuminstair.ReasonLate,
 		cuminstair.ReasonDeadline, cuminstair.ReasonExpired, cuminstair.ReasonBudget, cuminstair.ReasonHomeGone,
-		cuminstair.ReasonStopping, cuminstair.ReasonFull, cuminstair.ReasonStale, cuminstair.ReasonNoUpstream:
+		cuminstair.ReasonStopping, cuminstair.ReasonFull, cuminstair.ReasonStale:
 		return true
 	default:
 		return false
 	}
 }
+
+// Settle returns the outcome of a request after one more attempt. before is the outcome that its earlier attempts add up
+// to, OutcomeNotRun before the first. Once an attempt may have run, a later one that did not run proves nothing.
+func Settle(before, last cuminstair.Outcome) cuminstair.Outcome {
+	if last == cuminstair.OutcomeNotRun {
+		return before
+	}
+	return last
+}
--- a/trace/apply.go
+++ b/trace/apply.go
@@ -73,7 +73,7 @@
 	turn := l.turn
 	wait := time.Duration(p.rand.ExpFloat64() / l.rate * float64(time.Second))
 	p.after(wait, func() {
-		if l.turn != turn || l.rate <= 0 {
+		if l.turn != turn || p.over {
 			return
 		}
 		p.arrive(l.kind)
@@ -84,7 +84,7 @@
 // arrive hands a new request to a random daemon, as the platform's load balancer does.
 func (p *Player) arrive(k cuminstair.Kind) {
 	now := p.clock.Now()
-	c := &call{req: &cuminstair.Request{
+	c := &call{before: cuminstair.OutcomeNotRun, req: &cuminstair.Request{
 		ID: strconv.Itoa(len(p.calls)), Service: serviceName, Kind: k.Name, Urgency: k.Urgency, Idempotent: k.Idempotent,
 		Team:    "team" + strconv.Itoa(p.rand.IntN(max(p.fleet.Teams, 1))),
 		Arrived: now, Deadline: now.Add(k.Deadline.D()),
@@ -94,6 +94,9 @@
 }
 
 func (p *Player) rotate(l Line, turn int) {
+	if p.over {
+		return
+	}
 	for i, kind := range l.Kinds {
 		rate := l.Rate * lowDemand
 		if i == turn%len(l.Kinds) {
--- a/trace/daemon.go
+++ b/trace/daemon.go
@@ -34,6 +34,7 @@
 	ended     bool
 	cancelled bool
 	spilled   bool
+	before    cuminstair.Outcome // of the earlier attempts
 	outcome   cuminstair.Outcome
 	reason    cuminstair.Reason
 	endedAt   time.Time
@@ -114,6 +115,7 @@
 	} else if !a.call.cancelled && retry.May(a.call.req, res) {
 		if wait, ok := d.budget.Retry(now, a.call.req, poolName); ok {
 			a.call.req.Attempt++
+			a.call.before = retry.Settle(a.call.before, res.Outcome)
 			d.p.after(wait, func() { d.again(a) })
 			return
 		}
@@ -133,11 +135,7 @@
 // finish gives the place of a request back.
 func (d *daemon) finish(c *call, res cuminstair.Result) {
 	next := d.admission.Finish(d.p.clock.Now(), c.req, res)
-	outcome := res.Outcome
-	if outcome == cuminstair.OutcomeNotRun && c.req.Attempt > 0 && c.ran > 0 {
-		outcome = cuminstair.OutcomeUnknown // an earlier attempt may have run
-	}
-	d.p.end(c, outcome, res.Reason)
+	d.p.end(c, retry.Settle(c.before, res.Outcome), res.Reason)
 	d.startAll(next)
 }
 
--- a/trace/player.go
+++ b/trace/player.go
@@ -47,6 +47,7 @@
 	loads   map[string]*load
 	calls   []*call
 	sent    []sent
+	over    bool // all lines are played; no request arrives any more
 }
 
 // Check is an expect line and what the replay gave.
@@ -96,9 +97,7 @@
 		}
 		p.apply(line)
 	}
-	for _, l := range p.loads {
-		l.rate = 0
-	}
+	p.over = true
 	p.clock.Advance(settleTime)
 	return checks
 }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -130,7 +130,7 @@
 	if len(trimmed) == 0 || bytes.HasPrefix(trimmed, []byte("//")) {
 		return line, false, nil
 	}
-	plain, err := hujson.Standardize(bytes.Clone(trimmed))
+	plain, err := hujson.Standardize(append(bytes.Clone(trimmed), '\n')) // ends a comment
 	if err != nil {
 		return line, false, fmt.Errorf("%w: %w", ErrLine, err)
 	}
