Lower the load of all daemons at the same moments and judge raises only at full load

Daemons lowered their load at different times and learned nothing; a raise that only some daemons made was taken for a success; a window of 64 latencies replaced the latency at low load when it was 20% lower by chance. Change: load is lowered at multiples of 12 s in all daemons; a raise is judged only if 90% of it is in use; the latency at low load is replaced at once only by a window of 256 that is 30% lower; a daemon below the declared slots does not follow others upwards.

--- a/route/limit.go
+++ b/route/limit.go
@@ -30,7 +30,7 @@
 	// nearly every request of a busy instance above its slots.
 	resolution = 0.3
 	// clearFall is the mean latency relative to that at low load below which the latter is replaced at once.
-	clearFall = 0.8
+	clearFall = 0.7
 	// learnWeight is the weight of a window in the latency at low load.
 	learnWeight = 0.3
 	// growRatio is the mean latency, relative to that at low load, up to which the scale may be raised.
@@ -44,6 +44,9 @@
 	growPeriod = 4 * time.Second
 	// atOnce is how long after the start of a period a change still counts as made at the same time.
 	atOnce = 500 * time.Millisecond
+	// fullShare is the part of a raised limit that must be in use to judge it. With less, too few daemons have raised theirs
+	// for the latency to show it.
+	fullShare = 0.9
 	// aboveShare is the load relative to the limit above which other daemons must have a higher one.
 	aboveShare = 1.1
 	// undoBelow is the factor of a cut up to which its effect is checked; that of a smaller one is lost in the noise.
@@ -56,13 +59,13 @@
 	minWait = 64 * time.Second
 	maxWait = 5 * time.Minute
 	// Instances that are never at low load are brought there on purpose, since the latency at low load can't be told
-	// otherwise. It happens at multiples of the period on the clock, so that all daemons do it at the same time. The
-	// short period holds as long as the last time told something new.
-	lowPeriodShort = growPeriod
-	lowPeriodLong  = 16 * time.Second
-	minLowFor      = time.Second
-	maxLowFor      = 8 * time.Second
-	followed       = 1.3 // load relative to the lowered limit up to which the other daemons must have lowered theirs
+	// otherwise. It happens at multiples of the period on the clock, so that all daemons do it at the same time. It
+	// happens rarely where it can't tell anything new.
+	lowPeriod     = 3 * growPeriod
+	lowPeriodRare = 24 * growPeriod
+	minLowFor     = time.Second
+	maxLowFor     = 8 * time.Second
+	followed      = 1.3 // load relative to the lowered limit up to which the other daemons must have lowered theirs
 	// fellShare is the latency relative to that before, below which it fell with the load. It falls to lowScale if the
 	// load was too high; the comparison of 256 with 160 latencies is off by 10%.
 	fellShare  = 0.75
@@ -107,7 +110,7 @@
 }
 
 func newScale() scale {
-	return scale{factor: 1, ratio: 1, wait: minWait, low: lowering{period: lowPeriodShort}}
+	return scale{factor: 1, ratio: 1, wait: minWait, low: lowering{period: lowPeriod}}
 }
 
 // value returns the factor on declared slots that holds now.
@@ -219,11 +222,11 @@
 
 // startLow brings the load down if it was not low for a period.
 func (s *scale) startLow(now time.Time) {
-	due := s.low.lastLow.Truncate(s.low.period).Add(2 * s.low.period)
+	due := s.low.lastLow.Truncate(lowPeriod).Add(s.low.period)
 	if !s.low.known {
 		due = s.low.lastLow
 	}
-	if !s.low.from.IsZero() || now.Before(due) || now.Sub(now.Truncate(lowPeriodShort)) >= atOnce || !s.busy(lowShare) || !s.measured {
+	if !s.low.from.IsZero() || now.Before(due) || now.Sub(now.Truncate(lowPeriod)) >= atOnce || !s.busy(lowShare) || !s.measured {
 		return
 	}
 	s.low.from, s.since = now, now
@@ -238,7 +241,10 @@
 	}
 	s.low.lastLow = now
 	// The other daemons must have lowered their load as well, or the phase tells nothing.
-	if s.window.n >= lowSamples && !s.busy(followed) {
+	switch {
+	case s.window.n < lowSamples:
+		s.low.period = lowPeriodRare // too few requests; costs less if it is seldom tried
+	case !s.busy(followed):
 		s.judgeLow(now, ratio)
 	}
 	s.low.from, s.since = time.Time{}, now
@@ -250,13 +256,17 @@
 	s.low.known = true
 	if s.busy(busyShare) && ratio < fellShare*s.ratio {
 		// The latency fell with the load, so that the load was too high.
-		s.low.period = lowPeriodShort
+		s.low.period = lowPeriod
 		s.stretch(ratio)
 		s.measured = true
-		s.set(s.factor * lowScale)
+		before := s.factor
+		s.set(before * lowScale)
+		if s.factor == before {
+			s.low.period = lowPeriodRare // it can't be lower
+		}
 		return
 	}
-	s.low.period = lowPeriodLong
+	s.low.period = lowPeriod
 	s.learn(now, ratio)
 }
 
@@ -301,11 +311,12 @@
 		return
 	case ratio > cutRatio:
 		s.cut(now, ratio, load/ratio, grown)
-	case grown > 0 && load < busyShare:
+	case grown > 0 && load < fullShare:
 		// Other daemons did not raise. Keeps what was in use, and these see that more works.
 		s.set(max(grown, s.factor*load))
-	case ratio <= growRatio && load >= aboveShare && s.factor < maxOff:
-		s.set(s.factor * load) // other daemons have raised
+	case ratio <= growRatio && load >= aboveShare && s.factor >= 1 && s.factor < maxOff:
+		// Other daemons have raised. Below 1 it is rather that they have not come down yet.
+		s.set(s.factor * load)
 	case ratio <= growRatio && load >= busyShare:
 		if grown > 0 {
 			s.wait = minWait
@@ -320,7 +331,7 @@
 // learn takes a window at low load.
 func (s *scale) learn(now time.Time, ratio float64) {
 	s.low.lastLow = now
-	if ratio < clearFall {
+	if ratio < clearFall && s.window.n >= windowSamples {
 		s.stretch(ratio)
 		return
 	}
--- a/route/rules_test.go
+++ b/route/rules_test.go
@@ -143,7 +143,7 @@
 
 // compare returns the means of measures over some seeds for a rule.
 func compare(rule string, daemons int, measures ...trace.Measure) []float64 {
-	const seeds = 3
+	const seeds = 6
 	means := make([]float64, len(measures))
 	for seed := range uint64(seeds) {
 		p := trace.Player{NewRouter: rules()[rule]}
