--- a/route/route.go
+++ b/route/route.go
@@ -121,6 +121,9 @@
 	if s == nil {
 		return 0
 	}
+	if s.total == 0 {
+		return min(len(s.sets[setTrial]), 1) // only hosts in probation; one at a time, so that they get out of it
+	}
 	free := int(lendShare*float64(s.total)) - s.ownAt - s.remote
 	if free > 0 {
 		free /= max(r.live, 1)
