--- a/route/limit.go
+++ b/route/limit.go
@@ -10,7 +10,7 @@
 	maxOff = 5
 	// windowSamples is how many latencies a decision averages. With service times that are distributed exponentially
 	// the mean of 256 is off by 6% (one standard deviation), which the ratios below allow for.
-	windowSamples = 512
+	windowSamples = 256
 	// sparseSamples is how many suffice at low load; their mean is off by 12.5%.
 	sparseSamples = 64
 	// minSamples is how many tell the load.
