--- a/admit/share.go
+++ b/admit/share.go
@@ -10,7 +10,7 @@
 const (
 	// patienceShare is the part (one in so many) of the time that a kind can wait which the requests of another may
 	// take in the mean to borrow its places, since some take several times the mean.
-	patienceShare = 1
+	patienceShare = 4
 	// peakFade is the time in which the memory of a kind's demand fades to 1/e. Demand that rotates between the kinds
 	// comes back within it.
 	peakFade = time.Minute
