--- a/retry/retry.go
+++ b/retry/retry.go
@@ -19,9 +19,9 @@
 	// Pace is the number of retries at a pool, over all teams, for each request that ends there for the first time. It
 	// bounds what the teams spend at one moment. It is below Share, so that the retries of a second stay below 10% of
 	// its first attempts although they follow a little later.
-	Pace = 0.09
+	Pace = 0.08
 	// MaxPace is how many retries the pace gathers at most.
-	MaxPace = 3
+	MaxPace = 2
 	// MaxAttempts is how often one request is sent at most, the first time included.
 	MaxAttempts = 3
 	// BaseBackoff is the longest pause before the first retry; it doubles with each attempt up to MaxBackoff.
