Compare an instance with the others of its service, not with the service at low load

When all instances are overloaded, each was slow against the latency at low load, so that its own part was cut as well as the scale of the service, and the parts recover slowly. Change: the latency of an instance is divided by how slow its service is at the moment.

--- a/route/limit.go
+++ b/route/limit.go
@@ -151,6 +151,14 @@
 	return relative
 }
 
+// slowness returns how many times longer than at low load the requests of the service take now, at least 1.
+func (s *scale) slowness() float64 {
+	if s.window.n >= minSamples {
+		return max(s.window.ratio/float64(s.window.n), 1)
+	}
+	return max(s.ratio, 1)
+}
+
 // advance decides if the window is complete.
 func (s *scale) advance(now time.Time) {
 	n := float64(s.window.n)
--- a/route/route.go
+++ b/route/route.go
@@ -93,7 +93,7 @@
 func (r *Router) learn(now time.Time, e *entry, res cuminstair.Result) {
 	load := float64(e.load()) / float64(e.limit)
 	relative := e.service.scale.observe(now, res.Kind, res.Latency, load)
-	if e.share.observe(relative, load) {
+	if e.share.observe(relative/e.service.scale.slowness(), load) {
 		e.limit = e.limitOf(e.service.value)
 	}
 	if v := e.service.scale.value(now); v != e.service.value {
--- a/route/share.go
+++ b/route/share.go
@@ -8,7 +8,7 @@
 const (
 	// shareSamples is how many latencies a decision about one instance averages; their mean is off by 12.5%.
 	shareSamples = 64
-	// shareSlow is the mean latency relative to that of the service at low load above which an instance gets less.
+	// shareSlow is the mean latency relative to that of the service above which an instance gets less.
 	shareSlow = 2
 	// shareClear is how many samples suffice when the latency is above twice that.
 	shareClear = 16
@@ -19,13 +19,12 @@
 // share is by how much one instance gets less than the others of its service, because it is slower.
 type share struct {
 	factor  float64 // between 1/maxOff and 1
-	latency float64 // sum, relative to the service at low load
+	latency float64 // sum, relative to the service
 	load    float64 // sum, relative to the limit
 	n       int
 }
 
-// observe takes a latency of the instance relative to those of the service at low load, and the load relative to the
-// limit. It returns true if the factor changed.
+// observe takes a latency of the instance relative to those of the service, and the load relative to the limit. It returns true if the factor changed.
 func (s *share) observe(relative, load float64) bool {
 	if relative == 0 {
 		return false
