Ignore the latency of requests that were cut short, and drop old reports without a tick

Cause: the edge reports a caller that left as a deadline, so that waves of cancellations would make a service seem fast and then overloaded. Old reports of peers were dropped only by Tick, which is not in the interface; any event does it now once a second. Seen to fail first: TestCutShortRequestsDoNotCount with the guard taken out.

--- a/health/evidence.go
+++ b/health/evidence.go
@@ -11,6 +11,7 @@
 
 // Observe implements cuminstair.Health.
 func (m *Monitor) Observe(now time.Time, host string, r cuminstair.Result) {
+	m.tickIfDue(now)
 	u := m.host(host)
 	if r.Leaving {
 		m.leave(now, u, SourceHeader)
@@ -73,6 +74,7 @@
 
 // Probe implements cuminstair.Health.
 func (m *Monitor) Probe(now time.Time, host string, ok, leaving bool) {
+	m.tickIfDue(now)
 	u := m.host(host)
 	u.ownProbe = now
 	if leaving {
@@ -112,6 +114,7 @@
 // Report implements cuminstair.Health. A peer's opinion of the health counts only while there is no own evidence; that
 // an upstream leaves counts in any case.
 func (m *Monitor) Report(now time.Time, peer, host string, state cuminstair.HostState) {
+	m.tickIfDue(now)
 	u := m.host(host)
 	if u.reports == nil {
 		u.reports = map[string]report{}
@@ -133,8 +136,16 @@
 	}
 }
 
-// Tick drops the reports that are no longer fresh. The edge calls it about once a second.
+// tickIfDue calls Tick once a second, since not every edge does while there are other events.
+func (m *Monitor) tickIfDue(now time.Time) {
+	if now.Sub(m.ticked) >= time.Second {
+		m.Tick(now)
+	}
+}
+
+// Tick drops the reports that are no longer fresh.
 func (m *Monitor) Tick(now time.Time) {
+	m.ticked = now
 	for _, u := range m.hosts {
 		if len(u.reports) > 0 {
 			m.settlePeers(now, u)
--- a/health/health.go
+++ b/health/health.go
@@ -71,6 +71,7 @@
 	hosts   map[string]*upstream
 	groups  map[string]*group
 	changed []string
+	ticked  time.Time // last Tick
 }
 
 // upstream is what is known about a host.
--- a/route/kind.go
+++ b/route/kind.go
@@ -31,6 +31,14 @@
 	return 0, false
 }
 
+// usual returns the usual latency of a kind in seconds, or 0 while it is unknown.
+func (s *scale) usual(kind string) float64 {
+	if k := s.kinds[kind]; k != nil {
+		return k.norm
+	}
+	return 0
+}
+
 // learnKinds takes the latencies of the current window for those at low load.
 func (s *scale) learnKinds() {
 	s.ratio = 1
--- a/route/route.go
+++ b/route/route.go
@@ -73,9 +73,7 @@
 	if e == nil || e.gen != p.Epoch || e.own == 0 {
 		return
 	}
-	// A request that ran into its deadline took at least that long; without these the latency would seem bounded.
-	timed := res.Outcome == cuminstair.OutcomeDone || res.Reason == cuminstair.ReasonDeadline
-	if timed && res.Latency > 0 {
+	if e.timed(res) {
 		r.learn(now, e, res)
 	}
 	e.own--
@@ -88,6 +86,17 @@
 	e.place()
 }
 
+// timed reports whether the latency of a result tells something. A request that ran into its deadline took at least that
+// long; without these the latency would seem bounded. Below the usual latency it says nothing: such a request was cut
+// short, as when its caller left.
+func (e *entry) timed(res cuminstair.Result) bool {
+	if res.Outcome == cuminstair.OutcomeDone {
+		return res.Latency > 0
+	}
+	usual := e.service.scale.usual(res.Kind)
+	return res.Reason == cuminstair.ReasonDeadline && usual > 0 && res.Latency.Seconds() > usual
+}
+
 // learn takes the latency of a request. Only when the factor of the service changes, which is at most once in each window
 // of samples, all its instances are placed anew.
 func (r *Router) learn(now time.Time, e *entry, res cuminstair.Result) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -119,6 +119,24 @@
 	is.Equal(r.Capacity("s"), 24)
 }
 
+// Guards against cancelled requests that make a service seem faster than it is.
+func TestCutShortRequestsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(1)
+	release := func(now time.Time, res cuminstair.Result) {
+		res.Kind = "k"
+		r.Release(now, r.Pick(now, "s", ""), res)
+	}
+	now := start
+	for range 2000 {
+		now = now.Add(5 * time.Millisecond)
+		release(now, cuminstair.Result{Outcome: cuminstair.OutcomeDone, Latency: 100 * time.Millisecond})
+		release(now, cuminstair.Result{Reason: cuminstair.ReasonDeadline, Latency: time.Millisecond})
+	}
+	usual := r.services["s"].scale.usual("k")
+	is.True(usual > 0.099 && usual < 0.101)
+}
+
 // Guards against a host in probation that gets no work or too much.
 func TestProbationTrickle(t *testing.T) {
 	is := is.New(t)
