Check the room for waves with package budget

The fleet file had its own copy of the availability rule, written before package budget was there. The copy counted spare hosts the same way; it is gone, so that there is one definition again. The check over the whole fleet was ruled out: there is never less room than in the data centre with the largest reserve.

Seen to fail: the test without the check, and the new case of a budget that only a spare host makes room for.

--- a/fleet/parse_test.go
+++ b/fleet/parse_test.go
@@ -95,12 +95,14 @@
 func TestFaultsOfBudgetAndPool(t *testing.T) {
 	is := is.New(t)
 	text := string(example(t, "kitchen.jsonc"))
-	text = strings.ReplaceAll(text, `"pool": "spare"`, `"pool": "panels"`)
 	text = strings.Replace(text, `"down": 0.4`, `"down": 0.3`, 1)
-	text = strings.Replace(text, `"name": "south02"`, `"name": "south01"`, 1)
 	_, err := fleet.Parse("kitchen.jsonc", []byte(text))
+	is.NoErr(err) // a spare host can join first
+	text = strings.ReplaceAll(text, `"pool": "spare"`, `"pool": "panels"`)
+	text = strings.Replace(text, `"name": "south02"`, `"name": "south01"`, 1)
+	_, err = fleet.Parse("kitchen.jsonc", []byte(text))
 	is.True(err != nil)
-	is.True(strings.Contains(err.Error(), `wave "kernel" can never take a host of "portions" in "north"`))
+	is.True(strings.Contains(err.Error(), `wave "kernel" can never take a host of service "portions" in "north"`))
 	is.True(strings.Contains(err.Error(), `host "south01" is also in pool "panels"`))
 }
 
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -2,52 +2,31 @@
 
 import (
 	"fmt"
-	"math"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/budget"
 )
 
-// roundingSlack keeps a product such as 0.29 x 100 = 28.999999999999996 from losing a whole instance.
-const roundingSlack = 1e-9
-
-// group counts the hosts of one pool in one data centre.
-type group struct {
-	hosts int
-	racks map[string]int
-}
-
-func (g *group) add(rack string) {
-	g.hosts++
-	if g.racks == nil {
-		g.racks = make(map[string]int)
-	}
-	g.racks[rack]++
-}
-
-// largest returns the number of hosts in the rack that holds the most.
-func (g *group) largest() int {
-	most := 0
-	for _, n := range g.racks {
-		most = max(most, n)
-	}
-	return most
-}
-
+// groupKey names the hosts of one pool in one data centre.
 type groupKey struct{ pool, centre string }
 
-// checkRoom reports services whose budget never lets a wave over their pool take even one host, in a data centre
-// where the pool has hosts: the budget in whole instances, less the reserve for the rack with the most instances,
-// plus the spare hosts of that data centre that could join first.
+// checkRoom reports services whose budget never lets a wave over their pool take even one host, although all hosts are
+// healthy: in a data centre where the pool has hosts, the room that package budget finds and the spare hosts there,
+// which could join first, are together not above zero. Over the fleet there is never less room than in the data centre
+// with the largest reserve, so that it needs no check.
 func (c *checker) checkRoom() {
-	groups := make(map[groupKey]*group)
-	spare := c.sparePool()
+	accounts := budget.New(c.fleet.Services)
+	spare := make(map[string]int) // hosts of the spare pool in each data centre
+	present := make(map[groupKey]bool)
 	for i := range c.fleet.Hosts {
 		h := &c.fleet.Hosts[i]
-		k := groupKey{h.Pool, h.Centre}
-		if groups[k] == nil {
-			groups[k] = &group{}
+		accounts.Set(h.Name, budget.Host{
+			Centre: h.Centre, Rack: h.Rack, Home: h.Pool, Pool: h.Pool, State: cuminstair.HostActive, Healthy: true,
+		})
+		present[groupKey{h.Pool, h.Centre}] = true
+		if c.isSpare(h.Pool) {
+			spare[h.Centre]++
 		}
-		groups[k].add(h.Rack)
 	}
 	waved := make(map[string]string)
 	for _, w := range c.fleet.Waves {
@@ -57,31 +36,26 @@
 	}
 	for i := range c.fleet.Services {
 		s := &c.fleet.Services[i]
-		if wave := waved[s.Pool]; wave != "" && !c.isSpare(s.Pool) {
-			c.serviceRoom(i, s, wave, spare, groups)
+		wave := waved[s.Pool]
+		if wave == "" || c.isSpare(s.Pool) {
+			continue
+		}
+		for _, centre := range c.fleet.Centres {
+			if present[groupKey{s.Pool, centre.Name}] {
+				c.room(i, wave, accounts.Account(s.Name, centre.Name), spare[centre.Name])
+			}
 		}
 	}
 }
 
-func (c *checker) serviceRoom(i int, s *cuminstair.Service, wave, spare string, groups map[groupKey]*group) {
-	for _, centre := range c.fleet.Centres {
-		g := groups[groupKey{s.Pool, centre.Name}]
-		if g == nil {
-			continue
-		}
-		extra := 0
-		if sp := groups[groupKey{spare, centre.Name}]; sp != nil && spare != "" {
-			extra = sp.hosts
-		}
-		down := int(math.Floor(s.Budget.Down*float64(g.hosts) + roundingSlack))
-		if down-g.largest()+extra > 0 {
-			continue
-		}
-		problem := fmt.Sprintf("wave %q can never take a host of %q in %q: %g of %d instances is %d, and the reserve for one rack is %d",
-			wave, s.Pool, centre.Name, s.Budget.Down, g.hosts, down, g.largest())
-		c.add(problem, "raise down, spread the pool over more racks, or add spare hosts to the data centre",
-			"services", i, "budget", "down")
+// room reports a service without room in a data centre.
+func (c *checker) room(service int, wave string, a budget.Account, spare int) {
+	if a.Room()+spare > 0 {
+		return
 	}
+	problem := fmt.Sprintf("wave %q can never take a host of service %q in %q: of %d instances %d may be unavailable, and the "+
+		"reserve for one rack is %d", wave, a.Service, a.Centre, a.Declared, a.Allowed, a.Reserve)
+	c.add(problem, "raise down, spread the pool over more racks, or add spare hosts", "services", service, "budget", "down")
 }
 
 // isSpare is true for every pool that is marked as the spare, also if several are by mistake.
@@ -89,12 +63,3 @@
 	i, ok := c.pools[pool]
 	return ok && c.fleet.Pools[i].Spare
 }
-
-func (c *checker) sparePool() string {
-	for _, p := range c.fleet.Pools {
-		if p.Spare {
-			return p.Name
-		}
-	}
-	return ""
-}
