Fetch an earlier generation when nobody has the latest one

A peer that announced a generation and was lost kept a node waiting for that generation, also when the platform had a later one than the node. The node now falls back to what the platform or a peer has. A section that could not be put into the index blamed the platform whatever its source was; it now blames the source. A peer's request is encoded outside the lock, since a whole fleet takes long.

--- a/rollout/learn.go
+++ b/rollout/learn.go
@@ -94,11 +94,11 @@
 	if n.force.Gen == 0 && !n.platformSeen && now.Sub(n.started) < startWait {
 		return // Gathers the heads of more peers first.
 	}
-	source, ok := n.source()
+	source, to, ok := n.source()
 	if !ok {
 		return
 	}
-	r := Request{After: n.force.Gen, Version: n.force.Version, To: n.target, Full: n.full}
+	r := Request{After: n.force.Gen, Version: n.force.Version, To: to, Full: n.full}
 	if n.staged != nil && n.staged.head.Gen > n.force.Gen {
 		r.To = n.staged.head
 		r.Sections = n.staged.missing[:min(askedSections, len(n.staged.missing))]
@@ -108,25 +108,39 @@
 	out.Fetch = &n.fetch.Fetch
 }
 
-// source chooses where to fetch the target from: a peer of the data centre that has it, then the platform, then
-// another peer.
-func (n *Node) source() (Source, bool) {
-	has := func(p Peer) bool { return n.heard[p.Name].gen >= n.target.Gen && !n.heard[p.Name].failed }
+// source chooses where to fetch the target from: a peer of the data centre that has it, then the platform, then another
+// peer. If nobody has it (the only peer that announced it may be gone), it chooses a generation between.
+func (n *Node) source() (Source, Head, bool) {
+	if s, ok := n.sourceOf(n.target.Gen); ok {
+		return s, n.target, true
+	}
+	for name, x := range n.heard { // Tries the sources that failed again the next time.
+		x.failed = false
+		n.heard[name] = x
+	}
+	if n.platform.Gen > n.force.Gen {
+		return Source{}, n.platform, true
+	}
+	if s, ok := n.sourceOf(n.force.Gen + 1); ok {
+		return s, Head{Gen: n.heard[s.Peer].gen}, true
+	}
+	return Source{}, Head{}, false
+}
+
+// sourceOf chooses a source that has a generation or a later one and did not fail.
+func (n *Node) sourceOf(gen uint64) (Source, bool) {
+	has := func(p Peer) bool { return n.heard[p.Name].gen >= gen && !n.heard[p.Name].failed }
 	near := n.sample(1, func(p Peer) bool { return p.Centre == n.Centre && has(p) })
 	if len(near) > 0 {
 		return Source{Peer: near[0]}, true
 	}
-	if n.platformErr == "" && n.platform.Gen >= n.target.Gen {
+	if n.platformErr == "" && n.platform.Gen >= gen {
 		return Source{}, true
 	}
 	if far := n.sample(1, has); len(far) > 0 {
 		return Source{Peer: far[0]}, true
 	}
-	for name, x := range n.heard { // Every source failed once: tries all again.
-		x.failed = false
-		n.heard[name] = x
-	}
-	return Source{}, n.platform.Gen >= n.target.Gen
+	return Source{}, false
 }
 
 // FetchFailed takes the failure of a fetch.
--- a/rollout/node_test.go
+++ b/rollout/node_test.go
@@ -145,6 +145,25 @@
 	is.Equal(n.Work().Rejected, 3)
 }
 
+// Guards against a generation that nobody can hand out any more and that keeps earlier ones away for ever.
+func TestLostGeneration(t *testing.T) {
+	is := is.New(t)
+	n := running(is)
+	next := plan(is, n.Base(), 2)
+	out := n.Announced(now, rollout.Announcement{From: "c", Incarnation: 1, Head: rollout.Head{Gen: 9}})
+	is.Equal(out.Fetch.Source.Peer, "c")
+	n.SetPeers([]rollout.Peer{{Name: "b", Centre: "0"}}) // c is gone
+	n.FetchFailed(now, out.Fetch.ID, "no answer")
+	n.PlatformHead(now, now, next.Head)
+	out = n.Tick(now.Add(time.Second))
+	is.Equal(out.Fetch.Source, rollout.Source{})
+	is.Equal(out.Fetch.Request.To, next.Head)
+	delta := next.Change.Delta
+	u := rollout.Update{Head: next.Head, From: 1, Delta: &delta, Sections: next.Objects[:len(delta.Set)]}
+	n.SeeUpdate(now, out.Fetch.ID, out.Fetch.Source, u)
+	is.Equal(n.Head().Gen, uint64(2))
+}
+
 // Guards against a confirmation that a late message takes back, and against one of an earlier process that counts for
 // the one that runs now.
 func TestConfirmations(t *testing.T) {
--- a/rollout/runner/runner.go
+++ b/rollout/runner/runner.go
@@ -137,8 +137,9 @@
 		return nil, fmt.Errorf("read request: %w", err)
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return rollout.Encode(r.Node.Serve(req)), nil
+	u := r.Node.Serve(req)
+	r.mu.Unlock()
+	return rollout.Encode(u), nil // Sections are never changed, and a whole fleet takes long to encode.
 }
 
 // Apply accepts a configuration; see Applier.Apply. It is in force here when Apply returns.
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -125,19 +125,19 @@
 		if s.change.exact {
 			s.change.from, s.change.delta = n.force.Gen, delta
 		}
-		n.install(now, out, s, delta, set)
+		n.install(now, out, from, s, delta, set)
 	}
 }
 
 // install puts a verified generation into force. It is the only place that changes what is in force.
-func (n *Node) install(now time.Time, out *Actions, s *staged, delta fleet.Delta, set []fleet.Section) {
+func (n *Node) install(now time.Time, out *Actions, from Source, s *staged, delta fleet.Delta, set []fleet.Section) {
 	h := s.head
 	if h.Gen <= n.force.Gen {
 		return
 	}
 	touched, err := n.index.Apply(set, delta.Gone)
 	if err != nil {
-		n.reject(now, out, Source{}, h, ReasonRoot)
+		n.reject(now, out, from, h, ReasonRoot)
 		return
 	}
 	n.keep(s.change)
@@ -180,7 +180,7 @@
 		if manifest.Root() == h.Root {
 			sections := p.Objects[:len(p.Change.Delta.Set)]
 			change := kept{from: p.Change.From, gen: h.Gen, delta: p.Change.Delta}
-			n.install(now, &out, &staged{head: h, manifest: manifest, change: change}, p.Change.Delta, sections)
+			n.install(now, &out, Source{}, &staged{head: h, manifest: manifest, change: change}, p.Change.Delta, sections)
 		}
 	}
 	n.next(now, &out)
