Keep fetched sections when their generation is overtaken

Sections are now kept by their hash until the next install, and also serve as the base of patches.

TestDamagedUpdates sent an undamaged section along with its first damaged update and demanded that it is asked for again later. It is now kept rightly, so that the test sends sections of another fleet there; all its other demands are unchanged.

--- a/rollout/head.go
+++ b/rollout/head.go
@@ -157,6 +157,8 @@
 	// keptChanges is the number of changes kept for peers that are behind. An hour of a partition at 19,000 changes a
 	// day is 792 changes.
 	keptChanges = 1024
+	// maxStored bounds the sections that wait for the rest of their generation. A fleet of 28,000 hosts has 634.
+	maxStored = 1 << 14
 	// keptSections is the least number of replaced sections that are kept; one is about 1.5 KB.
 	keptSections = 64
 	// askedSections bounds the sections that one request names.
--- a/rollout/node.go
+++ b/rollout/node.go
@@ -80,8 +80,9 @@
 	heard        map[string]inForce // what peers have in force
 	fetch        *openFetch
 	staged       *staged
-	fetches      uint64 // counts fetches
-	full         bool   // deltas failed for the target; ask for the manifest
+	have         map[fleet.Hash]fleet.Section // sections that arrived since the last install
+	fetches      uint64                       // counts fetches
+	full         bool                         // deltas failed for the target; ask for the manifest
 
 	retryAt    time.Time // no fetch before
 	pollAt     time.Time
--- a/rollout/node_test.go
+++ b/rollout/node_test.go
@@ -129,7 +129,7 @@
 		}
 	}
 	bad := good
-	bad.Delta = &other.Change.Delta
+	bad.Delta, bad.Sections = &other.Change.Delta, other.Objects
 	see(bad)
 	is.True(out.Fetch.Request.Full) // the delta did not lead to the root hash
 	bad = rollout.Update{Head: next.Head, Manifest: n.Manifest().Encode()}
--- a/rollout/runner/proof_test.go
+++ b/rollout/runner/proof_test.go
@@ -31,9 +31,13 @@
 	return s
 }
 
-// each runs a proof for every seed.
-func each(t *testing.T, proof func(s *sim)) {
-	for seed := range uint64(seeds) {
+// each runs a proof for every seed, and for those that found a fault before.
+func each(t *testing.T, proof func(s *sim), more ...uint64) {
+	for i := range uint64(seeds + len(more)) {
+		seed := i
+		if i >= seeds {
+			seed = more[i-seeds]
+		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := begin(t, seed)
 			proof(s)
@@ -221,7 +225,8 @@
 	})
 }
 
-// Guards against messages that arrive in another order, late or twice.
+// Guards against messages that arrive in another order, late or twice. Seed 53 once had a section of each overtaken
+// generation thrown away with it.
 func TestReorderedAnswers(t *testing.T) {
 	each(t, func(s *sim) {
 		s.twice = 0.3
@@ -230,7 +235,7 @@
 			s.applyAny()
 			s.v.Advance(s.upTo(time.Second))
 		}
-	})
+	}, 53)
 }
 
 // Guards against an invalid fleet that is accepted and against a daemon that accepts on a generation that it does not
--- a/rollout/update.go
+++ b/rollout/update.go
@@ -13,7 +13,6 @@
 	head     Head
 	change   kept
 	manifest fleet.Manifest
-	have     map[fleet.Hash][]byte
 	missing  []fleet.Entry
 }
 
@@ -52,29 +51,41 @@
 
 // take verifies an update and installs its generation if no section is missing.
 func (n *Node) take(now time.Time, out *Actions, from Source, u Update) {
+	n.store(u)
 	if u.Delta != nil || u.Manifest != nil {
 		manifest, ok := n.verify(u)
 		if !ok {
 			n.reject(now, out, from, u.Head, ReasonRoot)
 			return
 		}
-		n.staged = &staged{head: u.Head, change: n.changeOf(u), manifest: manifest, have: make(map[fleet.Hash][]byte)}
+		n.staged = &staged{head: u.Head, change: n.changeOf(u), manifest: manifest}
 	}
-	s := n.staged
-	if s == nil || s.head.Gen != u.Head.Gen || s.head.Root != u.Head.Root {
+	if s := n.staged; s == nil || s.head.Gen != u.Head.Gen || s.head.Root != u.Head.Root {
 		return
 	}
+	n.complete(now, out, from, len(u.Sections) == 0 && u.Delta == nil && u.Manifest == nil)
+}
+
+// store keeps the sections of an update until the next install. They are found by their hash, so that they also serve
+// a later generation if this one is overtaken while some are missing.
+func (n *Node) store(u Update) {
+	if n.have == nil || len(n.have) > maxStored {
+		n.have = make(map[fleet.Hash]fleet.Section)
+	}
 	for _, x := range u.Sections {
 		if fleet.Sum(x.Data) == x.Hash {
-			s.have[x.Hash] = x.Data
+			n.have[x.Hash] = x
 		}
 	}
 	for _, p := range u.Patches {
-		if x, ok := p.apply(n.sections[p.Name]); ok {
-			s.have[x.Hash] = x.Data
+		base, ok := n.have[p.Base]
+		if !ok {
+			base = n.sections[p.Name]
+		}
+		if x, ok := p.apply(base); ok {
+			n.have[x.Hash] = x
 		}
 	}
-	n.complete(now, out, from, len(u.Sections) == 0 && u.Delta == nil && u.Manifest == nil)
 }
 
 // verify returns the manifest that an update leads to, if it has the root hash of the update's head.
@@ -110,12 +121,12 @@
 	set := make([]fleet.Section, 0, len(delta.Set))
 	s.missing = nil
 	for _, e := range delta.Set {
-		data, ok := s.have[e.Hash]
+		x, ok := n.have[e.Hash]
 		if !ok {
 			s.missing = append(s.missing, e)
 			continue
 		}
-		set = append(set, fleet.Section{Name: e.Name, Hash: e.Hash, Data: data})
+		set = append(set, fleet.Section{Name: e.Name, Hash: e.Hash, Data: x.Data})
 	}
 	switch {
 	case len(s.missing) > 0 && nothing:
@@ -154,7 +165,7 @@
 		n.replace(x.Name)
 		n.sections[x.Name] = x
 	}
-	n.force, n.manifest, n.staged, n.full = h, s.manifest, nil, false
+	n.force, n.manifest, n.staged, n.full, n.have = h, s.manifest, nil, false, nil
 	if h.Gen > n.target.Gen {
 		n.target = h
 	}
