Report services without hosts and drain before a reboot in the stand-in

A service on a pool without hosts was accepted, and the stand-in took hosts down at once, so that the time of a drain could not be set. fleet.Scope names the pool and the data centre of a changed block for those who follow installs.

Seen to fail with the guard out: the test for a pool without hosts and the one for the leaving state before a replacement.

--- a/cmd/fakeplatform/main.go
+++ b/cmd/fakeplatform/main.go
@@ -29,6 +29,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "IP address and port"},
 			&cli.StringFlag{Name: "fleet", Usage: "fleet file whose hosts exist"},
+			&cli.DurationFlag{Name: "drain", Usage: "time that a host is listed as leaving before it goes down"},
 			&cli.DurationFlag{Name: "reboot", Value: table.DefaultReboot, Usage: "time of a reboot"},
 			&cli.DurationFlag{Name: "replace", Value: table.DefaultReplace, Usage: "time of a replacement"},
 		},
@@ -42,7 +43,9 @@
 
 func serve(c *cli.Context) error {
 	clock := timer.New()
-	service := &table.Service{Timer: clock, Reboot: c.Duration("reboot"), Replace: c.Duration("replace")}
+	service := &table.Service{
+		Timer: clock, Drain: c.Duration("drain"), Reboot: c.Duration("reboot"), Replace: c.Duration("replace"),
+	}
 	if file := c.String("fleet"); file != "" {
 		if err := load(service, file); err != nil {
 			return err
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -21,6 +21,7 @@
 	pools   map[string]int
 	hosts   map[string]int
 	addrs   map[netip.AddrPort]int
+	staffed map[string]bool // pools that have hosts
 }
 
 func check(src *source, f *cuminstair.Fleet) {
@@ -113,9 +114,11 @@
 func (c *checker) checkHosts() {
 	c.hosts = make(map[string]int, len(c.fleet.Hosts))
 	c.addrs = make(map[netip.AddrPort]int, len(c.fleet.Hosts))
+	c.staffed = make(map[string]bool)
 	for i := range c.fleet.Hosts {
 		h := &c.fleet.Hosts[i]
 		c.hostName(i, h)
+		c.staffed[h.Pool] = true
 		c.known(c.centres, "data centre", h.Centre, "hosts", i, "centre")
 		c.known(c.pools, "pool", h.Pool, "hosts", i, "pool")
 		if !nameForm.MatchString(h.Rack) {
--- a/fleet/checkwork.go
+++ b/fleet/checkwork.go
@@ -15,6 +15,7 @@
 		if c.known(c.pools, "pool", s.Pool, "services", i, "pool") && c.fleet.Pools[c.pools[s.Pool]].Spare {
 			c.add(fmt.Sprintf("pool %q is the spare", s.Pool), "run the service on another pool", "services", i, "pool")
 		}
+		c.checkStaffed(i, s.Pool)
 		c.above(s.Slots > 0, "services", i, "slots")
 		c.above(s.Conns > 0, "services", i, "conns")
 		if s.Conns > 0 && s.Conns < s.Slots {
@@ -29,6 +30,15 @@
 	}
 }
 
+// checkStaffed reports a service on a pool without hosts.
+func (c *checker) checkStaffed(service int, pool string) {
+	if _, ok := c.pools[pool]; !ok || c.staffed[pool] {
+		return
+	}
+	c.add(fmt.Sprintf("pool %q has no hosts", pool), "put hosts into the pool or run the service on another one",
+		"services", service, "pool")
+}
+
 func (c *checker) checkKinds(service int, kinds []cuminstair.Kind) {
 	if len(kinds) == 0 {
 		c.add("the service has no kinds of work", "declare at least one", "services", service, "kinds")
--- a/fleet/parse_test.go
+++ b/fleet/parse_test.go
@@ -98,6 +98,8 @@
 	text = strings.Replace(text, `"down": 0.4`, `"down": 0.3`, 1)
 	_, err := fleet.Parse("kitchen.jsonc", []byte(text))
 	is.NoErr(err) // a spare host can join first
+	_, err = fleet.Parse("kitchen.jsonc", []byte(strings.ReplaceAll(text, `"pool": "allergens", "addr"`, `"pool": "panels", "addr"`)))
+	is.True(err != nil && strings.Contains(err.Error(), `services[3].pool: pool "allergens" has no hosts`))
 	text = strings.ReplaceAll(text, `"pool": "spare"`, `"pool": "panels"`)
 	text = strings.Replace(text, `"name": "south02"`, `"name": "south01"`, 1)
 	_, err = fleet.Parse("kitchen.jsonc", []byte(text))
--- a/fleet/section.go
+++ b/fleet/section.go
@@ -84,6 +84,12 @@
 	return out
 }
 
+// Scope returns the pool and the data centre of a block of hosts; ok is false for the name of another section.
+func Scope(section string) (pool, centre string, ok bool) {
+	k := blockGroup(section)
+	return k.pool, k.centre, k != groupKey{}
+}
+
 // splitGroup distributes the hosts of one pool in one data centre over blocks. The block of a host depends on its name
 // and on the number of blocks, which is a power of two: adding or removing a host changes one block, unless the number
 // of blocks changes. Cutting the sorted list every 64 hosts would change all blocks after the host.
--- a/standin/table/hosts.go
+++ b/standin/table/hosts.go
@@ -123,11 +123,9 @@
 	h.action++
 	switch action {
 	case cuminstair.ActionReboot:
-		s.setState(h, StateRebooting)
-		s.backAfter(h, orDefault(s.Reboot, DefaultReboot))
+		s.takeDown(h, StateRebooting, orDefault(s.Reboot, DefaultReboot))
 	case cuminstair.ActionReplace:
-		s.setState(h, StateGone)
-		s.backAfter(h, orDefault(s.Replace, DefaultReplace))
+		s.takeDown(h, StateGone, orDefault(s.Replace, DefaultReplace))
 	case ActionDrain:
 		s.setState(h, StateLeaving)
 	default:
@@ -135,14 +133,28 @@
 	}
 }
 
-// backAfter makes a host live again after d, unless another action or a failure came in between.
-func (s *Service) backAfter(h *host, d time.Duration) {
+// takeDown puts a host into a state for d, after the drain time, and then makes it live again.
+func (s *Service) takeDown(h *host, state string, d time.Duration) {
+	down := func() {
+		s.setState(h, state)
+		s.after(h, d, func() { s.setState(h, StateLive) })
+	}
+	if s.Drain == 0 {
+		down()
+		return
+	}
+	s.setState(h, StateLeaving)
+	s.after(h, s.Drain, down)
+}
+
+// after calls fn under the lock after d, unless another action or a failure of the host came in between.
+func (s *Service) after(h *host, d time.Duration, fn func()) {
 	action := h.action
 	s.Timer.After(d, func(time.Time) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if h.action == action {
-			s.setState(h, StateLive)
+			fn()
 		}
 	})
 }
--- a/standin/table/service.go
+++ b/standin/table/service.go
@@ -24,6 +24,7 @@
 // use.
 type Service struct {
 	Timer   cuminstair.Timer
+	Drain   time.Duration // time that a host is listed as leaving before a reboot or a replacement; 0: not at all
 	Reboot  time.Duration // time of a reboot; 0: DefaultReboot
 	Replace time.Duration // time until a replaced host is live again; 0: DefaultReplace
 	Report  time.Duration // time between two usage reports of a running task; 0: DefaultUsage
--- a/standin/table/table_test.go
+++ b/standin/table/table_test.go
@@ -108,6 +108,14 @@
 	v.Advance(time.Hour)
 	is.Equal(s.HostState("h2"), table.StateGone)
 	is.Equal(seen, []string{"h1 rebooting", "h1 live", "h1 gone", "h2 gone"})
+	s.Drain = 5 * time.Second
+	s.RestoreRack("c", "r")
+	is.NoErr(s.Act(ctx, "a3", "h1", cuminstair.ActionReplace))
+	is.Equal(s.HostState("h1"), table.StateLeaving)
+	v.Advance(5 * time.Second)
+	is.Equal(s.HostState("h1"), table.StateGone)
+	v.Advance(table.DefaultReplace)
+	is.Equal(s.HostState("h1"), table.StateLive)
 	is.True(errors.Is(s.Act(ctx, "a2", "h9", cuminstair.ActionReboot), cuminstair.ErrNotFound))
 }
 
