Prove an apply whose commit arrives late

A commit that its daemon gave up may take effect seconds later, before or after the operator repeats the apply through another daemon. The repeat is accepted once in both orders: either it is recognised, or the late commit fails on the version of the head.

--- a/rollout/runner/proof_test.go
+++ b/rollout/runner/proof_test.go
@@ -212,16 +212,39 @@
 			s.checkf(err == nil && res.Head.Gen == base+1, "the repeat got generation %d: %v", res.Head.Gen, err)
 			s.v.Advance(bound)
 		}
-		gens := make(map[string]int)
-		err := s.platform.Replay(func(rows map[string]cuminstair.Row, _ table.Committed) error {
-			h, err := rollout.Decode[rollout.Head](rows[rollout.HeadKey].Value)
-			gens[rollout.ChangeKey(h.Gen)]++
-			if h.Gen != uint64(len(gens)) || gens[rollout.ChangeKey(h.Gen)] > 1 {
-				return errors.New("the head did not go up by one")
-			}
-			return err
-		})
-		s.checkf(err == nil, "history: %v", err)
+		s.checkHistory()
+	})
+}
+
+// checkHistory demands that each commit raised the generation by one, and that none was accepted twice.
+func (s *sim) checkHistory() {
+	gen := uint64(0)
+	err := s.platform.Replay(func(rows map[string]cuminstair.Row, _ table.Committed) error {
+		h, err := rollout.Decode[rollout.Head](rows[rollout.HeadKey].Value)
+		if gen++; err == nil && h.Gen != gen {
+			return errors.New("the head did not go up by one")
+		}
+		return err
+	})
+	s.checkf(err == nil, "history: %v", err)
+}
+
+// Guards against a commit that its daemon gave up and that arrives after the operator repeated the apply, or while the
+// operator does.
+func TestLateCommit(t *testing.T) {
+	each(t, func(s *sim) {
+		for range 6 {
+			d, other := s.daemons[s.rng.IntN(len(s.daemons))], s.daemons[s.rng.IntN(len(s.daemons))]
+			f, base := s.edit(d)
+			s.late = time.Nanosecond + s.upTo(4*time.Second)
+			_, err := s.apply(d, f, base)
+			s.checkf(errors.Is(err, cuminstair.ErrUncertain), "the open apply was called %v", err)
+			s.v.Advance(s.upTo(4 * time.Second))
+			res, err := s.apply(other, f, base)
+			s.checkf(err == nil && res.Head.Gen == base+1, "the repeat got generation %d: %v", res.Head.Gen, err)
+			s.v.Advance(4*time.Second + bound)
+		}
+		s.checkHistory()
 	})
 }
 
--- a/rollout/runner/sim_test.go
+++ b/rollout/runner/sim_test.go
@@ -37,25 +37,31 @@
 	delay    func(from, to *daemon) time.Duration // to is nil for the platform
 	accepted []acceptance
 	commits  int
-	trust    bool   // skips the check of the whole fleet at each install, which is slow for large ones
-	first    func() // called right before the next commit
-	lose     func() // called after the next commit, whose answer is lost; nil: it is not
+	trust    bool          // skips the check of the whole fleet at each install, which is slow for large ones
+	late     time.Duration // the next commit is given up by its caller and arrives so much later; 0: it does not
+	first    func()        // called right before the next commit
+	lose     func()        // called after the next commit, whose answer is lost; nil: it is not
 }
 
 // losing is a table that loses the answers of commits.
 type losing struct {
 	*table.Service
-	lose, first *func()
+	s *sim
 }
 
 func (l losing) Commit(ctx context.Context, c cuminstair.Commit) (uint64, error) {
-	if fn := *l.first; fn != nil {
-		*l.first = nil
+	if fn := l.s.first; fn != nil {
+		l.s.first = nil
 		fn()
 	}
+	if late := l.s.late; late > 0 {
+		l.s.late = 0
+		l.s.v.After(late, func(time.Time) { _, _ = l.Service.Commit(context.Background(), c) })
+		return 0, cuminstair.ErrUncertain
+	}
 	version, err := l.Service.Commit(ctx, c)
-	if fn := *l.lose; fn != nil {
-		*l.lose = nil
+	if fn := l.s.lose; fn != nil {
+		l.s.lose = nil
 		fn()
 		return 0, cuminstair.ErrUncertain
 	}
@@ -275,7 +281,7 @@
 // apply sends a file through a daemon, as an operator does.
 func (s *sim) apply(d *daemon, f *cuminstair.Fleet, base uint64) (runner.Result, error) {
 	a := &runner.Applier{
-		Table: losing{s.platform, &s.lose, &s.first}, Objects: s.platform, State: d.node.Base,
+		Table: losing{s.platform, s}, Objects: s.platform, State: d.node.Base,
 		NewID: func() string { s.commits++; return fmt.Sprintf("%s-%d", d.name, s.commits) },
 		Pause: func(context.Context) bool { return false },
 	}
