--- a/peer/call.go
+++ b/peer/call.go
@@ -45,9 +45,8 @@
 	if err := writeChunks(stream, rest); err != nil {
 		return nil, err
 	}
-	if err := stream.Close(); err != nil {
-		return nil, fmt.Errorf("end request: %w", err)
-	}
+	// Close fails if the other side has read the request and answered already; the response decides.
+	_ = stream.Close()
 	r := &response{}
 	if err := readValue(stream, r); err != nil {
 		return nil, err
--- a/peer/link.go
+++ b/peer/link.go
@@ -156,19 +156,41 @@
 	case <-ctx.Done():
 		return nil, fmt.Errorf("wait for a place for a call to %s: %w: %w", l.name, ErrUnreachable, ctx.Err())
 	}
-	s, err := l.connect(ctx)
+	stream, err := l.openStream(ctx)
 	if err != nil {
 		<-l.calls
 		return nil, err
 	}
-	stream, err := s.conn.OpenStreamSync(ctx)
-	if err != nil {
-		<-l.calls
-		return nil, fmt.Errorf("open stream to %s: %w: %w", l.name, ErrUnreachable, err)
-	}
 	return stream, nil
 }
 
+// openStream dials once more if the connection turns out to be dead.
+func (l *link) openStream(ctx context.Context) (*quic.Stream, error) {
+	for again := true; ; again = false {
+		s, err := l.connect(ctx)
+		if err != nil {
+			return nil, err
+		}
+		stream, err := s.conn.OpenStreamSync(ctx)
+		if err == nil {
+			return stream, nil
+		}
+		if ctx.Err() != nil || !l.drop(s) || !again {
+			return nil, fmt.Errorf("open stream to %s: %w: %w", l.name, ErrUnreachable, err)
+		}
+	}
+}
+
+// drop forgets a connection that failed. It returns false if this daemon stops.
+func (l *link) drop(s *session) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == s {
+		l.current = nil
+	}
+	return !l.closed
+}
+
 // done gives the place of a call back.
 func (l *link) done(stream *quic.Stream) {
 	stream.CancelRead(codeGaveUp)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -140,6 +140,7 @@
 	got := a.Forward(ctx, "entry-b.west", &cuminstair.Message{ID: "1", Body: []byte("x")})
 	is.Equal(got.Outcome, cuminstair.OutcomeDone)
 	is.Equal(string(got.Body), "entry-a.west x")
+
 	is.Equal(string(b.Forward(ctx, "entry-a.west", &cuminstair.Message{ID: "2"}).Body), "entry-b.west ")
 	a.Gossip("entry-b.west", []byte(" digest"))
 	is.Equal(<-digests, "entry-a.west digest")
@@ -160,12 +161,12 @@
 func TestConnectionBreaks(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
-	running := make(chan struct{})
+	running, release := make(chan struct{}), make(chan struct{})
 	a := f.start("a", "127.0.0.1:0", f.config("a"), nil)
 	b := f.start("b", "127.0.0.1:0", f.config("b"), func(p *peer.Peers) {
-		p.OnForward = func(ctx context.Context, _ string, _ *cuminstair.Message) *cuminstair.Message {
+		p.OnForward = func(context.Context, string, *cuminstair.Message) *cuminstair.Message {
 			close(running)
-			<-ctx.Done()
+			<-release
 			return &cuminstair.Message{Outcome: cuminstair.OutcomeDone}
 		}
 	})
@@ -173,8 +174,10 @@
 	answers := make(chan *cuminstair.Message)
 	go func() { answers <- a.Forward(ctx, "b", &cuminstair.Message{ID: "1"}) }()
 	<-running
-	b.stop()
+	go b.stop() // closes the connection, then waits for the handler
 	is.Equal((<-answers).Outcome, cuminstair.OutcomeUnknown)
+	close(release)
+	b.stop()
 	f.mu.Lock()
 	delete(f.addrs, "b")
 	f.mu.Unlock()
