--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -15,7 +15,7 @@
 const (
 	// ErrFull means that the successor has no room; nothing was imported and another one may be asked.
 	ErrFull = errors.ConstError("no room for the tickets of another daemon")
-	// ErrStopping means that the successor itself is stopping; nothing was imported and another one may be asked.
+	// ErrStopping means that the daemon is stopping itself: a successor imported nothing and another one may be asked.
 	ErrStopping = errors.ConstError("the daemon is stopping")
 )
 
@@ -73,8 +73,11 @@
 // Export seals the store, ends runs that are still going on as unknown and returns everything for the successor. From
 // then on Begin forwards to the successor, and a late End is ignored. The first successor is final: a hand-over that
 // may have reached it must not be sent to another daemon, since both would then run unused tickets. Only if it is
-// proved that the successor imported nothing may Redirect name another.
-func (s *Store) Export(now time.Time, successor Home) *Handover {
+// proved that the successor imported nothing may Redirect name another. A second Export returns ErrStopping.
+func (s *Store) Export(now time.Time, successor Home) (*Handover, error) {
+	if s.exported {
+		return nil, fmt.Errorf("export tickets again: %w", ErrStopping)
+	}
 	s.sealed = true
 	s.exported = true
 	s.successor = successor
@@ -83,7 +86,7 @@
 		h.Books = append(h.Books, s.exportBook(now, home, b))
 	}
 	slices.SortFunc(h.Books, func(a, b Book) int { return compareHomes(a.Home, b.Home) })
-	return h
+	return h, nil
 }
 
 // Redirect names another successor after a hand-over that was proved not to have been imported.
--- a/ticket/route.go
+++ b/ticket/route.go
@@ -25,7 +25,8 @@
 }
 
 // Members finds one run of a daemon. It returns false if that run is not known or was followed by another one without
-// having handed over.
+// having handed over. A run that is newer than the known one of its name is best taken for alive, since the news of it
+// may be on the way: the daemon that is reached under the name decides, and knows its own tickets.
 type Members func(h Home) (Member, bool)
 
 // Route returns where the ticket is honoured, following successors.
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -24,7 +24,7 @@
 // Bytes that a kept value is charged with beyond its content, as measured by BenchmarkMemory.
 const (
 	entryCost   = 320
-	messageCost = 256
+	messageCost = 352
 	headerCost  = 64
 )
 
--- a/ticket/store_test.go
+++ b/ticket/store_test.go
@@ -111,7 +111,11 @@
 	a.Seal()
 	is.Equal(begin(a, 0, tks[2], first).Reason, cuminstair.ReasonStopping)
 	is.Equal(a.Running(), 1)
-	data, err := a.Export(start, homeB).Encode()
+	out, err := a.Export(start, homeB)
+	is.NoErr(err)
+	_, err = a.Export(start, homeA) // would hand the same tickets to a second successor
+	is.True(errors.Is(err, ticket.ErrStopping))
+	data, err := out.Encode()
 	is.NoErr(err)
 	is.True(!a.End(start, tks[1], running.Run, cuminstair.OutcomeDone, cuminstair.ReasonOK, answer))
 	is.Equal(begin(a, 0, tks[2], first), ticket.Verdict{Action: ticket.ActionForward, Successor: homeB})
@@ -120,14 +124,18 @@
 	is.Equal(begin(b, 0, tks[2], first), ticket.Gone())
 	is.NoErr(b.Import(start, h))
 	is.Equal(begin(b, 0, tks[0], first).Answer.Body, answer.Body)
-	is.Equal(begin(b, 0, tks[1], first).Outcome, cuminstair.OutcomeUnknown)
+	is.Equal(begin(b, 0, tks[1], first), ticket.Verdict{
+		Action: ticket.ActionStored, Outcome: cuminstair.OutcomeUnknown, Reason: cuminstair.ReasonStopping,
+	})
 	is.Equal(begin(b, 0, tks[2], first).Action, ticket.ActionRun)
 	is.NoErr(b.Import(start, h)) // the reply to the first import was lost
 	is.Equal(begin(b, 0, tks[2], first).Action, ticket.ActionWait)
 	is.Equal(b.Count(), 3)
 	c := &ticket.Store{Self: ticket.Home{Name: "entry-c.west", Incarnation: 1}}
-	is.NoErr(c.Import(start, b.Export(start, c.Self)))
-	is.Equal(begin(c, 0, tks[2], first).Outcome, cuminstair.OutcomeUnknown)
+	out, err = b.Export(start, c.Self)
+	is.NoErr(err)
+	is.NoErr(c.Import(start, out))
+	is.Equal(begin(c, 0, tks[2], first).Action, ticket.ActionStored)
 	is.True(errors.Is(b.Import(start, h), ticket.ErrStopping))
 }
 
@@ -158,7 +166,8 @@
 		is.Equal(to, c.to)
 	}
 	s.Issue(start, 1)
-	s.Export(start, homeC)
+	_, err := s.Export(start, homeC)
+	is.NoErr(err)
 	place, to := s.Route(ticket.Ticket{Home: homeA}, members)
 	is.Equal(place, ticket.PlaceForward)
 	is.Equal(to, homeC)
