Serve through separate processes with a configuration from the platform

Cause: the test with separate processes hung for its whole time-out: the daemon refused a ticket key below 32 bytes and ended, and the test waited on a pipe that stays open after the process. The pipe now ends with the process. Then apply reported "in force in 1 of 1 daemons", because daemons that had not gossiped yet were not counted; Force now counts the registrations, too. Ruled out: a longer wait in the test, which would hide the missing daemons from operators.

--- a/cmd/cuminstaird/fleet_test.go
+++ b/cmd/cuminstaird/fleet_test.go
@@ -46,7 +46,7 @@
 	fleet := filepath.Join(c.dir, "fleet.jsonc")
 	is.NoErr(os.WriteFile(fleet, []byte(c.fleet(t)), 0o600))
 	c.platform = start(t, c.bin["fakeplatform"], "--listen", "127.0.0.1:0", "--fleet", fleet)
-	is.NoErr(os.WriteFile(filepath.Join(c.dir, "ticket.key"), []byte("a key of the test, long enough"), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(c.dir, "ticket.key"), []byte("a key of the test that has 32 bytes or more"), 0o600))
 	c.run(t, 0, "cert", "--dir", c.dir, "e1", "e2", "e3")
 	for _, p := range places {
 		c.startDaemon(t, p.name, p.centre)
@@ -108,10 +108,12 @@
 func startListening(t *testing.T, name string, args ...string) (p *process, operators string) {
 	t.Helper()
 	is := is.New(t)
-	r, w := io.Pipe()
+	r, w, err := os.Pipe()
+	is.NoErr(err)
 	p = &process{cmd: exec.CommandContext(context.Background(), name, args...)}
 	p.cmd.Stdout, p.cmd.Stderr = w, w
 	is.NoErr(p.cmd.Start())
+	is.NoErr(w.Close()) // The read end then ends with the process.
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
 	for lines := bufio.NewScanner(r); operators == "" && lines.Scan(); {
 		switch m := listening.FindStringSubmatch(lines.Text()); {
--- a/cmd/cuminstaird/main_test.go
+++ b/cmd/cuminstaird/main_test.go
@@ -45,10 +45,12 @@
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
 	is := is.New(t)
-	r, w := io.Pipe()
+	r, w, err := os.Pipe()
+	is.NoErr(err)
 	p := &process{cmd: exec.CommandContext(context.Background(), name, args...)}
 	p.cmd.Stdout, p.cmd.Stderr = w, w
 	is.NoErr(p.cmd.Start())
+	is.NoErr(w.Close()) // The read end then ends with the process.
 	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
 	lines := bufio.NewScanner(r)
 	for lines.Scan() {
--- a/node/network.go
+++ b/node/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -152,6 +153,28 @@
 	return w.members.List(w.timer.Now())
 }
 
+// expected returns the names of the daemons that have to confirm a configuration, sorted.
+func (w *network) expected() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	gone := map[string]bool{}
+	var names []string
+	for _, m := range w.members.List(w.timer.Now()) {
+		if m.Health == member.Gone {
+			gone[m.Name] = true
+			continue
+		}
+		names = append(names, m.Name)
+	}
+	for _, s := range w.seeds {
+		if !gone[s.Name] && !slices.Contains(names, s.Name) {
+			names = append(names, s.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // member implements ticket.Members.
 func (w *network) member(h ticket.Home) (ticket.Member, bool) {
 	w.mu.Lock()
--- a/node/operations.go
+++ b/node/operations.go
@@ -109,14 +109,13 @@
 	return out
 }
 
-// Force implements cuminstair.Operations. A daemon counts as missing until it has confirmed, unless it left or is gone.
-func (o *operations) Force(_ context.Context, generation uint64) (cuminstair.Force, error) {
-	var names []string
-	for _, m := range o.node.network.list() {
-		if m.Health != member.Gone {
-			names = append(names, m.Name)
-		}
+// Force implements cuminstair.Operations. A daemon that is registered or known to its peers counts as missing until it
+// has confirmed, unless its peers hold it to be gone.
+func (o *operations) Force(ctx context.Context, generation uint64) (cuminstair.Force, error) {
+	if err := o.node.refreshEntries(ctx); err != nil {
+		o.node.Log.Debug("registrations not read", "error", err)
 	}
+	names := o.node.network.expected()
 	out := cuminstair.Force{Generation: generation}
 	o.node.config.View(func(r *rollout.Node) { out.Confirmed, out.Missing = r.InForce(names, generation) })
 	return out, nil
--- a/node/tickets.go
+++ b/node/tickets.go
@@ -212,7 +212,11 @@
 func (t *Tickets) Export(to ticket.Home) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.Store.Export(t.Timer.Now(), to).Encode()
+	h, err := t.Store.Export(t.Timer.Now(), to)
+	if err != nil {
+		return nil, fmt.Errorf("export tickets: %w", err)
+	}
+	return h.Encode()
 }
 
 // Redirect names another successor after a hand-over that was proved not to have been imported.
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -84,7 +84,7 @@
 	if s.authority, err = peer.NewAuthority(rand.Reader, s.Timer.Now()); err != nil {
 		return fmt.Errorf("make the authority: %w", err)
 	}
-	if err := os.WriteFile(s.keyFile(), []byte("a key for tests and the quick start"), 0o600); err != nil {
+	if err := os.WriteFile(s.keyFile(), []byte("a key for tests and the quick start only"), 0o600); err != nil {
 		return fmt.Errorf("write the ticket key: %w", err)
 	}
 	for _, c := range s.Centres {
