--- a/node/node.go
+++ b/node/node.go
@@ -79,20 +79,30 @@
 	if err := n.buildNetwork(); err != nil {
 		return err
 	}
+	if err := n.buildTickets(); err != nil {
+		return err
+	}
 	if n.Platform == nil && n.Settings.Platform != "" {
 		n.Platform = &platform.Client{Base: "http://" + n.Settings.Platform, Timer: n.Timer, Rand: n.rand(), HTTP: &http.Client{}}
 	}
 	if n.Platform != nil {
-		n.buildConfig()
-		n.buildControl()
-		n.daemon.Parts = append(n.daemon.Parts,
-			daemon.Part{Name: "rollout", Run: n.config.Run},
-			daemon.Part{Name: "control", Run: n.control.Run},
-			daemon.Part{Name: "register", Run: n.register},
-		)
-		n.daemon.Operators = (&operator.Server{Operations: &operations{node: n}, Log: n.Log.Named("operator")}).Handler()
+		n.buildPlatformParts()
 	}
-	return n.buildTickets()
+	return nil
+}
+
+// buildPlatformParts makes the parts that need the platform. The fields of the daemon that its request path reads are
+// set before its methods are called, because the first call makes the request path.
+func (n *Node) buildPlatformParts() {
+	n.daemon.Fresh = n.fresh
+	n.buildConfig()
+	n.buildControl()
+	n.daemon.Parts = append(n.daemon.Parts,
+		daemon.Part{Name: "rollout", Run: n.config.Run},
+		daemon.Part{Name: "control", Run: n.control.Run},
+		daemon.Part{Name: "register", Run: n.register},
+	)
+	n.daemon.Operators = (&operator.Server{Operations: &operations{node: n}, Log: n.Log.Named("operator")}).Handler()
 }
 
 // rand returns a generator for one part.
@@ -134,7 +144,6 @@
 		OnInstall: n.install,
 		NewID:     n.newCommit,
 	}
-	n.daemon.Fresh = n.fresh
 }
 
 // newCommit returns an id that no other commit has.
