Keep a data centre serving when its first fleet file is applied

Cause: in a trial with separate processes all hosts went into probation 4 s after the first apply, because the controller created their rows in that state; routing then sent them a trickle, and the budget showed room for -2. The hosts of a first fleet file are created as active unless checks or the list show them as lost; later ones still go through probation. Two more faults reported by the work on health: Confirm called a host idle that only failed checks kept out, so that it could get work during a reboot; and the kind of work was not passed to the router, which compares latencies by kind. Ruled out: leaving the probation shorter, since even a second takes out the whole data centre.

--- a/caller/decisions.go
+++ b/caller/decisions.go
@@ -107,11 +107,13 @@
 	return d.Router.Loads()
 }
 
-// Confirm reports whether this daemon sends nothing new to a host and has nothing in flight there.
+// Confirm reports whether this daemon sends nothing new to a host and has nothing in flight there. That health took a
+// host out is not enough, since it may bring the host back at any time.
 func (d *Decisions) Confirm(host string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.state(host) == cuminstair.HostActive && d.view.Load() != nil && len(d.view.Load().hosts[host]) > 0 {
+	planned := d.planned[host] != "" && d.planned[host] != cuminstair.HostActive
+	if !planned && d.view.Load() != nil && len(d.view.Load().hosts[host]) > 0 {
 		return false
 	}
 	for _, load := range d.Router.Loads() {
--- a/caller/places.go
+++ b/caller/places.go
@@ -86,6 +86,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now = d.later(now)
+	res.Kind = r.Kind
 	d.Router.Release(now, p, res)
 	if d.Retries != nil && res.Outcome == cuminstair.OutcomeDone {
 		d.Retries.Success(now, r.Team, pool)
--- a/caller/steps.go
+++ b/caller/steps.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/retry"
 )
 
 // check compares the request with the fleet.
@@ -140,8 +141,7 @@
 
 // decide sends the request again if that is safe and within the retry budget.
 func (x *exchange) decide(ctx context.Context) event {
-	again := x.last.Outcome == cuminstair.OutcomeNotRun || x.request.Idempotent
-	if !again || ctx.Err() != nil || x.streamed {
+	if !retry.May(x.request, x.last) || ctx.Err() != nil || x.streamed {
 		return x.verdict()
 	}
 	x.request.Attempt++
--- a/wave/decide.go
+++ b/wave/decide.go
@@ -17,6 +17,7 @@
 func (p *Planner) Decide(now time.Time) Plan {
 	p.plan, p.undo, p.repairing = Plan{}, nil, 0
 	p.requeue()
+	p.first = p.isFirst()
 	if p.anyLoss() || p.calm.IsZero() {
 		p.calm = now
 	}
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -65,6 +65,7 @@
 	racks     map[string]*rackLoss
 	homes     map[place]int // hosts that the fleet file puts into a pool and rack
 	own       int           // hosts of this data centre
+	first     bool          // no host of this data centre has a row
 	frozen    string
 	short     map[string]time.Time // pool: since when it is short of instances
 	enough    map[string]time.Time // pool: since when it is not
--- a/wave/progress.go
+++ b/wave/progress.go
@@ -41,18 +41,34 @@
 	}
 }
 
-// create makes the row of a host that the fleet file has added.
+// create makes the row of a host that the fleet file has added. The hosts of a data centre's first fleet file serve
+// already, and the checks watch them: probation would take all of them out at once.
 func (p *Planner) create(s *status) bool {
 	if s.host.Pool == "" {
 		return true
 	}
+	state := cuminstair.HostState(hostChart.Start)
+	if p.first && s.healthy && s.listed != listGone {
+		state = cuminstair.HostActive
+	}
 	p.plan.Hosts = append(p.plan.Hosts, HostChange{
 		Name: s.name, Event: "create", Reason: ReasonFile,
-		Row: Host{Pool: s.host.Pool, State: cuminstair.HostState(hostChart.Start), Why: "added by the fleet file"},
+		Row: Host{Pool: s.host.Pool, State: state, Why: "added by the fleet file"},
 	})
 	return true
 }
 
+// isFirst tells whether no host of this data centre has a row.
+func (p *Planner) isFirst() bool {
+	missing := 0
+	for _, s := range p.out {
+		if !s.has && s.host.Pool != "" {
+			missing++
+		}
+	}
+	return missing > 0 && missing == p.own
+}
+
 // gone tells whether a host is lost. A host that reboots is expected to be gone for a while.
 func (p *Planner) gone(now time.Time, s *status) bool {
 	if s.row.State == cuminstair.HostFailed || s.row.State == cuminstair.HostRebooting {
