Let membership settle at 280 daemons

Cause: when 280 daemons started at once, false claims that others are gone filled the byte rate and heartbeats came too late, which caused more false claims. Partners are 12 of the own data centre and 4 others, since a handshake costs more than a node's bytes for a second. Ruled out: pushing records three times to everyone (they filled the pushes for 40 s after a start).

--- a/member/detect.go
+++ b/member/detect.go
@@ -95,7 +95,7 @@
 	}
 	age := m.age(now, n)
 	switch {
-	case n.since.IsZero() && age > m.goneAge(n):
+	case n.since.IsZero() && age > m.goneAge(n) && m.unread[n.rec.Centre] <= unreadHold:
 		m.markGone(now, n)
 		if n.heard && m.local(n) {
 			m.lost = append(m.lost, n)
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -10,6 +11,10 @@
 	fanout = 3
 	// acrossShare is the share of digests to other data centres: 1 in acrossShare.
 	acrossShare = 4
+	// localPartners and farPartners bound the daemons that one exchanges digests with, so that connections stay in use: a
+	// QUIC handshake costs about 5 KB, more than a node may send in a second.
+	localPartners = 12
+	farPartners   = 4
 	// retryShare is the share of digests to daemons that are gone or known only as seeds: 1 in retryShare.
 	retryShare = 12
 	// leftCarried is how long the heartbeat of a daemon that left is still sent.
@@ -82,18 +87,20 @@
 	return m.Rand.IntN(acrossShare) == 0
 }
 
+// candidates returns the daemons of the own data centre and of others that this daemon exchanges digests with, and
+// those that are gone or known only as seeds.
 func (m *Members) candidates() (local, far, lost []Seed) {
+	var locals, fars []*node
 	for _, id := range m.order {
 		n := m.nodes[id]
-		at := Seed{Name: n.rec.Name, Addr: n.rec.Addr}
 		switch {
 		case n == m.self || n.rec.State == Left || m.names[n.rec.Name] != id:
 		case !n.since.IsZero():
-			lost = append(lost, at)
+			lost = append(lost, n.seed())
 		case n.rec.Centre == m.self.rec.Centre:
-			local = append(local, at)
+			locals = append(locals, n)
 		default:
-			far = append(far, at)
+			fars = append(fars, n)
 		}
 	}
 	for _, s := range m.seeds {
@@ -101,9 +108,25 @@
 			lost = append(lost, s)
 		}
 	}
-	return local, far, lost
+	return m.fixed(locals, localPartners), m.fixed(fars, farPartners), lost
 }
 
+// fixed returns the same few nodes each time, other ones for each daemon.
+func (m *Members) fixed(nodes []*node, most int) []Seed {
+	if len(nodes) > most {
+		key := func(n *node) uint32 { return (n.id ^ m.self.id) * 0x9e3779b1 }
+		slices.SortFunc(nodes, func(a, b *node) int { return cmp.Compare(key(a), key(b)) })
+		nodes = nodes[:most]
+	}
+	out := make([]Seed, len(nodes))
+	for i, n := range nodes {
+		out[i] = n.seed()
+	}
+	return out
+}
+
+func (n *node) seed() Seed { return Seed{Name: n.rec.Name, Addr: n.rec.Addr} }
+
 // push writes a digest to start an exchange. to is nil if the partner's record is not known.
 func (m *Members) push(now time.Time, to *node) []byte {
 	w := newWriter(m.self.id, phasePush, MaxDigest)
@@ -112,7 +135,7 @@
 	if w.Join {
 		w.record(&m.self.rec)
 	}
-	if to != nil && !to.since.IsZero() {
+	if to != nil && m.announced(to) {
 		w.claim(claim{to.id, uint32(to.rec.Incarnation)})
 	}
 	m.beats(now, w, to)
@@ -132,6 +155,9 @@
 	return b
 }
 
+// announced tells whether others may have heard that a daemon is gone, so that it has to raise its incarnation.
+func (m *Members) announced(n *node) bool { return !n.since.IsZero() && (n.claimed || m.local(n)) }
+
 // countOf returns the own heartbeat.
 func (m *Members) countOf(now time.Time) uint16 { return uint16(now.Sub(m.began)/beatUnit) + 1 }
 
--- a/member/members.go
+++ b/member/members.go
@@ -30,7 +30,12 @@
 	// learnHold is the time in which at most 1 in learnShare daemons may become known if others are to be taken for
 	// gone. While many start together heartbeats travel slowly, and false claims would slow them further.
 	learnHold  = 5 * time.Second
-	learnShare = 8
+	learnShare = 32
+	// unreadHold is the share of unreadable blocks of a data centre from which none of its daemons is taken for gone: not
+	// all know the same ones yet, and heartbeats travel slowly.
+	unreadHold = 0.3
+	// unreadWeight is the weight of the latest block in that share.
+	unreadWeight = 0.1
 	// learnFactor is how much more may be sent in that time. A record of 280 daemons has 20 KB in all, which would take
 	// most of a minute at the ordinary rate.
 	learnFactor = 4
@@ -44,7 +49,7 @@
 	beatUnit = 100 * time.Millisecond
 	// Rate is the default bound for bytes sent in a second, packet overhead included. The control plane of a node has
 	// 3 KB/s in all.
-	Rate = 2400
+	Rate = 2700
 	// Overhead is what a datagram costs beyond its content: IP, UDP and QUIC headers, the seal, and its share of an
 	// acknowledgement.
 	Overhead = 100
@@ -85,10 +90,11 @@
 	cursor  int // position in order for beats in turn
 	centre  int // position in the data centres for blocks in turn
 	version uint64
-	ticked  time.Time   // the latest tick
-	learned []time.Time // when daemons became known, the latest learnHold of it
-	held    time.Time   // no daemon becomes gone before it
-	lost    []*node     // became gone since the latest tick
+	ticked  time.Time          // the latest tick
+	learned []time.Time        // when daemons became known, the latest learnHold of it
+	unread  map[string]float64 // share of the latest blocks of a data centre that could not be read
+	held    time.Time          // no daemon becomes gone before it
+	lost    []*node            // became gone since the latest tick
 }
 
 // node is one run of a daemon.
@@ -120,6 +126,7 @@
 	m.budget.start(now, m.rate(now))
 	m.nodes = map[uint32]*node{}
 	m.names = map[string]uint32{}
+	m.unread = map[string]float64{}
 	m.Self.Incarnation = max(m.Self.Incarnation, m.Self.Start)
 	m.Self.Version++
 	m.self = m.add(now, m.Self)
--- a/member/rate.go
+++ b/member/rate.go
@@ -4,9 +4,9 @@
 
 // Shares of the byte rate. They are apart so that neither many pushes of others nor many news stop the own pushes.
 const (
-	pushShare   = 0.4
-	replyShare  = 0.4
-	urgentShare = 0.2
+	pushShare   = 0.5
+	replyShare  = 0.35
+	urgentShare = 0.15
 )
 
 // Bursts, in seconds of the whole byte rate.
--- a/member/receive.go
+++ b/member/receive.go
@@ -232,7 +232,7 @@
 	}
 	if sender == nil {
 		w.want(in.d.From)
-	} else if !sender.since.IsZero() {
+	} else if m.announced(sender) {
 		w.claim(claim{sender.id, uint32(sender.rec.Incarnation)})
 	}
 	in.answers(w, sender)
@@ -331,6 +331,7 @@
 		if !same || x.versions != versionHash(nodes, i == 0 && m.local(sender)) {
 			in.other = append(in.other, c)
 		}
+		m.countUnread(c, !same)
 		if !same {
 			return
 		}
@@ -340,6 +341,14 @@
 	})
 }
 
+func (m *Members) countUnread(centre string, unread bool) {
+	share := m.unread[centre] * (1 - unreadWeight)
+	if unread {
+		share += unreadWeight
+	}
+	m.unread[centre] = share
+}
+
 // counts takes the heartbeats of a block and returns whether some are fresher here.
 func (in *intake) counts(nodes []*node, counts []byte) bool {
 	fresher := false
