--- /dev/null
+++ b/job/job_test.go
@@ -0,0 +1,351 @@
+package job_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/job"
+)
+
+// Delays of the platform in these tests, and of the edge.
+const (
+	tick       = 250 * time.Millisecond // between two decisions
+	throttling = 800 * time.Millisecond
+	saving     = 1500 * time.Millisecond
+	starting   = time.Second
+	reporting  = 10 * time.Second // between two reports about a task
+	cores      = 32
+	memory     = 128e9
+)
+
+var start = time.Unix(1000, 0)
+
+// kind is how the jobs of a class really behave.
+type kind struct {
+	cores float64
+	mem   cuminstair.Bytes
+	runs  time.Duration // 0: for ever
+	fails bool
+}
+
+// running is a task on a worker of the simulated platform.
+type running struct {
+	task  cuminstair.Task
+	begun time.Time
+}
+
+// world is the platform and the edge in virtual time.
+type world struct {
+	is      *is.I
+	s       *job.Scheduler
+	now     time.Time
+	kinds   map[string]kind
+	bad     map[string]bool // workers that fail every task
+	silent  map[string]bool // workers that are cut off
+	tasks   map[string]*running
+	later   map[time.Time][]func()
+	started map[string]time.Time // job: first start
+	count   map[string]int       // job: tasks of it that run
+	actions map[cuminstair.TaskAction]int
+	suspect map[string]string
+	starts  int
+}
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{
+		is: is.New(t), s: job.New(), now: start, kinds: map[string]kind{}, bad: map[string]bool{}, silent: map[string]bool{},
+		tasks: map[string]*running{}, later: map[time.Time][]func(){}, started: map[string]time.Time{}, count: map[string]int{},
+		actions: map[cuminstair.TaskAction]int{}, suspect: map[string]string{},
+	}
+	for n := range workers {
+		w.s.AddWorker(job.Worker{Name: fmt.Sprint("w", n), Cores: cores, Memory: memory})
+	}
+	w.s.SetTeam("t", 1e9)
+	return w
+}
+
+func (w *world) submit(n int, j job.Job) {
+	name := j.ID
+	for i := range n {
+		j.ID = fmt.Sprintf("%s-%d", name, i)
+		j.Team = "t"
+		w.s.Submit(w.now, j)
+	}
+}
+
+func (w *world) after(d time.Duration, fn func()) {
+	at := w.now.Add(d.Truncate(tick))
+	w.later[at] = append(w.later[at], fn)
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(tick)
+	for _, fn := range w.later[w.now] {
+		fn()
+	}
+	delete(w.later, w.now)
+	plan := w.s.Decide(w.now)
+	for action, ids := range plan.Actions {
+		w.actions[action] += len(ids)
+		delay := throttling
+		if action == cuminstair.TaskCheckpoint {
+			delay = saving
+		}
+		w.after(delay, func() { w.act(action, ids) })
+	}
+	for _, st := range plan.Starts {
+		w.starts++
+		w.after(starting, func() { w.start(st) })
+	}
+	for name, why := range plan.Suspects {
+		w.suspect[name] = why
+	}
+}
+
+func (w *world) act(action cuminstair.TaskAction, ids []string) {
+	for _, id := range ids {
+		if r := w.tasks[id]; r != nil && (action == cuminstair.TaskCheckpoint || action == cuminstair.TaskStop) {
+			w.end(r)
+		}
+	}
+	w.s.Acted(w.now, action, ids, true)
+}
+
+func (w *world) end(r *running) {
+	delete(w.tasks, r.task.ID)
+	w.count[r.task.Job]--
+}
+
+func (w *world) start(st job.Start) {
+	r := &running{task: st.Task, begun: w.now}
+	w.tasks[r.task.ID] = r
+	w.count[r.task.Job]++
+	w.is.True(w.count[r.task.Job] <= 1) // two tasks of a job at once
+	if _, ok := w.started[r.task.Job]; !ok {
+		w.started[r.task.Job] = w.now
+	}
+	w.s.Started(w.now, st, true, false)
+	w.report(r)
+}
+
+// report sends a report about a task and plans the next one.
+func (w *world) report(r *running) {
+	if w.tasks[r.task.ID] != r || w.silent[r.task.Worker] {
+		return
+	}
+	class, _, _ := strings.Cut(r.task.Job, "-")
+	k := w.kinds[class]
+	age := w.now.Sub(r.begun)
+	u := cuminstair.Usage{Task: r.task.ID, Worker: r.task.Worker, Job: r.task.Job, State: "running", Cores: k.cores, Memory: k.mem, At: w.now}
+	switch {
+	case (k.fails || w.bad[r.task.Worker]) && age >= time.Second:
+		u.State, u.Message = "failed", "exit 1"
+		w.end(r)
+	case k.runs > 0 && age >= k.runs:
+		u.State = "done"
+		w.end(r)
+	default:
+		wait := reporting
+		if age == 0 {
+			wait = time.Second
+		}
+		w.after(wait, func() { w.report(r) })
+		if age == 0 {
+			return
+		}
+	}
+	w.s.Report(w.now, u)
+}
+
+func (w *world) run(d time.Duration) {
+	for range int(d / tick) {
+		w.step()
+	}
+}
+
+// Guards against urgent jobs that wait for archive work: on a full fleet of 28,000 workers each starts within 3.4 s,
+// whether throttling is enough or memory has to be freed by a checkpoint. The platform takes 0.8 s to throttle, 1.5 s to
+// checkpoint and 1 s to start.
+func TestUrgentStart(t *testing.T) {
+	const workers, urgent, bound = 28000, 400, 3400 * time.Millisecond
+	w := newWorld(t, workers)
+	w.kinds["archive"] = kind{cores: 7.2, mem: 29e9} // with the headroom of learned sizes four fill a worker
+	w.kinds["small"] = kind{cores: 4}
+	w.kinds["big"] = kind{cores: 4}
+	w.submit(workers*cores/8, job.Job{ID: "archive", Class: "archive", Archive: true, Cores: 8, Memory: 32e9})
+	w.run(75 * time.Second)
+	w.is.Equal(len(w.tasks), workers*cores/8) // the fleet is full
+	at := w.now
+	w.submit(urgent, job.Job{ID: "small", Class: "small", Urgent: true, Cores: 4, Memory: 1e8})
+	w.submit(urgent, job.Job{ID: "big", Class: "big", Urgent: true, Cores: 4, Memory: 40e9})
+	w.run(5 * time.Second)
+	worst := time.Duration(0)
+	for i := range urgent {
+		for _, name := range []string{"small", "big"} {
+			began, ok := w.started[fmt.Sprintf("%s-%d", name, i)]
+			w.is.True(ok)
+			worst = max(worst, began.Sub(at))
+		}
+	}
+	t.Logf("%d urgent jobs started within %s; %d tasks throttled, %d saved", 2*urgent, worst,
+		w.actions[cuminstair.TaskThrottle], w.actions[cuminstair.TaskCheckpoint])
+	w.is.True(worst <= bound)
+	w.is.True(w.actions[cuminstair.TaskThrottle] > 0 && w.actions[cuminstair.TaskCheckpoint] > 0)
+}
+
+// Guards against placement that believes declared sizes: jobs that take a fifth of what they declare must fill the
+// fleet, and jobs that take five times as much must not overload workers for long.
+func TestWrongSizes(t *testing.T) {
+	const workers = 50
+	w := newWorld(t, workers)
+	w.kinds["over"] = kind{cores: 1}
+	w.submit(2000, job.Job{ID: "over", Class: "over", Cores: 5, Memory: 1e9})
+	w.run(3 * time.Minute)
+	declared := workers * (cores / 5)
+	t.Logf("declared 5 cores, take 1: %d run, %d fit by the declaration", len(w.tasks), declared)
+	w.is.True(len(w.tasks) >= 4*declared)
+
+	w = newWorld(t, workers)
+	w.kinds["under"] = kind{cores: 5, runs: 30 * time.Second}
+	w.submit(5000, job.Job{ID: "under", Class: "under", Cores: 1, Memory: 1e9})
+	w.run(3 * time.Minute)
+	load := map[string]float64{}
+	for _, r := range w.tasks {
+		load[r.task.Worker] += 5
+	}
+	for name, l := range load {
+		w.is.True(l <= cores) // overloaded
+		w.is.True(name != "")
+	}
+}
+
+// Guards against jobs that can never run and block others or are tried for ever.
+func TestJobsThatNeverRun(t *testing.T) {
+	w := newWorld(t, 20)
+	w.kinds["good"] = kind{cores: 1, runs: 5 * time.Second}
+	w.kinds["broken"] = kind{cores: 1, fails: true}
+	w.submit(3, job.Job{ID: "huge", Class: "huge", Cores: 100, Memory: 1e9})
+	w.submit(50, job.Job{ID: "broken", Class: "broken", Cores: 1, Memory: 1e9})
+	w.submit(300, job.Job{ID: "good", Class: "good", Cores: 1, Memory: 1e9})
+	w.run(5 * time.Minute)
+	for i := range 300 {
+		j, _ := w.s.Job(fmt.Sprint("good-", i))
+		w.is.Equal(j.State, job.Done)
+	}
+	for i := range 50 {
+		j, _ := w.s.Job(fmt.Sprint("broken-", i))
+		w.is.Equal(j.State, job.Parked)
+		w.is.Equal(j.Tries, 3)
+	}
+	j, _ := w.s.Job("huge-0")
+	w.is.Equal(j.State, job.Parked)
+	w.is.True(strings.HasPrefix(j.Why, "no worker can ever have 100.0 cores"))
+	w.is.Equal(len(w.suspect), 0) // good workers are not blamed for bad jobs
+}
+
+// Guards against workers that fail every task and draw all jobs, and against a quarantine without bound when the cause
+// is elsewhere.
+func TestWorkersThatFailEverything(t *testing.T) {
+	const workers, bad = 200, 3
+	w := newWorld(t, workers)
+	for n := range bad {
+		w.bad[fmt.Sprint("w", 7*n)] = true
+	}
+	w.kinds["good"] = kind{cores: 1, runs: 20 * time.Second}
+	w.kinds["broken"] = kind{cores: 1, fails: true}
+	w.submit(30, job.Job{ID: "broken", Class: "broken", Cores: 1, Memory: 1e9})
+	w.submit(20000, job.Job{ID: "good", Class: "good", Cores: 1, Memory: 1e9})
+	w.run(4 * time.Minute)
+	w.is.Equal(len(w.suspect), bad)
+	for name := range w.suspect {
+		w.is.True(w.bad[name])
+	}
+	for i := range 20000 {
+		j, _ := w.s.Job(fmt.Sprint("good-", i))
+		w.is.True(j.State != job.Parked)
+	}
+	for n := range workers {
+		w.bad[fmt.Sprint("w", n)] = n%3 == 0
+	}
+	w.submit(20000, job.Job{ID: "good-x", Class: "good", Cores: 1, Memory: 1e9})
+	w.run(4 * time.Minute)
+	w.is.True(len(w.suspect) <= 4) // 2% of the workers
+}
+
+// Guards against a cancellation that costs more than the jobs it cancels, at once or in later decisions.
+func TestCancelManyAtOnce(t *testing.T) {
+	const queued, cancelled = 60000, 10000
+	w := newWorld(t, 100)
+	w.kinds["j"] = kind{cores: 1}
+	w.submit(queued, job.Job{ID: "j", Class: "j", Cores: 1, Memory: 1e9})
+	w.run(10 * time.Second)
+	var ids []string
+	for i := range cancelled {
+		ids = append(ids, fmt.Sprint("j-", i))
+	}
+	before := w.s.Work
+	w.s.Cancel(ids)
+	w.run(10 * time.Second)
+	t.Logf("%d steps for %d cancelled jobs, %d of them running", w.s.Work-before, cancelled, w.actions[cuminstair.TaskStop])
+	w.is.True(w.s.Work-before <= 4*cancelled)
+	w.is.True(w.actions[cuminstair.TaskStop] >= 3000)
+	w.is.Equal(len(w.tasks), 2900) // others have taken their place: 29 of 1 core and a tenth on each worker
+	for i := range cancelled {
+		j, _ := w.s.Job(ids[i])
+		w.is.Equal(j.State, job.Cancelled)
+	}
+}
+
+// Guards against a placement whose cost grows with the number of workers.
+func TestPlacementCost(t *testing.T) {
+	cost := func(workers int) float64 {
+		w := newWorld(t, workers)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range workers * 10 {
+			w.s.Submit(w.now, job.Job{
+				ID: fmt.Sprint(i), Team: "t", Class: fmt.Sprint(i), Cores: 0.5 + 12*rng.Float64(), Memory: cuminstair.Bytes(rng.IntN(40)+1) * 1e9,
+			})
+		}
+		for range workers * 10 / 500 {
+			w.step()
+		}
+		return float64(w.s.Probed()) / float64(w.starts)
+	}
+	small, large := cost(280), cost(28000)
+	t.Logf("workers looked at for each placement: %.1f of 280, %.1f of 28,000", small, large)
+	w := is.New(t)
+	w.True(large <= 2*small+8)
+}
+
+// Guards against a job that runs twice because its worker was only cut off, and against renewals one by one.
+func TestLostWorker(t *testing.T) {
+	w := newWorld(t, 2)
+	w.kinds["j"] = kind{cores: 1}
+	w.submit(20, job.Job{ID: "j", Class: "j", Cores: 1, Memory: 1e9})
+	w.run(2 * time.Minute)
+	w.is.True(w.actions[cuminstair.TaskRenew] <= 20*7)
+	name := ""
+	for _, r := range w.tasks {
+		name = r.task.Worker
+	}
+	w.silent[name] = true
+	w.s.LoseWorker(name)
+	w.run(job.Lease - 20*time.Second - tick)
+	for _, r := range w.tasks {
+		if r.task.Worker == name {
+			w.after(20*time.Second, func() { w.end(r) }) // the worker stops them when their leases end
+		}
+	}
+	w.run(30 * time.Second)
+	for i := range 20 {
+		j, _ := w.s.Job(fmt.Sprint("j-", i))
+		w.is.Equal(j.State, job.Running)
+		w.is.True(j.Worker != name)
+	}
+}
