Let broken jobs report that they run before they fail in the tests

The guard that a failure counts against a worker only when the job gets further elsewhere was not seen to fail before: broken jobs sent no report. Now TestJobsThatNeverRun fails without it.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -31,7 +31,7 @@
 	cores float64
 	mem   cuminstair.Bytes
 	runs  time.Duration // 0: for ever
-	fails bool
+	fails time.Duration // age at which it fails; 0: never
 }
 
 // running is a task on a worker of the simulated platform.
@@ -144,7 +144,7 @@
 	age := w.now.Sub(r.begun)
 	u := cuminstair.Usage{Task: r.task.ID, Worker: r.task.Worker, Job: r.task.Job, State: "running", Cores: k.cores, Memory: k.mem, At: w.now}
 	switch {
-	case (k.fails || w.bad[r.task.Worker]) && age >= time.Second:
+	case k.fails > 0 && age >= k.fails || w.bad[r.task.Worker] && age >= time.Second:
 		u.State, u.Message = "failed", "exit 1"
 		w.end(r)
 	case k.runs > 0 && age >= k.runs:
@@ -229,7 +229,7 @@
 func TestJobsThatNeverRun(t *testing.T) {
 	w := newWorld(t, 20)
 	w.kinds["good"] = kind{cores: 1, runs: 5 * time.Second}
-	w.kinds["broken"] = kind{cores: 1, fails: true}
+	w.kinds["broken"] = kind{cores: 1, fails: 15 * time.Second}
 	w.submit(3, job.Job{ID: "huge", Class: "huge", Cores: 100, Memory: 1e9})
 	w.submit(50, job.Job{ID: "broken", Class: "broken", Cores: 1, Memory: 1e9})
 	w.submit(300, job.Job{ID: "good", Class: "good", Cores: 1, Memory: 1e9})
@@ -258,7 +258,7 @@
 		w.bad[fmt.Sprint("w", 7*n)] = true
 	}
 	w.kinds["good"] = kind{cores: 1, runs: 20 * time.Second}
-	w.kinds["broken"] = kind{cores: 1, fails: true}
+	w.kinds["broken"] = kind{cores: 1, fails: 15 * time.Second}
 	w.submit(30, job.Job{ID: "broken", Class: "broken", Cores: 1, Memory: 1e9})
 	w.submit(20000, job.Job{ID: "good", Class: "good", Cores: 1, Memory: 1e9})
 	w.run(4 * time.Minute)
