Drive the placement of jobs from the controller

Rows of jobs are committed under the lease before tasks are started. A new holder builds its scheduler from the rows, repeats starts under the same task ids, and stops renewing tasks that are not reported for 5 minutes. Workers that fail good jobs are quarantined by the wave planner when the budget has room.

Found by it and corrected: a job whose holder was paused between the row and the start was renewed for ever.

--- a/control/act.go
+++ b/control/act.go
@@ -49,7 +49,7 @@
 	}
 	if why != c.members.frozen {
 		c.members.frozen = why
-		c.Log.Warn("Freeze changed", "reason", why)
+		c.logger().Warn("Freeze changed", "reason", why)
 	}
 	c.plan(func(p *wave.Planner) { p.Freeze(why) })
 }
@@ -80,7 +80,7 @@
 		}
 		err := c.Hosts.Act(ctx, a.ID, a.Host, a.Verb)
 		if err != nil && !errors.Is(err, cuminstair.ErrNotFound) {
-			c.Log.Warn("Action to be repeated", "host", a.Host, "action", a.Verb, "error", err)
+			c.logger().Warn("Action to be repeated", "host", a.Host, "action", a.Verb, "error", err)
 			continue
 		}
 		c.plan(func(p *wave.Planner) { p.SetActed(a.Host, a.ID) })
--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,8 @@
 	Rand   *rand.Rand
 	// Recorder takes every decision that was committed. Required.
 	Recorder cuminstair.Recorder
+	// Tasks runs jobs on workers. It may be nil; then there are no jobs.
+	Tasks cuminstair.Tasks
 	// Log may be nil.
 	Log hclog.Logger
 	// State takes the state of a host for routing. It may be nil and must not block or call the Control.
@@ -74,8 +76,14 @@
 	mu      sync.Mutex // guards planner, which other goroutines explain from
 	planner *wave.Planner
 	holding bool
-	orders  map[string]order
-	waves   map[string]wave.Wave
+	fence   lease.Fence // of the lease, while holding
+	until   time.Time   // end of the lease, while holding
+	fleet   *cuminstair.Fleet
+	states  map[string]cuminstair.HostState // of the own hosts
+
+	jobs   jobs
+	orders map[string]order
+	waves  map[string]wave.Wave
 }
 
 // order is an operator's order as it was read.
@@ -94,6 +102,8 @@
 		}
 	})
 	defer stop()
+	jobs := c.runJobs(ctx)
+	defer func() { <-jobs }()
 	last := c.Timer.Now()
 	for {
 		select {
@@ -119,9 +129,14 @@
 	c.lease = &lease.Lease{Centre: c.Centre, Self: c.Self, Run: c.Boot, Rand: c.Rand}
 	c.view = newView()
 	c.members = newMembers(c.Self, c.Centre)
+}
+
+// logger returns Log, or one that drops everything.
+func (c *Control) logger() hclog.Logger {
 	if c.Log == nil {
-		c.Log = hclog.NewNullLogger()
+		return hclog.NewNullLogger()
 	}
+	return c.Log
 }
 
 // plan locks the planner and calls fn with it, unless no fleet file is known yet.
@@ -141,6 +156,7 @@
 		c.planner = wave.New(c.Centre)
 	}
 	c.planner.SetFleet(c.Timer.Now(), f)
+	c.fleet = f
 	for name, w := range c.waves {
 		c.planner.SetWave(name, w)
 	}
@@ -169,12 +185,9 @@
 	defer c.stepping.Unlock()
 	c.init()
 	err := c.step(ctx)
-	_, held := c.lease.Held(c.Timer.Now())
-	c.mu.Lock()
-	c.holding = held
-	c.mu.Unlock()
+	c.share()
 	if err != nil {
-		c.Log.Warn("Step ended early", "error", err)
+		c.logger().Warn("Step ended early", "error", err)
 	}
 }
 
@@ -229,12 +242,28 @@
 	}
 	version, err := c.Table.Commit(ctx, *commit)
 	c.lease.Result(c.Timer.Now(), version, settled(err))
+	c.share()
 	if err != nil {
 		return fmt.Errorf("write lease: %w", err)
 	}
 	return nil
 }
 
+// share passes the state of the lease to the other goroutines.
+func (c *Control) share() {
+	fence, held := c.lease.Held(c.Timer.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holding, c.fence, c.until = held, fence, c.lease.Until()
+}
+
+// held returns the fence of the lease if it holds now.
+func (c *Control) held() (lease.Fence, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fence, c.holding && c.Timer.Now().Before(c.until)
+}
+
 // StepDown gives up the lease at a planned stop, so that another daemon need not wait for it to lapse.
 func (c *Control) StepDown(ctx context.Context) {
 	c.stepping.Lock()
@@ -246,10 +275,8 @@
 	}
 	version, err := c.Table.Commit(ctx, *commit)
 	c.lease.Result(c.Timer.Now(), version, settled(err))
-	c.mu.Lock()
-	c.holding = false
-	c.mu.Unlock()
+	c.share()
 	if err != nil {
-		c.Log.Warn("Lease not given up; it lapses", "error", err)
+		c.logger().Warn("Lease not given up; it lapses", "error", err)
 	}
 }
--- /dev/null
+++ b/control/jobs_test.go
@@ -0,0 +1,124 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/job"
+)
+
+// runner is the platform's task runner. Tasks take 30 s and end when their lease is not renewed.
+type runner struct {
+	tasks   map[string]*running
+	begun   map[string]bool
+	reports []cuminstair.Usage
+	done    map[string]int
+	double  string // the first job that ran twice at once
+}
+
+type running struct {
+	cuminstair.Task
+	start, renewed time.Time
+}
+
+// live drops the tasks that have ended by now.
+func (r *runner) live(now time.Time) {
+	for id, t := range r.tasks {
+		u := cuminstair.Usage{Task: id, Worker: t.Worker, Job: t.Job, Cores: 1, Memory: 1e9, At: now}
+		switch {
+		case now.Sub(t.renewed) >= t.Lease.D():
+			u.State = "stopped"
+		case now.Sub(t.start) >= 30*time.Second:
+			u.State = "done"
+			r.done[t.Job]++
+		default:
+			continue
+		}
+		r.reports = append(r.reports, u)
+		delete(r.tasks, id)
+	}
+}
+
+func (d *daemon) StartTask(_ context.Context, t cuminstair.Task) error {
+	d.w.maybePause(d)
+	r, now := d.w.runner, d.w.v.Now()
+	r.live(now)
+	if r.begun[t.ID] {
+		return nil
+	}
+	r.begun[t.ID] = true
+	for _, o := range r.tasks {
+		if o.Job == t.Job && r.double == "" {
+			r.double = fmt.Sprintf("%s while %s", t.ID, o.ID)
+		}
+	}
+	r.tasks[t.ID] = &running{Task: t, start: now, renewed: now}
+	if d.w.faults && d.w.rand.IntN(10) == 0 {
+		return cuminstair.ErrUncertain
+	}
+	return nil
+}
+
+func (d *daemon) ActTasks(_ context.Context, action cuminstair.TaskAction, ids []string) error {
+	r, now := d.w.runner, d.w.v.Now()
+	r.live(now)
+	for _, id := range ids {
+		t, ok := r.tasks[id]
+		switch {
+		case ok && action == cuminstair.TaskRenew:
+			t.renewed = now
+		case ok && action == cuminstair.TaskStop:
+			delete(r.tasks, id)
+		}
+	}
+	return nil
+}
+
+func (d *daemon) Usage(_ context.Context, since uint64) ([]cuminstair.Usage, uint64, error) {
+	r := d.w.runner
+	r.live(d.w.v.Now())
+	return r.reports[since:], uint64(len(r.reports)), nil
+}
+
+// Guards against jobs that run twice at once, get lost or are not cancelled, while holders of the lease are paused in
+// the middle of commits and starts and answers are lost.
+func TestJobsUnderFaults(t *testing.T) {
+	for seed := range uint64(seeds) {
+		f := smallFleet()
+		f.Teams = []cuminstair.Team{{Name: "t", Quota: cuminstair.Quota{Cores: 1000}}}
+		for i := range f.Hosts {
+			f.Hosts[i].Cores, f.Hosts[i].Memory = 4, 64e9
+		}
+		f.Waves = nil
+		w := newWorld(t, seed, f, 3)
+		w.runner = &runner{tasks: map[string]*running{}, begun: map[string]bool{}, done: map[string]int{}}
+		w.run(30 * time.Second)
+		var list []job.Job
+		var cancelled []string
+		for n := range 200 {
+			list = append(list, job.Job{ID: fmt.Sprint("j", n), Team: "t", Class: "c", Cores: 1, Memory: 1e9})
+			if n >= 150 {
+				cancelled = append(cancelled, list[n].ID)
+			}
+		}
+		w.is.NoErr(w.daemons["a-d1"].c.SubmitJobs(context.Background(), list))
+		w.is.NoErr(w.daemons["a-d2"].c.CancelJobs(context.Background(), cancelled))
+		w.faults, w.pauses = true, 150
+		w.run(5 * time.Minute)
+		w.faults, w.pauses = false, 0
+		w.run(10 * time.Minute)
+		w.is.Equal(w.runner.double, "")
+		for n := range 150 {
+			w.is.True(w.runner.done[list[n].ID] >= 1) // lost
+		}
+		for key, r := range w.table.rows {
+			if strings.HasPrefix(key, job.Prefix) || strings.HasPrefix(key, "cancel/") {
+				w.is.True(r.Deleted) // not settled
+			}
+		}
+	}
+}
--- a/control/view.go
+++ b/control/view.go
@@ -44,13 +44,13 @@
 		}
 		for i := range rows {
 			if err := c.take(&rows[i]); err != nil {
-				c.Log.Error("Row ignored", "key", rows[i].Key, "error", err)
+				c.logger().Error("Row ignored", "key", rows[i].Key, "error", err)
 			}
 		}
 		c.view.since[prefix] = version
 	}
 	if c.unsure != nil {
-		c.Log.Info("Commit settled by reading its rows", "commit", c.unsure.ID)
+		c.logger().Info("Commit settled by reading its rows", "commit", c.unsure.ID)
 		c.unsure = nil
 	}
 	return nil
@@ -104,6 +104,14 @@
 	c.view.versions[key] = version
 	now := c.Timer.Now()
 	c.plan(func(p *wave.Planner) { p.SetHost(now, centre, name, h) })
+	if centre == c.Centre {
+		c.mu.Lock()
+		if c.states == nil {
+			c.states = map[string]cuminstair.HostState{}
+		}
+		c.states[name] = h.State
+		c.mu.Unlock()
+	}
 	if c.State != nil {
 		c.State(name, h.State)
 	}
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -59,8 +59,9 @@
 	pauses    int  // one in so many calls pauses its daemon past the lease; 0: none
 	pausing   bool
 	delayed   []cuminstair.Commit
-	onTake    func() // called before a commit that takes an instance
-	down      bool   // the platform is unavailable
+	runner    *runner // nil: no jobs
+	onTake    func()  // called before a commit that takes an instance
+	down      bool    // the platform is unavailable
 	acted     int
 	moves     int
 	outside   string // the first account that was outside its budget
@@ -103,7 +104,7 @@
 		inflight: map[string][]time.Time{},
 	}
 	d.c = &control.Control{
-		Centre: centre, Self: name, Boot: "1", Table: d, Hosts: d, Peers: d, Timer: w.v, Recorder: d, Idle: d.idle,
+		Centre: centre, Self: name, Boot: "1", Table: d, Hosts: d, Peers: d, Timer: w.v, Recorder: d, Idle: d.idle, Tasks: d,
 		Rand:  rand.New(rand.NewPCG(uint64(len(w.order)), 5)),
 		State: func(host string, state cuminstair.HostState) { d.view[host] = state },
 		Moved: func(host, pool string) { d.pools[host] = pool },
@@ -245,6 +246,9 @@
 		}
 		d.c.Step(context.Background())
 		d.serve()
+		if w.runner != nil {
+			d.c.StepJobs(context.Background())
+		}
 	}
 }
 
--- a/job/renew.go
+++ b/job/renew.go
@@ -12,6 +12,10 @@
 // slack covers a worker's clock that runs slower than ours, and a renewal that was under way.
 const slack = 5 * time.Second
 
+// quietAfter is how long a task may go unreported before it counts as ended: the platform renews a task that has ended
+// without complaint, and its last report may have been lost with an earlier controller.
+const quietAfter = 5 * time.Minute
+
 // wheel holds the tasks by the second in which their lease is renewed, so that renewals are batched and cost nothing
 // for tasks that are not due.
 type wheel struct {
@@ -44,9 +48,12 @@
 
 func (s *Scheduler) renewOne(now time.Time, t *task) {
 	switch {
-	case t.gone || t.worker.out && !t.worker.suspect:
+	case t.gone || t.worker.lost:
 	case now.Sub(t.renewed) >= Lease+slack:
 		s.lose(t, "its lease ran out")
+	case now.Sub(t.heard) >= quietAfter:
+		t.quiet = true
+		s.expire = append(s.expire, t)
 	default:
 		s.wheel.add(t, now.Add(renewEvery))
 		s.plan.Actions[cuminstair.TaskRenew] = append(s.plan.Actions[cuminstair.TaskRenew], t.id)
@@ -57,13 +64,11 @@
 // since the worker may be cut off and still run them.
 func (s *Scheduler) LoseWorker(name string) {
 	w, ok := s.workers.all[name]
-	if !ok || w.out && !w.suspect {
+	if !ok || w.lost {
 		return
 	}
-	if w.suspect {
-		s.workers.outs--
-	}
-	w.out, w.suspect = true, false
+	s.RestWorker(name)
+	w.lost = true
 	s.workers.reindex(w)
 	for _, t := range w.tasks {
 		s.expire = append(s.expire, t)
@@ -79,12 +84,25 @@
 		case t.gone:
 		case now.Sub(t.renewed) >= Lease+slack:
 			s.lose(t, "its worker is lost")
-		case t.worker.out:
+		case t.worker.lost || t.quiet:
 			rest = append(rest, t)
-		default: // the worker is back
+		default: // the worker is back, or the task was reported again
 			s.wheel.add(t, now.Add(time.Second))
 		}
 	}
 	clear(s.expire[len(rest):])
 	s.expire = rest
 }
+
+// RestWorker gives a worker no new tasks. Those on it go on.
+func (s *Scheduler) RestWorker(name string) {
+	w, ok := s.workers.all[name]
+	if !ok {
+		return
+	}
+	if w.suspect {
+		s.workers.outs--
+	}
+	w.out, w.suspect = true, false
+	s.workers.reindex(w)
+}
--- a/job/report.go
+++ b/job/report.go
@@ -30,6 +30,7 @@
 	if !ok {
 		return
 	}
+	t.heard, t.quiet = now, false
 	switch u.State {
 	case "running":
 		s.running(now, t, u)
--- a/job/scheduler.go
+++ b/job/scheduler.go
@@ -16,6 +16,8 @@
 	full    size // what it takes when it is not throttled
 	renewed time.Time
 	begun   time.Time // when it was asked for
+	heard   time.Time // when it was last reported
+	quiet   bool      // not reported for quietAfter, so that it is no longer renewed
 	slow    bool      // throttled
 	wanted  *reclaim  // the urgent job that waits for it
 	gone    bool
@@ -120,7 +122,7 @@
 	if x.suspect {
 		s.workers.outs--
 	}
-	x.out, x.suspect, x.row, x.until = false, false, 0, time.Time{}
+	x.out, x.suspect, x.lost, x.row, x.until = false, false, false, 0, time.Time{}
 	clear(x.fails)
 	s.workers.reindex(x)
 }
@@ -164,13 +166,21 @@
 	w, ok := s.workers.all[e.Worker]
 	if !ok {
 		// Its worker is unknown, so that its lease runs out.
-		w = &worker{Worker: Worker{Name: e.Worker}, tasks: map[string]*task{}, fails: map[string]bool{}, failed: map[*entry]bool{}, out: true, place: nowhere}
+		w = &worker{Worker: Worker{Name: e.Worker}, tasks: map[string]*task{}, fails: map[string]bool{}, failed: map[*entry]bool{}, out: true, lost: true, place: nowhere}
 	}
-	t := &task{id: e.Task, job: e, worker: w, size: s.size(&e.Job), renewed: now, begun: now}
+	t := &task{id: e.Task, job: e, worker: w, size: s.size(&e.Job), renewed: now, begun: now, heard: now}
 	t.full = t.size
+	if e.State == Throttled {
+		t.slow, t.size.cores = true, throttledShare*t.full.cores
+		s.slow[t] = true
+	}
 	s.hold(now, t)
-	if !ok {
+	switch {
+	case !ok:
 		s.expire = append(s.expire, t)
+	case e.State == Starting:
+		// The earlier controller may have stopped between writing the row and the start, which is harmless to repeat.
+		s.plan.Starts = append(s.plan.Starts, Start{Task: t.order(), Reason: ReasonPlaced, Why: e.Why})
 	}
 }
 
@@ -315,13 +325,17 @@
 	e.Task, e.Worker = fmt.Sprintf("%s/%d", e.ID, e.Tries), w.Name
 	why := fmt.Sprintf("%.1f cores on %s, which has %.1f free", z.cores, w.Name, w.free.cores)
 	s.step(e, "start", why)
-	s.hold(now, &task{id: e.Task, job: e, worker: w, size: z, full: z, renewed: now, begun: now})
-	s.plan.Starts = append(s.plan.Starts, Start{
-		Reason: reason, Why: why,
-		Task: cuminstair.Task{
-			ID: e.Task, Worker: w.Name, Job: e.ID, Cores: z.cores, Memory: z.memory, Accel: z.accel, Lease: cuminstair.Duration(Lease),
-		},
-	})
+	t := &task{id: e.Task, job: e, worker: w, size: z, full: z, renewed: now, begun: now, heard: now}
+	s.hold(now, t)
+	s.plan.Starts = append(s.plan.Starts, Start{Task: t.order(), Reason: reason, Why: why})
+}
+
+// order is the task as the platform is asked to start it.
+func (t *task) order() cuminstair.Task {
+	return cuminstair.Task{
+		ID: t.id, Worker: t.worker.Name, Job: t.job.ID, Lease: cuminstair.Duration(Lease),
+		Cores: t.size.cores, Memory: t.size.memory, Accel: t.size.accel,
+	}
 }
 
 // hold books a task on its worker and team.
@@ -358,6 +372,9 @@
 	delete(s.tasks, t.id)
 	delete(t.worker.tasks, t.id)
 	t.job.task = nil
+	if t.job.State == Cancelled {
+		s.changed[t.job.ID] = true // it can be forgotten now
+	}
 	if t.wanted != nil {
 		delete(t.wanted.wait, t.id)
 	}
--- a/job/workers.go
+++ b/job/workers.go
@@ -31,6 +31,7 @@
 	until    time.Time       // takes no new job before
 	out      bool            // quarantined, or not in service
 	suspect  bool
+	lost     bool         // cut off or dead: its leases run out
 	place    [indexes]int // bucket in each index, -1 when it is not in it
 	at       [indexes]int // position in it
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -84,6 +84,9 @@
 	return Fence{Epoch: l.record.Epoch, Check: l.check()}, true
 }
 
+// Until returns when the lease ends if it is not renewed before.
+func (l *Lease) Until() time.Time { return l.sent.Add(l.term()) }
+
 // Holder returns the holder and the epoch in the row that was read last.
 func (l *Lease) Holder() (string, uint64) { return l.record.Holder, l.record.Epoch }
 
--- a/wave/decide.go
+++ b/wave/decide.go
@@ -85,6 +85,9 @@
 		return p.take(s, GoalOperate, ReasonOrder, "drained by an operator", func(h *Host) { h.Order = s.orderAt })
 	case s.row.Hold:
 		return true
+	case s.suspect != "":
+		_, ok := p.Budgets.MayTake(s.name)
+		return ok && p.step(s, "quarantine", s.row, ReasonHealth, s.suspect)
 	case s.host.Pool == "":
 		return p.take(s, GoalRemove, ReasonFile, "the fleet file does not name it any more", nil)
 	case !s.healthy && s.listed != listGone && now.Sub(s.since) >= RepairAfter:
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -43,6 +43,7 @@
 	listedAt time.Time // when listed last changed
 	idle     bool      // confirmed by every live daemon
 	acted    string    // id of the action that the platform accepted
+	suspect  string    // why it is to be quarantined
 	order    Order
 	orderAt  uint64
 	taken    bool // decided in the running Decide
@@ -192,6 +193,7 @@
 		if !s.has || s.row.State != row.State || s.row.Act != row.Act {
 			s.entered = now
 			s.idle = false
+			s.suspect = ""
 		}
 		s.row, s.has = row, true
 	})
@@ -255,6 +257,13 @@
 	}
 }
 
+// Quarantine asks for a host to be taken out of service because jobs fail on it. It goes when the budget has room.
+func (p *Planner) Quarantine(name, why string) {
+	if s, ok := p.hosts[name]; ok {
+		p.update(s, func() { s.suspect = why })
+	}
+}
+
 // Freeze stops all planned work for a reason, or lets it go on if the reason is empty.
 func (p *Planner) Freeze(reason string) { p.frozen = reason }
 
@@ -326,7 +335,7 @@
 // attention tells whether Decide has to look at the host.
 func (s *status) attention(p *Planner) bool {
 	return !s.active() || !s.healthy || s.listed == listGone || s.row.Pool != s.host.Pool ||
-		s.orderAt > s.row.Order || (s.host.Pool == p.spare && s.host.Pool != "")
+		s.orderAt > s.row.Order || s.suspect != "" || (s.host.Pool == p.spare && s.host.Pool != "")
 }
 
 const (
