Join the jobs and print the state charts

Cause: operators could neither submit nor cancel jobs, and the charts were readable only in the source. Before: submit answered "this daemon places no jobs". Conclusion: jobs run in the data centre of the daemon that was asked; a list of jobs over all data centres is not built.

--- a/cmd/cuminstair/app.go
+++ b/cmd/cuminstair/app.go
@@ -77,6 +77,7 @@
 		waveCommand(),
 		jobCommand(),
 		explainCommand(),
+		chartCommand(),
 		certCommand(),
 		completionCommand(),
 		manCommand(),
--- a/node/node.go
+++ b/node/node.go
@@ -170,6 +170,7 @@
 		Timer:    n.Timer,
 		Rand:     n.rand(),
 		Recorder: n.daemon.Explain(),
+		Tasks:    n.Platform,
 		Log:      n.Log.Named("control"),
 		State:    n.view.setState,
 		Moved:    n.view.setPool,
--- a/node/status.go
+++ b/node/status.go
@@ -5,14 +5,9 @@
 	"slices"
 	"strings"
 
-	"github.com/juju/errors"
-
 	"cuminstair.org/cuminstair"
 )
 
-// errNoJobs means that jobs are not joined to the daemon.
-const errNoJobs = errors.ConstError("this daemon places no jobs")
-
 // Pools implements cuminstair.Operations.
 func (o *operations) Pools(context.Context) ([]cuminstair.PoolStatus, error) {
 	f := o.node.current().Fleet
@@ -103,18 +98,3 @@
 	}
 	return rows, nil
 }
-
-// Jobs implements cuminstair.Operations.
-func (o *operations) Jobs(context.Context) ([]cuminstair.JobStatus, error) {
-	return nil, nil
-}
-
-// Submit implements cuminstair.Operations.
-func (o *operations) Submit(context.Context, []cuminstair.Job) (cuminstair.Count, error) {
-	return cuminstair.Count{}, errNoJobs
-}
-
-// Cancel implements cuminstair.Operations.
-func (o *operations) Cancel(context.Context, cuminstair.Cancellation) (cuminstair.Count, error) {
-	return cuminstair.Count{}, errNoJobs
-}
