--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -12,12 +13,15 @@
 
 // table is the platform's table in memory. It keeps the history of all commits.
 type table struct {
+	mu      sync.Mutex
 	rows    map[string]cuminstair.Row
 	version uint64
 	onWrite func(row cuminstair.Row)
 }
 
 func (t *table) commit(c cuminstair.Commit) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, k := range c.Checks {
 		if r := t.rows[k.Key]; r.Version != k.Version && (!r.Deleted || k.Version != 0) {
 			return 0, cuminstair.ErrConflict
@@ -41,6 +45,8 @@
 }
 
 func (t *table) read(prefix string, since uint64) []cuminstair.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var rows []cuminstair.Row
 	for key, r := range t.rows {
 		if strings.HasPrefix(key, prefix) && r.Version > since && (since > 0 || !r.Deleted) {
@@ -149,4 +155,8 @@
 }
 
 // Record implements cuminstair.Recorder.
-func (d *daemon) Record(x cuminstair.Decision) { d.w.decisions = append(d.w.decisions, x) }
+func (d *daemon) Record(x cuminstair.Decision) {
+	d.w.table.mu.Lock()
+	defer d.w.table.mu.Unlock()
+	d.w.decisions = append(d.w.decisions, x)
+}
