--- a/wave/fleet_test.go
+++ b/wave/fleet_test.go
@@ -242,3 +242,26 @@
 		w.is.True(exposed > 0)
 	}
 }
+
+// Guards against a quarantine that breaks a budget, and against a quarantined host that is never repaired.
+func TestQuarantine(t *testing.T) {
+	f := smallFleet(3, 0.67)
+	f.Waves = nil
+	w := newWorld(t, f)
+	w.step()
+	for _, name := range []string{"p0-0", "p0-3", "p0-6"} { // the budget has room for one
+		w.planners["c0"].Quarantine(name, "3 jobs failed on it")
+	}
+	for range 60 {
+		w.step()
+		w.is.True(w.within())
+	}
+	w.is.Equal(w.hosts["p0-0"].row.State, cuminstair.HostQuarantined)
+	w.is.Equal(w.refused, 0)
+	for range 6000 {
+		w.step()
+	}
+	w.is.Equal(w.hosts["p0-0"].row.State, cuminstair.HostActive)
+	w.is.Equal(w.hosts["p0-6"].row.State, cuminstair.HostActive)
+	w.is.Equal(w.refused, 0)
+}
