Answer 400 to a body that is cut short

Before: TestMalformedRequests 500 != 400. After: go test ./operator passes. Conclusion: every decoding error but an oversized body is 400.

--- a/operator/server.go
+++ b/operator/server.go
@@ -104,7 +104,7 @@
 	return func(c echo.Context) error {
 		var in In
 		if err := c.Echo().JSONSerializer.Deserialize(c, &in); err != nil {
-			return fmt.Errorf("decode the body: %w", err)
+			return malformed(err)
 		}
 		out, err := fn(c.Request().Context(), in)
 		if err != nil {
@@ -114,6 +114,17 @@
 	}
 }
 
+// malformed is the answer to a body that is not JSON or not of the right form.
+func malformed(err error) error {
+	if tooBig, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return fmt.Errorf("read the body: %w", tooBig)
+	}
+	if he, ok := errors.AsType[*echo.HTTPError](err); ok {
+		return he
+	}
+	return echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf("the body is not JSON: %v", err))
+}
+
 // change applies one of the allowed actions to the thing named in the path.
 func change(fn func(ctx context.Context, id, action string) error, allowed ...string) echo.HandlerFunc {
 	return func(c echo.Context) error {
