Let tests of the QUIC edge end when they fail

Cause: two tests hung until the test binary's timeout when they failed, since a handler was never released. After: go test -race -count=20 ./peer passes.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -171,12 +171,14 @@
 		}
 	})
 	ctx := limited(t)
-	answers := make(chan *cuminstair.Message)
+	free := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(free) // the daemon waits for its handler, also when the test fails
+	answers := make(chan *cuminstair.Message, 1)
 	go func() { answers <- a.Forward(ctx, "b", &cuminstair.Message{ID: "1"}) }()
 	<-running
 	go b.stop() // closes the connection, then waits for the handler
 	is.Equal((<-answers).Outcome, cuminstair.OutcomeUnknown)
-	close(release)
+	free()
 	b.stop()
 	f.mu.Lock()
 	delete(f.addrs, "b")
@@ -268,6 +270,8 @@
 			return &cuminstair.Message{Outcome: cuminstair.OutcomeDone}
 		}
 	})
+	free := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(free)
 	ctx := limited(t)
 	answers := make(chan *cuminstair.Message, places)
 	for range places {
@@ -278,7 +282,7 @@
 	late, cancel := context.WithCancel(ctx)
 	cancel()
 	is.Equal(a.Forward(late, "slow", &cuminstair.Message{ID: "3"}).Outcome, cuminstair.OutcomeNotRun)
-	close(release)
+	free()
 	for range places {
 		is.Equal((<-answers).Outcome, cuminstair.OutcomeDone)
 	}
