Measure the request path with the decisions of a joined daemon

The benchmark of the throughput used round robin and unlimited admission only. It now has two variants: the defaults of package daemon, and route.Router, admit.Queue, admit.Quotas, retry.Budget and health.Monitor together with a logger that formats each line. The quota of the test fleet no longer limits the benchmark.

--- a/daemon/bench_test.go
+++ b/daemon/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -9,8 +11,15 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/admit"
+	"cuminstair.org/cuminstair/daemon"
+	"cuminstair.org/cuminstair/health"
+	"cuminstair.org/cuminstair/retry"
+	"cuminstair.org/cuminstair/route"
 	"cuminstair.org/cuminstair/standin/instance"
 	"cuminstair.org/cuminstair/timer"
 )
@@ -19,19 +28,33 @@
 const benchConns = 64
 
 // BenchmarkThroughDaemon compares requests through one daemon with direct requests to the same instance, in turns in the
-// same run. The target is a throughput of at least half of the direct one.
+// same run. The target is a throughput of at least half of the direct one. "plain" has the defaults of package daemon,
+// "full" the decisions of a joined daemon and a logger that formats each line.
 func BenchmarkThroughDaemon(b *testing.B) {
-	for name, fault := range map[string]string{"work=0": "", "work=1ms": "delay=1ms"} {
-		b.Run(name, func(b *testing.B) { compare(b, fault) })
+	for _, work := range []string{"0s", "1ms"} {
+		fault := "delay=" + work
+		b.Run("plain/work="+work, func(b *testing.B) { compare(b, fault, nil) })
+		b.Run("full/work="+work, func(b *testing.B) { compare(b, fault, joined) })
 	}
 }
 
-func compare(b *testing.B, fault string) {
+// joined gives a daemon the decisions that package node gives it.
+func joined(d *daemon.Daemon) {
+	random := rand.New(rand.NewPCG(1, 2))
+	d.Log = hclog.New(&hclog.LoggerOptions{Output: io.Discard, Level: hclog.Info})
+	d.Router = &route.Router{Centre: "c1", Rand: random}
+	d.NewAdmission = func() cuminstair.Admission { return &admit.Queue{} }
+	d.Quotas = &admit.Quotas{}
+	d.Retries = &retry.Budget{Rand: random}
+	d.Health = &health.Monitor{}
+}
+
+func compare(b *testing.B, fault string, change func(d *daemon.Daemon)) {
 	clock := realClock(b)
 	// The daemon keeps some connections for itself; the limit is not what is measured.
 	s := &instance.Server{Timer: clock, Conns: 4 * benchConns}
 	addr := serve(b, s)
-	d := start(b, load(b, []string{addr}, `"wait": "0s"`), clock, nil)
+	d := start(b, load(b, []string{addr}, `"wait": "0s"`), clock, change)
 	direct := &load64{clock: clock, client: newClient(b, benchConns), url: "http://" + addr, fault: fault}
 	through := &load64{clock: clock, client: newClient(b, benchConns), url: d.url, fault: fault}
 	direct.run(b, benchConns)
--- a/daemon/setup_test.go
+++ b/daemon/setup_test.go
@@ -26,7 +26,7 @@
 	"services": [{"name": "scale", "pool": "p1", "slots": 8, "conns": 64, "budget": {"down": 0.1}, "kinds": [
 		{"name": "portion", "weight": 1, "deadline": "1h"},
 		{"name": "convert", "weight": 1, "deadline": "1h", "idempotent": true}]}],
-	"teams": [{"name": "t1", "quota": {"rate": 1000, "burst": 100}}],
+	"teams": [{"name": "t1", "quota": {"rate": 1000000, "burst": 100000}}],
 	"hosts": [`
 
 const hostFormat = `{"name": "h%d", "centre": "c1", "rack": "k1", "pool": "p1", "addr": "%s", "cores": 32, "memory": "128GB"},`
