Keep the values of a header apart

The values of a header were joined with ", " on both ways, which breaks Set-Cookie, whose values contain commas. cuminstair.Message.Header is now map[string][]string, also between daemons (CBOR: a map of arrays). The edges hand the parsed headers on instead of copying them; net/http does not read the request's headers after the handler began. A header that a second Connection line names is now left out, too: only the first line was looked at.

TestSeveralValues failed with the values joined again. Package ticket charges each value of a kept answer.

--- a/caller/message.go
+++ b/caller/message.go
@@ -33,19 +33,28 @@
 		ID:      s.newID(),
 		Method:  r.Method,
 		Path:    path,
-		Header:  make(map[string]string, len(r.Header)),
 		Service: service,
 		Kind:    r.Header.Get("Kind"),
 		Team:    r.Header.Get("Team"),
 		Ticket:  r.Header.Get("Ticket"),
 	}
-	named := r.Header.Get("Connection")
-	for name, values := range r.Header {
-		if !own[name] && !mentions(named, name) {
-			m.Header[name] = strings.Join(values, ", ")
+	m.Header = passed(r.Header)
+	return m
+}
+
+// passed takes the headers that are not passed on out of h. The server doesn't read them again.
+func passed(h http.Header) map[string][]string {
+	for _, named := range h["Connection"] {
+		for name := range strings.SplitSeq(named, ",") {
+			h.Del(strings.TrimSpace(name))
 		}
 	}
-	return m
+	for name := range h {
+		if own[name] {
+			delete(h, name)
+		}
+	}
+	return h
 }
 
 // split returns the service and the path of /s/<service>/<path>. The path begins with a slash.
@@ -54,20 +63,9 @@
 	return service, "/" + path
 }
 
-// mentions reports whether a Connection header names another header.
-func mentions(connection, name string) bool {
-	for word := range strings.SplitSeq(connection, ",") {
-		if strings.EqualFold(strings.TrimSpace(word), name) {
-			return true
-		}
-	}
-	return false
-}
-
-// read reads the deadline and the body, which has to arrive before the deadline.
-func (s *Server) read(c echo.Context, m *cuminstair.Message) *Refusal {
+// read reads the body, which has to arrive before the deadline that text tells.
+func (s *Server) read(c echo.Context, m *cuminstair.Message, text string) *Refusal {
 	r := c.Request()
-	text := r.Header.Get("Deadline")
 	if text == "" {
 		return malformed("header Deadline is missing: give the time that the request may take, such as 1500ms")
 	}
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -47,9 +47,9 @@
 		ID:     id,
 		Status: status,
 		Reason: r.Reason,
-		Header: map[string]string{
-			"Content-Type": "text/plain; charset=utf-8",
-			"Retry-After":  strconv.Itoa(int(seconds)),
+		Header: map[string][]string{
+			"Content-Type": {"text/plain; charset=utf-8"},
+			"Retry-After":  {strconv.Itoa(int(seconds))},
 		},
 		Body: []byte(r.Text),
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -111,10 +111,11 @@
 	if s.draining.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
+	deadline := c.Request().Header.Get("Deadline")
 	m := s.message(c.Request())
 	out := &writer{w: c.Response()}
 	m.Sink = out.begin
-	if fault := s.read(c, m); fault != nil {
+	if fault := s.read(c, m, deadline); fault != nil {
 		out.write(s.Path.Reject(m, *fault))
 		return nil
 	}
--- a/caller/writer.go
+++ b/caller/writer.go
@@ -43,15 +43,14 @@
 
 func (o *writer) head(m *cuminstair.Message) {
 	h := o.w.Header()
-	for name, value := range m.Header {
-		h.Set(name, value)
+	for name, values := range m.Header {
+		h[http.CanonicalHeaderKey(name)] = values
 	}
 	if m.Status == http.StatusNoContent || m.Status == http.StatusNotModified {
 		h.Del("Content-Length")
 	}
-	h.Set("Outcome", m.Outcome.String())
-	h.Set("Reason", string(m.Reason))
-	h.Set("Request", m.ID)
+	own := []string{m.Outcome.String(), string(m.Reason), m.ID}
+	h["Outcome"], h["Reason"], h["Request"] = own[0:1:1], own[1:2:2], own[2:3:3]
 	if m.Outcome != cuminstair.OutcomeNotRun {
 		h.Del("Retry-After")
 	}
--- a/daemon/stream_test.go
+++ b/daemon/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -39,3 +40,27 @@
 		is.NoErr(<-d.ended)
 	}
 }
+
+// Guards against headers with several values that are joined, which breaks cookies, or lost on their way.
+func TestSeveralValues(t *testing.T) {
+	is := is.New(t)
+	s := &instance.Server{Timer: realClock(t)}
+	s.Answer = func(r *http.Request, _ []byte) []byte {
+		return []byte(strings.Join(r.Header["Cookie"], "|") + "|" + strings.Join(r.Header["Accept"], "|"))
+	}
+	s.Header = http.Header{"Set-Cookie": {"a=1; Expires=Thu, 01 Jan 2026 00:00:00 GMT", "b=2"}}
+	d := start(t, load(t, []string{serve(t, s)}, `"wait": "0s"`), realClock(t), nil)
+	r, err := http.NewRequest(http.MethodPost, d.url+"/s/scale/work", strings.NewReader("body"))
+	is.NoErr(err)
+	r.Header = http.Header{
+		"Team": {"t1"}, "Kind": {"portion"}, "Deadline": {"5s"}, "Connection": {"X-Own", "X-Hop, accept"},
+		"Cookie": {"c=3", "d=4"}, "Accept": {"text/plain"}, "X-Hop": {"1"}, "Accept-Language": {"en"},
+	}
+	resp, err := newClient(t, 1).Do(r)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(resp.Header["Set-Cookie"], s.Header["Set-Cookie"])
+	is.Equal(string(body), "c=3|d=4|") // Connection names Accept
+}
--- a/node/reply.go
+++ b/node/reply.go
@@ -20,7 +20,7 @@
 		Status:  statusOf(o, r),
 		Outcome: o,
 		Reason:  r,
-		Header:  map[string]string{"Content-Type": "text/plain; charset=utf-8"},
+		Header:  map[string][]string{"Content-Type": {"text/plain; charset=utf-8"}},
 		Body:    []byte(text + "\n"),
 	}
 }
--- a/serve.go
+++ b/serve.go
@@ -128,7 +128,8 @@
 	Method string            `cbor:"2,keyasint,omitempty"`
 	Path   string            `cbor:"3,keyasint,omitempty"`
 	Status int               `cbor:"4,keyasint,omitempty"` // HTTP status of an answer
-	Header map[string]string `cbor:"5,keyasint,omitempty"`
+	// Header holds each value of a header apart: the values of Set-Cookie can't be joined.
+	Header map[string][]string `cbor:"5,keyasint,omitempty"`
 	Body   []byte            `cbor:"6,keyasint,omitempty"` // at most 1 MiB
 	// Service, Kind, Team, Ticket and Timeout are those of the caller's request.
 	Service string        `cbor:"7,keyasint,omitempty"`
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -35,6 +36,8 @@
 	Conns int              // connections; one above it is closed at once; 0: DefaultConns
 	// Answer returns the body of an answer; nil echoes the body of the request.
 	Answer func(r *http.Request, body []byte) []byte
+	// Header is sent with each answer; optional.
+	Header http.Header
 	// Chunked sends answers in chunks, without a Content-Length.
 	Chunked bool
 	// Raw, if set, is sent instead of every answer, and the connection is closed.
@@ -140,6 +143,7 @@
 	if s.Answer != nil {
 		body = s.Answer(r, body)
 	}
+	maps.Copy(w.Header(), s.Header)
 	if s.Raw != "" {
 		writeRaw(w, s.Raw, false)
 		return
--- a/ticket/bench_test.go
+++ b/ticket/bench_test.go
@@ -75,7 +75,7 @@
 		var m *cuminstair.Message
 		if size >= 0 {
 			m = &cuminstair.Message{
-				Status: 200, Header: map[string]string{"Content-Type": "text/plain"}, Body: make([]byte, size),
+				Status: 200, Header: map[string][]string{"Content-Type": {"text/plain"}}, Body: make([]byte, size),
 			}
 		}
 		s.End(start, tk, v.Run, cuminstair.OutcomeDone, cuminstair.ReasonOK, m)
--- a/ticket/request.go
+++ b/ticket/request.go
@@ -39,8 +39,10 @@
 	}
 	n := len(m.ID) + len(m.Method) + len(m.Path) + len(m.Body) + len(m.Service) + len(m.Kind) + len(m.Team) +
 		len(m.Ticket) + len(m.Reason) + messageCost
-	for k, v := range m.Header {
-		n += len(k) + len(v) + headerCost
+	for name, values := range m.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + headerCost
+		}
 	}
 	return int64(n)
 }
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -27,7 +27,7 @@
 			is := is.New(t)
 			r := newRig(t)
 			m := request("r1", "own body")
-			m.Header = map[string]string{instance.FaultHeader: fault}
+			m.Header = map[string][]string{instance.FaultHeader: {fault}}
 			_, result := r.send(context.Background(), m)
 			is.Equal(result, want)
 			answer, result := r.send(context.Background(), request("r2", "next body"))
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -161,7 +160,7 @@
 		return errTooLong
 	}
 	if resp.ContentLength >= 0 {
-		answer.Header["Content-Length"] = strconv.FormatInt(resp.ContentLength, 10)
+		answer.Header["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
 	}
 	w, err := a.message.Sink(answer)
 	if err != nil {
@@ -220,8 +219,8 @@
 		return nil, fmt.Errorf("%w: %w", errPath, err)
 	}
 	r := &http.Request{Method: m.Method, URL: target, Host: addr, Header: make(http.Header, len(m.Header)+4)}
-	for name, value := range m.Header {
-		r.Header[http.CanonicalHeaderKey(name)] = []string{value}
+	for name, values := range m.Header {
+		r.Header[http.CanonicalHeaderKey(name)] = values
 	}
 	if r.Header["User-Agent"] == nil {
 		r.Header["User-Agent"] = []string{""}
@@ -244,17 +243,16 @@
 }
 
 func newAnswer(id string, resp *http.Response) *cuminstair.Message {
-	m := &cuminstair.Message{
+	for name := range resp.Header {
+		if hop[name] {
+			delete(resp.Header, name)
+		}
+	}
+	return &cuminstair.Message{
 		ID:      id,
 		Status:  resp.StatusCode,
-		Header:  make(map[string]string, len(resp.Header)),
+		Header:  resp.Header,
 		Outcome: cuminstair.OutcomeDone,
 		Reason:  cuminstair.ReasonOK,
 	}
-	for name, values := range resp.Header {
-		if !hop[name] {
-			m.Header[name] = strings.Join(values, ", ")
-		}
-	}
-	return m
 }
--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -71,7 +71,7 @@
 				m.Method = method
 				m.Idempotent = true
 				if key != "" {
-					m.Header = map[string]string{key: "k1"}
+					m.Header = map[string][]string{key: {"k1"}}
 				}
 				_, result = r.send(context.Background(), m)
 				is.Equal(result.Outcome, cuminstair.OutcomeUnknown)
