Gather the log lines of decisions for 10 ms

Each decision woke the goroutine that writes the log lines, which costs a switch of goroutines and a futex call on the path of each request. The writer now gathers for 10 ms, or until half the ring is full; each decision still has its line, and the last ones are written at the end. Lines of a logger below info are not formatted.

TestRunGathers failed without the batch and without the wake at half the ring.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -87,6 +87,7 @@
 		d.stopping = make(chan struct{})
 		d.registry = prometheus.NewRegistry()
 		d.ring = explain.New(explain.DefaultSize, d.Log.Named("explain"))
+		d.ring.Timer = d.Timer
 		d.addrs = map[string]net.Addr{}
 		d.useDefaults()
 		d.decisions = &caller.Decisions{
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -16,8 +17,16 @@
 // less than 1 MB.
 const DefaultSize = 4096
 
-// Ring keeps the last decisions. It must be made with New. It is safe for concurrent use.
+// batchTime is how long log lines are gathered. Waking the writer for each decision costs a switch of goroutines on the
+// path of each request.
+const batchTime = 10 * time.Millisecond
+
+// Ring keeps the last decisions. It must be made with New. It is safe for concurrent use. Exported fields are set before
+// Run.
 type Ring struct {
+	// Timer spreads the work of Run; nil: each decision is written as soon as possible.
+	Timer cuminstair.Timer
+
 	log hclog.Logger
 
 	mu      sync.Mutex
@@ -45,8 +54,13 @@
 	r.kept[r.next] = d
 	r.next = (r.next + 1) % len(r.kept)
 	r.seq++
+	// The first one begins a batch, and half a ring is written before its time.
+	pending := r.seq - r.logged
+	wake := pending == 1 || pending == uint64(len(r.kept))/2
 	r.mu.Unlock()
-	r.written.Signal()
+	if wake {
+		r.written.Broadcast()
+	}
 }
 
 // Lookup returns the decisions about one thing that are still kept, the oldest first. kind is Decision.Kind.
@@ -69,6 +83,7 @@
 	stop := context.AfterFunc(ctx, r.close)
 	defer stop()
 	for {
+		r.gather()
 		batch, lost, more := r.take()
 		if lost > 0 {
 			r.log.Warn("decisions are missing from the log", "count", lost)
@@ -83,22 +98,45 @@
 }
 
 func (r *Ring) write(d *cuminstair.Decision) {
+	if !r.log.IsInfo() {
+		return
+	}
 	r.log.Info(d.Part+" decided", "kind", d.Kind, "id", d.ID, "choice", d.Choice, "reason", string(d.Reason), "inputs", d.Detail)
 }
 
-// take waits for decisions and returns those that have no log line yet. more is false once the ring is closed and all
-// is written.
-func (r *Ring) take() (batch []cuminstair.Decision, lost uint64, more bool) {
+// gather waits until there is a decision, and then until batchTime has passed or half the ring is full.
+func (r *Ring) gather() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for r.logged == r.seq && !r.closed {
 		r.written.Wait()
 	}
+	if r.Timer == nil {
+		return
+	}
+	passed := false
+	stop := r.Timer.After(batchTime, func(time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		passed = true
+		r.written.Broadcast()
+	})
+	defer stop()
+	for !passed && !r.closed && r.seq-r.logged < uint64(len(r.kept))/2 {
+		r.written.Wait()
+	}
+}
+
+// take returns the decisions that have no log line yet. more is false once the ring is closed and all is written.
+func (r *Ring) take() (batch []cuminstair.Decision, lost uint64, more bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	size := uint64(len(r.kept))
 	if r.seq-r.logged > size {
 		lost = r.seq - r.logged - size
 		r.logged += lost
 	}
+	batch = make([]cuminstair.Decision, 0, r.seq-r.logged)
 	for ; r.logged < r.seq; r.logged++ {
 		batch = append(batch, r.kept[r.logged%size])
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/explain"
+	"cuminstair.org/cuminstair/timer"
 )
 
 func record(r *explain.Ring, id, choice string) {
@@ -47,3 +50,38 @@
 	is.True(strings.Contains(out.String(), "count=2"))
 	is.True(strings.Contains(out.String(), "reason=local"))
 }
+
+// Guards against a writer that is woken for each decision, that waits for a batch although half the ring is full, or
+// that never writes the last ones.
+func TestRunGathers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		clock := timer.NewVirtual(time.Unix(1000, 0))
+		r := explain.New(8, hclog.New(&hclog.LoggerOptions{Output: &out}))
+		r.Timer = clock
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- r.Run(ctx) }()
+		lines := func(n int) {
+			is.Helper()
+			synctest.Wait()
+			is.Equal(strings.Count(out.String(), "caller decided"), n)
+		}
+		record(r, "r1", "host")
+		record(r, "r2", "host")
+		lines(0)
+		clock.Advance(10 * time.Millisecond)
+		lines(2)
+		record(r, "r3", "host")
+		lines(2)
+		for range 3 {
+			record(r, "r4", "host")
+		}
+		lines(6)
+		record(r, "r5", "host")
+		cancel()
+		is.NoErr(<-ended)
+		lines(7)
+	})
+}
