Leave connections without a request open for a grace time at a planned stop

http.Server.Shutdown closes idle connections at once, so that a request that is just arriving on one meets the close, and waits 5 s for connections that never carried a request. caller.Server now follows its connections by ConnState: at the stop it closes the listeners, serves what arrives on open connections for 100 ms (50 round trips to a client) and then closes those that are idle or new. Each answer of a draining server ends its connection, those of GET /ready included. Closing idle connections can't be made free of races in HTTP/1.1; a request that is sent after the grace time still meets a close, after the load balancer had the time of the setting wait to stop sending.

New connections are closed after the grace time, too, not at once: their first request may be arriving as well.

TestShutdown and TestShutdownUnused failed with http.Server.Shutdown alone and without the close of unused connections. TestPlannedStopCutsNothing now lets the grace time pass while its requests are in flight.

--- a/caller/server.go
+++ b/caller/server.go
@@ -3,7 +3,6 @@
 package caller
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,6 +39,7 @@
 	prefix string // of request ids: unique to this start of the daemon
 	count  atomic.Uint64
 	server http.Server
+	conns  conns
 	// draining makes answers end their connections. http.Server.SetKeepAlivesEnabled would at once close the unused
 	// connections, on which callers may just be sending.
 	draining atomic.Bool
@@ -49,6 +49,7 @@
 	s.once.Do(func() {
 		s.prefix = s.Name + "-" + strconv.FormatInt(s.Path.Timer.Now().UnixNano(), 36) + "-"
 		s.server.Handler = s.routes()
+		s.server.ConnState = s.conns.note
 		s.server.ReadHeaderTimeout = headerLimit
 		s.server.IdleTimeout = idleLimit
 		s.server.ErrorLog = s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
@@ -58,6 +59,7 @@
 func (s *Server) routes() *echo.Echo {
 	e := echo.New()
 	e.HTTPErrorHandler = s.fail
+	e.Pre(s.endConnection)
 	methods := []string{http.MethodPost, http.MethodGet, http.MethodPut, http.MethodDelete}
 	e.Match(methods, "/s/:service/*", s.serve)
 	e.POST("/tickets", s.issue)
@@ -76,7 +78,9 @@
 // Serve answers callers until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	s.init()
-	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	err := s.server.Serve(s.conns.listen(l))
+	stopped := errors.Is(err, net.ErrClosed) && s.draining.Load()
+	if !stopped && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
@@ -87,15 +91,6 @@
 	s.draining.Store(true)
 }
 
-// Shutdown closes the listeners and returns when the requests in flight have their answers, or with the error of ctx.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.init()
-	if err := s.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("wait for requests in flight: %w", err)
-	}
-	return nil
-}
-
 // Close closes all connections at once.
 func (s *Server) Close() error {
 	s.init()
@@ -106,11 +101,18 @@
 	return s.prefix + strconv.FormatUint(s.count.Add(1), 36)
 }
 
+// endConnection makes each answer of a draining server the last one of its connection.
+func (s *Server) endConnection(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.draining.Load() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
 // serve takes a request for a service.
 func (s *Server) serve(c echo.Context) error {
-	if s.draining.Load() {
-		c.Response().Header().Set("Connection", "close")
-	}
 	deadline := c.Request().Header.Get("Deadline")
 	m := s.message(c.Request())
 	out := &writer{w: c.Response()}
--- /dev/null
+++ b/caller/stop_test.go
@@ -0,0 +1,150 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/caller"
+)
+
+// pipes is a listener whose connections are pipes, which a synctest bubble can wait for.
+type pipes struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accepted:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) Close() error {
+	select {
+	case <-p.closed:
+	default:
+		close(p.closed)
+	}
+	return nil
+}
+
+// gated is a connection whose bytes have arrived, but reach the server only when the gate is open.
+type gated struct {
+	net.Conn
+	gate chan chan struct{}
+}
+
+func (g *gated) Read(p []byte) (int, error) {
+	n, err := g.Conn.Read(p)
+	gate := <-g.gate
+	<-gate
+	g.gate <- gate
+	return n, err
+}
+
+// dial opens a connection and returns its ends. shut closes the gate and returns the function that opens it.
+func (p *pipes) dial() (client net.Conn, shut func() (open func())) {
+	client, server := net.Pipe()
+	g := &gated{Conn: server, gate: make(chan chan struct{}, 1)}
+	open := make(chan struct{})
+	close(open)
+	g.gate <- open
+	p.accepted <- g
+	return client, func() func() {
+		<-g.gate
+		gate := make(chan struct{})
+		g.gate <- gate
+		return func() { close(gate) }
+	}
+}
+
+const wire = "POST /s/scale/work HTTP/1.1\r\nHost: e1\r\nTeam: t1\r\nKind: portion\r\nDeadline: 5s\r\nContent-Length: 4\r\n\r\nbody"
+
+// ask sends a request and returns what will be its answer, or nil if the connection breaks.
+func ask(c net.Conn) <-chan *http.Response {
+	answers := make(chan *http.Response, 1)
+	go func() {
+		_, _ = io.WriteString(c, wire)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			resp = nil
+		}
+		answers <- resp
+	}()
+	return answers
+}
+
+// Guards against a planned stop that closes a connection on which a request is just arriving, that cuts off a request in
+// flight after the grace time, or that waits for connections without a request for longer.
+func TestShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, done)
+		l := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
+		served := make(chan error)
+		go func() { served <- r.server.Serve(l) }()
+		idle, shut := l.dial()
+		is.Equal((<-ask(idle)).StatusCode, http.StatusOK)
+		unused, _ := l.dial()
+		synctest.Wait()
+
+		open := shut()
+		answer := ask(idle)
+		synctest.Wait() // the request has arrived and the server doesn't know yet
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- r.server.Shutdown(ctx) }()
+		synctest.Wait()
+		open()
+		<-r.sender.sending
+		r.clock.Advance(caller.IdleGrace)
+		synctest.Wait()
+		_, err := unused.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		is.Equal(len(stopped), 0)
+		r.clock.Advance(5 * time.Second)
+		resp := <-answer
+		is.True(resp != nil)
+		is.Equal(resp.Header.Get("Outcome"), "unknown")
+		is.True(resp.Close)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = idle.Close()
+		is.NoErr(<-stopped)
+		is.NoErr(<-served)
+	})
+}
+
+// Guards against a planned stop that waits for a connection that never carries a request.
+func TestShutdownUnused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		l := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
+		served := make(chan error)
+		go func() { served <- r.server.Serve(l) }()
+		_, _ = l.dial()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- r.server.Shutdown(ctx) }()
+		synctest.Wait()
+		r.clock.Advance(caller.IdleGrace)
+		is.NoErr(<-stopped)
+		is.NoErr(<-served)
+	})
+}
--- a/daemon/callers_test.go
+++ b/daemon/callers_test.go
@@ -56,8 +56,6 @@
 	is.True(c.outcomes[0].Load() > callers*rounds/2) // done
 	is.True(c.outcomes[1].Load() > 0)                // not run
 	is.True(c.outcomes[2].Load() > 0)                // unknown
-	// http.Server.Shutdown waits 5 s for connections that never had a request.
-	c.client.CloseIdleConnections()
 	d.stop()
 	is.NoErr(<-d.ended)
 	is.Equal(len(d.Decisions().Loads()), 0) // every place was given back
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/matryer/is"
 
+	"cuminstair.org/cuminstair/caller"
 	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/standin/instance"
 	"cuminstair.org/cuminstair/timer"
@@ -60,6 +63,18 @@
 	}
 }
 
+// awaitClosed returns when the callers' listener is closed.
+func (r *stopRig) awaitClosed() {
+	for {
+		c, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+		runtime.Gosched()
+	}
+}
+
 // Guards against a planned stop that cuts off requests in flight, refuses requests before the load balancer knows, or
 // hands over outcomes before the last of them is there.
 func TestPlannedStopCutsNothing(t *testing.T) {
@@ -85,6 +100,8 @@
 	for !r.Stopping() {
 		runtime.Gosched()
 	}
+	r.awaitClosed()
+	r.clock.Advance(caller.IdleGrace) // ends the connections that the client opened and does not use
 	is.Equal(len(r.ended), 0)
 	is.Equal(r.instance.Used(), held)
 	r.work.Advance(time.Second)
--- a/daemon/stream_test.go
+++ b/daemon/stream_test.go
@@ -35,7 +35,6 @@
 		answer, err = post(context.Background(), client, d.url, "portion", "", "")
 		// A reset may overtake the bytes before it, so that nothing was passed on and the daemon answers itself.
 		is.True(err != nil || answer.status == http.StatusGatewayTimeout && answer.header.Get("Outcome") == "unknown")
-		client.CloseIdleConnections()
 		d.stop()
 		is.NoErr(<-d.ended)
 	}
