Don't hold a request's own faults against a host

An attempt that ended as late or malformed was observed by health.Monitor, which ignores these reasons today only by its default case, and was sent again as a retry that spent the budget. caller now keeps them from health and does not retry them. A malformed request no longer closes the connection on which nothing of it was written.

Two faults met on the way: Request.Attempt was counted up before retry.Budget was asked, so that a request got two attempts instead of retry.MaxAttempts and its first failure never counted as a first attempt; and Result.Kind was never set, so that routing compared the latencies of unlike kinds of work.

TestAttempts failed without each of these, TestRefused without the kept connection.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -20,6 +20,9 @@
 	done    = cuminstair.Result{Outcome: cuminstair.OutcomeDone, Reason: cuminstair.ReasonOK}
 	notRun  = cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonRefused}
 	unknown = cuminstair.Result{Outcome: cuminstair.OutcomeUnknown, Reason: cuminstair.ReasonBroken}
+
+	malformed = cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonMalformed}
+	late      = cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonLate}
 )
 
 // Guards against refusals that don't tell what to change, and against requests that are sent in spite of a fault.
@@ -76,7 +79,8 @@
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
 
 // Guards against a second attempt of a request that may have run, an outcome that claims too much after several
-// attempts, a retry at the host that just failed, and places that are kept.
+// attempts, a retry at the host that just failed, places that are kept, and a fault of the request that is held against
+// a host or spends a retry.
 func TestAttempts(t *testing.T) {
 	type results = []cuminstair.Result
 	for name, c := range map[string]struct {
@@ -93,6 +97,9 @@
 		"not run after unknown":       {"convert", results{unknown, notRun, notRun}, "unknown", 504, "h1 h2 h1"},
 		"retries are bounded":         {"portion", results{notRun, notRun, notRun, done}, "notrun", 503, "h1 h2 h1"},
 		"unknown after not run stays": {"portion", results{notRun, unknown, done}, "unknown", 504, "h1 h2"},
+		"malformed":                   {"convert", results{malformed, done}, "notrun", 400, "h1"},
+		"late":                        {"convert", results{late, done}, "notrun", 503, "h1"},
+		"late after unknown":          {"convert", results{unknown, late, done}, "unknown", 504, "h1 h2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -101,6 +108,8 @@
 			is.Equal(w.Header().Get("Outcome"), c.outcome)
 			is.Equal(w.Code, c.status)
 			is.Equal(strings.Join(r.sender.hosts, " "), c.hosts)
+			ownFaults := strings.Count(c.hosts, "h") - r.hosts.observed
+			is.Equal(ownFaults == 1, strings.Contains(name, "late") || strings.Contains(name, "malformed"))
 			is.Equal(w.Header().Get("Retry-After") != "", c.outcome == "notrun")
 			r.idle(is)
 		})
--- a/caller/places.go
+++ b/caller/places.go
@@ -91,12 +91,19 @@
 		d.Retries.Success(now, r.Team, pool)
 	}
 	if d.Health != nil {
-		d.Health.Observe(now, p.Upstream.Host, res)
+		if !ownFault(res) {
+			d.Health.Observe(now, p.Upstream.Host, res)
+		}
 		d.applyHealth()
 	}
 }
 
-// retry spends one retry.
+// ownFault reports whether an attempt ended because of the request itself, which says nothing about the host.
+func ownFault(res cuminstair.Result) bool {
+	return res.Reason == cuminstair.ReasonLate || res.Reason == cuminstair.ReasonMalformed
+}
+
+// retry spends one retry. r.Attempt is the number of the attempt that failed.
 func (d *Decisions) retry(now time.Time, r *cuminstair.Request, pool string) (backoff time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/caller/setup_test.go
+++ b/caller/setup_test.go
@@ -106,12 +106,37 @@
 	return expired
 }
 
-// retries allows a number of retries.
-type retries struct{ left int }
+// hosts is a health that counts what it observes. It fails the test when a result does not name the kind of work.
+type hosts struct {
+	cuminstair.Health
+	t        *testing.T
+	observed int
+}
+
+func (h *hosts) State(string) cuminstair.HostState { return cuminstair.HostActive }
+func (h *hosts) Changed() []string                 { return nil }
+
+func (h *hosts) Observe(_ time.Time, _ string, r cuminstair.Result) {
+	h.observed++
+	if r.Kind == "" {
+		h.t.Error("a result without the kind of work")
+	}
+}
+
+// retries allows a number of retries. It fails the test when a request names another number of attempts than it made.
+type retries struct {
+	t    *testing.T
+	left int
+	made int
+}
 
 func (r *retries) Success(time.Time, string, string) {}
 
-func (r *retries) Retry(time.Time, *cuminstair.Request, string) (time.Duration, bool) {
+func (r *retries) Retry(_ time.Time, request *cuminstair.Request, _ string) (time.Duration, bool) {
+	if request.Attempt != r.made {
+		r.t.Errorf("attempt %d instead of %d", request.Attempt, r.made)
+	}
+	r.made++
 	r.left--
 	return 0, r.left >= 0
 }
@@ -149,6 +174,7 @@
 	clock  *timer.Virtual
 	places *places
 	sender *sender
+	hosts  *hosts
 	server *caller.Server
 	limit  time.Duration // the deadline of requests
 }
@@ -159,14 +185,16 @@
 		clock:  timer.NewVirtual(time.Unix(1000, 0)),
 		limit:  5 * time.Second,
 		places: &places{t: t},
+		hosts:  &hosts{t: t},
 		sender: &sender{results: results, sending: make(chan struct{})},
 	}
 	d := &caller.Decisions{
 		Timer:        r.clock,
 		Router:       r.places,
 		NewAdmission: func() cuminstair.Admission { return r.places },
-		Retries:      &retries{left: 2},
+		Retries:      &retries{t: t, left: 2},
 	}
+	d.Health = r.hosts
 	d.SetFleet(fleet, 1)
 	path := &caller.Path{Timer: r.clock, Log: hclog.NewNullLogger(), Recorder: recorder{}, Decisions: d, Sender: r.sender}
 	r.server = &caller.Server{Path: path, Log: hclog.NewNullLogger(), Name: "e1"}
--- a/caller/steps.go
+++ b/caller/steps.go
@@ -122,6 +122,7 @@
 func (x *exchange) send(ctx context.Context) event {
 	x.message.Timeout = x.request.Deadline.Sub(x.now)
 	answer, result := x.Sender.Send(ctx, x.picked.Upstream, x.message)
+	result.Kind = x.message.Kind
 	x.now = x.Timer.Now()
 	x.last = result
 	x.avoid = x.picked.Upstream.Host
@@ -141,15 +142,15 @@
 // decide sends the request again if that is safe and within the retry budget.
 func (x *exchange) decide(ctx context.Context) event {
 	again := x.last.Outcome == cuminstair.OutcomeNotRun || x.request.Idempotent
-	if !again || ctx.Err() != nil || x.streamed {
+	if !again || ownFault(x.last) || ctx.Err() != nil || x.streamed {
 		return x.verdict()
 	}
-	x.request.Attempt++
 	backoff, ok := x.Decisions.retry(x.now, x.request, x.service.Pool)
 	if !ok {
 		x.record("no retry", cuminstair.ReasonBudget, string(x.answer.Body))
 		return x.verdict()
 	}
+	x.request.Attempt++
 	waited := x.pause(ctx, backoff)
 	x.now = x.Timer.Now()
 	if !waited {
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -68,7 +68,7 @@
 func (a *attempt) exchange() (answer *cuminstair.Message, reusable bool, err error) {
 	writeErr := writeRequest(a.conn.bw, a.pool.addr, a.message)
 	if writeErr != nil && a.conn.sent == 0 {
-		return nil, false, writeErr
+		return nil, errors.Is(writeErr, errPath), writeErr
 	}
 	// After a write that broke off the answer is read nevertheless: the upstream may have refused the request before it
 	// read all of it.
--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -109,6 +109,15 @@
 	is.Equal(result.Outcome, cuminstair.OutcomeUnknown) // another request was refused
 	is.Equal(result.Reason, cuminstair.ReasonMismatch)
 
+	is.Equal(r.sender.Unused(r.upstream.Addr), 0)
+	r.instance.SetFaults(instance.Faults{})
+	_, _ = r.send(context.Background(), request("r4", "body"))
+	bad := request("r5", "body")
+	bad.Path = "/%"
+	_, result = r.send(context.Background(), bad)
+	is.Equal(result, cuminstair.Result{Outcome: cuminstair.OutcomeNotRun, Reason: cuminstair.ReasonMalformed})
+	is.Equal(r.sender.Unused(r.upstream.Addr), 1) // a malformed request spoils no connection
+
 	r.upstream.Addr = "127.0.0.1:1" // nobody listens
 	_, result = r.send(context.Background(), request("r3", "body"))
 	is.Equal(result.Outcome, cuminstair.OutcomeNotRun)
