--- a/daemon/setup_test.go
+++ b/daemon/setup_test.go
@@ -101,15 +101,23 @@
 	body   string
 }
 
+// deadline is the header of requests that never end for lack of time.
+const deadline = "30m"
+
 // post sends a request. An answer that breaks off is an error.
 func post(ctx context.Context, client *http.Client, url, kind, fault, body string) (*reply, error) {
+	return postWithin(ctx, deadline, client, url, kind, fault, body)
+}
+
+// postWithin sends a request with a deadline of its own.
+func postWithin(ctx context.Context, limit string, client *http.Client, url, kind, fault, body string) (*reply, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/s/scale/work", strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	r.Header.Set("Team", "t1")
 	r.Header.Set("Kind", kind)
-	r.Header.Set("Deadline", "30m")
+	r.Header.Set("Deadline", limit)
 	r.Header.Set("Request", "direct") // for requests that go to an instance directly
 	r.Header.Set(instance.FaultHeader, fault)
 	resp, err := client.Do(r)
--- a/upstream/export_test.go
+++ b/upstream/export_test.go
@@ -1,13 +1,5 @@
 package upstream
 
-// Watched returns how many requests to an address are written and wait for their answers.
-func (s *Sender) Watched(addr string) int {
-	p := s.existing(addr)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.attempts)
-}
-
 // Unused returns how many connections to an address are unused.
 func (s *Sender) Unused(addr string) int {
 	p := s.existing(addr)
--- a/upstream/silent_test.go
+++ b/upstream/silent_test.go
@@ -68,7 +68,7 @@
 
 // written returns when n requests are written and wait for their answers.
 func (q *quietRig) written(n int) {
-	for q.sender.Watched(q.upstream.Addr) < n {
+	for q.sender.Waiting(q.upstream.Addr) < n {
 		runtime.Gosched()
 	}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -80,6 +80,19 @@
 	return nil
 }
 
+// Waiting returns how many requests to an address are written and wait for their answers.
+func (s *Sender) Waiting(addr string) int {
+	s.mu.Lock()
+	p := s.pools[addr]
+	s.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.attempts)
+}
+
 func (s *Sender) pool(u *cuminstair.Upstream) *pool {
 	limit := s.limit(u)
 	s.mu.Lock()
