--- a/caller/setup_test.go
+++ b/caller/setup_test.go
@@ -147,10 +147,12 @@
 	hosts   []string
 	sending chan struct{}
 	ctx     context.Context // of the request that waits
+	header  http.Header     // of the last request
 }
 
 func (s *sender) Send(ctx context.Context, u *cuminstair.Upstream, m *cuminstair.Message) (*cuminstair.Message, cuminstair.Result) {
 	s.hosts = append(s.hosts, u.Host)
+	s.header = m.Header
 	if len(s.results) == 0 {
 		s.ctx = ctx
 		s.sending <- struct{}{}
--- a/upstream/check.go
+++ b/upstream/check.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,7 +57,11 @@
 	if _, err := c.Write(healthRequest); err != nil {
 		return healthState{}, err
 	}
-	resp, err := http.ReadResponse(c.br, nil)
+	return readHealth(c.br)
+}
+
+func readHealth(br *bufio.Reader) (healthState, error) {
+	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
 		return healthState{}, err
 	}
@@ -76,7 +81,7 @@
 		return healthState{}, err
 	}
 	h := healthState{leaving: said.State == "leaving" || resp.Header.Get("Leaving") == "1", used: -1}
-	if said.Used != nil {
+	if said.Used != nil && *said.Used >= 0 {
 		h.used = *said.Used
 	}
 	return h, nil
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -20,6 +20,9 @@
 	"Request": true, "Team": true, "Deadline": true,
 }
 
+// withBody lists the methods whose requests tell that they have no body (RFC 9110, section 8.6).
+var withBody = map[string]bool{http.MethodPost: true, http.MethodPut: true, http.MethodPatch: true}
+
 // writeRequest writes a request without http.Request.Write, which costs about ten allocations. An error of errPath
 // means that nothing was written.
 func writeRequest(w *bufio.Writer, addr string, m *cuminstair.Message) error {
@@ -27,7 +30,8 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errPath, err)
 	}
-	if !httpguts.ValidHeaderFieldName(m.Method) { // both are tokens (RFC 9110, section 9.1)
+	// A method is a token like the name of a header (RFC 9110, section 9.1). CONNECT would turn the connection into a tunnel.
+	if !httpguts.ValidHeaderFieldName(m.Method) || m.Method == http.MethodConnect {
 		return fmt.Errorf("%w: method %q", errPath, m.Method)
 	}
 	_, _ = w.WriteString(m.Method)
@@ -47,7 +51,7 @@
 			writeHeader(w, name, value)
 		}
 	}
-	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut {
+	if len(m.Body) > 0 || withBody[m.Method] {
 		writeHeader(w, "Content-Length", strconv.Itoa(len(m.Body)))
 	}
 	_, _ = w.WriteString("\r\n")
