--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -33,42 +33,30 @@
 func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (p *pipes) Close() error {
-	select {
-	case <-p.closed:
-	default:
-		close(p.closed)
-	}
+	close(p.closed)
 	return nil
 }
 
-// gated is a connection whose bytes have arrived, but reach the server only when the gate is open.
+// gated is a connection whose bytes have arrived, but reach the server only while the gate holds a value.
 type gated struct {
 	net.Conn
-	gate chan chan struct{}
+	gate chan struct{}
 }
 
 func (g *gated) Read(p []byte) (int, error) {
 	n, err := g.Conn.Read(p)
-	gate := <-g.gate
-	<-gate
-	g.gate <- gate
+	<-g.gate
+	g.gate <- struct{}{}
 	return n, err
 }
 
-// dial opens a connection and returns its ends. shut closes the gate and returns the function that opens it.
-func (p *pipes) dial() (client net.Conn, shut func() (open func())) {
+// dial opens a connection and returns the client's end and the open gate of the server's end.
+func (p *pipes) dial() (client net.Conn, gate chan struct{}) {
 	client, server := net.Pipe()
-	g := &gated{Conn: server, gate: make(chan chan struct{}, 1)}
-	open := make(chan struct{})
-	close(open)
-	g.gate <- open
-	p.accepted <- g
-	return client, func() func() {
-		<-g.gate
-		gate := make(chan struct{})
-		g.gate <- gate
-		return func() { close(gate) }
-	}
+	gate = make(chan struct{}, 1)
+	gate <- struct{}{}
+	p.accepted <- &gated{Conn: server, gate: gate}
+	return client, gate
 }
 
 const wire = "POST /s/scale/work HTTP/1.1\r\nHost: e1\r\nTeam: t1\r\nKind: portion\r\nDeadline: 5s\r\nContent-Length: 4\r\n\r\nbody"
@@ -96,12 +84,12 @@
 		l := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
 		served := make(chan error)
 		go func() { served <- r.server.Serve(l) }()
-		idle, shut := l.dial()
+		idle, gate := l.dial()
 		is.Equal((<-ask(idle)).StatusCode, http.StatusOK)
 		unused, _ := l.dial()
 		synctest.Wait()
 
-		open := shut()
+		<-gate
 		answer := ask(idle)
 		synctest.Wait() // the request has arrived and the server doesn't know yet
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -109,7 +97,7 @@
 		stopped := make(chan error, 1)
 		go func() { stopped <- r.server.Shutdown(ctx) }()
 		synctest.Wait()
-		open()
+		gate <- struct{}{}
 		<-r.sender.sending
 		r.clock.Advance(caller.IdleGrace)
 		synctest.Wait()
@@ -127,24 +115,3 @@
 		is.NoErr(<-served)
 	})
 }
-
-// Guards against a planned stop that waits for a connection that never carries a request.
-func TestShutdownUnused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		r := newRig(t)
-		l := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
-		served := make(chan error)
-		go func() { served <- r.server.Serve(l) }()
-		_, _ = l.dial()
-		synctest.Wait()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		stopped := make(chan error, 1)
-		go func() { stopped <- r.server.Shutdown(ctx) }()
-		synctest.Wait()
-		r.clock.Advance(caller.IdleGrace)
-		is.NoErr(<-stopped)
-		is.NoErr(<-served)
-	})
-}
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -37,23 +37,21 @@
 	}
 }
 
-// Guards against an answer without a length, whose end can't be told from a broken connection.
-func TestAnswerWithoutLength(t *testing.T) {
-	is := is.New(t)
-	r := newRig(t)
-	r.instance.Raw = "HTTP/1.1 200 OK\r\nRequest: r1\r\n\r\nhalf"
-	_, result := r.send(context.Background(), request("r1", ""))
-	is.Equal(result.Outcome, cuminstair.OutcomeUnknown)
-}
-
-// Guards against interim answers that are taken for the final one.
-func TestInterimAnswer(t *testing.T) {
-	is := is.New(t)
-	r := newRig(t)
-	r.instance.Raw = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nRequest: r1\r\nContent-Length: 2\r\n\r\nok"
-	answer, result := r.send(context.Background(), request("r1", ""))
-	is.Equal(result.Outcome, cuminstair.OutcomeDone)
-	is.Equal(string(answer.Body), "ok")
+// Guards against an answer without a length, whose end can't be told from a broken connection, and against interim
+// answers that are taken for the final one.
+func TestRawAnswers(t *testing.T) {
+	for raw, want := range map[string]cuminstair.Outcome{
+		"HTTP/1.1 200 OK\r\nRequest: r1\r\n\r\nhalf":                                                    cuminstair.OutcomeUnknown,
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nRequest: r1\r\nContent-Length: 2\r\n\r\nok": cuminstair.OutcomeDone,
+	} {
+		is := is.New(t)
+		r := newRig(t)
+		r.instance.Raw = raw
+		answer, result := r.send(context.Background(), request("r1", ""))
+		is.Equal(result.Outcome, want)
+		is.Equal(answer != nil, want == cuminstair.OutcomeDone)
+		is.True(answer == nil || string(answer.Body) == "ok")
+	}
 }
 
 // Guards against long answers that are buffered without bound, cut short, or taken for whole after an early end.
