--- a/serve.go
+++ b/serve.go
@@ -124,13 +124,13 @@
 
 // Message is a request or an answer as it crosses edges.
 type Message struct {
-	ID     string            `cbor:"1,keyasint"`
-	Method string            `cbor:"2,keyasint,omitempty"`
-	Path   string            `cbor:"3,keyasint,omitempty"`
-	Status int               `cbor:"4,keyasint,omitempty"` // HTTP status of an answer
+	ID     string `cbor:"1,keyasint"`
+	Method string `cbor:"2,keyasint,omitempty"`
+	Path   string `cbor:"3,keyasint,omitempty"`
+	Status int    `cbor:"4,keyasint,omitempty"` // HTTP status of an answer
 	// Header holds each value of a header apart: the values of Set-Cookie can't be joined.
 	Header map[string][]string `cbor:"5,keyasint,omitempty"`
-	Body   []byte            `cbor:"6,keyasint,omitempty"` // at most 1 MiB
+	Body   []byte              `cbor:"6,keyasint,omitempty"` // at most 1 MiB
 	// Service, Kind, Team, Ticket and Timeout are those of the caller's request.
 	Service string        `cbor:"7,keyasint,omitempty"`
 	Kind    string        `cbor:"8,keyasint,omitempty"`
