--- a/explain/explain.go
+++ b/explain/explain.go
@@ -2,7 +2,6 @@
 package explain
 
 import (
-	"context"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,8 +15,12 @@
 // less than 1 MB.
 const DefaultSize = 4096
 
-// Ring keeps the last decisions. It must be made with New. It is safe for concurrent use.
+// Ring keeps the last decisions. It must be made with New. It is safe for concurrent use. Exported fields are set before
+// Run.
 type Ring struct {
+	// Timer spreads the work of Run; nil: each decision is written as soon as possible.
+	Timer cuminstair.Timer
+
 	log hclog.Logger
 
 	mu      sync.Mutex
@@ -45,8 +48,13 @@
 	r.kept[r.next] = d
 	r.next = (r.next + 1) % len(r.kept)
 	r.seq++
+	// The first one begins a batch, and half a ring is written before its time.
+	pending := r.seq - r.logged
+	wake := pending == 1 || pending == uint64(len(r.kept))/2
 	r.mu.Unlock()
-	r.written.Signal()
+	if wake {
+		r.written.Broadcast()
+	}
 }
 
 // Lookup returns the decisions about one thing that are still kept, the oldest first. kind is Decision.Kind.
@@ -62,52 +70,3 @@
 	}
 	return found
 }
-
-// Run writes the log lines until ctx ends, and then the remaining ones. Decisions that are overwritten before their
-// line is written are counted in a line of their own.
-func (r *Ring) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, r.close)
-	defer stop()
-	for {
-		batch, lost, more := r.take()
-		if lost > 0 {
-			r.log.Warn("decisions are missing from the log", "count", lost)
-		}
-		for i := range batch {
-			r.write(&batch[i])
-		}
-		if !more {
-			return nil
-		}
-	}
-}
-
-func (r *Ring) write(d *cuminstair.Decision) {
-	r.log.Info(d.Part+" decided", "kind", d.Kind, "id", d.ID, "choice", d.Choice, "reason", string(d.Reason), "inputs", d.Detail)
-}
-
-// take waits for decisions and returns those that have no log line yet. more is false once the ring is closed and all
-// is written.
-func (r *Ring) take() (batch []cuminstair.Decision, lost uint64, more bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for r.logged == r.seq && !r.closed {
-		r.written.Wait()
-	}
-	size := uint64(len(r.kept))
-	if r.seq-r.logged > size {
-		lost = r.seq - r.logged - size
-		r.logged += lost
-	}
-	for ; r.logged < r.seq; r.logged++ {
-		batch = append(batch, r.kept[r.logged%size])
-	}
-	return batch, lost, !r.closed
-}
-
-func (r *Ring) close() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.closed = true
-	r.written.Broadcast()
-}
