--- a/daemon/check.go
+++ b/daemon/check.go
@@ -42,7 +42,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-due:
-			d.checkSome(ctx, turn.take(d.owned(), checkRate))
+			d.checkSome(ctx, turn.take(d.owned()))
 		}
 	}
 }
@@ -70,12 +70,10 @@
 	last string // the host that was taken last
 }
 
-// take returns at most n hosts: up to half of them hosts that are not active, so that they come back soon, and then the
+// take returns at most checkRate hosts: up to half of them hosts that are not active, so that they come back soon, and then the
 // next ones in turn.
-func (t *turn) take(list []candidate, n int) []cuminstair.Upstream {
-	if len(list) <= n {
-		n = len(list)
-	}
+func (t *turn) take(list []candidate) []cuminstair.Upstream {
+	n := min(checkRate, len(list))
 	taken := make(map[string]bool, n)
 	out := make([]cuminstair.Upstream, 0, n)
 	for i := range list {
--- a/daemon/turn_test.go
+++ b/daemon/turn_test.go
@@ -21,7 +21,7 @@
 	seen := map[string]int{}
 	const rounds = 15 // 7 hosts in turn a round are enough for 100 in 15 rounds
 	for range rounds {
-		taken := turn.take(list, checkRate)
+		taken := turn.take(list)
 		is.Equal(len(taken), checkRate)
 		for _, u := range taken {
 			seen[u.Host]++
@@ -31,6 +31,6 @@
 	is.Equal(seen["h050"], rounds)
 
 	small := list[:3]
-	is.Equal(len(turn.take(small, checkRate)), 3)
-	is.Equal(len(turn.take(nil, checkRate)), 0)
+	is.Equal(len(turn.take(small)), 3)
+	is.Equal(len(turn.take(nil)), 0)
 }
