Move the fleet in virtual time from the tests of wave to fleettest

They move unchanged but for exported names; pools are looked up by the fleet file instead of by the names that SmallFleet gives them, and a lost rack is named with its data centre, so that the example fleets fit.

--- a/wave/least_test.go
+++ b/fleettest/least.go
@@ -1,4 +1,4 @@
-package wave_test
+package fleettest
 
 import (
 	"time"
@@ -14,19 +14,19 @@
 	left   [4]int
 }
 
-// least returns the shortest time in which the budgets permit to reboot all hosts of a data centre. It tries, round by
+// Least returns the shortest time in which the budgets permit to reboot all hosts of a data centre. It tries, round by
 // round, every way to lend each spare host or reboot it, with the rooms that package budget gives when all hosts of a
 // round are up. It counts no time for moves, probation or growing steps; the last round is at least a spare's.
-func least(f *cuminstair.Fleet, centre string) time.Duration {
+func Least(f *cuminstair.Fleet, centre string) time.Duration {
 	l := newLeast(f, centre)
-	level := map[rollout]bool{l.start: true}
+	level := map[rollout]bool{l.from: true}
 	for rounds := 1; ; rounds++ {
 		next := map[rollout]bool{}
 		for s := range level {
 			l.expand(s, make([]int, len(l.spares)), 0, next)
 		}
 		if next[rollout{spares: 1<<len(l.spares) - 1}] {
-			return time.Duration(rounds)*(drain+reboot+lag) - drain
+			return time.Duration(rounds)*(Drain+Reboot+Lag) - Drain
 		}
 		level = next
 	}
@@ -37,22 +37,27 @@
 	centre string
 	pools  []string
 	spares []cuminstair.Host
-	start  rollout
+	from   rollout
 	rooms  map[[2]int]int // pool, bit set of spares lent to it
 }
 
 func newLeast(f *cuminstair.Fleet, centre string) *leastOf {
 	l := &leastOf{fleet: f, centre: centre, rooms: map[[2]int]int{}}
-	for _, s := range f.Services {
-		l.pools = append(l.pools, s.Pool)
+	spare := ""
+	for _, pool := range f.Pools {
+		if pool.Spare {
+			spare = pool.Name
+			continue
+		}
+		l.pools = append(l.pools, pool.Name)
 	}
 	for _, h := range f.Hosts {
 		for i, pool := range l.pools {
 			if h.Centre == centre && h.Pool == pool {
-				l.start.left[i]++
+				l.from.left[i]++
 			}
 		}
-		if h.Centre == centre && h.Pool == "spare" {
+		if h.Centre == centre && h.Pool == spare {
 			l.spares = append(l.spares, h)
 		}
 	}
@@ -74,7 +79,8 @@
 			b.Set(h.Name, budget.Host{Centre: h.Centre, Rack: h.Rack, Home: h.Pool, Pool: l.pools[pool], State: cuminstair.HostActive, Healthy: true})
 		}
 	}
-	l.rooms[key] = max(0, b.Account("s"+l.pools[pool], l.centre).Room())
+	a, _ := b.Tightest(l.pools[pool], l.centre)
+	l.rooms[key] = max(0, a.Room())
 	return l.rooms[key]
 }
 
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleettest"
 	"cuminstair.org/cuminstair/wave"
 )
 
@@ -20,119 +21,106 @@
 		centres int
 		down    float64
 	}{{3, 0.34}, {3, 0.5}, {4, 0.5}} {
-		w := newWorld(t, smallFleet(c.centres, c.down))
-		took := w.runWave("w", 24*time.Hour)
-		w.is.Equal(w.refused, 0)
+		w := fleettest.NewWorld(t, fleettest.SmallFleet(c.centres, c.down))
+		took := w.RunWave("w", 24*time.Hour)
+		w.Is.Equal(w.Refused, 0)
 		var bound time.Duration
-		for _, centre := range w.names {
-			bound = max(bound, least(w.fleet, centre))
-			t.Log(centre, least(w.fleet, centre), w.ended[centre])
+		for _, centre := range w.Names {
+			bound = max(bound, fleettest.Least(w.Fleet, centre))
+			t.Log(centre, fleettest.Least(w.Fleet, centre), w.Ended[centre])
 		}
 		ratio := float64(took) / float64(bound)
-		t.Logf("%d data centres: %s, %.2f times the least time %s, %d host moves", c.centres, took, ratio, bound, w.moves)
-		w.is.True(ratio <= most)
+		t.Logf("%d data centres: %s, %.2f times the least time %s, %d host moves", c.centres, took, ratio, bound, w.Moves)
+		w.Is.True(ratio <= most)
 	}
 }
 
 // Guards against a wave that goes on when its own hosts do not come back, that does not say why, or that can't be
 // resumed by a successor of the controller.
 func TestWaveStopsAndResumes(t *testing.T) {
-	w := newWorld(t, smallFleet(3, 0.5))
-	for w.planners["c0"].Waves()[0].Done < 6 {
-		w.step()
+	w := fleettest.NewWorld(t, fleettest.SmallFleet(3, 0.5))
+	for w.Planners["c0"].Waves()[0].Done < 6 {
+		w.Step()
 	}
 	bound := 0 // the step, which grows while hosts that rebooted before come back
-	for _, c := range w.names {
-		bound += w.planners[c].Waves()[0].Step + w.planners[c].Waves()[0].Out
+	for _, c := range w.Names {
+		bound += w.Planners[c].Waves()[0].Step + w.Planners[c].Waves()[0].Out
 	}
-	for _, m := range w.hosts {
-		m.broken = true
+	for _, m := range w.Hosts {
+		m.Broken = true
 	}
-	for range int(40 * time.Minute / w.tick) {
-		w.step()
-		w.is.True(w.within())
+	for range int(40 * time.Minute / w.Tick) {
+		w.Step()
+		w.Is.True(w.Within())
 	}
 	out := 0
-	for _, c := range w.names {
-		p := w.planners[c].Waves()[0]
-		w.is.Equal(p.State, wave.Stopped)
-		w.is.True(strings.Contains(p.Reason, "did not come back healthy within 10m0s"))
-		w.is.True(p.Done > 0)
+	for _, c := range w.Names {
+		p := w.Planners[c].Waves()[0]
+		w.Is.Equal(p.State, wave.Stopped)
+		w.Is.True(strings.Contains(p.Reason, "did not come back healthy within 10m0s"))
+		w.Is.True(p.Done > 0)
 	}
-	for name, m := range w.hosts {
-		if m.dead {
+	for name, m := range w.Hosts {
+		if m.Dead {
 			out++
 		}
-		m.broken = false
-		if m.dead {
-			m.dead = false
-			w.account(name)
+		m.Broken = false
+		if m.Dead {
+			m.Dead = false
+			w.Account(name)
 		}
 	}
-	w.is.True(out <= bound)
-	for range int(10 * time.Minute / w.tick) {
-		w.step()
+	w.Is.True(out <= bound)
+	for range int(10 * time.Minute / w.Tick) {
+		w.Step()
 	}
-	for _, c := range w.names {
-		w.is.Equal(w.planners[c].Waves()[0].State, wave.Stopped) // it waits for an operator
-		w.restart(c)
-		w.planners[c].SetWaveOrder("w", wave.Order{Event: "resume"}, 7)
+	for _, c := range w.Names {
+		w.Is.Equal(w.Planners[c].Waves()[0].State, wave.Stopped) // it waits for an operator
+		w.Restart(c)
+		w.Planners[c].SetWaveOrder("w", wave.Order{Event: "resume"}, 7)
 	}
-	w.runWave("w", 24*time.Hour)
-	w.is.Equal(w.refused, 0)
+	w.RunWave("w", 24*time.Hour)
+	w.Is.Equal(w.Refused, 0)
 }
 
 // Guards against planned work that goes on after the loss of a rack, and against a budget that a lost rack breaks
 // because planned work left no reserve for it.
 func TestRackLossDuringWave(t *testing.T) {
 	for seed := range 12 {
-		w := newWorld(t, smallFleet(3, 0.5))
+		w := fleettest.NewWorld(t, fleettest.SmallFleet(3, 0.5))
 		for range 300 + 120*seed {
-			w.step()
+			w.Step()
 		}
-		lost := w.lose(fmt.Sprintf("c%d-r%d", seed%3, seed%4))
-		for range int(5 * time.Minute / w.tick) {
-			w.step()
-			w.is.True(w.within())
+		lost := w.Lose(fmt.Sprint("c", seed%3), fmt.Sprintf("c%d-r%d", seed%3, seed%4))
+		for range int(5 * time.Minute / w.Tick) {
+			w.Step()
+			w.Is.True(w.Within())
 			if len(lost) > 1 {
-				w.is.True(w.planners[fmt.Sprint("c", seed%3)].Waves()[0].State != wave.Running)
+				w.Is.True(w.Planners[fmt.Sprint("c", seed%3)].Waves()[0].State != wave.Running)
 			}
 		}
 		for _, name := range lost {
-			w.hosts[name].dead = false
-			w.account(name)
+			w.Hosts[name].Dead = false
+			w.Account(name)
 		}
-		w.runWave("w", 24*time.Hour)
-		w.is.Equal(w.refused, 0)
+		w.RunWave("w", 24*time.Hour)
+		w.Is.Equal(w.Refused, 0)
 	}
 }
 
-// lose kills a rack and returns the hosts that were up.
-func (w *world) lose(rack string) []string {
-	var lost []string
-	for name, m := range w.hosts {
-		if m.rack == rack && w.up(m) && m.row.State == cuminstair.HostActive {
-			m.dead = true
-			lost = append(lost, name)
-			w.account(name)
-		}
-	}
-	return lost
-}
-
 // Guards against steps that do not grow from one host: a budget that permits everything must not let a wave take all
 // hosts before any has come back.
 func TestStepsGrow(t *testing.T) {
-	w := newWorld(t, smallFleet(3, 0.9))
-	w.fleet.Waves[0].Pools = []string{"p0", "p1", "p2", "p3"}
-	for _, c := range w.names {
-		w.restart(c)
+	w := fleettest.NewWorld(t, fleettest.SmallFleet(3, 0.9))
+	w.Fleet.Waves[0].Pools = []string{"p0", "p1", "p2", "p3"}
+	for _, c := range w.Names {
+		w.Restart(c)
 	}
-	for !w.finished("w") {
-		w.step()
-		for _, c := range w.names {
-			p := w.planners[c].Waves()[0]
-			w.is.True(p.Out <= 1+p.Done)
+	for !w.Finished("w") {
+		w.Step()
+		for _, c := range w.Names {
+			p := w.Planners[c].Waves()[0]
+			w.Is.True(p.Out <= 1+p.Done)
 		}
 	}
 }
@@ -140,11 +128,11 @@
 // Guards against a host that leaves the rebooting state before the platform has accepted its action: a paused controller
 // that sends the action later would then reboot a host at work.
 func TestRebootingWaitsForAction(t *testing.T) {
-	f := smallFleet(3, 0.5)
+	f := fleettest.SmallFleet(3, 0.5)
 	p := wave.New("c0")
-	p.SetFleet(start, f)
-	p.SetHost(start, "c0", "p0-0", wave.Host{Pool: "p0", State: cuminstair.HostRebooting, Act: "x", Verb: "reboot", Goal: wave.GoalWave, Wave: "w"})
-	now := start.Add(time.Hour)
+	p.SetFleet(fleettest.Start, f)
+	p.SetHost(fleettest.Start, "c0", "p0-0", wave.Host{Pool: "p0", State: cuminstair.HostRebooting, Act: "x", Verb: "reboot", Goal: wave.GoalWave, Wave: "w"})
+	now := fleettest.Start.Add(time.Hour)
 	p.SetListed(now, cuminstair.HostStatus{Name: "p0-0", State: "live", Changed: now})
 	is := is.New(t)
 	count := func() (n int) {
