--- a/fleettest/least.go
+++ b/fleettest/least.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"slices"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -106,3 +107,23 @@
 	}
 	next[s] = true
 }
+
+// LeastWithin returns the shortest time of a rollout over the whole fleet: that of the slowest data centre, or the time
+// that all hosts are out divided by the limit of the wave.
+func LeastWithin(f *cuminstair.Fleet, limit int) time.Duration {
+	var longest, out time.Duration
+	for _, c := range f.Centres {
+		longest = max(longest, Least(f, c.Name))
+	}
+	for _, h := range f.Hosts {
+		out += Reboot + Lag
+		if !isSpare(f, h.Pool) {
+			out += Drain
+		}
+	}
+	return max(longest, out/time.Duration(limit))
+}
+
+func isSpare(f *cuminstair.Fleet, pool string) bool {
+	return slices.ContainsFunc(f.Pools, func(p cuminstair.Pool) bool { return p.Name == pool && p.Spare })
+}
--- /dev/null
+++ b/fleettest/measures_test.go
@@ -0,0 +1,372 @@
+package fleettest_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/budget"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/fleettest"
+	"cuminstair.org/cuminstair/trace"
+)
+
+// Targets of page 1.4.
+const (
+	keptTarget    = 0.95 // of the on-time work without a flood
+	rolloutTarget = 1.3  // times the least time
+)
+
+// example is one of the two fleets of page 1.2.
+type example struct {
+	name    string
+	daemons int // entry daemons in each data centre
+	fleet   *cuminstair.Fleet
+}
+
+func examples(t *testing.T) []example {
+	t.Helper()
+	all := []example{{name: "kitchen", daemons: 3}, {name: "leather", daemons: 2}}
+	for i, e := range all {
+		all[i].fleet = e.load(t)
+	}
+	return all
+}
+
+// load reads the fleet file; its wave is started.
+func (e example) load(t *testing.T) *cuminstair.Fleet {
+	t.Helper()
+	data, err := os.ReadFile("../examples/" + e.name + ".jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := fleet.Parse(e.name, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Waves[0].Hold = false
+	return f
+}
+
+// idle returns the fleet without its wave.
+func (e example) idle(t *testing.T) *cuminstair.Fleet {
+	f := e.load(t)
+	f.Waves = nil
+	return f
+}
+
+// table holds the rows of all tests of a run; TestMain prints it.
+var table []string
+
+const rowFormat = "| %-7s | %-44s | %-7s | %-24s | %s |"
+
+// TestMain prints the table below the output of the tests.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if len(table) > 0 {
+		fmt.Printf(rowFormat+"\n", "fleet", "measure", "target", "value", "baselines")
+		fmt.Printf("|%s|\n", "---|---|---|---|---")
+		for _, row := range table {
+			fmt.Println(row)
+		}
+	}
+	os.Exit(code)
+}
+
+// add adds a row and fails the test if the target is missed.
+func add(t *testing.T, ok bool, fleet, measure, target, value, baselines string) {
+	t.Helper()
+	if !ok {
+		value += " MISSED"
+		t.Errorf("%s: %s: target %s, got %s", fleet, measure, target, value)
+	}
+	table = append(table, fmt.Sprintf(rowFormat, fleet, measure, target, value, baselines))
+}
+
+// Guards against a buffer beyond the spare pool. Compares the hosts held idle with the fewest that let a wave go on within the budgets. Page 1.2 sets the size
+// of the spare pool, so that there is no target but this size.
+func TestMeasuresBuffer(t *testing.T) {
+	for _, e := range examples(t) {
+		buffer(t, e)
+	}
+}
+
+func buffer(t *testing.T, e example) {
+	t.Helper()
+	truth, spares := budget.New(e.fleet.Services), 0
+	for _, h := range e.fleet.Hosts {
+		truth.Set(h.Name, budget.Host{
+			Centre: h.Centre, Rack: h.Rack, Home: h.Pool, Pool: h.Pool, State: cuminstair.HostActive, Healthy: true,
+		})
+	}
+	least, fixed := 0, [2]int{}
+	for _, c := range e.fleet.Centres {
+		f := truth.Buffer(c.Name)
+		spares += f.Idle
+		least += max(f.Least, 0)
+		for i, size := range []int{2, 4} {
+			fixed[i] += fixedBuffer(truth, c.Name, size)
+		}
+	}
+	add(t, spares <= 10, e.name, "buffer: hosts idle (least)", "<= 10", fmt.Sprintf("%d (%d)", spares, least),
+		fmt.Sprintf("fixed steps of 2: least %d, of 4: least %d", fixed[0], fixed[1]))
+}
+
+// fixedBuffer returns the hosts that a data centre would need idle so that a wave with steps of a fixed size, which may
+// fall on one service, leaves the reserve for a rack.
+func fixedBuffer(truth *budget.Budgets, centre string, size int) int {
+	need := 0
+	for _, s := range truth.Services() {
+		if a := truth.Account(s, centre); a.Declared > 0 {
+			need = max(need, size-a.Room())
+		}
+	}
+	return need
+}
+
+// Guards against a wave that is too slow as the fleet file declares it.
+func TestMeasuresRollout(t *testing.T) {
+	for _, e := range examples(t) {
+		rollout(t, e, e.fleet.Waves[0].Limit, 1)
+	}
+}
+
+// Guards against a wave that is too slow when only budget, drain and reboot limit it.
+func TestMeasuresRolloutUnlimited(t *testing.T) {
+	for _, e := range examples(t) {
+		rollout(t, e, len(e.fleet.Hosts), 1, 2, 4)
+	}
+}
+
+// rollout times the wave with a limit on the hosts that are out at once, and waves of fixed steps in each data centre.
+func rollout(t *testing.T, e example, limit int, sizes ...int) {
+	t.Helper()
+	f := e.load(t)
+	f.Waves[0].Limit = limit
+	w := fleettest.NewWorld(t, f)
+	took := w.RunWave(f.Waves[0].Name, 24*time.Hour)
+	least := fleettest.LeastWithin(f, limit)
+	ratio := float64(took) / float64(least)
+	fixed := "fixed steps"
+	for _, size := range sizes {
+		took, exposed := fleettest.FixedWave(fleettest.NewWorld(t, e.idle(t)), size)
+		fixed += fmt.Sprintf(" of %d: %.2f (%s without reserve)", size, float64(took)/float64(least), exposed)
+	}
+	add(t, ratio <= rolloutTarget && w.Refused == 0, e.name, fmt.Sprintf("rollout: times the least, limit %d", limit),
+		fmt.Sprintf("<= %.1f", rolloutTarget), fmt.Sprintf("%.2f (%s, %d moves)", ratio, took, w.Moves), fixed)
+}
+
+// Guards against host moves in bursts, and against more than two moves for an instance that is missing for minutes.
+func TestMeasuresMoves(t *testing.T) {
+	for _, e := range examples(t) {
+		burstMoves(t, e)
+		lossMoves(t, e)
+	}
+}
+
+// burstMoves rotates the demand between the services.
+func burstMoves(t *testing.T, e example) {
+	t.Helper()
+	w := fleettest.NewWorld(t, e.idle(t))
+	out := w.PlayRotation(e.daemons, 300)
+	add(t, w.Moves == 0, e.name, "moves: bursts of 5 s for 300 s", "0", fmt.Sprint(w.Moves),
+		fmt.Sprintf("a move for each burst: %d (host seconds seen as unhealthy: %d)", 300/5, out))
+}
+
+// lossMoves loses two racks of a data centre for 3 min five times, with a minute in between. An instance that is missing
+// may bring a spare host, which returns once the loss is over for long enough.
+func lossMoves(t *testing.T, e example) {
+	t.Helper()
+	w := fleettest.NewWorld(t, e.idle(t))
+	w.Step()
+	lost := map[string]bool{}
+	for range 5 {
+		var down []string
+		for _, rack := range []string{"r4", "r5"} {
+			down = append(down, w.Lose(e.fleet.Centres[0].Name, rack)...)
+		}
+		steps(w, 180)
+		for _, name := range down {
+			lost[name] = true
+			w.Hosts[name].Dead = false
+			w.Account(name)
+		}
+		steps(w, 60)
+	}
+	steps(w, 3600)
+	add(t, w.Moves <= 2*len(lost), e.name, "moves: 2 racks lost 5 times for 3 min", fmt.Sprintf("<= %d", 2*len(lost)),
+		fmt.Sprint(w.Moves), fmt.Sprintf("a move for each loss and return: %d", 2*5*len(lost)))
+}
+
+func steps(w *fleettest.World, n int) {
+	for range n {
+		w.Step()
+	}
+}
+
+// designs are the product and its baselines, by name.
+var designs = []string{"cuminstair", "round robin", "one queue", "strict priority"}
+
+func player(design string) *trace.Player {
+	p := &trace.Player{}
+	switch design {
+	case "round robin":
+		p.NewAdmission = fleettest.NewOpen
+		p.NewRouter = func(rnd *rand.Rand, centre string, live, self int) cuminstair.Router {
+			return fleettest.Rules()["round robin"](rnd, centre, live, self)
+		}
+	case "one queue":
+		p.NewAdmission = fleettest.NewFIFO
+	case "strict priority":
+		p.NewAdmission = fleettest.NewStrict
+	}
+	return p
+}
+
+// replay plays a trace with each design at the same time and returns what each kind kept.
+func replay(f fleettest.Traffic, t trace.Trace, from, to time.Duration) map[string][]float64 {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	kept := map[string][]float64{}
+	for _, design := range designs {
+		wg.Go(func() {
+			p := player(design)
+			p.Play(t)
+			values := make([]float64, 0, len(f.Kinds)+1)
+			for _, k := range f.Kinds {
+				values = append(values, p.Value(trace.MeasureKept, k.Kind, "", from, to))
+			}
+			values = append(values, p.Value(trace.MeasureKept, "", "", from, to))
+			mu.Lock()
+			defer mu.Unlock()
+			kept[design] = values
+		})
+	}
+	wg.Wait()
+	return kept
+}
+
+// Guards against a flood of one kind that takes the work of the others.
+func TestMeasuresFlood(t *testing.T) {
+	for _, e := range examples(t) {
+		for _, m := range fleettest.Mixed() {
+			if m.Name == e.name {
+				m.Name = "all kinds"
+				flood(t, e, m, fleettest.Outage{}, 0.5)
+			}
+		}
+		for _, s := range e.mixed() {
+			flood(t, e, fleettest.Of(e.fleet, s.Name, e.daemons), fleettest.Outage{}, 0.5)
+		}
+	}
+}
+
+// Guards against the same while a wave runs and a rack is lost, with demand that fits into what is left.
+func TestMeasuresFloodOutage(t *testing.T) {
+	for _, e := range examples(t) {
+		for _, s := range e.mixed() {
+			flood(t, e, fleettest.Of(e.fleet, s.Name, e.daemons), outage(t, e, s), 0.5)
+		}
+	}
+}
+
+// Guards against the same with demand that does not fit into what is left.
+func TestMeasuresFloodOutageHigh(t *testing.T) {
+	for _, e := range examples(t) {
+		for _, s := range e.mixed() {
+			flood(t, e, fleettest.Of(e.fleet, s.Name, e.daemons), outage(t, e, s), 0.9)
+		}
+	}
+}
+
+// mixed returns the services with several kinds of work.
+func (e example) mixed() []cuminstair.Service {
+	return slices.DeleteFunc(slices.Clone(e.fleet.Services), func(s cuminstair.Service) bool { return len(s.Kinds) < 2 })
+}
+
+// outage records a wave that takes hosts of a service 12 s after the start of a trace, and a rack lost at 20 s.
+func outage(t *testing.T, e example, s cuminstair.Service) fleettest.Outage {
+	t.Helper()
+	w := fleettest.NewWorld(t, e.load(t))
+	first := 0
+	for taken := false; !taken; first++ {
+		w.Step()
+		for _, c := range fleettest.Centres(e.fleet, s.Pool) {
+			taken = taken || w.Truth.Account(s.Name, c).Planned > 0
+		}
+	}
+	w = fleettest.NewWorld(t, e.load(t))
+	for range first - 12 {
+		w.Step()
+	}
+	o := w.Record(s.Name, s.Pool, 40, 20)
+	if o.Breach != "" {
+		t.Errorf("%s: beyond the budget: %s", e.name, o.Breach)
+	}
+	return o
+}
+
+// flood measures the least part of their on-time work that other kinds keep. Their demand is a part of their share of
+// all instances. While less is left, what does not fit into it can't be kept.
+func flood(t *testing.T, e example, f fleettest.Traffic, o fleettest.Outage, part float64) {
+	t.Helper()
+	const from, to = 10, 38
+	fits := o.Fits(from, to, part)
+	calm := replay(f, f.Flood(1, "none", 0, part), from*time.Second, to*time.Second)
+	for _, flooder := range []int{0, len(f.Kinds) - 1} {
+		kept := replay(f, fleettest.With(f.Flood(1, f.Kinds[flooder].Kind, 3, part), o.Lines()), from*time.Second, to*time.Second)
+		value := map[string]float64{}
+		for _, design := range designs {
+			value[design] = 1
+			for i := range f.Kinds {
+				if i != flooder {
+					value[design] = min(value[design], kept[design][i]/calm["cuminstair"][i])
+				}
+			}
+		}
+		name, got := fmt.Sprintf("flood: %s in %s", f.Kinds[flooder].Kind, f.Name), fmt.Sprintf("%.3f", value["cuminstair"])
+		if o.Declared > 0 {
+			name = fmt.Sprintf("%s, outage, demand %.1f", name, part)
+			got += fmt.Sprintf(" (fits %.3f)", fits)
+		}
+		add(t, value["cuminstair"] >= keptTarget*fits, e.name, name, fmt.Sprintf(">= %.3f", keptTarget*fits), got, baselines(value))
+	}
+}
+
+func baselines(value map[string]float64) string {
+	text := ""
+	for _, design := range designs[1:] {
+		text += fmt.Sprintf("%s %.3f, ", design, value[design])
+	}
+	return text[:len(text)-2]
+}
+
+// Guards against shares that do less than a baseline while each kind in turn gets five times its mean. Page 1.4 states no
+// other target.
+func TestMeasuresRotation(t *testing.T) {
+	for _, e := range examples(t) {
+		rotation(t, e)
+	}
+}
+
+func rotation(t *testing.T, e example) {
+	t.Helper()
+	for _, f := range fleettest.Mixed() {
+		if f.Name != e.name {
+			continue
+		}
+		kept := replay(f, f.Rotation(1), 0, time.Minute)
+		value := map[string]float64{}
+		for design, values := range kept {
+			value[design] = values[len(values)-1]
+		}
+		best := slices.Max([]float64{value["round robin"], value["one queue"], value["strict priority"]})
+		add(t, value["cuminstair"] > best, e.name, "rotating 5x on one pool: on time", "> base",
+			fmt.Sprintf("%.3f", value["cuminstair"]), baselines(value))
+	}
+}
--- a/fleettest/outage.go
+++ b/fleettest/outage.go
@@ -73,23 +73,32 @@
 	return ""
 }
 
-// Left returns the mean part of the declared instances that is available from one second to another.
-func (o Outage) Left(from, to int) float64 {
-	sum := 0
+// Fits returns the mean part of a demand that fits into the instances that are left from one second to another. The demand
+// is a part of what all declared instances can do.
+func (o Outage) Fits(from, to int, part float64) float64 {
+	if o.Declared == 0 {
+		return 1
+	}
+	sum := 0.0
 	for second := from; second < to; second++ {
+		out := 0
 		for i := range o.Planned {
-			sum += o.Planned[i][second] + o.Lost[i][second]
+			out += o.Planned[i][second] + o.Lost[i][second]
 		}
+		sum += min(1, (1-float64(out)/float64(o.Declared))/part)
 	}
-	return 1 - float64(sum)/float64(o.Declared*(to-from))
+	return sum / float64(to-from)
 }
 
 // Lines returns the outage as lines of a trace. The hosts of a trace are dealt out to its data centres in turn: planned
 // work takes the first ones of a data centre and failures the last ones. A host that is lost answers no connection any
 // more, neither the established ones nor new ones.
 func (o Outage) Lines() []trace.Line {
-	var lines []trace.Line
 	n := len(o.Planned)
+	if n == 0 {
+		return nil
+	}
+	var lines []trace.Line
 	inCentre := o.Declared / n
 	for second := range o.Planned[0] {
 		for i := range n {
--- /dev/null
+++ b/fleettest/rotate.go
@@ -0,0 +1,74 @@
+package fleettest
+
+import (
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/trace"
+)
+
+// turn is how long a service gets five times its mean demand.
+const turn = 5 * time.Second
+
+// PlayRotation rotates the demand between the services of the fleet for some seconds, each in turn at five times its mean
+// and at a twentieth otherwise, and steps the world with the health that the daemons of the replays see. It returns for
+// how many seconds hosts were seen as other than active.
+func (w *World) PlayRotation(daemonsInCentre, seconds int) int {
+	out := 0
+	health := make([][]map[string]cuminstair.HostState, len(w.Fleet.Services))
+	for i, s := range w.Fleet.Services {
+		health[i] = rotateOne(Of(w.Fleet, s.Name, daemonsInCentre), i, len(w.Fleet.Services), seconds)
+	}
+	for second := range seconds {
+		for i, s := range w.Fleet.Services {
+			out += w.see(s.Pool, health[i][second])
+		}
+		w.Step()
+	}
+	return out
+}
+
+// see makes hosts of a pool unhealthy for a second and returns how many.
+func (w *World) see(pool string, states map[string]cuminstair.HostState) int {
+	centres, index, bad := Centres(w.Fleet, pool), map[string]int{}, 0
+	for _, h := range w.Fleet.Hosts {
+		if h.Pool != pool {
+			continue
+		}
+		for c, name := range centres {
+			if name != h.Centre {
+				continue
+			}
+			k := index[name]
+			index[name]++
+			if states[hostName(k*len(centres)+c)] != cuminstair.HostActive {
+				w.Hosts[h.Name].Until = w.Now.Add(2 * time.Second)
+				w.Account(h.Name)
+				bad++
+			}
+		}
+	}
+	return bad
+}
+
+// rotateOne replays the demand of the service at a position and returns the health of its hosts at each second.
+func rotateOne(f Traffic, position, services, seconds int) []map[string]cuminstair.HostState {
+	const mean, high, low = 0.3, 5, 0.05
+	t := append(trace.Trace{f.Line}, f.Kinds...)
+	for n := range seconds / int(turn/time.Second) {
+		factor := low
+		if n%services == position {
+			factor = high
+		}
+		for _, k := range f.Kinds {
+			at := cuminstair.Duration(time.Duration(n) * turn)
+			t = append(t, trace.Line{At: at, Event: trace.EventLoad, Kind: k.Kind, Rate: f.Rate(k, mean*factor)})
+		}
+	}
+	t = append(t, trace.Line{At: ms(1000 * seconds), Event: trace.EventHeal})
+	var states []map[string]cuminstair.HostState
+	p := &trace.Player{}
+	p.Each = func(int) { states = append(states, p.States()) }
+	p.Play(t)
+	return states
+}
--- a/trace/player.go
+++ b/trace/player.go
@@ -248,3 +248,18 @@
 	d.health.Tick(now)
 	d.apply()
 }
+
+// States returns the worst state of each host in the eyes of any daemon of its data centre.
+func (p *Player) States() map[string]cuminstair.HostState {
+	states := map[string]cuminstair.HostState{}
+	for _, inst := range p.order {
+		host := inst.up.Host
+		states[host] = cuminstair.HostActive
+		for _, d := range p.daemons {
+			if s := d.health.State(host); d.centre == inst.up.Centre && s != cuminstair.HostActive {
+				states[host] = s
+			}
+		}
+	}
+	return states
+}
