Keep lent hosts until a shortage is over without them

Cause: a pool counted as no longer short from the moment at which the lent hosts joined, so that the time that the end of a shortage has to last ran while the loss went on. The hosts returned 50 s after the loss and came again with the next one. Ruled out: hosts that are replaced (no loss lasted RepairAfter), and two pools that take hosts from each other (all moves went from or to the spare pool). Now the end counts from the moment at which the pool would have enough without what it was lent.

--- a/wave/lend.go
+++ b/wave/lend.go
@@ -172,17 +172,20 @@
 	return d
 }
 
-// shortFor returns how long a pool has been short of instances by unplanned loss.
+// shortFor returns how long a pool has been short of instances by unplanned loss. A shortage that only lent hosts cover
+// is not over: they would return, and have to come again at the next loss.
 func (p *Planner) shortFor(now time.Time, pool string) time.Duration {
 	a, limited := p.room(pool)
-	if !limited || a.Room() >= 0 || a.Unavailable == a.Planned {
+	lossless := !limited || a.Unavailable == a.Planned
+	if !lossless && a.Room() < a.Extra {
+		delete(p.enough, pool)
+	} else if _, ok := p.enough[pool]; !ok {
+		p.enough[pool] = now
+	}
+	if lossless || a.Room() >= 0 {
 		delete(p.short, pool)
-		if _, ok := p.enough[pool]; !ok {
-			p.enough[pool] = now
-		}
 		return 0
 	}
-	delete(p.enough, pool)
 	if _, ok := p.short[pool]; !ok {
 		p.short[pool] = now
 	}
