Lower the load more rarely while the declared slots hold

Cause: instances that are always busy were brought down to 60% of their limit every 12 s, although phase after phase showed the same. The period now doubles, up to 96 s, only while the declared slots are trusted.

TestLowPhasesGetRare failed with the change taken out.

--- a/route/limit.go
+++ b/route/limit.go
@@ -230,11 +230,11 @@
 
 // startLow brings the load down if it was not low for a period.
 func (s *scale) startLow(now time.Time) {
-	due := s.low.lastLow.Truncate(lowPeriod).Add(s.low.period)
+	due := s.low.lastLow.Truncate(s.low.period).Add(s.low.period)
 	if !s.low.known {
 		due = s.low.lastLow
 	}
-	if !s.low.from.IsZero() || now.Before(due) || now.Sub(now.Truncate(lowPeriod)) >= atOnce || !s.busy(lowShare) || !s.measured {
+	if !s.low.from.IsZero() || now.Before(due) || now.Sub(now.Truncate(s.low.period)) >= atOnce || !s.busy(lowShare) || !s.measured {
 		return
 	}
 	s.low.from, s.since = now, now
@@ -274,10 +274,20 @@
 		}
 		return
 	}
-	s.low.period = lowPeriod
+	s.low.period = s.nextPeriod()
 	s.learn(now, ratio)
 }
 
+// nextPeriod returns the period after a phase of lowered load that showed nothing new. While the declared slots are
+// trusted each is twice as long as the one before. They divide each other, so that daemons with different periods still
+// lower their load together.
+func (s *scale) nextPeriod() time.Duration {
+	if s.factor != 1 {
+		return lowPeriod
+	}
+	return min(2*s.low.period, lowPeriodRare)
+}
+
 // lowFor returns how long a phase of lowered load lasts.
 func (s *scale) lowFor() time.Duration {
 	return min(max(minLowFor, seconds((settleMeans+windowMeans)*s.typical)), maxLowFor)
--- a/route/limit_test.go
+++ b/route/limit_test.go
@@ -121,3 +121,18 @@
 		}
 	}
 }
+
+// Guards against capacity that is given away to measure again and again what is known. Stated: while the declared slots
+// are right, each pause between two phases of lowered load is twice the one before, so that 100 s have at most 4.
+func TestLowPhasesGetRare(t *testing.T) {
+	is := is.New(t)
+	seen := adapt(1, adaptSlots, load(0, adaptSlots, 1.5), load(100, adaptSlots, 0))
+	t.Log(seen[:100])
+	phases := 0
+	for second := 1; second < 100; second++ {
+		if seen[second] < adaptSlots*adaptHosts*3/4 && seen[second-1] >= adaptSlots*adaptHosts*3/4 {
+			phases++
+		}
+	}
+	is.True(phases >= 1 && phases <= 4)
+}
