Let a host return that only once said that it leaves

Cause: only the daemon that checks an upstream withdrew what the upstream had announced itself. A daemon that heard the Leaving header in a response and does not check the host kept it for ever, and its report kept the checking daemon from taking the host back. Ruled out: the checks (they passed and said that it stays) and the loss of the rack (the same host stays out without it).

--- a/health/evidence.go
+++ b/health/evidence.go
@@ -14,6 +14,7 @@
 	m.tickIfDue(now)
 	u := m.host(host)
 	if r.Leaving {
+		u.said = now
 		m.leave(now, u, SourceHeader)
 	}
 	if r.Outcome == cuminstair.OutcomeDone {
@@ -78,6 +79,7 @@
 	u := m.host(host)
 	u.ownProbe = now
 	if leaving {
+		u.said = now
 		m.leave(now, u, SourceHeader)
 	} else if ok {
 		m.withdraw(now, u, SourceHeader)
@@ -143,10 +145,14 @@
 	}
 }
 
-// Tick drops the reports that are no longer fresh.
+// Tick drops the reports that are no longer fresh. What an upstream said itself counts as long as a peer's report: a
+// daemon that does not check it gets no answers from it any more, while the one that does reports what it says now.
 func (m *Monitor) Tick(now time.Time) {
 	m.ticked = now
 	for _, u := range m.hosts {
+		if u.leaving&SourceHeader != 0 && now.Sub(u.said) > ReportFor {
+			m.withdraw(now, u, SourceHeader)
+		}
 		if len(u.reports) > 0 {
 			m.settlePeers(now, u)
 		}
--- a/health/health.go
+++ b/health/health.go
@@ -81,7 +81,8 @@
 	shown   cuminstair.HostState
 	listed  bool // shown has changed and Changed was not called since
 	leaving Source
-	heard   bool // it failed on a peer's report only
+	said    time.Time // when the upstream said last that it leaves
+	heard   bool      // it failed on a peer's report only
 	groups  []*group
 
 	failedProbes  int // in a row
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -82,6 +82,33 @@
 	is.Equal(m.State("h"), cuminstair.HostActive)
 }
 
+// Guards against a host that stays out for ever because a daemon that does not check it once heard that it leaves, and
+// against one that comes back although it still says so to the daemon that checks it.
+func TestLeavingEndsForAll(t *testing.T) {
+	is := is.New(t)
+	checks, hears := &Monitor{}, &Monitor{}
+	for _, m := range []*Monitor{checks, hears} {
+		m.SetGroup("s", []string{"h", "other"}) // alone it would be needed at once
+	}
+	hears.Observe(start, "h", cuminstair.Result{Outcome: cuminstair.OutcomeDone, Leaving: true})
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		leaves := second < 30
+		checks.Probe(now, "h", true, leaves)
+		for i, m := range []*Monitor{checks, hears} {
+			if state, ok := m.Opinion(now, "h"); ok {
+				[]*Monitor{hears, checks}[i].Report(now, "peer", "h", state)
+			}
+			m.Tick(now)
+		}
+		if leaves {
+			is.Equal(hears.State("h"), cuminstair.HostLeaving)
+		}
+	}
+	is.Equal(checks.State("h"), cuminstair.HostActive)
+	is.True(hears.State("h") != cuminstair.HostLeaving)
+}
+
 // Guards against new work for a host after the news from any source that it leaves, and against a return before all
 // sources have withdrawn.
 func TestLeavingFromEachSource(t *testing.T) {
