Let hosts whose drain is cancelled return in the measures

The replay of an outage left hosts out that the wave gives back when it pauses for a lost rack, while the bound counted them as available. A trace can now say that an upstream stays after all.

--- a/fleettest/outage.go
+++ b/fleettest/outage.go
@@ -91,40 +91,32 @@
 }
 
 // Lines returns the outage as lines of a trace. The hosts of a trace are dealt out to its data centres in turn: planned
-// work takes the first ones of a data centre and failures the last ones. A host that is lost answers no connection any
-// more, neither the established ones nor new ones.
+// work takes the first ones of a data centre and failures the last ones. A host whose drain is cancelled returns. A host
+// that is lost answers no connection any more, neither the established ones nor new ones.
 func (o Outage) Lines() []trace.Line {
-	n := len(o.Planned)
-	if n == 0 {
-		return nil
-	}
 	var lines []trace.Line
-	inCentre := o.Declared / n
-	for second := range o.Planned[0] {
-		for i := range n {
-			for k := before(o.Planned[i], second); k < o.Planned[i][second]; k++ {
-				lines = append(lines, trace.Line{At: ms(1000 * second), Event: trace.EventLeave, Host: hostName(k*n + i)})
+	n := len(o.Planned)
+	for i := range n {
+		planned, lost := 0, 0
+		for second := range o.Planned[i] {
+			at := ms(1000 * second)
+			for ; planned < o.Planned[i][second]; planned++ {
+				lines = append(lines, trace.Line{At: at, Event: trace.EventLeave, Host: hostName(planned*n + i)})
+			}
+			for ; planned > o.Planned[i][second]; planned-- {
+				lines = append(lines, trace.Line{At: at, Event: trace.EventReturn, Host: hostName((planned-1)*n + i)})
 			}
-			for k := before(o.Lost[i], second); k < o.Lost[i][second]; k++ {
-				host := hostName((inCentre-1-k)*n + i)
+			for ; lost < o.Lost[i][second]; lost++ {
+				host := hostName((o.Declared/n-1-lost)*n + i)
 				lines = append(lines,
-					trace.Line{At: ms(1000 * second), Event: trace.EventFault, Host: host, Mode: trace.ModeSilent},
-					trace.Line{At: ms(1000 * second), Event: trace.EventFault, Host: host, Mode: trace.ModeRefuse})
+					trace.Line{At: at, Event: trace.EventFault, Host: host, Mode: trace.ModeSilent},
+					trace.Line{At: at, Event: trace.EventFault, Host: host, Mode: trace.ModeRefuse})
 			}
 		}
 	}
 	return lines
 }
 
-// before returns the largest count before a second, since a host of a trace that left does not come back.
-func before(counts []int, second int) int {
-	most := 0
-	for _, n := range counts[:second] {
-		most = max(most, n)
-	}
-	return most
-}
-
 func hostName(i int) string { return "h" + strconv.Itoa(i+1) }
 
 // With merges lines into a trace in order of time.
--- a/trace/apply.go
+++ b/trace/apply.go
@@ -35,9 +35,9 @@
 				inst.mode, inst.factor, inst.silent = "", 0, 0
 			}
 		}
-	case EventLeave:
+	case EventLeave, EventReturn:
 		if inst := p.hosts[l.Host]; inst != nil {
-			inst.leaving = true
+			inst.leaving = l.Event == EventLeave
 		}
 	case EventCancel:
 		p.cancel(l)
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -35,6 +35,7 @@
 	EventFault  Event = "fault"  // mode, hosts named by host or their share, factor: from now on
 	EventHeal   Event = "heal"   // hosts named by host, or all: the fault ends
 	EventLeave  Event = "leave"  // host: the upstream announces that it leaves
+	EventReturn Event = "return" // host: the upstream announces that it stays after all
 	EventCancel Event = "cancel" // kind, share: that share of the outstanding requests is cancelled by its callers
 	EventCut    Event = "cut"    // centre: cut off from the other data centres
 	EventJoin   Event = "join"   // centre: reachable again
@@ -183,7 +184,7 @@
 		return known && (l.Host != "" || l.Share > 0)
 	case EventHeal:
 		return true
-	case EventLeave:
+	case EventLeave, EventReturn:
 		return l.Host != ""
 	case EventCut, EventJoin:
 		return l.Centre != ""
