--- a/wave/least_test.go
+++ b/fleettest/least.go
@@ -1,6 +1,7 @@
-package wave_test
+package fleettest
 
 import (
+	"slices"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -14,19 +15,19 @@
 	left   [4]int
 }
 
-// least returns the shortest time in which the budgets permit to reboot all hosts of a data centre. It tries, round by
+// Least returns the shortest time in which the budgets permit to reboot all hosts of a data centre. It tries, round by
 // round, every way to lend each spare host or reboot it, with the rooms that package budget gives when all hosts of a
 // round are up. It counts no time for moves, probation or growing steps; the last round is at least a spare's.
-func least(f *cuminstair.Fleet, centre string) time.Duration {
+func Least(f *cuminstair.Fleet, centre string) time.Duration {
 	l := newLeast(f, centre)
-	level := map[rollout]bool{l.start: true}
+	level := map[rollout]bool{l.from: true}
 	for rounds := 1; ; rounds++ {
 		next := map[rollout]bool{}
 		for s := range level {
 			l.expand(s, make([]int, len(l.spares)), 0, next)
 		}
 		if next[rollout{spares: 1<<len(l.spares) - 1}] {
-			return time.Duration(rounds)*(drain+reboot+lag) - drain
+			return time.Duration(rounds)*(Drain+Reboot+Lag) - Drain
 		}
 		level = next
 	}
@@ -37,22 +38,27 @@
 	centre string
 	pools  []string
 	spares []cuminstair.Host
-	start  rollout
+	from   rollout
 	rooms  map[[2]int]int // pool, bit set of spares lent to it
 }
 
 func newLeast(f *cuminstair.Fleet, centre string) *leastOf {
 	l := &leastOf{fleet: f, centre: centre, rooms: map[[2]int]int{}}
-	for _, s := range f.Services {
-		l.pools = append(l.pools, s.Pool)
+	spare := ""
+	for _, pool := range f.Pools {
+		if pool.Spare {
+			spare = pool.Name
+			continue
+		}
+		l.pools = append(l.pools, pool.Name)
 	}
 	for _, h := range f.Hosts {
 		for i, pool := range l.pools {
 			if h.Centre == centre && h.Pool == pool {
-				l.start.left[i]++
+				l.from.left[i]++
 			}
 		}
-		if h.Centre == centre && h.Pool == "spare" {
+		if h.Centre == centre && h.Pool == spare {
 			l.spares = append(l.spares, h)
 		}
 	}
@@ -74,7 +80,8 @@
 			b.Set(h.Name, budget.Host{Centre: h.Centre, Rack: h.Rack, Home: h.Pool, Pool: l.pools[pool], State: cuminstair.HostActive, Healthy: true})
 		}
 	}
-	l.rooms[key] = max(0, b.Account("s"+l.pools[pool], l.centre).Room())
+	a, _ := b.Tightest(l.pools[pool], l.centre)
+	l.rooms[key] = max(0, a.Room())
 	return l.rooms[key]
 }
 
@@ -100,3 +107,23 @@
 	}
 	next[s] = true
 }
+
+// LeastWithin returns the shortest time of a rollout over the whole fleet: that of the slowest data centre, or the time
+// that all hosts are out divided by the limit of the wave.
+func LeastWithin(f *cuminstair.Fleet, limit int) time.Duration {
+	var longest, out time.Duration
+	for _, c := range f.Centres {
+		longest = max(longest, Least(f, c.Name))
+	}
+	for _, h := range f.Hosts {
+		out += Reboot + Lag
+		if !isSpare(f, h.Pool) {
+			out += Drain
+		}
+	}
+	return max(longest, out/time.Duration(limit))
+}
+
+func isSpare(f *cuminstair.Fleet, pool string) bool {
+	return slices.ContainsFunc(f.Pools, func(p cuminstair.Pool) bool { return p.Name == pool && p.Spare })
+}
