Log an outage of the platform once

The controller logged a WARN line at every step while the platform was down: one a second for the step and four a second for placement until the lease lapsed. It now logs when an outage begins and when it ends, with the duration. Other errors are logged each time as before, since they are no outage.

--- a/control/control.go
+++ b/control/control.go
@@ -73,7 +73,9 @@
 	listed   time.Time // when the platform's list was last read
 	count    uint64    // commits of this process
 	unsure   *cuminstair.Commit
-	ordered  atomic.Uint64 // operators' orders of this process
+	// The goroutine of Step and that of StepJobs meet the platform separately.
+	stepOutage, jobsOutage outage
+	ordered                atomic.Uint64 // operators' orders of this process
 
 	mu      sync.Mutex // guards planner, which other goroutines explain from
 	planner *wave.Planner
@@ -180,17 +182,15 @@
 	return c.holding
 }
 
-// Step reads what has changed and, under the lease, plans and writes. Faults of the platform are logged and end the
-// step; the next one goes on from the rows.
+// Step reads what has changed and, under the lease, plans and writes. Faults of the platform end the step and are
+// logged, an outage once; the next step goes on from the rows.
 func (c *Control) Step(ctx context.Context) {
 	c.stepping.Lock()
 	defer c.stepping.Unlock()
 	c.init()
 	err := c.step(ctx)
 	c.share()
-	if err != nil {
-		c.logger().Warn("Step ended early", "error", err)
-	}
+	c.stepOutage.see(c, "Step", err)
 }
 
 func (c *Control) step(ctx context.Context) error {
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -70,11 +70,10 @@
 	fence, ok := c.held()
 	if !ok {
 		c.jobs = jobs{}
+		c.jobsOutage.end(c, "Placement left to the next holder of the lease")
 		return
 	}
-	if err := c.stepJobs(ctx, fence); err != nil {
-		c.logger().Warn("Placement ended early", "error", err)
-	}
+	c.jobsOutage.see(c, "Placement", c.stepJobs(ctx, fence))
 }
 
 func (c *Control) stepJobs(ctx context.Context, fence lease.Fence) error {
