--- a/trace/trace.go
+++ b/trace/trace.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
@@ -97,19 +98,43 @@
 // Trace is the lines of a trace in order of time.
 type Trace []Line
 
+// Offset returns the time of the line since the start of the trace.
+func (l Line) Offset() time.Duration { return l.At.D() }
+
 // Read parses a trace. It returns ErrLine or ErrOrder with the number of the line.
 func Read(r io.Reader) (Trace, error) {
-	var t Trace
+	lines, err := ReadLines[Line](r)
+	if err != nil {
+		return nil, err
+	}
+	if len(lines) == 0 || lines[0].Event != EventFleet {
+		return nil, fmt.Errorf("the first line must be the fleet: %w", ErrLine)
+	}
+	return lines, nil
+}
+
+// ReadLines parses the lines of a trace into values of L, whose Check finds lines that can't be replayed. It returns
+// ErrLine or ErrOrder with the number of the line. Lines that are empty or hold only a comment are passed over.
+func ReadLines[L interface {
+	Offset() time.Duration
+	Check() error
+}](r io.Reader) ([]L, error) {
+	var t []L
 	scan := bufio.NewScanner(r)
 	for n := 1; scan.Scan(); n++ {
-		line, ok, err := parse(scan.Bytes())
+		text := bytes.TrimSpace(scan.Bytes())
+		if len(text) == 0 || bytes.HasPrefix(text, []byte("//")) {
+			continue
+		}
+		var line L
+		err := parse(text, &line)
+		if err == nil {
+			err = line.Check()
+		}
 		if err != nil {
 			return nil, fmt.Errorf("line %d: %w", n, err)
 		}
-		if !ok {
-			continue
-		}
-		if len(t) > 0 && line.At < t[len(t)-1].At {
+		if len(t) > 0 && line.Offset() < t[len(t)-1].Offset() {
 			return nil, fmt.Errorf("line %d: %w", n, ErrOrder)
 		}
 		t = append(t, line)
@@ -117,33 +142,25 @@
 	if err := scan.Err(); err != nil {
 		return nil, fmt.Errorf("read trace: %w", err)
 	}
-	if len(t) == 0 || t[0].Event != EventFleet {
-		return nil, fmt.Errorf("the first line must be the fleet: %w", ErrLine)
-	}
 	return t, nil
 }
 
-// parse reads one line. It returns false for a line that is empty or holds only a comment.
-func parse(text []byte) (Line, bool, error) {
-	var line Line
-	trimmed := bytes.TrimSpace(text)
-	if len(trimmed) == 0 || bytes.HasPrefix(trimmed, []byte("//")) {
-		return line, false, nil
-	}
-	plain, err := hujson.Standardize(append(bytes.Clone(trimmed), '\n')) // ends a comment
+// parse reads one line.
+func parse(text []byte, line any) error {
+	plain, err := hujson.Standardize(append(bytes.Clone(text), '\n')) // ends a comment
 	if err != nil {
-		return line, false, fmt.Errorf("%w: %w", ErrLine, err)
+		return fmt.Errorf("%w: %w", ErrLine, err)
 	}
 	dec := json.NewDecoder(bytes.NewReader(plain))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&line); err != nil {
-		return line, false, fmt.Errorf("%w: %w", ErrLine, err)
+	if err := dec.Decode(line); err != nil {
+		return fmt.Errorf("%w: %w", ErrLine, err)
 	}
-	return line, true, line.check()
+	return nil
 }
 
-// check finds lines that the replay could not carry out.
-func (l Line) check() error {
+// Check finds lines that the replay could not carry out.
+func (l Line) Check() error {
 	ok := l.isDemand() || l.isFault() || l.isFleet()
 	switch l.Event {
 	case EventKind:
