Start replaying traces of planned work

Package trace/plan drives control, wave, budget, lease, job and rollout against standin/table in virtual time.

--- a/standin/table/hosts.go
+++ b/standin/table/hosts.go
@@ -176,12 +176,27 @@
 // RestoreRack makes all hosts of a rack live again and returns their number.
 func (s *Service) RestoreRack(centre, rack string) int { return s.setRack(centre, rack, StateLive) }
 
+// FailHost makes a host fail and returns false if there is none of that name.
+func (s *Service) FailHost(name string) bool {
+	return s.setHosts(StateGone, func(h *host) bool { return h.Name == name }) > 0
+}
+
+// RestoreHost makes a host live again and returns false if there is none of that name.
+func (s *Service) RestoreHost(name string) bool {
+	return s.setHosts(StateLive, func(h *host) bool { return h.Name == name }) > 0
+}
+
 func (s *Service) setRack(centre, rack, state string) int {
+	return s.setHosts(state, func(h *host) bool { return h.Centre == centre && h.Rack == rack })
+}
+
+// setHosts ends the actions on some hosts, puts them into a state and returns their number.
+func (s *Service) setHosts(state string, which func(*host) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	count := 0
 	for _, h := range sortedValues(s.hosts) {
-		if h.Centre == centre && h.Rack == rack {
+		if which(h) {
 			h.action++
 			s.setState(h, state)
 			count++
--- /dev/null
+++ b/trace/plan/apply.go
@@ -0,0 +1,249 @@
+package plan
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/budget"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/job"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/rollout/runner"
+	"cuminstair.org/cuminstair/trace"
+)
+
+// Kinds of what orders and decisions are about.
+const (
+	kindHost = "host"
+	kindWave = "wave"
+	kindJob  = "job"
+)
+
+// Errors that a line may state.
+const (
+	givesConflict    = "conflict"
+	givesUnavailable = "unavailable"
+	givesUncertain   = "uncertain"
+)
+
+// installDelay is the time until an accepted generation is in force in the daemons (page 1.3, invariant 8).
+const installDelay = 3 * time.Second
+
+// apply carries out a line.
+func (p *Player) apply(l Line) error {
+	if d := p.daemon(l.Daemon); l.Daemon != "" {
+		if d == nil {
+			return fmt.Errorf("daemon %s: %w", l.Daemon, trace.ErrLine)
+		}
+		return p.applyTo(d, l)
+	}
+	f := p.service.Faults()
+	switch l.Event {
+	case EventDown:
+		f.Down = true
+	case EventSlow:
+		p.slow = l.Delay.D()
+	case EventUp:
+		f.Down, p.slow = false, 0
+	case EventForget:
+		f.Lose = l.Count
+	case EventFail:
+		f.Workers, f.Jobs = l.Hosts, l.Jobs
+	default:
+		return p.applyToHosts(l)
+	}
+	p.service.SetFaults(f)
+	return nil
+}
+
+func (p *Player) applyToHosts(l Line) error {
+	found := 0
+	for _, f := range p.fleet.Hosts {
+		h := p.hosts[f.Name]
+		if !l.names(f) {
+			continue
+		}
+		found++
+		switch l.Event {
+		case EventLose:
+			p.service.FailHost(h.Name)
+		case EventBack:
+			p.service.RestoreHost(h.Name)
+		case EventSick:
+			h.sick = true
+		case EventBreak:
+			h.breaks = true
+		default:
+			h.sick, h.breaks = false, false
+		}
+		p.account(h)
+	}
+	if found == 0 {
+		return fmt.Errorf("no such host: %w", trace.ErrLine)
+	}
+	return nil
+}
+
+// names tells whether the line is about a host.
+func (l Line) names(h cuminstair.Host) bool {
+	for _, name := range l.Hosts {
+		if name == h.Name {
+			return true
+		}
+	}
+	return len(l.Hosts) == 0 && l.Centre == h.Centre && (l.Rack == "" || l.Rack == h.Rack)
+}
+
+func (p *Player) applyTo(d *daemon, l Line) error {
+	switch l.Event {
+	case EventPause:
+		d.pauses, d.paused = l.In == inCommit, l.In == ""
+	case EventWake:
+		d.pauses, d.paused = false, false
+	case EventKill:
+		d.kill()
+	case EventStop:
+		d.stop()
+	case EventStart:
+		p.service.RestoreHost(d.name)
+		d.boot()
+	default:
+		p.spawn(d, func() { p.call(d, l) })
+	}
+	return nil
+}
+
+// call makes an operator's call and compares its error with the stated one.
+func (p *Player) call(d *daemon, l Line) {
+	ctx := context.Background()
+	var err error
+	switch l.Event {
+	case EventOrder:
+		if l.Kind == kindWave {
+			err = d.control.OrderWave(ctx, l.Name, l.Do)
+		} else {
+			err = d.control.OrderHost(ctx, l.Name, l.Do)
+		}
+	case EventSubmit:
+		err = d.control.SubmitJobs(ctx, p.newJobs(l))
+	case EventCancel:
+		err = d.control.CancelJobs(ctx, l.jobNames())
+	case EventApply:
+		err = p.applyFleet(ctx, d, l)
+	default:
+		return
+	}
+	c := Check{At: p.now(), What: fmt.Sprintf("%s %s%s by %s", l.Event, l.Do, l.Name, d.name), Expected: or(l.Gives, "success"), Found: given(err)}
+	c.OK = c.Expected == c.Found
+	if !c.OK && err != nil {
+		c.Found += " (" + err.Error() + ")"
+	}
+	p.checks = append(p.checks, c)
+}
+
+func given(err error) string {
+	switch {
+	case err == nil:
+		return "success"
+	case errors.Is(err, cuminstair.ErrConflict), errors.Is(err, rollout.ErrStale):
+		return givesConflict
+	case errors.Is(err, cuminstair.ErrUnavailable):
+		return givesUnavailable
+	case errors.Is(err, cuminstair.ErrUncertain):
+		return givesUncertain
+	default:
+		return "another error"
+	}
+}
+
+// jobNames returns the jobs that a line is about.
+func (l Line) jobNames() []string {
+	if l.Count == 0 {
+		return l.Jobs
+	}
+	n := l.Count
+	if l.Share > 0 {
+		n = int(l.Share * float64(n))
+	}
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint(l.Jobs[0], i))
+	}
+	return names
+}
+
+func (p *Player) newJobs(l Line) []job.Job {
+	var list []job.Job
+	for _, name := range l.jobNames() {
+		p.classes[name] = l
+		list = append(list, job.Job{ID: name, Team: l.Team, Class: l.Jobs[0], Cores: l.Cores, Memory: l.Memory, Urgent: l.Urgent})
+	}
+	return list
+}
+
+// applyFleet applies the fleet that the operator read, with hosts moved.
+func (p *Player) applyFleet(ctx context.Context, d *daemon, l Line) error {
+	if l.Base == 0 || l.Base > uint64(len(p.fleets)) {
+		return fmt.Errorf("no generation %d: %w", l.Base, trace.ErrLine)
+	}
+	f := *p.fleets[l.Base-1]
+	f.Hosts = append([]cuminstair.Host{}, f.Hosts...)
+	for i := range f.Hosts {
+		if pool := l.Moves[f.Hosts[i].Name]; pool != "" {
+			f.Hosts[i].Pool = pool
+		}
+	}
+	link := &link{d: d, boot: d.boots}
+	a := &runner.Applier{
+		Table: link, Objects: link,
+		State: func() rollout.Base { return p.base },
+		NewID: func() string { p.ids++; return fmt.Sprint("apply/", p.ids) },
+		Pause: func(context.Context) bool { return p.wait(second) },
+	}
+	result, err := a.Apply(ctx, rollout.Apply{Fleet: &f, Base: l.Base, By: l.By})
+	if err != nil || result.Again {
+		return err
+	}
+	p.install(&f, result.Head)
+	return nil
+}
+
+// install puts an accepted fleet into force in all daemons.
+func (p *Player) install(f *cuminstair.Fleet, head rollout.Head) {
+	p.base = rollout.Base{Head: head, Manifest: fleet.ManifestOf(fleet.Split(f)), Fleet: f}
+	p.fleets = append(p.fleets, f)
+	p.fleet, p.truth = f, budget.New(f.Services)
+	for _, h := range f.Hosts {
+		p.hosts[h.Name].Host = h
+	}
+	for _, h := range f.Hosts {
+		p.setTruth(p.hosts[h.Name])
+	}
+	p.clock.After(installDelay, func(time.Time) {
+		for _, d := range p.daemons {
+			if d.live && head.Gen == p.base.Head.Gen {
+				d.control.SetFleet(f)
+			}
+		}
+	})
+}
+
+func or(s, def string) string {
+	if s == "" {
+		return def
+	}
+	return s
+}
+
+func (p *Player) daemon(name string) *daemon {
+	for _, d := range p.daemons {
+		if d.name == name {
+			return d
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/trace/plan/daemon.go
@@ -0,0 +1,123 @@
+package plan
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/control"
+	"cuminstair.org/cuminstair/standin/table"
+)
+
+// daemon is an entry daemon: its controller and its requests in flight.
+type daemon struct {
+	p       *Player
+	name    string
+	centre  string
+	boots   int
+	live    bool
+	paused  bool
+	pauses  bool // in its next commit
+	control *control.Control
+	states  map[string]cuminstair.HostState // as routing was told
+	pools   map[string]string
+	busy    map[string]time.Time // host: when its last request ends
+}
+
+func (p *Player) addDaemon(name, centre string) {
+	d := &daemon{p: p, name: name, centre: centre}
+	p.daemons = append(p.daemons, d)
+	p.service.AddHosts(table.Host{Name: name, Centre: centre, Rack: name, Role: "entry"})
+	value, _ := json.Marshal(map[string]string{"centre": centre}) // always encodes
+	_, _ = p.commit(cuminstair.Commit{ID: "entry/" + name, Puts: []cuminstair.Put{{Key: "entry/" + name, Value: value}}})
+	d.boot()
+}
+
+// boot starts a process of the daemon.
+func (d *daemon) boot() {
+	p := d.p
+	d.boots++
+	d.live, d.paused, d.pauses = true, false, false
+	d.states, d.pools, d.busy = map[string]cuminstair.HostState{}, map[string]string{}, map[string]time.Time{}
+	l := &link{d: d, boot: d.boots}
+	d.control = &control.Control{
+		Centre: d.centre, Self: d.name, Boot: fmt.Sprint(d.boots), Table: l, Hosts: l, Peers: l, Tasks: l, Recorder: l,
+		Timer: p.clock, Rand: rand.New(rand.NewPCG(p.rand.Uint64(), 2)), Idle: d.idle,
+		State: func(host string, state cuminstair.HostState) { d.states[host] = state },
+		Moved: func(host, pool string) { d.pools[host] = pool },
+	}
+	d.control.SetFleet(p.fleet)
+	p.spawn(d, d.steps)
+	p.spawn(d, d.jobs)
+}
+
+// steps does what Control.Run does, in virtual time.
+func (d *daemon) steps() {
+	for c, ok := d.control, true; ok; {
+		c.Step(context.Background())
+		if pause := control.FollowTick; !c.Holding() {
+			ok = d.p.wait(pause)
+		} else {
+			ok = d.p.wait(control.Tick)
+		}
+	}
+}
+
+func (d *daemon) jobs() {
+	c := d.control
+	for d.p.wait(control.JobTick) {
+		c.StepJobs(context.Background())
+	}
+}
+
+func (d *daemon) runs() bool { return d.live && !d.paused }
+
+// kill ends the process at once; what it had in flight is lost with it.
+func (d *daemon) kill() {
+	d.live, d.paused = false, false
+	clear(d.busy)
+	d.p.drop(func(t *task) bool { return t.daemon == d })
+	d.p.service.FailHost(d.name)
+}
+
+// stop gives up the lease and ends the process.
+func (d *daemon) stop() {
+	d.p.drop(func(t *task) bool { return t.daemon == d })
+	d.p.spawn(d, func() {
+		d.control.StepDown(context.Background())
+		d.live = false
+		clear(d.busy)
+		d.p.service.FailHost(d.name)
+	})
+}
+
+// idle tells the controllers whether the daemon sends nothing new to a host and has nothing in flight there.
+func (d *daemon) idle(host string) bool {
+	return d.states[host] != cuminstair.HostActive && !d.inflight(host)
+}
+
+func (d *daemon) inflight(host string) bool { return d.busy[host].After(d.p.clock.Now()) }
+
+// serve sends a request to a host that routing may use. Requests take up to maxRequest.
+func (d *daemon) serve(h *host, healthy bool) {
+	const maxRequest = 6 // seconds
+	if !d.p.up(h) {
+		delete(d.busy, h.Name) // they broke
+		return
+	}
+	if h.Centre == d.centre && healthy && d.states[h.Name] == cuminstair.HostActive && !d.p.spare(d.pools[h.Name]) {
+		d.busy[h.Name] = d.p.clock.Now().Add(time.Duration(1+d.p.rand.IntN(maxRequest)) * second)
+	}
+}
+
+func (p *Player) spare(pool string) bool {
+	for _, x := range p.fleet.Pools {
+		if x.Name == pool {
+			return x.Spare
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/trace/plan/task.go
@@ -0,0 +1,97 @@
+package plan
+
+import (
+	"iter"
+	"slices"
+	"time"
+)
+
+// task is a coroutine: a part of a daemon, an operator's call, or the player's own watch.
+type task struct {
+	daemon *daemon // nil: of none; it can't be paused
+	wake   time.Time
+	ended  bool
+	yield  func(struct{}) bool
+	next   func() (struct{}, bool)
+	stop   func()
+}
+
+// spawn starts fn at the present time.
+func (p *Player) spawn(d *daemon, fn func()) {
+	t := &task{daemon: d, wake: p.clock.Now()}
+	t.next, t.stop = iter.Pull(func(yield func(struct{}) bool) {
+		t.yield = yield
+		fn()
+	})
+	p.tasks = append(p.tasks, t)
+}
+
+// wait lets the other tasks go on for a time. It returns false once the task has to end.
+func (p *Player) wait(d time.Duration) bool {
+	t := p.current
+	if t == nil {
+		return true
+	}
+	if t.ended {
+		return false
+	}
+	t.wake = p.clock.Now().Add(d)
+	if !t.yield(struct{}{}) {
+		t.ended = true
+	}
+	return !t.ended
+}
+
+// advance runs all tasks that are due until a time. Those that are due at the same moment go in order of their start.
+func (p *Player) advance(to time.Time) {
+	for {
+		t := p.due()
+		if t == nil || t.wake.After(to) {
+			p.clock.Advance(to.Sub(p.clock.Now()))
+			return
+		}
+		if t.wake.After(p.clock.Now()) {
+			p.clock.Advance(t.wake.Sub(p.clock.Now()))
+		}
+		p.resume(t)
+	}
+}
+
+func (p *Player) due() *task {
+	var first *task
+	for _, t := range p.tasks {
+		if (t.daemon == nil || !t.daemon.paused) && (first == nil || t.wake.Before(first.wake)) {
+			first = t
+		}
+	}
+	return first
+}
+
+func (p *Player) resume(t *task) {
+	p.current = t
+	_, ok := t.next()
+	p.current = nil
+	if !ok {
+		p.drop(func(o *task) bool { return o == t })
+	}
+}
+
+// drop ends tasks where they wait.
+func (p *Player) drop(which func(t *task) bool) {
+	var dropped []*task
+	p.tasks = slices.DeleteFunc(p.tasks, func(t *task) bool {
+		if !which(t) {
+			return false
+		}
+		dropped = append(dropped, t)
+		return true
+	})
+	for _, t := range dropped {
+		t.ended = true
+		p.current = t
+		t.stop()
+		p.current = nil
+	}
+}
+
+func (p *Player) end() { p.drop(func(*task) bool { return true }) }
