Take a rack that is lost while most of it reboots for a lost rack

The trace of a night of the kitchen fleet showed that a wave stopped for good when a rack was lost of whose three hosts two were rebooting: only one host counted as lost, and the other two counted as hosts that the wave had broken. With nobody on call the wave stayed stopped, with 13 of 18 hosts of the data centre done after 8 hours. A rack now also counts as lost when the platform lists all of its hosts as gone and planned work had not touched one of them. Hosts that all vanish while they reboot still stop the wave.

Ruled out: the limit of late hosts (1 of 100 done) is not at fault, and lists that lag do not matter, since the hosts have 5 minutes to come back.

--- a/wave/planner.go
+++ b/wave/planner.go
@@ -80,10 +80,17 @@
 }
 
 // rackLoss counts the hosts of a rack that were lost without plan.
-type rackLoss struct{ hosts, lost int }
+type rackLoss struct {
+	hosts int
+	lost  int
+	gone  int // listed as gone, with the hosts that reboot
+}
 
-// down tells whether the loss looks like that of the rack: at least two hosts and half of it.
-func (r *rackLoss) down() bool { return r.lost >= 2 && 2*r.lost >= r.hosts }
+// down tells whether the loss looks like that of the rack: at least two hosts and half of it, or all of it with one
+// host that planned work had not touched. The second case is a rack that is lost while most of it reboots.
+func (r *rackLoss) down() bool {
+	return r.lost >= 2 && 2*r.lost >= r.hosts || r.hosts >= 2 && r.gone == r.hosts && r.lost >= 1
+}
 
 // New returns a planner for the data centre. SetFleet must be called before Decide.
 func New(centre string) *Planner {
@@ -293,6 +300,9 @@
 	if s.lost() {
 		p.rack(s).lost += n
 	}
+	if s.vanished() {
+		p.rack(s).gone += n
+	}
 	if n < 0 {
 		return
 	}
@@ -333,6 +343,11 @@
 	}
 }
 
+// vanished tells whether the list shows the host as gone. A replacement shows it so as well.
+func (s *status) vanished() bool {
+	return s.has && s.listed == listGone && (s.row.State != cuminstair.HostRebooting || s.row.Verb != string(cuminstair.ActionReplace))
+}
+
 // attention tells whether Decide has to look at the host.
 func (s *status) attention(p *Planner) bool {
 	return !s.active() || !s.healthy || s.listed == listGone || s.row.Pool != s.host.Pool ||
--- a/wave/run.go
+++ b/wave/run.go
@@ -222,7 +222,7 @@
 func (p *Planner) loss(r *run) string {
 	for name, k := range p.racks {
 		if k.down() {
-			return fmt.Sprintf("%d of %d hosts of rack %s are lost", k.lost, k.hosts, name)
+			return fmt.Sprintf("%d of %d hosts of rack %s are lost", max(k.lost, k.gone), k.hosts, name)
 		}
 	}
 	for _, pool := range r.wave.Pools {
