Keep learned sizes from growing for jobs that use all they are given

The trace of bursts of cancellations showed rounds of 41, 38, 34, 31 and 28 jobs at once for one class: each job used all the cores that it was given, its use was learned with a headroom of 1.1, and the next job was given that. With 400 jobs of 60 s, 124 good jobs were parked after 40 minutes, because no quota was large enough any more. A use that equals what the task was given beyond its declaration is now learned without the headroom, so that the size settles at 1.1 times the declared one.

Ruled out: dropping the headroom of every task that uses all it is given. It also changes classes that use exactly what they declare, and TestCancelManyAtOnce rightly expects headroom for those.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -32,6 +32,7 @@
 	mem   cuminstair.Bytes
 	runs  time.Duration // 0: for ever
 	fails time.Duration // age at which it fails; 0: never
+	all   bool          // uses all that it is given
 }
 
 // running is a task on a worker of the simulated platform.
@@ -143,6 +144,9 @@
 	k := w.kinds[class]
 	age := w.now.Sub(r.begun)
 	u := cuminstair.Usage{Task: r.task.ID, Worker: r.task.Worker, Job: r.task.Job, State: "running", Cores: k.cores, Memory: k.mem, At: w.now}
+	if k.all {
+		u.Cores, u.Memory = r.task.Cores, r.task.Memory
+	}
 	switch {
 	case k.fails > 0 && age >= k.fails || w.bad[r.task.Worker] && age >= time.Second:
 		u.State, u.Message = "failed", "exit 1"
@@ -278,6 +282,19 @@
 	w.is.True(len(w.suspect) <= 4) // 2% of the workers
 }
 
+// Guards against learned sizes that grow by the headroom with each round of jobs that use all that they are given, until
+// no worker is large enough and good jobs are parked.
+func TestSizesSettleForJobsThatUseAll(t *testing.T) {
+	w := newWorld(t, 4)
+	w.kinds["all"] = kind{all: true, runs: 20 * time.Second}
+	w.submit(2000, job.Job{ID: "all", Class: "all", Cores: 1, Memory: 1e9})
+	w.run(40 * time.Minute)
+	for i := range 2000 {
+		j, _ := w.s.Job(fmt.Sprint("all-", i))
+		w.is.Equal(j.State, job.Done)
+	}
+}
+
 // Guards against a cancellation that costs more than the jobs it cancels, at once or in later decisions.
 func TestCancelManyAtOnce(t *testing.T) {
 	const queued, cancelled = 60000, 10000
--- a/job/learn.go
+++ b/job/learn.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math"
 	"slices"
 
 	"cuminstair.org/cuminstair"
@@ -13,8 +14,20 @@
 	quantile   = 0.9  // of the reports
 	headroom   = 1.1  // reports lag behind growth
 	leastCores = 0.05 // a task takes at least this
+	// exact is the largest difference, as a fraction, of a use that counts as all of what the task was given.
+	exact = 0.01
 )
 
+// measured returns what a report adds to the samples. A task that was given more than its job declares and uses exactly
+// that, as one with a thread for each core does, shows no growth: with headroom on top the next task of the class would
+// be given more, use all of that, and so on.
+func measured(used, given, declared float64) float64 {
+	if given > declared*(1+exact) && math.Abs(used-given) <= exact*given {
+		return used / headroom
+	}
+	return used
+}
+
 // class is what is known of the sizes of a class of jobs.
 type class struct {
 	cores  []float64
--- a/job/report.go
+++ b/job/report.go
@@ -67,7 +67,9 @@
 		c = &class{}
 		s.classes[t.job.Class] = c
 	}
-	c.add(u.Cores, u.Memory)
+	used := measured(u.Cores, t.given.cores, t.job.Cores)
+	memory := measured(float64(u.Memory), float64(t.given.memory), float64(t.job.Memory))
+	c.add(used, cuminstair.Bytes(memory))
 	z := s.size(&t.job.Job)
 	z.cores, z.memory = max(z.cores, u.Cores), max(z.memory, u.Memory)
 	t.full = z
--- a/job/scheduler.go
+++ b/job/scheduler.go
@@ -14,6 +14,7 @@
 	worker  *worker
 	size    size // what it takes now
 	full    size // what it takes when it is not throttled
+	given   size // what it was started with; zero if an earlier controller started it
 	renewed time.Time
 	begun   time.Time // when it was asked for
 	heard   time.Time // when it was last reported
@@ -325,7 +326,7 @@
 	e.Task, e.Worker = fmt.Sprintf("%s/%d", e.ID, e.Tries), w.Name
 	why := fmt.Sprintf("%.1f cores on %s, which has %.1f free", z.cores, w.Name, w.free.cores)
 	s.step(e, "start", why)
-	t := &task{id: e.Task, job: e, worker: w, size: z, full: z, renewed: now, begun: now, heard: now}
+	t := &task{id: e.Task, job: e, worker: w, size: z, full: z, given: z, renewed: now, begun: now, heard: now}
 	s.hold(now, t)
 	s.plan.Starts = append(s.plan.Starts, Start{Task: t.order(), Reason: reason, Why: why})
 }
