Ask a daemon that starts again before its host is listed as live

The trace of racing processes rebooted north15 at 30m7s with a request of north-d2 in flight. That daemon had been killed at 10m and started again at 30m; the list, which lags by 10 s, still showed it as gone, and the list counted more than its new registration.

trace/plan/testdata/races.trace fails without the change and passes with it.

--- a/control/members.go
+++ b/control/members.go
@@ -46,6 +46,8 @@
 	}
 	if r.Centre == m.centre {
 		m.registered[name] = true
+		// A daemon that starts again may send requests before the list, which lags, shows it as live.
+		delete(m.gone, name)
 	}
 	return nil
 }
