--- a/trace/plan/daemon.go
+++ b/trace/plan/daemon.go
@@ -31,15 +31,28 @@
 	d := &daemon{p: p, name: name, centre: centre}
 	p.daemons = append(p.daemons, d)
 	p.service.AddHosts(table.Host{Name: name, Centre: centre, Rack: name, Role: "entry"})
-	value, _ := json.Marshal(map[string]string{"centre": centre}) // always encodes
-	_, _ = p.commit(cuminstair.Commit{ID: "entry/" + name, Puts: []cuminstair.Put{{Key: "entry/" + name, Value: value}}})
 	d.boot()
 }
 
+// register writes the row of the process, as package node does before it serves.
+func (d *daemon) register() {
+	key := "entry/" + d.name
+	value, _ := json.Marshal(map[string]any{"centre": d.centre, "start": d.boots}) // always encodes
+	// Fails while the platform is down; the daemon is then known by the list.
+	_, _ = d.p.commit(cuminstair.Commit{ID: fmt.Sprint(key, "/", d.boots), Puts: []cuminstair.Put{{Key: key, Value: value}}})
+}
+
+// deregister deletes the row at a planned stop.
+func (d *daemon) deregister() {
+	key := "entry/" + d.name
+	_, _ = d.p.commit(cuminstair.Commit{ID: fmt.Sprint(key, "/stop/", d.boots), Deletes: []string{key}})
+}
+
 // boot starts a process of the daemon.
 func (d *daemon) boot() {
 	p := d.p
 	d.boots++
+	d.register()
 	d.live, d.paused, d.pauses = true, false, false
 	d.states, d.pools, d.busy = map[string]cuminstair.HostState{}, map[string]string{}, map[string]time.Time{}
 	l := &link{d: d, boot: d.boots}
@@ -88,6 +101,7 @@
 	d.p.drop(func(t *task) bool { return t.daemon == d })
 	d.p.spawn(d, func() {
 		d.control.StepDown(context.Background())
+		d.deregister()
 		d.live = false
 		clear(d.busy)
 		d.p.service.FailHost(d.name)
--- a/trace/plan/plan.go
+++ b/trace/plan/plan.go
@@ -121,6 +121,9 @@
 }
 
 func (l Line) complete() bool {
+	if l.Daemon != "" {
+		return l.isForDaemon()
+	}
 	switch l.Event {
 	case EventFleet:
 		return l.File != "" && l.Daemons > 0
@@ -134,14 +137,22 @@
 		return l.Count > 0
 	case EventLose, EventBack, EventSick, EventBreak, EventWell:
 		return len(l.Hosts) > 0 || l.Centre != ""
+	default:
+		return false
+	}
+}
+
+// isForDaemon tells whether the line is complete as one that happens at a daemon.
+func (l Line) isForDaemon() bool {
+	switch l.Event {
 	case EventApply:
-		return l.Daemon != "" && l.gives()
+		return l.Base > 0 && l.gives()
 	case EventOrder:
-		return l.Daemon != "" && (l.Kind == kindHost || l.Kind == kindWave) && l.Name != "" && l.Do != "" && l.gives()
+		return (l.Kind == kindHost || l.Kind == kindWave) && l.Name != "" && l.Do != "" && l.gives()
 	case EventSubmit, EventCancel:
-		return l.Daemon != "" && len(l.Jobs) > 0 && l.gives()
+		return len(l.Jobs) > 0 && l.gives()
 	case EventPause, EventWake, EventKill, EventStop, EventStart:
-		return l.Daemon != "" && (l.In == "" || l.In == inCommit)
+		return l.In == "" || l.In == inCommit
 	default:
 		return false
 	}
