Let the traces of races and lost answers see a missing fence and a repeated action

Both passed with the guard taken out: the commit that was late met a changed row anyway, and no answer of a platform action was among those lost. The pause now comes before a write that the successor does not make, and more answers are lost. Actions are counted by id, so that a second reboot during the first one counts.

Seen to fail: races without the fence in control's commits (north04 written in epoch 1 at 2m30s, expected 2); forget with a new id for each repeat of an action (60 actions, expected 50).

--- a/trace/plan/invariant.go
+++ b/trace/plan/invariant.go
@@ -131,11 +131,12 @@
 	p.uncut(h.Name, "moved")
 }
 
-// acted checks and counts an action of the platform that may have started.
-func (p *Player) acted(name, before string) {
-	if after := p.service.HostState(name); before == after {
+// acted checks and counts an action that the platform accepted. One of the same id is a repeat, which it ignores.
+func (p *Player) acted(id, name, before string) {
+	if p.acts[id] {
 		return
 	}
+	p.acts[id] = true
 	p.count(WhatActs, name, "")
 	if before == table.StateLive {
 		p.uncut(name, "rebooted")
--- a/trace/plan/link.go
+++ b/trace/plan/link.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/wave"
 )
 
 // link is what one process of a daemon reaches: the platform and the other daemons. It implements the slow platform,
@@ -49,7 +54,7 @@
 
 // Commit implements cuminstair.Table.
 func (l *link) Commit(_ context.Context, c cuminstair.Commit) (uint64, error) {
-	if l.d.pauses && l.d.live {
+	if l.d.pauses && l.d.live && writesHost(c) {
 		l.d.pauses, l.d.paused = false, true
 		l.reach(0)
 	}
@@ -102,11 +107,18 @@
 	return l.write(func() error {
 		before := l.d.p.service.HostState(host)
 		err := l.d.p.service.Act(ctx, id, host, action)
-		l.d.p.acted(host, before)
+		if err == nil || errors.Is(err, cuminstair.ErrUncertain) {
+			l.d.p.acted(id, host, before)
+		}
 		return err
 	})
 }
 
+// writesHost tells whether a commit is a step of planned work.
+func writesHost(c cuminstair.Commit) bool {
+	return slices.ContainsFunc(c.Puts, func(put cuminstair.Put) bool { return strings.HasPrefix(put.Key, wave.HostPrefix) })
+}
+
 // StartTask implements cuminstair.Tasks.
 func (l *link) StartTask(ctx context.Context, t cuminstair.Task) error {
 	return l.write(func() error {
--- a/trace/plan/plan.go
+++ b/trace/plan/plan.go
@@ -41,7 +41,7 @@
 	EventUp     Event = "up"     // ends both
 	EventForget Event = "forget" // count: answers of the next writes are lost after these took effect
 	EventFail   Event = "fail"   // hosts, jobs: workers that fail every task and jobs that fail everywhere, instead of any before
-	EventPause  Event = "pause"  // daemon, in: now, or in the middle of its next commit
+	EventPause  Event = "pause"  // daemon, in: now, or in the middle of its next commit of host rows
 	EventWake   Event = "wake"   // daemon
 	EventKill   Event = "kill"   // daemon; the platform lists it as gone
 	EventStop   Event = "stop"   // daemon: it gives up its lease
--- a/trace/plan/player.go
+++ b/trace/plan/player.go
@@ -46,6 +46,7 @@
 	waves   map[string]wave.Wave
 	classes map[string]Line // job: the line that submitted it
 	moves   int
+	acts    map[string]bool // ids of the platform's actions
 	events  []occurrence
 	checks  []Check
 	broken  map[string]bool // invariants that were reported
@@ -117,6 +118,7 @@
 	p.clock = timer.NewVirtual(p.start)
 	p.rand = rand.New(rand.NewPCG(first.Seed, 1))
 	p.epochs, p.waves, p.classes = map[string]uint64{}, map[string]wave.Wave{}, map[string]Line{}
+	p.acts = map[string]bool{}
 	p.broken, p.hosts = map[string]bool{}, map[string]*host{}
 	p.service = &table.Service{Timer: p.clock, Behave: p.behave, OnHost: p.onHost}
 	p.service.SetFaults(table.Faults{Lag: cuminstair.Duration(listLag), Usage: cuminstair.Duration(usageLag)})
