Give a leaving upstream no new work, whoever brings the news

Cause: three faults between the parts. - The row of a host in probation overrode its health, so that a leaving or failed upstream got work again while its row was in probation, which every new host is for 10 s. The row of a host in probation no longer does. - The holder of the lease read the platform's list and told only the planner. control.Control.Listed now hands it on; node feeds health, whose gossip reaches the other daemons. A daemon that lost the lease keeps what it read until the next holder has had time to read it. - The rows of leaving hosts reached the followers after up to 2 s of polling on top of the holder's own second; health now gossips them as well. A peer that withdraws its news is believed at once and not after 10 s.

Tests run real load on two daemons with one source of the news at a time: header, list, operator, peer with the platform down.

--- a/caller/decisions.go
+++ b/caller/decisions.go
@@ -206,15 +206,20 @@
 	}
 }
 
-// state joins the row of a host with its health.
+// state joins the row of a host with its health. In probation a host takes work, so that the row does not override news
+// that the host leaves or failed.
 func (d *Decisions) state(host string) cuminstair.HostState {
-	if s := d.planned[host]; s != "" && s != cuminstair.HostActive {
-		return s
+	planned := d.planned[host]
+	if planned == "" {
+		planned = cuminstair.HostActive
 	}
-	if d.Health == nil {
-		return cuminstair.HostActive
+	if d.Health == nil || planned != cuminstair.HostActive && planned != cuminstair.HostProbation {
+		return planned
+	}
+	if s := d.Health.State(host); s != cuminstair.HostActive {
+		return s
 	}
-	return d.Health.State(host)
+	return planned
 }
 
 // applyHealth hands changes of health to the router.
--- a/control/act.go
+++ b/control/act.go
@@ -23,6 +23,10 @@
 	}
 	c.listed = now
 	c.members.list(hosts)
+	if c.Listed != nil {
+		c.handed = true
+		c.Listed(hosts)
+	}
 	c.plan(func(p *wave.Planner) {
 		for _, h := range hosts {
 			if h.Role != roleEntry {
@@ -33,6 +37,18 @@
 	return nil
 }
 
+// forget withdraws the list once the daemon that holds the lease now has had time to read it.
+func (c *Control) forget() {
+	now := c.Timer.Now()
+	if c.follows.IsZero() {
+		c.follows = now
+	}
+	if c.handed && now.Sub(c.follows) >= forgetList {
+		c.handed = false
+		c.Listed(nil)
+	}
+}
+
 // ping freezes planned work while a live daemon does not answer. The question is about no host, so that only a daemon
 // that does not answer fails to confirm.
 func (c *Control) ping(ctx context.Context) {
--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,9 @@
 	PingEvery = 3 * time.Second
 	// GoneAfter is how long a daemon is listed as gone before planned work goes on without it.
 	GoneAfter = 30 * time.Second
+	// forgetList is how long a daemon that lost the lease keeps what the list showed, so that the next holder has read
+	// it and told the others before. It doesn't pass while the platform is away.
+	forgetList = 3 * ListEvery
 	// batch bounds the host rows of one commit.
 	batch = 64
 )
@@ -59,6 +62,9 @@
 	State func(host string, state cuminstair.HostState)
 	// Moved takes the pool of a host, first and whenever it changes. It may be nil and must not block.
 	Moved func(host, pool string)
+	// Listed takes the platform's list whenever it was read, and nil once another daemon has had time to read it. It may
+	// be nil and must not block.
+	Listed func(hosts []cuminstair.HostStatus)
 	// Idle tells whether this daemon sends nothing new to a host and has nothing in flight there. Nil means always.
 	Idle func(host string) bool
 
@@ -67,6 +73,8 @@
 	view     view
 	members  members
 	listed   time.Time // when the platform's list was last read
+	handed   bool      // Listed has been given a list
+	follows  time.Time // since when the steps of this daemon succeed without the lease
 	count    uint64    // commits of this process
 	unsure   *cuminstair.Commit
 	ordered  atomic.Uint64 // operators' orders of this process
@@ -174,6 +182,7 @@
 	c.holding = held
 	c.mu.Unlock()
 	if err != nil {
+		c.follows = time.Time{}
 		c.Log.Warn("Step ended early", "error", err)
 	}
 }
@@ -188,8 +197,10 @@
 	if _, ok := c.lease.Held(c.Timer.Now()); !ok {
 		// What a later term begins with has to be read and asked anew.
 		c.listed, c.members.pinged = time.Time{}, time.Time{}
+		c.forget()
 		return nil
 	}
+	c.follows = time.Time{}
 	if err := c.list(ctx); err != nil {
 		return err
 	}
--- a/node/install.go
+++ b/node/install.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 
 	"cuminstair.org/cuminstair"
@@ -68,9 +69,14 @@
 	if v.states == nil {
 		v.states = map[string]cuminstair.HostState{}
 	}
+	old := v.states[host]
 	v.states[host] = state
+	own := slices.Contains(v.own, host)
 	v.mu.Unlock()
 	v.node.daemon.Events.Set(daemon.Key{Kind: daemon.EventHost, Name: host}, daemon.Event{State: state})
+	if own && goes(old) != goes(state) {
+		v.node.ordered(host, goes(state))
+	}
 }
 
 // poolOf returns the pool that a host serves.
--- /dev/null
+++ b/node/leaving_test.go
@@ -0,0 +1,82 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/standin/instance"
+	"cuminstair.org/cuminstair/standin/local"
+	"cuminstair.org/cuminstair/standin/table"
+)
+
+// leaveBound is the bound of invariant 6: no new work after the news reached any daemon of the data centre.
+const leaveBound = 3 * time.Second
+
+// leavingHost is the host that leaves in these tests.
+const leavingHost = "c1-h1"
+
+// checkLeaving runs load on both daemons, calls news, which returns when it reached the first daemon, and checks that the
+// host gets no new work after the bound while everything is served.
+func checkLeaving(t *testing.T, news func(s *local.System) time.Time) {
+	is := is.New(t)
+	s := startSystem(t)
+	host := s.Instances[leavingHost]
+	l := startLoad(t, s, 4, "c1-e1", "c1-e2")
+	is.NoErr(s.Await(func() bool { return host.Total() > 20 }))
+	at := news(s)
+	total := l.done.Load()
+	is.NoErr(s.Await(func() bool { return s.Timer.Now().Sub(at) > leaveBound+time.Second }))
+	t.Logf("last run began %s after the news", host.Last().Sub(at))
+	is.True(host.Last().Sub(at) < leaveBound)
+	is.True(l.done.Load() > total)
+	l.end()
+	l.served(t)
+}
+
+// Guards against work for an upstream that announced that it leaves on its answers.
+func TestLeavingByHeader(t *testing.T) {
+	checkLeaving(t, func(s *local.System) time.Time {
+		s.Instances[leavingHost].SetFaults(instance.Faults{Leaving: true})
+		return s.Timer.Now()
+	})
+}
+
+// Guards against a platform's list that only the holder of the lease follows, or nobody.
+func TestLeavingByList(t *testing.T) {
+	checkLeaving(t, func(s *local.System) time.Time {
+		is := is.New(t)
+		is.NoErr(s.Platform.Act(context.Background(), "drain-1", leavingHost, table.ActionDrain))
+		var at time.Time
+		is.NoErr(s.Await(func() bool {
+			for _, d := range s.Daemons {
+				if d.Centre == "c1" && at.IsZero() {
+					at = d.Link.Shown(leavingHost, table.StateLeaving)
+				}
+			}
+			return !at.IsZero()
+		}))
+		return at
+	})
+}
+
+// Guards against an operator's drain that daemons learn of too late.
+func TestLeavingByOperator(t *testing.T) {
+	checkLeaving(t, func(s *local.System) time.Time {
+		settle(t, s)
+		is.New(t).NoErr(s.Daemons["c1-e2"].Operators().ChangeHost(context.Background(), leavingHost, "drain"))
+		return s.Timer.Now()
+	})
+}
+
+// Guards against daemons that learn only from the platform: one checks the upstream, the others hear of it from that
+// one.
+func TestLeavingByPeer(t *testing.T) {
+	checkLeaving(t, func(s *local.System) time.Time {
+		s.Platform.SetFaults(table.Faults{Down: true})
+		s.Instances[leavingHost].SetFaults(instance.Faults{Checked: true})
+		return s.Timer.Now()
+	})
+}
--- /dev/null
+++ b/node/load_test.go
@@ -0,0 +1,125 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/standin/local"
+	"cuminstair.org/cuminstair/wave"
+)
+
+// pace is the time between two requests of one caller.
+const pace = 5 * time.Millisecond
+
+// load sends requests of both kinds until it is stopped. Every caller has one request in flight at a time.
+type load struct {
+	s       *local.System
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	done    atomic.Int64
+	mu      sync.Mutex
+	results []result
+}
+
+// result is how a request ended that did not end as done with its own body.
+type result struct {
+	daemon, body, outcome, reason, id string
+	err                               error
+}
+
+// startLoad starts callers of each daemon that is named.
+func startLoad(t *testing.T, s *local.System, callers int, daemons ...string) *load {
+	t.Helper()
+	l := &load{s: s, stop: make(chan struct{})}
+	for _, name := range daemons {
+		base := s.Daemons[name].Callers()
+		for i := range callers {
+			l.wg.Go(func() { l.call(name, base, i) })
+		}
+	}
+	t.Cleanup(l.end)
+	return l
+}
+
+func (l *load) call(name, base string, caller int) {
+	for i := 0; ; i++ {
+		passed := make(chan struct{})
+		l.s.Timer.After(pace, func(time.Time) { close(passed) })
+		select {
+		case <-l.stop:
+			return
+		case <-passed:
+		}
+		want := fmt.Sprintf("%s caller %d request %d", name, caller, i)
+		got, h, err := ask(base, []string{"measure", "order"}[i%2], "", want)
+		l.note(name, want, got, h, err)
+	}
+}
+
+func (l *load) note(name, want, got string, h http.Header, err error) {
+	if err == nil && got == want && h.Get("Outcome") == "done" {
+		l.done.Add(1)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, result{name, want, h.Get("Outcome"), h.Get("Reason"), h.Get("Request"), err})
+}
+
+// end stops the load and waits for the requests in flight.
+func (l *load) end() {
+	l.mu.Lock()
+	select {
+	case <-l.stop:
+	default:
+		close(l.stop)
+	}
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+// served fails the test if a request did not end as done.
+func (l *load) served(t *testing.T) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.Logf("%d requests done, %d not", l.done.Load(), len(l.results))
+	for i, r := range l.results {
+		if i == 10 {
+			break
+		}
+		t.Errorf("%+v", r)
+	}
+}
+
+// settle waits until the rows of all hosts are active: a new host is in probation for wave.Probation, and nothing planned
+// happens to it in that time.
+func settle(t *testing.T, s *local.System) {
+	t.Helper()
+	active := func() bool {
+		rows, _, err := s.Platform.Rows(context.Background(), wave.HostPrefix, 0)
+		if err != nil || len(rows) < len(s.Instances) {
+			return false
+		}
+		for _, r := range rows {
+			var h wave.Host
+			if json.Unmarshal(r.Value, &h) != nil || h.State != cuminstair.HostActive {
+				return false
+			}
+		}
+		return true
+	}
+	// The lease and the probation take longer than Await waits.
+	if s.Await(active) != nil {
+		is.New(t).NoErr(s.Await(active))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -173,6 +173,7 @@
 		Log:      n.Log.Named("control"),
 		State:    n.view.setState,
 		Moved:    n.view.setPool,
+		Listed:   n.listed,
 		Idle:     n.daemon.Decisions().Confirm,
 	}
 }
--- a/node/share.go
+++ b/node/share.go
@@ -39,9 +39,10 @@
 
 // sharing is what was passed on to routing.
 type sharing struct {
-	own   []string // usable daemons of the data centre
-	total int      // usable daemons
-	loads []string // peers whose loads routing has
+	own   []string            // usable daemons of the data centre
+	total int                 // usable daemons
+	loads []string            // peers whose loads routing has
+	left  map[string][]string // peer, the hosts that it said are leaving
 	peers []rollout.Peer
 }
 
@@ -77,7 +78,7 @@
 		}
 		loads = append(loads, m.Name)
 		n.daemon.Events.Set(daemon.Key{Kind: daemon.EventLoads, Name: m.Name}, daemon.Event{Loads: m.Loads})
-		n.report(m)
+		n.report(s, m)
 	}
 	for _, name := range s.loads {
 		if !slices.Contains(loads, name) {
@@ -91,9 +92,19 @@
 	}
 }
 
-// report passes a peer's opinions of hosts on.
-func (n *Node) report(m member.Member) {
+// report passes a peer's opinions of hosts on. A host that the peer no longer holds to be leaving must not wait until the
+// last report is too old to count.
+func (n *Node) report(s *sharing, m member.Member) {
 	d := n.daemon.Decisions()
+	for _, host := range s.left[m.Name] {
+		if !slices.Contains(m.Leaving, host) {
+			d.Report(m.Name, host, "")
+		}
+	}
+	if s.left == nil {
+		s.left = map[string][]string{}
+	}
+	s.left[m.Name] = m.Leaving
 	for _, host := range m.Leaving {
 		d.Report(m.Name, host, cuminstair.HostLeaving)
 	}
--- a/node/system_test.go
+++ b/node/system_test.go
@@ -16,13 +16,14 @@
 	"cuminstair.org/cuminstair/standin/local"
 )
 
-// startSystem starts two data centres and applies a fleet.
+// startSystem starts two data centres and applies a fleet. With 7 instances in each, of which half may be down, the budget
+// leaves room for one beside the reserve for a rack of two.
 func startSystem(t *testing.T) *local.System {
 	t.Helper()
 	is := is.New(t)
 	s := &local.System{
 		Dir:     t.TempDir(),
-		Centres: []local.Centre{{Name: "c1", Daemons: 2, Hosts: 4}, {Name: "c2", Daemons: 1, Hosts: 4}},
+		Centres: []local.Centre{{Name: "c1", Daemons: 2, Hosts: 8}, {Name: "c2", Daemons: 1, Hosts: 8}},
 		Log:     hclog.New(&hclog.LoggerOptions{Output: testLog{t}, Level: hclog.Warn}),
 		Seed:    1,
 	}
--- a/standin/instance/faults.go
+++ b/standin/instance/faults.go
@@ -11,6 +11,7 @@
 	Delay    time.Duration // waits this long before each answer
 	Refuse   bool          // answers 503 with Outcome: notrun and runs nothing
 	Leaving  bool          // announces that it is leaving on every answer
+	Checked  bool          // announces that it is leaving on answers to GET /health only
 	Wrong    bool          // answers with the id of another request
 	Truncate bool          // sends half of the body, then closes the connection
 	Extra    bool          // sends an answer that nobody asked for after the right one
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -95,7 +95,7 @@
 func (s *Server) health(w http.ResponseWriter) {
 	s.mu.Lock()
 	h := Health{State: "ok", Slots: s.Slots, Used: s.used}
-	leaving := s.faults.Leaving
+	leaving := s.faults.Leaving || s.faults.Checked
 	s.mu.Unlock()
 	if leaving {
 		h.State = "leaving"
@@ -125,7 +125,7 @@
 	}
 	defer func() { <-s.slots }()
 	// A run counts from here, before the body is read, so that a test that trusts the record is strict.
-	s.record.begin(r)
+	s.record.begin(r, s.Timer)
 	defer s.record.end()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/standin/instance/record.go
+++ b/standin/instance/record.go
@@ -3,6 +3,9 @@
 import (
 	"net/http"
 	"sync"
+	"time"
+
+	"cuminstair.org/cuminstair"
 )
 
 // record counts runs. The zero value is ready to use.
@@ -13,9 +16,10 @@
 	running int
 	most    int
 	last    string // id of the run that began last
+	lastAt  time.Time
 }
 
-func (r *record) begin(req *http.Request) {
+func (r *record) begin(req *http.Request, timer cuminstair.Timer) {
 	id := req.Header.Get("Request")
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -27,6 +31,9 @@
 	r.running++
 	r.most = max(r.most, r.running)
 	r.last = id
+	if timer != nil {
+		r.lastAt = timer.Now()
+	}
 }
 
 func (r *record) end() {
@@ -56,6 +63,13 @@
 	return s.record.most
 }
 
+// Last returns when the last run began; zero without a run or a timer.
+func (s *Server) Last() time.Time {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	return s.record.lastAt
+}
+
 // Repeated returns the ids that ran more than once.
 func (s *Server) Repeated() []string {
 	s.record.mu.Lock()
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -66,6 +66,7 @@
 	Name   string
 	Centre string
 	Node   *node.Node
+	Link   *Link // to the platform
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -128,6 +129,7 @@
 		return nil, fmt.Errorf("make the certificate of %s: %w", name, err)
 	}
 	s.Seed++
+	link := &Link{Platform: s.Platform, Timer: s.Timer}
 	n := &node.Node{
 		Settings: &settings.Settings{
 			Name: name, Centre: centre, Key: s.keyFile(), Share: 1,
@@ -137,14 +139,14 @@
 		Log:      s.Log.Named(name),
 		Timer:    s.Timer,
 		Rand:     mathrand.New(mathrand.NewPCG(s.Seed, 1)),
-		Platform: s.Platform,
+		Platform: link,
 		PeerTLS:  config,
 	}
 	if err := n.Build(); err != nil {
 		return nil, fmt.Errorf("build %s: %w", name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Name: name, Centre: centre, Node: n, cancel: cancel, done: make(chan error, 1)}
+	d := &Daemon{Name: name, Centre: centre, Node: n, Link: link, cancel: cancel, done: make(chan error, 1)}
 	s.Daemons[name] = d
 	s.Platform.AddHosts(table.Host{Name: name, Centre: centre, Rack: "entry", Role: "entry"})
 	s.wg.Go(func() { d.done <- n.Run(ctx) })
