Replace all daemons under load without cutting a request off

Causes, each seen as a failure of TestReplaceAllDaemons or TestKillAllDaemons: - A planned stop took 5 s and ended with "requests were in flight at the stop bound": HTTP clients open connections that they never use, and http.Server.Shutdown waits 5 s for each. They are closed 0.5 s after they were accepted once the daemon stops. - A forwarded request whose home could not be asked had status 0, so that the handler panicked and the caller saw its connection break (23 in a run of 1057). node now chooses the status. - The rows of a new fleet are all in probation for 10 s, and routing then ran one request at a time; requests waited until their deadline (11 of 1072). A row in probation now leaves the decision to health, which has a probation of its own after a host was leaving.

Ruled out: closing unused connections at once, which may cut off a request that was just sent.

--- a/caller/decisions.go
+++ b/caller/decisions.go
@@ -206,8 +206,9 @@
 	}
 }
 
-// state joins the row of a host with its health. In probation a host takes work, so that the row does not override news
-// that the host leaves or failed.
+// state joins the row of a host with its health. A row in probation leaves the decision to the health, which has a
+// probation of its own after news that a host was leaving. The rows of a new fleet are all in probation for some
+// seconds; their hosts may be serving already.
 func (d *Decisions) state(host string) cuminstair.HostState {
 	planned := d.planned[host]
 	if planned == "" {
@@ -216,10 +217,7 @@
 	if d.Health == nil || planned != cuminstair.HostActive && planned != cuminstair.HostProbation {
 		return planned
 	}
-	if s := d.Health.State(host); s != cuminstair.HostActive {
-		return s
-	}
-	return planned
+	return d.Health.State(host)
 }
 
 // applyHealth hands changes of health to the router.
--- a/caller/server.go
+++ b/caller/server.go
@@ -40,6 +40,7 @@
 	prefix string // of request ids: unique to this start of the daemon
 	count  atomic.Uint64
 	server http.Server
+	unused unused
 	// draining makes answers end their connections. http.Server.SetKeepAlivesEnabled would at once close the unused
 	// connections, on which callers may just be sending.
 	draining atomic.Bool
@@ -49,6 +50,8 @@
 	s.once.Do(func() {
 		s.prefix = s.Name + "-" + strconv.FormatInt(s.Path.Timer.Now().UnixNano(), 36) + "-"
 		s.server.Handler = s.routes()
+		s.unused.timer = s.Path.Timer
+		s.server.ConnState = s.unused.changed
 		s.server.ReadHeaderTimeout = headerLimit
 		s.server.IdleTimeout = idleLimit
 		s.server.ErrorLog = s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
@@ -90,6 +93,7 @@
 // Shutdown closes the listeners and returns when the requests in flight have their answers, or with the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.init()
+	defer s.Path.Timer.Every(unusedLimit/10, s.unused.close)()
 	if err := s.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("wait for requests in flight: %w", err)
 	}
--- a/caller/tickets.go
+++ b/caller/tickets.go
@@ -61,6 +61,9 @@
 
 func (s *Server) head(c echo.Context, o cuminstair.Outcome) {
 	h := c.Response().Header()
+	if s.draining.Load() {
+		h.Set("Connection", "close")
+	}
 	h.Set("Outcome", o.String())
 	h.Set("Reason", string(cuminstair.ReasonOK))
 	h.Set("Request", s.newID())
--- a/node/network.go
+++ b/node/network.go
@@ -51,7 +51,12 @@
 	if w.carrier == nil {
 		return reply(m, cuminstair.OutcomeNotRun, cuminstair.ReasonNoUpstream, errNoPeers.Error())
 	}
-	return w.carrier.Forward(ctx, daemon, m)
+	answer := w.carrier.Forward(ctx, daemon, m)
+	if answer.Status == 0 {
+		// The peer could not be asked, so that no daemon chose a status.
+		answer.Status = statusOf(answer.Outcome, answer.Reason)
+	}
+	return answer
 }
 
 // Confirm implements cuminstair.Peers.
--- a/node/news.go
+++ b/node/news.go
@@ -11,10 +11,11 @@
 	listRebooting = "rebooting"
 )
 
-// goes reports whether a host whose row is in this state is leaving. In the states after a reboot the row alone keeps
-// work away, so that the checks show whether the host came back healthy.
+// goes reports whether a host whose row is in this state is leaving. It enters the probation of health with the next
+// state. Quarantined and failed hosts are kept away by their row alone, so that checks show whether they recover.
 func goes(state cuminstair.HostState) bool {
-	return state == cuminstair.HostLeaving || state == cuminstair.HostDrained || state == cuminstair.HostRebooting
+	return state == cuminstair.HostLeaving || state == cuminstair.HostDrained ||
+		state == cuminstair.HostRebooting || state == cuminstair.HostMoving
 }
 
 // ordered tells health of a row whose host leaves or no longer does. Health spreads it by gossip, which is faster than
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,10 @@
 	Platform cuminstair.Platform
 	// PeerTLS is optional: read from the files of Settings.TLS.Peers.
 	PeerTLS *tls.Config
+	// PeerConn is optional: a socket at the address Settings.Listen.Peers.
+	PeerConn net.PacketConn
+	// Parts are optional further parts; one that returns early stops the daemon without a planned stop.
+	Parts []daemon.Part
 
 	start   uint64 // names this run of the daemon
 	commits atomic.Uint64
@@ -88,6 +92,7 @@
 	if n.Platform != nil {
 		n.buildPlatformParts()
 	}
+	n.daemon.Parts = append(n.daemon.Parts, n.Parts...)
 	return nil
 }
 
--- a/node/peers.go
+++ b/node/peers.go
@@ -57,10 +57,13 @@
 			return fmt.Errorf("read TLS files of peers: %w", err)
 		}
 	}
-	var lc net.ListenConfig
-	conn, err := lc.ListenPacket(context.Background(), "udp", n.Settings.Listen.Peers)
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+	conn := n.PeerConn
+	if conn == nil {
+		var lc net.ListenConfig
+		var err error
+		if conn, err = lc.ListenPacket(context.Background(), "udp", n.Settings.Listen.Peers); err != nil {
+			return fmt.Errorf("listen for peers: %w", err)
+		}
 	}
 	n.network.members.Self.Addr = conn.LocalAddr().String()
 	p := &peer.Peers{
--- a/node/system_test.go
+++ b/node/system_test.go
@@ -48,7 +48,12 @@
 
 // ask sends one request and returns the body and the headers of its answer.
 func ask(base, kind, ticket, body string) (string, http.Header, error) {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, base+"/s/convert/cups", strings.NewReader(body))
+	return askWith(http.DefaultClient, base, "/s/convert/cups", kind, ticket, body)
+}
+
+// askWith sends one request to a path.
+func askWith(client *http.Client, base, path, kind, ticket, body string) (string, http.Header, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, base+path, strings.NewReader(body))
 	if err != nil {
 		return "", nil, err
 	}
@@ -58,7 +63,7 @@
 	if ticket != "" {
 		req.Header.Set("Ticket", ticket)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return "", nil, err
 	}
--- a/standin/instance/record.go
+++ b/standin/instance/record.go
@@ -11,7 +11,8 @@
 // record counts runs. The zero value is ready to use.
 type record struct {
 	mu      sync.Mutex
-	runs    map[string]int
+	runs    map[string]int // by request id
+	paths   map[string]int // by path
 	total   int
 	running int
 	most    int
@@ -25,8 +26,10 @@
 	defer r.mu.Unlock()
 	if r.runs == nil {
 		r.runs = map[string]int{}
+		r.paths = map[string]int{}
 	}
 	r.runs[id]++
+	r.paths[req.URL.Path]++
 	r.total++
 	r.running++
 	r.most = max(r.most, r.running)
@@ -49,6 +52,13 @@
 	return s.record.runs[id]
 }
 
+// Path returns how often requests for a path ran, whatever their ids.
+func (s *Server) Path(path string) int {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	return s.record.paths[path]
+}
+
 // Total returns the number of runs.
 func (s *Server) Total() int {
 	s.record.mu.Lock()
@@ -87,7 +97,7 @@
 func (s *Server) Forget() {
 	s.record.mu.Lock()
 	defer s.record.mu.Unlock()
-	s.record.runs = nil
+	s.record.runs, s.record.paths = nil, nil
 }
 
 // Used returns the number of requests received and not answered yet.
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -6,11 +6,13 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"maps"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,7 @@
 	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/node"
 	"cuminstair.org/cuminstair/operator"
 	"cuminstair.org/cuminstair/peer"
@@ -31,8 +34,13 @@
 const (
 	poll     = 5 * time.Millisecond
 	stopTime = 5 * time.Second
+	// wait is how long a daemon that stops goes on accepting requests, so that callers see that it is unready.
+	wait = 200 * time.Millisecond
 )
 
+// ErrKilled is how the run of a daemon ends that was killed.
+const ErrKilled = errors.ConstError("killed")
+
 // ErrNotReady means that a daemon was not ready in time.
 const ErrNotReady = errors.ConstError("not ready in time")
 
@@ -46,8 +54,10 @@
 	Timer     *timer.Service
 	Platform  *table.Service
 	Instances map[string]*instance.Server // by host
-	Daemons   map[string]*Daemon          // by name
+	Daemons   map[string]*Daemon          // by name; Running is safe while daemons are started and stopped
 
+	mu        sync.Mutex // guards Daemons
+	network   network
 	addrs     map[string]string // host, address of its instance
 	authority *peer.Authority
 	stopClock context.CancelFunc
@@ -69,6 +79,8 @@
 	Link   *Link // to the platform
 	cancel context.CancelFunc
 	done   chan error
+	wire   *wire
+	killed chan struct{}
 }
 
 // Start starts all parts. Stop must be called also after an error.
@@ -122,6 +134,16 @@
 	return nil
 }
 
+// listenPeers opens the socket of a daemon for its peers.
+func (s *System) listenPeers(centre string) (*wire, error) {
+	conn, err := (&net.ListenConfig{}).ListenPacket(context.Background(), "udp", loopback)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	s.network.add(conn.LocalAddr().String(), centre)
+	return &wire{PacketConn: conn, network: &s.network, centre: centre}, nil
+}
+
 // StartDaemon starts an entry daemon. A name that was used before is a later run of that daemon.
 func (s *System) StartDaemon(name, centre string) (*Daemon, error) {
 	config, err := s.authority.Config(name)
@@ -129,25 +151,35 @@
 		return nil, fmt.Errorf("make the certificate of %s: %w", name, err)
 	}
 	s.Seed++
+	conn, err := s.listenPeers(centre)
+	if err != nil {
+		return nil, err
+	}
 	link := &Link{Platform: s.Platform, Timer: s.Timer}
+	killed := make(chan struct{})
 	n := &node.Node{
 		Settings: &settings.Settings{
 			Name: name, Centre: centre, Key: s.keyFile(), Share: 1,
 			Listen: settings.Listen{Callers: loopback, Operators: loopback, Peers: loopback},
 			Stop:   cuminstair.Duration(stopTime),
+			Wait:   cuminstair.Duration(wait),
 		},
 		Log:      s.Log.Named(name),
 		Timer:    s.Timer,
 		Rand:     mathrand.New(mathrand.NewPCG(s.Seed, 1)),
 		Platform: link,
 		PeerTLS:  config,
+		PeerConn: conn,
+		Parts:    []daemon.Part{{Name: "kill", Run: killer(killed)}},
 	}
 	if err := n.Build(); err != nil {
 		return nil, fmt.Errorf("build %s: %w", name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Name: name, Centre: centre, Node: n, Link: link, cancel: cancel, done: make(chan error, 1)}
+	d := &Daemon{Name: name, Centre: centre, Node: n, Link: link, wire: conn, killed: killed, cancel: cancel, done: make(chan error, 1)}
+	s.mu.Lock()
 	s.Daemons[name] = d
+	s.mu.Unlock()
 	s.Platform.AddHosts(table.Host{Name: name, Centre: centre, Rack: "entry", Role: "entry"})
 	s.wg.Go(func() { d.done <- n.Run(ctx) })
 	return d, s.await(func() bool { return n.Addr("operators") != nil })
@@ -164,6 +196,32 @@
 	return err
 }
 
+// Kill ends the daemon without a planned stop: nothing that it sends from now on reaches the platform or a peer, and its
+// connections break.
+func (d *Daemon) Kill() error {
+	d.Link.Cut(true)
+	d.wire.kill()
+	close(d.killed)
+	err := <-d.done
+	d.done <- nil
+	if errors.Is(err, ErrKilled) {
+		return nil
+	}
+	return err
+}
+
+// killer returns the part that ends a daemon when it is killed.
+func killer(killed <-chan struct{}) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		select {
+		case <-killed:
+			return ErrKilled
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // Callers returns the base URL for callers.
 func (d *Daemon) Callers() string { return "http://" + d.Node.Addr("callers").String() }
 
@@ -175,6 +233,32 @@
 	}
 }
 
+// Running returns the daemons that are ready, in order of their names.
+func (s *System) Running() []*Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*Daemon
+	for _, name := range slices.Sorted(maps.Keys(s.Daemons)) {
+		d := s.Daemons[name]
+		if d.Node.Addr("callers") != nil && d.Node.Ready() == nil {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+// CutCentre cuts a data centre off from the platform and from the others, or heals that.
+func (s *System) CutCentre(name string, cut bool) {
+	s.network.set(name, cut)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range s.Daemons {
+		if d.Centre == name {
+			d.Link.Cut(cut)
+		}
+	}
+}
+
 // Ready waits until all daemons are ready.
 func (s *System) Ready() error {
 	for _, d := range s.Daemons {
