End daemons in the replacement tests while requests are in flight

Cause: the customers ran in step and the tests ended a daemon when a batch was over, so that a kill cut off no request in some runs. The tests wait until most customers have a request in flight.

Seen to fail: with a request whose home is gone run here instead of reported as unknown, TestKillAllDaemons finds requests that ran twice.

--- a/node/replace_test.go
+++ b/node/replace_test.go
@@ -191,6 +191,7 @@
 	is := is.New(t)
 	for _, name := range []string{"c1-e1", "c1-e2", "c2-e1"} {
 		d := s.Daemons[name]
+		is.NoErr(s.Await(func() bool { return busy(s) }))
 		is.NoErr(end(d))
 		next, err := s.StartDaemon(name, d.Centre)
 		is.NoErr(err)
@@ -207,6 +208,15 @@
 	}
 }
 
+// busy reports whether most customers have a request in flight, so that the daemon that ends next has some.
+func busy(s *local.System) bool {
+	used := 0
+	for _, i := range s.Instances {
+		used += i.Used()
+	}
+	return used >= 6
+}
+
 // Guards against a planned stop that cuts a request off, loses a ticket or lets a request run twice.
 func TestReplaceAllDaemons(t *testing.T) {
 	s := startSystem(t)
