--- a/caller/decisions.go
+++ b/caller/decisions.go
@@ -208,13 +208,16 @@
 	}
 }
 
-// state joins the row of a host with its health.
+// state joins the row of a host with its health. A row in probation leaves the decision to the health, which has a
+// probation of its own after news that a host was leaving. The rows of a new fleet are all in probation for some
+// seconds; their hosts may be serving already.
 func (d *Decisions) state(host string) cuminstair.HostState {
-	if s := d.planned[host]; s != "" && s != cuminstair.HostActive {
-		return s
+	planned := d.planned[host]
+	if planned == "" {
+		planned = cuminstair.HostActive
 	}
-	if d.Health == nil {
-		return cuminstair.HostActive
+	if d.Health == nil || planned != cuminstair.HostActive && planned != cuminstair.HostProbation {
+		return planned
 	}
 	return d.Health.State(host)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -36,6 +36,9 @@
 	GoneAfter = 30 * time.Second
 	// followAll is how many steps a daemon that does not hold the lease makes between two full readings.
 	followAll = 15
+	// forgetList is how long a daemon that lost the lease keeps what the list showed, so that the next holder has read
+	// it and told the others before. It doesn't pass while the platform is away.
+	forgetList = 3 * ListEvery
 	// batch bounds the host rows of one commit.
 	batch = 64
 )
@@ -63,6 +66,9 @@
 	State func(host string, state cuminstair.HostState)
 	// Moved takes the pool of a host, first and whenever it changes. It may be nil and must not block.
 	Moved func(host, pool string)
+	// Listed takes the platform's list whenever it was read, and nil once another daemon has had time to read it. It may
+	// be nil and must not block.
+	Listed func(hosts []cuminstair.HostStatus)
 	// Idle tells whether this daemon sends nothing new to a host and has nothing in flight there. Nil means always.
 	Idle func(host string) bool
 
@@ -71,6 +77,8 @@
 	view     view
 	members  members
 	listed   time.Time // when the platform's list was last read
+	handed   bool      // Listed has been given a list
+	follows  time.Time // since when the steps of this daemon succeed without the lease
 	count    uint64    // commits of this process
 	unsure   *cuminstair.Commit
 	// The goroutine of Step and that of StepJobs meet the platform separately.
@@ -191,6 +199,9 @@
 	err := c.step(ctx)
 	c.share()
 	c.stepOutage.see(c, "Step", err)
+	if err != nil {
+		c.follows = time.Time{}
+	}
 }
 
 func (c *Control) step(ctx context.Context) error {
@@ -205,8 +216,10 @@
 		// A new holder reads everything first.
 		// What a later term begins with has to be read and asked anew.
 		c.listed, c.members.pinged = time.Time{}, time.Time{}
+		c.forget()
 		return nil
 	}
+	c.follows = time.Time{}
 	if err := c.list(ctx); err != nil {
 		return err
 	}
--- a/node/system_test.go
+++ b/node/system_test.go
@@ -16,13 +16,14 @@
 	"cuminstair.org/cuminstair/standin/local"
 )
 
-// startSystem starts two data centres and applies a fleet.
+// startSystem starts two data centres and applies a fleet. With 7 instances in each, of which half may be down, the budget
+// leaves room for one beside the reserve for a rack of two.
 func startSystem(t *testing.T) *local.System {
 	t.Helper()
 	is := is.New(t)
 	s := &local.System{
 		Dir:     t.TempDir(),
-		Centres: []local.Centre{{Name: "c1", Daemons: 2, Hosts: 4}, {Name: "c2", Daemons: 1, Hosts: 4}},
+		Centres: []local.Centre{{Name: "c1", Daemons: 2, Hosts: 8}, {Name: "c2", Daemons: 1, Hosts: 8}},
 		Log:     hclog.New(&hclog.LoggerOptions{Output: testLog{t}, Level: hclog.Warn}),
 		Seed:    1,
 	}
@@ -47,7 +48,12 @@
 
 // ask sends one request and returns the body and the headers of its answer.
 func ask(base, kind, ticket, body string) (string, http.Header, error) {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, base+"/s/convert/cups", strings.NewReader(body))
+	return askWith(http.DefaultClient, base, "/s/convert/cups", kind, ticket, body)
+}
+
+// askWith sends one request to a path.
+func askWith(client *http.Client, base, path, kind, ticket, body string) (string, http.Header, error) {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, base+path, strings.NewReader(body))
 	if err != nil {
 		return "", nil, err
 	}
@@ -57,7 +63,7 @@
 	if ticket != "" {
 		req.Header.Set("Ticket", ticket)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return "", nil, err
 	}
