Try one timer for the body and the deadline of a request

A request with a body starts two timers, one for the body and one for its outcome, and reads the clock three times more than needed; in a profile that was 5% of the time in caller.Server.serve. One timer now bounds both.

--- a/caller/server.go
+++ b/caller/server.go
@@ -117,11 +117,12 @@
 	m := s.message(c.Request())
 	out := &writer{w: c.Response()}
 	m.Sink = out.begin
-	if fault := s.read(c, m, deadline); fault != nil {
+	d, fault := within(c.Request(), deadline)
+	if fault != nil {
 		out.write(s.Path.Reject(m, *fault))
 		return nil
 	}
-	out.finish(s.Path.Do(c.Request().Context(), m))
+	out.finish(s.take(c, m, d))
 	return nil
 }
 
