--- a/caller/body.go
+++ b/caller/body.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,53 +14,38 @@
 // past is a deadline that makes a blocked read return at once.
 var past = time.Unix(1, 0)
 
-// within reads the header Deadline and compares the length of the body with its bound.
-func within(r *http.Request, text string) (time.Duration, *Refusal) {
+// read reads the body, which has to arrive before the deadline that text tells.
+func (s *Server) read(c echo.Context, m *cuminstair.Message, text string) *Refusal {
+	r := c.Request()
 	if text == "" {
-		return 0, malformed("header Deadline is missing: give the time that the request may take, such as 1500ms")
+		return malformed("header Deadline is missing: give the time that the request may take, such as 1500ms")
 	}
-	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 {
-		return 0, malformed("header Deadline: %q is not a time such as 1500ms", text)
+	limit, err := time.ParseDuration(text)
+	if err != nil || limit <= 0 {
+		return malformed("header Deadline: %q is not a time such as 1500ms", text)
 	}
 	if r.ContentLength > MaxBody {
-		return 0, oversized()
+		return oversized()
 	}
-	return d, nil
-}
-
-// take reads the body of a request and takes the request to its outcome. One timer bounds both.
-func (s *Server) take(c echo.Context, m *cuminstair.Message, d time.Duration) *cuminstair.Message {
-	r := c.Request()
-	ctx, cancel := limit(r.Context(), m)
-	defer cancel()
 	arrived := s.Path.Timer.Now()
-	var reading atomic.Bool
-	reading.Store(r.ContentLength != 0)
-	defer s.Path.Timer.After(d, func(time.Time) {
-		cancel()
-		if reading.Load() {
-			_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(past)
-		}
-	})()
-	now := arrived
-	if reading.Load() {
-		fault := readBody(c, m)
-		reading.Store(false)
-		now = s.Path.Timer.Now()
-		if fault == nil && now.Sub(arrived) >= d {
-			fault = late()
-		}
-		if fault != nil {
-			return s.Path.Reject(m, *fault)
-		}
+	m.Timeout = limit
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if fault := s.readBody(c, m, limit); fault != nil {
+		return fault
+	}
+	m.Timeout = limit - s.Path.Timer.Now().Sub(arrived)
+	if m.Timeout <= 0 {
+		return late()
 	}
-	m.Timeout = d - now.Sub(arrived)
-	return s.Path.do(ctx, r.Context(), m, now)
+	return nil
 }
 
-func readBody(c echo.Context, m *cuminstair.Message) *Refusal {
+func (s *Server) readBody(c echo.Context, m *cuminstair.Message, limit time.Duration) *Refusal {
 	r := c.Request()
+	rc := http.NewResponseController(c.Response().Writer)
+	defer s.Path.Timer.After(limit, func(time.Time) { _ = rc.SetReadDeadline(past) })()
 	var err error
 	if r.ContentLength > 0 {
 		m.Body = make([]byte, r.ContentLength)
--- a/caller/path.go
+++ b/caller/path.go
@@ -89,26 +89,7 @@
 // is the time left until the deadline. An answer that was streamed into m.Sink and broke off has Outcome unknown.
 func (p *Path) Do(ctx context.Context, m *cuminstair.Message) *cuminstair.Message {
 	now := p.Timer.Now()
-	limited, cancel := limit(ctx, m)
-	defer cancel()
-	if m.Timeout > 0 {
-		defer p.Timer.After(m.Timeout, func(time.Time) { cancel() })()
-	}
-	return p.do(limited, ctx, m, now)
-}
-
-// limit returns the context that is to be cancelled at the deadline of a request.
-func limit(ctx context.Context, m *cuminstair.Message) (context.Context, context.CancelFunc) {
-	if m.Ticket != "" {
-		// A caller that leaves may come back with the same ticket, so that its request goes on.
-		ctx = context.WithoutCancel(ctx)
-	}
-	return context.WithCancel(ctx)
-}
-
-// do is Do with a context that is cancelled at the deadline. left ends when the caller leaves, now is the time.
-func (p *Path) do(ctx, left context.Context, m *cuminstair.Message, now time.Time) *cuminstair.Message {
-	x := &exchange{Path: p, now: now, message: m, left: left}
+	x := &exchange{Path: p, now: now, message: m, left: ctx}
 	x.request = &cuminstair.Request{
 		ID:       m.ID,
 		Service:  m.Service,
@@ -123,6 +104,15 @@
 			return sink(head)
 		}
 	}
+	if m.Ticket != "" {
+		// A caller that leaves may come back with the same ticket, so that its request goes on.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if m.Timeout > 0 {
+		defer p.Timer.After(m.Timeout, func(time.Time) { cancel() })()
+	}
 	p.Metrics.begin()
 	x.run(ctx)
 	p.Metrics.end(x, x.now.Sub(now))
--- a/caller/server.go
+++ b/caller/server.go
@@ -117,12 +117,11 @@
 	m := s.message(c.Request())
 	out := &writer{w: c.Response()}
 	m.Sink = out.begin
-	d, fault := within(c.Request(), deadline)
-	if fault != nil {
+	if fault := s.read(c, m, deadline); fault != nil {
 		out.write(s.Path.Reject(m, *fault))
 		return nil
 	}
-	out.finish(s.take(c, m, d))
+	out.finish(s.Path.Do(c.Request().Context(), m))
 	return nil
 }
 
