--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -62,10 +62,10 @@
 const wire = "POST /s/scale/work HTTP/1.1\r\nHost: e1\r\nTeam: t1\r\nKind: portion\r\nDeadline: 5s\r\nContent-Length: 4\r\n\r\nbody"
 
 // ask sends a request and returns what will be its answer, or nil if the connection breaks.
-func ask(c net.Conn) <-chan *http.Response {
+func ask(c net.Conn, request string) <-chan *http.Response {
 	answers := make(chan *http.Response, 1)
 	go func() {
-		_, _ = io.WriteString(c, wire)
+		_, _ = io.WriteString(c, request)
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
 			resp = nil
@@ -85,12 +85,12 @@
 		served := make(chan error)
 		go func() { served <- r.server.Serve(l) }()
 		idle, gate := l.dial()
-		is.Equal((<-ask(idle)).StatusCode, http.StatusOK)
+		is.Equal((<-ask(idle, wire)).StatusCode, http.StatusOK)
 		unused, _ := l.dial()
 		synctest.Wait()
 
 		<-gate
-		answer := ask(idle)
+		answer := ask(idle, wire)
 		synctest.Wait() // the request has arrived and the server doesn't know yet
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -115,3 +115,30 @@
 		is.NoErr(<-served)
 	})
 }
+
+// Guards against a request that waits for its body after its deadline, or whose connection is used again in the middle of
+// the body.
+func TestLateBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		l := &pipes{accepted: make(chan net.Conn), closed: make(chan struct{})}
+		served := make(chan error)
+		go func() { served <- r.server.Serve(l) }()
+		c, _ := l.dial()
+		answers := ask(c, wire[:len(wire)-2])
+		synctest.Wait()
+		r.clock.Advance(5*time.Second - 1)
+		synctest.Wait()
+		is.Equal(len(answers), 0)
+		r.clock.Advance(1)
+		resp := <-answers
+		is.Equal(resp.Header.Get("Reason"), "late")
+		is.Equal(resp.Header.Get("Outcome"), "notrun")
+		is.True(resp.Close)
+		_ = c.Close()
+		is.NoErr(r.server.Shutdown(context.Background()))
+		is.NoErr(<-served)
+		r.idle(is)
+	})
+}
