Try to let a request that gets a place run at once

With 64 callers and 8 slots most requests wait in the queue, and a place is idle from the end of one request until the goroutine of the next one is scheduled. The goroutine that gives the place back now yields to it.

--- a/caller/path.go
+++ b/caller/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"embed"
 	"io"
+	"runtime"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -158,7 +159,10 @@
 	}
 	if x.admitted {
 		x.admitted = false
-		x.Decisions.finish(x.now, x.request, x.last)
+		if x.Decisions.finish(x.now, x.request, x.last) {
+			// The woken request is next on this processor; it uses a place that is idle until then.
+			runtime.Gosched()
+		}
 	}
 	if x.claimed {
 		x.claimed = false
--- a/caller/places.go
+++ b/caller/places.go
@@ -55,22 +55,24 @@
 	}
 }
 
-// finish gives the place of an admitted request back.
-func (d *Decisions) finish(now time.Time, r *cuminstair.Request, res cuminstair.Result) {
+// finish gives the place of an admitted request back and reports whether other requests may run now.
+func (d *Decisions) finish(now time.Time, r *cuminstair.Request, res cuminstair.Result) (woken bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now = d.later(now)
-	d.end(now, r, res)
+	return d.end(now, r, res)
 }
 
-func (d *Decisions) end(now time.Time, r *cuminstair.Request, res cuminstair.Result) {
+func (d *Decisions) end(now time.Time, r *cuminstair.Request, res cuminstair.Result) (woken bool) {
 	a := d.admissions[r.Service]
 	if a == nil {
-		return
+		return false
 	}
 	for _, next := range a.Finish(now, r, res) {
 		d.wake(next, cuminstair.Verdict{Run: true})
+		woken = true
 	}
+	return woken
 }
 
 // pick reserves a place at an upstream.
