--- a/caller/path.go
+++ b/caller/path.go
@@ -4,7 +4,6 @@
 	"context"
 	"embed"
 	"io"
-	"runtime"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -159,10 +158,7 @@
 	}
 	if x.admitted {
 		x.admitted = false
-		if x.Decisions.finish(x.now, x.request, x.last) {
-			// The woken request is next on this processor; it uses a place that is idle until then.
-			runtime.Gosched()
-		}
+		x.Decisions.finish(x.now, x.request, x.last)
 	}
 	if x.claimed {
 		x.claimed = false
--- a/caller/places.go
+++ b/caller/places.go
@@ -55,24 +55,22 @@
 	}
 }
 
-// finish gives the place of an admitted request back and reports whether other requests may run now.
-func (d *Decisions) finish(now time.Time, r *cuminstair.Request, res cuminstair.Result) (woken bool) {
+// finish gives the place of an admitted request back.
+func (d *Decisions) finish(now time.Time, r *cuminstair.Request, res cuminstair.Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now = d.later(now)
-	return d.end(now, r, res)
+	d.end(now, r, res)
 }
 
-func (d *Decisions) end(now time.Time, r *cuminstair.Request, res cuminstair.Result) (woken bool) {
+func (d *Decisions) end(now time.Time, r *cuminstair.Request, res cuminstair.Result) {
 	a := d.admissions[r.Service]
 	if a == nil {
-		return false
+		return
 	}
 	for _, next := range a.Finish(now, r, res) {
 		d.wake(next, cuminstair.Verdict{Run: true})
-		woken = true
 	}
-	return woken
 }
 
 // pick reserves a place at an upstream.
