--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,4 +1,105 @@
-// Command measure is not implemented yet.
+// Command measure prints the figures that docs/CAPACITY.md quotes, and generates fleet files of any size.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+
+	"github.com/urfave/cli/v2"
+
+	"cuminstair.org/cuminstair/fleet"
+)
+
+// subject is one group of figures with a sub-command of its own.
+type subject struct {
+	name  string
+	usage string
+	run   func(ctx context.Context, r *report) error
+}
+
+// subjects lists all groups in the order in which they are printed.
+var subjects = []subject{
+	{"route", "routing cost and memory against upstreams", measureRoute},
+	{"member", "membership bytes against entry hosts", measureMember},
+	{"health", "active checks against hosts and entry hosts", measureHealth},
+}
+
+func main() {
+	if err := newApp().Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func newApp() *cli.App {
+	app := &cli.App{
+		Name:   "measure",
+		Usage:  "print the figures that docs/CAPACITY.md quotes; without a command, all of them",
+		Action: runAll,
+		Commands: []*cli.Command{{
+			Name:  "fleet",
+			Usage: "print a generated fleet file",
+			Flags: []cli.Flag{
+				&cli.IntFlag{Name: "hosts", Value: fleet.Large.Hosts, Usage: "number of hosts, from 1"},
+				&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the same seed and size give the same file"},
+			},
+			Action: func(c *cli.Context) error { return printFleet(c.App.Writer, c.Int("hosts"), c.Uint64("seed")) },
+		}},
+	}
+	for _, s := range subjects {
+		app.Commands = append(app.Commands, &cli.Command{
+			Name: s.name, Usage: s.usage,
+			Action: func(c *cli.Context) error { return runSubject(c, s) },
+		})
+	}
+	return app
+}
+
+func runAll(c *cli.Context) error {
+	if c.Args().Present() {
+		return fmt.Errorf("unknown command %q; --help lists the commands", c.Args().First())
+	}
+	for _, s := range subjects {
+		if err := runSubject(c, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func runSubject(c *cli.Context, s subject) error {
+	r := &report{out: c.App.Writer}
+	r.printf("== %s: %s\n", s.name, s.usage)
+	if err := s.run(c.Context, r); err != nil {
+		return fmt.Errorf("measure %s: %w", s.name, err)
+	}
+	r.printf("\n")
+	return nil
+}
+
+// sizeOf returns the shape of a fleet of so many hosts: the proportions of the two small fleets up to 100 hosts, and
+// those of the size to design for above.
+func sizeOf(hosts int) fleet.Size {
+	if hosts <= 100 {
+		return fleet.Size{Hosts: hosts, Pools: 5, Teams: 10, Centres: 3, Regions: 1, Rack: 4}
+	}
+	size := fleet.Large
+	size.Hosts = hosts
+	return size
+}
+
+func printFleet(out io.Writer, hosts int, seed uint64) error {
+	if hosts < 1 {
+		return fmt.Errorf("--hosts %d: at least 1 is needed", hosts)
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", " ")
+	if err := enc.Encode(fleet.Generate(rand.New(rand.NewPCG(seed, 1)), sizeOf(hosts))); err != nil {
+		return fmt.Errorf("write fleet file: %w", err)
+	}
+	return nil
+}
