--- /dev/null
+++ b/cmd/measure/config.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/wave"
+)
+
+const (
+	day = 24 * time.Hour
+	// changesADay is the rate of the design page, section 1.8.
+	changesADay = 19000
+	// changes is the number that is measured at each size.
+	changes = 20
+	// cutLength is the length of a partition between regions.
+	cutLength = time.Hour
+	// headReadBytes is a read of the head row with its answer, as it is counted in measureWire.
+	headReadBytes = 640
+)
+
+// fleetSizes are hosts: a small fleet, and up to the size to design for.
+var fleetSizes = []int{50, 1232, 7000, 28000}
+
+// configCase is one simulated fleet.
+type configCase struct {
+	hosts, daemons, rate int // rate is changes a day
+}
+
+// configCost is what a case costs one daemon.
+type configCost struct {
+	idle, rate   float64 // bytes a second without and with changes
+	mean, most   time.Duration
+	sections     float64 // installed for each change
+	entries      float64 // index entries for each change
+	hashed       float64 // manifest entries for each change
+	reads        float64 // of the head a second
+	manifest     int
+	startedBytes int
+}
+
+// edit makes one change of a day's mixture: mostly single hosts, and some teams, services and waves.
+func edit(rng *rand.Rand, f *cuminstair.Fleet, i int) {
+	switch i % 10 {
+	case 0:
+		f.Teams[rng.IntN(len(f.Teams))].Quota.Burst++
+	case 1:
+		f.Services[rng.IntN(len(f.Services))].Slots++
+	case 2:
+		w := &f.Waves[rng.IntN(len(f.Waves))]
+		w.Hold = !w.Hold
+	default:
+		f.Hosts[rng.IntN(len(f.Hosts))].Cores++
+	}
+}
+
+func (c configCase) measure() (configCost, error) {
+	f := generate(c.hosts)
+	s := newConfigSim(1, c.daemons, len(f.Centres))
+	if err := s.begin(f); err != nil {
+		return configCost{}, err
+	}
+	nodes := float64(c.daemons)
+	out := configCost{startedBytes: s.bytes() / c.daemons, manifest: len(s.daemons[1].node.Manifest())}
+	every := day / time.Duration(c.rate)
+	span := (every * changes).Seconds()
+	readsBefore := s.daemons[1].reads
+	out.idle = float64(s.run(every*changes)) / nodes / span
+	out.reads = float64(s.daemons[1].reads-readsBefore) / span
+	s.accepted = nil
+	before := s.daemons[1].node.Work()
+	total, gen := 0, uint64(1)
+	for i := range changes {
+		edit(s.rng, f, i)
+		res, err := s.apply(s.daemons[i%c.daemons], f, gen)
+		if err != nil {
+			return out, err
+		}
+		gen = res.Head.Gen
+		total += s.run(every)
+	}
+	s.v.Advance(cuminstair.ForceTarget)
+	work := s.daemons[1].node.Work()
+	out.rate = float64(total) / nodes / span
+	out.sections = float64(work.Sections-before.Sections) / changes
+	out.entries = float64(work.Entries-before.Entries) / changes
+	out.hashed = float64(work.Hashed-before.Hashed) / changes
+	for _, a := range s.accepted {
+		out.mean += a.everywhere / changes
+		out.most = max(out.most, a.everywhere)
+		if a.everywhere == 0 {
+			out.most = day // not in force everywhere at the end
+		}
+	}
+	return out, s.err
+}
+
+// installCost is the time that one daemon takes to put one generation in force after its sections arrived, as
+// node.Node.install does it: the whole fleet is copied, and the planner goes over all hosts.
+func installCost(hosts int) (base, planner time.Duration, err error) {
+	s := newConfigSim(1, 1, 1)
+	if err := s.begin(generate(hosts)); err != nil {
+		return 0, 0, err
+	}
+	n := s.daemons[0].node
+	p := wave.New("centre1")
+	base = wallTime(3, func() { n.Base() })
+	f := n.Base().Fleet
+	p.SetFleet(epoch, f)
+	planner = wallTime(3, func() { p.SetFleet(epoch, f) })
+	return base, planner, nil
+}
+
+func measureConfig(_ context.Context, r *report) error {
+	cases := []configCase{}
+	for _, h := range fleetSizes {
+		cases = append(cases, configCase{h, 21, changesADay})
+	}
+	for _, rate := range []int{1000, 5000, 100000} {
+		cases = append(cases, configCase{7000, 21, rate})
+	}
+	for _, daemons := range []int{9, 50, 100, 280} {
+		cases = append(cases, configCase{1232, daemons, changesADay})
+	}
+	var rows [][]string
+	for _, c := range cases {
+		out, err := c.measure()
+		if err != nil {
+			return err
+		}
+		rows = append(rows, cells(c.hosts, c.daemons, c.rate, out.manifest, out.idle, out.rate, out.mean.Round(time.Millisecond),
+			out.most.Round(time.Millisecond), out.sections, out.entries, out.hashed, out.reads, out.startedBytes/1000))
+	}
+	r.table("configuration of one daemon, sent and received", []string{
+		"hosts", "daemons", "changes/day", "sections", "idle B/s", "B/s", "in force mean", "most", "sections/change", "entries/change",
+		"hashed/change", "head reads/s", "start KB",
+	}, rows)
+	rows = nil
+	for _, h := range fleetSizes {
+		base, planner, err := installCost(h)
+		if err != nil {
+			return err
+		}
+		perSecond := float64(changesADay) / day.Seconds()
+		rows = append(rows, cells(h, base.Round(time.Microsecond), planner.Round(time.Microsecond), 100*(base+planner).Seconds()*perSecond))
+	}
+	r.table("putting one generation in force in one daemon", []string{
+		"hosts", "copy of the fleet" + wall, "planner" + wall, "% of a core at 19,000 a day" + wall,
+	}, rows)
+	measureStart(r)
+	return measureCut(r)
+}
+
+// measureStart computes the start of a daemon that reaches only the platform, which gives it each section as an object.
+func measureStart(r *report) {
+	var rows [][]string
+	for _, h := range fleetSizes {
+		sections := fleet.Split(generate(h))
+		bytes := 0
+		for _, s := range sections {
+			bytes += len(s.Data)
+		}
+		reads := len(sections) + 1 // and the manifest
+		wait := max(0, float64(reads-platform.DefaultBurst)/platform.DefaultReads)
+		rows = append(rows, cells(h, reads, bytes/1000, wait))
+	}
+	r.table("start with only the platform reachable, by the read rate of the client (computed)", []string{"hosts", "object reads", "KB", "seconds"}, rows)
+}
+
+// measureCut measures what a daemon fetches from a peer after it missed some generations.
+func measureCut(r *report) error {
+	f := generate(28000)
+	s := newConfigSim(1, 1, 1)
+	if err := s.begin(f); err != nil {
+		return err
+	}
+	n := s.daemons[0].node
+	var rows [][]string
+	var xs, ys []float64
+	missed := 0
+	for _, target := range []int{5, 10, 20, 40} {
+		for ; missed < target; missed++ {
+			edit(s.rng, f, missed)
+			if _, err := s.apply(s.daemons[0], f, n.Head().Gen); err != nil {
+				return err
+			}
+		}
+		bytes := len(rollout.Encode(n.Serve(rollout.Request{After: 1})))
+		rows = append(rows, cells(missed, bytes))
+		xs, ys = append(xs, float64(missed)), append(ys, float64(bytes))
+	}
+	r.table("answer of a peer to a daemon that missed generations, 28,000 hosts", []string{"missed", "bytes"}, rows)
+	l := fit(xs, ys)
+	hour := changesADay * cutLength.Hours() / day.Hours()
+	r.printf("an hour's cut at 19,000 changes a day: %.0f generations, %.0f KB (extrapolated from 5..40; repeated sections make it less)\n",
+		hour, (l.base+l.slope*hour)/1000)
+	return nil
+}
--- /dev/null
+++ b/cmd/measure/controlsim.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/control"
+	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/timer"
+	"cuminstair.org/cuminstair/wave"
+)
+
+// controlSim runs the controls of all data centres against the stand-in of the platform in virtual time. Hosts become
+// idle at once and every host comes back.
+type controlSim struct {
+	v        *timer.Virtual
+	platform *table.Service
+	controls []*counted // the holders first, one for each data centre, then the followers of the first
+	centreOf map[string]string
+	err      error
+}
+
+// counted is a control that counts what it asks of the platform and its peers.
+type counted struct {
+	*table.Service
+	control.Control
+	reads, commits, rows, acts, asks int
+	value                            int // bytes of the values that were written
+}
+
+// Rows implements cuminstair.Table.
+func (c *counted) Rows(ctx context.Context, prefix string, since uint64) ([]cuminstair.Row, uint64, error) {
+	c.reads++
+	return c.Service.Rows(ctx, prefix, since)
+}
+
+// Commit implements cuminstair.Table.
+func (c *counted) Commit(ctx context.Context, commit cuminstair.Commit) (uint64, error) {
+	c.commits++
+	c.rows += len(commit.Puts) + len(commit.Deletes)
+	for _, p := range commit.Puts {
+		c.value += len(p.Value)
+	}
+	return c.Service.Commit(ctx, commit)
+}
+
+// Hosts implements cuminstair.HostList.
+func (c *counted) Hosts(ctx context.Context) ([]cuminstair.HostStatus, error) {
+	c.reads++
+	return c.Service.Hosts(ctx)
+}
+
+// Act implements cuminstair.HostList.
+func (c *counted) Act(ctx context.Context, id, host string, action cuminstair.HostAction) error {
+	c.acts++
+	return c.Service.Act(ctx, id, host, action)
+}
+
+// Forward implements cuminstair.Peers.
+func (c *counted) Forward(context.Context, string, *cuminstair.Message) *cuminstair.Message {
+	return &cuminstair.Message{}
+}
+
+// Confirm implements cuminstair.Peers.
+func (c *counted) Confirm(context.Context, []string, string) []string {
+	c.asks++
+	return nil
+}
+
+// Record implements cuminstair.Recorder.
+func (c *counted) Record(cuminstair.Decision) {}
+
+// newControlSim starts one control in each data centre, and followers more in the first.
+func newControlSim(f *cuminstair.Fleet, followers int) *controlSim {
+	v := timer.NewVirtual(epoch)
+	s := &controlSim{v: v, platform: &table.Service{Timer: v}, centreOf: map[string]string{}}
+	s.platform.OnHost = func(name, state string) {
+		for _, c := range s.controls {
+			if c.Centre == s.centreOf[name] {
+				c.SetHealthy(name, state == table.StateLive || state == table.StateLeaving)
+			}
+		}
+	}
+	for _, h := range f.Hosts {
+		s.centreOf[h.Name] = h.Centre
+		s.platform.AddHosts(table.Host{Name: h.Name, Centre: h.Centre, Rack: h.Rack, Role: "upstream"})
+	}
+	s.writeRows(f)
+	for i := range len(f.Centres) + followers {
+		centre := f.Centres[0].Name
+		if i < len(f.Centres) {
+			centre = f.Centres[i].Name
+		}
+		s.add(i, centre, f)
+	}
+	return s
+}
+
+func (s *controlSim) add(i int, centre string, f *cuminstair.Fleet) {
+	c := &counted{Service: s.platform}
+	c.Control = control.Control{
+		Centre: centre, Self: fmt.Sprint("entry-", i), Boot: "1", Table: c, Hosts: c, Peers: c, Timer: s.v,
+		Rand: rand.New(rand.NewPCG(uint64(i), 5)), Recorder: c,
+	}
+	c.SetFleet(f)
+	s.controls = append(s.controls, c)
+	every := control.FollowTick
+	if i < len(f.Centres) {
+		every = control.Tick
+	}
+	s.v.Every(every, func(time.Time) { c.Step(context.Background()) })
+}
+
+// writeRows makes the rows of all hosts, each active in its pool.
+func (s *controlSim) writeRows(f *cuminstair.Fleet) {
+	for _, h := range f.Hosts {
+		value, err := json.Marshal(wave.Host{Pool: h.Pool, State: cuminstair.HostActive})
+		if err == nil {
+			put := cuminstair.Put{Key: wave.HostKey(h.Centre, h.Name), Value: value}
+			_, err = s.platform.Commit(context.Background(), cuminstair.Commit{ID: "rows/" + h.Name, Puts: []cuminstair.Put{put}})
+		}
+		if err != nil {
+			s.err = fmt.Errorf("write row of host %s: %w", h.Name, err)
+		}
+	}
+}
+
+// reset sets all counts to zero.
+func (s *controlSim) reset() {
+	for _, c := range s.controls {
+		c.reads, c.commits, c.rows, c.acts, c.asks, c.value = 0, 0, 0, 0, 0, 0
+	}
+}
+
+// done returns the hosts whose maintenance is complete, over all data centres.
+func (s *controlSim) done(centres int) int {
+	n := 0
+	for _, c := range s.controls[:centres] {
+		for _, w := range c.Waves() {
+			n += w.Done
+		}
+	}
+	return n
+}
+
+// maintained returns a fleet with one running wave over all its pools.
+func maintained(hosts, limit int) *cuminstair.Fleet {
+	f := generate(hosts)
+	w := f.Waves[0]
+	w.Hold, w.Limit, w.Pools = false, limit, nil
+	for _, p := range f.Pools {
+		w.Pools = append(w.Pools, p.Name)
+	}
+	f.Waves = []cuminstair.Wave{w}
+	return f
+}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -26,6 +26,11 @@
 	{"route", "routing cost and memory against upstreams", measureRoute},
 	{"member", "membership bytes against entry hosts", measureMember},
 	{"health", "active checks against hosts and entry hosts", measureHealth},
+	{"config", "configuration bytes, time in force and work for each change", measureConfig},
+	{"table", "reads and writes of the table service, and bytes to and from the platform", measureTable},
+	{"wave", "planner work and maintenance against hosts and pools", measureWave},
+	{"ticket", "tickets against request rate", measureTicket},
+	{"memory", "memory of a daemon's state against hosts", measureMemory},
 }
 
 func main() {
--- a/cmd/measure/member.go
+++ b/cmd/measure/member.go
@@ -23,8 +23,11 @@
 	// memberUpstreams is kept small, because the time of a digest grows with the square of the loads.
 	memberUpstreams = 40
 
-	memberWarm = 15 * time.Second
-	memberRun  = 20 * time.Second
+	// memberWarm is how long all daemons, which start at the same moment, take at most to know each other. They may send
+	// four times the ordinary rate meanwhile.
+	memberStart = 30 * time.Second
+	memberWarm  = 100 * time.Second
+	memberRun   = 10 * time.Second
 )
 
 // gossip runs the membership of several daemons in virtual time.
@@ -183,16 +186,17 @@
 	var rows [][]string
 	for _, n := range memberSizes {
 		g := newGossip(n, 7, memberUpstreams)
-		g.v.Advance(memberWarm)
+		start := g.run(memberStart)
+		g.v.Advance(memberWarm - memberStart)
 		var c gossipCost
 		took := wallTime(1, func() { c = g.run(memberRun) })
 		if g.err != nil {
 			return g.err
 		}
-		rows = append(rows, cells(n, c.mean, c.most, c.messages, c.largest, 100*took.Seconds()/memberRun.Seconds()/float64(n)))
+		rows = append(rows, cells(n, start.mean, start.most, c.mean, c.most, c.messages, c.largest, 100*took.Seconds()/memberRun.Seconds()/float64(n)))
 	}
 	r.table(fmt.Sprintf("gossip in 7 data centres with loads of about %d upstreams, sent by one daemon", memberUpstreams/4), []string{
-		"entry daemons", "bytes/s mean", "bytes/s most", "digests/s", "largest digest", "% of a core" + wall,
+		"entry daemons", "start bytes/s mean", "most", "later bytes/s mean", "most", "digests/s", "largest digest", "% of a core" + wall,
 	}, rows)
 	rows = nil
 	for _, loads := range digestLoads {
--- /dev/null
+++ b/cmd/measure/sim.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/fleet"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/rollout/runner"
+	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/timer"
+)
+
+const (
+	// peerOverhead is counted for each message on top of its bytes: IP, UDP, QUIC and the frame of a stream.
+	peerOverhead = 100
+	// mostDelay bounds the random time that a message takes; half of it is the mean.
+	mostDelay = 20 * time.Millisecond
+)
+
+// configSim runs the configuration nodes of several daemons against the stand-in of the platform in virtual time,
+// without losses.
+type configSim struct {
+	rng      *rand.Rand
+	v        *timer.Virtual
+	platform *table.Service
+	daemons  []*configDaemon
+	byName   map[string]*configDaemon
+	accepted []acceptance
+	commits  int
+	err      error
+}
+
+type configDaemon struct {
+	s     *configSim
+	node  *rollout.Node
+	bytes int // sent and received
+	reads int // of the head
+}
+
+// acceptance is a generation and how long it took until all daemons had it in force.
+type acceptance struct {
+	gen        uint64
+	at         time.Time
+	everywhere time.Duration
+}
+
+func newConfigSim(seed uint64, count, centres int) *configSim {
+	v := timer.NewVirtual(epoch)
+	s := &configSim{
+		rng: rand.New(rand.NewPCG(seed, 7)), v: v, platform: &table.Service{Timer: v}, byName: map[string]*configDaemon{},
+	}
+	var peers []rollout.Peer
+	for i := range count {
+		p := rollout.Peer{Name: fmt.Sprint("d", i), Centre: fmt.Sprint("centre", i%centres+1)}
+		peers = append(peers, p)
+		d := &configDaemon{s: s, node: &rollout.Node{
+			Name: p.Name, Incarnation: 1, Centre: p.Centre, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
+		}}
+		s.daemons, s.byName[p.Name] = append(s.daemons, d), d
+	}
+	for _, d := range s.daemons {
+		d.node.SetPeers(peers)
+		v.After(time.Duration(s.rng.Int64N(int64(rollout.TickEvery))), func(time.Time) {
+			v.Every(rollout.TickEvery, func(now time.Time) { d.do(d.node.Tick(now)) })
+		})
+	}
+	return s
+}
+
+func (s *configSim) later(fn func(now time.Time)) {
+	s.v.After(time.Duration(s.rng.Int64N(int64(mostDelay))), fn)
+}
+
+// send delivers a message of a size.
+func (d *configDaemon) send(to *configDaemon, size int, fn func(now time.Time)) {
+	d.bytes += size + peerOverhead
+	d.s.later(func(now time.Time) {
+		to.bytes += size + peerOverhead
+		fn(now)
+	})
+}
+
+func (d *configDaemon) do(a rollout.Actions) {
+	if a.Install != nil {
+		d.s.installed()
+	}
+	for _, m := range a.Announce {
+		to := d.s.byName[m.To]
+		d.send(to, len(rollout.Encode(m.Message)), func(now time.Time) { to.do(to.node.Announced(now, m.Message)) })
+	}
+	if a.Poll {
+		d.poll()
+	}
+	if a.Fetch != nil {
+		d.fetch(*a.Fetch)
+	}
+}
+
+// installed notes the generations that all daemons have in force now.
+func (s *configSim) installed() {
+	lowest := s.daemons[0].node.Head().Gen
+	for _, d := range s.daemons {
+		lowest = min(lowest, d.node.Head().Gen)
+	}
+	for i := range s.accepted {
+		if a := &s.accepted[i]; a.gen <= lowest && a.everywhere == 0 {
+			a.everywhere = s.v.Now().Sub(a.at)
+		}
+	}
+}
+
+func (d *configDaemon) poll() {
+	asked := d.s.v.Now()
+	d.reads++
+	d.s.later(func(time.Time) {
+		h, err := runner.ReadHead(context.Background(), d.s.platform)
+		if err != nil {
+			d.s.err = err
+		}
+		d.bytes += headReadBytes
+		d.s.later(func(now time.Time) { d.do(d.node.PlatformHead(now, asked, h)) })
+	})
+}
+
+func (d *configDaemon) fetch(f rollout.Fetch) {
+	if from := d.s.byName[f.Source.Peer]; from != nil {
+		d.send(from, len(rollout.Encode(f.Request)), func(time.Time) {
+			u := from.node.Serve(f.Request)
+			from.send(d, len(rollout.Encode(u)), func(now time.Time) { d.do(d.node.SeeUpdate(now, f.ID, f.Source, u)) })
+		})
+		return
+	}
+	d.s.later(func(time.Time) {
+		u, err := runner.ReadUpdate(context.Background(), d.s.platform, d.s.platform, f.Request)
+		d.bytes += len(rollout.Encode(u)) + 2*peerOverhead
+		d.s.later(func(now time.Time) {
+			if err != nil {
+				d.do(d.node.FetchFailed(now, f.ID, err.Error()))
+				return
+			}
+			d.do(d.node.SeeUpdate(now, f.ID, f.Source, u))
+		})
+	})
+}
+
+// apply sends a fleet through a daemon, as an operator does.
+func (s *configSim) apply(d *configDaemon, f *cuminstair.Fleet, base uint64) (runner.Result, error) {
+	a := &runner.Applier{
+		Table: s.platform, Objects: s.platform, State: d.node.Base,
+		NewID: func() string { s.commits++; return fmt.Sprint(d.node.Name, "-", s.commits) },
+		Pause: func(context.Context) bool { return false },
+	}
+	res, err := a.Apply(context.Background(), rollout.Apply{Fleet: f, Base: base, By: d.node.Name})
+	if err != nil {
+		return res, fmt.Errorf("apply: %w", err)
+	}
+	s.accepted = append(s.accepted, acceptance{gen: res.Head.Gen, at: s.v.Now()})
+	d.do(d.node.Accepted(s.v.Now(), res.Plan, res.Head.Version))
+	return res, s.err
+}
+
+func (s *configSim) bytes() int {
+	total := 0
+	for _, d := range s.daemons {
+		total += d.bytes
+	}
+	return total
+}
+
+// run advances the clock and returns the bytes of all daemons meanwhile.
+func (s *configSim) run(d time.Duration) int {
+	before := s.bytes()
+	s.v.Advance(d)
+	return s.bytes() - before
+}
+
+// begin puts the first generation in force everywhere.
+func (s *configSim) begin(f *cuminstair.Fleet) error {
+	s.v.Advance(time.Second)
+	if _, err := s.apply(s.daemons[0], f, 0); err != nil {
+		return err
+	}
+	s.v.Advance(2 * cuminstair.ForceTarget)
+	return nil
+}
+
+// generate returns the fleet of a size from seed 1.
+func generate(hosts int) *cuminstair.Fleet {
+	return fleet.Generate(rand.New(rand.NewPCG(1, 1)), sizeOf(hosts))
+}
--- /dev/null
+++ b/cmd/measure/table.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/control"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/timer"
+	"cuminstair.org/cuminstair/wave"
+)
+
+const (
+	// registersPerSecond is how often a daemon reads the registrations: node.registerInterval is 5 s.
+	registersPerSecond = 0.2
+	// requestPackets are the packets of a request on an open connection: request, answer and an acknowledgement.
+	requestPackets = 3
+	// waveLimit is Wave.Limit of the measured wave; the wave test of package wave uses the same.
+	waveLimit = 16
+
+	tableWarm = 30 * time.Second
+	tableRun  = 10 * time.Minute
+)
+
+// entryCases are the entry hosts of 7 data centres that the page works out.
+var entryCases = []int{21, 50, 100, 280}
+
+// tableCost is what controls ask of the platform.
+type tableCost struct {
+	holder, follower     float64 // reads a second of one
+	idleWrites           float64 // commits a second of one holder without planned work
+	done                 int     // hosts maintained in tableRun
+	commits, rows, bytes float64 // for each host maintained, leases left out
+	acts, asks           float64 // for each host maintained
+	most                 int     // commits in the worst second, all data centres
+	took                 time.Duration
+}
+
+func (s *controlSim) sum() (commits, rows, bytes, acts, asks int) {
+	for _, c := range s.controls {
+		commits, rows, bytes, acts, asks = commits+c.commits, rows+c.rows, bytes+c.value, acts+c.acts, asks+c.asks
+	}
+	return commits, rows, bytes, acts, asks
+}
+
+// measureControls runs all controls for tableRun without planned work, then with a wave.
+func measureControls(hosts int) (tableCost, error) {
+	f := maintained(hosts, waveLimit)
+	f.Waves[0].Hold = true
+	s := newControlSim(f, 1)
+	centres := len(f.Centres)
+	s.v.Advance(tableWarm)
+	s.reset()
+	s.v.Advance(tableWarm)
+	out := tableCost{
+		holder:     float64(s.controls[0].reads) / tableWarm.Seconds(),
+		follower:   float64(s.controls[centres].reads) / tableWarm.Seconds(),
+		idleWrites: float64(s.controls[0].commits) / tableWarm.Seconds(),
+	}
+	_, _, idleBytes, _, _ := s.sum()
+	if err := s.controls[0].OrderWave(context.Background(), f.Waves[0].Name, "start"); err != nil {
+		return out, fmt.Errorf("start wave: %w", err)
+	}
+	s.reset()
+	before := 0
+	out.took = wallTime(1, func() {
+		for range int(tableRun / time.Second) {
+			s.v.Advance(time.Second)
+			commits, _, _, _, _ := s.sum()
+			out.most = max(out.most, commits-before)
+			before = commits
+		}
+	})
+	out.done = s.done(centres)
+	if out.done == 0 {
+		return out, fmt.Errorf("no host of %d was maintained in %s", hosts, tableRun)
+	}
+	commits, rows, bytes, acts, asks := s.sum()
+	leases := out.idleWrites * float64(centres) * tableRun.Seconds()
+	n := float64(out.done)
+	out.commits, out.rows = (float64(commits)-leases)/n, (float64(rows)-leases)/n
+	out.bytes = (float64(bytes) - float64(idleBytes)*tableRun.Seconds()/tableWarm.Seconds()) / n
+	out.acts = float64(acts) / n
+	out.asks = float64(asks) / n
+	return out, s.err
+}
+
+func measureTable(ctx context.Context, r *report) error {
+	var rows [][]string
+	var last tableCost
+	for _, h := range fleetSizes {
+		c, err := measureControls(h)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, cells(h, c.holder, c.follower, c.idleWrites, c.done, float64(c.done)*day.Hours()/tableRun.Hours(),
+			c.commits, c.rows, c.bytes, c.acts, c.asks, c.most, c.took.Round(time.Millisecond)))
+		last = c
+	}
+	r.table(fmt.Sprintf("controls of all data centres, a wave with limit %d over all pools for %s", waveLimit, tableRun), []string{
+		"hosts", "holder reads/s", "follower reads/s", "holder writes/s idle", "done", "done/day", "commits/host", "rows/host",
+		"value bytes/host", "actions/host", "rounds of questions/host", "commits in worst s", "all controls" + wall,
+	}, rows)
+	measureReads(r, last)
+	return measureWire(ctx, r)
+}
+
+// measureReads adds up the reads of all daemons.
+func measureReads(r *report, c tableCost) {
+	var rows [][]string
+	for _, n := range entryCases {
+		head := headReads(n)
+		perDaemon := c.follower + registersPerSecond + head
+		total := float64(n)*perDaemon + 7*(c.holder-c.follower)
+		rows = append(rows, cells(n, head, perDaemon, c.holder+registersPerSecond+head, total, total/2000*100))
+	}
+	r.table("reads of the table service by all daemons of 7 data centres", []string{
+		"entry daemons", "head reads/s each", "reads/s each", "holder", "reads/s all", "% of 2,000/s",
+	}, rows)
+	writes := 2000*c.commits/day.Seconds() + 7*c.idleWrites + float64(changesADay)/day.Seconds()
+	r.printf("writes: %.2f/s with 2,000 hosts maintained and 19,000 changes a day, leases of 7 data centres included\n", writes)
+}
+
+// headReads counts the reads of the head by one of so many daemons, over 60 s.
+func headReads(daemons int) float64 {
+	s := newConfigSim(1, daemons, 7)
+	s.v.Advance(time.Minute)
+	total := 0
+	for _, d := range s.daemons {
+		total += d.reads
+	}
+	return float64(total) / float64(daemons) / 60
+}
+
+// wire is a platform behind its HTTP protocol on loopback.
+type wire struct {
+	service *table.Service
+	client  *platform.Client
+	l       *countingListener
+	server  *http.Server
+}
+
+func newWire(ctx context.Context) (*wire, error) {
+	l, err := listen(ctx)
+	if err != nil {
+		return nil, err
+	}
+	w := &wire{service: &table.Service{Timer: timer.NewVirtual(epoch)}, l: l}
+	w.server = &http.Server{Handler: w.service.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = w.server.Serve(l) }()
+	w.client = &platform.Client{
+		Base: "http://" + l.Addr().String(), Timer: clock, Rand: rand.New(rand.NewPCG(1, 6)), HTTP: &http.Client{},
+		Reads: 1e6, Writes: 1e6, Timeout: 20 * time.Second,
+	}
+	return w, nil
+}
+
+// bytes returns the bytes of a request and its answer, with the headers of the least number of packets.
+func (w *wire) bytes(fn func() error) (int, error) {
+	if err := fn(); err != nil { // opens the connection
+		return 0, err
+	}
+	before := w.l.bytes.Load()
+	err := fn()
+	content := int(w.l.bytes.Load() - before)
+	return content + (requestPackets+content/1448)*packetHeader, err
+}
+
+func (w *wire) rows(ctx context.Context, prefix string, since uint64) (int, error) {
+	return w.bytes(func() error {
+		_, _, err := w.client.Rows(ctx, prefix, since)
+		return err
+	})
+}
+
+// put writes count rows of one form.
+func (w *wire) put(prefix string, count int, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode row: %w", err)
+	}
+	for i := range count {
+		put := cuminstair.Put{Key: fmt.Sprintf("%sentry-%05d", prefix, i), Value: data}
+		commit := cuminstair.Commit{ID: fmt.Sprintf("entry-001-c5jk3f9a2b1-%05d", i), Puts: []cuminstair.Put{put}}
+		if _, err := w.service.Commit(context.Background(), commit); err != nil {
+			return fmt.Errorf("write row: %w", err)
+		}
+	}
+	return nil
+}
+
+// registration has the form of the row of an entry daemon (package node).
+type registration struct {
+	Centre string `json:"centre"`
+	Addr   string `json:"addr"`
+	Start  uint64 `json:"start"`
+}
+
+func measureWire(ctx context.Context, r *report) error {
+	w, err := newWire(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = w.server.Close() }()
+	head := cuminstair.Put{Key: rollout.HeadKey, Value: rollout.Encode(rollout.Head{Gen: 19000})}
+	if _, err := w.service.Commit(ctx, cuminstair.Commit{ID: "entry-001-c5jk3f9a2b1-1", Puts: []cuminstair.Put{head}}); err != nil {
+		return fmt.Errorf("write head: %w", err)
+	}
+	headBytes, err := w.rows(ctx, rollout.HeadKey, 0)
+	if err != nil {
+		return err
+	}
+	empty, err := w.rows(ctx, wave.HostPrefix, 1)
+	if err != nil {
+		return err
+	}
+	r.printf("bytes of one read, packet headers computed: %d without rows, %d of the head\n", empty, headBytes)
+	r.printf("following without changes: %.0f bytes/s of a follower, %.0f of a holder, the list left out\n",
+		6*float64(empty)/control.FollowTick.Seconds(), 6*float64(empty)/control.Tick.Seconds())
+	return w.lists(ctx, r)
+}
+
+// lists measures the answers that grow.
+func (w *wire) lists(ctx context.Context, r *report) error {
+	var rows [][]string
+	last := 0
+	for _, n := range entryCases {
+		value := registration{Centre: "centre1", Addr: "10.1.0.10:7000", Start: 1764806400000000000}
+		if err := w.put("entry/", n-last, value); err != nil {
+			return err
+		}
+		last = n
+		bytes, err := w.rows(ctx, "entry/", 0)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, cells(n, bytes, float64(bytes)*registersPerSecond))
+	}
+	r.table("reading the registrations", []string{"entry daemons (rows at least)", "bytes", "bytes/s of one daemon"}, rows)
+	rows = nil
+	have := 0
+	for _, h := range fleetSizes {
+		for ; have < h; have++ {
+			w.service.AddHosts(table.Host{Name: fmt.Sprintf("h%05d", have+1), Centre: "centre1", Rack: "r1", Role: "upstream"})
+		}
+		bytes, err := w.bytes(func() error {
+			_, err := w.client.Hosts(ctx)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		rows = append(rows, cells(h, bytes, float64(bytes)/control.ListEvery.Seconds()))
+	}
+	r.table("reading the list of hosts, by each holder of a lease", []string{"hosts", "bytes", "bytes/s of one holder"}, rows)
+	return nil
+}
