--- a/cmd/measure/config.go
+++ b/cmd/measure/config.go
@@ -100,20 +100,49 @@
 	return out, s.err
 }
 
-// installCost is the time that one daemon takes to put one generation in force after its sections arrived, as
-// node.Node.install does it: the whole fleet is copied, and the planner goes over all hosts.
-func installCost(hosts int) (base, planner time.Duration, err error) {
+// installCost is the work of one daemon to put one generation in force after its sections arrived, as node.Node.install
+// does it: the whole fleet is copied, the planner goes over all hosts and routing gets all upstreams of its data centre.
+type installCost struct {
+	base, planner, route time.Duration
+	garbage              uint64        // bytes allocated
+	scan                 time.Duration // search of a host in a list of all, as node.hostView does for each row of a host
+}
+
+func costOfInstall(hosts int) (installCost, error) {
 	s := newConfigSim(1, 1, 1)
 	if err := s.begin(generate(hosts)); err != nil {
-		return 0, 0, err
+		return installCost{}, err
 	}
 	n := s.daemons[0].node
 	p := wave.New("centre1")
-	base = wallTime(3, func() { n.Base() })
 	f := n.Base().Fleet
 	p.SetFleet(epoch, f)
-	planner = wallTime(3, func() { p.SetFleet(epoch, f) })
-	return base, planner, nil
+	var out installCost
+	out.garbage = allocated(func() {
+		out.base = wallTime(1, func() { f = n.Base().Fleet })
+		out.planner = wallTime(1, func() { p.SetFleet(epoch, f) })
+		out.route = wallTime(1, func() { routerOf(f, "centre1") })
+	})
+	out.base = wallTime(3, func() { f = n.Base().Fleet })
+	out.planner = wallTime(3, func() { p.SetFleet(epoch, f) })
+	out.route = wallTime(3, func() { routerOf(f, "centre1") })
+	middle := f.Hosts[hosts/2].Name
+	out.scan = wallTime(5, func() {
+		for range 100 {
+			scan(f, middle)
+		}
+	}) / 100
+	return out, nil
+}
+
+// scan returns the pool of a host, found by going over all of them.
+func scan(f *cuminstair.Fleet, name string) string {
+	for i := range f.Hosts {
+		if f.Hosts[i].Name == name {
+			return f.Hosts[i].Pool
+		}
+	}
+	return ""
 }
 
 func measureConfig(_ context.Context, r *report) error {
@@ -133,6 +162,9 @@
 		if err != nil {
 			return err
 		}
+		if c.hosts == 28000 || c.daemons == 280 {
+			r.note("config bytes", c.daemons, out.rate)
+		}
 		rows = append(rows, cells(c.hosts, c.daemons, c.rate, out.manifest, out.idle, out.rate, out.mean.Round(time.Millisecond),
 			out.most.Round(time.Millisecond), out.sections, out.entries, out.hashed, out.reads, out.startedBytes/1000))
 	}
@@ -142,15 +174,19 @@
 	}, rows)
 	rows = nil
 	for _, h := range fleetSizes {
-		base, planner, err := installCost(h)
+		c, err := costOfInstall(h)
 		if err != nil {
 			return err
 		}
-		perSecond := float64(changesADay) / day.Seconds()
-		rows = append(rows, cells(h, base.Round(time.Microsecond), planner.Round(time.Microsecond), 100*(base+planner).Seconds()*perSecond))
+		share := 100 * (c.base + c.planner + c.route).Seconds() * changesADay / day.Seconds()
+		r.note("install core", h, share)
+		us := time.Microsecond
+		rows = append(rows, cells(h, c.base.Round(us), c.planner.Round(us), c.route.Round(us), float64(c.garbage)/1e6, share,
+			c.scan.Round(us), (c.scan*time.Duration(h)).Round(time.Millisecond)))
 	}
 	r.table("putting one generation in force in one daemon", []string{
-		"hosts", "copy of the fleet" + wall, "planner" + wall, "% of a core at 19,000 a day" + wall,
+		"hosts", "copy of the fleet" + wall, "planner" + wall, "routing" + wall, "allocated MB", "% of a core at 19,000 a day" + wall,
+		"search of a host" + wall, "for all rows at the start" + wall,
 	}, rows)
 	measureStart(r)
 	return measureCut(r)
--- a/cmd/measure/controlsim.go
+++ b/cmd/measure/controlsim.go
@@ -14,6 +14,9 @@
 	"cuminstair.org/cuminstair/wave"
 )
 
+// entriesPerCentre is the number of entry daemons that the platform lists in each data centre.
+const entriesPerCentre = 3
+
 // controlSim runs the controls of all data centres against the stand-in of the platform in virtual time. Hosts become
 // idle at once and every host comes back.
 type controlSim struct {
@@ -89,6 +92,11 @@
 		s.centreOf[h.Name] = h.Centre
 		s.platform.AddHosts(table.Host{Name: h.Name, Centre: h.Centre, Rack: h.Rack, Role: "upstream"})
 	}
+	for _, c := range f.Centres {
+		for i := range entriesPerCentre {
+			s.platform.AddHosts(table.Host{Name: fmt.Sprint("entry-", c.Name, "-", i), Centre: c.Name, Role: "entry"})
+		}
+	}
 	s.writeRows(f)
 	for i := range len(f.Centres) + followers {
 		centre := f.Centres[0].Name
--- a/cmd/measure/health.go
+++ b/cmd/measure/health.go
@@ -147,6 +147,11 @@
 			took, most := measureMine(hosts, daemons)
 			share := float64(hosts) / float64(daemons)
 			tell := measureTell(hosts)
+			if hosts == 4000 {
+				r.note("check bytes", daemons, share*checksPerSecond*float64(wire))
+				r.note("check core", daemons, 100*share*checksPerSecond*check.took.Seconds())
+				r.note("health core", daemons, 100*(took.Seconds()*checksPerSecond+tell.Seconds()*tellsPerSecond))
+			}
 			rows = append(rows, cells(hosts, daemons, most, share*checksPerSecond*float64(wire)/1000,
 				100*took.Seconds()*checksPerSecond, 100*tell.Seconds()*tellsPerSecond,
 				100*share*checksPerSecond*check.took.Seconds()))
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -31,6 +31,7 @@
 	{"wave", "planner work and maintenance against hosts and pools", measureWave},
 	{"ticket", "tickets against request rate", measureTicket},
 	{"memory", "memory of a daemon's state against hosts", measureMemory},
+	{"sum", "bytes, processor time and memory of one entry daemon at 28,000 hosts", measureSum},
 }
 
 func main() {
@@ -68,18 +69,32 @@
 	if c.Args().Present() {
 		return fmt.Errorf("unknown command %q; --help lists the commands", c.Args().First())
 	}
+	facts := map[string]float64{}
 	for _, s := range subjects {
-		if err := runSubject(c, s); err != nil {
+		if err := s.print(c.Context, c.App.Writer, facts); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// runSubject prints one subject. The sum needs the figures of the others, which are measured without being printed.
 func runSubject(c *cli.Context, s subject) error {
-	r := &report{out: c.App.Writer}
+	facts := map[string]float64{}
+	if s.name == "sum" {
+		for _, other := range subjects[:len(subjects)-1] {
+			if err := other.print(c.Context, io.Discard, facts); err != nil {
+				return err
+			}
+		}
+	}
+	return s.print(c.Context, c.App.Writer, facts)
+}
+
+func (s subject) print(ctx context.Context, out io.Writer, facts map[string]float64) error {
+	r := &report{out: out, facts: facts}
 	r.printf("== %s: %s\n", s.name, s.usage)
-	if err := s.run(c.Context, r); err != nil {
+	if err := s.run(ctx, r); err != nil {
 		return fmt.Errorf("measure %s: %w", s.name, err)
 	}
 	r.printf("\n")
--- a/cmd/measure/member.go
+++ b/cmd/measure/member.go
@@ -26,7 +26,7 @@
 	// memberWarm is how long all daemons, which start at the same moment, take at most to know each other. They may send
 	// four times the ordinary rate meanwhile.
 	memberStart = 30 * time.Second
-	memberWarm  = 100 * time.Second
+	memberWarm  = 60 * time.Second
 	memberRun   = 10 * time.Second
 )
 
@@ -193,6 +193,9 @@
 		if g.err != nil {
 			return g.err
 		}
+		r.note("gossip bytes", n, c.mean)
+		r.note("gossip core", n, 100*took.Seconds()/memberRun.Seconds()/float64(n))
+		r.note("digests", n, c.messages)
 		rows = append(rows, cells(n, start.mean, start.most, c.mean, c.most, c.messages, c.largest, 100*took.Seconds()/memberRun.Seconds()/float64(n)))
 	}
 	r.table(fmt.Sprintf("gossip in 7 data centres with loads of about %d upstreams, sent by one daemon", memberUpstreams/4), []string{
@@ -204,6 +207,7 @@
 		if err != nil {
 			return err
 		}
+		r.note("digest time", loads, c.took.Seconds())
 		rows = append(rows, cells(loads, c.bytes, c.allocs, c.took.Round(time.Microsecond)))
 	}
 	r.table("one digest of a daemon in a data centre of 3", []string{
--- a/cmd/measure/memory.go
+++ b/cmd/measure/memory.go
@@ -121,13 +121,14 @@
 		keep = nil
 		mb := func(b int64) float64 { return float64(b) / 1e6 }
 		rows = append(rows, cells(h, mb(m.node), mb(m.file), mb(m.route), mb(m.health), mb(m.planner), mb(m.members), mb(m.total())))
+		r.note("memory", h, mb(m.total()))
 		xs, ys = append(xs, float64(h)), append(ys, mb(m.total()))
 	}
 	r.table("heap of the state of one daemon in MB, after a collection", []string{
 		"hosts", "rollout.Node", "fleet copy", "route.Router", "health.Monitor", "wave.Planner and rows", "member.Members", "all",
 	}, rows)
 	l := fit(xs, ys)
-	r.printf("slope: %.2f MB and %.2f KB for each host; 64 MB are reached at %.0f hosts\n", l.base, 1000*l.slope, (64-l.base)/l.slope)
+	r.printf("line through all points: %.2f MB and %.2f KB for each host; 64 MB are reached at %.0f hosts\n", l.base, 1000*l.slope, (64-l.base)/l.slope)
 	if l.slope <= 0 {
 		return fmt.Errorf("memory does not grow with the hosts: %v", ys)
 	}
--- a/cmd/measure/report.go
+++ b/cmd/measure/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"runtime"
 	"strings"
 	"text/tabwriter"
@@ -16,6 +17,21 @@
 // report prints figures.
 type report struct {
 	out io.Writer
+	// facts are figures that the sum of all parts uses, by name.
+	facts map[string]float64
+}
+
+// note keeps a figure under a name, with the size that it holds for.
+func (r *report) note(name string, size int, value float64) {
+	r.facts[fmt.Sprint(name, " ", size)] = value
+}
+
+// fact returns a figure, or NaN if it was not measured.
+func (r *report) fact(name string, size int) float64 {
+	if v, ok := r.facts[fmt.Sprint(name, " ", size)]; ok {
+		return v
+	}
+	return math.NaN()
 }
 
 func (r *report) printf(format string, args ...any) { fmt.Fprintf(r.out, format, args...) }
@@ -90,6 +106,15 @@
 	return after.Mallocs - before.Mallocs
 }
 
+// allocated returns the bytes that fn allocates, those that it gives up included.
+func allocated(fn func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	fn()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
 // wallTime returns the shortest of several runs of fn, which disturbances by other processes change least.
 func wallTime(runs int, fn func()) time.Duration {
 	shortest := time.Duration(0)
--- /dev/null
+++ b/cmd/measure/sum.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+)
+
+// Limits of the design page, section 1.8, for the control plane of one node.
+const (
+	limitBytes  = 3000 // a second
+	limitCore   = 3    // percent
+	limitMemory = 64   // MB
+)
+
+// measureSum adds up what one entry daemon spends at 28,000 hosts, with 3 and with 40 entry daemons in each of 7 data
+// centres.
+func measureSum(_ context.Context, r *report) error {
+	const hosts = 28000
+	var rows [][]string
+	for _, perCentre := range []int{3, 40} {
+		n := 7 * perCentre
+		gossip := 2 * r.fact("gossip bytes", n) // what is sent is received by another one
+		config := r.fact("config bytes", n)
+		follow := r.fact("follow bytes", 0)
+		register := r.fact("register bytes", n)
+		all := gossip + config + follow + register
+		list := r.fact("list bytes", hosts)
+		extra := r.fact("hold bytes", 0) - follow + list
+		checks := r.fact("check bytes", perCentre)
+		rows = append(rows, cells(n, gossip, config, follow, register, all, all/limitBytes, checks, (all+checks)/limitBytes, extra,
+			(all+checks)*float64(n)/hosts))
+	}
+	r.table(fmt.Sprintf("bytes a second of one entry daemon, sent and received; the limit is %d", limitBytes), []string{
+		"daemons", "gossip", "config", "rows", "registrations", "all", "of limit", "checks", "with checks of limit",
+		"more for a holder", "with checks for each host of the fleet",
+	}, rows)
+	rows = nil
+	for _, perCentre := range []int{3, 40} {
+		n := 7 * perCentre
+		gossip := r.fact("gossip core", n)
+		install := r.fact("install core", hosts)
+		health := r.fact("health core", perCentre)
+		control := r.fact("control core", hosts)
+		checks := r.fact("check core", perCentre)
+		all := gossip + install + health + control + checks
+		loaded := 100 * r.fact("digests", n) * r.fact("digest time", 1000)
+		rows = append(rows, cells(n, gossip, install, health, control, checks, all, all/limitCore, loaded))
+	}
+	r.table(fmt.Sprintf("percent of a core of one entry daemon, all%s; the limit is %d", wall, limitCore), []string{
+		"daemons", "gossip", "install", "health", "control", "checks", "all", "of limit", "more if 1,000 upstreams have load",
+	}, rows)
+	state := r.fact("memory", hosts)
+	tickets := r.fact("ticket memory", 200)
+	r.printf("live heap of one entry daemon: %.1f MB of state, %.1f MB with the tickets of 200 requests/s: %.2f of the limit of %d MB\n",
+		state, state+tickets, (state+tickets)/limitMemory, limitMemory)
+	r.printf("the collector's default lets the heap grow to twice that before it frees: %.1f MB, %.2f of the limit (computed)\n",
+		2*(state+tickets), 2*(state+tickets)/limitMemory)
+	r.printf("job placement and urgent start: not measured, package job is not on this branch\n")
+	return nil
+}
--- a/cmd/measure/table.go
+++ b/cmd/measure/table.go
@@ -103,6 +103,7 @@
 		rows = append(rows, cells(h, c.holder, c.follower, c.idleWrites, c.done, float64(c.done)*day.Hours()/tableRun.Hours(),
 			c.commits, c.rows, c.bytes, c.acts, c.asks, c.most, c.took.Round(time.Millisecond)))
 		last = c
+		r.note("control core", h, 100*c.took.Seconds()/tableRun.Seconds()/8)
 	}
 	r.table(fmt.Sprintf("controls of all data centres, a wave with limit %d over all pools for %s", waveLimit, tableRun), []string{
 		"hosts", "holder reads/s", "follower reads/s", "holder writes/s idle", "done", "done/day", "commits/host", "rows/host",
@@ -222,6 +223,8 @@
 		return err
 	}
 	r.printf("bytes of one read, packet headers computed: %d without rows, %d of the head\n", empty, headBytes)
+	r.note("follow bytes", 0, 6*float64(empty)/control.FollowTick.Seconds())
+	r.note("hold bytes", 0, 6*float64(empty)/control.Tick.Seconds())
 	r.printf("following without changes: %.0f bytes/s of a follower, %.0f of a holder, the list left out\n",
 		6*float64(empty)/control.FollowTick.Seconds(), 6*float64(empty)/control.Tick.Seconds())
 	return w.lists(ctx, r)
@@ -241,9 +244,10 @@
 		if err != nil {
 			return err
 		}
+		r.note("register bytes", n, float64(bytes)*registersPerSecond)
 		rows = append(rows, cells(n, bytes, float64(bytes)*registersPerSecond))
 	}
-	r.table("reading the registrations", []string{"entry daemons (rows at least)", "bytes", "bytes/s of one daemon"}, rows)
+	r.table("reading the registrations", []string{"entry daemons", "bytes", "bytes/s of one daemon"}, rows)
 	rows = nil
 	have := 0
 	for _, h := range fleetSizes {
@@ -257,6 +261,7 @@
 		if err != nil {
 			return err
 		}
+		r.note("list bytes", h, float64(bytes)/control.ListEvery.Seconds())
 		rows = append(rows, cells(h, bytes, float64(bytes)/control.ListEvery.Seconds()))
 	}
 	r.table("reading the list of hosts, by each holder of a lease", []string{"hosts", "bytes", "bytes/s of one holder"}, rows)
--- a/cmd/measure/ticket.go
+++ b/cmd/measure/ticket.go
@@ -61,6 +61,7 @@
 	var rows [][]string
 	for _, rate := range ticketRates {
 		c := runTickets(rate)
+		r.note("ticket memory", rate, float64(c.heap)/1e6)
 		rows = append(rows, cells(rate, c.kept, float64(c.charged)/1e6, float64(c.heap)/1e6, c.refused, c.each.Round(100*time.Nanosecond),
 			100*c.each.Seconds()*float64(rate)))
 	}
--- a/cmd/measure/wave.go
+++ b/cmd/measure/wave.go
@@ -75,5 +75,8 @@
 	r.table("planner of one of 7 data centres", []string{
 		"hosts", "pools", "build" + wall, "Decide in a wave" + wall, "Decide held" + wall, "scopes/row", "% of a core at 1/s" + wall,
 	}, rows)
-	return nil
+	if err := measureDays(r); err != nil {
+		return err
+	}
+	return measureLoss(r)
 }
