--- a/cmd/measure/controlsim.go
+++ b/cmd/measure/controlsim.go
@@ -31,8 +31,17 @@
 type counted struct {
 	*table.Service
 	control.Control
-	reads, commits, rows, acts, asks int
-	value                            int // bytes of the values that were written
+	counts
+}
+
+// counts is what a control asked of the platform and of its peers.
+type counts struct {
+	reads   int
+	commits int
+	rows    int // written or deleted
+	bytes   int // of the values that were written
+	acts    int // on hosts
+	asks    int // whether a daemon has a host idle
 }
 
 // Rows implements cuminstair.Table.
@@ -46,7 +55,7 @@
 	c.commits++
 	c.rows += len(commit.Puts) + len(commit.Deletes)
 	for _, p := range commit.Puts {
-		c.value += len(p.Value)
+		c.bytes += len(p.Value)
 	}
 	return c.Service.Commit(ctx, commit)
 }
@@ -140,7 +149,7 @@
 // reset sets all counts to zero.
 func (s *controlSim) reset() {
 	for _, c := range s.controls {
-		c.reads, c.commits, c.rows, c.acts, c.asks, c.value = 0, 0, 0, 0, 0, 0
+		c.counts = counts{}
 	}
 }
 
