--- /dev/null
+++ b/cmd/measure/loss.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"cuminstair.org/cuminstair/platform"
+)
+
+const (
+	lossHosts = 28000
+	// lossDown is the availability budget of the services.
+	lossDown = 0.05
+	// lossRack and centreRacks make a data centre of 4,000 hosts.
+	lossRack    = 20
+	centreRacks = 200
+	lossRun     = time.Minute
+)
+
+// measureLoss runs all controls through the loss of a rack and that of a data centre.
+func measureLoss(r *report) error {
+	f := maintained(lossHosts, waveLimit)
+	for i := range f.Services {
+		f.Services[i].Budget.Down = lossDown
+	}
+	for i := range f.Hosts {
+		f.Hosts[i].Rack = fmt.Sprintf("r%04d", i/len(f.Centres)/lossRack+1)
+	}
+	s := newControlSim(f, 0)
+	s.v.Advance(tableWarm)
+	s.reset()
+	var rows [][]string
+	s.v.Advance(lossRun)
+	rows = append(rows, s.phase("a minute of the wave"))
+	s.platform.FailRack("centre2", "r0001")
+	s.v.Advance(lossRun)
+	rows = append(rows, s.phase("rack of 20 lost, a minute"))
+	for i := range centreRacks {
+		s.platform.FailRack("centre3", fmt.Sprintf("r%04d", i+1))
+	}
+	s.v.Advance(lossRun)
+	rows = append(rows, s.phase("data centre lost, a minute"))
+	r.table(fmt.Sprintf("controls of 7 data centres, %d hosts, budget %.0f%%, wave limit %d", lossHosts, 100*lossDown, waveLimit), []string{
+		"phase", "maintained so far", "commits", "rows", "actions", "commits of centre3", "actions of centre3", "unavailable in centre3",
+	}, rows)
+	// The requests for the replacement of a data centre go out one by one, at the write rate of the client.
+	lost := float64(centreRacks * lossRack)
+	r.printf("a data centre's %.0f requests for replacement take %.0f s at %d writes/s (computed)\n",
+		lost, (lost-platform.DefaultBurst)/platform.DefaultWrites, platform.DefaultWrites)
+	return s.err
+}
+
+// phase returns what happened since the last phase and sets the counts to zero.
+func (s *controlSim) phase(name string) []string {
+	sum := s.sum()
+	third := s.controls[2]
+	unavailable := 0
+	for _, a := range third.Budgets() {
+		if a.Centre == third.Centre {
+			unavailable += a.Unavailable
+		}
+	}
+	out := cells(name, s.done(len(s.controls)), sum.commits, sum.rows, sum.acts, third.commits, third.acts, unavailable)
+	s.reset()
+	return out
+}
