Try no more loads in a digest than can fit

Cause: Members.load encoded all loads again for each one that it dropped, so that a digest took work that grows with the square of the hosts with load; found by TestDigestWork. Ruled out: a larger room for loads, which costs bytes.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -24,6 +24,7 @@
 	beatTurns = 4   // heartbeats in full in a push
 	blockRoom = 80  // bytes of blocks of other data centres in a push; the last one may exceed it
 	loadRoom  = 120 // bytes of loads in a digest
+	minLoad   = 6   // bytes of a load with the shortest name; no more loads are tried than can fit
 	newsRoom  = 200 // bytes of news in a push
 	wholeRoom = 600 // bytes of records and notes in a reply
 
@@ -243,7 +244,8 @@
 	}
 	limit := w.limit
 	w.limit = min(limit, w.size+loadRoom)
-	for l := m.self.loads; len(l.Loads) > 0; l.Loads = l.Loads[:len(l.Loads)-1] {
+	l := m.self.loads
+	for l.Loads = l.Loads[:min(len(l.Loads), loadRoom/minLoad)]; len(l.Loads) > 0; l.Loads = l.Loads[:len(l.Loads)-1] {
 		if w.load(&l) {
 			break
 		}
