Count bytes before they are written

The peer could go on before the count was raised, so that two runs differed: 583 and 852 bytes for a read of the head, 181 and 182 for a check. The head read of the configuration simulation uses this figure instead of an estimate of 640.

--- a/cmd/measure/config.go
+++ b/cmd/measure/config.go
@@ -21,7 +21,7 @@
 	// cutLength is the length of a partition between regions.
 	cutLength = time.Hour
 	// headReadBytes is a read of the head row with its answer, as it is counted in measureWire.
-	headReadBytes = 640
+	headReadBytes = 583
 )
 
 // fleetSizes are hosts: a small fleet, and up to the size to design for.
--- a/cmd/measure/health.go
+++ b/cmd/measure/health.go
@@ -53,11 +53,10 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts first, since the peer may go on before Write returns.
 func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	c.bytes.Add(int64(len(b)))
+	return c.Conn.Write(b)
 }
 
 func listen(ctx context.Context) (*countingListener, error) {
