Wait the longest pause at once after a clear phase of lowered load

A phase in which the latency is at least 0.9 of that before shows that the load was not the cause; at 0.6 of the load it would be 0.6. Ruled out: to drop the phases, since the latency at low load can't be told otherwise.

--- a/route/limit.go
+++ b/route/limit.go
@@ -69,6 +69,7 @@
 	// fellShare is the latency relative to that before, below which it fell with the load. It falls to lowScale if the
 	// load was too high; the comparison of 256 with 160 latencies is off by 10%.
 	fellShare  = 0.75
+	sameShare  = 0.9 // latency relative to that before, from which it clearly did not fall
 	lowSamples = 160 // that such a phase must bring to count
 	lowScale   = 0.6
 )
@@ -274,17 +275,20 @@
 		}
 		return
 	}
-	s.low.period = s.nextPeriod()
+	s.low.period = s.nextPeriod(ratio)
 	s.learn(now, ratio)
 }
 
 // nextPeriod returns the period after a phase of lowered load that showed nothing new. While the declared slots are
 // trusted each is twice as long as the one before. They divide each other, so that daemons with different periods still
 // lower their load together.
-func (s *scale) nextPeriod() time.Duration {
+func (s *scale) nextPeriod(ratio float64) time.Duration {
 	if s.factor != 1 {
 		return lowPeriod
 	}
+	if ratio >= sameShare*s.ratio {
+		return lowPeriodRare
+	}
 	return min(2*s.low.period, lowPeriodRare)
 }
 
