--- a/fleettest/measures_test.go
+++ b/fleettest/measures_test.go
@@ -63,7 +63,7 @@
 // table holds the rows of all tests of a run; TestMain prints it.
 var table []string
 
-const rowFormat = "| %-7s | %-44s | %-7s | %-24s | %s |"
+const rowFormat = "| %-7s | %-46s | %-8s | %-30s | %s |"
 
 // TestMain prints the table below the output of the tests.
 func TestMain(m *testing.M) {
