--- a/wave/lend.go
+++ b/wave/lend.go
@@ -156,9 +156,12 @@
 			continue
 		}
 		out := q.out + q.fresh
+		if a.Room()+out-have.lent >= 1 {
+			continue
+		}
 		d.room = a.Room() + out + have.coming
 		d.left = min(len(q.hosts)+out, r.wave.Limit)
-		d.first = max(0, 1-d.room)
+		d.first = 1 - d.room
 	}
 	if p.blocked[pool] > 0 {
 		d.first = max(d.first, 1-a.Room()-have.coming)
