Finish a reboot wave under load, and tell the planner the health of hosts

Causes: - A daemon told its peers that a host in its own probation is suspect, and they held it to be failed. A host of the spare pool, which no request proves good, stayed failed at the holder of the lease and the wave never went on: 1 of 8 hosts in 100 s. Only failed hosts are suspect now. - Nothing told the planner the health that the checks see; node does now, so that unhealthy instances count against the budget.

--- a/node/share.go
+++ b/node/share.go
@@ -59,12 +59,31 @@
 			case !ok:
 			case state == cuminstair.HostLeaving:
 				leaving = append(leaving, host)
-			case state != cuminstair.HostActive:
+			case state == cuminstair.HostFailed:
+				// Not a host in probation, which the peers would hold to be failed.
 				suspect = append(suspect, host)
 			}
 		}
 	})
 	n.network.setUpstreams(leaving, suspect)
+	n.tellControl()
+}
+
+// tellControl gives the health of the hosts to the planner, which counts unhealthy ones as unavailable.
+func (n *Node) tellControl() {
+	if n.control == nil {
+		return
+	}
+	hosts := n.view.hosts()
+	failed := make([]bool, len(hosts))
+	n.daemon.Decisions().Update(func() {
+		for i, host := range hosts {
+			failed[i] = n.health.State(host) == cuminstair.HostFailed
+		}
+	})
+	for i, host := range hosts {
+		n.control.SetHealthy(host, !failed[i])
+	}
 }
 
 // hear gives what the peers said to routing and to the configuration.
--- a/node/system_test.go
+++ b/node/system_test.go
@@ -20,7 +20,27 @@
 // leaves room for one beside the reserve for a rack of two.
 func startSystem(t *testing.T) *local.System {
 	t.Helper()
+	s := newSystem(t)
 	is := is.New(t)
+	is.NoErr(s.Start(context.Background()))
+	apply(t, s, s.Fleet())
+	return s
+}
+
+// apply applies a first fleet and waits until it is in force.
+func apply(t *testing.T, s *local.System, f *cuminstair.Fleet) {
+	t.Helper()
+	is := is.New(t)
+	a, err := local.Application(f, 0)
+	is.NoErr(err)
+	accepted, err := s.Daemons["c1-e1"].Operators().Apply(context.Background(), a)
+	is.NoErr(err)
+	is.Equal(accepted.Generation, uint64(1))
+	is.NoErr(s.Ready())
+}
+
+func newSystem(t *testing.T) *local.System {
+	t.Helper()
 	s := &local.System{
 		Dir:     t.TempDir(),
 		Centres: []local.Centre{{Name: "c1", Daemons: 2, Hosts: 8}, {Name: "c2", Daemons: 1, Hosts: 8}},
@@ -28,13 +48,6 @@
 		Seed:    1,
 	}
 	t.Cleanup(s.Stop)
-	is.NoErr(s.Start(context.Background()))
-	a, err := local.Application(s.Fleet(), 0)
-	is.NoErr(err)
-	accepted, err := s.Daemons["c1-e1"].Operators().Apply(context.Background(), a)
-	is.NoErr(err)
-	is.Equal(accepted.Generation, uint64(1))
-	is.NoErr(s.Ready())
 	return s
 }
 
--- a/standin/local/local.go
+++ b/standin/local/local.go
@@ -33,7 +33,7 @@
 // Times of the system.
 const (
 	poll     = 5 * time.Millisecond
-	stopTime = 5 * time.Second
+	StopTime = 5 * time.Second
 	// wait is how long a daemon that stops goes on accepting requests, so that callers see that it is unready.
 	wait = 200 * time.Millisecond
 )
@@ -50,6 +50,9 @@
 	Centres []Centre
 	Log     hclog.Logger
 	Seed    uint64
+	Seeds   []string // Settings.Peers of the daemons that are started next
+	// OnHost is table.Service.OnHost. It may be nil.
+	OnHost func(name, state string)
 
 	Timer     *timer.Service
 	Platform  *table.Service
@@ -89,7 +92,7 @@
 	clock, stop := context.WithCancel(context.Background())
 	s.stopClock = stop
 	s.wg.Go(func() { _ = s.Timer.Run(clock) })
-	s.Platform = &table.Service{Timer: s.Timer, Reboot: time.Second, Replace: time.Second}
+	s.Platform = &table.Service{Timer: s.Timer, Reboot: time.Second, Replace: time.Second, OnHost: s.OnHost}
 	s.Instances = map[string]*instance.Server{}
 	s.Daemons = map[string]*Daemon{}
 	s.addrs = map[string]string{}
@@ -159,9 +162,9 @@
 	killed := make(chan struct{})
 	n := &node.Node{
 		Settings: &settings.Settings{
-			Name: name, Centre: centre, Key: s.keyFile(), Share: 1,
+			Name: name, Centre: centre, Key: s.keyFile(), Share: 1, Peers: s.Seeds,
 			Listen: settings.Listen{Callers: loopback, Operators: loopback, Peers: loopback},
-			Stop:   cuminstair.Duration(stopTime),
+			Stop:   cuminstair.Duration(StopTime),
 			Wait:   cuminstair.Duration(wait),
 		},
 		Log:      s.Log.Named(name),
@@ -222,6 +225,9 @@
 	}
 }
 
+// Seed returns the entry of Settings.Peers for the daemon.
+func (d *Daemon) Seed() string { return d.Name + "=" + d.wire.LocalAddr().String() }
+
 // Callers returns the base URL for callers.
 func (d *Daemon) Callers() string { return "http://" + d.Node.Addr("callers").String() }
 
@@ -229,7 +235,7 @@
 func (d *Daemon) Operators() *operator.Client {
 	return &operator.Client{
 		Servers: []string{"http://" + d.Node.Addr("operators").String()},
-		HTTP:    &http.Client{Timeout: stopTime},
+		HTTP:    &http.Client{Timeout: StopTime},
 	}
 }
 
@@ -273,7 +279,7 @@
 func (s *System) Await(cond func() bool) error { return s.await(cond) }
 
 func (s *System) await(cond func() bool) error {
-	end := s.Timer.Now().Add(2 * stopTime)
+	end := s.Timer.Now().Add(2 * StopTime)
 	for !cond() {
 		if s.Timer.Now().After(end) {
 			return ErrNotReady
