--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,8 @@
 
 	// Fresh reports whether the view of the hosts is fresh enough for new work; optional.
 	Fresh func() bool
+	// NoFleet says why no fleet is installed yet; optional. It is called only while there is none.
+	NoFleet func() string
 	// Owns reports whether this daemon makes the active checks of a host; optional: all hosts.
 	Owns func(host string) bool
 	// Leave is called at the beginning of a planned stop; optional.
@@ -181,6 +183,8 @@
 	switch {
 	case d.unready.Load():
 		return ErrStopping
+	case !d.decisions.Ready() && d.NoFleet != nil:
+		return fmt.Errorf("%w: %s", ErrNoFleet, d.NoFleet())
 	case !d.decisions.Ready():
 		return ErrNoFleet
 	default:
--- a/node/network.go
+++ b/node/network.go
@@ -16,6 +16,9 @@
 	"cuminstair.org/cuminstair/ticket"
 )
 
+// confirmLimit bounds a question to the daemons of the data centre, which answer within a round trip.
+const confirmLimit = 2 * time.Second
+
 // errNoPeers means that the settings name no listener for peers.
 const errNoPeers = errors.ConstError("this daemon has no peers")
 
@@ -64,7 +67,17 @@
 	if w.carrier == nil {
 		return daemons
 	}
-	return w.carrier.Confirm(ctx, daemons, host)
+	// A daemon that is gone must hold up neither the step of the controller nor the stop that waits for the step.
+	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
+	defer cancel()
+	missing := make(chan []string, 1)
+	go func() { missing <- w.carrier.Confirm(ctx, daemons, host) }()
+	select {
+	case list := <-missing:
+		return list
+	case <-ctx.Done():
+		return daemons
+	}
 }
 
 // Tell implements cuminstair.Exchange.
--- a/node/node.go
+++ b/node/node.go
@@ -100,6 +100,7 @@
 // set before its methods are called, because the first call makes the request path.
 func (n *Node) buildPlatformParts() {
 	n.daemon.Fresh = n.fresh
+	n.daemon.NoFleet = n.noFleet
 	n.buildConfig()
 	n.buildControl()
 	n.daemon.Parts = append(n.daemon.Parts,
@@ -156,6 +157,13 @@
 	return n.Settings.Name + "-" + strconv.FormatUint(n.start, 36) + "-" + strconv.FormatUint(n.commits.Add(1), 36)
 }
 
+// noFleet says why there is no configuration yet.
+func (n *Node) noFleet() string {
+	why := ""
+	n.config.View(func(r *rollout.Node) { _, why = r.Ready() })
+	return why
+}
+
 // fresh reports whether the view of the hosts may be used for new work.
 func (n *Node) fresh() bool {
 	ok := false
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,6 +12,7 @@
 	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/member"
 	"cuminstair.org/cuminstair/peer"
+	"cuminstair.org/cuminstair/rollout"
 	"cuminstair.org/cuminstair/settings"
 	"cuminstair.org/cuminstair/ticket"
 )
@@ -81,12 +82,12 @@
 }
 
 // asked answers the configuration part of a peer.
-func (n *Node) asked(_ context.Context, _, topic string, body []byte) ([]byte, error) {
+func (n *Node) asked(_ context.Context, from, topic string, body []byte) ([]byte, error) {
 	switch {
 	case n.config == nil:
 		return nil, errNoConfig
 	case topic == topicTell:
-		return nil, n.config.Told(body)
+		return nil, n.told(from, body)
 	case topic == topicAsk:
 		return n.config.Asked(body)
 	default:
@@ -94,6 +95,22 @@
 	}
 }
 
+// told takes an announcement. Its sender is the one that the certificate of the connection names, so that no daemon
+// confirms a configuration for another.
+func (n *Node) told(from string, body []byte) error {
+	a, err := rollout.Decode[rollout.Announcement](body)
+	if err != nil {
+		return fmt.Errorf("read announcement: %w", err)
+	}
+	if a.From != from {
+		return fmt.Errorf("announcement of %q from %q: %w", a.From, from, errSender)
+	}
+	return n.config.Told(body)
+}
+
+// errSender means that a message names another sender than the connection does.
+const errSender = errors.ConstError("the message names another sender")
+
 // settingsSeeds returns the peers that the settings name.
 func (n *Node) settingsSeeds() []member.Seed {
 	seeds := make([]member.Seed, 0, len(n.Settings.Peers))
