Delete the registrations of daemons that are gone

Cause: the row entry/<name> of a daemon that was killed stayed for ever, since only the daemon itself deleted it. The holder of the lease deletes it, fenced by the lease and by the row's version, once the platform's list has shown the daemon as gone for GoneAfter.

Ruled out: deletion on a peer's opinion; a daemon that others can't reach may still send requests.

--- a/control/control.go
+++ b/control/control.go
@@ -205,6 +205,9 @@
 		return err
 	}
 	c.ping(ctx)
+	if err := c.purge(ctx); err != nil {
+		return err
+	}
 	for range wave.Rounds {
 		wrote, err := c.round(ctx)
 		if err != nil || !wrote {
--- a/control/members.go
+++ b/control/members.go
@@ -24,7 +24,7 @@
 // opinion does not count: a daemon that others can't reach may still send requests.
 type members struct {
 	self, centre string
-	registered   map[string]bool
+	registered   map[string]uint64    // version of the registration
 	listed       map[string]string    // state in the platform's list
 	gone         map[string]time.Time // since when neither shows it as live
 	pinged       time.Time            // when all were last asked
@@ -32,7 +32,7 @@
 }
 
 func newMembers(self, centre string) members {
-	return members{self: self, centre: centre, registered: map[string]bool{}, listed: map[string]string{}, gone: map[string]time.Time{}}
+	return members{self: self, centre: centre, registered: map[string]uint64{}, listed: map[string]string{}, gone: map[string]time.Time{}}
 }
 
 func (m *members) register(name string, row *cuminstair.Row) error {
@@ -45,7 +45,7 @@
 		return fmt.Errorf("decode registration: %w", err)
 	}
 	if r.Centre == m.centre {
-		m.registered[name] = true
+		m.registered[name] = row.Version
 	}
 	return nil
 }
@@ -64,7 +64,7 @@
 func (m *members) seen(name string) bool {
 	state, ok := m.listed[name]
 	if !ok {
-		return m.registered[name]
+		return m.registered[name] > 0
 	}
 	return state != listGone
 }
@@ -91,6 +91,19 @@
 	return names
 }
 
+// expired returns the other daemons that are registered although the platform's list has shown them as gone for GoneAfter,
+// in order.
+func (m *members) expired(now time.Time) []string {
+	var names []string
+	for _, name := range m.known() {
+		since, gone := m.gone[name]
+		if gone && m.registered[name] > 0 && !m.seen(name) && now.Sub(since) >= GoneAfter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // known returns all other daemons of the data centre that were ever shown, in order.
 func (m *members) known() []string {
 	all := map[string]bool{}
--- a/control/operate.go
+++ b/control/operate.go
@@ -16,6 +16,8 @@
 const (
 	kindHost = "host"
 	kindWave = "wave"
+	// kindDaemon is an entry daemon.
+	kindDaemon = "daemon"
 )
 
 // OrderHost writes an operator's order for a host: drain, hold or resume. Any daemon takes it; the holder of the lease
--- a/control/write.go
+++ b/control/write.go
@@ -129,6 +129,26 @@
 	return nil
 }
 
+// purge deletes the registrations of daemons that are gone, which cannot do it themselves. A daemon that registers again
+// in the meantime changes the version.
+func (c *Control) purge(ctx context.Context) error {
+	for _, name := range c.members.expired(c.Timer.Now()) {
+		commit, _, err := c.begin()
+		if err != nil {
+			return err
+		}
+		key := entryPrefix + name
+		commit.Checks = append(commit.Checks, cuminstair.Check{Key: key, Version: c.members.registered[name]})
+		commit.Deletes = append(commit.Deletes, key)
+		if _, err := c.send(ctx, commit); err != nil {
+			return err
+		}
+		delete(c.members.registered, name)
+		c.record(kindDaemon, name, "deregister", wave.ReasonLoss, "listed as gone for "+GoneAfter.String())
+	}
+	return nil
+}
+
 func (c *Control) putHost(commit *cuminstair.Commit, fence lease.Fence, h *wave.HostChange) error {
 	key := wave.HostKey(c.Centre, h.Name)
 	if h.Delete {
