--- a/control/control_test.go
+++ b/control/control_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"cuminstair.org/cuminstair/control"
 	"cuminstair.org/cuminstair/lease"
 )
 
@@ -44,3 +45,23 @@
 		w.is.True(strings.Contains(string(w.table.rows[lease.Key("a")].Value), `"holder":""`))
 	})
 }
+
+// Guards against registrations of daemons that were killed and pile up, and against the deletion of one that is only
+// listed as gone for a moment.
+func TestRegistrationOfGoneDaemon(t *testing.T) {
+	w := newWorld(t, 1, smallFleet(), 3)
+	w.run(30 * time.Second)
+	dead := w.daemons["a-d1"]
+	if w.holder("a") == dead {
+		dead = w.daemons["a-d2"]
+	}
+	dead.paused = true
+	clear(dead.inflight)
+	w.gone[dead.name] = true
+	w.run(control.GoneAfter)
+	w.is.True(!w.table.rows["entry/"+dead.name].Deleted)
+	w.run(lag + control.ListEvery + control.PingEvery + control.Tick)
+	w.is.True(w.table.rows["entry/"+dead.name].Deleted)
+	w.is.True(!w.table.rows["entry/"+w.holder("a").name].Deleted)
+	w.ok()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,7 @@
 // set before its methods are called, because the first call makes the request path.
 func (n *Node) buildPlatformParts() {
 	n.daemon.Fresh = n.fresh
+	n.daemon.NoFleet = n.noFleet
 	n.buildConfig()
 	n.buildControl()
 	n.daemon.Parts = append(n.daemon.Parts,
@@ -158,6 +159,13 @@
 	return n.Settings.Name + "-" + strconv.FormatUint(n.start, 36) + "-" + strconv.FormatUint(n.commits.Add(1), 36)
 }
 
+// noFleet says why there is no configuration yet.
+func (n *Node) noFleet() string {
+	why := ""
+	n.config.View(func(r *rollout.Node) { _, why = r.Ready() })
+	return why
+}
+
 // buildControl makes the part that plans maintenance.
 func (n *Node) buildControl() {
 	n.control = &control.Control{
