--- a/node/load_test.go
+++ b/node/load_test.go
@@ -60,7 +60,7 @@
 		case <-passed:
 		}
 		want := fmt.Sprintf("%s caller %d request %d", name, caller, i)
-		got, h, err := ask(base, []string{"measure", "order"}[i%2], "", want)
+		got, h, err := ask(base, []string{"measure", "order"}[i%2], want)
 		l.note(name, want, got, h, err)
 	}
 }
--- a/node/spill_test.go
+++ b/node/spill_test.go
@@ -32,13 +32,13 @@
 	// The instances announce it with their answers and with their checks.
 	is.NoErr(s.Await(func() bool {
 		before := ranIn("c2-")
-		body, h, err := ask(near.Callers(), "order", "", "one skin")
+		body, h, err := ask(near.Callers(), "order", "one skin")
 		return err == nil && h.Get("Outcome") == "done" && body == "one skin" && ranIn("c2-") == before+1
 	}))
 	is.NoErr(s.Daemons["c2-e1"].Stop())
 	is.NoErr(s.Await(func() bool {
 		before := ranIn("c")
-		_, h, err := ask(near.Callers(), "order", "", "one skin")
+		_, h, err := ask(near.Callers(), "order", "one skin")
 		return err == nil && h.Get("Outcome") == "notrun" && ranIn("c") == before
 	}))
 }
--- a/node/system_test.go
+++ b/node/system_test.go
@@ -60,8 +60,8 @@
 }
 
 // ask sends one request and returns the body and the headers of its answer.
-func ask(base, kind, ticket, body string) (string, http.Header, error) {
-	return askWith(http.DefaultClient, base, "/s/convert/cups", kind, ticket, body)
+func ask(base, kind, body string) (string, http.Header, error) {
+	return askWith(http.DefaultClient, base, "/s/convert/cups", kind, "", body)
 }
 
 // askWith sends one request to a path.
@@ -95,7 +95,7 @@
 		for i := range 100 {
 			wg.Go(func() {
 				want := fmt.Sprintf("%s request %d", name, i)
-				got, h, err := ask(d.Callers(), []string{"measure", "order"}[i%2], "", want)
+				got, h, err := ask(d.Callers(), []string{"measure", "order"}[i%2], want)
 				if err != nil || got != want || h.Get("Outcome") != "done" {
 					errs <- fmt.Errorf("%s: got %q, outcome %s, %s: %w", want, got, h.Get("Outcome"), h.Get("Reason"), err)
 				}
