Run the long tests of the joined daemon side by side

They mostly wait for leases, probation and outages. The package takes 111 s (go test ./node) instead of about 215 s by adding up single runs.

--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -38,6 +38,7 @@
 
 // Guards against work for an upstream that announced that it leaves on its answers.
 func TestLeavingByHeader(t *testing.T) {
+	t.Parallel()
 	checkLeaving(t, func(s *local.System) time.Time {
 		s.Instances[leavingHost].SetFaults(instance.Faults{Leaving: true})
 		return s.Timer.Now()
@@ -46,6 +47,7 @@
 
 // Guards against a platform's list that only the holder of the lease follows, or nobody.
 func TestLeavingByList(t *testing.T) {
+	t.Parallel()
 	checkLeaving(t, func(s *local.System) time.Time {
 		is := is.New(t)
 		is.NoErr(s.Platform.Act(context.Background(), "drain-1", leavingHost, table.ActionDrain))
@@ -64,6 +66,7 @@
 
 // Guards against an operator's drain that daemons learn of too late.
 func TestLeavingByOperator(t *testing.T) {
+	t.Parallel()
 	checkLeaving(t, func(s *local.System) time.Time {
 		settle(t, s)
 		is.New(t).NoErr(s.Daemons["c1-e2"].Operators().ChangeHost(context.Background(), leavingHost, "drain"))
@@ -74,6 +77,7 @@
 // Guards against daemons that learn only from the platform: one checks the upstream, the others hear of it from that
 // one.
 func TestLeavingByPeer(t *testing.T) {
+	t.Parallel()
 	checkLeaving(t, func(s *local.System) time.Time {
 		s.Platform.SetFaults(table.Faults{Down: true})
 		s.Instances[leavingHost].SetFaults(instance.Faults{Checked: true})
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -49,6 +49,7 @@
 // Guards against requests that wait for the platform, an apply that pretends to have worked, and a daemon that starts
 // during the outage and does not learn the configuration from its peers or does not say why it is unready.
 func TestPlatformOutageUnderLoad(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t)
 	l := startLoad(t, s, 2, "c1-e1", "c1-e2", "c2-e1")
@@ -124,6 +125,7 @@
 
 // Guards against a data centre that stops serving or goes back to an older generation because of a partition.
 func TestCentreCutOff(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t)
 	far := s.Daemons["c2-e1"]
@@ -151,6 +153,7 @@
 
 // Guards against a planned stop that waits for the answer of a daemon that is gone.
 func TestStopBesideKilledDaemon(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t)
 	settle(t, s)
--- a/node/wave_test.go
+++ b/node/wave_test.go
@@ -110,6 +110,7 @@
 
 // Guards against a drain or a reboot wave that cuts requests off, exceeds the budget or does not finish.
 func TestDrainAndWaveUnderLoad(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newSystem(t)
 	r := &reboots{s: s, hosts: map[string]int{}}
