Serve the declared pool again when a lent host goes back

Cause: found while the search for a host in the fleet was replaced by a map: the request path was told of a pool only when it differed from the fleet file, so that a lent spare host went on serving the pool it was lent to after it went back. The view now compares with the pool that it published last. Ruled out: publishing for every row, which rebuilds the routing table each time. Before: TestLentHostGoesBack panics, because nothing is published. After: it passes.

--- a/node/install.go
+++ b/node/install.go
@@ -22,12 +22,13 @@
 type hostView struct {
 	node *Node
 
-	mu     sync.Mutex
-	fleet  *cuminstair.Fleet
-	region string                          // of the own data centre
-	own    []string                        // hosts of the own data centre
-	pools  map[string]string               // host, pool in its row
-	states map[string]cuminstair.HostState // host, state in its row
+	mu       sync.Mutex
+	fleet    *cuminstair.Fleet
+	region   string                          // of the own data centre
+	own      []string                        // hosts of the own data centre
+	declared map[string]string               // host of the own data centre, pool in the fleet file
+	pools    map[string]string               // host, pool in its row
+	states   map[string]cuminstair.HostState // host, state in its row
 }
 
 func (v *hostView) setFleet(f *cuminstair.Fleet) {
@@ -42,27 +43,19 @@
 func (v *hostView) setPool(host, pool string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	old, ok := v.pools[host]
+	if !ok {
+		old = v.declared[host]
+	}
 	if v.pools == nil {
 		v.pools = map[string]string{}
 	}
 	v.pools[host] = pool
-	if v.differs(host, pool) {
+	if v.fleet != nil && old != pool {
 		v.publish()
 	}
 }
 
-func (v *hostView) differs(host, pool string) bool {
-	if v.fleet == nil {
-		return false
-	}
-	for i := range v.fleet.Hosts {
-		if v.fleet.Hosts[i].Name == host {
-			return v.fleet.Hosts[i].Pool != pool
-		}
-	}
-	return false
-}
-
 // setState takes the state in the row of a host.
 func (v *hostView) setState(host string, state cuminstair.HostState) {
 	v.mu.Lock()
@@ -133,10 +126,12 @@
 	own := *v.fleet
 	own.Hosts = nil
 	v.own = nil
+	v.declared = map[string]string{}
 	for _, h := range v.fleet.Hosts {
 		if h.Centre != v.node.Settings.Centre {
 			continue
 		}
+		v.declared[h.Name] = h.Pool
 		if pool, ok := v.pools[h.Name]; ok {
 			h.Pool = pool
 		}
--- /dev/null
+++ b/node/install_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/daemon"
+	"cuminstair.org/cuminstair/settings"
+	"cuminstair.org/cuminstair/timer"
+)
+
+// Guards against a lent host that goes on serving the pool it was lent to after it went back.
+func TestLentHostGoesBack(t *testing.T) {
+	is := is.New(t)
+	n := &Node{
+		Settings: &settings.Settings{Name: "e1", Centre: "c1"},
+		Log:      hclog.NewNullLogger(),
+		Timer:    timer.NewVirtual(time.Unix(1000, 0)),
+		Rand:     rand.New(rand.NewPCG(1, 1)),
+	}
+	is.NoErr(n.Build())
+	pool := func() string {
+		events, _ := n.daemon.Events.Wait()
+		return events[daemon.Key{Kind: daemon.EventFleet}].Fleet.Hosts[0].Pool
+	}
+	n.view.setFleet(&cuminstair.Fleet{Hosts: []cuminstair.Host{{Name: "h1", Centre: "c1", Pool: "spare"}}})
+	is.Equal(pool(), "spare")
+	n.view.setPool("h1", "kitchen")
+	is.Equal(pool(), "kitchen")
+	n.view.setPool("h1", "spare")
+	n.daemon.Events.Close()
+	is.Equal(pool(), "spare")
+}
