--- a/cmd/measure/table.go
+++ b/cmd/measure/table.go
@@ -106,6 +106,8 @@
 		if err != nil {
 			return err
 		}
+		r.note("follower reads", 0, c.follower)
+		r.note("holder reads", 0, c.holder)
 		rows = append(rows, cells(h, c.holder, c.follower, c.idleWrites, c.done, float64(c.done)*day.Hours()/tableRun.Hours(),
 			c.commits, c.rows, c.bytes, c.acts, c.asks, c.most, c.took.Round(time.Millisecond)))
 		last = c
@@ -229,10 +231,11 @@
 		return err
 	}
 	r.printf("bytes of one read, packet headers computed: %d without rows, %d of the head\n", empty, headBytes)
-	r.note("follow bytes", 0, 6*float64(empty)/control.FollowTick.Seconds())
-	r.note("hold bytes", 0, 6*float64(empty)/control.Tick.Seconds())
+	follow, hold := r.fact("follower reads", 0)*float64(empty), r.fact("holder reads", 0)*float64(empty)
+	r.note("follow bytes", 0, follow)
+	r.note("hold bytes", 0, hold)
 	r.printf("following without changes: %.0f bytes/s of a follower, %.0f of a holder, the list left out\n",
-		6*float64(empty)/control.FollowTick.Seconds(), 6*float64(empty)/control.Tick.Seconds())
+		follow, hold)
 	return w.lists(ctx, r, empty)
 }
 
