Bring failed upstreams back at daemons that don't check them

Cause: checks are shared out, and peers report only upstreams that fail. A daemon that took one out, by a peer's report or by its own requests, without checking it, never heard of it again and kept it out for ever; found by reading the joined daemon. After 10 s without a fresh report and without own checks, the upstream enters probation, whose trickle of requests decides. Ruled out: gossiping every upstream that passes, which grows with the fleet. Conclusion: the node also ticks the health, so that an idle daemon forgets old reports.

--- a/health/evidence.go
+++ b/health/evidence.go
@@ -156,7 +156,24 @@
 		if len(u.reports) > 0 {
 			m.settlePeers(now, u)
 		}
+		if u.state == "failed" && m.unwatched(now, u) {
+			m.event(now, u, eventPass)
+		}
+	}
+}
+
+// unwatched reports whether nothing speaks against a failed upstream any more: this daemon does not check it, and no peer
+// that does reports it. Peers don't report upstreams that pass, so that only requests of its probation can bring it back.
+func (m *Monitor) unwatched(now time.Time, u *upstream) bool {
+	if now.Sub(u.failedAt) < max(u.hold, ReportFor) || !u.ownProbe.IsZero() && now.Sub(u.ownProbe) <= ReportFor {
+		return false
+	}
+	for _, r := range u.reports {
+		if r.state == cuminstair.HostFailed {
+			return false
+		}
 	}
+	return true
 }
 
 // settlePeers drops old reports and updates what the others say about leaving.
--- a/node/share.go
+++ b/node/share.go
@@ -53,6 +53,7 @@
 	var leaving, suspect []string
 	now := n.Timer.Now()
 	d.Update(func() {
+		n.health.Tick(now)
 		for _, host := range n.view.hosts() {
 			state, ok := n.health.Opinion(now, host)
 			switch {
