Write log messages in one form, and each decision once

Cause: messages of peer and control began with a capital or ended with a full stop, others did not, and control logged each decision beside the line that explain writes for it. Before: two lines for each decision of control; four forms of messages.

--- a/cmd/cuminstair/cert.go
+++ b/cmd/cuminstair/cert.go
@@ -4,11 +4,11 @@
 	"crypto/rand"
 	"fmt"
 	"os"
-	"time"
 
 	"github.com/urfave/cli/v2"
 
 	"cuminstair.org/cuminstair/peer"
+	"cuminstair.org/cuminstair/timer"
 )
 
 // dirMode is for directories that hold keys.
@@ -28,7 +28,7 @@
 			if err := os.MkdirAll(dir, dirMode); err != nil {
 				return fmt.Errorf("make the directory: %w", err)
 			}
-			authority, err := peer.NewAuthority(rand.Reader, time.Now())
+			authority, err := peer.NewAuthority(rand.Reader, timer.New().Now())
 			if err != nil {
 				return err
 			}
--- a/control/act.go
+++ b/control/act.go
@@ -65,7 +65,11 @@
 	}
 	if why != c.members.frozen {
 		c.members.frozen = why
-		c.logger().Warn("Freeze changed", "reason", why)
+		if why == "" {
+			c.logger().Info("planned work goes on")
+		} else {
+			c.logger().Warn("planned work is frozen", "reason", why)
+		}
 	}
 	c.plan(func(p *wave.Planner) { p.Freeze(why) })
 }
@@ -96,7 +100,7 @@
 		}
 		err := c.Hosts.Act(ctx, a.ID, a.Host, a.Verb)
 		if err != nil && !errors.Is(err, cuminstair.ErrNotFound) {
-			c.logger().Warn("Action to be repeated", "host", a.Host, "action", a.Verb, "error", err)
+			c.logger().Warn("action will be repeated", "host", a.Host, "action", a.Verb, "error", err)
 			continue
 		}
 		c.plan(func(p *wave.Planner) { p.SetActed(a.Host, a.ID) })
--- a/control/control.go
+++ b/control/control.go
@@ -198,7 +198,7 @@
 	c.init()
 	err := c.step(ctx)
 	c.share()
-	c.stepOutage.see(c, "Step", err)
+	c.stepOutage.see(c, "step", err)
 	if err != nil {
 		c.follows = time.Time{}
 	}
@@ -297,6 +297,6 @@
 	c.lease.Result(c.Timer.Now(), version, settled(err))
 	c.share()
 	if err != nil {
-		c.logger().Warn("Lease not given up; it lapses", "error", err)
+		c.logger().Warn("lease not given up; it lapses", "error", err)
 	}
 }
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -73,7 +73,7 @@
 		c.jobsOutage.end(c, "Placement left to the next holder of the lease")
 		return
 	}
-	c.jobsOutage.see(c, "Placement", c.stepJobs(ctx, fence))
+	c.jobsOutage.see(c, "placement", c.stepJobs(ctx, fence))
 }
 
 func (c *Control) stepJobs(ctx context.Context, fence lease.Fence) error {
@@ -147,7 +147,7 @@
 				continue
 			}
 			if err := c.takeJobRow(prefix, r); err != nil {
-				c.logger().Error("Row ignored", "key", r.Key, "error", err)
+				c.logger().Error("row ignored", "key", r.Key, "error", err)
 			}
 		}
 		c.jobs.since[prefix] = version
--- a/control/outage_test.go
+++ b/control/outage_test.go
@@ -23,8 +23,8 @@
 	w.down = false
 	w.run(time.Minute)
 	log := out.String()
-	w.is.Equal(strings.Count(log, "Step waits for the platform"), 1)
-	w.is.Equal(strings.Count(log, "Placement waits for the platform"), 1)
+	w.is.Equal(strings.Count(log, "step waits for the platform"), 1)
+	w.is.Equal(strings.Count(log, "placement waits for the platform"), 1)
 	w.is.Equal(strings.Count(log, "ended early"), 0)
-	w.is.Equal(strings.Count(log, "Step goes on: after=10m0s"), 1)
+	w.is.Equal(strings.Count(log, "step goes on: after=10m0s"), 1)
 }
--- a/control/view.go
+++ b/control/view.go
@@ -51,13 +51,13 @@
 		}
 		for i := range rows {
 			if err := c.take(&rows[i]); err != nil {
-				c.logger().Error("Row ignored", "key", rows[i].Key, "error", err)
+				c.logger().Error("row ignored", "key", rows[i].Key, "error", err)
 			}
 		}
 		c.view.since[prefix] = version
 	}
 	if c.unsure != nil {
-		c.logger().Info("Commit settled by reading its rows", "commit", c.unsure.ID)
+		c.logger().Info("commit settled by reading its rows", "commit", c.unsure.ID)
 		c.unsure = nil
 	}
 	return nil
--- a/control/write.go
+++ b/control/write.go
@@ -188,7 +188,6 @@
 }
 
 func (c *Control) record(kind, id, choice string, reason cuminstair.Reason, detail string) {
-	c.logger().Info("Decided", "kind", kind, "id", id, "choice", choice, "reason", reason, "detail", detail)
 	c.Recorder.Record(cuminstair.Decision{
 		At: c.Timer.Now(), Part: "control", Kind: kind, ID: id, Choice: choice, Reason: reason, Detail: detail,
 	})
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -31,7 +31,7 @@
 		select {
 		case data := <-l.digests:
 			if err := l.sendDigest(data); err != nil {
-				l.p.Log.Debug("Dropped digest.", "daemon", l.name, "err", err)
+				l.p.Log.Debug("digest dropped", "daemon", l.name, "error", err)
 			}
 			continue
 		default:
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -134,7 +134,7 @@
 		}
 		name, err := nameOf(conn)
 		if err != nil {
-			p.Log.Warn("Refused connection.", "addr", conn.RemoteAddr().String(), "err", err)
+			p.Log.Warn("connection refused", "addr", conn.RemoteAddr().String(), "error", err)
 			_ = conn.CloseWithError(codeName, err.Error())
 			continue
 		}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -40,17 +40,17 @@
 	q := &request{}
 	if err := readValue(stream, q); err != nil {
 		stream.CancelWrite(codeGaveUp)
-		p.Log.Debug("Dropped call.", "daemon", s.name, "err", err)
+		p.Log.Debug("call dropped", "daemon", s.name, "error", err)
 		return
 	}
 	frame, err := encodeFrame(p.answer(stream, s.name, q))
 	if err != nil {
 		stream.CancelWrite(codeGaveUp)
-		p.Log.Warn("Dropped answer.", "daemon", s.name, "err", err)
+		p.Log.Warn("answer dropped", "daemon", s.name, "error", err)
 		return
 	}
 	if _, err := stream.Write(frame); err != nil {
-		p.Log.Debug("Lost answer.", "daemon", s.name, "err", err)
+		p.Log.Debug("answer lost", "daemon", s.name, "error", err)
 		return
 	}
 	_ = stream.Close()
