Take the view's hosts before the decisions are locked

Cause: a whole uncached test run did not finish ./node within 400 s. The news for the peers locked the decisions and then the view; a pool change or a new fleet locks the view and then the decisions. The two deadlock, and requests and the clock's subscribers wait for ever. Ruled out: a time-out of go test, since ./node alone takes 106 s. Before: TestPoolChangesWhileNewsAreTold times out after 5 s with the old order. After: it passes in 0.02 s. Conclusion: a fault of the daemon, not of the tests. That it was the cause of the unfinished run is likely, not shown by a trace.

--- a/node/install_test.go
+++ b/node/install_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,3 +37,27 @@
 	n.daemon.Events.Close()
 	is.Equal(pool(), "spare")
 }
+
+// Guards against a deadlock between a host that changes its pool and the news that goes to the peers.
+func TestPoolChangesWhileNewsAreTold(t *testing.T) {
+	n := &Node{
+		Settings: &settings.Settings{Name: "e1", Centre: "c1"},
+		Log:      hclog.NewNullLogger(),
+		Timer:    timer.NewVirtual(time.Unix(1000, 0)),
+		Rand:     rand.New(rand.NewPCG(1, 1)),
+	}
+	is.New(t).NoErr(n.Build())
+	n.view.setFleet(&cuminstair.Fleet{Hosts: []cuminstair.Host{{Name: "h1", Centre: "c1", Pool: "spare"}}})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for range 5000 {
+			n.tell()
+		}
+	})
+	wg.Go(func() {
+		for i := range 5000 {
+			n.view.setPool("h1", []string{"kitchen", "spare"}[i%2])
+		}
+	})
+	wg.Wait()
+}
--- a/node/share.go
+++ b/node/share.go
@@ -52,9 +52,11 @@
 	n.network.setLoads(d.Loads())
 	var leaving, suspect []string
 	now := n.Timer.Now()
+	// Read before the decisions are locked: publish locks the view first and the decisions after it.
+	hosts := n.view.hosts()
 	d.Update(func() {
 		n.health.Tick(now)
-		for _, host := range n.view.hosts() {
+		for _, host := range hosts {
 			state, ok := n.health.Opinion(now, host)
 			switch {
 			case !ok:
