--- /dev/null
+++ b/cmd/cuminstairjobs/main.go
@@ -0,0 +1,99 @@
+// Command cuminstairjobs is the entry daemon of the job path on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/urfave/cli/v2"
+
+	"cuminstair.org/cuminstair/entry"
+	"cuminstair.org/cuminstair/logsink"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/timer"
+)
+
+// Time-outs of calls and limits of memory.
+const (
+	storeTimeout  = 1500 * time.Millisecond
+	workerTimeout = 800 * time.Millisecond
+	hostsTimeout  = 1200 * time.Millisecond
+	memoryShare   = 0.5 // of the limit, at which the collector works harder
+)
+
+func main() {
+	app := &cli.App{
+		Name:  "cuminstairjobs",
+		Usage: "entry daemon for jobs on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", EnvVars: []string{platform.SettingsEnv}, Required: true},
+			&cli.StringFlag{Name: "log", Usage: "log `LEVEL`: debug, info, warn or error", Value: "info"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+		},
+		Action:          run,
+		HideHelpCommand: true,
+	}
+	if err := app.Run(os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "cuminstairjobs:", err)
+		os.Exit(1)
+	}
+}
+
+func run(c *cli.Context) error {
+	s, err := platform.LoadSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("check") {
+		return nil
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	log := newLog(c.String("log"), sink)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	go reload(c.String("settings"), log)
+	clock := timer.New()
+	clockCtx, stopClock := context.WithCancel(context.Background())
+	defer stopClock()
+	go func() { _ = clock.Run(clockCtx) }()
+	metrics := entry.NewMetrics(prometheus.DefaultRegisterer)
+	client := platform.NewClient(func(string) { metrics.Connections.Inc() })
+	d := &entry.Daemon{
+		Settings: s, Log: log, Timer: clock, Metrics: metrics,
+		Store:   &platform.Store{Client: client, Addr: s.Store, Timeout: storeTimeout},
+		Workers: &platform.Workers{Client: client, Timeout: workerTimeout},
+	}
+	if s.Hosts != "" {
+		d.Hosts = &platform.Hosts{Client: client, Addr: s.Hosts, Timeout: hostsTimeout}
+	}
+	return d.Run(ctx)
+}
+
+func newLog(level string, out io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name: "cuminstairjobs", Level: hclog.LevelFromString(level), Output: out, JSONFormat: true,
+	})
+}
+
+// reload checks the settings at each SIGHUP. Addresses and limits stay those of the start.
+func reload(path string, log hclog.Logger) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	for range hups {
+		if _, err := platform.LoadSettings(path); err != nil {
+			log.Error("main: settings were not reloaded", "file", path, "error", err)
+			continue
+		}
+		log.Info("main: settings reloaded", "file", path)
+	}
+}
--- a/cmd/measure/config.go
+++ b/cmd/measure/config.go
@@ -7,7 +7,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/fleet"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/rollout"
 	"cuminstair.org/cuminstair/wave"
 )
@@ -202,7 +202,7 @@
 			bytes += len(s.Data)
 		}
 		reads := len(sections) + 1 // and the manifest
-		wait := max(0, float64(reads-platform.DefaultBurst)/platform.DefaultReads)
+		wait := max(0, float64(reads-tables.DefaultBurst)/tables.DefaultReads)
 		rows = append(rows, cells(h, reads, bytes/1000, wait))
 	}
 	r.table("start with only the platform reachable, by the read rate of the client (computed)", []string{"hosts", "object reads", "KB", "seconds"}, rows)
--- a/cmd/measure/loss.go
+++ b/cmd/measure/loss.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 )
 
 const (
@@ -32,11 +32,11 @@
 	var rows [][]string
 	s.v.Advance(lossRun)
 	rows = append(rows, s.phase("a minute of the wave"))
-	s.platform.FailRack("centre2", "r0001")
+	s.tables.FailRack("centre2", "r0001")
 	s.v.Advance(lossRun)
 	rows = append(rows, s.phase("rack of 20 lost, a minute"))
 	for i := range centreRacks {
-		s.platform.FailRack("centre3", fmt.Sprintf("r%04d", i+1))
+		s.tables.FailRack("centre3", fmt.Sprintf("r%04d", i+1))
 	}
 	s.v.Advance(lossRun)
 	rows = append(rows, s.phase("data centre lost, a minute"))
@@ -46,7 +46,7 @@
 	// The requests for the replacement of a data centre go out one by one, at the write rate of the client.
 	lost := float64(centreRacks * lossRack)
 	r.printf("a data centre's %.0f requests for replacement take %.0f s at %d writes/s (computed)\n",
-		lost, (lost-platform.DefaultBurst)/platform.DefaultWrites, platform.DefaultWrites)
+		lost, (lost-tables.DefaultBurst)/tables.DefaultWrites, tables.DefaultWrites)
 	return s.err
 }
 
--- a/cmd/measure/table.go
+++ b/cmd/measure/table.go
@@ -10,7 +10,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/control"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/rollout"
 	"cuminstair.org/cuminstair/standin/table"
 	"cuminstair.org/cuminstair/timer"
@@ -151,7 +151,7 @@
 // wire is a platform behind its HTTP protocol on loopback.
 type wire struct {
 	service *table.Service
-	client  *platform.Client
+	client  *tables.Client
 	l       *countingListener
 	server  *http.Server
 }
@@ -164,7 +164,7 @@
 	w := &wire{service: &table.Service{Timer: timer.NewVirtual(epoch)}, l: l}
 	w.server = &http.Server{Handler: w.service.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = w.server.Serve(l) }()
-	w.client = &platform.Client{
+	w.client = &tables.Client{
 		Base: "http://" + l.Addr().String(), Timer: clock, Rand: rand.New(rand.NewPCG(1, 6)), HTTP: &http.Client{},
 		Reads: 1e6, Writes: 1e6, Timeout: 20 * time.Second,
 	}
--- /dev/null
+++ b/dispatch/decide.go
@@ -0,0 +1,397 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/place"
+)
+
+// OrderKind tells what a worker is asked to do.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	OrderStart OrderKind = iota
+	OrderStop
+	OrderHold
+	OrderPace
+)
+
+// Order is a call to a worker. Its answer goes back to Started, Stopped or Held.
+type Order struct {
+	Kind    OrderKind
+	Worker  cuminstair.WorkerInfo
+	Task    cuminstair.TaskID
+	Run     int64
+	Token   int64
+	Start   cuminstair.StartOrder // OrderStart
+	Lease   time.Duration         // OrderHold
+	Seen    int64                 // OrderHold
+	Wait    time.Duration         // OrderHold
+	Percent int                   // OrderPace
+
+	attempt *attempt
+}
+
+// blockAfterRefusal is how long a worker that turned an order away gets no new tasks.
+const blockAfterRefusal = 300 * time.Millisecond
+
+// Decide returns the orders that are due. confirmed is when the daemon last saw in the store that it is the owner; an
+// owner that has not been confirmed for Grace gives no orders, since another may have taken over.
+func (s *Service) Decide(now, confirmed time.Time) []Order {
+	s.orders = s.orders[:0]
+	if s.deposed {
+		return nil
+	}
+	s.expire(now)
+	for i := 0; i < len(s.timed); i++ {
+		j := s.timed[i]
+		s.occur(now, j)
+		if j.next >= j.occurrences() || j.over() {
+			s.timed = append(s.timed[:i], s.timed[i+1:]...)
+			i--
+		}
+	}
+	s.settle(now)
+	s.evacuate(now)
+	if !s.stopping {
+		s.placeAll(now)
+		s.paceAll(now)
+	}
+	s.holdAll(now)
+	if s.Grace > 0 && now.Sub(confirmed) >= s.Grace {
+		s.suspendOrders()
+	}
+	return s.orders
+}
+
+// suspendOrders takes back what Decide wanted to order.
+func (s *Service) suspendOrders() {
+	for _, o := range s.orders {
+		switch o.Kind {
+		case OrderStart:
+			o.attempt.worker.remove(o.attempt)
+			if t := o.attempt.task; t != nil && t.at == o.attempt {
+				t.at = nil
+				s.relist(t.step)
+			}
+		case OrderStop:
+			o.attempt.stop = time.Time{}
+		case OrderHold:
+			if w, ok := s.workers[o.Worker.ID]; ok {
+				w.holding = false
+			}
+		default:
+		}
+	}
+	s.orders = s.orders[:0]
+	s.changed = true
+}
+
+// expire ends what ran on workers that have not been reached until all leases ran out.
+func (s *Service) expire(now time.Time) {
+	for _, w := range s.workers {
+		if len(w.attempts) == 0 || !w.suspect() || !w.lapsed(now) {
+			continue
+		}
+		for _, a := range w.attempts {
+			s.lost(now, a, "the worker did not answer until its lease ran out")
+		}
+	}
+}
+
+// settle stops runs whose orders had no answer, repeats stops, and stops runs that stand still.
+func (s *Service) settle(now time.Time) {
+	for _, w := range s.workers {
+		for _, a := range w.attempts {
+			switch {
+			case !a.stop.IsZero():
+				if a.barred.IsZero() || now.Sub(a.barred) > stopAgain+s.Bounds.StopGrace {
+					s.stop(now, a)
+				}
+			case a.answered.IsZero():
+				if now.Sub(a.sent) > unsureAfter {
+					s.Log.Info("dispatch: order without an answer is settled by a stop", "service", s.Name, "job", a.id.Job,
+						"step", a.id.Step, "task", a.id.Index, "run", a.run, "worker", w.info.ID)
+					s.stop(now, a)
+				}
+			case s.stuck(now, a):
+				s.Log.Info("dispatch: task stands still", "service", s.Name, "job", a.id.Job, "step", a.id.Step,
+					"task", a.id.Index, "run", a.run, "worker", w.info.ID, "percent", a.percent)
+				w.blocked = now.Add(firstBlock * 4)
+				s.stop(now, a)
+			}
+		}
+	}
+}
+
+// Times after which a task counts as standing still.
+const (
+	stuckFactor  = 2.5
+	stuckAtLeast = 1500 * time.Millisecond
+	stuckStart   = 4 * time.Second
+)
+
+// stuck tells whether a task makes no progress.
+func (s *Service) stuck(now time.Time, a *attempt) bool {
+	if a.task == nil || a.moved.IsZero() || a.worker.suspect() || now.Sub(a.worker.held) > renewEvery+holdWait {
+		return false
+	}
+	if a.task.step.Lasting {
+		return a.percent < 100 && now.Sub(a.answered) > stuckStart
+	}
+	limit := max(stuckAtLeast, time.Duration(stuckFactor*0.3*float64(a.expected)))
+	return now.Sub(a.moved) > limit && now.Sub(a.answered) > time.Duration(stuckFactor*float64(a.expected))
+}
+
+// holdAll renews leases, reads lists and acknowledges ends.
+func (s *Service) holdAll(now time.Time) {
+	for _, w := range s.workers {
+		if w.gone || w.holding || now.Before(w.next) || w.info.Addr == "" {
+			continue
+		}
+		switch {
+		case !w.synced, len(w.attempts) > 0, w.stored > w.seen:
+		default:
+			continue
+		}
+		w.holding = true
+		o := Order{Kind: OrderHold, Worker: w.info, Token: s.Token, Seen: w.stored}
+		if w.synced {
+			if len(w.attempts) > 0 {
+				o.Lease = w.nextLease(now)
+				o.Wait = s.waitFor(now, w)
+			}
+			w.seen = w.stored
+		}
+		s.orders = append(s.orders, o)
+	}
+}
+
+// waitFor is how long a worker may wait for an end before it answers a renewal.
+func (s *Service) waitFor(now time.Time, w *worker) time.Duration {
+	if w.processed > w.stored {
+		return 0 // it would answer at once with the ends that it has listed
+	}
+	for _, a := range w.attempts {
+		if !a.barred.IsZero() {
+			return 0
+		}
+	}
+	return holdWait
+}
+
+// placeAll starts tasks of the steps that have come up, the most urgent first.
+func (s *Service) placeAll(now time.Time) {
+	if !s.changed {
+		return
+	}
+	s.changed = false
+	settled := s.settled(now)
+	if !settled {
+		s.changed = true
+	}
+	kept := s.ready[:0]
+	for _, st := range s.ready {
+		if st.occ.job.over() || !waits(st) {
+			st.listed = false
+			continue
+		}
+		kept = append(kept, st)
+	}
+	s.ready = kept
+	sort.SliceStable(s.ready, func(i, j int) bool { return s.before(now, s.ready[i], s.ready[j]) })
+	for _, st := range s.ready {
+		if st.occ.job.old && !settled {
+			continue
+		}
+		s.placeStep(now, st)
+	}
+}
+
+func waits(st *step) bool {
+	if st.left == 0 {
+		return false
+	}
+	for _, t := range st.tasks {
+		if !t.done && t.at == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// before orders steps: what lasts, then what can be in time by the time that is left, then what is late.
+func (s *Service) before(now time.Time, a, b *step) bool {
+	if a.Lasting != b.Lasting {
+		return a.Lasting
+	}
+	if a.Filler != b.Filler {
+		return b.Filler
+	}
+	al, bl := s.latest(a), s.latest(b)
+	aLate, bLate := al.Before(now), bl.Before(now)
+	if aLate != bLate {
+		return bLate
+	}
+	return al.Before(bl)
+}
+
+// latest is when the tasks of a step have to start for the job to be in time.
+func (s *Service) latest(st *step) time.Time {
+	j := st.occ.job
+	due := j.due
+	if !st.occ.due.IsZero() {
+		due = s.objective(j, st.occ.due)
+	}
+	return due.Add(-st.tail - s.length(j, st.index))
+}
+
+func (s *Service) placeStep(now time.Time, st *step) {
+	if st.Gang {
+		s.placeGang(now, st)
+		return
+	}
+	for _, t := range st.tasks {
+		if t.done || t.at != nil {
+			continue
+		}
+		w := s.choose(now, st, t)
+		if w == nil {
+			return
+		}
+		s.start(now, t, w, max(t.run, s.Token*runsPerToken)+1)
+	}
+}
+
+// placeGang starts the tasks of a gang together or not at all.
+func (s *Service) placeGang(now time.Time, st *step) {
+	run := s.Token * runsPerToken
+	for _, t := range st.tasks {
+		if t.done {
+			continue
+		}
+		if t.at != nil {
+			return // a run of the gang has not ended everywhere
+		}
+		run = max(run, t.run)
+	}
+	mark := len(s.orders)
+	for _, t := range st.tasks {
+		if t.done {
+			continue
+		}
+		w := s.choose(now, st, t)
+		if w == nil {
+			for _, o := range s.orders[mark:] {
+				o.attempt.worker.remove(o.attempt)
+				o.attempt.task.at = nil
+				o.attempt.task.run--
+			}
+			s.orders = s.orders[:mark]
+			return
+		}
+		s.start(now, t, w, run+1)
+	}
+}
+
+// choose returns the worker for a task, or nil.
+func (s *Service) choose(now time.Time, st *step, t *task) *worker {
+	var list []place.Candidate
+	var workers []*worker
+	for _, w := range s.workers {
+		if !w.usable(now) || !matches(st.Label, w.info.Labels) || w.attempts[t.id] != nil {
+			continue
+		}
+		if t.avoid == w.info.ID && len(s.workers) > 1 {
+			continue
+		}
+		c := s.candidate(st, w)
+		if st.PerWorker > 0 && c.Same >= st.PerWorker {
+			continue
+		}
+		list = append(list, c)
+		workers = append(workers, w)
+	}
+	want := place.Want{Room: st.room(), Spread: st.Lasting, Quiet: st.Lasting || st.Filler}
+	i := place.Best(want, list)
+	if i < 0 {
+		return nil
+	}
+	return workers[i]
+}
+
+func (s *Service) start(now time.Time, t *task, w *worker, run int64) {
+	j := t.step.occ.job
+	t.run = run
+	a := &attempt{task: t, id: t.id, run: run, room: t.step.room(), sent: now, share: 100, expected: s.length(j, t.step.index)}
+	t.at = a
+	w.add(a)
+	s.counts.Starts++
+	order := cuminstair.StartOrder{
+		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: w.nextLease(now), Token: s.Token, Checkpoint: t.checkpoint,
+	}
+	s.orders = append(s.orders, Order{Kind: OrderStart, Worker: w.info, Task: t.id, Run: run, Token: s.Token, Start: order, attempt: a})
+	s.Log.Info("dispatch: task placed", "service", s.Name, "job", t.id.Job, "step", t.id.Step, "task", t.id.Index, "run", run,
+		"worker", w.info.ID, "free", w.free().CPU)
+}
+
+// Started takes the answer to a start.
+func (s *Service) Started(now time.Time, o Order, clock time.Duration, err error) {
+	a := o.attempt
+	w := a.worker
+	if w.attempts[a.id] != a {
+		return
+	}
+	switch {
+	case err == nil:
+		a.answered = now
+		if a.moved.IsZero() {
+			a.moved = now
+		}
+		if w.attempts[a.id] == a && a.task != nil {
+			a.task.step.started()
+		}
+		_ = clock
+		return
+	case errors.Is(err, cuminstair.ErrUncertain):
+		s.Log.Info("dispatch: start without an answer", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+			"run", a.run, "worker", w.info.ID, "error", err)
+		return
+	case errors.Is(err, cuminstair.ErrFenced):
+		s.depose("worker has seen a higher token", w.info.ID)
+		return
+	case errors.Is(err, cuminstair.ErrOtherLife):
+		s.lifeOver(now, w, "another worker answers at its address")
+		return
+	case errors.Is(err, cuminstair.ErrNotDone):
+		w.failed++
+		w.blocked = now.Add(blockAfterRefusal)
+	case errors.Is(err, cuminstair.ErrNoRoom):
+		w.blocked = now.Add(blockAfterRefusal)
+	case errors.Is(err, cuminstair.ErrMalformed):
+		w.blocked = now.Add(firstBlock)
+	}
+	s.Log.Info("dispatch: start was turned away", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+		"run", a.run, "worker", w.info.ID, "error", err)
+	s.release(now, a)
+}
+
+// Stopped takes the answer to a stop.
+func (s *Service) Stopped(now time.Time, o Order, err error) {
+	a := o.attempt
+	switch {
+	case err == nil:
+		a.barred = now
+		a.worker.next = now
+	case errors.Is(err, cuminstair.ErrFenced):
+		s.depose("worker has seen a higher token", o.Worker.ID)
+	case errors.Is(err, cuminstair.ErrOtherLife):
+		s.lifeOver(now, a.worker, "another worker answers at its address")
+	default:
+	}
+}
--- /dev/null
+++ b/dispatch/evacuate.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// cordonFor is how long a worker gets no tasks after it was last asked for.
+const cordonFor = 2 * time.Second
+
+// Cordon keeps new tasks away from workers whose hosts are due for upkeep or a move, and moves what lasts away from
+// them. It returns the workers that are idle, so that the host may be taken; it has to be called again and again until
+// then. A worker that is not known counts as idle only once everything of earlier owners is known.
+func (s *Service) Cordon(now time.Time, ids []string) (idle []string) {
+	for _, id := range ids {
+		w, ok := s.workers[id]
+		switch {
+		case !ok:
+			if s.settled(now) {
+				idle = append(idle, id)
+			}
+		default:
+			w.cordon = now.Add(cordonFor)
+			if w.synced && len(w.attempts) == 0 {
+				idle = append(idle, id)
+			}
+		}
+	}
+	return idle
+}
+
+// evacuate moves lasting tasks away from workers that leave or are cordoned.
+func (s *Service) evacuate(now time.Time) {
+	if s.stopping {
+		return
+	}
+	for _, w := range s.workers {
+		if w.leaving.IsZero() && !now.Before(w.cordon) {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.task == nil || !a.task.step.Lasting || !a.stop.IsZero() || a.answered.IsZero() {
+				continue
+			}
+			if w.leaving.IsZero() && !s.mayMove(a.task) {
+				continue
+			}
+			if s.choose(now, a.task.step, a.task) == nil {
+				continue
+			}
+			s.move(now, a)
+		}
+	}
+}
+
+// mayMove tells whether planned work may take a lasting task away now.
+func (s *Service) mayMove(t *task) bool {
+	away := 0
+	for _, o := range t.step.tasks {
+		if o != t && (!o.away.IsZero() || o.at == nil || !o.at.stop.IsZero() || o.at.percent < 100) {
+			away++
+		}
+	}
+	return away < max(1, t.step.MayMiss)
+}
+
+// move stops a lasting task, which is then started on another worker.
+func (s *Service) move(now time.Time, a *attempt) {
+	a.task.away, a.task.moved = now, true
+	s.Log.Info("dispatch: moving a lasting task", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+		"run", a.run, "worker", a.worker.info.ID, "leaving", !a.worker.leaving.IsZero())
+	s.stop(now, a)
+}
+
+// recoverCrew notes the workers that an earlier owner may have used.
+func (s *Service) recoverCrew(r cuminstair.Record) {
+	for _, c := range decodeCrew(s, r) {
+		w := newWorker(cuminstair.WorkerInfo{ID: c.ID, Service: s.Name, Addr: c.Addr, Born: c.Born})
+		w.recorded = true
+		s.workers[c.ID] = w
+		s.crew[c.ID] = true
+	}
+}
--- /dev/null
+++ b/dispatch/record.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Tables of a service. All records of a service share one part, which is its name.
+const (
+	// JobTable has a record for each job, written once.
+	JobTable = "job"
+	// RunTable has the progress of each job.
+	RunTable = "run"
+	// CrewTable has one record with the workers that may run tasks of the service.
+	CrewTable = "crew"
+	crewKey   = "crew"
+)
+
+// jobRecord is the value of a record of JobTable.
+type jobRecord struct {
+	Queue cuminstair.WorkQueue `json:"queue"`
+	Spec  *cuminstair.JobSpec  `json:"job"`
+	Sent  int64                `json:"sent"` // milliseconds since 1970
+}
+
+// runRecord is the value of a record of RunTable.
+type runRecord struct {
+	State cuminstair.JobState `json:"state"`
+	Ended int64               `json:"ended,omitempty"` // milliseconds since 1970
+	Next  int                 `json:"next,omitempty"`  // occurrences before it are done unless they are in Runs
+	Runs  []occRecord         `json:"runs,omitempty"`  // occurrences that have begun and are not done
+}
+
+// occRecord is the progress of one occurrence.
+type occRecord struct {
+	Number int          `json:"k,omitempty"`
+	Done   []string     `json:"done"` // by step: one bit a task in hex, or "*" if all are done
+	Tasks  []taskRecord `json:"tasks,omitempty"`
+}
+
+// taskRecord is what is kept of a task that is not done.
+type taskRecord struct {
+	Step       int    `json:"s"`
+	Index      int    `json:"i"`
+	Fails      int    `json:"f,omitempty"`
+	Counted    int64  `json:"n,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+// crewRecord is the value of the record of CrewTable.
+type crewRecord struct {
+	Workers []crewWorker `json:"workers"`
+}
+
+type crewWorker struct {
+	ID   string `json:"id"`
+	Addr string `json:"addr"`
+	Born int64  `json:"born"`
+}
+
+const allDone = "*"
+
+func (j *job) jobValue() []byte {
+	// These types always encode.
+	data, _ := json.Marshal(jobRecord{Queue: j.queue, Spec: j.spec, Sent: j.sent.UnixMilli()})
+	return data
+}
+
+func (j *job) runValue() []byte {
+	r := runRecord{State: j.state, Next: j.next}
+	if j.over() {
+		r.Ended = j.ended.UnixMilli()
+	} else {
+		for _, o := range j.runs {
+			r.Runs = append(r.Runs, o.record())
+		}
+	}
+	// These types always encode.
+	data, _ := json.Marshal(r)
+	return data
+}
+
+func (o *occurrence) record() occRecord {
+	r := occRecord{Number: o.number}
+	for _, s := range o.steps {
+		if s.left == 0 {
+			r.Done = append(r.Done, allDone)
+			continue
+		}
+		bits := make([]byte, (len(s.tasks)+7)/8)
+		any := false
+		for i, t := range s.tasks {
+			if t.done {
+				bits[i/8] |= 1 << (i % 8)
+				any = true
+			} else if t.fails > 0 || t.checkpoint != "" {
+				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Fails: t.fails, Counted: t.counted, Checkpoint: t.checkpoint})
+			}
+		}
+		text := ""
+		if any {
+			text = hex.EncodeToString(bits)
+		}
+		r.Done = append(r.Done, text)
+	}
+	return r
+}
+
+// restore makes a job from its records. run may be nil if the progress was never written.
+func restore(id string, data, run []byte, tailOf func(*job) []time.Duration) (*job, error) {
+	var jr jobRecord
+	if err := json.Unmarshal(data, &jr); err != nil {
+		return nil, fmt.Errorf("decode job %s: %w", id, err)
+	}
+	if jr.Spec == nil {
+		return nil, fmt.Errorf("job %s without steps: %w", id, cuminstair.ErrMalformed)
+	}
+	j := newJob(id, jr.Spec, jr.Queue)
+	j.sent, j.stored, j.old = time.UnixMilli(jr.Sent), true, true
+	var rr runRecord
+	if run != nil {
+		if err := json.Unmarshal(run, &rr); err != nil {
+			return nil, fmt.Errorf("decode progress of %s: %w", id, err)
+		}
+		j.state, j.ended, j.next = rr.State, time.UnixMilli(rr.Ended), rr.Next
+	}
+	j.shown = j.state
+	if j.over() {
+		return j, nil
+	}
+	tail := tailOf(j)
+	for _, r := range rr.Runs {
+		o := j.occurrence(r.Number, tail)
+		if err := o.restore(r); err != nil {
+			return nil, fmt.Errorf("job %s: %w", id, err)
+		}
+		j.runs = append(j.runs, o)
+	}
+	return j, nil
+}
+
+func (o *occurrence) restore(r occRecord) error {
+	for i, text := range r.Done {
+		if i >= len(o.steps) {
+			break
+		}
+		s := o.steps[i]
+		bits, err := hex.DecodeString(text)
+		if text != allDone && err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		for n, t := range s.tasks {
+			if text == allDone || (n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0) {
+				t.done = true
+				s.left--
+				s.begun = true
+			}
+		}
+		if s.left == 0 {
+			o.open--
+		}
+	}
+	for _, t := range r.Tasks {
+		if t.Step >= len(o.steps) || t.Index >= len(o.steps[t.Step].tasks) {
+			continue
+		}
+		x := o.steps[t.Step].tasks[t.Index]
+		x.fails, x.counted, x.checkpoint = t.Fails, t.Counted, t.Checkpoint
+		x.run = t.Counted
+	}
+	return nil
+}
+
+// RecordState returns the state of a job from its record in RunTable.
+func RecordState(value []byte) (cuminstair.JobState, error) {
+	var r runRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return cuminstair.JobUnknown, fmt.Errorf("decode progress: %w", err)
+	}
+	return max(r.State, cuminstair.JobQueued), nil
+}
--- /dev/null
+++ b/dispatch/submit.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/intake"
+	"cuminstair.org/cuminstair/place"
+)
+
+// Times and shares of admission.
+const (
+	// fillShare is the part of the processors that placement fills; the rest is stranded between tasks.
+	fillShare = 0.85
+	// awayWait is when callers come again while the service can't store work.
+	awayWait = 2 * time.Second
+	// minWait and maxWait bound the time after which a refused caller comes again.
+	minWait = time.Second
+	maxWait = 8 * time.Second
+	// stepCost is the time between the end of a task and the start of the next step.
+	stepCost = 80 * time.Millisecond
+	// ratioWeight is the weight of a new observation in the ratio of durations to estimates.
+	ratioWeight = 0.05
+	// defaultEstimate stands for a duration that was not declared.
+	defaultEstimate = time.Second
+	// waveShare is the part of the pool above which a step counts as running in several waves.
+	waveShare = 0.25
+)
+
+// Submit takes a job that a caller hands in. reply is called when its fate is known, perhaps at once.
+func (s *Service) Submit(now time.Time, id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue, reply func(Result)) {
+	if j, ok := s.jobs[id]; ok {
+		if j.stored {
+			reply(Result{Outcome: Accepted, Why: "known"})
+			return
+		}
+		j.accepted = append(j.accepted, reply)
+		return
+	}
+	if s.storeDown || s.deposed || s.stopping {
+		s.refuse(now, id, Result{Outcome: Away, Wait: awayWait, Why: "no store"}, reply)
+		return
+	}
+	j := newJob(id, spec, queue)
+	j.sent, j.arrived = now, now
+	if first, ok := s.refused[id]; ok {
+		j.sent = first
+	}
+	j.due = s.objective(j, j.sent)
+	if r := s.admit(now, j); r.Outcome != Accepted {
+		s.refuse(now, id, r, reply)
+		return
+	}
+	delete(s.refused, id)
+	s.jobs[id] = j
+	s.counts.Accepted++
+	j.accepted = append(j.accepted, reply)
+	s.touch(j)
+}
+
+func (s *Service) refuse(now time.Time, id string, r Result, reply func(Result)) {
+	s.counts.Refused++
+	if _, ok := s.refused[id]; !ok {
+		s.refused[id] = now
+	}
+	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait, "open", len(s.active))
+	reply(r)
+}
+
+// admit decides whether a job is taken.
+func (s *Service) admit(now time.Time, j *job) Result {
+	if why := s.impossible(j); why != "" {
+		return Result{Outcome: Never, Wait: maxWait, Why: why}
+	}
+	if j.lasting() || j.spec.Repeats > 0 || j.spec.First > 0 {
+		return Result{Outcome: Accepted}
+	}
+	ask := intake.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
+	for i := range j.spec.Steps {
+		st := &j.spec.Steps[i]
+		ask.Work += s.work(j, i) * float64(st.Count)
+		ask.Width = max(ask.Width, float64(st.Count*st.CPU)/1000)
+	}
+	v := intake.Decide(now, s.pool(), s.load(now), ask)
+	if v.Accept {
+		return Result{Outcome: Accepted}
+	}
+	wait := min(max(v.Wait, minWait), maxWait)
+	wait += time.Duration(s.Rand.Float64() * float64(wait) / 2)
+	return Result{Outcome: Refused, Wait: wait, Why: "no room in time"}
+}
+
+// impossible explains why no worker can ever run a job, or returns nothing. Without workers nothing is known.
+func (s *Service) impossible(j *job) string {
+	if len(s.workers) == 0 {
+		return ""
+	}
+	for i := range j.spec.Steps {
+		st := &j.spec.Steps[i]
+		probe := step{JobStep: *st}
+		possible := false
+		for _, w := range s.workers {
+			if w.listed && probe.room().Fits(w.total) && matches(st.Label, w.info.Labels) {
+				possible = true
+				break
+			}
+		}
+		if !possible {
+			return "no worker is large enough or has the label"
+		}
+	}
+	return ""
+}
+
+func matches(label string, labels []string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// pool is the room that short tasks may use.
+func (s *Service) pool() intake.Pool {
+	p := intake.Pool{Share: fillShare}
+	for _, w := range s.workers {
+		if !w.listed || w.gone || !w.leaving.IsZero() || w.suspect() {
+			continue
+		}
+		p.Cores += float64(w.total.CPU) / 1000
+	}
+	for _, j := range s.active {
+		for _, o := range j.runs {
+			for _, st := range o.steps {
+				if st.Lasting && !st.Filler {
+					p.Cores -= float64(st.left*st.CPU) / 1000
+				}
+			}
+		}
+	}
+	return p
+}
+
+// load is the accepted work that is not done. Lasting tasks are taken out of the pool instead.
+func (s *Service) load(now time.Time) []intake.Load {
+	var list []intake.Load
+	for _, j := range s.jobs {
+		if j.over() || (j.stored && s.active[j.id] == nil) {
+			continue
+		}
+		work := 0.0
+		if len(j.runs) == 0 {
+			for i := range j.spec.Steps {
+				if !j.spec.Steps[i].Lasting {
+					work += s.work(j, i) * float64(j.spec.Steps[i].Count)
+				}
+			}
+		}
+		for _, o := range j.runs {
+			work += s.left(now, o)
+		}
+		if work > 0 {
+			list = append(list, intake.Load{Due: j.due, Work: work})
+		}
+	}
+	return list
+}
+
+// left is the work of an occurrence that is not done, in core-seconds.
+func (s *Service) left(now time.Time, o *occurrence) float64 {
+	work := 0.0
+	for _, st := range o.steps {
+		if st.Lasting || st.left == 0 {
+			continue
+		}
+		each := s.work(o.job, st.index)
+		work += each * float64(st.left)
+		if !st.begun {
+			continue
+		}
+		for _, t := range st.tasks {
+			if t.at != nil && !t.at.answered.IsZero() && t.at.expected > 0 {
+				work -= each * min(0.95, now.Sub(t.at.answered).Seconds()/t.at.expected.Seconds())
+			}
+		}
+	}
+	return work
+}
+
+// length is the expected duration of a task of a step.
+func (s *Service) length(j *job, i int) time.Duration {
+	estimate := j.spec.Steps[i].Estimate
+	if estimate <= 0 {
+		estimate = defaultEstimate
+	}
+	ratio := s.ratio[j.queue.Name]
+	if ratio == 0 {
+		ratio = 1
+	}
+	return time.Duration(float64(estimate) * ratio)
+}
+
+// work is the expected work of one task of a step in core-seconds.
+func (s *Service) work(j *job, i int) float64 {
+	st := &j.spec.Steps[i]
+	if st.Filler {
+		return 0
+	}
+	return float64(st.CPU) / 1000 * s.length(j, i).Seconds()
+}
+
+func (s *Service) tails(j *job) []time.Duration {
+	return tails(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) })
+}
+
+// objective is when a job that was handed in at a time should be done.
+func (s *Service) objective(j *job, from time.Time) time.Time {
+	cores := 0.0
+	for _, w := range s.workers {
+		if w.listed {
+			cores += float64(w.total.CPU) / 1000
+		}
+	}
+	longest := chain(j.spec.Steps, func(i int) time.Duration {
+		st := &j.spec.Steps[i]
+		waves := 1.0
+		if cores > 0 {
+			waves = max(1, math.Ceil(float64(st.Count*st.CPU)/1000/(cores*waveShare)))
+		}
+		return time.Duration(float64(s.length(j, i)) * waves)
+	})
+	return from.Add(time.Duration(float64(longest)*max(1, j.queue.Stretch)) + j.queue.Target)
+}
+
+// learn takes the duration of a task that has ended as done.
+func (s *Service) learn(now time.Time, a *attempt) {
+	t := a.task
+	if a.answered.IsZero() || t.step.Lasting || a.expected <= 0 || t.checkpoint != "" {
+		return
+	}
+	took := now.Sub(a.sent)
+	factor := min(4, max(0.1, took.Seconds()/a.expected.Seconds()))
+	w := a.worker
+	if w.slow == 0 {
+		w.slow = 1
+	}
+	w.slow += 0.2 * (factor - w.slow)
+	name := t.step.occ.job.queue.Name
+	ratio := s.ratio[name]
+	if ratio == 0 {
+		ratio = 1
+	}
+	s.ratio[name] = ratio * (1 + ratioWeight*(min(2, factor)-1))
+}
+
+// Cancel stops a job. reply is called when the cancellation is stored.
+func (s *Service) Cancel(now time.Time, id string, reply func(Result)) {
+	j, ok := s.jobs[id]
+	switch {
+	case !ok:
+		reply(Result{Outcome: NotFound})
+		return
+	case j.over() && j.shown == j.state:
+		reply(Result{Outcome: Accepted, Why: "over already"})
+		return
+	}
+	if !j.over() {
+		s.finish(now, j, cuminstair.JobCancelled, "cancelled by the caller")
+	}
+	j.cancels = append(j.cancels, reply)
+}
+
+// candidate describes a worker for the placement of a step.
+func (s *Service) candidate(st *step, w *worker) place.Candidate {
+	c := place.Candidate{Free: w.free(), Total: w.total, Slow: max(1, w.slow)}
+	for _, a := range w.attempts {
+		if a.task == nil {
+			continue
+		}
+		if a.task.step == st {
+			c.Same++
+		}
+		if a.task.step.Lasting {
+			c.Lasting++
+			if a.task.step.Filler != st.Filler {
+				c.Shared++
+			}
+		}
+	}
+	c.Far = st.DataRack != "" && st.DataRack != w.info.Rack
+	return c
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,206 @@
+// Package entry is the entry daemon of the job path: it takes jobs from callers, owns services, and drives the decisions
+// of the packages dispatch, tenure and upkeep with the platform's store, workers and controller of hosts.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tenure"
+)
+
+// Times of the daemon.
+const (
+	// viewEvery is how often the owner records are read.
+	viewEvery = 500 * time.Millisecond
+	// listEvery is how often the list of workers is read.
+	listEvery = 500 * time.Millisecond
+	// configWait is how long the store may keep a question for a new configuration open.
+	configWait = time.Second
+	// configRetry is the pause after such a question failed.
+	configRetry = 250 * time.Millisecond
+	// balancerTime is how long the load balancer takes to notice that the daemon is not ready.
+	balancerTime = 2500 * time.Millisecond
+	// stopReserve is kept of the time between the request to stop and the kill.
+	stopReserve = 900 * time.Millisecond
+	// storeGrace is how long an owner goes on without a sign that it still is the owner.
+	storeGrace = 6 * time.Second
+	tickEvery  = 40 * time.Millisecond
+)
+
+// Daemon is the entry daemon of the job path. The exported fields are set before Run.
+type Daemon struct {
+	Settings *platform.Settings
+	Log      hclog.Logger
+	Timer    cuminstair.Timer
+	Store    cuminstair.RecordStore
+	Workers  cuminstair.WorkerCalls
+	Hosts    cuminstair.HostControl // nil: no upkeep and no moves
+	Metrics  *Metrics
+
+	run      string // unique for this start
+	addr     string // for calls between daemons
+	config   atomic.Pointer[cuminstair.JobConfig]
+	stopping atomic.Bool
+	calls    atomic.Int64 // of callers that are being answered
+	peers    *peerClient
+
+	mu      sync.Mutex
+	view    *tenure.View
+	viewAt  uint64 // version up to which the view is read
+	runners map[string]*runner
+	taking  map[string]bool
+	workers map[string]cuminstair.WorkerInfo
+	waves   map[string]cuminstair.MaintenanceWave
+	poke    chan struct{} // read the owner records now
+	listNow chan struct{} // read the list of workers now
+	seen    map[string]bool
+}
+
+// Run serves until ctx ends and then hands over and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.run = strconv.FormatInt(d.Timer.Now().UnixNano(), 36)
+	d.view = tenure.NewView(d.Settings.Name, d.run)
+	d.runners, d.taking = map[string]*runner{}, map[string]bool{}
+	d.workers, d.waves = map[string]cuminstair.WorkerInfo{}, map[string]cuminstair.MaintenanceWave{}
+	d.poke, d.listNow = make(chan struct{}, 1), make(chan struct{}, 1)
+	d.peers = newPeerClient()
+	internal, err := d.listenInternal()
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", d.Settings.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", d.Settings.Readiness)
+	if err != nil {
+		return fmt.Errorf("listen for the load balancer: %w", err)
+	}
+	d.Log.Info("entry: started", "name", d.Settings.Name, "run", d.run, "callers", d.Settings.Callers, "internal", d.addr, "store", d.Settings.Store)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers := []*http.Server{d.callerServer(), d.peerServer(), d.readyServer()}
+	var group run.Group
+	for i, l := range []net.Listener{callers, internal, ready} {
+		group.Add(func() error { return ignoreClosed(servers[i].Serve(l)) }, func(error) { _ = servers[i].Close() })
+	}
+	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.beat, d.upkeepLoop} {
+		loopCtx, stop := context.WithCancel(work)
+		group.Add(func() error { return loop(loopCtx) }, func(error) { stop() })
+	}
+	stopCtx, stop := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-stopCtx.Done()
+		d.shutdown(servers[0])
+		return nil
+	}, func(error) { stop() })
+	err = group.Run()
+	d.Log.Info("entry: stopped", "name", d.Settings.Name, "error", err)
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// listenInternal opens the first free port of the range for calls between daemons.
+func (d *Daemon) listenInternal() (net.Listener, error) {
+	var last error
+	for port := d.Settings.Internal[0]; port <= d.Settings.Internal[1]; port++ {
+		addr := net.JoinHostPort(d.Settings.Address, strconv.Itoa(port))
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			d.addr = l.Addr().String()
+			return l, nil
+		}
+		last = err
+	}
+	return nil, fmt.Errorf("listen for other daemons: %w", last)
+}
+
+// shutdown hands all services over, answers what was read, and returns when the daemon may end.
+func (d *Daemon) shutdown(callers *http.Server) {
+	begin := d.Timer.Now()
+	end := begin.Add(d.Settings.Bounds.Grace - stopReserve)
+	d.Log.Info("entry: stopping", "name", d.Settings.Name, "calls", d.calls.Load())
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(begin))
+	defer cancel()
+	d.writeBeat(ctx)
+	var wg sync.WaitGroup
+	for _, r := range d.owned() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d.handOver(ctx, r)
+		}()
+	}
+	wg.Wait()
+	d.sleep(ctx, balancerTime-d.Timer.Now().Sub(begin))
+	callers.SetKeepAlivesEnabled(false)
+	if err := callers.Shutdown(ctx); err != nil {
+		d.Log.Warn("entry: calls were not answered in time", "calls", d.calls.Load(), "error", err)
+	}
+}
+
+// sleep waits for a time or until ctx ends.
+func (d *Daemon) sleep(ctx context.Context, t time.Duration) {
+	if t <= 0 {
+		return
+	}
+	done := make(chan struct{})
+	stop := d.Timer.After(t, func(time.Time) { close(done) })
+	select {
+	case <-done:
+	case <-ctx.Done():
+		stop()
+	}
+}
+
+// owned returns the runners in the order of their names.
+func (d *Daemon) owned() []*runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]*runner, 0, len(d.runners))
+	for _, r := range d.runners {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].service < list[j].service })
+	return list
+}
+
+// owner returns the own runner of a service, or the address of the live owner.
+func (d *Daemon) owner(service string) (*runner, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r, ok := d.runners[service]; ok && !r.closed.Load() {
+		return r, ""
+	}
+	if o, ok := d.view.Live(d.Timer.Now(), service); ok && o.Name != d.Settings.Name {
+		return nil, o.Addr
+	}
+	return nil, ""
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/entry/follow.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/platform"
+)
+
+// dependency logs when something that the daemon needs is lost and regained.
+type dependency struct {
+	name string
+	lost bool
+}
+
+func (d *Daemon) note(dep *dependency, err error) {
+	switch {
+	case err != nil && !dep.lost:
+		dep.lost = true
+		d.Log.Warn("entry: dependency lost", "dependency", dep.name, "error", err)
+	case err == nil && dep.lost:
+		dep.lost = false
+		d.Log.Info("entry: dependency regained", "dependency", dep.name)
+	}
+}
+
+// followConfig keeps the configuration and the waves of upkeep up to date.
+func (d *Daemon) followConfig(ctx context.Context) error {
+	dep := &dependency{name: "configuration in the store"}
+	after := uint64(0)
+	for ctx.Err() == nil {
+		var records []cuminstair.Record
+		var err error
+		if after == 0 {
+			records, after, err = d.Store.Read(ctx, platform.OperatorTable, "", "", "")
+		} else {
+			var next uint64
+			records, next, err = d.Store.Changes(ctx, platform.OperatorTable, after, configWait)
+			if err == nil {
+				after = max(after, next)
+			}
+		}
+		if errors.Is(err, cuminstair.ErrCompacted) {
+			d.Log.Info("entry: history of the configuration was dropped, reading it whole", "after", after)
+			after = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		d.note(dep, err)
+		if err != nil {
+			d.sleep(ctx, configRetry)
+			continue
+		}
+		for _, r := range records {
+			d.takeOperator(r)
+		}
+	}
+	return nil
+}
+
+// takeOperator takes a record that the operator wrote.
+func (d *Daemon) takeOperator(r cuminstair.Record) {
+	switch {
+	case r.Key == platform.ConfigKey && !r.Deleted:
+		c, err := platform.DecodeConfig(r.Value)
+		if err != nil {
+			d.Log.Error("entry: can't read the configuration, the last one stays in force", "version", r.Version, "error", err)
+			return
+		}
+		d.takeConfig(c)
+	case strings.HasPrefix(r.Key, platform.WavePrefix):
+		d.takeWave(r)
+	}
+}
+
+// takeConfig puts a configuration in force unless a newer one is.
+func (d *Daemon) takeConfig(c *cuminstair.JobConfig) {
+	old := d.config.Load()
+	if old != nil && c.Version <= old.Version {
+		return
+	}
+	d.config.Store(c)
+	before := int64(0)
+	if old != nil {
+		before = old.Version
+	}
+	d.Log.Info("entry: configuration in force", "version", c.Version, "before", before, "queues", len(c.Queues), "pools", len(c.Pools))
+}
+
+func (d *Daemon) takeWave(r cuminstair.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.Deleted {
+		delete(d.waves, r.Key)
+		return
+	}
+	w, err := platform.DecodeWave(r.Value)
+	if err != nil {
+		d.Log.Error("entry: can't read a wave", "key", r.Key, "version", r.Version, "error", err)
+		return
+	}
+	if _, ok := d.waves[r.Key]; !ok {
+		d.Log.Info("entry: wave seen", "wave", w.Number, "hosts", len(w.Hosts), "duration", w.Duration, "limit", w.Limit)
+	}
+	d.waves[r.Key] = w
+}
+
+// followWorkers keeps the list of workers up to date while the daemon owns services.
+func (d *Daemon) followWorkers(ctx context.Context) error {
+	dep := &dependency{name: "list of workers in the store"}
+	after := uint64(0)
+	for ctx.Err() == nil {
+		if len(d.owned()) == 0 {
+			after = 0
+			d.pause(ctx, d.listNow, listEvery)
+			continue
+		}
+		whole := after == 0
+		var records []cuminstair.Record
+		var next uint64
+		var err error
+		if whole {
+			records, next, err = d.Store.Read(ctx, platform.WorkerTable, "", "", "")
+		} else {
+			records, next, err = d.Store.Changes(ctx, platform.WorkerTable, after, 0)
+		}
+		if errors.Is(err, cuminstair.ErrCompacted) {
+			after = 0
+			continue
+		}
+		if ctx.Err() == nil {
+			d.note(dep, err)
+		}
+		if err == nil {
+			after = max(after, next)
+			d.takeWorkers(whole, records)
+		}
+		d.pause(ctx, d.listNow, listEvery)
+	}
+	return nil
+}
+
+// pause waits for a time or a signal.
+func (d *Daemon) pause(ctx context.Context, wake chan struct{}, t time.Duration) {
+	done := make(chan struct{})
+	stop := d.Timer.After(t, func(time.Time) { close(done) })
+	select {
+	case <-done:
+	case <-wake:
+		stop()
+	case <-ctx.Done():
+		stop()
+	}
+}
+
+// takeWorkers takes records of the list of workers and tells the runners.
+func (d *Daemon) takeWorkers(whole bool, records []cuminstair.Record) {
+	d.mu.Lock()
+	if whole {
+		d.workers = map[string]cuminstair.WorkerInfo{}
+	}
+	for _, r := range records {
+		if r.Deleted {
+			delete(d.workers, r.Key)
+			continue
+		}
+		info, err := platform.DecodeWorker(r)
+		if err != nil {
+			delete(d.workers, r.Key)
+			if !d.seen[r.Key] {
+				d.Log.Warn("entry: entry of the list of workers is left out", "worker", r.Key, "version", r.Version, "error", err)
+				if d.seen == nil || len(d.seen) > 1000 {
+					d.seen = map[string]bool{}
+				}
+				d.seen[r.Key] = true
+			}
+			continue
+		}
+		d.workers[r.Key] = info
+	}
+	byService := map[string][]cuminstair.WorkerInfo{}
+	for _, w := range d.workers {
+		byService[w.Service] = append(byService[w.Service], w)
+	}
+	runners := make([]*runner, 0, len(d.runners))
+	for _, r := range d.runners {
+		runners = append(runners, r)
+	}
+	d.mu.Unlock()
+	for _, r := range runners {
+		r.setWorkers(byService[r.service])
+	}
+}
--- /dev/null
+++ b/entry/hosts.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tenure"
+	"cuminstair.org/cuminstair/upkeep"
+)
+
+// Times of upkeep.
+const (
+	upkeepEvery = 350 * time.Millisecond
+	orderAgain  = 900 * time.Millisecond
+	cordonTime  = 800 * time.Millisecond
+	// waveTable has a record for each wave, in the part of the hosts' duty.
+	waveTable = "wave"
+)
+
+// upkeepLoop carries out waves while this daemon has the hosts' duty.
+func (d *Daemon) upkeepLoop(ctx context.Context) error {
+	duty := &hostDuty{d: d}
+	for ctx.Err() == nil {
+		d.sleep(ctx, upkeepEvery)
+		d.mu.Lock()
+		r := d.runners[tenure.HostsPart]
+		d.mu.Unlock()
+		if r == nil || r.closed.Load() {
+			duty.waves = nil
+			continue
+		}
+		duty.step(ctx, r)
+	}
+	return nil
+}
+
+// hostDuty is the state of the controller of hosts.
+type hostDuty struct {
+	d     *Daemon
+	token uint64
+	waves map[string]*upkeep.Wave
+	ended map[string]bool
+	told  map[string]string // wave, state in the status table
+	saved map[string]string // wave, record as written last
+}
+
+func (h *hostDuty) step(ctx context.Context, r *runner) {
+	if h.waves == nil || h.token != r.token {
+		h.token = r.token
+		h.waves, h.ended = map[string]*upkeep.Wave{}, map[string]bool{}
+		h.told, h.saved = map[string]string{}, map[string]string{}
+	}
+	if !h.load(ctx) || len(h.waves) == 0 {
+		return
+	}
+	at := h.d.Timer.Now()
+	list, err := h.d.Hosts.List(ctx)
+	if err != nil {
+		h.d.Log.Debug("entry: can't list the hosts", "error", err)
+		return
+	}
+	for key, w := range h.waves {
+		w.Observe(at, list)
+		h.wave(ctx, r, key, w, list)
+		h.save(ctx, key, w)
+	}
+}
+
+// load reads the records of waves that are new to this daemon.
+func (h *hostDuty) load(ctx context.Context) bool {
+	h.d.mu.Lock()
+	fresh := map[string]cuminstair.MaintenanceWave{}
+	for key, w := range h.d.waves {
+		if h.waves[key] == nil && !h.ended[key] {
+			fresh[key] = w
+		}
+	}
+	h.d.mu.Unlock()
+	if len(fresh) == 0 {
+		return true
+	}
+	records, _, err := h.d.Store.Read(ctx, waveTable, tenure.HostsPart, "", "")
+	if err != nil {
+		h.d.Log.Warn("entry: can't read the records of waves", "error", err)
+		return false
+	}
+	known := map[string]upkeep.Record{}
+	for _, rec := range records {
+		v, err := upkeep.ReadRecord(rec.Value)
+		if err != nil {
+			h.d.Log.Error("entry: can't read the record of a wave", "wave", rec.Key, "error", err)
+			continue
+		}
+		known[rec.Key] = v
+	}
+	for key, w := range fresh {
+		if known[key].Ended {
+			h.ended[key] = true
+			continue
+		}
+		h.waves[key] = upkeep.New(h.d.Timer.Now(), w, known[key].Begun)
+	}
+	return true
+}
+
+// wave takes the next hosts of a wave.
+func (h *hostDuty) wave(ctx context.Context, r *runner, key string, w *upkeep.Wave, list []cuminstair.HostRecord) {
+	byName := map[string]cuminstair.HostRecord{}
+	for _, rec := range list {
+		byName[rec.Name] = rec
+	}
+	now := h.d.Timer.Now()
+	candidates := w.Candidates(func(host string) int {
+		rec, ok := byName[host]
+		switch {
+		case !ok || rec.State != "up":
+			return -1
+		case rec.Worker == "":
+			return 0
+		}
+		return 1
+	})
+	idle := h.cordon(ctx, candidates, byName)
+	if r.after && now.Sub(r.taken) < h.d.Settings.Bounds.TurnTime+upkeepEvery {
+		return // orders of an earlier controller may be under way
+	}
+	for _, host := range w.Take(now, idle, orderAgain) {
+		h.order(ctx, w, host)
+	}
+	_ = key
+}
+
+// cordon asks the owners to empty the workers of hosts and returns the hosts that are idle.
+func (h *hostDuty) cordon(ctx context.Context, hosts []string, byName map[string]cuminstair.HostRecord) []string {
+	workers := map[string][]string{}
+	hostOf := map[string]string{}
+	var idle []string
+	for _, host := range hosts {
+		rec := byName[host]
+		if rec.Worker == "" {
+			idle = append(idle, host)
+			continue
+		}
+		workers[rec.Pool] = append(workers[rec.Pool], rec.Worker)
+		hostOf[rec.Worker] = host
+	}
+	for service, ids := range workers {
+		for _, id := range h.d.cordon(ctx, service, ids) {
+			idle = append(idle, hostOf[id])
+		}
+	}
+	return idle
+}
+
+func (h *hostDuty) order(ctx context.Context, w *upkeep.Wave, host string) {
+	err := h.d.Hosts.Upkeep(ctx, h.d.Settings.Name, int64(h.token), host, w.Number)
+	now := h.d.Timer.Now()
+	refused := err != nil && !errors.Is(err, cuminstair.ErrUncertain)
+	w.Confirm(now, host, err == nil, refused)
+	h.d.Log.Info("entry: upkeep ordered", "wave", w.Number, "host", host, "token", h.token, "down", w.Down(), "limit", w.Limit, "error", err)
+}
+
+// save writes the record and the state of a wave if they have changed.
+func (h *hostDuty) save(ctx context.Context, key string, w *upkeep.Wave) {
+	value := string(w.Value())
+	if h.saved[key] != value {
+		rec := cuminstair.RecordKey{Table: waveTable, Part: tenure.HostsPart, Key: key}
+		tx := cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: rec, Value: []byte(value)}}}
+		if _, err := h.d.Store.Commit(ctx, tx); err != nil {
+			h.d.Log.Debug("entry: can't write the record of a wave", "wave", w.Number, "error", err)
+			return
+		}
+		h.saved[key] = value
+	}
+	state := platform.EncodeWaveState(w.Completed())
+	if h.told[key] != string(state) {
+		rec := cuminstair.RecordKey{Table: platform.StatusTable, Key: platform.WaveKey(w.Number)}
+		if _, err := h.d.Store.Commit(ctx, cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: rec, Value: state}}}); err != nil {
+			h.d.Log.Debug("entry: can't write the state of a wave", "wave", w.Number, "error", err)
+			return
+		}
+		h.told[key] = string(state)
+		h.d.Log.Info("entry: state of a wave told", "wave", w.Number, "completed", w.Completed(), "after", h.d.Timer.Now().Sub(w.Seen).Round(time.Millisecond))
+	}
+	if w.Completed() {
+		delete(h.waves, key)
+		h.ended[key] = true
+	}
+}
+
+// cordon asks the owner of a service to empty workers and returns those that are idle.
+func (d *Daemon) cordon(ctx context.Context, service string, ids []string) []string {
+	ctx, cancel := context.WithTimeout(ctx, cordonTime)
+	defer cancel()
+	r, addr := d.owner(service)
+	if r != nil {
+		return cordonLocal(ctx, r, ids)
+	}
+	if addr == "" {
+		if c := d.config.Load(); c != nil {
+			for _, p := range c.Pools {
+				if p.Name == service && p.Spare {
+					return ids // nothing runs in a pool that is switched off
+				}
+			}
+		}
+		return nil
+	}
+	var a cordonReply
+	if err := d.peers.post(ctx, addr, cordonPath, cordonRequest{Service: service, Workers: ids}, &a); err != nil {
+		d.Log.Debug("entry: owner did not answer", "service", service, "error", err)
+		return nil
+	}
+	return a.Idle
+}
+
+func cordonLocal(ctx context.Context, r *runner, ids []string) []string {
+	answers := make(chan []string, 1)
+	if !r.post(func(now time.Time) { answers <- r.state.Cordon(now, ids) }) {
+		return nil
+	}
+	select {
+	case idle := <-answers:
+		return idle
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (d *Daemon) serveCordon(c echo.Context) error {
+	var q cordonRequest
+	if err := decodeBody(c, &q); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	r, _ := d.owner(q.Service)
+	if r == nil {
+		return c.JSON(http.StatusOK, cordonReply{NotOwner: true})
+	}
+	data, err := json.Marshal(cordonReply{Idle: cordonLocal(c.Request().Context(), r, q.Workers)})
+	if err != nil {
+		return c.String(http.StatusInternalServerError, err.Error())
+	}
+	return c.JSONBlob(http.StatusOK, data)
+}
--- /dev/null
+++ b/entry/ingress.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/platform"
+)
+
+// Limits towards callers.
+const (
+	headerTime = 5 * time.Second
+	idleTime   = 60 * time.Second
+	// callTime bounds a call whose caller names no deadline.
+	callTime = 3 * time.Second
+	// answerReserve is kept of the caller's deadline for the answer.
+	answerReserve = 150 * time.Millisecond
+	// ownerWait is how long a call waits for a service to have an owner.
+	ownerWait = 250 * time.Millisecond
+	// noOwnerRetry is when a caller comes again whose service has no owner.
+	noOwnerRetry   = time.Second
+	defaultMaxBody = 256 << 10
+)
+
+func (d *Daemon) callerServer() *http.Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.Any("/*", d.serveCaller)
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+}
+
+func (d *Daemon) readyServer() *http.Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(platform.ReadinessPath, func(c echo.Context) error {
+		if d.stopping.Load() || d.config.Load() == nil {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+}
+
+// findQueue returns the queue with the longest prefix of the path and the rest of the path.
+func findQueue(c *cuminstair.JobConfig, host, path string) (cuminstair.WorkQueue, string, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	best := -1
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best < 0 || len(q.Prefix) > len(c.Queues[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return cuminstair.WorkQueue{}, "", false
+	}
+	return c.Queues[best], path[len(c.Queues[best].Prefix):], true
+}
+
+// call is a request of a caller.
+type call struct {
+	queue   cuminstair.WorkQueue
+	id      string
+	config  int64
+	method  string
+	arrived time.Time
+}
+
+func (d *Daemon) serveCaller(c echo.Context) error {
+	d.calls.Add(1)
+	defer d.calls.Add(-1)
+	now := d.Timer.Now()
+	req := c.Request()
+	config := d.config.Load()
+	if config == nil {
+		return d.refuse(c, call{arrived: now}, http.StatusServiceUnavailable, noOwnerRetry, "no configuration yet")
+	}
+	limit := config.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
+	if err != nil {
+		return c.String(http.StatusBadRequest, "the body could not be read")
+	}
+	queue, rest, ok := findQueue(config, req.Host, req.URL.Path)
+	if !ok {
+		return c.String(http.StatusNotFound, "no such queue")
+	}
+	x := call{queue: queue, config: config.Version, method: req.Method, arrived: now}
+	x.id, ok = platform.JobID(rest)
+	if !ok {
+		return c.String(http.StatusNotFound, "no such job: an id has 16 hexadecimal digits")
+	}
+	if int64(len(body)) > limit {
+		return c.String(http.StatusRequestEntityTooLarge, "the body is too large")
+	}
+	wait := platform.CallerWait(req.Header.Get(platform.DeadlineHeader))
+	if wait <= 0 {
+		wait = callTime
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), max(answerReserve, wait-answerReserve))
+	defer cancel()
+	switch {
+	case req.Method == http.MethodPost && x.id != "":
+		return d.submit(ctx, c, x, body)
+	case req.Method == http.MethodGet && x.id == "":
+		return d.waiting(ctx, c, x)
+	case req.Method == http.MethodGet:
+		return d.state(ctx, c, x)
+	case req.Method == http.MethodDelete && x.id != "":
+		return d.cancel(ctx, c, x)
+	default:
+		return c.String(http.StatusMethodNotAllowed, "jobs take POST, GET and DELETE")
+	}
+}
+
+func (d *Daemon) submit(ctx context.Context, c echo.Context, x call, body []byte) error {
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		d.Log.Info("entry: job is malformed", "job", x.id, "queue", x.queue.Name, "error", err)
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	r := d.ask(ctx, x, spec)
+	switch r.Outcome {
+	case dispatch.Accepted:
+		return c.NoContent(http.StatusOK)
+	case dispatch.Uncertain:
+		d.Metrics.call(x.method, "uncertain")
+		d.Log.Info("entry: fate of a job is unknown", "job", x.id, "queue", x.queue.Name, "why", r.Why, "config", x.config)
+		return c.String(http.StatusGatewayTimeout, r.Why)
+	case dispatch.Refused, dispatch.Never:
+		return d.refuse(c, x, http.StatusTooManyRequests, r.Wait, r.Why)
+	default:
+		return d.refuse(c, x, http.StatusServiceUnavailable, r.Wait, r.Why)
+	}
+}
+
+// refuse tells a caller that its request has not run and when to come again.
+func (d *Daemon) refuse(c echo.Context, x call, status int, wait time.Duration, why string) error {
+	d.Metrics.call(x.method, "refused")
+	seconds := max(1, int(math.Round(wait.Seconds())))
+	c.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
+	d.Log.Info("entry: refused", "job", x.id, "queue", x.queue.Name, "status", status, "retry", seconds, "why", why,
+		"held", d.Timer.Now().Sub(x.arrived).Round(time.Millisecond), "config", x.config)
+	return c.String(status, why)
+}
+
+func (d *Daemon) state(ctx context.Context, c echo.Context, x call) error {
+	a, err := d.reach(ctx, x, nil)
+	state := a.State
+	if err != nil || a.Outcome == dispatch.Away {
+		state, err = d.storedState(ctx, x)
+	}
+	switch {
+	case err != nil:
+		return d.refuse(c, x, http.StatusServiceUnavailable, noOwnerRetry, "no owner and no store")
+	case state == cuminstair.JobUnknown:
+		return c.NoContent(http.StatusGone)
+	}
+	return c.JSONBlob(http.StatusOK, platform.EncodeState(state))
+}
+
+// storedState reads the state of a job from the store, while its service has no owner that answers.
+func (d *Daemon) storedState(ctx context.Context, x call) (cuminstair.JobState, error) {
+	to := x.id + "\x00"
+	jobs, _, err := d.Store.Read(ctx, dispatch.JobTable, x.queue.Service, x.id, to)
+	if err != nil || len(jobs) == 0 {
+		return cuminstair.JobUnknown, err
+	}
+	runs, _, err := d.Store.Read(ctx, dispatch.RunTable, x.queue.Service, x.id, to)
+	if err != nil {
+		return cuminstair.JobUnknown, err
+	}
+	if len(runs) == 0 {
+		return cuminstair.JobQueued, nil
+	}
+	return dispatch.RecordState(runs[0].Value)
+}
+
+func (d *Daemon) cancel(ctx context.Context, c echo.Context, x call) error {
+	a, err := d.reach(ctx, x, nil)
+	switch {
+	case err != nil || a.Outcome == dispatch.Away:
+		return d.refuse(c, x, http.StatusServiceUnavailable, noOwnerRetry, "the service has no owner")
+	case a.Outcome == dispatch.NotFound:
+		return c.NoContent(http.StatusGone)
+	case a.Outcome == dispatch.Uncertain:
+		return c.String(http.StatusGatewayTimeout, a.Why)
+	}
+	d.Log.Info("entry: job cancelled", "job", x.id, "queue", x.queue.Name, "config", x.config)
+	return c.NoContent(http.StatusOK)
+}
+
+func (d *Daemon) waiting(ctx context.Context, c echo.Context, x call) error {
+	a, err := d.reach(ctx, x, nil)
+	if err != nil || a.Outcome == dispatch.Away {
+		return d.refuse(c, x, http.StatusServiceUnavailable, noOwnerRetry, "the service has no owner")
+	}
+	return c.JSONBlob(http.StatusOK, platform.EncodeWaiting(a.Waiting))
+}
+
+// ask hands a job to the owner of its service.
+func (d *Daemon) ask(ctx context.Context, x call, spec *cuminstair.JobSpec) dispatch.Result {
+	a, err := d.reach(ctx, x, spec)
+	switch {
+	case errors.Is(err, errNoOwner):
+		return dispatch.Result{Outcome: dispatch.Away, Wait: noOwnerRetry, Why: "the service has no owner"}
+	case err != nil:
+		return dispatch.Result{Outcome: dispatch.Uncertain, Why: "the owner did not answer"}
+	}
+	return dispatch.Result{Outcome: a.Outcome, Wait: time.Duration(a.Wait) * time.Millisecond, Why: a.Why}
+}
+
+// errNoOwner means that no byte of the call was handed to an owner.
+const errNoOwner = errors.ConstError("the service has no owner")
+
+// reach brings a call to the owner of its service, in this daemon or another. A call that reached an owner without an
+// answer is brought to the next one, since calls are idempotent by the id of the job; the last error says whether any
+// owner may have acted.
+func (d *Daemon) reach(ctx context.Context, x call, spec *cuminstair.JobSpec) (reply, error) {
+	begin := d.Timer.Now()
+	sent := false
+	for {
+		r, addr := d.owner(x.queue.Service)
+		var a reply
+		err := error(errNoOwner)
+		switch {
+		case r != nil:
+			a, err = d.askLocal(ctx, r, x, spec)
+		case addr != "":
+			a, err = d.peers.ask(ctx, addr, x, spec)
+		}
+		if err == nil && !a.NotOwner {
+			return a, nil
+		}
+		if err != nil && !errors.Is(err, errNoOwner) {
+			sent = true
+		}
+		if ctx.Err() != nil || d.Timer.Now().Sub(begin) > ownerWait {
+			if sent {
+				return reply{}, err
+			}
+			return reply{}, errNoOwner
+		}
+		signal(d.poke)
+		d.sleep(ctx, ownerWait/5)
+	}
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// Metrics are the counters and histograms of a daemon. It must be made with NewMetrics.
+type Metrics struct {
+	Calls       *prometheus.CounterVec   // by method and outcome, of calls that were not simply answered
+	WorkerCalls *prometheus.HistogramVec // seconds, by order and outcome
+	StoreWrites *prometheus.HistogramVec // seconds, by outcome
+	Takeover    prometheus.Histogram     // seconds from the decision to the first order
+	Connections prometheus.Counter       // opened to workers, the store and the controller of hosts
+}
+
+// NewMetrics returns metrics that are registered in reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	buckets := []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5}
+	m := &Metrics{
+		Calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_calls_total", Help: "Calls of callers that were refused or are uncertain.",
+		}, []string{"method", "outcome"}),
+		WorkerCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cuminstair_worker_call_seconds", Help: "Calls to workers.", Buckets: buckets,
+		}, []string{"order", "outcome"}),
+		StoreWrites: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cuminstair_store_write_seconds", Help: "Transactions of services.", Buckets: buckets,
+		}, []string{"outcome"}),
+		Takeover: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cuminstair_takeover_seconds", Help: "Time from the decision to take a service to its first order.", Buckets: buckets,
+		}),
+		Connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
+		}),
+	}
+	reg.MustRegister(m.Calls, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Connections)
+	return m
+}
+
+func (m *Metrics) call(method, outcome string) {
+	switch method {
+	case "GET", "POST", "DELETE":
+	default:
+		method = "other"
+	}
+	m.Calls.WithLabelValues(method, outcome).Inc()
+}
+
+var orderNames = [...]string{"start", "stop", "hold", "pace"}
+
+func (m *Metrics) worker(kind dispatch.OrderKind, err error, took time.Duration) {
+	m.WorkerCalls.WithLabelValues(orderNames[kind], outcome(err)).Observe(took.Seconds())
+}
+
+func (m *Metrics) store(err error, took time.Duration) {
+	m.StoreWrites.WithLabelValues(outcome(err)).Observe(took.Seconds())
+}
+
+// outcome names an error with a bounded number of words.
+func outcome(err error) string {
+	for _, o := range []struct {
+		err  error
+		name string
+	}{
+		{cuminstair.ErrUncertain, "uncertain"}, {cuminstair.ErrNotDone, "refused"}, {cuminstair.ErrUnavailable, "unavailable"},
+		{cuminstair.ErrConflict, "conflict"}, {cuminstair.ErrFenced, "fenced"}, {cuminstair.ErrOtherLife, "gone"},
+	} {
+		if errors.Is(err, o.err) {
+			return o.name
+		}
+	}
+	if err != nil {
+		return "error"
+	}
+	return "ok"
+}
--- /dev/null
+++ b/entry/owners.go
@@ -0,0 +1,289 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/tenure"
+)
+
+// takeoverRetry is the pause after a step of a takeover failed.
+const takeoverRetry = 150 * time.Millisecond
+
+// beat rewrites the daemon's record again and again.
+func (d *Daemon) beat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if d.config.Load() != nil && !d.stopping.Load() {
+			d.writeBeat(ctx)
+		}
+		d.sleep(ctx, tenure.BeatEvery)
+	}
+	return nil
+}
+
+func (d *Daemon) writeBeat(ctx context.Context) {
+	n := tenure.Node{
+		Run: d.run, Addr: d.addr, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(), Beat: d.Timer.Now().UnixMilli(),
+	}
+	// A Node always encodes.
+	data, _ := json.Marshal(n)
+	key := cuminstair.RecordKey{Table: tenure.Table, Part: tenure.NodePart, Key: d.Settings.Name}
+	if _, err := d.Store.Commit(ctx, cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: key, Value: data}}}); err != nil {
+		d.Log.Debug("entry: can't write the daemon's record", "error", err)
+	}
+}
+
+// followOwners reads the owner records, takes services and drops those that others have taken.
+func (d *Daemon) followOwners(ctx context.Context) error {
+	dep := &dependency{name: "owner records in the store"}
+	for ctx.Err() == nil {
+		sent := d.Timer.Now()
+		err := d.readOwners(ctx)
+		if ctx.Err() == nil {
+			d.note(dep, err)
+		}
+		if err == nil {
+			d.applyOwners(ctx, sent)
+		}
+		d.pause(ctx, d.poke, viewEvery)
+	}
+	return nil
+}
+
+func (d *Daemon) readOwners(ctx context.Context) error {
+	d.mu.Lock()
+	after := d.viewAt
+	d.mu.Unlock()
+	var records []cuminstair.Record
+	var next uint64
+	var err error
+	if after > 0 {
+		records, next, err = d.Store.Changes(ctx, tenure.Table, after, 0)
+	}
+	if after == 0 || errors.Is(err, cuminstair.ErrCompacted) {
+		records, next, err = d.readOwnersWhole(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.viewAt = max(d.viewAt, next)
+	if bad := d.view.Apply(d.Timer.Now(), records); len(bad) > 0 {
+		d.Log.Error("entry: can't read owner records", "parts", bad)
+	}
+	return nil
+}
+
+// readOwnersWhole reads all records. Changes after the version of the first reading are read again by the next call.
+func (d *Daemon) readOwnersWhole(ctx context.Context) ([]cuminstair.Record, uint64, error) {
+	parts, err := d.Store.Parts(ctx, tenure.Table)
+	if err != nil {
+		return nil, 0, err
+	}
+	records, first, err := d.Store.Read(ctx, tenure.Table, tenure.NodePart, "", "")
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, part := range parts {
+		if part == tenure.NodePart {
+			continue
+		}
+		more, _, err := d.Store.Read(ctx, tenure.Table, part, "", "")
+		if err != nil {
+			return nil, 0, err
+		}
+		records = append(records, more...)
+	}
+	return records, first, nil
+}
+
+// services returns the pools that run tasks, and the duty of the hosts.
+func (d *Daemon) services() []string {
+	c := d.config.Load()
+	if c == nil {
+		return nil
+	}
+	var list []string
+	used := map[string]bool{}
+	for _, q := range c.Queues {
+		used[q.Service] = true
+	}
+	for _, p := range c.Pools {
+		if !p.Spare || used[p.Name] {
+			list = append(list, p.Name)
+		}
+	}
+	if d.Hosts != nil {
+		list = append(list, tenure.HostsPart)
+	}
+	return list
+}
+
+func (d *Daemon) applyOwners(ctx context.Context, sent time.Time) {
+	now := d.Timer.Now()
+	services := d.services()
+	d.mu.Lock()
+	for service, r := range d.runners {
+		o, version := d.view.Owner(service)
+		if o.Name == d.Settings.Name && o.Run == d.run {
+			r.confirm(sent)
+			continue
+		}
+		if version > uint64(r.token) {
+			r.depose("the store names another owner: " + o.Name)
+		}
+	}
+	var claims []string
+	if !d.stopping.Load() {
+		claims = d.view.Claims(now, services)
+		for _, service := range services {
+			if o, _ := d.view.Owner(service); o.Name == d.Settings.Name && o.Run == d.run && d.runners[service] == nil {
+				claims = append(claims, service) // a takeover whose answer was lost
+			}
+		}
+	}
+	for _, service := range claims {
+		if d.runners[service] != nil || d.taking[service] {
+			continue
+		}
+		d.taking[service] = true
+		old, version := d.view.Owner(service)
+		go d.take(ctx, service, old, version)
+	}
+	d.mu.Unlock()
+}
+
+// take takes a service over: it writes the owner record, reads the service's records and starts its runner.
+func (d *Daemon) take(ctx context.Context, service string, old tenure.Owner, version uint64) {
+	defer func() {
+		d.mu.Lock()
+		delete(d.taking, service)
+		d.mu.Unlock()
+	}()
+	begin := d.Timer.Now()
+	mine := tenure.Owner{Name: d.Settings.Name, Run: d.run, Addr: d.addr, Seq: 1}
+	token, err := d.writeOwner(ctx, service, version, mine)
+	if err != nil {
+		d.Log.Info("entry: service was not taken", "service", service, "version", version, "error", err)
+		signal(d.poke)
+		return
+	}
+	d.Log.Info("entry: owner record written", "service", service, "token", token, "before", old.Name, "version", version)
+	r := newRunner(d, service, token, mine, old.Name != "" || version > 0)
+	if service != tenure.HostsPart {
+		if !d.recover(ctx, r) {
+			return
+		}
+	}
+	d.mu.Lock()
+	d.runners[service] = r
+	d.mu.Unlock()
+	d.Metrics.Takeover.Observe(d.Timer.Now().Sub(begin).Seconds())
+	r.start(ctx)
+	signal(d.listNow)
+}
+
+// writeOwner writes an owner record on the condition of its version and returns the version of the write.
+func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o tenure.Owner) (uint64, error) {
+	key := cuminstair.RecordKey{Table: tenure.Table, Part: service, Key: tenure.OwnerKey}
+	// An Owner always encodes.
+	data, _ := json.Marshal(o)
+	tx := cuminstair.Tx{
+		Checks: []cuminstair.RecordCheck{{RecordKey: key, Version: version}},
+		Puts:   []cuminstair.RecordPut{{RecordKey: key, Value: data}},
+	}
+	for {
+		got, err := d.Store.Commit(ctx, tx)
+		var conflict *cuminstair.Conflict
+		switch {
+		case err == nil:
+			return got, nil
+		case errors.As(err, &conflict):
+			for _, r := range conflict.Records {
+				if string(r.Value) == string(data) {
+					return r.Version, nil // an earlier sending of this write
+				}
+			}
+			return 0, err
+		case !errors.Is(err, cuminstair.ErrUncertain):
+			return 0, err
+		}
+		d.sleep(ctx, takeoverRetry)
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// recover reads the records of a service until it succeeds or the service has another owner.
+func (d *Daemon) recover(ctx context.Context, r *runner) bool {
+	for ctx.Err() == nil && !d.stopping.Load() {
+		err := d.readService(ctx, r)
+		if err == nil {
+			return true
+		}
+		d.Log.Warn("entry: can't read the records of a service", "service", r.service, "error", err)
+		d.mu.Lock()
+		o, version := d.view.Owner(r.service)
+		d.mu.Unlock()
+		if version > uint64(r.token) && o.Run != d.run {
+			return false
+		}
+		d.sleep(ctx, takeoverRetry)
+	}
+	return false
+}
+
+func (d *Daemon) readService(ctx context.Context, r *runner) error {
+	jobs, _, err := d.Store.Read(ctx, dispatch.JobTable, r.service, "", "")
+	if err != nil {
+		return err
+	}
+	runs, _, err := d.Store.Read(ctx, dispatch.RunTable, r.service, "", "")
+	if err != nil {
+		return err
+	}
+	crew, _, err := d.Store.Read(ctx, dispatch.CrewTable, r.service, "", "")
+	if err != nil {
+		return err
+	}
+	list := d.workersOf(r.service)
+	now := d.Timer.Now()
+	r.state.Recover(now, jobs, runs, crew)
+	if len(list) > 0 {
+		r.state.SetWorkers(now, list)
+	}
+	return nil
+}
+
+func (d *Daemon) workersOf(service string) []cuminstair.WorkerInfo {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []cuminstair.WorkerInfo
+	for _, w := range d.workers {
+		if w.Service == service {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// handOver releases a service at a planned stop and tells the daemon that should take it.
+func (d *Daemon) handOver(ctx context.Context, r *runner) {
+	r.handOver(ctx)
+	d.mu.Lock()
+	delete(d.runners, r.service)
+	name, node := d.view.Successor(d.Timer.Now(), r.service)
+	d.mu.Unlock()
+	d.Log.Info("entry: service released", "service", r.service, "token", r.token, "to", name)
+	if name != "" {
+		d.peers.poke(ctx, node.Addr)
+	}
+	signal(d.poke)
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// Calls between daemons. A daemon brings the calls of its callers to the owner of their service.
+const (
+	callPath   = "/call"
+	pokePath   = "/poke"
+	cordonPath = "/cordon"
+	peerDial   = 500 * time.Millisecond
+	peerIdle   = 30 * time.Second
+	peerBody   = 1 << 20
+	pokeTime   = 500 * time.Millisecond
+)
+
+// request is a call that is brought to the owner.
+type request struct {
+	Method string               `json:"method"`
+	ID     string               `json:"id"`
+	Queue  cuminstair.WorkQueue `json:"queue"`
+	Job    *cuminstair.JobSpec  `json:"job,omitempty"`
+}
+
+// reply is the owner's answer.
+type reply struct {
+	NotOwner bool                `json:"not,omitempty"`
+	Outcome  dispatch.Outcome    `json:"outcome"`
+	Wait     int64               `json:"wait,omitempty"` // milliseconds
+	Why      string              `json:"why,omitempty"`
+	State    cuminstair.JobState `json:"state,omitempty"`
+	Waiting  int                 `json:"waiting,omitempty"`
+}
+
+// cordonRequest asks an owner to empty workers.
+type cordonRequest struct {
+	Service string   `json:"service"`
+	Workers []string `json:"workers"`
+}
+
+type cordonReply struct {
+	NotOwner bool     `json:"not,omitempty"`
+	Idle     []string `json:"idle"`
+}
+
+// peerClient calls other daemons.
+type peerClient struct{ http *http.Client }
+
+func newPeerClient() *peerClient {
+	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
+	return &peerClient{http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdle, DisableCompression: true,
+	}}}
+}
+
+// post sends a JSON body and decodes the answer. Error: errNoOwner if nothing was sent.
+func (p *peerClient) post(ctx context.Context, addr, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode call to %s: %w", addr, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("make call to %s: %w", addr, err)
+	}
+	req.GetBody = nil
+	resp, err := p.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return fmt.Errorf("call %s: %w: %w", addr, errNoOwner, err)
+		}
+		return fmt.Errorf("call %s: %w", addr, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, peerBody))
+	if err != nil {
+		return fmt.Errorf("read answer of %s: %w", addr, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("call %s: status %d", addr, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", addr, err)
+	}
+	return nil
+}
+
+func (p *peerClient) ask(ctx context.Context, addr string, x call, spec *cuminstair.JobSpec) (reply, error) {
+	var a reply
+	err := p.post(ctx, addr, callPath, request{Method: x.method, ID: x.id, Queue: x.queue, Job: spec}, &a)
+	return a, err
+}
+
+// poke makes a daemon read the owner records at once.
+func (p *peerClient) poke(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, pokeTime)
+	defer cancel()
+	// The daemon reads the records by itself soon; a lost poke only costs time.
+	_ = p.post(ctx, addr, pokePath, struct{}{}, nil)
+}
+
+func (d *Daemon) peerServer() *http.Server {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST(callPath, d.servePeer)
+	e.POST(cordonPath, d.serveCordon)
+	e.POST(pokePath, func(c echo.Context) error {
+		signal(d.poke)
+		return c.NoContent(http.StatusOK)
+	})
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+}
+
+func (d *Daemon) servePeer(c echo.Context) error {
+	var q request
+	if err := decodeBody(c, &q); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	r, _ := d.owner(q.Queue.Service)
+	if r == nil {
+		return c.JSON(http.StatusOK, reply{NotOwner: true})
+	}
+	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now()}
+	a, err := d.askLocal(c.Request().Context(), r, x, q.Job)
+	if errors.Is(err, errNoOwner) {
+		return c.JSON(http.StatusOK, reply{NotOwner: true})
+	}
+	if err != nil {
+		a = reply{Outcome: dispatch.Uncertain, Why: err.Error()}
+	}
+	return c.JSON(http.StatusOK, a)
+}
+
+func decodeBody(c echo.Context, into any) error {
+	data, err := io.ReadAll(io.LimitReader(c.Request().Body, peerBody))
+	if err != nil {
+		return fmt.Errorf("read call: %w", err)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("decode call: %w", err)
+	}
+	return nil
+}
+
+// askLocal brings a call to a service that this daemon owns.
+func (d *Daemon) askLocal(ctx context.Context, r *runner, x call, spec *cuminstair.JobSpec) (reply, error) {
+	answers := make(chan reply, 1)
+	result := func(res dispatch.Result) {
+		answers <- reply{Outcome: res.Outcome, Wait: res.Wait.Milliseconds(), Why: res.Why}
+	}
+	posted := r.post(func(now time.Time) {
+		switch {
+		case r.state.Deposed() || r.ended:
+			answers <- reply{NotOwner: true}
+		case x.method == http.MethodPost && spec != nil:
+			r.state.Submit(now, x.id, spec, x.queue, result)
+		case x.method == http.MethodDelete:
+			r.state.Cancel(now, x.id, result)
+		case x.id == "":
+			answers <- reply{Waiting: r.state.Waiting(x.queue.Name)}
+		default:
+			answers <- reply{State: r.state.State(x.id)}
+		}
+	})
+	if !posted {
+		return reply{}, errNoOwner
+	}
+	select {
+	case a := <-answers:
+		return a, nil
+	case <-ctx.Done():
+		return reply{}, fmt.Errorf("owner of %s: %w", r.service, ctx.Err())
+	case <-r.done:
+		// The runner answers everything that it has read before it ends.
+		select {
+		case a := <-answers:
+			return a, nil
+		default:
+			return reply{}, errNoOwner
+		}
+	}
+}
--- /dev/null
+++ b/entry/runner.go
@@ -0,0 +1,304 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/tenure"
+)
+
+// Times of a runner.
+const (
+	// commitRetry is the pause before a write without an answer is sent again.
+	commitRetry = 200 * time.Millisecond
+	// downAfter is how long writes fail until new work is refused at once.
+	downAfter = 700 * time.Millisecond
+	// eventsQueued bounds the events that wait for the runner.
+	eventsQueued = 1024
+)
+
+// runner drives the decisions about one service. Only its goroutine touches state and the fields below it.
+type runner struct {
+	d       *Daemon
+	service string
+	token   uint64
+	taken   time.Time
+	after   bool // there was an owner before, whose leases may run on
+	events  chan func(now time.Time)
+	closed  atomic.Bool // it takes no new calls
+	done    chan struct{}
+	state   *dispatch.Service
+
+	owner     tenure.Owner
+	version   uint64 // of the owner record
+	confirmed time.Time
+	inflight  *dispatch.Batch
+	sentTx    cuminstair.Tx
+	failing   time.Time // since when writes fail; zero: they don't
+	releasing []func()  // called when the owner record is released
+	ended     bool
+}
+
+func newRunner(d *Daemon, service string, token uint64, owner tenure.Owner, after bool) *runner {
+	now := d.Timer.Now()
+	s := dispatch.New(service, int64(token), now, d.Log)
+	s.Bounds = d.Settings.Bounds
+	if after {
+		s.Grace = storeGrace
+	}
+	return &runner{
+		d: d, service: service, token: token, taken: now, after: after, state: s, owner: owner, version: token,
+		confirmed: now, events: make(chan func(time.Time), eventsQueued), done: make(chan struct{}),
+	}
+}
+
+func (r *runner) start(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := r.d.Timer.Every(tickEvery, func(time.Time) {
+		select {
+		case r.events <- func(time.Time) {}:
+		default: // the runner is awake
+		}
+	})
+	go func() {
+		defer close(r.done)
+		defer cancel()
+		defer stop()
+		r.loop(ctx)
+	}()
+}
+
+// post hands an event to the runner. It returns false if the runner has ended.
+func (r *runner) post(fn func(now time.Time)) bool {
+	select {
+	case r.events <- fn:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
+func (r *runner) loop(ctx context.Context) {
+	for !r.ended {
+		select {
+		case <-ctx.Done():
+			r.end("the daemon stops")
+			return
+		case fn := <-r.events:
+			now := r.d.Timer.Now()
+			fn(now)
+			for n := len(r.events); n > 0; n-- {
+				(<-r.events)(now)
+			}
+			r.step(ctx, now)
+		}
+	}
+}
+
+// step gives the orders and writes the records that are due.
+func (r *runner) step(ctx context.Context, now time.Time) {
+	if r.state.Deposed() {
+		r.end("deposed")
+		return
+	}
+	if r.service != tenure.HostsPart {
+		for _, o := range r.state.Decide(now, r.confirmed) {
+			go r.carryOut(ctx, o)
+		}
+		r.state.SetStore(!r.failing.IsZero() && now.Sub(r.failing) > downAfter)
+		r.state.AnswerLate(now, r.inflight)
+		r.write(ctx, now)
+	}
+	if r.inflight == nil && len(r.releasing) > 0 {
+		r.release(ctx)
+	}
+}
+
+// end stops the runner; callers that wait learn that the fate of their calls is unknown.
+func (r *runner) end(why string) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.closed.Store(true)
+	r.state.Depose(why)
+	r.state.AnswerAll()
+	for _, fn := range r.releasing {
+		fn()
+	}
+	r.releasing = nil
+	r.d.mu.Lock()
+	if r.d.runners[r.service] == r {
+		delete(r.d.runners, r.service)
+	}
+	r.d.mu.Unlock()
+	r.d.Log.Info("entry: service is no longer served here", "service", r.service, "token", r.token, "why", why)
+	signal(r.d.poke)
+}
+
+// carryOut sends one order and hands the answer back.
+func (r *runner) carryOut(ctx context.Context, o dispatch.Order) {
+	begin := r.d.Timer.Now()
+	w := r.d.Workers
+	var err error
+	switch o.Kind {
+	case dispatch.OrderStart:
+		var clock time.Duration
+		clock, err = w.Start(ctx, o.Worker, o.Start)
+		r.post(func(now time.Time) { r.state.Started(now, o, clock, err) })
+	case dispatch.OrderStop:
+		err = w.Stop(ctx, o.Worker, o.Task, o.Run, o.Token)
+		r.post(func(now time.Time) { r.state.Stopped(now, o, err) })
+	case dispatch.OrderHold:
+		var report cuminstair.WorkerReport
+		report, err = w.Hold(ctx, o.Worker, o.Lease, o.Token, o.Seen, o.Wait)
+		r.post(func(now time.Time) { r.state.Held(now, begin, o.Worker.ID, report, err) })
+	case dispatch.OrderPace:
+		if err = w.Pace(ctx, o.Worker, o.Task, o.Run, o.Percent, o.Token); err != nil {
+			r.d.Log.Debug("entry: filler was not paced", "service", r.service, "worker", o.Worker.ID, "error", err)
+		}
+	}
+	r.d.Metrics.worker(o.Kind, err, r.d.Timer.Now().Sub(begin))
+}
+
+// write sends the next batch, unless one is under way.
+func (r *runner) write(ctx context.Context, now time.Time) {
+	if r.inflight != nil {
+		return
+	}
+	b := r.state.Batch(now)
+	if b == nil || b.Empty() {
+		return
+	}
+	r.owner.Seq++
+	r.inflight = b
+	r.sentTx = cuminstair.Tx{Puts: append(b.Puts, r.ownerPut()), Deletes: b.Deletes, Checks: []cuminstair.RecordCheck{r.check()}}
+	go r.commit(ctx, r.sentTx)
+}
+
+func (r *runner) ownerKey() cuminstair.RecordKey {
+	return cuminstair.RecordKey{Table: tenure.Table, Part: r.service, Key: tenure.OwnerKey}
+}
+
+func (r *runner) check() cuminstair.RecordCheck {
+	return cuminstair.RecordCheck{RecordKey: r.ownerKey(), Version: r.version}
+}
+
+func (r *runner) ownerPut() cuminstair.RecordPut {
+	// An Owner always encodes.
+	data, _ := json.Marshal(r.owner)
+	return cuminstair.RecordPut{RecordKey: r.ownerKey(), Value: data}
+}
+
+func (r *runner) commit(ctx context.Context, tx cuminstair.Tx) {
+	sent := r.d.Timer.Now()
+	version, err := r.d.Store.Commit(ctx, tx)
+	r.d.Metrics.store(err, r.d.Timer.Now().Sub(sent))
+	r.post(func(now time.Time) { r.committed(ctx, now, sent, version, err) })
+}
+
+// committed settles the batch under way. A write without an answer is sent again as it was: its condition lets it take
+// effect once at most, and the sequence number in the owner record tells whether it did.
+func (r *runner) committed(ctx context.Context, now, sent time.Time, version uint64, err error) {
+	b := r.inflight
+	var conflict *cuminstair.Conflict
+	switch {
+	case err == nil:
+		r.settle(now, sent, b, version)
+	case errors.As(err, &conflict):
+		o, v := ownerOf(conflict)
+		if o == r.owner {
+			r.settle(now, sent, b, v)
+			return
+		}
+		r.state.Depose("the store has another owner record: " + o.Name)
+	default:
+		r.failed(now, err)
+		tx := r.sentTx
+		r.d.Timer.After(commitRetry, func(time.Time) { go r.commit(ctx, tx) })
+	}
+}
+
+func (r *runner) settle(now, sent time.Time, b *dispatch.Batch, version uint64) {
+	r.version = version
+	r.inflight = nil
+	r.confirm0(sent)
+	if !r.failing.IsZero() {
+		r.d.Log.Info("entry: dependency regained", "dependency", "writes of "+r.service, "after", now.Sub(r.failing))
+		r.failing = time.Time{}
+	}
+	r.state.Stored(now, b)
+}
+
+func (r *runner) failed(now time.Time, err error) {
+	if r.failing.IsZero() {
+		r.failing = now
+		r.d.Log.Warn("entry: dependency lost", "dependency", "writes of "+r.service, "error", err)
+	}
+}
+
+// ownerOf returns the owner record of a conflict and its version.
+func ownerOf(c *cuminstair.Conflict) (tenure.Owner, uint64) {
+	for _, rec := range c.Records {
+		if rec.Key != tenure.OwnerKey || rec.Table != tenure.Table {
+			continue
+		}
+		var o tenure.Owner
+		if err := json.Unmarshal(rec.Value, &o); err == nil {
+			return o, rec.Version
+		}
+	}
+	return tenure.Owner{}, 0
+}
+
+// confirm notes that the store named this daemon as the owner at sent.
+func (r *runner) confirm(sent time.Time) {
+	r.post(func(time.Time) { r.confirm0(sent) })
+}
+
+func (r *runner) confirm0(sent time.Time) {
+	if sent.After(r.confirmed) {
+		r.confirmed = sent
+	}
+}
+
+func (r *runner) depose(why string) {
+	go r.post(func(time.Time) { r.state.Depose(why) })
+}
+
+func (r *runner) setWorkers(list []cuminstair.WorkerInfo) {
+	r.post(func(now time.Time) { r.state.SetWorkers(now, list) })
+}
+
+// handOver stops new orders, lets the write under way end and releases the owner record.
+func (r *runner) handOver(ctx context.Context) {
+	r.closed.Store(true)
+	released := make(chan struct{})
+	if !r.post(func(time.Time) {
+		r.state.Stopping()
+		r.releasing = append(r.releasing, func() { close(released) })
+	}) {
+		return
+	}
+	select {
+	case <-released:
+	case <-r.done:
+	case <-ctx.Done():
+		r.d.Log.Warn("entry: service was not released in time", "service", r.service)
+	}
+}
+
+// release empties the owner record.
+func (r *runner) release(ctx context.Context) {
+	o := tenure.Owner{Seq: r.owner.Seq + 1}
+	if _, err := r.d.writeOwner(ctx, r.service, r.version, o); err != nil {
+		r.d.Log.Warn("entry: owner record was not released", "service", r.service, "error", err)
+	}
+	r.end("handed over")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -22,7 +22,7 @@
 	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/health"
 	"cuminstair.org/cuminstair/operator"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/retry"
 	"cuminstair.org/cuminstair/rollout"
 	"cuminstair.org/cuminstair/rollout/runner"
@@ -89,7 +89,7 @@
 		return err
 	}
 	if n.Platform == nil && n.Settings.Platform != "" {
-		n.Platform = &platform.Client{Base: "http://" + n.Settings.Platform, Timer: n.Timer, Rand: n.rand(), HTTP: &http.Client{}}
+		n.Platform = &tables.Client{Base: "http://" + n.Settings.Platform, Timer: n.Timer, Rand: n.rand(), HTTP: &http.Client{}}
 	}
 	if n.Platform != nil {
 		n.buildPlatformParts()
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,89 @@
+// Package place chooses workers for tasks. It answers a pool that is nearly full with tasks of mixed sizes: best fit
+// keeps large gaps whole, and lasting tasks are spread so that the loss of one worker costs each job little.
+package place
+
+// Room is what a worker has free, or what a task takes.
+type Room struct {
+	CPU    int // thousandths of a core
+	Memory int // MB
+	Accel  int
+}
+
+// Fits tells whether r is at most free.
+func (r Room) Fits(free Room) bool {
+	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.Accel <= free.Accel
+}
+
+// Plus returns r + n times o.
+func (r Room) Plus(o Room, n int) Room {
+	return Room{CPU: r.CPU + n*o.CPU, Memory: r.Memory + n*o.Memory, Accel: r.Accel + n*o.Accel}
+}
+
+// Candidate is a worker that may take the task.
+type Candidate struct {
+	Free    Room
+	Total   Room    // above zero in CPU and Memory
+	Same    int     // tasks of the same step on it
+	Far     bool    // away from the data of the task
+	Slow    float64 // how much longer tasks take than on other workers; 1: as long
+	Lasting int     // lasting tasks on it
+	Shared  int     // tasks on it that disturb, or are disturbed by, the task
+}
+
+// Want is what the task needs.
+type Want struct {
+	Room   Room
+	Spread bool // prefer workers with few tasks of the same step
+	Quiet  bool // prefer workers without tasks that disturb it
+}
+
+// Weights of the parts of a score; a lower score is better.
+const (
+	farWeight    = 4.0
+	slowWeight   = 3.0
+	sameWeight   = 2.0
+	sharedWeight = 1.0
+	strandWeight = 0.5
+)
+
+// Best returns the index of the best candidate that has room, or -1.
+func Best(want Want, list []Candidate) int {
+	best, low := -1, 0.0
+	for i := range list {
+		c := &list[i]
+		if !want.Room.Fits(c.Free) {
+			continue
+		}
+		s := score(want, c)
+		if best < 0 || s < low {
+			best, low = i, s
+		}
+	}
+	return best
+}
+
+// score is the share of processors that stays free, plus what speaks against the worker. Processors and memory that are
+// left in unlike shares are stranded and count as well.
+func score(want Want, c *Candidate) float64 {
+	left := c.Free.Plus(want.Room, -1)
+	cpu := float64(left.CPU) / float64(c.Total.CPU)
+	memory := float64(left.Memory) / float64(c.Total.Memory)
+	s := cpu + strandWeight*abs(cpu-memory) + slowWeight*max(0, c.Slow-1)
+	if c.Far {
+		s += farWeight
+	}
+	if want.Spread {
+		s += sameWeight * float64(c.Same)
+	}
+	if want.Quiet {
+		s += sharedWeight * float64(c.Shared)
+	}
+	return s
+}
+
+func abs(x float64) float64 {
+	if x < 0 {
+		return -x
+	}
+	return x
+}
--- a/rollout/runner/apply.go
+++ b/rollout/runner/apply.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/rollout"
 )
 
@@ -126,11 +126,11 @@
 		return 0, fmt.Errorf("swap the head: %w", err)
 	}
 	for range settleTries {
-		verdict, readErr := platform.Settle(ctx, a.Table, p.Commit, 0)
+		verdict, readErr := tables.Settle(ctx, a.Table, p.Commit, 0)
 		switch {
-		case readErr == nil && verdict == platform.Done:
+		case readErr == nil && verdict == tables.Done:
 			return a.versionOf(ctx, p), nil
-		case readErr == nil && verdict != platform.Pending:
+		case readErr == nil && verdict != tables.Pending:
 			// Nobody overwrites a change row, so that moved can't happen; never is a conflict.
 			return 0, fmt.Errorf("swap the head: the commit is %s: %w", verdict, cuminstair.ErrConflict)
 		}
--- a/platform/client.go
+++ b/tables/client.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's API that docs/platform.md describes. It batches reads, keeps within
+// Package tables is the client of the platform's API that docs/platform.md describes. It batches reads, keeps within
 // a budget of reads and writes, backs off with jitter and fails fast while the platform is down.
-package platform
+package tables
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/tables/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tables_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/standin/table"
 	"cuminstair.org/cuminstair/timer"
 )
@@ -45,11 +45,11 @@
 }
 
 // setup returns a client of a stand-in and a function that runs calls in virtual time until they return.
-func setup(t *testing.T) (*platform.Client, *table.Service, *direct, func(fns ...func())) {
+func setup(t *testing.T) (*tables.Client, *table.Service, *direct, func(fns ...func())) {
 	v := timer.NewVirtual(time.Unix(1000, 0))
 	s := &table.Service{Timer: v}
 	d := &direct{handler: s.Handler()}
-	c := &platform.Client{
+	c := &tables.Client{
 		Base: "http://platform", Timer: v, Rand: rand.New(rand.NewPCG(1, 1)), HTTP: &http.Client{Transport: d},
 	}
 	run := func(fns ...func()) {
@@ -200,7 +200,7 @@
 				is.NoErr(err)
 			}
 		})
-		is.True(v.Now().Sub(start) >= (100-platform.DefaultBurst)/platform.DefaultWrites*time.Second)
+		is.True(v.Now().Sub(start) >= (100-tables.DefaultBurst)/tables.DefaultWrites*time.Second)
 		s.SetFaults(table.Faults{Down: true})
 		before := s.Stats().Reads
 		start = v.Now()
@@ -245,18 +245,18 @@
 	go func() { _ = tm.Run(ctx) }()
 	s := &table.Service{Timer: tm}
 	server := httptest.NewServer(s.Handler())
-	c := &platform.Client{Base: server.URL, Timer: tm, Rand: rand.New(rand.NewPCG(1, 1))}
+	c := &tables.Client{Base: server.URL, Timer: tm, Rand: rand.New(rand.NewPCG(1, 1))}
 	_, err := c.Commit(ctx, commit("w1", "a"))
 	is.NoErr(err)
 	s.SetFaults(table.Faults{Lose: 1})
 	_, err = c.Commit(ctx, commit("w2", "b"))
 	is.True(errors.Is(err, cuminstair.ErrUncertain))
 	is.Equal(len(s.History()), 2)
-	verdict, err := platform.Settle(ctx, c, commit("w2", "b"), 1)
+	verdict, err := tables.Settle(ctx, c, commit("w2", "b"), 1)
 	is.NoErr(err)
-	is.Equal(verdict, platform.Done)
+	is.Equal(verdict, tables.Done)
 	server.Close()
-	c = &platform.Client{Base: server.URL, Timer: tm, Rand: rand.New(rand.NewPCG(1, 1))} // without an idle connection
+	c = &tables.Client{Base: server.URL, Timer: tm, Rand: rand.New(rand.NewPCG(1, 1))} // without an idle connection
 	_, err = c.Commit(ctx, commit("w3", "c"))
 	is.True(errors.Is(err, cuminstair.ErrUnavailable))
 }
--- a/platform/hosts_test.go
+++ b/tables/hosts_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tables_test
 
 import (
 	"net/http"
--- a/platform/limit.go
+++ b/tables/limit.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 import (
 	"math/rand/v2"
--- a/platform/settle_test.go
+++ b/tables/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tables_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/standin/table"
 	"cuminstair.org/cuminstair/timer"
 )
@@ -39,7 +39,7 @@
 // Guards against a verdict that the history of the table refutes, whenever the commit arrives (before, between or
 // after the reads) and whatever other commits overwrite its rows.
 func TestSettleAgainstHistory(t *testing.T) {
-	verdicts := make(map[platform.Verdict]int)
+	verdicts := make(map[tables.Verdict]int)
 	rapid.Check(t, func(t *rapid.T) {
 		s := &table.Service{Timer: timer.NewVirtual(time.Unix(0, 0))}
 		keys := []string{"a", "a/1", "b"}
@@ -76,7 +76,7 @@
 			}
 		}
 		step()
-		got, err := platform.Settle(t.Context(), racing{s, step}, c, since)
+		got, err := tables.Settle(t.Context(), racing{s, step}, c, since)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -86,15 +86,15 @@
 		}
 		verdicts[got]++
 		switch {
-		case got == platform.Done && !took:
+		case got == tables.Done && !took:
 			t.Fatal("done, but the commit is not in the history")
-		case got == platform.Never && inHistory(s, "x"):
+		case got == tables.Never && inHistory(s, "x"):
 			t.Fatal("never, but the commit is in the history")
-		case got == platform.Moved && !arrived && !errors.Is(err, cuminstair.ErrConflict):
+		case got == tables.Moved && !arrived && !errors.Is(err, cuminstair.ErrConflict):
 			t.Fatal("moved, but the commit could still arrive")
 		}
 	})
-	for _, v := range []platform.Verdict{platform.Pending, platform.Done, platform.Never, platform.Moved} {
+	for _, v := range []tables.Verdict{tables.Pending, tables.Done, tables.Never, tables.Moved} {
 		if verdicts[v] == 0 {
 			t.Errorf("no run had the verdict %s", v)
 		}
--- a/trace/plan/link.go
+++ b/trace/plan/link.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/wave"
 )
 
@@ -29,10 +29,10 @@
 	return l.d.live && l.d.boots == l.boot && (l.d.p.current == nil || !l.d.p.current.ended)
 }
 
-// read waits for an answer. The client gives up after platform.DefaultTimeout.
+// read waits for an answer. The client gives up after tables.DefaultTimeout.
 func (l *link) read() error {
 	slow := l.d.p.slow
-	if !l.reach(min(slow, platform.DefaultTimeout)) || slow > platform.DefaultTimeout {
+	if !l.reach(min(slow, tables.DefaultTimeout)) || slow > tables.DefaultTimeout {
 		return fmt.Errorf("read: %w", cuminstair.ErrUnavailable)
 	}
 	return nil
@@ -41,9 +41,9 @@
 // write waits for an answer and then has its effect. A write that the client gave up on has its effect all the same.
 func (l *link) write(fn func() error) error {
 	slow := l.d.p.slow
-	if slow > platform.DefaultTimeout {
+	if slow > tables.DefaultTimeout {
 		l.d.p.clock.After(slow, func(time.Time) { _ = fn() })
-		l.reach(platform.DefaultTimeout)
+		l.reach(tables.DefaultTimeout)
 		return fmt.Errorf("no answer in time: %w", cuminstair.ErrUncertain)
 	}
 	if !l.reach(slow) {
