Move hosts between pools with demand

The controller of hosts now sizes pools by the work that is offered, runs or is due, and gives idle hosts back.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -64,17 +64,17 @@
 	}
 	s.holdAll(now)
 	if s.Grace > 0 && now.Sub(confirmed) >= s.Grace {
-		s.suspendOrders()
+		s.suspendOrders(now)
 	}
 	return s.orders
 }
 
 // suspendOrders takes back what Decide wanted to order.
-func (s *Service) suspendOrders() {
+func (s *Service) suspendOrders(now time.Time) {
 	for _, o := range s.orders {
 		switch o.Kind {
 		case OrderStart:
-			o.attempt.worker.remove(o.attempt)
+			o.attempt.worker.remove(now, o.attempt)
 			if t := o.attempt.task; t != nil && t.at == o.attempt {
 				t.at = nil
 				s.relist(t.step)
@@ -288,7 +288,7 @@
 		w := s.choose(now, st, t)
 		if w == nil {
 			for _, o := range s.orders[mark:] {
-				o.attempt.worker.remove(o.attempt)
+				o.attempt.worker.remove(now, o.attempt)
 				o.attempt.task.at = nil
 				o.attempt.task.run--
 			}
@@ -328,7 +328,7 @@
 func (s *Service) start(now time.Time, t *task, w *worker, run int64) {
 	j := t.step.occ.job
 	t.run = run
-	a := &attempt{task: t, id: t.id, run: run, room: t.step.room(), sent: now, share: 100, expected: s.length(j, t.step.index)}
+	a := &attempt{task: t, id: t.id, run: run, room: t.step.room(), sent: now, share: 100, expected: s.length(j, t.step.index), resumed: t.checkpoint != ""}
 	t.at = a
 	w.add(a)
 	s.counts.Starts++
--- /dev/null
+++ b/dispatch/demand.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+)
+
+// Windows of demand.
+const (
+	// rateWindow is the time over which offered work is counted.
+	rateWindow = time.Second
+	// rateBucket is the resolution of the count.
+	rateBucket = 100 * time.Millisecond
+	// leastTime is the least time in which accepted work is asked to be done.
+	leastTime = 1200 * time.Millisecond
+	// patienceWeight is the weight of a new job in the mean of objectives.
+	patienceWeight = 0.1
+	// incomingDelay is when a worker that is on its way takes tasks, on average.
+	incomingDelay = 1300 * time.Millisecond
+)
+
+// Demand is what a service asks of its pool.
+type Demand struct {
+	Rate    float64  `json:"rate"`              // cores that the work handed in during the last second would keep busy
+	Backlog float64  `json:"backlog"`           // cores that do the accepted work in time
+	Active  float64  `json:"active"`            // cores of the short tasks that run or could run
+	Spread  int      `json:"spread,omitempty"`  // workers that the widest step needs because its tasks keep apart
+	Lasting float64  `json:"lasting,omitempty"` // cores of lasting tasks
+	Anchors int      `json:"anchors,omitempty"` // workers with lasting tasks
+	Workers int      `json:"workers"`           // that take tasks
+	Cores   float64  `json:"cores"`             // of one worker
+	Idle    []string `json:"idle,omitempty"`    // workers without tasks, the longest idle first
+	// Patience is the mean objective of jobs in milliseconds, 0 if none has come yet.
+	Patience int64 `json:"patience,omitempty"`
+}
+
+// offer notes work that a caller hands in for the first time.
+func (s *Service) offer(now time.Time, work float64) {
+	slot := now.UnixNano() / int64(rateBucket)
+	if n := len(s.offered); n > 0 && s.offered[n-1].slot == slot {
+		s.offered[n-1].work += work
+		return
+	}
+	s.offered = append(s.offered, offered{slot: slot, work: work})
+	oldest := slot - int64(rateWindow/rateBucket)
+	for len(s.offered) > 0 && s.offered[0].slot <= oldest {
+		s.offered = s.offered[1:]
+	}
+}
+
+// offered is the work that came in one bucket of time.
+type offered struct {
+	slot int64
+	work float64 // core-seconds
+}
+
+// Demand returns what the service asks for. incoming is how many workers are on their way to it.
+func (s *Service) Demand(now time.Time, incoming int) Demand {
+	s.incoming = incoming
+	var d Demand
+	oldest := now.UnixNano()/int64(rateBucket) - int64(rateWindow/rateBucket)
+	for _, o := range s.offered {
+		if o.slot > oldest {
+			d.Rate += o.work / rateWindow.Seconds()
+		}
+	}
+	d.Patience = s.patience.Milliseconds()
+	load := s.load(now)
+	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
+	work := 0.0
+	for _, l := range load {
+		work += l.Work
+		d.Backlog = max(d.Backlog, work/max(leastTime, l.Due.Sub(now)).Seconds())
+	}
+	d.Active, d.Spread = s.activity()
+	var idle []*worker
+	for _, w := range s.workers {
+		if w.gone || !w.listed {
+			continue
+		}
+		d.Cores = max(d.Cores, float64(w.total.CPU)/1000)
+		if w.usable(now) {
+			d.Workers++
+		}
+		lasting := false
+		for _, a := range w.attempts {
+			if a.task != nil && a.task.step.Lasting {
+				lasting = true
+				d.Lasting += float64(a.room.CPU) / 1000
+			}
+		}
+		if lasting {
+			d.Anchors++
+		}
+		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() {
+			idle = append(idle, w)
+		}
+	}
+	sort.Slice(idle, func(i, j int) bool {
+		if !idle[i].idle.Equal(idle[j].idle) {
+			return idle[i].idle.Before(idle[j].idle)
+		}
+		return idle[i].info.ID < idle[j].info.ID
+	})
+	for _, w := range idle {
+		d.Idle = append(d.Idle, w.info.ID)
+	}
+	return d
+}
+
+// activity returns the cores of the short tasks that run or could run, and how many workers a step needs whose tasks
+// keep apart.
+func (s *Service) activity() (cores float64, spread int) {
+	for _, w := range s.workers {
+		for _, a := range w.attempts {
+			if a.task != nil && !a.task.step.Lasting {
+				cores += float64(a.room.CPU) / 1000
+			}
+		}
+	}
+	for _, st := range s.ready {
+		waiting := 0
+		for _, t := range st.tasks {
+			if !t.done && t.at == nil {
+				waiting++
+			}
+		}
+		if !st.Lasting {
+			cores += float64(waiting*st.room().CPU) / 1000
+		}
+		if st.PerWorker > 0 {
+			spread = max(spread, (st.left+st.PerWorker-1)/st.PerWorker)
+		}
+	}
+	return cores, spread
+}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -153,7 +153,7 @@
 
 // release gives the room of an attempt back and puts its task into the queue again if it is not done.
 func (s *Service) release(now time.Time, a *attempt) {
-	a.worker.remove(a)
+	a.worker.remove(now, a)
 	s.changed = true
 	t := a.task
 	if t == nil || t.at != a {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -83,6 +83,7 @@
 	stop     time.Time     // when its stop was last ordered; zero: none
 	barred   time.Time     // when the worker confirmed the stop; zero: not yet
 	expected time.Duration // duration that was expected at the start
+	resumed  bool          // it was started from a checkpoint
 }
 
 func newJob(id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue) *job {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -49,6 +49,10 @@
 	timed     []*job // jobs with occurrences to come
 	dirty     []*job
 	orders    []Order
+	offered   []offered
+	mostCores float64            // largest room of the pool so far, in cores
+	incoming  int                // workers on their way to the pool
+	patience  time.Duration      // mean objective of jobs
 	ratio     map[string]float64 // by queue: how long tasks take against their estimates
 	crewDirty bool
 	changed   bool // placement may find something new
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -21,7 +21,11 @@
 	// stepCost is the time between the end of a task and the start of the next step.
 	stepCost = 80 * time.Millisecond
 	// ratioWeight is the weight of a new observation in the ratio of durations to estimates.
-	ratioWeight = 0.05
+	ratioWeight = 0.03
+	// slowWeight is the weight of a new observation in the slowness of a worker.
+	slowWeight = 0.2
+	// maxRatio bounds what one task can teach.
+	maxRatio = 4.0
 	// defaultEstimate stands for a duration that was not declared.
 	defaultEstimate = time.Second
 	// waveShare is the part of the pool above which a step counts as running in several waves.
@@ -48,6 +52,13 @@
 		j.sent = first
 	}
 	j.due = s.objective(j, j.sent)
+	if _, again := s.refused[id]; !again && !j.lasting() {
+		s.offer(now, s.total(j))
+		if s.patience == 0 {
+			s.patience = j.due.Sub(now)
+		}
+		s.patience += time.Duration(patienceWeight * float64(j.due.Sub(now)-s.patience))
+	}
 	if r := s.admit(now, j); r.Outcome != Accepted {
 		s.refuse(now, id, r, reply)
 		return
@@ -64,7 +75,8 @@
 	if _, ok := s.refused[id]; !ok {
 		s.refused[id] = now
 	}
-	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait, "open", len(s.active))
+	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait, "open", len(s.active),
+		"used", s.usedShare())
 	reply(r)
 }
 
@@ -77,11 +89,7 @@
 		return Result{Outcome: Accepted}
 	}
 	ask := intake.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
-	for i := range j.spec.Steps {
-		st := &j.spec.Steps[i]
-		ask.Work += s.work(j, i) * float64(st.Count)
-		ask.Width = max(ask.Width, float64(st.Count*st.CPU)/1000)
-	}
+	ask.Work = s.total(j)
 	v := intake.Decide(now, s.pool(), s.load(now), ask)
 	if v.Accept {
 		return Result{Outcome: Accepted}
@@ -91,6 +99,15 @@
 	return Result{Outcome: Refused, Wait: wait, Why: "no room in time"}
 }
 
+// total is the work of one occurrence of a job in core-seconds.
+func (s *Service) total(j *job) float64 {
+	work := 0.0
+	for i := range j.spec.Steps {
+		work += s.work(j, i) * float64(j.spec.Steps[i].Count)
+	}
+	return work
+}
+
 // impossible explains why no worker can ever run a job, or returns nothing. Without workers nothing is known.
 func (s *Service) impossible(j *job) string {
 	if len(s.workers) == 0 {
@@ -128,12 +145,15 @@
 // pool is the room that short tasks may use.
 func (s *Service) pool() intake.Pool {
 	p := intake.Pool{Share: fillShare}
+	largest := 0
 	for _, w := range s.workers {
+		largest = max(largest, w.total.CPU)
 		if !w.listed || w.gone || !w.leaving.IsZero() || w.suspect() {
 			continue
 		}
 		p.Cores += float64(w.total.CPU) / 1000
 	}
+	p.More, p.Delay = float64(s.incoming*largest)/1000, incomingDelay
 	for _, j := range s.active {
 		for _, o := range j.runs {
 			for _, st := range o.steps {
@@ -220,12 +240,7 @@
 
 // objective is when a job that was handed in at a time should be done.
 func (s *Service) objective(j *job, from time.Time) time.Time {
-	cores := 0.0
-	for _, w := range s.workers {
-		if w.listed {
-			cores += float64(w.total.CPU) / 1000
-		}
-	}
+	cores := s.mostCores
 	longest := chain(j.spec.Steps, func(i int) time.Duration {
 		st := &j.spec.Steps[i]
 		waves := 1.0
@@ -240,22 +255,21 @@
 // learn takes the duration of a task that has ended as done.
 func (s *Service) learn(now time.Time, a *attempt) {
 	t := a.task
-	if a.answered.IsZero() || t.step.Lasting || a.expected <= 0 || t.checkpoint != "" {
+	if a.answered.IsZero() || t.step.Lasting || t.step.Estimate <= 0 || a.resumed {
 		return
 	}
-	took := now.Sub(a.sent)
-	factor := min(4, max(0.1, took.Seconds()/a.expected.Seconds()))
+	name := t.step.occ.job.queue.Name
+	if s.ratio[name] == 0 {
+		s.ratio[name] = 1
+	}
+	took := now.Sub(a.sent).Seconds() / t.step.Estimate.Seconds()
 	w := a.worker
 	if w.slow == 0 {
 		w.slow = 1
 	}
-	w.slow += 0.2 * (factor - w.slow)
-	name := t.step.occ.job.queue.Name
-	ratio := s.ratio[name]
-	if ratio == 0 {
-		ratio = 1
-	}
-	s.ratio[name] = ratio * (1 + ratioWeight*(min(2, factor)-1))
+	// A worker is compared with what is usual for the queue, the queue with what was declared.
+	w.slow += slowWeight * (min(maxRatio, took/s.ratio[name]) - w.slow)
+	s.ratio[name] += ratioWeight * (min(maxRatio, took) - s.ratio[name])
 }
 
 // Cancel stops a job. reply is called when the cancellation is stored.
@@ -292,6 +306,35 @@
 			}
 		}
 	}
+	if st.Lasting {
+		c.SameRack = s.sameRack(st, w.info.Rack)
+	}
 	c.Far = st.DataRack != "" && st.DataRack != w.info.Rack
 	return c
 }
+
+// usedShare is the part of the processors that tasks hold.
+func (s *Service) usedShare() float64 {
+	used, total := 0, 0
+	for _, w := range s.workers {
+		if w.listed && !w.gone {
+			used += w.used.CPU
+			total += w.total.CPU
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return math.Round(float64(used)/float64(total)*100) / 100
+}
+
+// sameRack counts the tasks of a step in a rack.
+func (s *Service) sameRack(st *step, rack string) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.at != nil && t.at.worker.info.Rack == rack {
+			n++
+		}
+	}
+	return n
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -35,6 +35,7 @@
 	failed  int       // renewals that failed in a row
 	blocked time.Time // until then it gets no tasks after refusals or failures
 	streak  int       // runs that failed in a row
+	idle    time.Time // since when it has no tasks
 	slow    float64   // moving mean of how much longer tasks take than expected; 0: unknown
 }
 
@@ -60,8 +61,12 @@
 	return w.synced && w.clockAtLeast(now) > w.lease+leaseMargin
 }
 
-// nextLease returns the lease to send now.
+// nextLease returns the lease to send now. A worker that does not answer keeps the lease that it has, so that its tasks
+// surely end.
 func (w *worker) nextLease(now time.Time) time.Duration {
+	if w.failed > 0 {
+		return w.lease
+	}
 	w.lease = max(w.lease, w.clock+now.Sub(w.clockAt)+Lease)
 	return w.lease
 }
@@ -82,12 +87,13 @@
 	w.used = w.used.Plus(a.room, 1)
 }
 
-func (w *worker) remove(a *attempt) {
+func (w *worker) remove(now time.Time, a *attempt) {
 	if w.attempts[a.id] != a {
 		return
 	}
 	delete(w.attempts, a.id)
 	w.used = w.used.Plus(a.room, -1)
+	w.idle = now
 }
 
 // SetWorkers takes the platform's list of the workers of this service.
@@ -104,8 +110,10 @@
 		}
 		s.updateWorker(now, w, info)
 	}
+	cores := 0.0
 	for id, w := range s.workers {
 		if inList[id] {
+			cores += float64(w.total.CPU) / 1000
 			continue
 		}
 		w.listed = false
@@ -114,6 +122,7 @@
 			s.crewDirty = true
 		}
 	}
+	s.mostCores = max(s.mostCores, cores)
 }
 
 func (s *Service) updateWorker(now time.Time, w *worker, info cuminstair.WorkerInfo) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -25,8 +25,8 @@
 const (
 	// viewEvery is how often the owner records are read.
 	viewEvery = 500 * time.Millisecond
-	// listEvery is how often the list of workers is read.
-	listEvery = 500 * time.Millisecond
+	// listEvery is how often the list of workers is read; a host that was moved for a peak is of use from then on.
+	listEvery = 300 * time.Millisecond
 	// configWait is how long the store may keep a question for a new configuration open.
 	configWait = time.Second
 	// configRetry is the pause after such a question failed.
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -11,13 +11,16 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/pools"
 	"cuminstair.org/cuminstair/tenure"
 	"cuminstair.org/cuminstair/upkeep"
 )
 
 // Times of upkeep.
 const (
-	upkeepEvery = 350 * time.Millisecond
+	upkeepEvery = 300 * time.Millisecond
+	// moveSettles is how long the list of hosts may take to show a move.
+	moveSettles = 900 * time.Millisecond
 	orderAgain  = 900 * time.Millisecond
 	cordonTime  = 800 * time.Millisecond
 	// waveTable has a record for each wave, in the part of the hosts' duty.
@@ -49,6 +52,14 @@
 	ended map[string]bool
 	told  map[string]string // wave, state in the status table
 	saved map[string]string // wave, record as written last
+	plan  *pools.Planner
+	moved map[string]hostMove // host, last order to move it
+}
+
+// hostMove is an order to move a host.
+type hostMove struct {
+	to string
+	at time.Time
 }
 
 func (h *hostDuty) step(ctx context.Context, r *runner) {
@@ -56,10 +67,9 @@
 		h.token = r.token
 		h.waves, h.ended = map[string]*upkeep.Wave{}, map[string]bool{}
 		h.told, h.saved = map[string]string{}, map[string]string{}
+		h.plan, h.moved = nil, map[string]hostMove{}
 	}
-	if !h.load(ctx) || len(h.waves) == 0 {
-		return
-	}
+	h.load(ctx)
 	at := h.d.Timer.Now()
 	list, err := h.d.Hosts.List(ctx)
 	if err != nil {
@@ -68,13 +78,21 @@
 	}
 	for key, w := range h.waves {
 		w.Observe(at, list)
-		h.wave(ctx, r, key, w, list)
+		h.wave(ctx, r, w, list)
 		h.save(ctx, key, w)
 	}
+	if h.mayOrder(r) {
+		h.move(ctx, list)
+	}
+}
+
+// mayOrder tells whether orders of an earlier controller are surely over.
+func (h *hostDuty) mayOrder(r *runner) bool {
+	return !r.after || h.d.Timer.Now().Sub(r.taken) >= h.d.Settings.Bounds.TurnTime+upkeepEvery
 }
 
 // load reads the records of waves that are new to this daemon.
-func (h *hostDuty) load(ctx context.Context) bool {
+func (h *hostDuty) load(ctx context.Context) {
 	h.d.mu.Lock()
 	fresh := map[string]cuminstair.MaintenanceWave{}
 	for key, w := range h.d.waves {
@@ -84,12 +102,12 @@
 	}
 	h.d.mu.Unlock()
 	if len(fresh) == 0 {
-		return true
+		return
 	}
 	records, _, err := h.d.Store.Read(ctx, waveTable, tenure.HostsPart, "", "")
 	if err != nil {
 		h.d.Log.Warn("entry: can't read the records of waves", "error", err)
-		return false
+		return
 	}
 	known := map[string]upkeep.Record{}
 	for _, rec := range records {
@@ -107,11 +125,10 @@
 		}
 		h.waves[key] = upkeep.New(h.d.Timer.Now(), w, known[key].Begun)
 	}
-	return true
 }
 
 // wave takes the next hosts of a wave.
-func (h *hostDuty) wave(ctx context.Context, r *runner, key string, w *upkeep.Wave, list []cuminstair.HostRecord) {
+func (h *hostDuty) wave(ctx context.Context, r *runner, w *upkeep.Wave, list []cuminstair.HostRecord) {
 	byName := map[string]cuminstair.HostRecord{}
 	for _, rec := range list {
 		byName[rec.Name] = rec
@@ -128,13 +145,12 @@
 		return 1
 	})
 	idle := h.cordon(ctx, candidates, byName)
-	if r.after && now.Sub(r.taken) < h.d.Settings.Bounds.TurnTime+upkeepEvery {
-		return // orders of an earlier controller may be under way
+	if !h.mayOrder(r) {
+		return
 	}
 	for _, host := range w.Take(now, idle, orderAgain) {
 		h.order(ctx, w, host)
 	}
-	_ = key
 }
 
 // cordon asks the owners to empty the workers of hosts and returns the hosts that are idle.
--- /dev/null
+++ b/entry/moves.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/pools"
+	"cuminstair.org/cuminstair/tenure"
+)
+
+// demandPath is where an owner tells the demand of its service.
+const demandPath = "/demand"
+
+// demandTime bounds the question for a demand.
+const demandTime = 250 * time.Millisecond
+
+type demandRequest struct {
+	Service  string `json:"service"`
+	Incoming int    `json:"incoming"`
+}
+
+type demandReply struct {
+	NotOwner bool            `json:"not,omitempty"`
+	Demand   dispatch.Demand `json:"demand"`
+}
+
+// move plans the moves of hosts between pools and carries them out.
+func (h *hostDuty) move(ctx context.Context, list []cuminstair.HostRecord) {
+	config := h.d.config.Load()
+	if config == nil {
+		return
+	}
+	if h.plan == nil {
+		h.plan = pools.New(sparePool(config))
+	}
+	h.plan.Spare = sparePool(config)
+	now := h.d.Timer.Now()
+	view := h.look(now, config, list)
+	h.ask(ctx, view)
+	flat := make([]pools.Pool, 0, len(view.pools))
+	for _, p := range view.pools {
+		flat = append(flat, *p)
+	}
+	moves := h.plan.Plan(now, flat, view.spare)
+	for _, p := range flat {
+		h.d.Log.Debug("entry: demand", "service", p.Service, "rate", p.Rate, "backlog", p.Backlog, "lasting", p.Lasting, "active", p.Active, "patience", p.Patience.Milliseconds(),
+			"anchors", p.Anchors, "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known)
+	}
+	h.carryOut(ctx, moves, view)
+}
+
+func sparePool(c *cuminstair.JobConfig) string {
+	for _, p := range c.Pools {
+		if p.Spare {
+			return p.Name
+		}
+	}
+	return ""
+}
+
+// hostView is what the controller sees of the hosts.
+type hostView struct {
+	pools  map[string]*pools.Pool
+	spare  []string
+	hosts  map[string]string // worker, host
+	worker map[string]string // host, worker
+}
+
+// look sorts the hosts by pools. A host that was ordered to move counts for its new pool until the list shows it.
+func (h *hostDuty) look(now time.Time, config *cuminstair.JobConfig, list []cuminstair.HostRecord) *hostView {
+	v := &hostView{pools: map[string]*pools.Pool{}, hosts: map[string]string{}, worker: map[string]string{}}
+	for _, p := range config.Pools {
+		if !p.Spare {
+			v.pools[p.Name] = &pools.Pool{Service: p.Name}
+		}
+	}
+	for _, rec := range list {
+		to, moving := rec.Pool, rec.State == "moving"
+		if m, ok := h.moved[rec.Name]; ok {
+			if now.Sub(m.at) < moveSettles && rec.Pool != m.to {
+				to, moving = m.to, true
+			} else if rec.State == "up" && rec.Pool == m.to {
+				delete(h.moved, rec.Name)
+			}
+		}
+		if rec.Worker != "" {
+			v.hosts[rec.Worker], v.worker[rec.Name] = rec.Name, rec.Worker
+		}
+		p := v.pools[to]
+		switch {
+		case p == nil && to == h.plan.Spare && rec.State == "up" && !moving && !h.inWave(rec.Name):
+			v.spare = append(v.spare, rec.Name)
+		case p == nil:
+		case moving:
+			p.Incoming++
+		case rec.State == "up":
+			p.Have++
+		}
+	}
+	return v
+}
+
+// inWave tells whether the upkeep of a host is under way or next.
+func (h *hostDuty) inWave(host string) bool {
+	for _, w := range h.waves {
+		if x := w.State[host]; x != nil && x.Busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// ask asks the owners for the demand of their services.
+func (h *hostDuty) ask(ctx context.Context, v *hostView) {
+	ctx, cancel := context.WithTimeout(ctx, demandTime)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, p := range v.pools {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			d, ok := h.d.demand(ctx, p.Service, p.Incoming)
+			if !ok {
+				return
+			}
+			p.Known, p.Rate, p.Backlog, p.Lasting = true, d.Rate, d.Backlog, d.Lasting
+			p.Active, p.Spread = d.Active, d.Spread
+			p.Anchors, p.Cores, p.Patience = d.Anchors, d.Cores, time.Duration(d.Patience)*time.Millisecond
+			for _, id := range d.Idle {
+				if host, ok := v.hosts[id]; ok && !h.inWave(host) {
+					p.Idle = append(p.Idle, host)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// carryOut empties the hosts to move and orders the moves.
+func (h *hostDuty) carryOut(ctx context.Context, moves []pools.Move, v *hostView) {
+	byPool := map[string][]string{}
+	for _, m := range moves {
+		if m.From != h.plan.Spare {
+			byPool[m.From] = append(byPool[m.From], v.worker[m.Host])
+		}
+	}
+	idle := map[string]bool{}
+	for service, ids := range byPool {
+		for _, id := range h.d.cordon(ctx, service, ids) {
+			idle[v.hosts[id]] = true
+		}
+	}
+	var wg sync.WaitGroup
+	for _, m := range moves {
+		if m.From != h.plan.Spare && !idle[m.Host] {
+			continue
+		}
+		h.moved[m.Host] = hostMove{to: m.To, at: h.d.Timer.Now()}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			err := h.d.Hosts.Move(ctx, h.d.Settings.Name, int64(h.token), m.Host, m.To)
+			h.d.Log.Info("entry: move ordered", "host", m.Host, "from", m.From, "to", m.To, "why", m.Why, "token", h.token, "error", err)
+		}()
+	}
+	wg.Wait()
+}
+
+// demand asks the owner of a service for its demand.
+func (d *Daemon) demand(ctx context.Context, service string, incoming int) (dispatch.Demand, bool) {
+	r, addr := d.owner(service)
+	if r != nil {
+		return demandLocal(ctx, r, incoming)
+	}
+	if addr == "" {
+		return dispatch.Demand{}, false
+	}
+	var a demandReply
+	if err := d.peers.post(ctx, addr, demandPath, demandRequest{Service: service, Incoming: incoming}, &a); err != nil || a.NotOwner {
+		d.Log.Debug("entry: owner did not tell its demand", "service", service, "error", err)
+		return dispatch.Demand{}, false
+	}
+	return a.Demand, true
+}
+
+func demandLocal(ctx context.Context, r *runner, incoming int) (dispatch.Demand, bool) {
+	answers := make(chan dispatch.Demand, 1)
+	if r.service == tenure.HostsPart || !r.post(func(now time.Time) { answers <- r.state.Demand(now, incoming) }) {
+		return dispatch.Demand{}, false
+	}
+	select {
+	case d := <-answers:
+		return d, true
+	case <-ctx.Done():
+		return dispatch.Demand{}, false
+	}
+}
+
+func (d *Daemon) serveDemand(c echo.Context) error {
+	var q demandRequest
+	if err := decodeBody(c, &q); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	r, _ := d.owner(q.Service)
+	if r == nil {
+		return c.JSON(http.StatusOK, demandReply{NotOwner: true})
+	}
+	a := demandReply{}
+	var ok bool
+	if a.Demand, ok = demandLocal(c.Request().Context(), r, q.Incoming); !ok {
+		a.NotOwner = true
+	}
+	return c.JSON(http.StatusOK, a)
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -122,6 +122,7 @@
 	e.HideBanner, e.HidePort = true, true
 	e.POST(callPath, d.servePeer)
 	e.POST(cordonPath, d.serveCordon)
+	e.POST(demandPath, d.serveDemand)
 	e.POST(pokePath, func(c echo.Context) error {
 		signal(d.poke)
 		return c.NoContent(http.StatusOK)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,16 +18,33 @@
 	Due   time.Time
 	Work  float64       // core-seconds
 	Chain time.Duration // longest chain of its steps when nothing waits
-	Width float64       // cores of its widest step
 }
 
 // Pool is the room of the workers.
 type Pool struct {
-	Cores float64 // that short tasks may use
-	// Share is the part of Cores that placement fills in practice; the rest is stranded between tasks.
+	Cores float64 // that short tasks may use now
+	More  float64 // cores that come on top after Delay
+	Delay time.Duration
+	// Share is the part of the cores that placement fills in practice; the rest is stranded between tasks.
 	Share float64
 }
 
+// time returns how long the pool takes for an amount of work.
+func (p Pool) time(work float64) time.Duration {
+	now := p.Cores * p.Share
+	soon := now * p.Delay.Seconds()
+	if p.More <= 0 || work <= soon {
+		if now <= 0 {
+			return never
+		}
+		return seconds(work / now)
+	}
+	return p.Delay + seconds((work-soon)/(now+p.More*p.Share))
+}
+
+// never stands for work that a pool without cores does not do.
+const never = time.Hour
+
 // Verdict is the answer.
 type Verdict struct {
 	Accept bool
@@ -38,29 +55,22 @@
 // Decide accepts the job if its own chain fits before its due time and, with the work in the order of the due times,
 // the pool can do everything that is due up to each due time.
 func Decide(now time.Time, pool Pool, load []Load, ask Ask) Verdict {
-	rate := pool.Cores * pool.Share
-	if rate <= 0 {
-		return Verdict{Finish: now.Add(time.Hour), Wait: time.Second}
-	}
 	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
-	before, excess := 0.0, time.Duration(0)
-	total := 0.0
+	before, total, excess := 0.0, 0.0, time.Duration(0)
 	for _, l := range load {
 		total += l.Work
 		if !l.Due.After(ask.Due) {
 			before += l.Work
 			continue
 		}
-		late := now.Add(seconds((total + ask.Work) / rate)).Sub(l.Due)
 		// Work that is late already is not made a reason to refuse: it goes on behind the rest.
-		was := now.Add(seconds(total / rate)).Sub(l.Due)
-		if late > 0 && was <= 0 {
+		late := now.Add(pool.time(total + ask.Work)).Sub(l.Due)
+		if late > 0 && !now.Add(pool.time(total)).After(l.Due) {
 			excess = max(excess, late)
 		}
 	}
-	wait := seconds(before / rate)
-	run := max(ask.Chain, seconds(ask.Work/rate))
-	finish := now.Add(wait + run)
+	wait := pool.time(before)
+	finish := now.Add(max(wait+ask.Chain, pool.time(before+ask.Work)))
 	if late := finish.Sub(ask.Due); late > 0 {
 		excess = max(excess, late)
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -21,19 +21,20 @@
 
 // Candidate is a worker that may take the task.
 type Candidate struct {
-	Free    Room
-	Total   Room    // above zero in CPU and Memory
-	Same    int     // tasks of the same step on it
-	Far     bool    // away from the data of the task
-	Slow    float64 // how much longer tasks take than on other workers; 1: as long
-	Lasting int     // lasting tasks on it
-	Shared  int     // tasks on it that disturb, or are disturbed by, the task
+	Free     Room
+	Total    Room    // above zero in CPU and Memory
+	Same     int     // tasks of the same step on it
+	SameRack int     // tasks of the same step in its rack
+	Far      bool    // away from the data of the task
+	Slow     float64 // how much longer tasks take than on other workers; 1: as long
+	Lasting  int     // lasting tasks on it
+	Shared   int     // tasks on it that disturb, or are disturbed by, the task
 }
 
 // Want is what the task needs.
 type Want struct {
 	Room   Room
-	Spread bool // prefer workers with few tasks of the same step
+	Spread bool // a lasting task: few of its step on one worker or rack, few workers with lasting tasks
 	Quiet  bool // prefer workers without tasks that disturb it
 }
 
@@ -41,7 +42,9 @@
 const (
 	farWeight    = 4.0
 	slowWeight   = 3.0
-	sameWeight   = 2.0
+	sameWeight   = 0.8
+	rackWeight   = 0.6
+	anchorWeight = 1.0
 	sharedWeight = 1.0
 	strandWeight = 0.5
 )
@@ -73,7 +76,11 @@
 		s += farWeight
 	}
 	if want.Spread {
-		s += sameWeight * float64(c.Same)
+		s += sameWeight*float64(c.Same) + rackWeight*float64(c.SameRack)
+		if c.Lasting > 0 {
+			// Workers without lasting tasks can be given to another pool.
+			s -= anchorWeight
+		}
 	}
 	if want.Quiet {
 		s += sharedWeight * float64(c.Shared)
--- /dev/null
+++ b/pools/pools.go
@@ -0,0 +1,169 @@
+// Package pools decides which hosts change their pool. It answers demand that turns from service to service: each asks
+// for more than its own hosts for some seconds and for little in between, so that hosts follow the demand and those that
+// nobody needs are switched off in the spare pool.
+package pools
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Shares and times of the plan.
+const (
+	// fill is the part of a host's processors that short tasks use at best.
+	fill = 0.85
+	// rateReserve is asked for above the rate, since work comes unevenly.
+	rateReserve = 1.3
+	// backlogReserve is asked for above what does the accepted work just in time.
+	backlogReserve = 1.5
+	// leastHosts is what a pool keeps.
+	leastHosts = 2
+	// keepFor is how long a pool keeps hosts after it needed them. A move there and back costs as much as about two
+	// seconds of a host.
+	keepFor = 1500 * time.Millisecond
+	// patient is the objective above which work can wait for hosts that are ordered when it comes.
+	patient = 4 * time.Second
+	// movesAtOnce bounds the moves of one plan.
+	movesAtOnce = 12
+)
+
+// Pool is a service's pool at one moment.
+type Pool struct {
+	Service  string
+	Rate     float64       // cores that the work handed in lately asks for
+	Backlog  float64       // cores that accepted work asks for
+	Active   float64       // cores of the short tasks that run or could run
+	Spread   int           // hosts that the widest step needs because its tasks keep apart
+	Lasting  float64       // cores of lasting tasks
+	Anchors  int           // hosts with lasting tasks
+	Cores    float64       // of one host, above zero
+	Have     int           // hosts that are up in the pool
+	Incoming int           // hosts on their way to it
+	Idle     []string      // hosts without tasks, the longest idle first
+	Patience time.Duration // mean objective of its work; 0: unknown
+	Known    bool          // the owner has answered; if not, the pool is left alone
+}
+
+// Move puts a host into another pool.
+type Move struct {
+	Host string
+	From string
+	To   string
+	Why  string
+}
+
+// Planner keeps what pools needed lately. It must be made with New.
+type Planner struct {
+	Spare string // pool that is switched off; empty: hosts are not switched off
+	needs map[string]*need
+	turns *Turns
+}
+
+// need is the number of hosts that a pool needed.
+type need struct {
+	hosts int
+	at    time.Time // when it last needed them
+	first int       // hosts that it had at first
+}
+
+// New returns a planner.
+func New(spare string) *Planner {
+	return &Planner{Spare: spare, needs: map[string]*need{}, turns: NewTurns()}
+}
+
+// Plan returns the moves to make now. spare are the hosts in the spare pool.
+func (p *Planner) Plan(now time.Time, list []Pool, spare []string) []Move {
+	sort.Slice(list, func(i, j int) bool { return list[i].Service < list[j].Service })
+	want := map[string]int{}
+	for i := range list {
+		x := &list[i]
+		if x.Known && x.Cores > 0 {
+			p.turns.Observe(now, x.Service, x.Rate, float64(p.need(now, x).first)*x.Cores)
+		}
+	}
+	for i := range list {
+		x := &list[i]
+		if !x.Known || x.Cores <= 0 {
+			want[x.Service] = x.Have + x.Incoming
+			continue
+		}
+		want[x.Service] = p.want(now, x)
+	}
+	var moves []Move
+	spare = append([]string(nil), spare...)
+	for i := range list {
+		x := &list[i]
+		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0 && len(moves) < movesAtOnce; lack-- {
+			m, ok := p.supply(x, list, want, &spare)
+			if !ok {
+				break
+			}
+			moves = append(moves, m)
+		}
+	}
+	if p.Spare == "" {
+		return moves
+	}
+	for i := range list {
+		x := &list[i]
+		for x.Known && x.Have+x.Incoming > want[x.Service] && len(x.Idle) > 0 && len(moves) < movesAtOnce {
+			moves = append(moves, Move{Host: take(&x.Idle), From: x.Service, To: p.Spare, Why: "idle"})
+			x.Have--
+		}
+	}
+	return moves
+}
+
+// supply finds a host for a pool: one that is switched off, or an idle one that its own pool does not need.
+func (p *Planner) supply(x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
+	if len(*spare) > 0 {
+		return Move{Host: take(spare), From: p.Spare, To: x.Service, Why: "demand"}, true
+	}
+	for i := range list {
+		o := &list[i]
+		if o.Service == x.Service || !o.Known || len(o.Idle) == 0 || o.Have+o.Incoming <= want[o.Service] {
+			continue
+		}
+		o.Have--
+		return Move{Host: take(&o.Idle), From: o.Service, To: x.Service, Why: "demand"}, true
+	}
+	return Move{}, false
+}
+
+func take(list *[]string) string {
+	first := (*list)[0]
+	*list = (*list)[1:]
+	return first
+}
+
+// want is the number of hosts that a pool should have.
+func (p *Planner) want(now time.Time, x *Pool) int {
+	cores := max(x.Backlog*backlogReserve, x.Rate*rateReserve, x.Active)
+	if x.Patience < patient {
+		if ahead, ok := p.turns.Expect(now, x.Service); ok {
+			cores = max(cores, ahead*rateReserve)
+		}
+	}
+	hosts := int(math.Ceil((cores/fill + x.Lasting) / x.Cores))
+	n := p.need(now, x)
+	hosts = max(hosts, x.Anchors, min(x.Spread, n.first), leastHosts)
+	if x.Patience < patient && !p.turns.Seen(x.Service) {
+		// Work that can't wait for hosts finds those that the operators gave the pool until its peak is known.
+		hosts = max(hosts, n.first)
+	}
+	if hosts >= n.hosts || now.Sub(n.at) > keepFor {
+		n.hosts, n.at = hosts, now
+	}
+	return max(hosts, n.hosts)
+}
+
+// need returns what is kept of a pool.
+func (p *Planner) need(now time.Time, x *Pool) *need {
+	n := p.needs[x.Service]
+	if n == nil {
+		n = &need{hosts: x.Have, at: now, first: x.Have}
+		p.needs[x.Service] = n
+	}
+	return n
+}
--- /dev/null
+++ b/pools/turns.go
@@ -0,0 +1,130 @@
+package pools
+
+import "time"
+
+// Figures of the forecast.
+const (
+	// risesAbove is how far over its mean the demand of a service is during its turn.
+	risesAbove = 1.6
+	// fallsBelow ends a turn.
+	fallsBelow = 0.8
+	// meanTime is the time constant of the mean.
+	meanTime = 10 * time.Second
+	// leadTime is how long before a turn hosts have to be ordered: a move and the first contact with the worker.
+	leadTime = 2300 * time.Millisecond
+	// lateTime is how long after its expected start a turn is still expected.
+	lateTime = 1200 * time.Millisecond
+	// unseenShare is the part of its first pool that a service is expected to ask for in its first turn.
+	unseenShare = 1.2
+	// baseShare is the part of its first pool that a service asks for during its turn at least.
+	baseShare = 0.5
+)
+
+// Turns forecasts demand that goes from service to service in turn: the turns are equally long, and after a service
+// comes the one that came after it before, or else the one whose last turn is the longest ago. It must be made with
+// NewTurns.
+type Turns struct {
+	services map[string]*turn
+	last     string    // service whose turn began last
+	began    time.Time // when it began
+	length   time.Duration
+	next     map[string]string // by service: the one whose turn came after
+}
+
+type turn struct {
+	base  float64 // room of its first pool in cores
+	mean  float64
+	seen  time.Time
+	began time.Time // zero: it had no turn
+	peak  float64   // highest demand of its last turn
+	high  bool
+}
+
+// NewTurns returns a forecast that has seen nothing.
+func NewTurns() *Turns {
+	return &Turns{services: map[string]*turn{}, next: map[string]string{}}
+}
+
+// Observe takes the demand of a service. base is the room that its pool had at first, in cores.
+func (t *Turns) Observe(now time.Time, service string, cores, base float64) {
+	s := t.services[service]
+	if s == nil {
+		s = &turn{seen: now, base: base}
+		t.services[service] = s
+	}
+	weight := min(1, now.Sub(s.seen).Seconds()/meanTime.Seconds())
+	s.seen = now
+	s.mean += weight * (cores - s.mean)
+	switch {
+	case !s.high && cores > risesAbove*s.mean && cores > baseShare*base:
+		s.high = true
+		s.peak = cores
+		t.begin(now, service, s)
+	case s.high && cores < fallsBelow*s.mean:
+		s.high = false
+	}
+	if s.high {
+		s.peak = max(s.peak, cores)
+	}
+}
+
+// begin notes that the turn of a service has begun.
+func (t *Turns) begin(now time.Time, service string, s *turn) {
+	if t.last != "" && t.last != service {
+		since := now.Sub(t.began)
+		if t.length == 0 || since < 2*t.length {
+			if t.length == 0 {
+				t.length = since
+			}
+			t.length += (since - t.length) / 2
+			t.next[t.last] = service
+		}
+	}
+	if t.last == service {
+		return
+	}
+	s.began, t.last, t.began = now, service, now
+}
+
+// Seen tells whether a service has had a turn.
+func (t *Turns) Seen(service string) bool {
+	s := t.services[service]
+	return s != nil && !s.began.IsZero()
+}
+
+// Expect returns the demand of a service whose turn is about to begin.
+func (t *Turns) Expect(now time.Time, service string) (float64, bool) {
+	if t.length == 0 {
+		return 0, false
+	}
+	next, known := t.successor()
+	s := t.services[service]
+	switch {
+	case s == nil || (known && next != service) || (!known && !s.began.IsZero()):
+		return 0, false
+	}
+	until := t.began.Add(t.length).Sub(now)
+	if until > leadTime || until < -lateTime {
+		return 0, false
+	}
+	return max(s.peak, unseenShare*s.base), true
+}
+
+// successor returns the service whose turn comes next. It is not known while several had no turn yet.
+func (t *Turns) successor() (string, bool) {
+	if n, ok := t.next[t.last]; ok {
+		return n, true
+	}
+	oldest, at, unseen := "", time.Time{}, 0
+	for name, s := range t.services {
+		switch {
+		case name == t.last:
+		case s.began.IsZero():
+			oldest = name
+			unseen++
+		case unseen == 0 && (oldest == "" || s.began.Before(at)):
+			oldest, at = name, s.began
+		}
+	}
+	return oldest, unseen < 2
+}
--- a/upkeep/upkeep.go
+++ b/upkeep/upkeep.go
@@ -40,6 +40,9 @@
 	Ready bool      // its worker is idle
 }
 
+// Busy tells whether the upkeep of the host is under way.
+func (h *Host) Busy() bool { return h.Phase == Ordered || h.Phase == Begun }
+
 // New returns the state of a wave. begun are the hosts whose upkeep an earlier controller has confirmed.
 func New(now time.Time, w cuminstair.MaintenanceWave, begun []string) *Wave {
 	s := &Wave{MaintenanceWave: w, Seen: now, State: map[string]*Host{}}
@@ -77,7 +80,7 @@
 func (w *Wave) Down() int {
 	n := 0
 	for _, h := range w.State {
-		if h.Phase == Ordered || h.Phase == Begun {
+		if h.Busy() {
 			n++
 		}
 	}
