--- a/pools/pools.go
+++ b/pools/pools.go
@@ -162,8 +162,12 @@
 func (p *Planner) need(now time.Time, x *Pool) *need {
 	n := p.needs[x.Service]
 	if n == nil {
-		n = &need{hosts: x.Have, at: now, first: x.Have}
+		n = &need{hosts: x.Have, at: now}
 		p.needs[x.Service] = n
 	}
+	if x.Patience == 0 {
+		// Until work comes, hosts that are still starting join the pool.
+		n.first = max(n.first, x.Have)
+	}
 	return n
 }
