--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -47,7 +47,7 @@
 	if s.deposed {
 		return nil
 	}
-	s.expire(now)
+	s.expire(now, confirmed)
 	for i := 0; i < len(s.timed); i++ {
 		j := s.timed[i]
 		s.occur(now, j)
@@ -92,10 +92,11 @@
 	s.changed = true
 }
 
-// expire ends what ran on workers that have not been reached until all leases ran out.
-func (s *Service) expire(now time.Time) {
+// expire ends what ran on workers that have not been reached until all leases ran out. Another owner could have reached
+// them and extended the leases, so that the store has to name this owner after that.
+func (s *Service) expire(now, confirmed time.Time) {
 	for _, w := range s.workers {
-		if len(w.attempts) == 0 || !w.suspect() || !w.lapsed(now) {
+		if len(w.attempts) == 0 || !w.suspect() || !w.lapsed(now) || !w.lapsed(confirmed) {
 			continue
 		}
 		for _, a := range w.attempts {
