Count each failed run once, in whatever order workers list it

After a takeover the ends of run 34818 came before those of 34817, and the highest counted run was taken as a watermark, so that one failure was not counted. The runs themselves are kept now. Ruled out: an end acknowledged before it was stored (the batch was not settled before the takeover).

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -57,7 +58,7 @@
 // count takes an end into account for its task. The store gets it before the worker may forget it.
 func (s *Service) count(now time.Time, w *worker, t *task, e cuminstair.EndedTask) {
 	j := t.step.occ.job
-	if t.done || (e.Run <= t.counted && e.How != cuminstair.EndDone) {
+	if t.done {
 		return
 	}
 	switch e.How {
@@ -75,17 +76,19 @@
 		if t.step.Lasting {
 			break
 		}
-		t.fails++
+		if slices.Contains(t.failed, e.Run) {
+			return
+		}
+		t.failed = append(t.failed, e.Run)
 		s.counts.Failed++
 		s.Log.Info("dispatch: run has failed", "service", s.Name, "job", j.id, "step", t.step.index, "task", t.id.Index,
-			"run", e.Run, "worker", w.info.ID, "fails", t.fails, "limit", j.queue.Attempts)
-		if t.fails >= j.queue.Attempts {
+			"run", e.Run, "worker", w.info.ID, "fails", len(t.failed), "limit", j.queue.Attempts)
+		if len(t.failed) >= j.queue.Attempts {
 			s.finish(now, j, cuminstair.JobFailed, "a task has used up its attempts")
 			return
 		}
 	default:
 	}
-	t.counted = e.Run
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,10 +54,9 @@
 	id         cuminstair.TaskID
 	step       *step
 	done       bool
-	fails      int    // runs that have ended as failed and are counted
-	counted    int64  // highest run whose end has been counted
-	run        int64  // highest run that was started or seen
-	checkpoint string // newest that is known
+	failed     []int64 // runs that have ended as failed; ends of several workers come in any order, and again after a takeover
+	run        int64   // highest run that was started or seen
+	checkpoint string  // newest that is known
 	at         *attempt
 	avoid      string    // worker on which the last run failed
 	away       time.Time // of a lasting task: since when it is not at work; zero: at work
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -44,11 +44,10 @@
 
 // taskRecord is what is kept of a task that is not done.
 type taskRecord struct {
-	Step       int    `json:"s"`
-	Index      int    `json:"i"`
-	Fails      int    `json:"f,omitempty"`
-	Counted    int64  `json:"n,omitempty"`
-	Checkpoint string `json:"c,omitempty"`
+	Step       int     `json:"s"`
+	Index      int     `json:"i"`
+	Failed     []int64 `json:"f,omitempty"` // runs that have ended as failed
+	Checkpoint string  `json:"c,omitempty"`
 }
 
 // crewRecord is the value of the record of CrewTable.
@@ -97,8 +96,8 @@
 			if t.done {
 				bits[i/8] |= 1 << (i % 8)
 				any = true
-			} else if t.fails > 0 || t.checkpoint != "" {
-				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Fails: t.fails, Counted: t.counted, Checkpoint: t.checkpoint})
+			} else if len(t.failed) > 0 || t.checkpoint != "" {
+				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Checkpoint: t.checkpoint})
 			}
 		}
 		text := ""
@@ -169,8 +168,10 @@
 			continue
 		}
 		x := o.steps[t.Step].tasks[t.Index]
-		x.fails, x.counted, x.checkpoint = t.Fails, t.Counted, t.Checkpoint
-		x.run = t.Counted
+		x.failed, x.checkpoint = t.Failed, t.Checkpoint
+		for _, run := range t.Failed {
+			x.run = max(x.run, run)
+		}
 	}
 	return nil
 }
