--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -116,7 +116,7 @@
 
 func (s *Service) putCrew(b *Batch) {
 	s.crewDirty = false
-	var r crewRecord
+	r := crewRecord{Ratio: s.ratio, Patience: s.patience.Milliseconds(), Cores: s.mostCores}
 	for id, w := range s.workers {
 		if w.gone && len(w.attempts) == 0 {
 			continue
@@ -129,13 +129,23 @@
 	b.Puts = append(b.Puts, s.put(CrewTable, crewKey, data))
 }
 
-func decodeCrew(s *Service, r cuminstair.Record) []crewWorker {
+// recoverCrew takes the record of the workers that an earlier owner may have used, and of what it had learned.
+func (s *Service) recoverCrew(r cuminstair.Record) {
 	var c crewRecord
 	if err := json.Unmarshal(r.Value, &c); err != nil {
 		s.Log.Error("dispatch: can't read the crew", "service", s.Name, "version", r.Version, "error", err)
-		return nil
+		return
+	}
+	for _, x := range c.Workers {
+		w := newWorker(cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Born: x.Born})
+		w.recorded = true
+		s.workers[x.ID] = w
+		s.crew[x.ID] = true
+	}
+	for queue, ratio := range c.Ratio {
+		s.ratio[queue] = ratio
 	}
-	return c.Workers
+	s.patience, s.mostCores = time.Duration(c.Patience)*time.Millisecond, c.Cores
 }
 
 // sweep removes jobs whose state need not be told any more.
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"cuminstair.org/cuminstair"
-)
+import "time"
 
 // cordonFor is how long a worker gets no tasks after it was last asked for.
 const cordonFor = 2 * time.Second
@@ -72,13 +68,3 @@
 		"run", a.run, "worker", a.worker.info.ID, "leaving", !a.worker.leaving.IsZero())
 	s.stop(now, a)
 }
-
-// recoverCrew notes the workers that an earlier owner may have used.
-func (s *Service) recoverCrew(r cuminstair.Record) {
-	for _, c := range decodeCrew(s, r) {
-		w := newWorker(cuminstair.WorkerInfo{ID: c.ID, Service: s.Name, Addr: c.Addr, Born: c.Born})
-		w.recorded = true
-		s.workers[c.ID] = w
-		s.crew[c.ID] = true
-	}
-}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -52,7 +52,10 @@
 
 // crewRecord is the value of the record of CrewTable.
 type crewRecord struct {
-	Workers []crewWorker `json:"workers"`
+	Workers  []crewWorker       `json:"workers"`
+	Ratio    map[string]float64 `json:"ratio,omitempty"`    // by queue: durations against estimates
+	Patience int64              `json:"patience,omitempty"` // mean objective in milliseconds
+	Cores    float64            `json:"cores,omitempty"`    // largest room of the pool so far
 }
 
 type crewWorker struct {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -80,6 +80,9 @@
 
 // Recover takes the records of the service as they were at the takeover.
 func (s *Service) Recover(now time.Time, jobs, runs, crew []cuminstair.Record) {
+	for _, r := range crew {
+		s.recoverCrew(r)
+	}
 	progress := map[string][]byte{}
 	for _, r := range runs {
 		progress[r.Key] = r.Value
@@ -96,9 +99,6 @@
 			s.activate(now, j)
 		}
 	}
-	for _, r := range crew {
-		s.recoverCrew(r)
-	}
 	s.Log.Info("dispatch: service taken over", "service", s.Name, "token", s.Token, "jobs", len(s.jobs), "open", len(s.active), "workers", len(s.workers))
 }
 
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -53,6 +53,7 @@
 	told  map[string]string // wave, state in the status table
 	saved map[string]string // wave, record as written last
 	plan  *pools.Planner
+	kept  string              // Stamp of what was stored last
 	moved map[string]hostMove // host, last order to move it
 }
 
@@ -86,9 +87,10 @@
 	}
 }
 
-// mayOrder tells whether orders of an earlier controller are surely over.
+// mayOrder tells whether orders of an earlier controller are surely over. The controller of hosts turns them away by
+// their lower token, unless it does not check tokens.
 func (h *hostDuty) mayOrder(r *runner) bool {
-	return !r.after || h.d.Timer.Now().Sub(r.taken) >= h.d.Settings.Bounds.TurnTime+upkeepEvery
+	return h.d.Settings.Bounds.Fenced || !r.after || h.d.Timer.Now().Sub(r.taken) >= h.d.Settings.Bounds.TurnTime+upkeepEvery
 }
 
 // load reads the records of waves that are new to this daemon.
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -36,8 +36,8 @@
 	if config == nil {
 		return
 	}
-	if h.plan == nil {
-		h.plan = pools.New(sparePool(config))
+	if h.plan == nil && !h.recall(ctx, sparePool(config)) {
+		return
 	}
 	h.plan.Spare = sparePool(config)
 	now := h.d.Timer.Now()
@@ -53,6 +53,42 @@
 			"anchors", p.Anchors, "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known)
 	}
 	h.carryOut(ctx, moves, view)
+	h.keep(ctx)
+}
+
+// planKey is the key of what the planner has learned, in waveTable.
+const planKey = "plan"
+
+// recall makes a planner that goes on from what an earlier one has learned.
+func (h *hostDuty) recall(ctx context.Context, spare string) bool {
+	records, _, err := h.d.Store.Read(ctx, waveTable, tenure.HostsPart, planKey, planKey+"\x00")
+	if err != nil {
+		h.d.Log.Warn("entry: can't read what was learned of the demand", "error", err)
+		return false
+	}
+	h.plan = pools.New(spare)
+	for _, rec := range records {
+		if err := h.plan.Restore(h.d.Timer.Now(), rec.Value); err != nil {
+			h.d.Log.Error("entry: can't read what was learned of the demand", "version", rec.Version, "error", err)
+		}
+	}
+	h.kept = h.plan.Stamp()
+	return true
+}
+
+// keep stores what the planner has learned, if it is new.
+func (h *hostDuty) keep(ctx context.Context) {
+	stamp := h.plan.Stamp()
+	if stamp == h.kept {
+		return
+	}
+	key := cuminstair.RecordKey{Table: waveTable, Part: tenure.HostsPart, Key: planKey}
+	tx := cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: key, Value: h.plan.Keep()}}}
+	if _, err := h.d.Store.Commit(ctx, tx); err != nil {
+		h.d.Log.Debug("entry: can't write what was learned of the demand", "error", err)
+		return
+	}
+	h.kept = stamp
 }
 
 func sparePool(c *cuminstair.JobConfig) string {
--- a/jobs.go
+++ b/jobs.go
@@ -189,6 +189,7 @@
 	DrainAfter   time.Duration // a leaving worker may be given tasks for this long
 	Grace        time.Duration // between the request to stop a daemon and its kill
 	TurnTime     time.Duration // between orders of two controllers for one host
+	Fenced       bool          // the controller of hosts checks fencing tokens
 	HarmTime     time.Duration // how long a task may miss its target because of fillers
 	NoticeTime   time.Duration // how long a lasting task counts as away after it was not at work
 	UpkeepTime   time.Duration // duration of the upkeep of a host
