--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -112,25 +112,51 @@
 	}
 }
 
-// Guards against a second run of a task whose start had no answer, whether the worker has started it or not.
+// Guards against a second run of a task whose start had no answer, whether the worker starts it, never does, or does so
+// later.
 func TestStartWithoutAnswer(t *testing.T) {
-	for _, lost := range []bool{false, true} {
-		p := newPool(t, 2)
-		p.run(200 * time.Millisecond)
-		for _, w := range p.workers {
-			w.mute, w.swallow = !lost, lost
-		}
-		p.submit(jobA, step(3, 2000))
-		p.run(100 * time.Millisecond)
-		for _, w := range p.workers {
-			w.mute, w.swallow = false, false
-		}
-		p.run(6 * time.Second)
-		p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
-		p.is.Equal(p.twice, 0)
+	for name, fault := range map[string]func(w *fakeWorker){
+		"started": func(w *fakeWorker) { w.mute = true },
+		"lost":    func(w *fakeWorker) { w.swallow = true },
+		"late":    func(w *fakeWorker) { w.delay = 1200 * time.Millisecond },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 3)
+			p.length = func(cuminstair.TaskID) time.Duration { return 2 * time.Second }
+			p.run(200 * time.Millisecond)
+			for _, w := range p.workers {
+				fault(w)
+			}
+			p.submit(jobA, step(3, 2000))
+			p.run(100 * time.Millisecond)
+			for _, w := range p.workers {
+				w.mute, w.swallow, w.delay = false, false, 0
+			}
+			p.run(9 * time.Second)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+			p.is.Equal(p.twice, 0)
+		})
 	}
 }
 
+// Guards against a job that is forgotten while its write is under way, because it was cancelled meanwhile.
+func TestCancelWhileTheWriteIsUnderWay(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.away = true
+	p.submit(jobA, step(1, 1000))
+	p.run(100 * time.Millisecond)
+	a := &answer{}
+	p.s.Cancel(p.now, jobA, a.take)
+	p.run(2 * time.Second)
+	p.is.Equal(a.n, 0) // its fate is not known
+	p.away = false
+	p.run(time.Second)
+	p.is.Equal(a.Outcome, dispatch.Accepted)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCancelled)
+	p.is.Equal(len(p.starts), 0)
+}
+
 // Guards against tasks that are started again while a worker that can't be reached still runs them.
 func TestCutWorkerKeepsItsTasksUntilTheLeaseIsOver(t *testing.T) {
 	p := newPool(t, 3)
@@ -207,7 +233,7 @@
 
 // Guards against tasks of an earlier owner that run on a worker which the new owner can't reach.
 func TestTakeoverWaitsForWorkersThatDoNotAnswer(t *testing.T) {
-	p := newPool(t, 2)
+	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
 	p.submit(jobA, lasting(2, 2000, 1))
 	p.run(2 * time.Second)
@@ -217,6 +243,8 @@
 	p.takeOver(200, 6*time.Second)
 	p.run(9 * time.Second)
 	p.is.Equal(p.twice, 0)
+	p.run(6 * time.Second)
+	p.is.Equal(p.running(jobA), 2) // the leases are over
 }
 
 // Guards against more tasks on a worker than it has room for, with what is being stopped counted.
@@ -267,11 +295,13 @@
 		}
 	}
 	idle := 0
-	for range 60 {
-		idle = len(p.s.Cordon(p.now, ids))
-		p.run(200 * time.Millisecond)
-		if n := p.running(jobA); n < 3 {
-			t.Fatalf("%d of 4 tasks run while one may be missed", n)
+	for i := range 600 {
+		if i%10 == 0 {
+			idle = len(p.s.Cordon(p.now, ids))
+		}
+		p.run(tick)
+		if n := p.atWork(jobA); n < 3 {
+			t.Fatalf("%d of 4 tasks are at work while one may be missed", n)
 		}
 	}
 	p.is.Equal(idle, len(ids))
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -40,10 +40,18 @@
 	barred  map[cuminstair.TaskID]int64
 	ended   []cuminstair.EndedTask
 	seq     int64
-	dead    bool // nothing answers, nothing runs
-	cut     bool // nothing answers, runs go on
-	mute    bool // starts are carried out at once and not answered
-	swallow bool // starts are lost
+	dead    bool          // nothing answers, nothing runs
+	cut     bool          // nothing answers, runs go on
+	mute    bool          // starts are carried out at once and not answered
+	swallow bool          // starts are lost
+	delay   time.Duration // starts are not answered and carried out this much later
+	late    []lateStart
+}
+
+// lateStart is a start that is carried out later.
+type lateStart struct {
+	at    time.Time
+	order dispatch.Order
 }
 
 // pool is a service with fake workers in virtual time.
@@ -154,6 +162,7 @@
 // work ends the runs that are over.
 func (p *pool) work() {
 	for _, w := range p.workers {
+		p.carryOutLate(w)
 		for id, r := range w.runs {
 			switch {
 			case w.dead:
@@ -173,6 +182,18 @@
 	}
 }
 
+// carryOutLate begins the starts that were held up, unless their lease is over or their run is barred.
+func (p *pool) carryOutLate(w *fakeWorker) {
+	for len(w.late) > 0 && !p.now.Before(w.late[0].at) {
+		o := w.late[0].order
+		w.late = w.late[1:]
+		if o.Token < w.token || o.Run <= w.barred[o.Task] || p.now.Sub(w.birth) > o.Start.Lease {
+			continue
+		}
+		p.launch(w, o)
+	}
+}
+
 func (p *pool) step(id cuminstair.TaskID) cuminstair.JobStep { return p.specs[id.Job].Steps[id.Step] }
 
 func (w *fakeWorker) end(id cuminstair.TaskID, r *fakeRun, how cuminstair.TaskEnd) {
@@ -220,6 +241,11 @@
 
 func (p *pool) begin(w *fakeWorker, o dispatch.Order) {
 	w.lease = max(w.lease, o.Start.Lease)
+	if w.delay > 0 {
+		w.late = append(w.late, lateStart{at: p.now.Add(w.delay), order: o})
+		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
+		return
+	}
 	if w.swallow {
 		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
 		return
@@ -228,6 +254,16 @@
 		p.answer(o, cuminstair.ErrOldRun, nil)
 		return
 	}
+	p.launch(w, o)
+	if w.mute {
+		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
+		return
+	}
+	p.s.Started(p.now, o, p.now.Sub(w.birth), nil)
+}
+
+// launch begins a run and notes what must not happen.
+func (p *pool) launch(w *fakeWorker, o dispatch.Order) {
 	cpu := p.step(o.Task).CPU
 	used := cpu
 	for _, r := range w.runs {
@@ -243,11 +279,6 @@
 	}
 	w.runs[o.Task] = &fakeRun{run: o.Run, started: p.now, cpu: cpu}
 	p.starts[o.Task]++
-	if w.mute {
-		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
-		return
-	}
-	p.s.Started(p.now, o, p.now.Sub(w.birth), nil)
 }
 
 func (p *pool) hold(w *fakeWorker, o dispatch.Order) {
@@ -316,6 +347,19 @@
 	return s
 }
 
+// atWork counts the lasting tasks of a job that have started up.
+func (p *pool) atWork(job string) int {
+	n := 0
+	for _, w := range p.workers {
+		for id, r := range w.runs {
+			if id.Job == job && !w.dead && p.now.Sub(r.started) >= startup {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // running counts the runs of a job on workers that live.
 func (p *pool) running(job string) int {
 	n := 0
