Let a planned stop wait for the answers that are under way

Ruled out: a starved processor (the call was in its handler). TestServeWaitsForTheShutdown failed before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -94,8 +94,9 @@
 	defer cancel()
 	servers := []*http.Server{d.callerServer(), d.peerServer(), d.readyServer()}
 	var group run.Group
+	stopped := make(chan struct{})
 	for i, l := range []net.Listener{callers, internal, ready} {
-		group.Add(func() error { return ignoreClosed(servers[i].Serve(l)) }, func(error) { _ = servers[i].Close() })
+		group.Add(func() error { return serve(servers[i], l, stopped) }, func(error) { _ = servers[i].Close() })
 	}
 	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.beat, d.upkeepLoop} {
 		loopCtx, stop := context.WithCancel(work)
@@ -105,6 +106,7 @@
 	group.Add(func() error {
 		<-stopCtx.Done()
 		d.shutdown(servers[0])
+		close(stopped)
 		return nil
 	}, func(error) { stop() })
 	err = group.Run()
@@ -112,8 +114,12 @@
 	return err
 }
 
-func ignoreClosed(err error) error {
+// serve runs a server. Serve returns as soon as a shutdown begins, while requests are still being answered; the end of
+// the daemon waits for stopped.
+func serve(server *http.Server, l net.Listener, stopped <-chan struct{}) error {
+	err := server.Serve(l)
 	if err == http.ErrServerClosed {
+		<-stopped
 		return nil
 	}
 	return err
