Hand services over from daemons that the store turns away

Now an owner offers its service to a daemon that reaches the store, a new owner tells the earlier one to stop, workers whose hosts have moved on are known from the list of hosts, and a daemon that reaches neither the store nor another data centre leaves the rotation.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -121,7 +121,7 @@
 		if w.gone && len(w.attempts) == 0 {
 			continue
 		}
-		r.Workers = append(r.Workers, crewWorker{ID: id, Addr: w.info.Addr, Born: w.info.Born})
+		r.Workers = append(r.Workers, crewWorker{ID: id, Addr: w.info.Addr, Born: w.info.Born, Host: w.info.Host})
 		b.crew = append(b.crew, w)
 	}
 	// This type always encodes.
@@ -137,7 +137,7 @@
 		return
 	}
 	for _, x := range c.Workers {
-		w := newWorker(cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Born: x.Born})
+		w := newWorker(cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Born: x.Born, Host: x.Host})
 		w.recorded = true
 		s.workers[x.ID] = w
 		s.crew[x.ID] = true
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -43,7 +43,6 @@
 // Decide returns the orders that are due. confirmed is when the daemon last saw in the store that it is the owner; an
 // owner that has not been confirmed for Grace gives no orders, since another may have taken over.
 func (s *Service) Decide(now, confirmed time.Time) []Order {
-	s.orders = s.orders[:0]
 	if s.deposed {
 		return nil
 	}
@@ -66,7 +65,10 @@
 	if s.Grace > 0 && now.Sub(confirmed) >= s.Grace {
 		s.suspendOrders(now)
 	}
-	return s.orders
+	// Stops are also ordered between two calls.
+	orders := s.orders
+	s.orders = nil
+	return orders
 }
 
 // suspendOrders takes back what Decide wanted to order.
@@ -88,7 +90,7 @@
 		default:
 		}
 	}
-	s.orders = s.orders[:0]
+	s.orders = nil
 	s.changed = true
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -247,6 +247,36 @@
 	p.is.Equal(p.running(jobA), 2) // the leases are over
 }
 
+// Guards against a new owner that gives no orders because the earlier one has ended: the times for which each of them may
+// go on are not the same.
+func TestUnchallengedOwnerGoesOn(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, lasting(2, 2000, 1))
+	p.run(2 * time.Second)
+	p.takeOver(200, 6*time.Second)
+	p.run(100 * time.Millisecond)
+	p.s.Unchallenged(p.now)
+	p.submit(jobB, step(2, 1000))
+	p.run(dispatch.Lease + time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+	p.is.Equal(p.running(jobA), 2)
+	for _, n := range p.starts {
+		p.is.Equal(n, 1) // leases were extended
+	}
+}
+
+// Guards against stops that are forgotten because they are ordered between two decisions.
+func TestStopIsOrderedAtOnce(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, lasting(2, 2000, 1))
+	p.run(2 * time.Second)
+	p.s.Cancel(p.now, jobA, func(dispatch.Result) {})
+	p.run(2*tick + stopGrace/4)
+	p.is.Equal(p.running(jobA), 0)
+}
+
 // Guards against more tasks on a worker than it has room for, with what is being stopped counted.
 func TestRoomIsNeverExceeded(t *testing.T) {
 	p := newPool(t, 2)
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -16,6 +16,7 @@
 	tick       = 20 * time.Millisecond
 	hostCPU    = 32000
 	hostMemory = 131072
+	readEvery  = 500 * time.Millisecond // between two readings of the owner records
 	startup    = 900 * time.Millisecond
 	stopGrace  = 400 * time.Millisecond
 )
@@ -107,10 +108,10 @@
 }
 
 // takeOver starts a new owner from what the store has.
-func (p *pool) takeOver(token int64, grace time.Duration) {
+func (p *pool) takeOver(token int64, challenge time.Duration) {
 	p.s = dispatch.New("s", token, p.now, hclog.NewNullLogger())
 	p.s.Bounds = cuminstair.Bounds{StopGrace: stopGrace, KeepState: time.Minute}
-	p.s.Grace = grace
+	p.s.Challenge, p.s.Grace = challenge, 6*time.Second
 	p.batch = nil
 	p.confirm = p.now
 	var jobs, runs, crew []cuminstair.Record
@@ -133,7 +134,7 @@
 func (p *pool) run(d time.Duration) {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(tick) {
 		p.work()
-		p.confirm = p.now
+		p.confirm = p.now.Add(-readEvery)
 		for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, p.confirm)...) {
 			p.carryOut(o)
 		}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -62,6 +62,7 @@
 	ID   string `json:"id"`
 	Addr string `json:"addr"`
 	Born int64  `json:"born"`
+	Host string `json:"host,omitempty"`
 }
 
 const allDone = "*"
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -36,8 +36,10 @@
 	Bounds cuminstair.Bounds
 	Log    hclog.Logger
 	Rand   *rand.Rand
-	// Grace is how long an earlier owner may have gone on without the store, above which its leases run out.
+	// Grace is how long an owner gives orders without a sign that the store still names it. 0: for ever.
 	Grace time.Duration
+	// Challenge is how long after the takeover an earlier owner may give orders; the leases of these run out after it.
+	Challenge time.Duration
 
 	taken     time.Time // when the service was taken over
 	jobs      map[string]*job
@@ -123,7 +125,7 @@
 
 // settled tells whether every run that an earlier owner started is known or has ended.
 func (s *Service) settled(now time.Time) bool {
-	if now.Sub(s.taken) >= s.Grace+Lease+Lease*2/100+leaseMargin {
+	if now.Sub(s.taken) >= s.Challenge+Lease+Lease*2/100+leaseMargin {
 		return true
 	}
 	for id := range s.crew {
@@ -135,6 +137,32 @@
 	return true
 }
 
+// Unchallenged notes that earlier owners give no more orders from now on, so that only the leases that they gave last
+// have to run out.
+func (s *Service) Unchallenged(now time.Time) {
+	s.Challenge = min(s.Challenge, max(0, now.Sub(s.taken)))
+	s.changed = true
+}
+
+// Replaced tells a new owner which workers run on which hosts. A worker of the crew whose host has another one, or is on
+// its way to another pool or in upkeep, is gone. A worker that is merely missing from lists may live.
+func (s *Service) Replaced(now time.Time, hosts []cuminstair.HostRecord) {
+	byName := make(map[string]cuminstair.HostRecord, len(hosts))
+	for _, h := range hosts {
+		byName[h.Name] = h
+	}
+	for id := range s.crew {
+		w, ok := s.workers[id]
+		if !ok || w.listed || w.synced || w.info.Host == "" {
+			continue
+		}
+		h, ok := byName[w.info.Host]
+		if ok && (h.State == "moving" || h.State == "upkeep" || (h.Worker != "" && h.Worker != id)) {
+			s.lifeOver(now, w, "its host has moved on")
+		}
+	}
+}
+
 // State returns the state of a job as callers may be told it.
 func (s *Service) State(id string) cuminstair.JobState {
 	j, ok := s.jobs[id]
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -38,6 +38,8 @@
 	// storeGrace is how long an owner goes on without a sign that it still is the owner.
 	storeGrace = 6 * time.Second
 	tickEvery  = 40 * time.Millisecond
+	// hintTime is how long a daemon that can't read the owner records believes what others told it.
+	hintTime = 10 * time.Second
 )
 
 // Daemon is the entry daemon of the job path. The exported fields are set before Run.
@@ -54,7 +56,9 @@
 	addr     string // for calls between daemons
 	config   atomic.Pointer[cuminstair.JobConfig]
 	stopping atomic.Bool
-	calls    atomic.Int64 // of callers that are being answered
+	cutOff   atomic.Bool               // neither the store nor another data centre answers
+	readAt   atomic.Pointer[time.Time] // last successful reading of the owner records
+	calls    atomic.Int64              // of callers that are being answered
 	peers    *peerClient
 
 	mu      sync.Mutex
@@ -67,6 +71,14 @@
 	poke    chan struct{} // read the owner records now
 	listNow chan struct{} // read the list of workers now
 	seen    map[string]bool
+	hints   map[string]hint // by service: where other daemons say that its owner is
+	work    context.Context // of all work; nil before Run
+}
+
+// hint is where the owner of a service is said to be.
+type hint struct {
+	addr string
+	at   time.Time
 }
 
 // Run serves until ctx ends and then hands over and stops.
@@ -76,6 +88,7 @@
 	d.runners, d.taking = map[string]*runner{}, map[string]bool{}
 	d.workers, d.waves = map[string]cuminstair.WorkerInfo{}, map[string]cuminstair.MaintenanceWave{}
 	d.poke, d.listNow = make(chan struct{}, 1), make(chan struct{}, 1)
+	d.hints = map[string]hint{}
 	d.peers = newPeerClient()
 	internal, err := d.listenInternal()
 	if err != nil {
@@ -92,13 +105,16 @@
 	d.Log.Info("entry: started", "name", d.Settings.Name, "run", d.run, "callers", d.Settings.Callers, "internal", d.addr, "store", d.Settings.Store)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	d.mu.Lock()
+	d.work = work
+	d.mu.Unlock()
 	servers := []*http.Server{d.callerServer(), d.peerServer(), d.readyServer()}
 	var group run.Group
 	stopped := make(chan struct{})
 	for i, l := range []net.Listener{callers, internal, ready} {
 		group.Add(func() error { return serve(servers[i], l, stopped) }, func(error) { _ = servers[i].Close() })
 	}
-	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.beat, d.upkeepLoop} {
+	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.beat, d.upkeepLoop, d.watchReach} {
 		loopCtx, stop := context.WithCancel(work)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { stop() })
 	}
@@ -191,19 +207,40 @@
 	return list
 }
 
-// owner returns the own runner of a service, or the address of the live owner.
+// owner returns the own runner of a service, or the address of the owner. A daemon that can't read the owner records
+// goes by what other daemons told it, and by what it read last.
 func (d *Daemon) owner(service string) (*runner, string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r, ok := d.runners[service]; ok && !r.closed.Load() {
 		return r, ""
 	}
-	if o, ok := d.view.Live(d.Timer.Now(), service); ok && o.Name != d.Settings.Name {
+	now := d.Timer.Now()
+	if d.view.Blind(now) {
+		if h, ok := d.hints[service]; ok && now.Sub(h.at) < hintTime {
+			return nil, h.addr
+		}
+		if o, _ := d.view.Owner(service); o.Name != d.Settings.Name {
+			return nil, o.Addr
+		}
+		return nil, ""
+	}
+	if o, ok := d.view.Live(now, service); ok && o.Name != d.Settings.Name {
 		return nil, o.Addr
 	}
 	return nil, ""
 }
 
+// heard notes where another daemon says that the owner of a service is.
+func (d *Daemon) heard(service, addr string) {
+	if addr == "" || addr == d.addr {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hints[service] = hint{addr: addr, at: d.Timer.Now()}
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -44,7 +44,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.GET(platform.ReadinessPath, func(c echo.Context) error {
-		if d.stopping.Load() || d.config.Load() == nil {
+		if d.stopping.Load() || d.config.Load() == nil || d.cutOff.Load() {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
 		return c.NoContent(http.StatusOK)
@@ -250,6 +250,10 @@
 		if err == nil && !a.NotOwner {
 			return a, nil
 		}
+		if err == nil {
+			d.heard(x.queue.Service, a.Owner)
+			err = errNoOwner
+		}
 		if err != nil && !errors.Is(err, errNoOwner) {
 			sent = true
 		}
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -9,12 +9,19 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/platform"
 	"cuminstair.org/cuminstair/tenure"
 )
 
+// challengeAgain is the pause before an earlier owner is told again to stop.
+const challengeAgain = 300 * time.Millisecond
+
 // takeoverRetry is the pause after a step of a takeover failed.
 const takeoverRetry = 150 * time.Millisecond
 
+// offersAtOnce is how many daemons are asked to take a service before a pause.
+const offersAtOnce = 3
+
 // beat rewrites the daemon's record again and again.
 func (d *Daemon) beat(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -28,7 +35,7 @@
 
 func (d *Daemon) writeBeat(ctx context.Context) {
 	n := tenure.Node{
-		Run: d.run, Addr: d.addr, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(), Beat: d.Timer.Now().UnixMilli(),
+		Run: d.run, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(), Beat: d.Timer.Now().UnixMilli(),
 	}
 	// A Node always encodes.
 	data, _ := json.Marshal(n)
@@ -48,6 +55,7 @@
 			d.note(dep, err)
 		}
 		if err == nil {
+			d.readAt.Store(&sent)
 			d.applyOwners(ctx, sent)
 		}
 		d.pause(ctx, d.poke, viewEvery)
@@ -187,6 +195,25 @@
 	d.Metrics.Takeover.Observe(d.Timer.Now().Sub(begin).Seconds())
 	r.start(ctx)
 	signal(d.listNow)
+	if r.after {
+		d.challenge(ctx, r, old)
+	}
+}
+
+// challenge tells the earlier owner to stop, until it does or the time is over for which it may give orders. An owner
+// that has released its service or has started again gives none.
+func (d *Daemon) challenge(ctx context.Context, r *runner, old tenure.Owner) {
+	end := r.taken.Add(storeGrace)
+	for ctx.Err() == nil && d.Timer.Now().Before(end) {
+		d.mu.Lock()
+		gone := old.Name == "" || d.view.Gone(old.Name, old.Run)
+		d.mu.Unlock()
+		if gone || d.peers.stop(ctx, old.Addr, stopRequest{Service: r.service, Token: int64(r.token), Run: old.Run, Owner: d.addr}) {
+			r.post(func(now time.Time) { r.state.Unchallenged(now) })
+			return
+		}
+		d.sleep(ctx, challengeAgain)
+	}
 }
 
 // writeOwner writes an owner record on the condition of its version and returns the version of the write.
@@ -253,16 +280,41 @@
 	if err != nil {
 		return err
 	}
-	list := d.workersOf(r.service)
+	list, err := d.workersOf(ctx, r.service)
+	if err != nil {
+		return err
+	}
 	now := d.Timer.Now()
 	r.state.Recover(now, jobs, runs, crew)
 	if len(list) > 0 {
 		r.state.SetWorkers(now, list)
+		d.findReplaced(ctx, r)
 	}
 	return nil
 }
 
-func (d *Daemon) workersOf(service string) []cuminstair.WorkerInfo {
+// findReplaced tells a new owner which workers run on which hosts.
+func (d *Daemon) findReplaced(ctx context.Context, r *runner) {
+	if d.Hosts == nil {
+		return
+	}
+	hosts, err := d.Hosts.List(ctx)
+	if err != nil {
+		d.Log.Info("entry: can't list the hosts at a takeover", "service", r.service, "error", err)
+		return
+	}
+	r.state.Replaced(d.Timer.Now(), hosts)
+}
+
+// workersOf reads the list of workers, unless the daemon follows it already.
+func (d *Daemon) workersOf(ctx context.Context, service string) ([]cuminstair.WorkerInfo, error) {
+	if len(d.owned()) == 0 {
+		records, _, err := d.Store.Read(ctx, platform.WorkerTable, "", "", "")
+		if err != nil {
+			return nil, err
+		}
+		d.takeWorkers(true, records)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []cuminstair.WorkerInfo
@@ -271,7 +323,35 @@
 			list = append(list, w)
 		}
 	}
-	return list
+	return list, nil
+}
+
+// giveAway offers a service to a daemon that reaches the store, when this one does not.
+func (d *Daemon) giveAway(ctx context.Context, service string) {
+	d.mu.Lock()
+	nodes := d.view.Nodes(d.Timer.Now())
+	d.mu.Unlock()
+	first := int(d.Timer.Now().UnixNano()) % max(1, len(nodes))
+	for i := range min(len(nodes), offersAtOnce) {
+		n := nodes[(first+i)%len(nodes)]
+		if d.peers.offer(ctx, n.Addr, service) {
+			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", service, "to", n.Addr)
+			return
+		}
+	}
+}
+
+// accept takes a service that its owner offers, if the store answers this daemon.
+func (d *Daemon) accept(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping.Load() || d.view.Blind(d.Timer.Now()) || d.taking[service] || d.runners[service] != nil || d.work == nil {
+		return false
+	}
+	d.taking[service] = true
+	old, version := d.view.Owner(service)
+	go d.take(d.work, service, old, version)
+	return true
 }
 
 // handOver releases a service at a planned stop and tells the daemon that should take it.
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -22,6 +22,8 @@
 	callPath   = "/call"
 	pokePath   = "/poke"
 	cordonPath = "/cordon"
+	stopPath   = "/stop"
+	offerPath  = "/offer"
 	peerDial   = 500 * time.Millisecond
 	peerIdle   = 30 * time.Second
 	peerBody   = 1 << 20
@@ -39,6 +41,7 @@
 // reply is the owner's answer.
 type reply struct {
 	NotOwner bool                `json:"not,omitempty"`
+	Owner    string              `json:"owner,omitempty"` // NotOwner: address of the owner, if it is known
 	Outcome  dispatch.Outcome    `json:"outcome"`
 	Wait     int64               `json:"wait,omitempty"` // milliseconds
 	Why      string              `json:"why,omitempty"`
@@ -52,6 +55,28 @@
 	Workers []string `json:"workers"`
 }
 
+// stopRequest tells an earlier owner that it is one no more.
+type stopRequest struct {
+	Service string `json:"service"`
+	Token   int64  `json:"token"` // of the new owner
+	Run     string `json:"run"`   // start of the daemon that owned the service
+	Owner   string `json:"owner"` // address of the new owner
+}
+
+// stopReply tells whether the daemon gives no more orders for the service.
+type stopReply struct {
+	Stopped bool `json:"stopped"`
+}
+
+// offerRequest asks a daemon to take a service.
+type offerRequest struct {
+	Service string `json:"service"`
+}
+
+type offerReply struct {
+	Taken bool `json:"taken"`
+}
+
 type cordonReply struct {
 	NotOwner bool     `json:"not,omitempty"`
 	Idle     []string `json:"idle"`
@@ -117,12 +142,61 @@
 	_ = p.post(ctx, addr, pokePath, struct{}{}, nil)
 }
 
+// stop tells an earlier owner to stop and returns whether it has.
+func (p *peerClient) stop(ctx context.Context, addr string, q stopRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, pokeTime)
+	defer cancel()
+	var a stopReply
+	return p.post(ctx, addr, stopPath, q, &a) == nil && a.Stopped
+}
+
+// offer asks a daemon to take a service and returns whether it tries.
+func (p *peerClient) offer(ctx context.Context, addr, service string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pokeTime)
+	defer cancel()
+	var a offerReply
+	return p.post(ctx, addr, offerPath, offerRequest{Service: service}, &a) == nil && a.Taken
+}
+
+// serveStop ends the own runner of a service that has a newer owner.
+func (d *Daemon) serveStop(c echo.Context) error {
+	var q stopRequest
+	if err := decodeBody(c, &q); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	d.mu.Lock()
+	r := d.runners[q.Service]
+	d.hints[q.Service] = hint{addr: q.Owner, at: d.Timer.Now()}
+	d.mu.Unlock()
+	if r == nil || int64(r.token) >= q.Token {
+		// Another start of this daemon has ended with its process; this one owns nothing, or something newer.
+		return c.JSON(http.StatusOK, stopReply{Stopped: r == nil || q.Run != d.run})
+	}
+	r.post(func(time.Time) { r.state.Depose("the new owner says so") })
+	select {
+	case <-r.done:
+		return c.JSON(http.StatusOK, stopReply{Stopped: true})
+	case <-c.Request().Context().Done():
+		return c.JSON(http.StatusOK, stopReply{})
+	}
+}
+
+func (d *Daemon) serveOffer(c echo.Context) error {
+	var q offerRequest
+	if err := decodeBody(c, &q); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	return c.JSON(http.StatusOK, offerReply{Taken: d.accept(q.Service)})
+}
+
 func (d *Daemon) peerServer() *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.POST(callPath, d.servePeer)
 	e.POST(cordonPath, d.serveCordon)
 	e.POST(demandPath, d.serveDemand)
+	e.POST(stopPath, d.serveStop)
+	e.POST(offerPath, d.serveOffer)
 	e.POST(pokePath, func(c echo.Context) error {
 		signal(d.poke)
 		return c.NoContent(http.StatusOK)
@@ -135,9 +209,9 @@
 	if err := decodeBody(c, &q); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
-	r, _ := d.owner(q.Queue.Service)
+	r, addr := d.owner(q.Queue.Service)
 	if r == nil {
-		return c.JSON(http.StatusOK, reply{NotOwner: true})
+		return c.JSON(http.StatusOK, reply{NotOwner: true, Owner: addr})
 	}
 	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now()}
 	a, err := d.askLocal(c.Request().Context(), r, x, q.Job)
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -19,10 +19,18 @@
 	commitRetry = 200 * time.Millisecond
 	// downAfter is how long writes fail until new work is refused at once.
 	downAfter = 700 * time.Millisecond
+	// giveAwayAfter is how long writes fail until another daemon is asked to take the service.
+	giveAwayAfter = 600 * time.Millisecond
+	giveAwayAgain = 500 * time.Millisecond
+	// silentAfter is how long a write is under way until it counts as failing.
+	silentAfter = 1200 * time.Millisecond
 	// eventsQueued bounds the events that wait for the runner.
 	eventsQueued = 1024
 )
 
+// errSilent means that a write has no answer yet.
+const errSilent = errors.ConstError("no answer yet")
+
 // runner drives the decisions about one service. Only its goroutine touches state and the fields below it.
 type runner struct {
 	d       *Daemon
@@ -41,6 +49,8 @@
 	inflight  *dispatch.Batch
 	sentTx    cuminstair.Tx
 	failing   time.Time // since when writes fail; zero: they don't
+	sentAt    time.Time // when the batch under way was sent first
+	offered   time.Time // when the service was last offered to another daemon
 	releasing []func()  // called when the owner record is released
 	ended     bool
 }
@@ -48,9 +58,9 @@
 func newRunner(d *Daemon, service string, token uint64, owner tenure.Owner, after bool) *runner {
 	now := d.Timer.Now()
 	s := dispatch.New(service, int64(token), now, d.Log)
-	s.Bounds = d.Settings.Bounds
+	s.Bounds, s.Grace = d.Settings.Bounds, storeGrace
 	if after {
-		s.Grace = storeGrace
+		s.Challenge = storeGrace
 	}
 	return &runner{
 		d: d, service: service, token: token, taken: now, after: after, state: s, owner: owner, version: token,
@@ -113,6 +123,13 @@
 		}
 		r.state.SetStore(!r.failing.IsZero() && now.Sub(r.failing) > downAfter)
 		r.state.AnswerLate(now, r.inflight)
+		if r.inflight != nil && r.failing.IsZero() && now.Sub(r.sentAt) > silentAfter {
+			r.failed(r.sentAt, errSilent)
+		}
+		if !r.failing.IsZero() && now.Sub(r.failing) > giveAwayAfter && now.Sub(r.offered) > giveAwayAgain {
+			r.offered = now
+			go r.d.giveAway(ctx, r.service)
+		}
 		r.write(ctx, now)
 	}
 	if r.inflight == nil && len(r.releasing) > 0 {
@@ -177,7 +194,7 @@
 		return
 	}
 	r.owner.Seq++
-	r.inflight = b
+	r.inflight, r.sentAt = b, now
 	r.sentTx = cuminstair.Tx{Puts: append(b.Puts, r.ownerPut()), Deletes: b.Deletes, Checks: []cuminstair.RecordCheck{r.check()}}
 	go r.commit(ctx, r.sentTx)
 }
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -42,6 +42,7 @@
 type Node struct {
 	Run    string  `json:"run"`    // unique for each start of the daemon
 	Addr   string  `json:"addr"`   // for calls between daemons
+	Centre string  `json:"centre"` // data centre
 	Weight float64 `json:"weight"` // what it can carry
 	Ready  bool    `json:"ready"`  // false: it takes no services
 	Beat   int64   `json:"beat"`   // rises with each write
@@ -52,8 +53,7 @@
 	Name string `json:"name"` // daemon; empty after a release
 	Run  string `json:"run"`  // Node.Run of the owner
 	Addr string `json:"addr"`
-	Next string `json:"next,omitempty"` // the daemon that a release names
-	Seq  int64  `json:"seq"`            // rises with each write of the owner
+	Seq  int64  `json:"seq"` // rises with each write of the owner
 }
 
 type nodeSeen struct {
@@ -154,9 +154,18 @@
 	return o.Owner, true
 }
 
+// Blind tells whether the records have not been read lately, so that ages say nothing.
+func (v *View) Blind(now time.Time) bool { return now.Sub(v.read) > blindAfter }
+
+// Gone tells whether a daemon has started again since the start that run names.
+func (v *View) Gone(name, run string) bool {
+	n := v.nodes[name]
+	return n != nil && n.Run != run
+}
+
 // Claims returns the services that this daemon should take now, of those that exist.
 func (v *View) Claims(now time.Time, services []string) []string {
-	if v.first.IsZero() || now.Sub(v.first) < settleTime || now.Sub(v.read) > blindAfter {
+	if v.first.IsZero() || now.Sub(v.first) < settleTime || v.Blind(now) {
 		return nil
 	}
 	var mine []string
@@ -227,13 +236,21 @@
 	return h.Sum64()
 }
 
-// Nodes returns the live daemons but this one.
-func (v *View) Nodes(now time.Time) map[string]Node {
-	out := map[string]Node{}
+// Nodes returns the other daemons that live, or that lived when the records were read last, in the order of their names.
+func (v *View) Nodes(now time.Time) []Node {
+	if v.Blind(now) {
+		now = v.read
+	}
+	var names []string
 	for name, n := range v.nodes {
-		if name != v.self && v.fresh(now, name, "") {
-			out[name] = n.Node
+		if name != v.self && n.Ready && v.fresh(now, name, "") {
+			names = append(names, name)
 		}
 	}
-	return out
+	sort.Strings(names)
+	nodes := make([]Node, len(names))
+	for i, name := range names {
+		nodes[i] = v.nodes[name].Node
+	}
+	return nodes
 }
