--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,55 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// BenchmarkDecideOverload measures one decision of a service whose workers are full while steps wait.
+func BenchmarkDecideOverload(b *testing.B) {
+	for _, workers := range []int{50, 200, 800} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s := dispatch.New("s", 1, begin, hclog.NewNullLogger())
+			var list []cuminstair.WorkerInfo
+			for i := range workers {
+				id := fmt.Sprintf("w%d", i)
+				list = append(list, cuminstair.WorkerInfo{ID: id, Addr: id, CPU: hostCPU, Memory: hostMemory, Born: 1})
+			}
+			s.SetWorkers(begin, list)
+			now := begin
+			turn := func() {
+				for _, o := range s.Decide(now, now) {
+					switch o.Kind {
+					case dispatch.OrderHold:
+						s.Held(now, now.Add(-time.Millisecond), o.Worker.ID, cuminstair.WorkerReport{Clock: now.Sub(begin) + time.Hour}, nil)
+					case dispatch.OrderStart:
+						s.Started(now, o, 0, nil)
+					default:
+					}
+				}
+				if batch := s.Batch(now); batch != nil {
+					s.Stored(now, batch)
+				}
+				now = now.Add(10 * time.Millisecond)
+			}
+			turn()
+			for i := range workers * 4 {
+				id := fmt.Sprintf("%016x", i)
+				spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{{Count: 8, CPU: 3000, Memory: 1000, Estimate: time.Hour}}}
+				s.Submit(now, id, spec, cuminstair.WorkQueue{Name: "q", Stretch: 1e6}, func(dispatch.Result) {})
+				turn()
+			}
+			b.ResetTimer()
+			for range b.N {
+				s.SetWorkers(now, list)
+				turn()
+			}
+		})
+	}
+}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -1,13 +1,11 @@
 package dispatch
 
 import (
-	"sort"
 	"time"
 
 	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/place"
 )
 
 // OrderKind tells what a worker is asked to do.
@@ -56,6 +54,7 @@
 		}
 	}
 	s.settle(now)
+	s.lookAround(now)
 	s.evacuate(now)
 	if !s.stopping {
 		s.placeAll(now)
@@ -188,161 +187,6 @@
 	return holdWait
 }
 
-// placeAll starts tasks of the steps that have come up, the most urgent first.
-func (s *Service) placeAll(now time.Time) {
-	if !s.changed {
-		return
-	}
-	s.changed = false
-	settled := s.settled(now)
-	if !settled {
-		s.changed = true
-	}
-	kept := s.ready[:0]
-	for _, st := range s.ready {
-		if st.occ.job.over() || !waits(st) {
-			st.listed = false
-			continue
-		}
-		kept = append(kept, st)
-	}
-	s.ready = kept
-	sort.SliceStable(s.ready, func(i, j int) bool { return s.before(now, s.ready[i], s.ready[j]) })
-	for _, st := range s.ready {
-		if st.occ.job.old && !settled {
-			continue
-		}
-		s.placeStep(now, st)
-	}
-}
-
-func waits(st *step) bool {
-	if st.left == 0 {
-		return false
-	}
-	for _, t := range st.tasks {
-		if !t.done && t.at == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// before orders steps: what lasts, then what can be in time by the time that is left, then what is late.
-func (s *Service) before(now time.Time, a, b *step) bool {
-	if a.Lasting != b.Lasting {
-		return a.Lasting
-	}
-	if a.Filler != b.Filler {
-		return b.Filler
-	}
-	al, bl := s.latest(a), s.latest(b)
-	aLate, bLate := al.Before(now), bl.Before(now)
-	if aLate != bLate {
-		return bLate
-	}
-	return al.Before(bl)
-}
-
-// latest is when the tasks of a step have to start for the job to be in time.
-func (s *Service) latest(st *step) time.Time {
-	j := st.occ.job
-	due := j.due
-	if !st.occ.due.IsZero() {
-		due = s.objective(j, st.occ.due)
-	}
-	return due.Add(-st.tail - s.length(j, st.index))
-}
-
-func (s *Service) placeStep(now time.Time, st *step) {
-	if st.Gang {
-		s.placeGang(now, st)
-		return
-	}
-	for _, t := range st.tasks {
-		if t.done || t.at != nil {
-			continue
-		}
-		w := s.choose(now, st, t)
-		if w == nil {
-			return
-		}
-		s.start(now, t, w, max(t.run, s.Token*runsPerToken)+1)
-	}
-}
-
-// placeGang starts the tasks of a gang together or not at all.
-func (s *Service) placeGang(now time.Time, st *step) {
-	run := s.Token * runsPerToken
-	for _, t := range st.tasks {
-		if t.done {
-			continue
-		}
-		if t.at != nil {
-			return // a run of the gang has not ended everywhere
-		}
-		run = max(run, t.run)
-	}
-	mark := len(s.orders)
-	for _, t := range st.tasks {
-		if t.done {
-			continue
-		}
-		w := s.choose(now, st, t)
-		if w == nil {
-			for _, o := range s.orders[mark:] {
-				o.attempt.worker.remove(now, o.attempt)
-				o.attempt.task.at = nil
-				o.attempt.task.run--
-			}
-			s.orders = s.orders[:mark]
-			return
-		}
-		s.start(now, t, w, run+1)
-	}
-}
-
-// choose returns the worker for a task, or nil.
-func (s *Service) choose(now time.Time, st *step, t *task) *worker {
-	var list []place.Candidate
-	var workers []*worker
-	for _, w := range s.workers {
-		if !w.usable(now) || !matches(st.Label, w.info.Labels) || w.attempts[t.id] != nil {
-			continue
-		}
-		if t.avoid == w.info.ID && len(s.workers) > 1 {
-			continue
-		}
-		c := s.candidate(st, w)
-		if st.PerWorker > 0 && c.Same >= st.PerWorker {
-			continue
-		}
-		list = append(list, c)
-		workers = append(workers, w)
-	}
-	want := place.Want{Room: st.room(), Spread: st.Lasting, Quiet: st.Lasting || st.Filler}
-	i := place.Best(want, list)
-	if i < 0 {
-		return nil
-	}
-	return workers[i]
-}
-
-func (s *Service) start(now time.Time, t *task, w *worker, run int64) {
-	j := t.step.occ.job
-	t.run = run
-	a := &attempt{task: t, id: t.id, run: run, room: t.step.room(), sent: now, share: 100, expected: s.length(j, t.step.index), resumed: t.checkpoint != ""}
-	t.at = a
-	w.add(a)
-	s.counts.Starts++
-	order := cuminstair.StartOrder{
-		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: w.nextLease(now), Token: s.Token, Checkpoint: t.checkpoint,
-	}
-	s.orders = append(s.orders, Order{Kind: OrderStart, Worker: w.info, Task: t.id, Run: run, Token: s.Token, Start: order, attempt: a})
-	s.Log.Info("dispatch: task placed", "service", s.Name, "job", t.id.Job, "step", t.id.Step, "task", t.id.Index, "run", run,
-		"worker", w.info.ID, "free", w.free().CPU)
-}
-
 // Started takes the answer to a start.
 func (s *Service) Started(now time.Time, o Order, clock time.Duration, err error) {
 	a := o.attempt
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -21,6 +21,8 @@
 	holdWait = 900 * time.Millisecond
 	// holdGap is the pause between two renewals, in which ends are stored and acknowledged together.
 	holdGap = 30 * time.Millisecond
+	// holdRate bounds the renewals of a service in a second: with many workers the pause between two is longer.
+	holdRate = 900
 	// holdGapBusy is the pause while ends wait to be stored.
 	holdGapBusy = 250 * time.Millisecond
 	// holdBackoff is the pause after a renewal that failed.
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -42,7 +42,7 @@
 			if w.leaving.IsZero() && !s.mayMove(a.task) {
 				continue
 			}
-			if s.choose(now, a.task.step, a.task) == nil {
+			if s.choose(a.task.step, a.task, s.neighbours(a.task.step)) == nil {
 				continue
 			}
 			s.move(now, a)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,7 +46,7 @@
 	begun  bool          // a task has started
 	tail   time.Duration // longest chain of work after this step
 	listed bool          // in Service.ready
-	tried  time.Time     // when no worker was found the last time
+	latest time.Time     // when its tasks have to start for the job to be in time
 }
 
 // task is a task of a step.
@@ -70,6 +70,8 @@
 	run      int64
 	worker   *worker
 	room     place.Room
+	lasting  bool
+	filler   bool
 	sent     time.Time     // when the order was sent, or the run first seen
 	answered time.Time     // when the order was answered or the run seen; zero: not yet
 	seen     bool          // the worker has listed it as running
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -7,6 +7,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/intake"
+	"cuminstair.org/cuminstair/place"
 )
 
 // Result answers a caller.
@@ -48,10 +50,14 @@
 	crew      map[string]bool // workers that an earlier owner may have used and that were not read yet
 	refused   map[string]time.Time
 	ready     []*step
-	timed     []*job // jobs with occurrences to come
+	around    []*worker  // that may be given tasks, for one decision
+	mostFree  place.Room // at most free on any of them
+	timed     []*job     // jobs with occurrences to come
 	dirty     []*job
 	orders    []Order
 	offered   []offered
+	loads     []intake.Load // see recentLoad
+	loadsAt   time.Time
 	mostCores float64            // largest room of the pool so far, in cores
 	incoming  int                // workers on their way to the pool
 	patience  time.Duration      // mean objective of jobs
@@ -186,6 +192,9 @@
 	return n
 }
 
+// Workers returns how many workers are known.
+func (s *Service) Workers() int { return len(s.workers) }
+
 // Counts returns the totals.
 func (s *Service) Counts() Counts { return s.counts }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -6,7 +6,6 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/intake"
-	"cuminstair.org/cuminstair/place"
 )
 
 // Times and shares of admission.
@@ -90,8 +89,9 @@
 	}
 	ask := intake.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
 	ask.Work = s.total(j)
-	v := intake.Decide(now, s.pool(), s.load(now), ask)
+	v := intake.Decide(now, s.pool(), s.recentLoad(now), ask)
 	if v.Accept {
+		s.loads = append(s.loads, intake.Load{Due: ask.Due, Work: ask.Work})
 		return Result{Outcome: Accepted}
 	}
 	wait := min(max(v.Wait, minWait), maxWait)
@@ -166,6 +166,18 @@
 	return p
 }
 
+// loadAge is how old the sum of the accepted work may be for the decision about a job. Jobs that were accepted since are
+// added to it.
+const loadAge = 60 * time.Millisecond
+
+// recentLoad is the accepted work as it was a short time ago.
+func (s *Service) recentLoad(now time.Time) []intake.Load {
+	if now.Sub(s.loadsAt) > loadAge {
+		s.loads, s.loadsAt = s.load(now), now
+	}
+	return s.loads
+}
+
 // load is the accepted work that is not done. Lasting tasks are taken out of the pool instead.
 func (s *Service) load(now time.Time) []intake.Load {
 	var list []intake.Load
@@ -289,30 +301,6 @@
 	j.cancels = append(j.cancels, reply)
 }
 
-// candidate describes a worker for the placement of a step.
-func (s *Service) candidate(st *step, w *worker) place.Candidate {
-	c := place.Candidate{Free: w.free(), Total: w.total, Slow: max(1, w.slow)}
-	for _, a := range w.attempts {
-		if a.task == nil {
-			continue
-		}
-		if a.task.step == st {
-			c.Same++
-		}
-		if a.task.step.Lasting {
-			c.Lasting++
-			if a.task.step.Filler != st.Filler {
-				c.Shared++
-			}
-		}
-	}
-	if st.Lasting {
-		c.SameRack = s.sameRack(st, w.info.Rack)
-	}
-	c.Far = st.DataRack != "" && st.DataRack != w.info.Rack
-	return c
-}
-
 // usedShare is the part of the processors that tasks hold.
 func (s *Service) usedShare() float64 {
 	used, total := 0, 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -15,6 +15,8 @@
 	total    place.Room
 	used     place.Room // of all attempts, those that are being stopped included
 	attempts map[cuminstair.TaskID]*attempt
+	lasting  int       // attempts of lasting tasks that don't fill
+	fillers  int       // attempts of fillers
 	listed   bool      // the platform's list has it
 	leaving  time.Time // when it was first seen to be leaving; zero: it is not
 	cordon   time.Time // until then it gets no tasks because its host is due for upkeep or a move
@@ -84,7 +86,18 @@
 func (w *worker) add(a *attempt) {
 	a.worker = w
 	w.attempts[a.id] = a
-	w.used = w.used.Plus(a.room, 1)
+	w.book(a, 1)
+}
+
+// book adds n times what an attempt takes.
+func (w *worker) book(a *attempt, n int) {
+	w.used = w.used.Plus(a.room, n)
+	switch {
+	case a.filler:
+		w.fillers += n
+	case a.lasting:
+		w.lasting += n
+	}
 }
 
 func (w *worker) remove(now time.Time, a *attempt) {
@@ -92,7 +105,7 @@
 		return
 	}
 	delete(w.attempts, a.id)
-	w.used = w.used.Plus(a.room, -1)
+	w.book(a, -1)
 	w.idle = now
 }
 
@@ -230,7 +243,7 @@
 		s.seeRunning(now, w, t)
 	}
 	s.seeMissing(now, sent, w, running)
-	w.next = now.Add(holdGap)
+	w.next = now.Add(max(holdGap, time.Duration(len(s.workers))*time.Second/holdRate))
 	if w.processed > w.stored {
 		w.next = now.Add(holdGapBusy)
 	}
@@ -285,7 +298,7 @@
 		x = j.task(t.Task)
 	}
 	if x != nil {
-		a.room = x.step.room()
+		a.room, a.lasting, a.filler = x.step.room(), x.step.Lasting, x.step.Filler
 		x.run = max(x.run, t.Run)
 	}
 	if old, ok := w.attempts[t.Task]; ok {
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -24,6 +24,10 @@
 	giveAwayAgain = 500 * time.Millisecond
 	// silentAfter is how long a write is under way until it counts as failing.
 	silentAfter = 1200 * time.Millisecond
+	// stepGap is the least time between two decisions, in which events are taken together. The cost of a decision grows
+	// with the number of workers, and so does the gap.
+	stepGap          = 2 * time.Millisecond
+	stepGapPerWorker = 50 * time.Microsecond
 	// eventsQueued bounds the events that wait for the runner.
 	eventsQueued = 1024
 )
@@ -41,6 +45,8 @@
 	events  chan func(now time.Time)
 	closed  atomic.Bool // it takes no new calls
 	done    chan struct{}
+	waking  atomic.Bool // a decision is planned
+	stepped time.Time   // when the last decision was made
 	state   *dispatch.Service
 
 	owner     tenure.Owner
@@ -106,11 +112,31 @@
 			for n := len(r.events); n > 0; n-- {
 				(<-r.events)(now)
 			}
+			gap := max(stepGap, time.Duration(r.state.Workers())*stepGapPerWorker)
+			if wait := gap - now.Sub(r.stepped); wait > 0 && !r.state.Deposed() {
+				r.wakeIn(wait)
+				continue
+			}
+			r.stepped = now
 			r.step(ctx, now)
 		}
 	}
 }
 
+// wakeIn makes the runner decide after a time, unless that is planned already.
+func (r *runner) wakeIn(wait time.Duration) {
+	if !r.waking.CompareAndSwap(false, true) {
+		return
+	}
+	r.d.Timer.After(wait, func(time.Time) {
+		r.waking.Store(false)
+		select {
+		case r.events <- func(time.Time) {}:
+		default: // the runner is awake
+		}
+	})
+}
+
 // step gives the orders and writes the records that are due.
 func (r *runner) step(ctx context.Context, now time.Time) {
 	if r.state.Deposed() {
--- a/place/place.go
+++ b/place/place.go
@@ -53,21 +53,25 @@
 func Best(want Want, list []Candidate) int {
 	best, low := -1, 0.0
 	for i := range list {
-		c := &list[i]
-		if !want.Room.Fits(c.Free) {
-			continue
-		}
-		s := score(want, c)
-		if best < 0 || s < low {
+		s, ok := Score(&want, &list[i])
+		if ok && (best < 0 || s < low) {
 			best, low = i, s
 		}
 	}
 	return best
 }
 
+// Score tells how well a candidate suits, less is better, and whether it has room.
+func Score(want *Want, c *Candidate) (float64, bool) {
+	if !want.Room.Fits(c.Free) {
+		return 0, false
+	}
+	return score(want, c), true
+}
+
 // score is the share of processors that stays free, plus what speaks against the worker. Processors and memory that are
 // left in unlike shares are stranded and count as well.
-func score(want Want, c *Candidate) float64 {
+func score(want *Want, c *Candidate) float64 {
 	left := c.Free.Plus(want.Room, -1)
 	cpu := float64(left.CPU) / float64(c.Total.CPU)
 	memory := float64(left.Memory) / float64(c.Total.Memory)
