--- /dev/null
+++ b/cmd/cuminstairjobs/day_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against a break anywhere on the whole path of a calm day: settings, ownership, acceptance, placement, ends,
+// states, cancelling, configuration, upkeep and moves, between separate processes over the users' protocol.
+func TestCalmDay(t *testing.T) {
+	t.Parallel()
+	services := []string{"s1", "s2"}
+	f := newFleet(t, 3, map[string]int{"s1": 4, "s2": 4, "spare": 2})
+	f.site.Configure(services, 3*time.Second)
+	f.startAll()
+	for i := range 20 {
+		f.submit(f.daemons[i%3], services[i%2], jobID(i+1), 3, 150*time.Millisecond)
+	}
+	lasting := jobID(100)
+	f.submit(f.daemons[0], "s1", lasting, 3, 0)
+	for i := range 20 {
+		f.until(soon, fmt.Sprintf("job %d is completed", i+1), func() bool {
+			return f.state(f.daemons[(i+1)%3], services[i%2], jobID(i+1)) == "completed"
+		})
+		for task, n := range f.site.Starts(jobID(i + 1)) {
+			if n != 1 {
+				t.Errorf("task %s was started %d times", task, n)
+			}
+		}
+	}
+	f.until(soon, "the lasting job runs", func() bool { return f.site.Running(lasting) == 3 })
+
+	f.site.Wave(1, "s1", 2)
+	f.until(settled, "the wave is completed", func() bool {
+		return string(f.site.Store.Get("status", "", "wave/1")) == `{"state":"completed"}`
+	})
+	f.until(soon, "the lasting job runs", func() bool { return f.site.Running(lasting) == 3 })
+
+	for i, c := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{http.MethodGet, "/s1/" + jobID(999), "", http.StatusGone},
+		{http.MethodDelete, "/s1/" + jobID(999), "", http.StatusGone},
+		{http.MethodGet, "/s9/" + jobID(1), "", http.StatusNotFound},
+		{http.MethodGet, "/s1/short", "", http.StatusNotFound},
+		{http.MethodPost, "/s1/" + jobID(998), `{"steps":[]}`, http.StatusBadRequest},
+		{http.MethodPost, "/s1/" + jobID(998), `{`, http.StatusBadRequest},
+		{http.MethodPost, "/s1/" + jobID(998), `{"steps":[{"count":1,"after":[3]}]}`, http.StatusBadRequest},
+		{http.MethodPost, "/s1/" + jobID(998), strings.Repeat("x", 300000), http.StatusRequestEntityTooLarge},
+		{http.MethodPost, "/s1/" + jobID(997), `{"steps":[{"count":1,"cpu":99000,"mem_mb":1}]}`, http.StatusTooManyRequests},
+		{http.MethodPut, "/s1/" + jobID(1), "", http.StatusMethodNotAllowed},
+		{http.MethodGet, "/s1/", "", http.StatusOK},
+	} {
+		if status, text := f.call(f.daemons[i%3], c.method, c.path, c.body); status != c.status {
+			t.Errorf("%s %s: status %d (%s), not %d", c.method, c.path, status, text, c.status)
+		}
+	}
+
+	status, _ := f.call(f.daemons[1], http.MethodDelete, "/s1/"+lasting, "")
+	if status != http.StatusOK {
+		t.Errorf("cancel: status %d", status)
+	}
+	f.until(soon, "the cancelled job has ended", func() bool { return f.site.Running(lasting) == 0 })
+
+	f.site.Configure([]string{"s1", "s2", "s3"}, 3*time.Second)
+	for _, d := range f.daemons {
+		f.until(soon, "the new queue is known", func() bool {
+			status, _ := f.call(d, http.MethodGet, "/s3/", "")
+			return status != http.StatusNotFound
+		})
+	}
+	f.noFaults()
+}
+
+// Guards against work that is lost or run twice when its owner is killed.
+func TestOwnersAreKilled(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, map[string]int{"s1": 3, "s2": 3})
+	f.site.Configure([]string{"s1", "s2"}, 3*time.Second)
+	f.startAll()
+	f.submit(f.daemons[0], "s1", jobID(1), 3, 0)
+	f.submit(f.daemons[0], "s2", jobID(2), 4, 3*time.Second)
+	f.until(soon, "both jobs run", func() bool { return f.site.Running(jobID(1)) == 3 && f.site.Running(jobID(2)) == 4 })
+	for _, d := range f.daemons[:2] {
+		d.signal(syscall.SIGKILL)
+	}
+	f.until(settled, "the job is completed", func() bool { return f.state(f.daemons[2], "s2", jobID(2)) == "completed" })
+	f.until(soon, "the lasting job runs", func() bool { return f.site.Running(jobID(1)) == 3 })
+	f.submit(f.daemons[2], "s1", jobID(3), 2, 100*time.Millisecond)
+	f.until(soon, "a new job is completed", func() bool { return f.state(f.daemons[2], "s1", jobID(3)) == "completed" })
+	f.noFaults()
+}
+
+// Guards against a planned stop that cuts off callers, takes longer than the grace time or leaves services without an
+// owner, and against a process that ends at SIGHUP.
+func TestPlannedStops(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, map[string]int{"s1": 3, "s2": 3})
+	f.site.Configure([]string{"s1", "s2"}, 3*time.Second)
+	f.startAll()
+	f.submit(f.daemons[0], "s1", jobID(1), 3, 0)
+	for i, d := range f.daemons[:2] {
+		d.signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+		d.signal(syscall.SIGTERM)
+		f.submit(f.daemons[2], "s1", jobID(10+i), 2, 100*time.Millisecond)
+		f.submit(f.daemons[2], "s2", jobID(20+i), 2, 100*time.Millisecond)
+		if !d.wait(time.Duration(grace * float64(time.Second))) {
+			t.Errorf("%s has not ended within the grace time", d.name)
+		}
+		if code := d.cmd.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("%s ended with code %d", d.name, code)
+		}
+	}
+	for _, id := range []string{jobID(10), jobID(11)} {
+		f.until(soon, "a job is completed", func() bool { return f.state(f.daemons[2], "s1", id) == "completed" })
+	}
+	for task, n := range f.site.Starts(jobID(1)) {
+		if n != 1 {
+			t.Errorf("lasting task %s was started %d times", task, n)
+		}
+	}
+	f.noFaults()
+}
+
+// Guards against work that stops or is promised while the store is away, and against lost answers and a dropped history.
+func TestStoreFaults(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, map[string]int{"s1": 3})
+	f.site.Configure([]string{"s1"}, 3*time.Second)
+	f.startAll()
+	f.submit(f.daemons[0], "s1", jobID(1), 4, 1500*time.Millisecond)
+	f.site.Store.LoseAnswers(3)
+	f.submit(f.daemons[1], "s1", jobID(2), 2, 100*time.Millisecond)
+	f.site.Store.SetDown(true)
+	f.until(soon, "new work is refused", func() bool {
+		status, _ := f.call(f.daemons[0], http.MethodPost, "/s1/"+jobID(3), body(jobID(3), 1, false))
+		return status == http.StatusServiceUnavailable
+	})
+	time.Sleep(2 * time.Second)
+	f.site.Store.Compact()
+	f.site.Store.SetDown(false)
+	for _, id := range []string{jobID(1), jobID(2)} {
+		f.until(soon, "a job is completed", func() bool { return f.state(f.daemons[0], "s1", id) == "completed" })
+		for task, n := range f.site.Starts(id) {
+			if n != 1 {
+				t.Errorf("task %s was started %d times", task, n)
+			}
+		}
+	}
+	f.site.Configure([]string{"s1", "s2"}, 3*time.Second)
+	f.until(soon, "the new queue is known", func() bool {
+		status, _ := f.call(f.daemons[0], http.MethodGet, "/s2/", "")
+		return status != http.StatusNotFound
+	})
+	f.noFaults()
+}
+
+// Guards against settings that are taken with a fault, or refused without the name of the field.
+func TestSettingsAreChecked(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, map[string]int{"s1": 1})
+	data, err := os.ReadFile(f.daemons[0].file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, changed, field string }{
+		{`"node_name":"d0"`, `"node_name":""`, "node_name"},
+		{`"ip":"127.0.0.1"`, `"ip":"here"`, "ip"},
+		{`"form":"table"`, `"form":"log"`, "platform.form"},
+		{`"orders":"call"`, `"orders":"heartbeat"`, "orders"},
+		{`"max_hold_ms":10000`, `"max_hold_ms":0`, "bounds.max_hold_ms"},
+		{`"max_hold_ms":10000`, `"max_hold_ms":"long"`, "max_hold_ms"},
+	} {
+		file := f.daemons[0].file + ".bad"
+		if err := os.WriteFile(file, []byte(strings.Replace(string(data), c.old, c.changed, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		out, err := exec.Command(program, "--check", "--settings", file).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), c.field) {
+			t.Errorf("settings with %s: error %v, output %s", c.changed, err, out)
+		}
+	}
+	if out, err := exec.Command(program, "--check", "--settings", f.daemons[0].file).CombinedOutput(); err != nil {
+		t.Errorf("good settings: %v: %s", err, out)
+	}
+}
--- /dev/null
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -0,0 +1,286 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair/standin/site"
+)
+
+// Times of the tests with processes.
+const (
+	soon    = 15 * time.Second // bound for what takes a second or two on an idle machine
+	settled = 40 * time.Second // bound for all accepted work after the last fault
+	grace   = 4.0              // seconds between SIGTERM and the kill
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cuminstairjobs")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "cuminstairjobs")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Println(string(out))
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// daemon is a process of the program.
+type daemon struct {
+	name    string
+	callers string
+	ready   string
+	file    string
+	store   *proxy
+	log     *bytes.Buffer
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+// fleet is a site with daemons as processes.
+type fleet struct {
+	t       *testing.T
+	site    *site.Site
+	daemons []*daemon
+	client  *http.Client
+}
+
+func newFleet(t *testing.T, daemons int, services map[string]int) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s, err := site.New(ctx, services)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, site: s, client: &http.Client{Timeout: 4 * time.Second}}
+	for i := range daemons {
+		f.daemons = append(f.daemons, f.newDaemon(i))
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+// freePort returns a port that nobody listens on now.
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (f *fleet) newDaemon(i int) *daemon {
+	f.t.Helper()
+	p, err := newProxy(f.site.StoreAddr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.close)
+	local := func() string { return "127.0.0.1:" + strconv.Itoa(freePort(f.t)) }
+	internal := freePort(f.t)
+	d := &daemon{
+		name: fmt.Sprintf("d%d", i), callers: local(), ready: local(), store: p, log: &bytes.Buffer{},
+		file: filepath.Join(f.t.TempDir(), fmt.Sprintf("d%d.json", i)),
+	}
+	data, err := json.Marshal(map[string]any{
+		"node_name": d.name, "ip": "127.0.0.1", "zone": fmt.Sprintf("z%d", i%2),
+		"listen":              map[string]string{"frontend": d.callers, "readiness": d.ready},
+		"internal_port_range": []int{internal, internal}, "heartbeat_ms": 500, "orders": "call",
+		"limits":    map[string]any{"cpu_share": 1.0, "cores": 1, "memory_mb": 300},
+		"platform":  map[string]any{"address": p.addr, "form": "table"},
+		"cloud_api": map[string]any{"address": f.site.HostsAddr},
+		"bounds": map[string]any{
+			"max_hold_ms": 10000, "stop_grace_ms": 200, "grace_s": grace, "lease_ms": 1000, "require_fencing": true,
+			"status_s": 120, "drain_ms": 2000, "notice_ms": 2000,
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(d.file, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return d
+}
+
+func (f *fleet) start(d *daemon) {
+	f.t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "CUMINSTAIR_CONFIG="+d.file)
+	cmd.Stdout, cmd.Stderr = d.log, d.log
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	d.cmd, d.ended = cmd, make(chan struct{})
+	go func(ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(d.ended)
+}
+
+func (f *fleet) startAll() {
+	for _, d := range f.daemons {
+		f.start(d)
+	}
+	f.until(soon, "all daemons are ready", func() bool {
+		for _, d := range f.daemons {
+			if !f.isReady(d) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *fleet) stopAll() {
+	for _, d := range f.daemons {
+		d.signal(syscall.SIGCONT)
+		d.signal(syscall.SIGKILL)
+		d.wait(soon)
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", d.name, tail(d.log.String()))
+		}
+	}
+}
+
+// tail returns the last lines of a log that say more than that a task was placed.
+func tail(log string) string {
+	lines := strings.Split(log, "\n")
+	return strings.Join(lines[max(0, len(lines)-60):], "\n")
+}
+
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil && d.cmd.Process != nil {
+		// The process may have ended.
+		_ = d.cmd.Process.Signal(s)
+	}
+}
+
+func (d *daemon) wait(t time.Duration) bool {
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(t):
+		return false
+	}
+}
+
+func (f *fleet) isReady(d *daemon) bool {
+	resp, err := f.client.Get("http://" + d.ready + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// until waits for a condition.
+func (f *fleet) until(t time.Duration, what string, cond func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(t); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	f.t.Errorf("not within %v: %s", t, what)
+	f.t.FailNow()
+}
+
+// call sends one request to a daemon and returns the status, 0 if there was no answer.
+func (f *fleet) call(d *daemon, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+d.callers+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Error(err)
+		return 0, ""
+	}
+	req.Host = "q.example"
+	req.Header.Set("X-Deadline-Ms", "3000")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(data)
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// body is a job of one step whose tasks take 4 cores.
+func body(id string, count int, lasting bool) string {
+	step := map[string]any{"count": count, "cpu": 4000, "mem_mb": 500, "estimated_ms": 100, "long_running": lasting}
+	if lasting {
+		step["may_miss"] = 1
+	}
+	data, err := json.Marshal(map[string]any{"specification": "p-" + id, "steps": []any{step}})
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+func (f *fleet) state(d *daemon, service, id string) string {
+	status, data := f.call(d, http.MethodGet, "/"+service+"/"+id, "")
+	if status != http.StatusOK {
+		return strconv.Itoa(status)
+	}
+	var s struct{ State string }
+	if err := json.Unmarshal([]byte(data), &s); err != nil {
+		return data
+	}
+	return s.State
+}
+
+// submit hands a job in at a daemon until it is accepted.
+func (f *fleet) submit(d *daemon, service, id string, count int, length time.Duration) {
+	f.t.Helper()
+	f.site.Expect(id, site.Task{CPU: 4000, Length: length})
+	f.until(soon, "job "+id+" is accepted", func() bool {
+		status, _ := f.call(d, http.MethodPost, "/"+service+"/"+id, body(id, count, length == 0))
+		return status == http.StatusOK
+	})
+}
+
+func (f *fleet) noFaults() {
+	f.t.Helper()
+	for _, what := range f.site.Faults() {
+		f.t.Error(what)
+	}
+}
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -29,7 +29,7 @@
 
 // upkeepLoop carries out waves while this daemon has the hosts' duty.
 func (d *Daemon) upkeepLoop(ctx context.Context) error {
-	duty := &hostDuty{d: d}
+	duty := &hostDuty{d: d, memory: dependency{name: "record of the demand in the store"}}
 	for ctx.Err() == nil {
 		d.sleep(ctx, upkeepEvery)
 		d.mu.Lock()
@@ -46,15 +46,16 @@
 
 // hostDuty is the state of the controller of hosts.
 type hostDuty struct {
-	d     *Daemon
-	token uint64
-	waves map[string]*upkeep.Wave
-	ended map[string]bool
-	told  map[string]string // wave, state in the status table
-	saved map[string]string // wave, record as written last
-	plan  *pools.Planner
-	kept  string              // Stamp of what was stored last
-	moved map[string]hostMove // host, last order to move it
+	d      *Daemon
+	token  uint64
+	waves  map[string]*upkeep.Wave
+	ended  map[string]bool
+	told   map[string]string // wave, state in the status table
+	saved  map[string]string // wave, record as written last
+	plan   *pools.Planner
+	kept   string              // Stamp of what was stored last
+	memory dependency          // record of what earlier controllers have learned
+	moved  map[string]hostMove // host, last order to move it
 }
 
 // hostMove is an order to move a host.
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -62,8 +62,8 @@
 // recall makes a planner that goes on from what an earlier one has learned.
 func (h *hostDuty) recall(ctx context.Context, spare string) bool {
 	records, _, err := h.d.Store.Read(ctx, waveTable, tenure.HostsPart, planKey, planKey+"\x00")
+	h.d.note(&h.memory, err)
 	if err != nil {
-		h.d.Log.Warn("entry: can't read what was learned of the demand", "error", err)
 		return false
 	}
 	h.plan = pools.New(spare)
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -55,6 +55,8 @@
 	inflight  *dispatch.Batch
 	sentTx    cuminstair.Tx
 	failing   time.Time // since when writes fail; zero: they don't
+	maybe     bool      // a sending of it had no answer
+	again     time.Time // when the next batch may be sent
 	sentAt    time.Time // when the batch under way was sent first
 	offered   time.Time // when the service was last offered to another daemon
 	releasing []func()  // called when the owner record is released
@@ -212,7 +214,7 @@
 
 // write sends the next batch, unless one is under way.
 func (r *runner) write(ctx context.Context, now time.Time) {
-	if r.inflight != nil {
+	if r.inflight != nil || now.Before(r.again) {
 		return
 	}
 	b := r.state.Batch(now)
@@ -220,7 +222,7 @@
 		return
 	}
 	r.owner.Seq++
-	r.inflight, r.sentAt = b, now
+	r.inflight, r.sentAt, r.maybe = b, now, false
 	r.sentTx = cuminstair.Tx{Puts: append(b.Puts, r.ownerPut()), Deletes: b.Deletes, Checks: []cuminstair.RecordCheck{r.check()}}
 	go r.commit(ctx, r.sentTx)
 }
@@ -261,8 +263,14 @@
 			return
 		}
 		r.state.Depose("the store has another owner record: " + o.Name)
+	case !errors.Is(err, cuminstair.ErrUncertain) && !r.maybe:
+		// Nothing was done by any sending, so that its jobs may be refused.
+		r.failed(now, err)
+		r.state.Dropped(b)
+		r.inflight, r.again = nil, now.Add(commitRetry)
 	default:
 		r.failed(now, err)
+		r.maybe = true
 		tx := r.sentTx
 		r.d.Timer.After(commitRetry, func(time.Time) { go r.commit(ctx, tx) })
 	}
