--- a/cmd/cuminstairjobs/soak_test.go
+++ b/cmd/cuminstairjobs/soak_test.go
@@ -173,12 +173,15 @@
 	}
 }
 
-// restart starts a daemon again some time after it has ended.
+// restart starts a daemon again some time after it has ended, and kills it when the grace time is over, as the platform
+// does.
 func (s *soak) restart(d *daemon, after time.Duration) {
 	time.AfterFunc(after, func() {
-		if d.wait(time.Duration(grace * float64(time.Second))) {
-			s.revive(d)
+		if !d.wait(time.Duration(grace * float64(time.Second))) {
+			d.signal(syscall.SIGKILL)
+			d.wait(soon)
 		}
+		s.revive(d)
 	})
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -50,6 +50,7 @@
 	now     map[string]int // runs of each task
 	done    map[string]bool
 	starts  map[string]int
+	last    map[string]time.Time // last start of each task
 	faults  []string
 	lives   int
 	config  int
@@ -59,7 +60,7 @@
 func New(ctx context.Context, services map[string]int) (*Site, error) {
 	s := &Site{
 		Store: newStore(), ctx: ctx, hosts: map[string]*host{}, jobs: map[string]Task{}, now: map[string]int{},
-		done: map[string]bool{}, starts: map[string]int{},
+		done: map[string]bool{}, starts: map[string]int{}, last: map[string]time.Time{},
 	}
 	var err error
 	if s.StoreAddr, err = s.listen(s.Store.handler()); err != nil {
@@ -107,7 +108,7 @@
 	s.lives++
 	w := &Worker{
 		ID: fmt.Sprintf("i%d", s.lives), site: s, service: h.pool, host: h.name, cpu: hostCPU, born: time.Now(),
-		runs: map[string]*run{}, barred: map[string]int64{}, ends: make(chan struct{}),
+		runs: map[string]*run{}, barred: map[string]int64{}, times: map[int64]time.Time{}, ends: make(chan struct{}),
 	}
 	h.worker = w
 	s.workers = append(s.workers, w)
@@ -243,16 +244,18 @@
 		s.faults = append(s.faults, name+" was started after it was done")
 	}
 	s.now[name]++
+	s.last[name] = time.Now()
 	s.starts[name]++
 	return t.CPU
 }
 
-func (s *Site) ended(name, how string) {
+// noted notes that an end as done was acknowledged. Ends that a worker takes with it when it crashes don't count.
+func (s *Site) noted(name string, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.now[name]--
-	if how == "done" {
-		s.done[name] = true
+	s.done[name] = true
+	if s.last[name].After(at) {
+		s.faults = append(s.faults, name+" was started after an end that was acknowledged later")
 	}
 }
 
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -33,6 +33,7 @@
 	runs   map[string]*run
 	barred map[string]int64
 	ended  [][]any
+	times  map[int64]time.Time // of the ends
 	seq    int64
 	dead   bool
 	silent bool // calls get no answer, and starts are carried out
@@ -192,7 +193,8 @@
 		w.barred[name] = max(w.barred[name], r.number)
 		w.seq++
 		w.ended = append(w.ended, []any{w.seq, name, r.number, how, ""})
-		w.site.ended(name, how)
+		w.times[w.seq] = time.Now()
+		w.site.left(name)
 		close(w.ends)
 		w.ends = make(chan struct{})
 	}
@@ -216,6 +218,8 @@
 	for _, e := range w.ended {
 		if e[0].(int64) > o.Seen {
 			kept = append(kept, e)
+		} else if e[3] == "done" {
+			w.site.noted(e[1].(string), w.times[e[0].(int64)])
 		}
 	}
 	w.ended = kept
