--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -61,18 +61,19 @@
 	calls    atomic.Int64              // of callers that are being answered
 	peers    *peerClient
 
-	mu      sync.Mutex
-	view    *tenure.View
-	viewAt  uint64 // version up to which the view is read
-	runners map[string]*runner
-	taking  map[string]bool
-	workers map[string]cuminstair.WorkerInfo
-	waves   map[string]cuminstair.MaintenanceWave
-	poke    chan struct{} // read the owner records now
-	listNow chan struct{} // read the list of workers now
-	seen    map[string]bool
-	hints   map[string]hint // by service: where other daemons say that its owner is
-	work    context.Context // of all work; nil before Run
+	mu       sync.Mutex
+	view     *tenure.View
+	viewAt   uint64 // version up to which the view is read
+	runners  map[string]*runner
+	taking   map[string]bool
+	workers  map[string]cuminstair.WorkerInfo
+	waves    map[string]cuminstair.MaintenanceWave
+	poke     chan struct{} // read the owner records now
+	listNow  chan struct{} // read the list of workers now
+	seen     map[string]bool
+	relieved time.Time       // when a service was last released because this daemon carried too much
+	hints    map[string]hint // by service: where other daemons say that its owner is
+	work     context.Context // of all work; nil before Run
 }
 
 // hint is where the owner of a service is said to be.
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -19,6 +19,9 @@
 // takeoverRetry is the pause after a step of a takeover failed.
 const takeoverRetry = 150 * time.Millisecond
 
+// reliefEvery is the least time between two services that a daemon releases because it carries too much.
+const reliefEvery = 4 * time.Second
+
 // offersAtOnce is how many daemons are asked to take a service before a pause.
 const offersAtOnce = 3
 
@@ -164,7 +167,25 @@
 		old, version := d.view.Owner(service)
 		go d.take(ctx, service, old, version)
 	}
+	relieve := d.relief(now)
 	d.mu.Unlock()
+	if relieve != nil {
+		go d.handOver(ctx, relieve)
+	}
+}
+
+// relief returns a service to release because another daemon carries much less for its weight, or nil.
+func (d *Daemon) relief(now time.Time) *runner {
+	if len(d.taking) > 0 || now.Sub(d.relieved) < reliefEvery || !d.view.Overloaded(now) {
+		return nil
+	}
+	for _, r := range d.runners {
+		if !r.closed.Load() && now.Sub(r.taken) > reliefEvery {
+			d.relieved = now
+			return r
+		}
+	}
+	return nil
 }
 
 // take takes a service over: it writes the owner record, reads the service's records and starts its runner.
@@ -331,9 +352,7 @@
 	d.mu.Lock()
 	nodes := d.view.Nodes(d.Timer.Now())
 	d.mu.Unlock()
-	first := int(d.Timer.Now().UnixNano()) % max(1, len(nodes))
-	for i := range min(len(nodes), offersAtOnce) {
-		n := nodes[(first+i)%len(nodes)]
+	for _, n := range nodes[:min(len(nodes), offersAtOnce)] {
 		if d.peers.offer(ctx, n.Addr, service) {
 			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", service, "to", n.Addr)
 			return
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -190,7 +190,7 @@
 // assign gives each service without a live owner to the ready daemon that carries least for its weight; a hash that
 // differs by service decides between equals. Daemons that see the same records come to the same result.
 func (v *View) assign(now time.Time, services []string, without string) map[string]string {
-	carried := map[string]float64{}
+	carried := v.carried(now)
 	var open []string
 	for _, service := range services {
 		if o, ok := v.Live(now, service); ok && o.Name != without {
@@ -198,11 +198,6 @@
 		}
 		open = append(open, service)
 	}
-	for service := range v.owners {
-		if o, ok := v.Live(now, service); ok {
-			carried[o.Name]++
-		}
-	}
 	sort.Strings(open)
 	result := map[string]string{}
 	for _, service := range open {
@@ -220,7 +215,7 @@
 		if name == without || !n.Ready || !v.fresh(now, name, "") {
 			continue
 		}
-		load := (carried[name] + 1) / max(0.01, n.Weight)
+		load := v.load(name, carried)
 		h := hash(service, name)
 		if best == "" || load < low || (load == low && h > rank) {
 			best, low, rank = name, load, h
@@ -236,21 +231,61 @@
 	return h.Sum64()
 }
 
-// Nodes returns the other daemons that live, or that lived when the records were read last, in the order of their names.
+// Nodes returns the other daemons that live, or that lived when the records were read last, those that carry least for
+// their weight first.
 func (v *View) Nodes(now time.Time) []Node {
 	if v.Blind(now) {
 		now = v.read
 	}
+	carried := v.carried(now)
 	var names []string
 	for name, n := range v.nodes {
 		if name != v.self && n.Ready && v.fresh(now, name, "") {
 			names = append(names, name)
 		}
 	}
-	sort.Strings(names)
+	sort.Slice(names, func(i, j int) bool {
+		a, b := v.load(names[i], carried), v.load(names[j], carried)
+		if a != b {
+			return a < b
+		}
+		return hash(v.self, names[i]) < hash(v.self, names[j])
+	})
 	nodes := make([]Node, len(names))
 	for i, name := range names {
 		nodes[i] = v.nodes[name].Node
 	}
 	return nodes
 }
+
+// carried counts the services of each live daemon.
+func (v *View) carried(now time.Time) map[string]float64 {
+	n := map[string]float64{}
+	for service := range v.owners {
+		if o, ok := v.Live(now, service); ok {
+			n[o.Name]++
+		}
+	}
+	return n
+}
+
+// load is what a daemon would carry for its weight with one service more.
+func (v *View) load(name string, carried map[string]float64) float64 {
+	return (carried[name] + 1) / max(0.01, v.nodes[name].Weight)
+}
+
+// Overloaded tells whether another daemon would carry a service of this one with half the load or less.
+func (v *View) Overloaded(now time.Time) bool {
+	own, ok := v.nodes[v.self]
+	if !ok || v.Blind(now) || now.Sub(v.first) < settleTime {
+		return false
+	}
+	carried := v.carried(now)
+	load := carried[v.self] / max(0.01, own.Weight)
+	for name, n := range v.nodes {
+		if name != v.self && n.Ready && v.fresh(now, name, "") && v.load(name, carried)*2 <= load {
+			return true
+		}
+	}
+	return false
+}
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -158,3 +158,23 @@
 	bad.Version, bad.Value = 9, []byte("{")
 	is.Equal(views["a"].Apply(begin, []cuminstair.Record{bad}), []string{"s1"})
 }
+
+// Guards against a service that is given to a weak daemon while a strong one is free, and that stays there: on scale-2 of
+// cmlb-tannery-grown a daemon with a fifth of a core owned the queue with the highest demand.
+func TestStrongDaemonsCarryFirst(t *testing.T) {
+	is := is.New(t)
+	w, views := &world{}, daemons("a", "b", "c")
+	now := w.play(views, begin, 3*time.Second, "")
+	for name, weight := range map[string]float64{"a": 0.2, "b": 0.2, "c": 0.8} {
+		w.put(tenure.NodePart, name, tenure.Node{Run: name + "1", Addr: name, Weight: weight, Ready: true})
+	}
+	w.own("s1", "a")
+	w.own("s2", "c")
+	for _, v := range views {
+		w.read(v, now)
+	}
+	is.Equal(views["a"].Nodes(now)[0].Addr, "c") // one more on c is 2.5, one on b 5
+	is.True(views["a"].Overloaded(now))          // it carries 5
+	is.True(!views["c"].Overloaded(now))
+	is.True(!views["b"].Overloaded(now))
+}
