--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -15,6 +15,9 @@
 	leastTime = 1200 * time.Millisecond
 	// patienceWeight is the weight of a new job in the mean of objectives.
 	patienceWeight = 0.1
+	// availableShare is how many of the hosts that could be sent are counted on, and availableDelay when they take tasks.
+	availableShare = 0.6
+	availableDelay = 2300 * time.Millisecond
 	// incomingDelay is when a worker that is on its way takes tasks, on average.
 	incomingDelay = 1300 * time.Millisecond
 )
@@ -54,9 +57,10 @@
 	work float64 // core-seconds
 }
 
-// Demand returns what the service asks for. incoming is how many workers are on their way to it.
-func (s *Service) Demand(now time.Time, incoming int) Demand {
-	s.incoming = incoming
+// Demand returns what the service asks for. incoming is how many workers are on their way to it, available how many more
+// could be sent.
+func (s *Service) Demand(now time.Time, incoming, available int) Demand {
+	s.incoming, s.available = incoming, available
 	var d Demand
 	oldest := now.UnixNano()/int64(rateBucket) - int64(rateWindow/rateBucket)
 	for _, o := range s.offered {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -60,6 +60,7 @@
 	loadsAt   time.Time
 	mostCores float64            // largest room of the pool so far, in cores
 	incoming  int                // workers on their way to the pool
+	available int                // hosts that could be sent to the pool
 	patience  time.Duration      // mean objective of jobs
 	ratio     map[string]float64 // by queue: how long tasks take against their estimates
 	crewDirty bool
@@ -195,6 +196,9 @@
 // Workers returns how many workers are known.
 func (s *Service) Workers() int { return len(s.workers) }
 
+// Open returns how many jobs are not over.
+func (s *Service) Open() int { return len(s.active) }
+
 // Counts returns the totals.
 func (s *Service) Counts() Counts { return s.counts }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -153,7 +153,11 @@
 		}
 		p.Cores += float64(w.total.CPU) / 1000
 	}
-	p.More, p.Delay = float64(s.incoming*largest)/1000, incomingDelay
+	each := float64(largest) / 1000
+	p.More, p.Delay = float64(s.incoming)*each, incomingDelay
+	if more := availableShare * float64(s.available) * each; more > p.More {
+		p.More, p.Delay = p.More+more, availableDelay
+	}
 	for _, j := range s.active {
 		for _, o := range j.runs {
 			for _, st := range o.steps {
@@ -193,16 +197,28 @@
 				}
 			}
 		}
+		late := false
 		for _, o := range j.runs {
 			work += s.left(now, o)
+			late = late || s.late(now, o)
 		}
 		if work > 0 {
-			list = append(list, intake.Load{Due: j.due, Work: work})
+			list = append(list, intake.Load{Due: j.due, Work: work, Late: late})
 		}
 	}
 	return list
 }
 
+// late tells whether a step of an occurrence that has not begun can't be started in time any more.
+func (s *Service) late(now time.Time, o *occurrence) bool {
+	for _, st := range o.steps {
+		if st.listed && !st.begun && s.latest(st).Before(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // left is the work of an occurrence that is not done, in core-seconds.
 func (s *Service) left(now time.Time, o *occurrence) float64 {
 	work := 0.0
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -55,6 +55,7 @@
 	plan   *pools.Planner
 	kept   string              // Stamp of what was stored last
 	memory dependency          // record of what earlier controllers have learned
+	idle   map[string]int      // by service: idle hosts when it was asked last
 	moved  map[string]hostMove // host, last order to move it
 }
 
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -21,8 +21,9 @@
 const demandTime = 250 * time.Millisecond
 
 type demandRequest struct {
-	Service  string `json:"service"`
-	Incoming int    `json:"incoming"`
+	Service   string `json:"service"`
+	Incoming  int    `json:"incoming"`
+	Available int    `json:"available"` // hosts that could be sent to the service
 }
 
 type demandReply struct {
@@ -157,11 +158,18 @@
 	ctx, cancel := context.WithTimeout(ctx, demandTime)
 	defer cancel()
 	var wg sync.WaitGroup
+	free := len(v.spare)
+	for _, n := range h.idle {
+		free += n
+	}
+	own := h.idle
+	h.idle = map[string]int{}
+	var mu sync.Mutex
 	for _, p := range v.pools {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			d, ok := h.d.demand(ctx, p.Service, p.Incoming)
+			d, ok := h.d.demand(ctx, demandRequest{Service: p.Service, Incoming: p.Incoming, Available: free - own[p.Service]})
 			if !ok {
 				return
 			}
@@ -173,6 +181,9 @@
 					p.Idle = append(p.Idle, host)
 				}
 			}
+			mu.Lock()
+			h.idle[p.Service] = len(p.Idle)
+			mu.Unlock()
 		}()
 	}
 	wg.Wait()
@@ -209,25 +220,25 @@
 }
 
 // demand asks the owner of a service for its demand.
-func (d *Daemon) demand(ctx context.Context, service string, incoming int) (dispatch.Demand, bool) {
-	r, addr := d.owner(service)
+func (d *Daemon) demand(ctx context.Context, q demandRequest) (dispatch.Demand, bool) {
+	r, addr := d.owner(q.Service)
 	if r != nil {
-		return demandLocal(ctx, r, incoming)
+		return demandLocal(ctx, r, q)
 	}
 	if addr == "" {
 		return dispatch.Demand{}, false
 	}
 	var a demandReply
-	if err := d.peers.post(ctx, addr, demandPath, demandRequest{Service: service, Incoming: incoming}, &a); err != nil || a.NotOwner {
-		d.Log.Debug("entry: owner did not tell its demand", "service", service, "error", err)
+	if err := d.peers.post(ctx, addr, demandPath, q, &a); err != nil || a.NotOwner {
+		d.Log.Debug("entry: owner did not tell its demand", "service", q.Service, "error", err)
 		return dispatch.Demand{}, false
 	}
 	return a.Demand, true
 }
 
-func demandLocal(ctx context.Context, r *runner, incoming int) (dispatch.Demand, bool) {
+func demandLocal(ctx context.Context, r *runner, q demandRequest) (dispatch.Demand, bool) {
 	answers := make(chan dispatch.Demand, 1)
-	if r.service == tenure.HostsPart || !r.post(func(now time.Time) { answers <- r.state.Demand(now, incoming) }) {
+	if r.service == tenure.HostsPart || !r.post(func(now time.Time) { answers <- r.state.Demand(now, q.Incoming, q.Available) }) {
 		return dispatch.Demand{}, false
 	}
 	select {
@@ -249,7 +260,7 @@
 	}
 	a := demandReply{}
 	var ok bool
-	if a.Demand, ok = demandLocal(c.Request().Context(), r, q.Incoming); !ok {
+	if a.Demand, ok = demandLocal(c.Request().Context(), r, q); !ok {
 		a.NotOwner = true
 	}
 	return c.JSON(http.StatusOK, a)
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -16,12 +16,18 @@
 // challengeAgain is the pause before an earlier owner is told again to stop.
 const challengeAgain = 300 * time.Millisecond
 
+// ownerWriteTime is how long the write of an owner record may take until it is sent again.
+const ownerWriteTime = 900 * time.Millisecond
+
 // takeoverRetry is the pause after a step of a takeover failed.
 const takeoverRetry = 150 * time.Millisecond
 
 // reliefEvery is the least time between two services that a daemon releases because it carries too much.
 const reliefEvery = 4 * time.Second
 
+// reliefOpen is the number of open jobs above which a service is not released.
+const reliefOpen = 20
+
 // offersAtOnce is how many daemons are asked to take a service before a pause.
 const offersAtOnce = 3
 
@@ -179,13 +185,20 @@
 	if len(d.taking) > 0 || now.Sub(d.relieved) < reliefEvery || !d.view.Overloaded(now) {
 		return nil
 	}
+	var best *runner
 	for _, r := range d.runners {
-		if !r.closed.Load() && now.Sub(r.taken) > reliefEvery {
-			d.relieved = now
-			return r
+		// A service in its peak would lose more by the change of its owner than it gains.
+		if r.closed.Load() || now.Sub(r.taken) < reliefEvery || r.open.Load() > reliefOpen {
+			continue
+		}
+		if best == nil || r.open.Load() < best.open.Load() {
+			best = r
 		}
 	}
-	return nil
+	if best != nil {
+		d.relieved = now
+	}
+	return best
 }
 
 // take takes a service over: it writes the owner record, reads the service's records and starts its runner.
@@ -247,7 +260,9 @@
 		Puts:   []cuminstair.RecordPut{{RecordKey: key, Value: data}},
 	}
 	for {
-		got, err := d.Store.Commit(ctx, tx)
+		try, cancel := context.WithTimeout(ctx, ownerWriteTime)
+		got, err := d.Store.Commit(try, tx)
+		cancel()
 		var conflict *cuminstair.Conflict
 		switch {
 		case err == nil:
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -19,6 +19,10 @@
 	commitRetry = 200 * time.Millisecond
 	// downAfter is how long writes fail until new work is refused at once.
 	downAfter = 700 * time.Millisecond
+	// hedgeLeast and hedgeFactor times the usual time of an answer is when a write is sent once more, hedgeMost times.
+	hedgeLeast  = 200 * time.Millisecond
+	hedgeFactor = 4
+	hedgeMost   = 4
 	// giveAwayAfter is how long writes fail until another daemon is asked to take the service.
 	giveAwayAfter = 600 * time.Millisecond
 	giveAwayAgain = 500 * time.Millisecond
@@ -45,8 +49,9 @@
 	events  chan func(now time.Time)
 	closed  atomic.Bool // it takes no new calls
 	done    chan struct{}
-	waking  atomic.Bool // a decision is planned
-	stepped time.Time   // when the last decision was made
+	waking  atomic.Bool  // a decision is planned
+	open    atomic.Int64 // jobs that are not over
+	stepped time.Time    // when the last decision was made
 	state   *dispatch.Service
 
 	owner     tenure.Owner
@@ -54,12 +59,14 @@
 	confirmed time.Time
 	inflight  *dispatch.Batch
 	sentTx    cuminstair.Tx
-	failing   time.Time // since when writes fail; zero: they don't
-	maybe     bool      // a sending of it had no answer
-	again     time.Time // when the next batch may be sent
-	sentAt    time.Time // when the batch under way was sent first
-	offered   time.Time // when the service was last offered to another daemon
-	releasing []func()  // called when the owner record is released
+	failing   time.Time     // since when writes fail; zero: they don't
+	latency   time.Duration // moving mean of the answers of the store
+	hedges    int           // times that it was sent again without waiting
+	maybe     bool          // a sending of it had no answer
+	again     time.Time     // when the next batch may be sent
+	sentAt    time.Time     // when the batch under way was sent first
+	offered   time.Time     // when the service was last offered to another daemon
+	releasing []func()      // called when the owner record is released
 	ended     bool
 }
 
@@ -146,6 +153,7 @@
 		return
 	}
 	if r.service != tenure.HostsPart {
+		r.open.Store(int64(r.state.Open()))
 		for _, o := range r.state.Decide(now, r.confirmed) {
 			go r.carryOut(ctx, o)
 		}
@@ -222,9 +230,28 @@
 		return
 	}
 	r.owner.Seq++
-	r.inflight, r.sentAt, r.maybe = b, now, false
+	r.inflight, r.sentAt, r.maybe, r.hedges = b, now, false, 0
 	r.sentTx = cuminstair.Tx{Puts: append(b.Puts, r.ownerPut()), Deletes: b.Deletes, Checks: []cuminstair.RecordCheck{r.check()}}
-	go r.commit(ctx, r.sentTx)
+	go r.commit(ctx, r.sentTx, r.owner.Seq)
+	r.hedge(ctx, r.owner.Seq)
+}
+
+// hedge sends the transaction under way once more if it has no answer when several usual times have passed. It answers
+// stores that lose answers: the condition lets one sending take effect, and any answer settles all of them.
+func (r *runner) hedge(ctx context.Context, seq int64) {
+	r.d.Timer.After(max(hedgeLeast, hedgeFactor*r.latency), func(time.Time) {
+		// Nothing is left to send when the runner has ended.
+		_ = r.post(func(time.Time) {
+			if r.inflight == nil || r.owner.Seq != seq || r.ended {
+				return
+			}
+			r.hedges++
+			if r.hedges <= hedgeMost {
+				go r.commit(ctx, r.sentTx, seq)
+				r.hedge(ctx, seq)
+			}
+		})
+	})
 }
 
 func (r *runner) ownerKey() cuminstair.RecordKey {
@@ -241,11 +268,16 @@
 	return cuminstair.RecordPut{RecordKey: r.ownerKey(), Value: data}
 }
 
-func (r *runner) commit(ctx context.Context, tx cuminstair.Tx) {
+func (r *runner) commit(ctx context.Context, tx cuminstair.Tx, seq int64) {
 	sent := r.d.Timer.Now()
 	version, err := r.d.Store.Commit(ctx, tx)
 	r.d.Metrics.store(err, r.d.Timer.Now().Sub(sent))
-	r.post(func(now time.Time) { r.committed(ctx, now, sent, version, err) })
+	r.post(func(now time.Time) {
+		if r.inflight == nil || r.owner.Seq != seq {
+			return // another sending has settled it
+		}
+		r.committed(ctx, now, sent, version, err)
+	})
 }
 
 // committed settles the batch under way. A write without an answer is sent again as it was: its condition lets it take
@@ -263,7 +295,7 @@
 			return
 		}
 		r.state.Depose("the store has another owner record: " + o.Name)
-	case !errors.Is(err, cuminstair.ErrUncertain) && !r.maybe:
+	case !errors.Is(err, cuminstair.ErrUncertain) && !r.maybe && r.hedges == 0:
 		// Nothing was done by any sending, so that its jobs may be refused.
 		r.failed(now, err)
 		r.state.Dropped(b)
@@ -271,14 +303,15 @@
 	default:
 		r.failed(now, err)
 		r.maybe = true
-		tx := r.sentTx
-		r.d.Timer.After(commitRetry, func(time.Time) { go r.commit(ctx, tx) })
+		tx, seq := r.sentTx, r.owner.Seq
+		r.d.Timer.After(commitRetry, func(time.Time) { go r.commit(ctx, tx, seq) })
 	}
 }
 
 func (r *runner) settle(now, sent time.Time, b *dispatch.Batch, version uint64) {
 	r.version = version
 	r.inflight = nil
+	r.latency += (now.Sub(sent) - r.latency) / 8
 	r.confirm0(sent)
 	if !r.failing.IsZero() {
 		r.d.Log.Info("entry: dependency regained", "dependency", "writes of "+r.service, "after", now.Sub(r.failing))
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,6 +11,7 @@
 type Load struct {
 	Due  time.Time // when it should be done
 	Work float64   // core-seconds left
+	Late bool      // it can't be done in time any more and gives way to all that can
 }
 
 // Ask is a new job.
@@ -58,12 +59,15 @@
 	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
 	before, total, excess := 0.0, 0.0, time.Duration(0)
 	for _, l := range load {
+		if l.Late {
+			continue
+		}
 		total += l.Work
 		if !l.Due.After(ask.Due) {
 			before += l.Work
 			continue
 		}
-		// Work that is late already is not made a reason to refuse: it goes on behind the rest.
+		// Work that would be late anyhow is no reason to refuse.
 		late := now.Add(pool.time(total + ask.Work)).Sub(l.Due)
 		if late > 0 && !now.Add(pool.time(total)).After(l.Due) {
 			excess = max(excess, late)
