--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -44,6 +44,7 @@
 	if s.deposed {
 		return nil
 	}
+	s.confirmed = confirmed
 	s.expire(now, confirmed)
 	for i := 0; i < len(s.timed); i++ {
 		j := s.timed[i]
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -247,6 +247,28 @@
 	p.is.Equal(p.running(jobA), 2) // the leases are over
 }
 
+// Guards against a new owner that is cut off at once, and takes the leases that the earlier owner gave for over while the
+// next owner extends them: scale-2 of ladle-sched ran 7 tasks twice after a cut of a data centre.
+func TestUnconfirmedTakeoverDoesNotStartAgain(t *testing.T) {
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, lasting(2, 2000, 1))
+	p.run(2 * time.Second)
+	for _, w := range p.workers {
+		w.cut = len(w.runs) > 0 // for this owner; another one holds it
+	}
+	p.takeOver(200, 0)
+	confirmed := p.now
+	for end := p.now.Add(dispatch.Lease + 3*time.Second); p.now.Before(end); p.now = p.now.Add(tick) {
+		for _, o := range p.s.Decide(p.now, confirmed) {
+			if o.Kind == dispatch.OrderStart {
+				t.Fatalf("task %v was started again by an owner that the store did not confirm", o.Task)
+			}
+			p.carryOut(o)
+		}
+	}
+}
+
 // Guards against a new owner that gives no orders because the earlier one has ended: the times for which each of them may
 // go on are not the same.
 func TestUnchallengedOwnerGoesOn(t *testing.T) {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -13,7 +13,7 @@
 		w, ok := s.workers[id]
 		switch {
 		case !ok:
-			if s.settled(now) {
+			if s.settled() {
 				idle = append(idle, id)
 			}
 		default:
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -16,7 +16,7 @@
 		return
 	}
 	s.changed = false
-	settled := s.settled(now)
+	settled := s.settled()
 	if !settled {
 		s.changed = true
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -44,6 +44,7 @@
 	Challenge time.Duration
 
 	taken     time.Time // when the service was taken over
+	confirmed time.Time // when the store was last seen to name this owner
 	jobs      map[string]*job
 	active    map[string]*job // jobs that are stored and not over
 	workers   map[string]*worker
@@ -130,9 +131,10 @@
 // Stopping makes the service give no more orders but stops and renewals, before it is handed over.
 func (s *Service) Stopping() { s.stopping = true }
 
-// settled tells whether every run that an earlier owner started is known or has ended.
-func (s *Service) settled(now time.Time) bool {
-	if now.Sub(s.taken) >= s.Challenge+Lease+Lease*2/100+leaseMargin {
+// settled tells whether every run that an earlier owner started is known or has ended. That leases have run out counts
+// only if the store named this owner after that: the next owner could have extended them.
+func (s *Service) settled() bool {
+	if s.confirmed.Sub(s.taken) >= s.Challenge+Lease+Lease*2/100+leaseMargin {
 		return true
 	}
 	for id := range s.crew {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -17,6 +17,9 @@
 	// minWait and maxWait bound the time after which a refused caller comes again.
 	minWait = time.Second
 	maxWait = 8 * time.Second
+	// restShare is the mean time until a running task ends as a part of the objective of its job, which has two steps
+	// and about as much time to spare.
+	restShare = 1.0 / 8
 	// stepCost is the time between the end of a task and the start of the next step.
 	stepCost = 80 * time.Millisecond
 	// ratioWeight is the weight of a new observation in the ratio of durations to estimates.
@@ -88,10 +91,10 @@
 		return Result{Outcome: Accepted}
 	}
 	ask := intake.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
-	ask.Work = s.total(j)
+	ask.Work, ask.Width = s.total(j), firstWidth(j)
 	v := intake.Decide(now, s.pool(), s.recentLoad(now), ask)
 	if v.Accept {
-		s.loads = append(s.loads, intake.Load{Due: ask.Due, Work: ask.Work})
+		s.loads = append(s.loads, intake.Load{Due: ask.Due, Work: ask.Work, Front: ask.Width * s.length(j, 0).Seconds()})
 		return Result{Outcome: Accepted}
 	}
 	wait := min(max(v.Wait, minWait), maxWait)
@@ -152,7 +155,9 @@
 			continue
 		}
 		p.Cores += float64(w.total.CPU) / 1000
+		p.Free += float64(w.total.CPU-w.used.CPU) / 1000
 	}
+	p.Rest = time.Duration(restShare * float64(s.patience))
 	each := float64(largest) / 1000
 	p.More, p.Delay = float64(s.incoming)*each, incomingDelay
 	if more := availableShare * float64(s.available) * each; more > p.More {
@@ -197,18 +202,47 @@
 				}
 			}
 		}
-		late := false
+		front, late := 0.0, false
 		for _, o := range j.runs {
 			work += s.left(now, o)
+			front += s.front(o)
 			late = late || s.late(now, o)
 		}
 		if work > 0 {
-			list = append(list, intake.Load{Due: j.due, Work: work, Late: late})
+			list = append(list, intake.Load{Due: j.due, Work: work, Front: front, Late: late})
 		}
 	}
 	return list
 }
 
+// firstWidth is the cores that the steps of a job keep busy that wait for no others.
+func firstWidth(j *job) float64 {
+	width := 0
+	for i := range j.spec.Steps {
+		if st := &j.spec.Steps[i]; len(st.After) == 0 && !st.Filler {
+			width += st.Count * st.CPU
+		}
+	}
+	return float64(width) / 1000
+}
+
+// front is the work of an occurrence that could run now and waits for room.
+func (s *Service) front(o *occurrence) float64 {
+	work := 0.0
+	for _, st := range o.steps {
+		if !st.listed || st.Lasting {
+			continue
+		}
+		each := s.work(o.job, st.index)
+		for _, t := range st.tasks {
+			if !t.done && t.at == nil {
+				work += each
+			}
+		}
+	}
+	return work
+}
+
 // late tells whether a step of an occurrence that has not begun can't be started in time any more.
 func (s *Service) late(now time.Time, o *occurrence) bool {
 	for _, st := range o.steps {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		w.listed = false
-		if len(w.attempts) == 0 && s.settled(now) {
+		if len(w.attempts) == 0 && s.settled() {
 			delete(s.workers, id)
 			s.crewDirty = true
 		}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,7 +11,9 @@
 type Load struct {
 	Due  time.Time // when it should be done
 	Work float64   // core-seconds left
-	Late bool      // it can't be done in time any more and gives way to all that can
+	// Front is the part of Work that could run now and waits for room; later steps wait for it and don't stand in the way.
+	Front float64
+	Late  bool // it can't be done in time any more and gives way to all that can
 }
 
 // Ask is a new job.
@@ -19,6 +21,7 @@
 	Due   time.Time
 	Work  float64       // core-seconds
 	Chain time.Duration // longest chain of its steps when nothing waits
+	Width float64       // cores that its first steps keep busy
 }
 
 // Pool is the room of the workers.
@@ -26,6 +29,8 @@
 	Cores float64 // that short tasks may use now
 	More  float64 // cores that come on top after Delay
 	Delay time.Duration
+	Free  float64       // cores that are free now
+	Rest  time.Duration // mean time until a running task ends
 	// Share is the part of the cores that placement fills in practice; the rest is stranded between tasks.
 	Share float64
 }
@@ -43,6 +48,22 @@
 	return p.Delay + seconds((work-soon)/(now+p.More*p.Share))
 }
 
+// wait returns how long the first steps of a job wait for room behind work that could run now.
+func (p Pool) wait(front, width float64) time.Duration {
+	lack := max(0, min(width, p.Cores)-p.Free)
+	if front <= 0 && lack <= 0 {
+		return 0
+	}
+	wait := p.time(front)
+	if p.Cores > 0 {
+		wait += time.Duration(lack / p.Cores * float64(p.Rest))
+	}
+	return wait
+}
+
+// laterShare is the part of the work of later steps that comes up in time to stand in the way of a new job.
+const laterShare = 0.7
+
 // never stands for work that a pool without cores does not do.
 const never = time.Hour
 
@@ -57,7 +78,7 @@
 // the pool can do everything that is due up to each due time.
 func Decide(now time.Time, pool Pool, load []Load, ask Ask) Verdict {
 	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
-	before, total, excess := 0.0, 0.0, time.Duration(0)
+	before, front, total, excess := 0.0, 0.0, 0.0, time.Duration(0)
 	for _, l := range load {
 		if l.Late {
 			continue
@@ -65,6 +86,7 @@
 		total += l.Work
 		if !l.Due.After(ask.Due) {
 			before += l.Work
+			front += l.Front
 			continue
 		}
 		// Work that would be late anyhow is no reason to refuse.
@@ -73,7 +95,7 @@
 			excess = max(excess, late)
 		}
 	}
-	wait := pool.time(before)
+	wait := pool.wait(front+laterShare*(before-front), ask.Width)
 	finish := now.Add(max(wait+ask.Chain, pool.time(before+ask.Work)))
 	if late := finish.Sub(ask.Due); late > 0 {
 		excess = max(excess, late)
