--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -90,7 +90,7 @@
 		for _, a := range w.attempts {
 			if a.task != nil && a.task.step.Lasting {
 				lasting = true
-				d.Lasting += float64(a.room.CPU) / 1000
+				d.Lasting += s.cores(&a.task.step.JobStep)
 			}
 		}
 		if lasting {
@@ -118,7 +118,7 @@
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
 			if a.task != nil && !a.task.step.Lasting {
-				cores += float64(a.room.CPU) / 1000
+				cores += s.cores(&a.task.step.JobStep)
 			}
 		}
 	}
@@ -130,7 +130,7 @@
 			}
 		}
 		if !st.Lasting {
-			cores += float64(waiting*st.room().CPU) / 1000
+			cores += float64(waiting) * s.cores(&st.JobStep)
 		}
 		if st.PerWorker > 0 {
 			spread = max(spread, (st.left+st.PerWorker-1)/st.PerWorker)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -448,3 +448,24 @@
 	// that is the least.
 	is.True(len(begun) >= 34)
 }
+
+// Guards against work that is accepted by its processors while the memory is full: on trouble-1 of ladle-sched the
+// workers had a third of their processors free and refused nothing that then ended late.
+func TestAdmissionCountsMemory(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 4) // 512 GB
+	p.run(200 * time.Millisecond)
+	accepted := 0
+	for i := range 60 {
+		s := step(8, 500)
+		s.Memory = 30000 // 4 tasks fill a worker; a job takes half of the pool for 0.6 s
+		if a := p.submit("00000000000000"+string(rune('a'+i/26))+string(rune('a'+i%26)), s); a.n == 0 {
+			accepted++
+		}
+		p.run(25 * time.Millisecond)
+	}
+	// In 1.5 s and the objective after it, which has two waves, the pool does 4.5 / 0.6 x 2 = 15 jobs.
+	is.True(accepted >= 8)
+	is.True(accepted <= 16)
+	is.Equal(p.over, 0)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -43,35 +43,37 @@
 	// Challenge is how long after the takeover an earlier owner may give orders; the leases of these run out after it.
 	Challenge time.Duration
 
-	taken     time.Time // when the service was taken over
-	confirmed time.Time // when the store was last seen to name this owner
-	jobs      map[string]*job
-	active    map[string]*job // jobs that are stored and not over
-	workers   map[string]*worker
-	crew      map[string]bool // workers that an earlier owner may have used and that were not read yet
-	refused   map[string]time.Time
-	ready     []*step
-	around    []*worker  // that may be given tasks, for one decision
-	mostFree  place.Room // at most free on any of them
-	timed     []*job     // jobs with occurrences to come
-	dirty     []*job
-	orders    []Order
-	offered   []offered
-	loads     []intake.Load // see recentLoad
-	loadsAt   time.Time
-	mostCores float64            // largest room of the pool so far, in cores
-	incoming  int                // workers on their way to the pool
-	available int                // hosts that could be sent to the pool
-	patience  time.Duration      // mean objective of jobs
-	ratio     map[string]float64 // by queue: how long tasks take against their estimates
-	crewDirty bool
-	changed   bool // placement may find something new
-	deposed   bool
-	storeDown bool
-	lastBatch time.Time
-	swept     time.Time
-	stopping  bool
-	counts    Counts
+	taken      time.Time // when the service was taken over
+	confirmed  time.Time // when the store was last seen to name this owner
+	jobs       map[string]*job
+	active     map[string]*job // jobs that are stored and not over
+	workers    map[string]*worker
+	crew       map[string]bool // workers that an earlier owner may have used and that were not read yet
+	refused    map[string]time.Time
+	ready      []*step
+	around     []*worker  // that may be given tasks, for one decision
+	mostFree   place.Room // at most free on any of them
+	timed      []*job     // jobs with occurrences to come
+	dirty      []*job
+	orders     []Order
+	hostCPU    int // of the largest worker, thousandths of a core
+	hostMemory int // of the same worker, MB
+	offered    []offered
+	loads      []intake.Load // see recentLoad
+	loadsAt    time.Time
+	mostCores  float64            // largest room of the pool so far, in cores
+	incoming   int                // workers on their way to the pool
+	available  int                // hosts that could be sent to the pool
+	patience   time.Duration      // mean objective of jobs
+	ratio      map[string]float64 // by queue: how long tasks take against their estimates
+	crewDirty  bool
+	changed    bool // placement may find something new
+	deposed    bool
+	storeDown  bool
+	lastBatch  time.Time
+	swept      time.Time
+	stopping   bool
+	counts     Counts
 }
 
 // Counts are totals since the service was taken over.
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -91,7 +91,7 @@
 		return Result{Outcome: Accepted}
 	}
 	ask := intake.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
-	ask.Work, ask.Width = s.total(j), firstWidth(j)
+	ask.Work, ask.Width = s.total(j), s.firstWidth(j)
 	v := intake.Decide(now, s.pool(), s.recentLoad(now), ask)
 	if v.Accept {
 		s.loads = append(s.loads, intake.Load{Due: ask.Due, Work: ask.Work, Front: ask.Width * s.length(j, 0).Seconds()})
@@ -155,7 +155,7 @@
 			continue
 		}
 		p.Cores += float64(w.total.CPU) / 1000
-		p.Free += float64(w.total.CPU-w.used.CPU) / 1000
+		p.Free += w.freeCores()
 	}
 	p.Rest = time.Duration(restShare * float64(s.patience))
 	each := float64(largest) / 1000
@@ -167,7 +167,7 @@
 		for _, o := range j.runs {
 			for _, st := range o.steps {
 				if st.Lasting && !st.Filler {
-					p.Cores -= float64(st.left*st.CPU) / 1000
+					p.Cores -= float64(st.left) * s.cores(&st.JobStep)
 				}
 			}
 		}
@@ -216,14 +216,14 @@
 }
 
 // firstWidth is the cores that the steps of a job keep busy that wait for no others.
-func firstWidth(j *job) float64 {
-	width := 0
+func (s *Service) firstWidth(j *job) float64 {
+	width := 0.0
 	for i := range j.spec.Steps {
 		if st := &j.spec.Steps[i]; len(st.After) == 0 && !st.Filler {
-			width += st.Count * st.CPU
+			width += float64(st.Count) * s.cores(st)
 		}
 	}
-	return float64(width) / 1000
+	return width
 }
 
 // front is the work of an occurrence that could run now and waits for room.
@@ -289,11 +289,20 @@
 
 // work is the expected work of one task of a step in core-seconds.
 func (s *Service) work(j *job, i int) float64 {
-	st := &j.spec.Steps[i]
+	return s.cores(&j.spec.Steps[i]) * s.length(j, i).Seconds()
+}
+
+// cores is what a task of a step takes of a worker: its processors, or the processors that its memory leaves without
+// memory, if these are more.
+func (s *Service) cores(st *cuminstair.JobStep) float64 {
+	cpu := float64(st.CPU)
 	if st.Filler {
-		return 0
+		cpu = 0
+	}
+	if s.hostMemory > 0 {
+		cpu = max(cpu, float64(st.Memory)*float64(s.hostCPU)/float64(s.hostMemory))
 	}
-	return float64(st.CPU) / 1000 * s.length(j, i).Seconds()
+	return cpu / 1000
 }
 
 func (s *Service) tails(j *job) []time.Duration {
@@ -351,28 +360,17 @@
 	j.cancels = append(j.cancels, reply)
 }
 
-// usedShare is the part of the processors that tasks hold.
+// usedShare is the part of the workers that tasks hold, of processors or memory, whichever is more.
 func (s *Service) usedShare() float64 {
-	used, total := 0, 0
+	used, total := 0.0, 0.0
 	for _, w := range s.workers {
 		if w.listed && !w.gone {
-			used += w.used.CPU
-			total += w.total.CPU
+			total += float64(w.total.CPU) / 1000
+			used += float64(w.total.CPU)/1000 - w.freeCores()
 		}
 	}
 	if total == 0 {
 		return 0
 	}
-	return math.Round(float64(used)/float64(total)*100) / 100
-}
-
-// sameRack counts the tasks of a step in a rack.
-func (s *Service) sameRack(st *step, rack string) int {
-	n := 0
-	for _, t := range st.tasks {
-		if t.at != nil && t.at.worker.info.Rack == rack {
-			n++
-		}
-	}
-	return n
+	return math.Round(used/total*100) / 100
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -83,6 +83,15 @@
 
 func (w *worker) free() place.Room { return w.total.Plus(w.used, -1) }
 
+// freeCores is the free processors for which there is memory, as far as processors and memory are used alike.
+func (w *worker) freeCores() float64 {
+	free := w.free()
+	if w.total.Memory <= 0 {
+		return float64(free.CPU) / 1000
+	}
+	return min(float64(free.CPU), float64(free.Memory)*float64(w.total.CPU)/float64(w.total.Memory)) / 1000
+}
+
 func (w *worker) add(a *attempt) {
 	a.worker = w
 	w.attempts[a.id] = a
@@ -127,6 +136,9 @@
 	for id, w := range s.workers {
 		if inList[id] {
 			cores += float64(w.total.CPU) / 1000
+			if w.total.CPU > s.hostCPU {
+				s.hostCPU, s.hostMemory = w.total.CPU, w.total.Memory
+			}
 			continue
 		}
 		w.listed = false
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -95,7 +95,7 @@
 	for i := range list {
 		x := &list[i]
 		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0 && len(moves) < movesAtOnce; lack-- {
-			m, ok := p.supply(x, list, want, &spare)
+			m, ok := p.supply(now, x, list, want, &spare)
 			if !ok {
 				break
 			}
@@ -115,8 +115,9 @@
 	return moves
 }
 
-// supply finds a host for a pool: one that is switched off, or an idle one that its own pool does not need.
-func (p *Planner) supply(x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
+// supply finds a host for a pool: one that is switched off, an idle one that its own pool does not want, or an idle one
+// that its pool only keeps for a turn that is not near.
+func (p *Planner) supply(now time.Time, x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
 	if len(*spare) > 0 {
 		return Move{Host: take(spare), From: p.Spare, To: x.Service, Why: "demand"}, true
 	}
@@ -128,9 +129,26 @@
 		o.Have--
 		return Move{Host: take(&o.Idle), From: o.Service, To: x.Service, Why: "demand"}, true
 	}
+	for i := range list {
+		o := &list[i]
+		if o.Service == x.Service || !o.Known || len(o.Idle) == 0 || o.Have+o.Incoming <= p.lendable(now, o) {
+			continue
+		}
+		o.Have--
+		want[o.Service]--
+		return Move{Host: take(&o.Idle), From: o.Service, To: x.Service, Why: "lent"}, true
+	}
 	return Move{}, false
 }
 
+// lendable is the number of hosts that a pool keeps while another is short of hosts.
+func (p *Planner) lendable(now time.Time, o *Pool) int {
+	if _, ok := p.turns.Expect(now, o.Service); ok {
+		return o.Have + o.Incoming
+	}
+	return max(p.demanded(now, o), (p.need(now, o).first+1)/2)
+}
+
 func take(list *[]string) string {
 	first := (*list)[0]
 	*list = (*list)[1:]
@@ -139,15 +157,8 @@
 
 // want is the number of hosts that a pool should have.
 func (p *Planner) want(now time.Time, x *Pool) int {
-	cores := max(x.Backlog*backlogReserve, x.Rate*rateReserve, x.Active)
-	if x.Patience < patient {
-		if ahead, ok := p.turns.Expect(now, x.Service); ok {
-			cores = max(cores, ahead*rateReserve)
-		}
-	}
-	hosts := int(math.Ceil((cores/fill + x.Lasting) / x.Cores))
 	n := p.need(now, x)
-	hosts = max(hosts, x.Anchors, min(x.Spread, n.first), leastHosts)
+	hosts := p.demanded(now, x)
 	if x.Patience < patient && !p.turns.Seen(x.Service) {
 		// Work that can't wait for hosts finds those that the operators gave the pool until its peak is known.
 		hosts = max(hosts, n.first)
@@ -158,6 +169,18 @@
 	return max(hosts, n.hosts)
 }
 
+// demanded is the number of hosts that the demand of a pool asks for.
+func (p *Planner) demanded(now time.Time, x *Pool) int {
+	cores := max(x.Backlog*backlogReserve, x.Rate*rateReserve, x.Active)
+	if x.Patience < patient {
+		if ahead, ok := p.turns.Expect(now, x.Service); ok {
+			cores = max(cores, ahead*rateReserve)
+		}
+	}
+	hosts := int(math.Ceil((cores/fill + x.Lasting) / x.Cores))
+	return max(hosts, x.Anchors, min(x.Spread, p.need(now, x).first), leastHosts)
+}
+
 // need returns what is kept of a pool.
 func (p *Planner) need(now time.Time, x *Pool) *need {
 	n := p.needs[x.Service]
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -56,6 +56,20 @@
 	is.Equal(n["b>a"], 7)
 }
 
+// Guards against hosts that wait for the turn of one service while another refuses work: the burst of trouble-1 of
+// ladle-sched met 12 hosts, and 20 stood idle in pools that had no turn yet.
+func TestHostsThatWaitForATurnAreLent(t *testing.T) {
+	is := is.New(t)
+	p := pools.New("spare")
+	waiting := quiet("b", 10)
+	waiting.Patience = 2 * time.Second // its hosts are kept until its first turn
+	peak := quiet("a", 10)
+	peak.Idle, peak.Active, peak.Patience = nil, 900, 6*time.Second
+	p.Plan(begin, []pools.Pool{quiet("a", 10), quiet("b", 10)}, nil)
+	n := count(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, waiting}, nil))
+	is.Equal(n["b>a"], 5) // half of them stay
+}
+
 // Guards against moves that take a host from work or from lasting tasks.
 func TestOnlyIdleHostsLeave(t *testing.T) {
 	is := is.New(t)
