--- a/cmd/measure/config.go
+++ b/cmd/measure/config.go
@@ -7,8 +7,8 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/fleet"
-	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/wave"
 )
 
--- a/cmd/measure/loss.go
+++ b/cmd/measure/loss.go
@@ -32,11 +32,11 @@
 	var rows [][]string
 	s.v.Advance(lossRun)
 	rows = append(rows, s.phase("a minute of the wave"))
-	s.tables.FailRack("centre2", "r0001")
+	s.platform.FailRack("centre2", "r0001")
 	s.v.Advance(lossRun)
 	rows = append(rows, s.phase("rack of 20 lost, a minute"))
 	for i := range centreRacks {
-		s.tables.FailRack("centre3", fmt.Sprintf("r%04d", i+1))
+		s.platform.FailRack("centre3", fmt.Sprintf("r%04d", i+1))
 	}
 	s.v.Advance(lossRun)
 	rows = append(rows, s.phase("data centre lost, a minute"))
--- a/cmd/measure/table.go
+++ b/cmd/measure/table.go
@@ -10,9 +10,9 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/control"
-	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/rollout"
 	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/timer"
 	"cuminstair.org/cuminstair/wave"
 )
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -167,7 +167,7 @@
 		if w.synced {
 			if len(w.attempts) > 0 {
 				o.Lease = w.nextLease(now)
-				o.Wait = s.waitFor(now, w)
+				o.Wait = waitFor(w)
 			}
 			w.seen = w.stored
 		}
@@ -176,7 +176,7 @@
 }
 
 // waitFor is how long a worker may wait for an end before it answers a renewal.
-func (s *Service) waitFor(now time.Time, w *worker) time.Duration {
+func waitFor(w *worker) time.Duration {
 	if w.processed > w.stored {
 		return 0 // it would answer at once with the ends that it has listed
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -26,7 +26,7 @@
 	p.is.Equal(a.Outcome, dispatch.Accepted)
 	p.is.Equal(a.n, 1)
 	p.run(300 * time.Millisecond)
-	p.is.Equal(p.running(jobA), 4) // the second step waits
+	p.is.Equal(p.running(), 4) // the second step waits
 	p.run(2 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 	p.is.Equal(len(p.starts), 7)
@@ -161,9 +161,9 @@
 func TestCutWorkerKeepsItsTasksUntilTheLeaseIsOver(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3, 2000, 1))
+	p.submit(jobA, lasting(3))
 	p.run(2 * time.Second)
-	p.is.Equal(p.running(jobA), 3)
+	p.is.Equal(p.running(), 3)
 	for _, w := range p.workers {
 		if len(w.runs) > 0 {
 			w.cut = true
@@ -172,7 +172,7 @@
 	}
 	p.run(dispatch.Lease + 3*time.Second)
 	p.is.Equal(p.twice, 0)
-	p.is.Equal(p.running(jobA), 3) // started again elsewhere
+	p.is.Equal(p.running(), 3) // started again elsewhere
 }
 
 // Guards against leases that are extended by tries that fail: on scale-1 of ladle-sched a lasting task of a worker that
@@ -180,7 +180,7 @@
 func TestDeadWorkerLosesItsLease(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3, 2000, 1))
+	p.submit(jobA, lasting(3))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		if len(w.runs) > 0 {
@@ -189,7 +189,7 @@
 		}
 	}
 	p.run(dispatch.Lease + 2*time.Second)
-	p.is.Equal(p.running(jobA), 3)
+	p.is.Equal(p.running(), 3)
 }
 
 // Guards against an old owner that takes leases for over which a new owner has extended: scale-1 of ladle-sched ran 36
@@ -197,7 +197,7 @@
 func TestUnconfirmedOwnerDoesNotStartAgain(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3, 2000, 1))
+	p.submit(jobA, lasting(3))
 	p.run(2 * time.Second)
 	p.s.Grace = time.Hour
 	confirmed := p.now
@@ -235,7 +235,7 @@
 func TestTakeoverWaitsForWorkersThatDoNotAnswer(t *testing.T) {
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2, 2000, 1))
+	p.submit(jobA, lasting(2))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		w.cut = len(w.runs) > 0
@@ -244,7 +244,7 @@
 	p.run(9 * time.Second)
 	p.is.Equal(p.twice, 0)
 	p.run(6 * time.Second)
-	p.is.Equal(p.running(jobA), 2) // the leases are over
+	p.is.Equal(p.running(), 2) // the leases are over
 }
 
 // Guards against a new owner that is cut off at once, and takes the leases that the earlier owner gave for over while the
@@ -252,7 +252,7 @@
 func TestUnconfirmedTakeoverDoesNotStartAgain(t *testing.T) {
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2, 2000, 1))
+	p.submit(jobA, lasting(2))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		w.cut = len(w.runs) > 0 // for this owner; another one holds it
@@ -274,7 +274,7 @@
 func TestUnchallengedOwnerGoesOn(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2, 2000, 1))
+	p.submit(jobA, lasting(2))
 	p.run(2 * time.Second)
 	p.takeOver(200, 6*time.Second)
 	p.run(100 * time.Millisecond)
@@ -282,7 +282,7 @@
 	p.submit(jobB, step(2, 1000))
 	p.run(dispatch.Lease + time.Second)
 	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
-	p.is.Equal(p.running(jobA), 2)
+	p.is.Equal(p.running(), 2)
 	for _, n := range p.starts {
 		p.is.Equal(n, 1) // leases were extended
 	}
@@ -292,11 +292,11 @@
 func TestStopIsOrderedAtOnce(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2, 2000, 1))
+	p.submit(jobA, lasting(2))
 	p.run(2 * time.Second)
 	p.s.Cancel(p.now, jobA, func(dispatch.Result) {})
 	p.run(2*tick + stopGrace/4)
-	p.is.Equal(p.running(jobA), 0)
+	p.is.Equal(p.running(), 0)
 }
 
 // Guards against more tasks on a worker than it has room for, with what is being stopped counted.
@@ -319,18 +319,18 @@
 func TestCancelStopsAJob(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(4, 2000, 1))
+	p.submit(jobA, lasting(4))
 	p.run(2 * time.Second)
 	a := &answer{}
 	p.s.Cancel(p.now, jobA, a.take)
 	p.is.Equal(a.n, 0) // not stored yet
 	p.run(time.Second)
 	p.is.Equal(a.Outcome, dispatch.Accepted)
-	p.is.Equal(p.running(jobA), 0)
+	p.is.Equal(p.running(), 0)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCancelled)
 	p.takeOver(200, 0)
 	p.run(2 * time.Second)
-	p.is.Equal(p.running(jobA), 0)
+	p.is.Equal(p.running(), 0)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCancelled)
 }
 
@@ -338,7 +338,7 @@
 func TestCordonMovesLastingTasksOneByOne(t *testing.T) {
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(4, 2000, 1))
+	p.submit(jobA, lasting(4))
 	p.run(3 * time.Second)
 	var ids []string
 	for _, w := range p.workers {
@@ -352,19 +352,19 @@
 			idle = len(p.s.Cordon(p.now, ids))
 		}
 		p.run(tick)
-		if n := p.atWork(jobA); n < 3 {
+		if n := p.atWork(); n < 3 {
 			t.Fatalf("%d of 4 tasks are at work while one may be missed", n)
 		}
 	}
 	p.is.Equal(idle, len(ids))
-	p.is.Equal(p.running(jobA), 4)
+	p.is.Equal(p.running(), 4)
 }
 
 // Guards against new tasks on a worker that leaves, and lasting tasks that end with it.
 func TestLeavingWorkerIsEmptied(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3, 2000, 1))
+	p.submit(jobA, lasting(3))
 	p.run(2 * time.Second)
 	leaving := ""
 	for i, w := range p.workers {
@@ -379,14 +379,14 @@
 	p.submit(jobB, step(20, 1000))
 	p.run(300 * time.Millisecond)
 	p.is.Equal(len(p.worker(leaving).runs), 0)
-	p.is.Equal(p.running(jobA), 3)
+	p.is.Equal(p.running(), 3)
 }
 
 // Guards against a worker that starts again under its id: nothing of before runs, and what it is told meanwhile counts.
 func TestRebornWorker(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(4, 2000, 1))
+	p.submit(jobA, lasting(4))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		if len(w.runs) == 0 {
@@ -398,7 +398,7 @@
 		break
 	}
 	p.run(2 * time.Second) // the list still has the earlier life
-	p.is.Equal(p.running(jobA), 4)
+	p.is.Equal(p.running(), 4)
 	p.is.Equal(p.twice, 0)
 }
 
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -63,9 +63,6 @@
 	s       *dispatch.Service
 	workers []*fakeWorker
 	list    []cuminstair.WorkerInfo
-	jobs    []cuminstair.Record
-	runs    []cuminstair.Record
-	crew    []cuminstair.Record
 	store   map[cuminstair.RecordKey][]byte
 	away    bool // the store does not answer
 	batch   *dispatch.Batch
@@ -74,9 +71,7 @@
 	starts  map[cuminstair.TaskID]int
 	twice   int // runs that began while another run of the task went on
 	over    int // starts that brought a worker over its capacity
-	size    map[cuminstair.TaskID]int
 	specs   map[string]*cuminstair.JobSpec
-	lasting bool
 	confirm time.Time
 }
 
@@ -342,18 +337,22 @@
 	return cuminstair.JobStep{Count: count, CPU: cpu, Memory: 1000, Estimate: 600 * time.Millisecond}
 }
 
-func lasting(count, cpu, miss int) cuminstair.JobStep {
-	s := step(count, cpu)
-	s.Lasting, s.MayMiss = true, miss
+// lastingCPU is what each lasting task takes.
+const lastingCPU = 2000
+
+// lasting is a step that lasts, one task of which may be missed.
+func lasting(count int) cuminstair.JobStep {
+	s := step(count, lastingCPU)
+	s.Lasting, s.MayMiss = true, 1
 	return s
 }
 
-// atWork counts the lasting tasks of a job that have started up.
-func (p *pool) atWork(job string) int {
+// atWork counts the lasting tasks of job A that have started up.
+func (p *pool) atWork() int {
 	n := 0
 	for _, w := range p.workers {
 		for id, r := range w.runs {
-			if id.Job == job && !w.dead && p.now.Sub(r.started) >= startup {
+			if id.Job == jobA && !w.dead && p.now.Sub(r.started) >= startup {
 				n++
 			}
 		}
@@ -361,12 +360,12 @@
 	return n
 }
 
-// running counts the runs of a job on workers that live.
-func (p *pool) running(job string) int {
+// running counts the runs of job A on workers that live.
+func (p *pool) running() int {
 	n := 0
 	for _, w := range p.workers {
 		for id := range w.runs {
-			if id.Job == job && !w.dead {
+			if id.Job == jobA && !w.dead {
 				n++
 			}
 		}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -91,15 +91,16 @@
 	d.poke, d.listNow = make(chan struct{}, 1), make(chan struct{}, 1)
 	d.hints = map[string]hint{}
 	d.peers = newPeerClient()
-	internal, err := d.listenInternal()
+	internal, err := d.listenInternal(ctx)
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", d.Settings.Callers)
+	var listen net.ListenConfig
+	callers, err := listen.Listen(ctx, "tcp", d.Settings.Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	ready, err := net.Listen("tcp", d.Settings.Readiness)
+	ready, err := listen.Listen(ctx, "tcp", d.Settings.Readiness)
 	if err != nil {
 		return fmt.Errorf("listen for the load balancer: %w", err)
 	}
@@ -143,11 +144,12 @@
 }
 
 // listenInternal opens the first free port of the range for calls between daemons.
-func (d *Daemon) listenInternal() (net.Listener, error) {
+func (d *Daemon) listenInternal(ctx context.Context) (net.Listener, error) {
 	var last error
 	for port := d.Settings.Internal[0]; port <= d.Settings.Internal[1]; port++ {
 		addr := net.JoinHostPort(d.Settings.Address, strconv.Itoa(port))
-		l, err := net.Listen("tcp", addr)
+		var listen net.ListenConfig
+		l, err := listen.Listen(ctx, "tcp", addr)
 		if err == nil {
 			d.addr = l.Addr().String()
 			return l, nil
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -68,8 +68,12 @@
 		err  error
 		name string
 	}{
-		{cuminstair.ErrUncertain, "uncertain"}, {cuminstair.ErrNotDone, "refused"}, {cuminstair.ErrUnavailable, "unavailable"},
-		{cuminstair.ErrConflict, "conflict"}, {cuminstair.ErrFenced, "fenced"}, {cuminstair.ErrOtherLife, "gone"},
+		{cuminstair.ErrUncertain, "uncertain"},
+		{cuminstair.ErrNotDone, "refused"},
+		{cuminstair.ErrUnavailable, "unavailable"},
+		{cuminstair.ErrConflict, "conflict"},
+		{cuminstair.ErrFenced, "fenced"},
+		{cuminstair.ErrOtherLife, "gone"},
 	} {
 		if errors.Is(err, o.err) {
 			return o.name
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -152,7 +152,7 @@
 			r.confirm(sent)
 			continue
 		}
-		if version > uint64(r.token) {
+		if version > r.token {
 			r.depose("the store names another owner: " + o.Name)
 		}
 	}
@@ -295,7 +295,7 @@
 		d.mu.Lock()
 		o, version := d.view.Owner(r.service)
 		d.mu.Unlock()
-		if version > uint64(r.token) && o.Run != d.run {
+		if version > r.token && o.Run != d.run {
 			return false
 		}
 		d.sleep(ctx, takeoverRetry)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -38,8 +38,8 @@
 	shut := make(chan error, 1)
 	go func() { shut <- server.Shutdown(context.Background()) }()
 	select {
-	case <-ended:
-		t.Fatal("serve ended while a request was being answered")
+	case err := <-ended:
+		t.Fatalf("serve ended while a request was being answered: %v", err)
 	case <-time.After(100 * time.Millisecond):
 	}
 	close(answer)
--- a/node/node.go
+++ b/node/node.go
@@ -22,12 +22,12 @@
 	"cuminstair.org/cuminstair/daemon"
 	"cuminstair.org/cuminstair/health"
 	"cuminstair.org/cuminstair/operator"
-	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/retry"
 	"cuminstair.org/cuminstair/rollout"
 	"cuminstair.org/cuminstair/rollout/runner"
 	"cuminstair.org/cuminstair/route"
 	"cuminstair.org/cuminstair/settings"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/ticket"
 )
 
--- a/pools/turns.go
+++ b/pools/turns.go
@@ -99,8 +99,7 @@
 	}
 	next, known := t.successor()
 	s := t.services[service]
-	switch {
-	case s == nil || (known && next != service) || (!known && !s.began.IsZero()):
+	if s == nil || (known && next != service) || (!known && !s.began.IsZero()) {
 		return 0, false
 	}
 	until := t.began.Add(t.length).Sub(now)
--- a/rollout/runner/apply.go
+++ b/rollout/runner/apply.go
@@ -7,8 +7,8 @@
 	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/tables"
 )
 
 const (
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -82,7 +82,7 @@
 			if service == SparePool {
 				continue
 			}
-			if _, err := s.birth(h); err != nil {
+			if err := s.birth(h); err != nil {
 				return nil, err
 			}
 		}
@@ -92,7 +92,8 @@
 }
 
 func (s *Site) listen(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	l, err := config.Listen(s.ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("listen: %w", err)
 	}
@@ -103,7 +104,7 @@
 }
 
 // birth starts a worker on a host.
-func (s *Site) birth(h *host) (*Worker, error) {
+func (s *Site) birth(h *host) error {
 	s.mu.Lock()
 	s.lives++
 	w := &Worker{
@@ -115,10 +116,10 @@
 	s.mu.Unlock()
 	var err error
 	if w.Addr, err = s.listen(w.handler()); err != nil {
-		return nil, err
+		return err
 	}
 	s.Store.Put("servers", "", w.ID, w.entry("ready"))
-	return w, nil
+	return nil
 }
 
 // Workers returns the live workers of a service.
@@ -376,7 +377,7 @@
 		s.mu.Unlock()
 		if pool != SparePool {
 			// Without a listener the host stays without a worker.
-			_, _ = s.birth(h)
+			_ = s.birth(h)
 		}
 	})
 }
@@ -400,7 +401,7 @@
 		s.mu.Unlock()
 		if pool != SparePool {
 			// Without a listener the host stays without a worker.
-			_, _ = s.birth(h)
+			_ = s.birth(h)
 		}
 	})
 }
--- a/tables/client_test.go
+++ b/tables/client_test.go
@@ -15,8 +15,8 @@
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/timer"
 )
 
--- a/tables/settle_test.go
+++ b/tables/settle_test.go
@@ -12,8 +12,8 @@
 	"pgregory.net/rapid"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/standin/table"
+	"cuminstair.org/cuminstair/tables"
 	"cuminstair.org/cuminstair/timer"
 )
 
