--- /dev/null
+++ b/cmd/cuminstairjobs/explain.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/urfave/cli/v2"
+)
+
+// maxLine bounds a line of a log.
+const maxLine = 1 << 20
+
+// hidden are fields that say nothing about what happened.
+var hidden = map[string]bool{"@module": true, "@timestamp": true, "@message": true, "@level": true}
+
+// logLine is a line of a log that names what is asked for.
+type logLine struct {
+	time   string
+	source string
+	text   string
+	fields map[string]any
+}
+
+// explainCommand prints what logs say about a job, a worker, a host or a service.
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "print what logs say about an id, in the order of time",
+		ArgsUsage: "ID [FILE...]",
+		Description: "Reads log files of one or several daemons, or standard input, and prints each line that names the id of a job,\n" +
+			"a worker, a host, a service or a queue. The clocks of daemons may differ by some milliseconds.",
+		Action: func(c *cli.Context) error {
+			if c.NArg() < 1 {
+				return cli.Exit("explain needs an id", 2)
+			}
+			list, err := readLogs(c.Args().First(), c.Args().Tail())
+			if err != nil {
+				return err
+			}
+			if len(list) == 0 {
+				return cli.Exit("no line names "+c.Args().First(), 1)
+			}
+			return printStory(c.App.Writer, list)
+		},
+	}
+}
+
+// readLogs collects the entries of all files, or of standard input.
+func readLogs(id string, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return scanLog("", os.Stdin, id)
+	}
+	var list []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("open log: %w", err)
+		}
+		more, err := scanLog(name, f, id)
+		// The file was only read.
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, more...)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].time < list[j].time })
+	return list, nil
+}
+
+func scanLog(source string, r io.Reader, id string) ([]logLine, error) {
+	var list []logLine
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		line := lines.Text()
+		begin := strings.IndexByte(line, '{')
+		if begin < 0 || !strings.Contains(line, id) {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal([]byte(line[begin:]), &fields) != nil || !names(fields, id) {
+			continue
+		}
+		e := logLine{source: source, fields: fields}
+		e.time, _ = fields["@timestamp"].(string)
+		e.text, _ = fields["@message"].(string)
+		if e.source == "" {
+			e.source = strings.TrimSpace(line[:begin])
+		}
+		list = append(list, e)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("read log %s: %w", source, err)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].time < list[j].time })
+	return list, nil
+}
+
+// names tells whether a field of a line is the id, or lists it.
+func names(fields map[string]any, id string) bool {
+	for key, v := range fields {
+		s, ok := v.(string)
+		if ok && !hidden[key] && (s == id || strings.Contains(s, "@"+id)) {
+			return true
+		}
+	}
+	return false
+}
+
+func printStory(w io.Writer, list []logLine) error {
+	for _, e := range list {
+		var keys []string
+		for k := range e.fields {
+			if !hidden[k] {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		var text strings.Builder
+		for _, k := range keys {
+			fmt.Fprintf(&text, " %s=%v", strings.ReplaceAll(k, " ", "-"), e.fields[k])
+		}
+		if _, err := fmt.Fprintf(w, "%s %s %s%s\n", e.time, e.source, e.text, text.String()); err != nil {
+			return fmt.Errorf("print: %w", err)
+		}
+	}
+	return nil
+}
--- a/cmd/cuminstairjobs/main.go
+++ b/cmd/cuminstairjobs/main.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -26,7 +28,9 @@
 	storeTimeout  = 1500 * time.Millisecond
 	workerTimeout = 800 * time.Millisecond
 	hostsTimeout  = 1200 * time.Millisecond
-	memoryShare   = 0.5 // of the limit, at which the collector works harder
+	// defaultMetrics is the port that deploy/system.toml names.
+	defaultMetrics = 9464
+	memoryShare    = 0.5 // of the limit, at which the collector works harder
 )
 
 func main() {
@@ -34,11 +38,13 @@
 		Name:  "cuminstairjobs",
 		Usage: "entry daemon for jobs on the users' platform",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", EnvVars: []string{platform.SettingsEnv}, Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`", EnvVars: []string{platform.SettingsEnv}},
+			&cli.IntFlag{Name: "metrics", Usage: "`PORT` of the metrics at /metrics; 0: none", Value: defaultMetrics},
 			&cli.StringFlag{Name: "log", Usage: "log `LEVEL`: debug, info, warn or error", Value: "info"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
 		},
 		Action:          run,
+		Commands:        []*cli.Command{explainCommand()},
 		HideHelpCommand: true,
 	}
 	if err := app.Run(os.Args); err != nil {
@@ -48,6 +54,9 @@
 }
 
 func run(c *cli.Context) error {
+	if c.String("settings") == "" {
+		return cli.Exit("settings: no file: use --settings or "+platform.SettingsEnv, 2)
+	}
 	s, err := platform.LoadSettings(c.String("settings"))
 	if err != nil {
 		return err
@@ -73,6 +82,9 @@
 		Store:   &platform.Store{Client: client, Addr: s.Store, Timeout: storeTimeout},
 		Workers: &platform.Workers{Client: client, Timeout: workerTimeout},
 	}
+	if port := c.Int("metrics"); port > 0 {
+		d.MetricsAddr = net.JoinHostPort(s.Address, strconv.Itoa(port))
+	}
 	if s.Hosts != "" {
 		d.Hosts = &platform.Hosts{Client: client, Addr: s.Hosts, Timeout: hostsTimeout}
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -51,6 +51,8 @@
 	Workers  cuminstair.WorkerCalls
 	Hosts    cuminstair.HostControl // nil: no upkeep and no moves
 	Metrics  *Metrics
+	// MetricsAddr is where the metrics are served; empty: nowhere.
+	MetricsAddr string
 
 	run      string // unique for this start
 	addr     string // for calls between daemons
@@ -110,6 +112,7 @@
 	d.mu.Lock()
 	d.work = work
 	d.mu.Unlock()
+	d.serveMetrics(work)
 	servers := []*http.Server{d.callerServer(), d.peerServer(), d.readyServer()}
 	var group run.Group
 	stopped := make(chan struct{})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
@@ -84,3 +88,21 @@
 	}
 	return "ok"
 }
+
+// serveMetrics serves the metrics until ctx ends. A daemon works without them.
+func (d *Daemon) serveMetrics(ctx context.Context) {
+	if d.MetricsAddr == "" {
+		return
+	}
+	var listen net.ListenConfig
+	l, err := listen.Listen(ctx, "tcp", d.MetricsAddr)
+	if err != nil {
+		d.Log.Warn("entry: metrics are not served", "address", d.MetricsAddr, "error", err)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
+	go func() { _ = server.Serve(l) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+}
