Mend the restart of daemons in the soak; write durations and states as words

Traced from the logs: the daemon that was asked (d0) had been killed at 53.78 and was never started again, since wait(0) chose at random between an ended process and a time-out of zero. The job had ended as completed 0.5 s after it came. Not a fault of the product.

--- a/cmd/cuminstairjobs/explain.go
+++ b/cmd/cuminstairjobs/explain.go
@@ -84,7 +84,9 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal([]byte(line[begin:]), &fields) != nil || !names(fields, id) {
+		decoder := json.NewDecoder(strings.NewReader(line[begin:]))
+		decoder.UseNumber()
+		if decoder.Decode(&fields) != nil || !names(fields, id) {
 			continue
 		}
 		e := logLine{source: source, fields: fields}
--- a/cmd/cuminstairjobs/fleet_test.go
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -192,6 +192,11 @@
 		return true
 	}
 	select {
+	case <-ended:
+		return true
+	default:
+	}
+	select {
 	case <-ended:
 		return true
 	case <-time.After(t):
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -178,7 +178,7 @@
 	for _, j := range b.created {
 		j.stored = true
 		s.Log.Info("dispatch: job accepted", "service", s.Name, "job", j.id, "queue", j.queue.Name,
-			"after", now.Sub(j.sent).Round(time.Millisecond), "due in", j.due.Sub(now).Round(time.Millisecond), "open", len(s.active))
+			"after", now.Sub(j.sent).Round(time.Millisecond).String(), "due in", j.due.Sub(now).Round(time.Millisecond).String(), "open", len(s.active))
 		if !j.over() {
 			s.activate(now, j)
 		}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -150,8 +150,8 @@
 		}
 	}
 	s.changed = true
-	s.Log.Info("dispatch: job has ended", "service", s.Name, "job", j.id, "queue", j.queue.Name, "state", state, "why", why,
-		"after", now.Sub(j.sent).Round(time.Millisecond), "late", now.After(j.due))
+	s.Log.Info("dispatch: job has ended", "service", s.Name, "job", j.id, "queue", j.queue.Name, "state", state.String(), "why", why,
+		"after", now.Sub(j.sent).Round(time.Millisecond).String(), "late", now.After(j.due))
 }
 
 // release gives the room of an attempt back and puts its task into the queue again if it is not done.
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -77,7 +77,7 @@
 	if _, ok := s.refused[id]; !ok {
 		s.refused[id] = now
 	}
-	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait, "open", len(s.active),
+	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait.Round(time.Millisecond).String(), "open", len(s.active),
 		"used", s.usedShare())
 	reply(r)
 }
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if _, ok := d.waves[r.Key]; !ok {
-		d.Log.Info("entry: wave seen", "wave", w.Number, "hosts", len(w.Hosts), "duration", w.Duration, "limit", w.Limit)
+		d.Log.Info("entry: wave seen", "wave", w.Number, "hosts", len(w.Hosts), "duration", w.Duration.String(), "limit", w.Limit)
 	}
 	d.waves[r.Key] = w
 }
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -207,7 +207,7 @@
 			return
 		}
 		h.told[key] = string(state)
-		h.d.Log.Info("entry: state of a wave told", "wave", w.Number, "completed", w.Completed(), "after", h.d.Timer.Now().Sub(w.Seen).Round(time.Millisecond))
+		h.d.Log.Info("entry: state of a wave told", "wave", w.Number, "completed", w.Completed(), "after", h.d.Timer.Now().Sub(w.Seen).Round(time.Millisecond).String())
 	}
 	if w.Completed() {
 		delete(h.waves, key)
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -158,7 +158,7 @@
 	seconds := max(1, int(math.Round(wait.Seconds())))
 	c.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
 	d.Log.Info("entry: refused", "job", x.id, "queue", x.queue.Name, "status", status, "retry", seconds, "why", why,
-		"held", d.Timer.Now().Sub(x.arrived).Round(time.Millisecond), "config", x.config)
+		"held", d.Timer.Now().Sub(x.arrived).Round(time.Millisecond).String(), "config", x.config)
 	return c.String(status, why)
 }
 
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -314,7 +314,7 @@
 	r.latency += (now.Sub(sent) - r.latency) / 8
 	r.confirm0(sent)
 	if !r.failing.IsZero() {
-		r.d.Log.Info("entry: dependency regained", "dependency", "writes of "+r.service, "after", now.Sub(r.failing))
+		r.d.Log.Info("entry: dependency regained", "dependency", "writes of "+r.service, "after", now.Sub(r.failing).Round(time.Millisecond).String())
 		r.failing = time.Time{}
 	}
 	r.state.Stored(now, b)
--- a/jobs.go
+++ b/jobs.go
@@ -54,6 +54,11 @@
 	JobCancelled
 )
 
+var jobStates = [...]string{"unknown", "queued", "running", "completed", "failed", "cancelled"}
+
+// String returns the name of the state for logs.
+func (s JobState) String() string { return jobStates[s] }
+
 // WorkQueue is a queue of jobs as the configuration has it.
 type WorkQueue struct {
 	Name     string
