Order the hosts of a turn at its rise

Its turns ask for more than its first pool holds, so that as many hosts are ordered when a turn is seen to begin.

--- a/pools/pools.go
+++ b/pools/pools.go
@@ -176,6 +176,9 @@
 		if ahead, ok := p.turns.Expect(now, x.Service); ok {
 			cores = max(cores, ahead*rateReserve)
 		}
+		if rising, ok := p.turns.Rising(now, x.Service); ok {
+			cores = max(cores, rising*rateReserve)
+		}
 	}
 	hosts := int(math.Ceil((cores/fill + x.Lasting) / x.Cores))
 	return max(hosts, x.Anchors, min(x.Spread, p.need(now, x).first), leastHosts)
--- a/pools/turns.go
+++ b/pools/turns.go
@@ -15,7 +15,9 @@
 	// lateTime is how long after its expected start a turn is still expected.
 	lateTime = 1200 * time.Millisecond
 	// unseenShare is the part of its first pool that a service is expected to ask for in its first turn.
-	unseenShare = 1.2
+	unseenShare = 1.6
+	// riseTime is how long the demand of a turn rises at most.
+	riseTime = 3 * time.Second
 	// baseShare is the part of its first pool that a service asks for during its turn at least.
 	baseShare = 0.5
 )
@@ -92,6 +94,15 @@
 	return s != nil && !s.began.IsZero()
 }
 
+// Rising returns the demand that a service will ask for whose turn has begun and has not reached what is expected of it.
+func (t *Turns) Rising(now time.Time, service string) (float64, bool) {
+	s := t.services[service]
+	if s == nil || !s.high || t.last != service || now.Sub(s.began) > riseTime {
+		return 0, false
+	}
+	return max(s.peak, unseenShare*s.base), true
+}
+
 // Expect returns the demand of a service whose turn is about to begin.
 func (t *Turns) Expect(now time.Time, service string) (float64, bool) {
 	if t.length == 0 {
