Split commits and takeovers off, count events in the metrics, refuse queues that need advice

Advice is not supported yet: a job of such a queue was accepted and all its starts would have been turned away. Settings that nothing used are gone.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -221,7 +221,7 @@
 		w.blocked = now.Add(blockAfterRefusal)
 	case errors.Is(err, cuminstair.ErrNoRoom):
 		w.blocked = now.Add(blockAfterRefusal)
-	case errors.Is(err, cuminstair.ErrMalformed):
+	case errors.Is(err, cuminstair.ErrMalformed), errors.Is(err, cuminstair.ErrTicket):
 		w.blocked = now.Add(firstBlock)
 	}
 	s.Log.Info("dispatch: start was turned away", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -84,6 +84,9 @@
 
 // admit decides whether a job is taken.
 func (s *Service) admit(now time.Time, j *job) Result {
+	if j.queue.Advised {
+		return Result{Outcome: Never, Wait: maxWait, Why: "the queue needs advice, which is not supported"}
+	}
 	if why := s.impossible(j); why != "" {
 		return Result{Outcome: Never, Wait: maxWait, Why: why}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -203,6 +203,7 @@
 
 // lost ends an attempt without an end in the worker's list.
 func (s *Service) lost(now time.Time, a *attempt, why string) {
+	s.counts.Lost++
 	s.Log.Info("dispatch: task is lost", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", a.worker.info.ID, "why", why)
 	s.release(now, a)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -19,6 +19,7 @@
 	Calls       *prometheus.CounterVec   // by method and outcome, of calls that were not simply answered
 	WorkerCalls *prometheus.HistogramVec // seconds, by order and outcome
 	StoreWrites *prometheus.HistogramVec // seconds, by outcome
+	Events      *prometheus.CounterVec   // what happened to jobs and tasks, by event
 	Takeover    prometheus.Histogram     // seconds from the decision to the first order
 	Connections prometheus.Counter       // opened to workers, the store and the controller of hosts
 }
@@ -36,6 +37,9 @@
 		StoreWrites: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cuminstair_store_write_seconds", Help: "Transactions of services.", Buckets: buckets,
 		}, []string{"outcome"}),
+		Events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped.",
+		}, []string{"event"}),
 		Takeover: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cuminstair_takeover_seconds", Help: "Time from the decision to take a service to its first order.", Buckets: buckets,
 		}),
@@ -43,7 +47,7 @@
 			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
 		}),
 	}
-	reg.MustRegister(m.Calls, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Connections)
+	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Connections)
 	return m
 }
 
@@ -56,6 +60,26 @@
 	m.Calls.WithLabelValues(method, outcome).Inc()
 }
 
+// events adds what happened in a service since before.
+func (m *Metrics) events(before, now dispatch.Counts) {
+	for _, e := range []struct {
+		name string
+		n    int
+	}{
+		{"accepted", now.Accepted - before.Accepted},
+		{"refused", now.Refused - before.Refused},
+		{"started", now.Starts - before.Starts},
+		{"done", now.Done - before.Done},
+		{"failed", now.Failed - before.Failed},
+		{"lost", now.Lost - before.Lost},
+		{"stopped", now.Stops - before.Stops},
+	} {
+		if e.n > 0 {
+			m.Events.WithLabelValues(e.name).Add(float64(e.n))
+		}
+	}
+}
+
 var orderNames = [...]string{"start", "stop", "hold", "pace"}
 
 func (m *Metrics) worker(kind dispatch.OrderKind, err error, took time.Duration) {
--- /dev/null
+++ b/entry/takeover.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/platform"
+	"cuminstair.org/cuminstair/tenure"
+)
+
+// take takes a service over: it writes the owner record, reads the service's records and starts its runner.
+func (d *Daemon) take(ctx context.Context, service string, old tenure.Owner, version uint64) {
+	defer func() {
+		d.mu.Lock()
+		delete(d.taking, service)
+		d.mu.Unlock()
+	}()
+	begin := d.Timer.Now()
+	mine := tenure.Owner{Name: d.Settings.Name, Run: d.run, Addr: d.addr, Seq: 1}
+	token, err := d.writeOwner(ctx, service, version, mine)
+	if err != nil {
+		d.Log.Info("entry: service was not taken", "service", service, "version", version, "error", err)
+		signal(d.poke)
+		return
+	}
+	d.Log.Info("entry: owner record written", "service", service, "token", token, "before", old.Name, "version", version)
+	r := newRunner(d, service, token, mine, old.Name != "" || version > 0)
+	if service != tenure.HostsPart {
+		if !d.recover(ctx, r) {
+			return
+		}
+	}
+	d.mu.Lock()
+	d.runners[service] = r
+	d.mu.Unlock()
+	d.Metrics.Takeover.Observe(d.Timer.Now().Sub(begin).Seconds())
+	r.start(ctx)
+	signal(d.listNow)
+	if r.after {
+		d.challenge(ctx, r, old)
+	}
+}
+
+// challenge tells the earlier owner to stop, until it does or the time is over for which it may give orders. An owner
+// that has released its service or has started again gives none.
+func (d *Daemon) challenge(ctx context.Context, r *runner, old tenure.Owner) {
+	end := r.taken.Add(storeGrace)
+	for ctx.Err() == nil && d.Timer.Now().Before(end) {
+		d.mu.Lock()
+		gone := old.Name == "" || d.view.Gone(old.Name, old.Run)
+		d.mu.Unlock()
+		if gone || d.peers.stop(ctx, old.Addr, stopRequest{Service: r.service, Token: int64(r.token), Run: old.Run, Owner: d.addr}) {
+			r.post(func(now time.Time) { r.state.Unchallenged(now) })
+			return
+		}
+		d.sleep(ctx, challengeAgain)
+	}
+}
+
+// writeOwner writes an owner record on the condition of its version and returns the version of the write.
+func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o tenure.Owner) (uint64, error) {
+	key := cuminstair.RecordKey{Table: tenure.Table, Part: service, Key: tenure.OwnerKey}
+	// An Owner always encodes.
+	data, _ := json.Marshal(o)
+	tx := cuminstair.Tx{
+		Checks: []cuminstair.RecordCheck{{RecordKey: key, Version: version}},
+		Puts:   []cuminstair.RecordPut{{RecordKey: key, Value: data}},
+	}
+	for {
+		try, cancel := context.WithTimeout(ctx, ownerWriteTime)
+		got, err := d.Store.Commit(try, tx)
+		cancel()
+		var conflict *cuminstair.Conflict
+		switch {
+		case err == nil:
+			return got, nil
+		case errors.As(err, &conflict):
+			for _, r := range conflict.Records {
+				if string(r.Value) == string(data) {
+					return r.Version, nil // an earlier sending of this write
+				}
+			}
+			return 0, err
+		case !errors.Is(err, cuminstair.ErrUncertain):
+			return 0, err
+		}
+		d.sleep(ctx, takeoverRetry)
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+	}
+}
+
+// recover reads the records of a service until it succeeds or the service has another owner.
+func (d *Daemon) recover(ctx context.Context, r *runner) bool {
+	for ctx.Err() == nil && !d.stopping.Load() {
+		err := d.readService(ctx, r)
+		if err == nil {
+			return true
+		}
+		d.Log.Warn("entry: can't read the records of a service", "service", r.service, "error", err)
+		d.mu.Lock()
+		o, version := d.view.Owner(r.service)
+		d.mu.Unlock()
+		if version > r.token && o.Run != d.run {
+			return false
+		}
+		d.sleep(ctx, takeoverRetry)
+	}
+	return false
+}
+
+func (d *Daemon) readService(ctx context.Context, r *runner) error {
+	jobs, _, err := d.Store.Read(ctx, dispatch.JobTable, r.service, "", "")
+	if err != nil {
+		return err
+	}
+	runs, _, err := d.Store.Read(ctx, dispatch.RunTable, r.service, "", "")
+	if err != nil {
+		return err
+	}
+	crew, _, err := d.Store.Read(ctx, dispatch.CrewTable, r.service, "", "")
+	if err != nil {
+		return err
+	}
+	list, err := d.workersOf(ctx, r.service)
+	if err != nil {
+		return err
+	}
+	now := d.Timer.Now()
+	r.state.Recover(now, jobs, runs, crew)
+	if len(list) > 0 {
+		r.state.SetWorkers(now, list)
+		d.findReplaced(ctx, r)
+	}
+	return nil
+}
+
+// findReplaced tells a new owner which workers run on which hosts.
+func (d *Daemon) findReplaced(ctx context.Context, r *runner) {
+	if d.Hosts == nil {
+		return
+	}
+	hosts, err := d.Hosts.List(ctx)
+	if err != nil {
+		d.Log.Info("entry: can't list the hosts at a takeover", "service", r.service, "error", err)
+		return
+	}
+	r.state.Replaced(d.Timer.Now(), hosts)
+}
+
+// workersOf reads the list of workers, unless the daemon follows it already.
+func (d *Daemon) workersOf(ctx context.Context, service string) ([]cuminstair.WorkerInfo, error) {
+	if len(d.owned()) == 0 {
+		records, _, err := d.Store.Read(ctx, platform.WorkerTable, "", "", "")
+		if err != nil {
+			return nil, err
+		}
+		d.takeWorkers(true, records)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []cuminstair.WorkerInfo
+	for _, w := range d.workers {
+		if w.Service == service {
+			list = append(list, w)
+		}
+	}
+	return list, nil
+}
--- a/jobs.go
+++ b/jobs.go
@@ -188,18 +188,10 @@
 
 // Bounds are the times that the platform promises or asks for.
 type Bounds struct {
-	MaxLease     time.Duration // longest lease that a worker grants
-	StopGrace    time.Duration // bound of the stop of a task
-	GangTimeout  time.Duration // how long a task of a gang waits for the others
-	DrainAfter   time.Duration // a leaving worker may be given tasks for this long
-	Grace        time.Duration // between the request to stop a daemon and its kill
-	TurnTime     time.Duration // between orders of two controllers for one host
-	Fenced       bool          // the controller of hosts checks fencing tokens
-	HarmTime     time.Duration // how long a task may miss its target because of fillers
-	NoticeTime   time.Duration // how long a lasting task counts as away after it was not at work
-	UpkeepTime   time.Duration // duration of the upkeep of a host
-	MoveTime     time.Duration // duration of a move between pools
-	KeepState    time.Duration // how long the state of a finished job is told
-	FarFactor    float64       // how much slower a task is away from its data
-	SaveInterval time.Duration // between two checkpoints
+	MaxLease  time.Duration // longest lease that a worker grants
+	StopGrace time.Duration // bound of the stop of a task
+	Grace     time.Duration // between the request to stop a daemon and its kill
+	TurnTime  time.Duration // between orders of two controllers for one host
+	KeepState time.Duration // how long the state of a finished job is told
+	Fenced    bool          // the controller of hosts checks fencing tokens
 }
