--- a/pools/pools.go
+++ b/pools/pools.go
@@ -24,8 +24,10 @@
 	keepFor = 1500 * time.Millisecond
 	// patient is the objective above which work can wait for hosts that are ordered when it comes.
 	patient = 4 * time.Second
-	// movesAtOnce bounds the moves of one plan.
-	movesAtOnce = 12
+	// movesAtOnce and the hosts divided by hostsPerMove, whichever is more, bound the moves of one plan; the controller of
+	// hosts takes a limited number of calls a second.
+	movesAtOnce  = 12
+	hostsPerMove = 16
 )
 
 // Pool is a service's pool at one moment.
@@ -91,10 +93,11 @@
 		want[x.Service] = p.want(now, x)
 	}
 	var moves []Move
+	most := mostMoves(list, len(spare))
 	spare = append([]string(nil), spare...)
 	for i := range list {
 		x := &list[i]
-		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0 && len(moves) < movesAtOnce; lack-- {
+		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0 && len(moves) < most; lack-- {
 			m, ok := p.supply(now, x, list, want, &spare)
 			if !ok {
 				break
@@ -107,7 +110,7 @@
 	}
 	for i := range list {
 		x := &list[i]
-		for x.Known && x.Have+x.Incoming > want[x.Service] && len(x.Idle) > 0 && len(moves) < movesAtOnce {
+		for x.Known && x.Have+x.Incoming > want[x.Service] && len(x.Idle) > 0 && len(moves) < most {
 			moves = append(moves, Move{Host: take(&x.Idle), From: x.Service, To: p.Spare, Why: "idle"})
 			x.Have--
 		}
@@ -115,6 +118,15 @@
 	return moves
 }
 
+// mostMoves bounds the moves of one plan.
+func mostMoves(list []Pool, spare int) int {
+	hosts := spare
+	for i := range list {
+		hosts += list[i].Have + list[i].Incoming
+	}
+	return max(movesAtOnce, hosts/hostsPerMove)
+}
+
 // supply finds a host for a pool: one that is switched off, an idle one that its own pool does not want, or an idle one
 // that its pool only keeps for a turn that is not near.
 func (p *Planner) supply(now time.Time, x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
