--- a/cmd/cuminstairjobs/day_test.go
+++ b/cmd/cuminstairjobs/day_test.go
@@ -192,3 +192,35 @@
 		t.Errorf("good settings: %v: %s", err, out)
 	}
 }
+
+// Guards against services that nobody can use because their owner lost the store while other daemons reach it, and
+// against daemons without the store that lead their callers nowhere.
+func TestOwnersWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, map[string]int{"s1": 3, "s2": 3})
+	f.site.Configure([]string{"s1", "s2"}, 3*time.Second)
+	f.startAll()
+	f.submit(f.daemons[0], "s1", jobID(1), 3, 0)
+	f.submit(f.daemons[0], "s2", jobID(2), 3, 0)
+	f.until(soon, "both jobs run", func() bool { return f.site.Running(jobID(1)) == 3 && f.site.Running(jobID(2)) == 3 })
+	for i, how := range []mode{reset, silent} {
+		cut := f.daemons[i : i+2]
+		for _, d := range cut {
+			d.store.set(how)
+		}
+		for n, d := range f.daemons {
+			for j, service := range []string{"s1", "s2"} {
+				f.submit(d, service, jobID(100*(i+1)+10*n+j), 2, 100*time.Millisecond)
+			}
+		}
+		for _, d := range cut {
+			d.store.set(passing)
+		}
+	}
+	for task, n := range f.site.Starts(jobID(1)) {
+		if n != 1 {
+			t.Errorf("lasting task %s was started %d times", task, n)
+		}
+	}
+	f.noFaults()
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -469,3 +469,92 @@
 	is.True(accepted <= 16)
 	is.Equal(p.over, 0)
 }
+
+// Guards against gangs that start in part, or whose tasks carry different runs.
+func TestGangStartsWhole(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobB, step(2, 20000)) // leaves 12 cores on each worker
+	p.run(100 * time.Millisecond)
+	gang := step(3, 8000)
+	gang.Gang, gang.Estimate = true, 600*time.Millisecond
+	p.submit(jobA, gang)
+	p.run(200 * time.Millisecond)
+	p.is.Equal(p.running(), 0) // there is room for two of three
+	p.run(700 * time.Millisecond)
+	p.is.Equal(p.running(), 3)
+	runs := map[int64]bool{}
+	for _, w := range p.workers {
+		for id, r := range w.runs {
+			if id.Job == jobA {
+				runs[r.run] = true
+			}
+		}
+	}
+	p.is.Equal(len(runs), 1)
+	p.run(2 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
+
+// Guards against occurrences that start before their time, are left out, or run again after a takeover.
+func TestOccurrencesRunAtTheirTimes(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	spec := &cuminstair.JobSpec{
+		Steps: []cuminstair.JobStep{step(2, 1000)}, Repeats: 3, Interval: time.Second, First: p.now.Add(500 * time.Millisecond).UnixMilli(),
+	}
+	p.specs[jobA] = spec
+	a := &answer{}
+	p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", Stretch: 2, Attempts: 3}, a.take)
+	p.run(400 * time.Millisecond)
+	p.is.Equal(a.Outcome, dispatch.Accepted)
+	p.is.Equal(len(p.starts), 0)
+	p.run(400 * time.Millisecond)
+	p.is.Equal(len(p.starts), 2)
+	p.run(time.Second)
+	p.is.Equal(len(p.starts), 4)
+	p.takeOver(200, 0)
+	p.run(3 * time.Second)
+	p.is.Equal(len(p.starts), 6)
+	for id, n := range p.starts {
+		if n != 1 {
+			t.Errorf("task %v was started %d times", id, n)
+		}
+	}
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
+
+// Guards against the state of a finished job that is told for less than is promised, and records that are kept for ever.
+func TestFinishedJobsAreForgotten(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 1000))
+	p.run(time.Minute)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.run(time.Minute)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobUnknown)
+	for key := range p.store {
+		if key.Key == jobA {
+			t.Errorf("record %v is kept", key)
+		}
+	}
+}
+
+// Guards against a share of processors for fillers that harms the tasks beside them, and one that never comes back.
+func TestFillersGiveWay(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	served := lasting(1)
+	served.TailTarget = 100 * time.Millisecond
+	filler := lasting(1)
+	filler.Filler = true
+	p.submit(jobA, served, filler)
+	p.run(2 * time.Second)
+	p.is.Equal(p.running(), 2)
+	p.gauge = 150 // over its target
+	p.run(1500 * time.Millisecond)
+	p.is.Equal(p.share, 0)
+	p.gauge = 20
+	p.run(15 * time.Second)
+	p.is.Equal(p.share, 100)
+}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -73,6 +73,8 @@
 	over    int // starts that brought a worker over its capacity
 	specs   map[string]*cuminstair.JobSpec
 	confirm time.Time
+	gauge   float64 // tail of tasks with a target, in milliseconds
+	share   int     // that the last order gave a filler
 }
 
 func newPool(t *testing.T, workers int) *pool {
@@ -232,6 +234,7 @@
 	case dispatch.OrderHold:
 		p.hold(w, o)
 	case dispatch.OrderPace:
+		p.share = o.Percent
 	}
 }
 
@@ -296,7 +299,7 @@
 		} else if p.now.Sub(x.started) < startup {
 			percent = 0
 		}
-		r.Running = append(r.Running, cuminstair.RunningTask{Task: id, Run: x.run, Percent: percent})
+		r.Running = append(r.Running, cuminstair.RunningTask{Task: id, Run: x.run, Percent: percent, Gauge: p.gauge})
 	}
 	p.answer(o, nil, &r)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -38,6 +38,8 @@
 	// storeGrace is how long an owner goes on without a sign that it still is the owner.
 	storeGrace = 6 * time.Second
 	tickEvery  = 40 * time.Millisecond
+	// askPeerEvery is how long the same daemon is asked for an owner that is not known.
+	askPeerEvery = 50 * time.Millisecond
 	// hintTime is how long a daemon that can't read the owner records believes what others told it.
 	hintTime = 10 * time.Second
 )
@@ -226,10 +228,10 @@
 		if h, ok := d.hints[service]; ok && now.Sub(h.at) < hintTime {
 			return nil, h.addr
 		}
-		if o, _ := d.view.Owner(service); o.Name != d.Settings.Name {
+		if o, _ := d.view.Owner(service); o.Name != "" && o.Name != d.Settings.Name {
 			return nil, o.Addr
 		}
-		return nil, ""
+		return nil, d.anyPeer(now)
 	}
 	if o, ok := d.view.Live(now, service); ok && o.Name != d.Settings.Name {
 		return nil, o.Addr
@@ -237,6 +239,16 @@
 	return nil, ""
 }
 
+// anyPeer returns the address of another daemon, which may know the owner that this one does not; a different one from
+// time to time.
+func (d *Daemon) anyPeer(now time.Time) string {
+	nodes := d.view.Nodes(now)
+	if len(nodes) == 0 {
+		return ""
+	}
+	return nodes[int(now.UnixMilli()/askPeerEvery.Milliseconds())%len(nodes)].Addr
+}
+
 // heard notes where another daemon says that the owner of a service is.
 func (d *Daemon) heard(service, addr string) {
 	if addr == "" || addr == d.addr {
