--- a/intake/intake.go
+++ b/admission/admission.go
@@ -1,6 +1,6 @@
-// Package intake decides whether a new job can end within its objective. It answers demand that asks for a multiple of
+// Package admission decides whether a new job can end within its objective. It answers demand that asks for a multiple of
 // the pool for some seconds: work that would end late is refused at once, so that what is accepted ends in time.
-package intake
+package admission
 
 import (
 	"sort"
--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,62 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair/admission"
+)
+
+var now = time.Unix(1000, 0)
+
+func in(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+
+// Guards against refusals while the pool can do the work in time, and acceptance when it can't.
+func TestDecide(t *testing.T) {
+	pool := admission.Pool{Cores: 100, Share: 1}
+	for _, c := range []struct {
+		name   string
+		load   []admission.Load
+		ask    admission.Ask
+		pool   admission.Pool
+		accept bool
+	}{
+		{"empty pool", nil, admission.Ask{Due: in(2), Work: 150, Chain: time.Second}, pool, true},
+		{"chain longer than the objective", nil, admission.Ask{Due: in(2), Work: 1, Chain: 3 * time.Second}, pool, false},
+		{"work ahead leaves room", []admission.Load{{Due: in(1), Work: 90}}, admission.Ask{Due: in(3), Work: 50, Chain: time.Second}, pool, true},
+		{"work ahead leaves none", []admission.Load{{Due: in(1), Work: 90}, {Due: in(2), Work: 110}}, admission.Ask{Due: in(2.5), Work: 60, Chain: time.Second}, pool, false},
+		{"would make later work late", []admission.Load{{Due: in(4), Work: 390}}, admission.Ask{Due: in(2), Work: 50, Chain: time.Second}, pool, false},
+		{"late work gives way", []admission.Load{{Due: in(-1), Work: 500, Late: true}, {Due: in(2), Work: 100}}, admission.Ask{Due: in(3), Work: 50, Chain: time.Second}, pool, true},
+		{
+			"later steps stand less in the way",
+			[]admission.Load{{Due: in(2.5), Work: 60}},
+			admission.Ask{Due: in(3), Work: 100, Chain: 2500 * time.Millisecond, Width: 40},
+			admission.Pool{Cores: 100, Share: 1, Free: 50},
+			true,
+		},
+		{
+			"but work that could run does",
+			[]admission.Load{{Due: in(2.5), Work: 150, Front: 100}},
+			admission.Ask{Due: in(3), Work: 100, Chain: 2500 * time.Millisecond, Width: 40},
+			admission.Pool{Cores: 100, Share: 1},
+			false,
+		},
+		{
+			"workers on their way",
+			[]admission.Load{{Due: in(2), Work: 190}},
+			admission.Ask{Due: in(3), Work: 150, Chain: time.Second},
+			admission.Pool{Cores: 100, More: 100, Delay: time.Second, Share: 1},
+			true,
+		},
+		{"no workers", nil, admission.Ask{Due: in(2), Work: 1, Chain: time.Second}, admission.Pool{Share: 1}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			v := admission.Decide(now, c.pool, c.load, c.ask)
+			is.Equal(v.Accept, c.accept)
+			is.Equal(v.Wait == 0, c.accept) // a refusal says when room is expected
+		})
+	}
+}
--- a/cmd/cuminstairjobs/fleet_test.go
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -82,15 +83,30 @@
 	return f
 }
 
-// freePort returns a port that nobody listens on now.
+// Ports of the daemons. They lie below those that the system gives to outgoing connections, one of which could take the
+// port of a daemon that is down.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+var nextPort atomic.Int64
+
+// freePort returns a port that nobody listens on and that no other daemon of this run has.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	nextPort.CompareAndSwap(0, firstPort+int64(os.Getpid()*37%(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := int(nextPort.Add(1)-firstPort)%(lastPort-firstPort) + firstPort
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return port
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	t.Fatal("no free port")
+	return 0
 }
 
 func (f *fleet) newDaemon(i int) *daemon {
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -16,7 +16,7 @@
 	runs    map[*job]cuminstair.JobState // state as written
 	swept   []*job
 	seen    map[*worker]mark // ends that are counted once the batch is stored
-	crew    []*worker
+	workers []*worker
 }
 
 // mark is a position in the ends of one life of a worker.
@@ -35,7 +35,7 @@
 	if s.deposed {
 		return nil
 	}
-	if len(s.dirty) == 0 && !s.crewDirty {
+	if len(s.dirty) == 0 && !s.workersDirty {
 		// Ends that change no record are as good as stored.
 		for _, w := range s.workers {
 			w.stored = w.processed
@@ -46,8 +46,8 @@
 	}
 	s.lastBatch = now
 	b := &Batch{runs: map[*job]cuminstair.JobState{}, seen: map[*worker]mark{}}
-	if s.crewDirty {
-		s.putCrew(b)
+	if s.workersDirty {
+		s.putWorkers(b)
 	}
 	size := 0
 	rest := s.dirty[:0]
@@ -70,13 +70,13 @@
 
 // due tells whether a batch should be written now.
 func (s *Service) due(now time.Time) bool {
-	if len(s.dirty) == 0 && !s.crewDirty && now.Sub(s.swept) < sweepEvery {
+	if len(s.dirty) == 0 && !s.workersDirty && now.Sub(s.swept) < sweepEvery {
 		return false
 	}
 	if now.Sub(s.lastBatch) >= batchGap {
 		return true
 	}
-	if s.crewDirty {
+	if s.workersDirty {
 		return true
 	}
 	for _, j := range s.dirty {
@@ -114,38 +114,38 @@
 	return cuminstair.RecordKey{Table: table, Part: s.Name, Key: key}
 }
 
-func (s *Service) putCrew(b *Batch) {
-	s.crewDirty = false
-	r := crewRecord{Ratio: s.ratio, Patience: s.patience.Milliseconds(), Cores: s.mostCores}
+func (s *Service) putWorkers(b *Batch) {
+	s.workersDirty = false
+	r := workersRecord{Ratio: s.ratio, Objective: s.meanObjective.Milliseconds(), Cores: s.mostCores}
 	for id, w := range s.workers {
 		if w.gone && len(w.attempts) == 0 {
 			continue
 		}
-		r.Workers = append(r.Workers, crewWorker{ID: id, Addr: w.info.Addr, Born: w.info.Born, Host: w.info.Host})
-		b.crew = append(b.crew, w)
+		r.Workers = append(r.Workers, workerRecord{ID: id, Addr: w.info.Addr, Born: w.info.Born, Host: w.info.Host})
+		b.workers = append(b.workers, w)
 	}
 	// This type always encodes.
 	data, _ := json.Marshal(r)
-	b.Puts = append(b.Puts, s.put(CrewTable, crewKey, data))
+	b.Puts = append(b.Puts, s.put(WorkerTable, workersKey, data))
 }
 
-// recoverCrew takes the record of the workers that an earlier owner may have used, and of what it had learned.
-func (s *Service) recoverCrew(r cuminstair.Record) {
-	var c crewRecord
+// recoverWorkers takes the record of the workers that an earlier owner may have used, and of what it had learned.
+func (s *Service) recoverWorkers(r cuminstair.Record) {
+	var c workersRecord
 	if err := json.Unmarshal(r.Value, &c); err != nil {
-		s.Log.Error("dispatch: can't read the crew", "service", s.Name, "version", r.Version, "error", err)
+		s.Log.Error("dispatch: can't read the record of workers", "service", s.Name, "version", r.Version, "error", err)
 		return
 	}
 	for _, x := range c.Workers {
 		w := newWorker(cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Born: x.Born, Host: x.Host})
 		w.recorded = true
 		s.workers[x.ID] = w
-		s.crew[x.ID] = true
+		s.inherited[x.ID] = true
 	}
 	for queue, ratio := range c.Ratio {
 		s.ratio[queue] = ratio
 	}
-	s.patience, s.mostCores = time.Duration(c.Patience)*time.Millisecond, c.Cores
+	s.meanObjective, s.mostCores = time.Duration(c.Objective)*time.Millisecond, c.Cores
 }
 
 // sweep removes jobs whose state need not be told any more.
@@ -199,7 +199,7 @@
 			w.next = now
 		}
 	}
-	for _, w := range b.crew {
+	for _, w := range b.workers {
 		if !w.recorded {
 			w.recorded = true
 			s.changed = true
@@ -215,8 +215,8 @@
 	for j := range b.runs {
 		s.touch(j)
 	}
-	if len(b.crew) > 0 {
-		s.crewDirty = true
+	if len(b.workers) > 0 {
+		s.workersDirty = true
 	}
 }
 
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -126,6 +126,7 @@
 				s.Log.Info("dispatch: task stands still", "service", s.Name, "job", a.id.Job, "step", a.id.Step,
 					"task", a.id.Index, "run", a.run, "worker", w.info.ID, "percent", a.percent)
 				w.blocked = now.Add(firstBlock * 4)
+				a.task.stuck++
 				s.stop(now, a)
 			}
 		}
@@ -137,6 +138,9 @@
 	stuckFactor  = 2.5
 	stuckAtLeast = 1500 * time.Millisecond
 	stuckStart   = 4 * time.Second
+	// stuckShare is the part of that time in which its progress must not have risen.
+	stuckShare     = 0.3
+	stuckDoublings = 5
 )
 
 // stuck tells whether a task makes no progress.
@@ -144,11 +148,14 @@
 	if a.task == nil || a.moved.IsZero() || a.worker.suspect() || now.Sub(a.worker.held) > renewEvery+holdWait {
 		return false
 	}
-	if a.task.step.Lasting {
+	if a.task.step.LongRunning {
 		return a.percent < 100 && now.Sub(a.answered) > stuckStart
 	}
-	limit := max(stuckAtLeast, time.Duration(stuckFactor*0.3*float64(a.expected)))
-	return now.Sub(a.moved) > limit && now.Sub(a.answered) > time.Duration(stuckFactor*float64(a.expected))
+	// A task that was stopped for this before may just be long: each time it is given twice as much.
+	times := time.Duration(1) << min(a.task.stuck, stuckDoublings)
+	still := times * max(stuckAtLeast, time.Duration(stuckFactor*stuckShare*float64(a.expected)))
+	age := times * time.Duration(stuckFactor*float64(a.expected))
+	return now.Sub(a.moved) > still && now.Sub(a.answered) > age
 }
 
 // holdAll renews leases, reads lists and acknowledges ends.
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -13,8 +13,8 @@
 	rateBucket = 100 * time.Millisecond
 	// leastTime is the least time in which accepted work is asked to be done.
 	leastTime = 1200 * time.Millisecond
-	// patienceWeight is the weight of a new job in the mean of objectives.
-	patienceWeight = 0.1
+	// objectiveWeight is the weight of a new job in the mean of objectives.
+	objectiveWeight = 0.1
 	// availableShare is how many of the hosts that could be sent are counted on, and availableDelay when they take tasks.
 	availableShare = 0.6
 	availableDelay = 2300 * time.Millisecond
@@ -24,17 +24,17 @@
 
 // Demand is what a service asks of its pool.
 type Demand struct {
-	Rate    float64  `json:"rate"`              // cores that the work handed in during the last second would keep busy
-	Backlog float64  `json:"backlog"`           // cores that do the accepted work in time
-	Active  float64  `json:"active"`            // cores of the short tasks that run or could run
-	Spread  int      `json:"spread,omitempty"`  // workers that the widest step needs because its tasks keep apart
-	Lasting float64  `json:"lasting,omitempty"` // cores of lasting tasks
-	Anchors int      `json:"anchors,omitempty"` // workers with lasting tasks
-	Workers int      `json:"workers"`           // that take tasks
-	Cores   float64  `json:"cores"`             // of one worker
-	Idle    []string `json:"idle,omitempty"`    // workers without tasks, the longest idle first
-	// Patience is the mean objective of jobs in milliseconds, 0 if none has come yet.
-	Patience int64 `json:"patience,omitempty"`
+	Rate        float64  `json:"rate"`             // cores that the work handed in during the last second would keep busy
+	Backlog     float64  `json:"backlog"`          // cores that do the accepted work in time
+	Active      float64  `json:"active"`           // cores of the short tasks that run or could run
+	Spread      int      `json:"spread,omitempty"` // workers that the widest step needs because its tasks keep apart
+	LongRunning float64  `json:"long,omitempty"`   // cores of long-running tasks
+	Pinned      int      `json:"pinned,omitempty"` // workers with long-running tasks
+	Workers     int      `json:"workers"`          // that take tasks
+	Cores       float64  `json:"cores"`            // of one worker
+	Idle        []string `json:"idle,omitempty"`   // workers without tasks, the longest idle first
+	// Objective is the mean objective of jobs in milliseconds, 0 if none has come yet.
+	Objective int64 `json:"objective,omitempty"`
 }
 
 // offer notes work that a caller hands in for the first time.
@@ -68,7 +68,7 @@
 			d.Rate += o.work / rateWindow.Seconds()
 		}
 	}
-	d.Patience = s.patience.Milliseconds()
+	d.Objective = s.meanObjective.Milliseconds()
 	load := s.load(now)
 	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
 	work := 0.0
@@ -86,15 +86,15 @@
 		if w.usable(now) {
 			d.Workers++
 		}
-		lasting := false
+		longRunning := false
 		for _, a := range w.attempts {
-			if a.task != nil && a.task.step.Lasting {
-				lasting = true
-				d.Lasting += s.cores(&a.task.step.JobStep)
+			if a.task != nil && a.task.step.LongRunning {
+				longRunning = true
+				d.LongRunning += s.cores(&a.task.step.JobStep)
 			}
 		}
-		if lasting {
-			d.Anchors++
+		if longRunning {
+			d.Pinned++
 		}
 		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() {
 			idle = append(idle, w)
@@ -117,7 +117,7 @@
 func (s *Service) activity() (cores float64, spread int) {
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
-			if a.task != nil && !a.task.step.Lasting {
+			if a.task != nil && !a.task.step.LongRunning {
 				cores += s.cores(&a.task.step.JobStep)
 			}
 		}
@@ -129,7 +129,7 @@
 				waiting++
 			}
 		}
-		if !st.Lasting {
+		if !st.LongRunning {
 			cores += float64(waiting) * s.cores(&st.JobStep)
 		}
 		if st.PerWorker > 0 {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -161,7 +161,7 @@
 func TestCutWorkerKeepsItsTasksUntilTheLeaseIsOver(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3))
+	p.submit(jobA, longRunning(3))
 	p.run(2 * time.Second)
 	p.is.Equal(p.running(), 3)
 	for _, w := range p.workers {
@@ -175,12 +175,12 @@
 	p.is.Equal(p.running(), 3) // started again elsewhere
 }
 
-// Guards against leases that are extended by tries that fail: on scale-1 of ladle-sched a lasting task of a worker that
+// Guards against leases that are extended by tries that fail: on scale-1 of ladle-sched a long-running task of a worker that
 // had crashed was not started again.
 func TestDeadWorkerLosesItsLease(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3))
+	p.submit(jobA, longRunning(3))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		if len(w.runs) > 0 {
@@ -197,7 +197,7 @@
 func TestUnconfirmedOwnerDoesNotStartAgain(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3))
+	p.submit(jobA, longRunning(3))
 	p.run(2 * time.Second)
 	p.s.Grace = time.Hour
 	confirmed := p.now
@@ -235,7 +235,7 @@
 func TestTakeoverWaitsForWorkersThatDoNotAnswer(t *testing.T) {
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2))
+	p.submit(jobA, longRunning(2))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		w.cut = len(w.runs) > 0
@@ -252,7 +252,7 @@
 func TestUnconfirmedTakeoverDoesNotStartAgain(t *testing.T) {
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2))
+	p.submit(jobA, longRunning(2))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		w.cut = len(w.runs) > 0 // for this owner; another one holds it
@@ -274,7 +274,7 @@
 func TestUnchallengedOwnerGoesOn(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2))
+	p.submit(jobA, longRunning(2))
 	p.run(2 * time.Second)
 	p.takeOver(200, 6*time.Second)
 	p.run(100 * time.Millisecond)
@@ -292,7 +292,7 @@
 func TestStopIsOrderedAtOnce(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(2))
+	p.submit(jobA, longRunning(2))
 	p.run(2 * time.Second)
 	p.s.Cancel(p.now, jobA, func(dispatch.Result) {})
 	p.run(2*tick + stopGrace/4)
@@ -319,7 +319,7 @@
 func TestCancelStopsAJob(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(4))
+	p.submit(jobA, longRunning(4))
 	p.run(2 * time.Second)
 	a := &answer{}
 	p.s.Cancel(p.now, jobA, a.take)
@@ -334,11 +334,11 @@
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCancelled)
 }
 
-// Guards against upkeep that takes more of a lasting step away than it may miss.
+// Guards against maintenance that takes more of a long-running step away than it may miss.
 func TestCordonMovesLastingTasksOneByOne(t *testing.T) {
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(4))
+	p.submit(jobA, longRunning(4))
 	p.run(3 * time.Second)
 	var ids []string
 	for _, w := range p.workers {
@@ -360,11 +360,11 @@
 	p.is.Equal(p.running(), 4)
 }
 
-// Guards against new tasks on a worker that leaves, and lasting tasks that end with it.
+// Guards against new tasks on a worker that leaves, and long-running tasks that end with it.
 func TestLeavingWorkerIsEmptied(t *testing.T) {
 	p := newPool(t, 3)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(3))
+	p.submit(jobA, longRunning(3))
 	p.run(2 * time.Second)
 	leaving := ""
 	for i, w := range p.workers {
@@ -386,7 +386,7 @@
 func TestRebornWorker(t *testing.T) {
 	p := newPool(t, 2)
 	p.run(200 * time.Millisecond)
-	p.submit(jobA, lasting(4))
+	p.submit(jobA, longRunning(4))
 	p.run(2 * time.Second)
 	for _, w := range p.workers {
 		if len(w.runs) == 0 {
@@ -540,15 +540,15 @@
 	}
 }
 
-// Guards against a share of processors for fillers that harms the tasks beside them, and one that never comes back.
+// Guards against a share of processors for best-effort task that harms the tasks beside them, and one that never comes back.
 func TestFillersGiveWay(t *testing.T) {
 	p := newPool(t, 1)
 	p.run(200 * time.Millisecond)
-	served := lasting(1)
+	served := longRunning(1)
 	served.TailTarget = 100 * time.Millisecond
-	filler := lasting(1)
-	filler.Filler = true
-	p.submit(jobA, served, filler)
+	bestEffort := longRunning(1)
+	bestEffort.BestEffort = true
+	p.submit(jobA, served, bestEffort)
 	p.run(2 * time.Second)
 	p.is.Equal(p.running(), 2)
 	p.gauge = 150 // over its target
@@ -558,3 +558,14 @@
 	p.run(15 * time.Second)
 	p.is.Equal(p.share, 100)
 }
+
+// Guards against a long task that is stopped again and again because its progress rises slowly: the day hunt-37bc-7 of
+// cmlb-tannery-grown stopped one every 2.65 s.
+func TestLongTaskEnds(t *testing.T) {
+	p := newPool(t, 3)
+	p.length = func(cuminstair.TaskID) time.Duration { return 4 * time.Minute }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 1000)) // expected to take 0.6 s
+	p.run(5 * time.Minute)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -63,7 +63,7 @@
 	}
 	switch e.How {
 	case cuminstair.EndDone:
-		if t.step.Lasting {
+		if t.step.LongRunning {
 			break // it is started again, however it ended
 		}
 		s.done(now, t)
@@ -73,7 +73,7 @@
 		return
 	case cuminstair.EndFailed:
 		t.avoid = w.info.ID
-		if t.step.Lasting {
+		if t.step.LongRunning {
 			break
 		}
 		if slices.Contains(t.failed, e.Run) {
@@ -163,7 +163,7 @@
 		return
 	}
 	t.at = nil
-	if t.step.Lasting && t.away.IsZero() {
+	if t.step.LongRunning && t.away.IsZero() {
 		t.away = now
 	}
 	if t.done || t.step.occ.job.over() {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -5,7 +5,7 @@
 // cordonFor is how long a worker gets no tasks after it was last asked for.
 const cordonFor = 2 * time.Second
 
-// Cordon keeps new tasks away from workers whose hosts are due for upkeep or a move, and moves what lasts away from
+// Cordon keeps new tasks away from workers whose hosts are due for maintenance or a move, and moves what lasts away from
 // them. It returns the workers that are idle, so that the host may be taken; it has to be called again and again until
 // then. A worker that is not known counts as idle only once everything of earlier owners is known.
 func (s *Service) Cordon(now time.Time, ids []string) (idle []string) {
@@ -26,7 +26,7 @@
 	return idle
 }
 
-// evacuate moves lasting tasks away from workers that leave or are cordoned.
+// evacuate moves long-running tasks away from workers that leave or are cordoned.
 func (s *Service) evacuate(now time.Time) {
 	if s.stopping {
 		return
@@ -36,7 +36,7 @@
 			continue
 		}
 		for _, a := range w.attempts {
-			if a.task == nil || !a.task.step.Lasting || !a.stop.IsZero() || a.answered.IsZero() {
+			if a.task == nil || !a.task.step.LongRunning || !a.stop.IsZero() || a.answered.IsZero() {
 				continue
 			}
 			if w.leaving.IsZero() && !s.mayMove(a.task) {
@@ -50,7 +50,7 @@
 	}
 }
 
-// mayMove tells whether planned work may take a lasting task away now.
+// mayMove tells whether planned work may take a long-running task away now.
 func (s *Service) mayMove(t *task) bool {
 	away := 0
 	for _, o := range t.step.tasks {
@@ -61,10 +61,10 @@
 	return away < max(1, t.step.MayMiss)
 }
 
-// move stops a lasting task, which is then started on another worker.
+// move stops a long-running task, which is then started on another worker.
 func (s *Service) move(now time.Time, a *attempt) {
 	a.task.away, a.task.moved = now, true
-	s.Log.Info("dispatch: moving a lasting task", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+	s.Log.Info("dispatch: moving a long-running task", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", a.worker.info.ID, "leaving", !a.worker.leaving.IsZero())
 	s.stop(now, a)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -16,7 +16,7 @@
 	shown    cuminstair.JobState // the state that the store has
 	sent     time.Time           // when it was first handed in, refused sendings included
 	arrived  time.Time           // when the sending that was accepted came
-	due      time.Time           // end of its objective; for lasting jobs unused
+	due      time.Time           // end of its objective; for long-running jobs unused
 	runs     []*occurrence       // in the order of their numbers
 	next     int                 // occurrences before it have been created
 	stored   bool                // the store has the job
@@ -58,42 +58,43 @@
 	run        int64   // highest run that was started or seen
 	checkpoint string  // newest that is known
 	at         *attempt
+	stuck      int       // times that it was stopped because it made no progress
 	avoid      string    // worker on which the last run failed
-	away       time.Time // of a lasting task: since when it is not at work; zero: at work
+	away       time.Time // of a long-running task: since when it is not at work; zero: at work
 	moved      bool      // it is away because of an order of the owner
 }
 
 // attempt is a run of a task on a worker. It holds its room there until its end is certain.
 type attempt struct {
-	task     *task // nil for a run that should not be there
-	id       cuminstair.TaskID
-	run      int64
-	worker   *worker
-	room     place.Room
-	lasting  bool
-	filler   bool
-	sent     time.Time     // when the order was sent, or the run first seen
-	answered time.Time     // when the order was answered or the run seen; zero: not yet
-	seen     bool          // the worker has listed it as running
-	missing  int           // reports in a row that should have listed it and did not
-	percent  int           // progress as reported
-	moved    time.Time     // when percent last rose
-	gauge    float64       // as reported
-	share    int           // percent of its processors that a filler may use
-	paced    time.Time     // when share was last ordered
-	stop     time.Time     // when its stop was last ordered; zero: none
-	barred   time.Time     // when the worker confirmed the stop; zero: not yet
-	expected time.Duration // duration that was expected at the start
-	resumed  bool          // it was started from a checkpoint
+	task        *task // nil for a run that should not be there
+	id          cuminstair.TaskID
+	run         int64
+	worker      *worker
+	room        place.Room
+	longRunning bool
+	bestEffort  bool
+	sent        time.Time     // when the order was sent, or the run first seen
+	answered    time.Time     // when the order was answered or the run seen; zero: not yet
+	seen        bool          // the worker has listed it as running
+	missing     int           // reports in a row that should have listed it and did not
+	percent     int           // progress as reported
+	moved       time.Time     // when percent last rose
+	gauge       float64       // as reported
+	share       int           // percent of its processors that a best-effort task may use
+	paced       time.Time     // when share was last ordered
+	stop        time.Time     // when its stop was last ordered; zero: none
+	barred      time.Time     // when the worker confirmed the stop; zero: not yet
+	expected    time.Duration // duration that was expected at the start
+	resumed     bool          // it was started from a checkpoint
 }
 
 func newJob(id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue) *job {
 	return &job{id: id, spec: spec, queue: queue, state: cuminstair.JobQueued, shown: cuminstair.JobUnknown}
 }
 
-func (j *job) lasting() bool {
+func (j *job) longRunning() bool {
 	for i := range j.spec.Steps {
-		if j.spec.Steps[i].Lasting {
+		if j.spec.Steps[i].LongRunning {
 			return true
 		}
 	}
@@ -163,7 +164,7 @@
 // room is what a task takes from a worker.
 func (s *step) room() place.Room {
 	r := place.Room{CPU: s.CPU, Memory: s.Memory, Accel: s.Accel}
-	if s.Filler {
+	if s.BestEffort {
 		r.CPU = 0
 	}
 	return r
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -9,26 +9,26 @@
 	tailHigh   = 0.75
 	tailLow    = 0.5
 	shareStep  = 10 // percent
-	shareLeast = 12 // percent; below it a filler stands still
+	shareLeast = 12 // percent; below it a best-effort task stands still
 	paceDown   = 300 * time.Millisecond
 	paceUp     = 900 * time.Millisecond
 )
 
-// paceAll sets the share of the fillers on each worker.
+// paceAll sets the share of the best-effort task on each worker.
 func (s *Service) paceAll(now time.Time) {
 	for _, w := range s.workers {
 		worst := 0.0
-		fillers := 0
+		bestEffort := 0
 		for _, a := range w.attempts {
 			switch {
 			case a.task == nil:
-			case a.task.step.Filler:
-				fillers++
+			case a.task.step.BestEffort:
+				bestEffort++
 			case a.task.step.TailTarget > 0:
 				worst = max(worst, a.gauge/float64(a.task.step.TailTarget.Milliseconds()))
 			}
 		}
-		if fillers > 0 {
+		if bestEffort > 0 {
 			s.paceWorker(now, w, worst)
 		}
 	}
@@ -36,7 +36,7 @@
 
 func (s *Service) paceWorker(now time.Time, w *worker, worst float64) {
 	for _, a := range w.attempts {
-		if a.task == nil || !a.task.step.Filler || a.answered.IsZero() || !a.stop.IsZero() {
+		if a.task == nil || !a.task.step.BestEffort || a.answered.IsZero() || !a.stop.IsZero() {
 			continue
 		}
 		share := nextShare(a.share, worst, now.Sub(a.paced))
@@ -45,11 +45,11 @@
 		}
 		a.share, a.paced = share, now
 		s.orders = append(s.orders, Order{Kind: OrderPace, Worker: w.info, Task: a.id, Run: a.run, Token: s.Token, Percent: share, attempt: a})
-		s.Log.Debug("dispatch: filler is paced", "service", s.Name, "job", a.id.Job, "worker", w.info.ID, "share", share, "tail", worst)
+		s.Log.Debug("dispatch: best-effort task is paced", "service", s.Name, "job", a.id.Job, "worker", w.info.ID, "share", share, "tail", worst)
 	}
 }
 
-// nextShare returns the share of a filler, from the worst tail beside it as a part of its target.
+// nextShare returns the share of a best-effort task, from the worst tail beside it as a part of its target.
 func nextShare(share int, worst float64, since time.Duration) int {
 	switch {
 	case worst > tailHigh && since >= paceDown && share > 0:
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -77,11 +77,11 @@
 
 // before orders steps: what lasts, then what can be in time by the time that is left, then what is late.
 func before(now time.Time, a, b *step) bool {
-	if a.Lasting != b.Lasting {
-		return a.Lasting
+	if a.LongRunning != b.LongRunning {
+		return a.LongRunning
 	}
-	if a.Filler != b.Filler {
-		return b.Filler
+	if a.BestEffort != b.BestEffort {
+		return b.BestEffort
 	}
 	aLate, bLate := a.latest.Before(now), b.latest.Before(now)
 	if aLate != bLate {
@@ -147,7 +147,7 @@
 }
 
 func (s *Service) neighbours(st *step) neighbours {
-	if st.PerWorker == 0 && !st.Lasting {
+	if st.PerWorker == 0 && !st.LongRunning {
 		return neighbours{}
 	}
 	n := neighbours{workers: map[*worker]int{}, racks: map[string]int{}}
@@ -202,7 +202,7 @@
 
 // choose returns the worker for a task, or nil.
 func (s *Service) choose(st *step, t *task, near neighbours) *worker {
-	want := place.Want{Room: st.room(), Spread: st.Lasting, Quiet: st.Lasting || st.Filler}
+	want := place.Want{Room: st.room(), Spread: st.LongRunning, Quiet: st.LongRunning || st.BestEffort}
 	var best *worker
 	low := 0.0
 	for _, w := range s.around {
@@ -210,14 +210,14 @@
 			continue
 		}
 		c := place.Candidate{
-			Free: w.free(), Total: w.total, Slow: max(1, w.slow), Lasting: w.lasting, Same: near.workers[w],
+			Free: w.free(), Total: w.total, Slow: max(1, w.slow), LongRunning: w.longRunning, Same: near.workers[w],
 			SameRack: near.racks[w.info.Rack], Far: st.DataRack != "" && st.DataRack != w.info.Rack,
 		}
 		if st.PerWorker > 0 && c.Same >= st.PerWorker {
 			continue
 		}
-		if c.Shared = w.fillers; st.Filler {
-			c.Shared = w.lasting
+		if c.Shared = w.bestEffort; st.BestEffort {
+			c.Shared = w.longRunning
 		}
 		if score, ok := place.Score(&want, &c); ok && (best == nil || score < low) {
 			best, low = w, score
@@ -230,7 +230,7 @@
 	j, st := t.step.occ.job, t.step
 	t.run = run
 	a := &attempt{
-		task: t, id: t.id, run: run, room: st.room(), lasting: st.Lasting, filler: st.Filler, sent: now, share: 100,
+		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort, sent: now, share: 100,
 		expected: s.length(j, st.index), resumed: t.checkpoint != "",
 	}
 	t.at = a
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -74,7 +74,7 @@
 	specs   map[string]*cuminstair.JobSpec
 	confirm time.Time
 	gauge   float64 // tail of tasks with a target, in milliseconds
-	share   int     // that the last order gave a filler
+	share   int     // that the last order gave a best-effort task
 }
 
 func newPool(t *testing.T, workers int) *pool {
@@ -111,7 +111,7 @@
 	p.s.Challenge, p.s.Grace = challenge, 6*time.Second
 	p.batch = nil
 	p.confirm = p.now
-	var jobs, runs, crew []cuminstair.Record
+	var jobs, runs, workers []cuminstair.Record
 	for key, value := range p.store {
 		r := cuminstair.Record{RecordKey: key, Value: value}
 		switch key.Table {
@@ -119,11 +119,11 @@
 			jobs = append(jobs, r)
 		case dispatch.RunTable:
 			runs = append(runs, r)
-		case dispatch.CrewTable:
-			crew = append(crew, r)
+		case dispatch.WorkerTable:
+			workers = append(workers, r)
 		}
 	}
-	p.s.Recover(p.now, jobs, runs, crew)
+	p.s.Recover(p.now, jobs, runs, workers)
 	p.s.SetWorkers(p.now, p.list)
 }
 
@@ -169,7 +169,7 @@
 				w.end(id, r, cuminstair.EndLapsed)
 			case !r.stopped.IsZero():
 				w.end(id, r, cuminstair.EndStopped)
-			case !p.step(id).Lasting && p.now.Sub(r.started) >= p.length(id):
+			case !p.step(id).LongRunning && p.now.Sub(r.started) >= p.length(id):
 				how := cuminstair.EndDone
 				if p.fails(id, w) {
 					how = cuminstair.EndFailed
@@ -294,8 +294,8 @@
 	r := cuminstair.WorkerReport{Clock: p.now.Sub(w.birth), Born: w.info.Born, Ended: append([]cuminstair.EndedTask(nil), w.ended...)}
 	for id, x := range w.runs {
 		percent := 100
-		if !p.step(id).Lasting {
-			percent = int(100 * p.now.Sub(x.started) / p.length(id))
+		if !p.step(id).LongRunning {
+			percent = min(99, int(100*p.now.Sub(x.started)/p.length(id)))
 		} else if p.now.Sub(x.started) < startup {
 			percent = 0
 		}
@@ -340,17 +340,17 @@
 	return cuminstair.JobStep{Count: count, CPU: cpu, Memory: 1000, Estimate: 600 * time.Millisecond}
 }
 
-// lastingCPU is what each lasting task takes.
+// lastingCPU is what each long-running task takes.
 const lastingCPU = 2000
 
-// lasting is a step that lasts, one task of which may be missed.
-func lasting(count int) cuminstair.JobStep {
+// long-running is a step that lasts, one task of which may be missed.
+func longRunning(count int) cuminstair.JobStep {
 	s := step(count, lastingCPU)
-	s.Lasting, s.MayMiss = true, 1
+	s.LongRunning, s.MayMiss = true, 1
 	return s
 }
 
-// atWork counts the lasting tasks of job A that have started up.
+// atWork counts the long-running tasks of job A that have started up.
 func (p *pool) atWork() int {
 	n := 0
 	for _, w := range p.workers {
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -15,9 +15,9 @@
 	JobTable = "job"
 	// RunTable has the progress of each job.
 	RunTable = "run"
-	// CrewTable has one record with the workers that may run tasks of the service.
-	CrewTable = "crew"
-	crewKey   = "crew"
+	// WorkerTable has one record with the workers that may run tasks of the service.
+	WorkerTable = "worker"
+	workersKey  = "worker"
 )
 
 // jobRecord is the value of a record of JobTable.
@@ -50,15 +50,15 @@
 	Checkpoint string  `json:"c,omitempty"`
 }
 
-// crewRecord is the value of the record of CrewTable.
-type crewRecord struct {
-	Workers  []crewWorker       `json:"workers"`
-	Ratio    map[string]float64 `json:"ratio,omitempty"`    // by queue: durations against estimates
-	Patience int64              `json:"patience,omitempty"` // mean objective in milliseconds
-	Cores    float64            `json:"cores,omitempty"`    // largest room of the pool so far
+// workersRecord is the value of the record of WorkerTable.
+type workersRecord struct {
+	Workers   []workerRecord     `json:"workers"`
+	Ratio     map[string]float64 `json:"ratio,omitempty"`     // by queue: durations against estimates
+	Objective int64              `json:"objective,omitempty"` // mean objective in milliseconds
+	Cores     float64            `json:"cores,omitempty"`     // largest room of the pool so far
 }
 
-type crewWorker struct {
+type workerRecord struct {
 	ID   string `json:"id"`
 	Addr string `json:"addr"`
 	Born int64  `json:"born"`
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -7,7 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/intake"
+	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/place"
 )
 
@@ -43,37 +43,37 @@
 	// Challenge is how long after the takeover an earlier owner may give orders; the leases of these run out after it.
 	Challenge time.Duration
 
-	taken      time.Time // when the service was taken over
-	confirmed  time.Time // when the store was last seen to name this owner
-	jobs       map[string]*job
-	active     map[string]*job // jobs that are stored and not over
-	workers    map[string]*worker
-	crew       map[string]bool // workers that an earlier owner may have used and that were not read yet
-	refused    map[string]time.Time
-	ready      []*step
-	around     []*worker  // that may be given tasks, for one decision
-	mostFree   place.Room // at most free on any of them
-	timed      []*job     // jobs with occurrences to come
-	dirty      []*job
-	orders     []Order
-	hostCPU    int // of the largest worker, thousandths of a core
-	hostMemory int // of the same worker, MB
-	offered    []offered
-	loads      []intake.Load // see recentLoad
-	loadsAt    time.Time
-	mostCores  float64            // largest room of the pool so far, in cores
-	incoming   int                // workers on their way to the pool
-	available  int                // hosts that could be sent to the pool
-	patience   time.Duration      // mean objective of jobs
-	ratio      map[string]float64 // by queue: how long tasks take against their estimates
-	crewDirty  bool
-	changed    bool // placement may find something new
-	deposed    bool
-	storeDown  bool
-	lastBatch  time.Time
-	swept      time.Time
-	stopping   bool
-	counts     Counts
+	taken         time.Time // when the service was taken over
+	confirmed     time.Time // when the store was last seen to name this owner
+	jobs          map[string]*job
+	active        map[string]*job // jobs that are stored and not over
+	workers       map[string]*worker
+	inherited     map[string]bool // workers that an earlier owner may have used and that were not read yet
+	refused       map[string]time.Time
+	ready         []*step
+	around        []*worker  // that may be given tasks, for one decision
+	mostFree      place.Room // at most free on any of them
+	timed         []*job     // jobs with occurrences to come
+	dirty         []*job
+	orders        []Order
+	hostCPU       int // of the largest worker, thousandths of a core
+	hostMemory    int // of the same worker, MB
+	offered       []offered
+	loads         []admission.Load // see recentLoad
+	loadsAt       time.Time
+	mostCores     float64            // largest room of the pool so far, in cores
+	incoming      int                // workers on their way to the pool
+	available     int                // hosts that could be sent to the pool
+	meanObjective time.Duration      // mean objective of jobs
+	ratio         map[string]float64 // by queue: how long tasks take against their estimates
+	workersDirty  bool
+	changed       bool // placement may find something new
+	deposed       bool
+	storeDown     bool
+	lastBatch     time.Time
+	swept         time.Time
+	stopping      bool
+	counts        Counts
 }
 
 // Counts are totals since the service was taken over.
@@ -85,15 +85,15 @@
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
 		Name: name, Token: token, Log: log, taken: now, jobs: map[string]*job{}, active: map[string]*job{},
-		workers: map[string]*worker{}, crew: map[string]bool{}, refused: map[string]time.Time{},
+		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]time.Time{},
 		ratio: map[string]float64{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
 // Recover takes the records of the service as they were at the takeover.
-func (s *Service) Recover(now time.Time, jobs, runs, crew []cuminstair.Record) {
-	for _, r := range crew {
-		s.recoverCrew(r)
+func (s *Service) Recover(now time.Time, jobs, runs, workers []cuminstair.Record) {
+	for _, r := range workers {
+		s.recoverWorkers(r)
 	}
 	progress := map[string][]byte{}
 	for _, r := range runs {
@@ -139,7 +139,7 @@
 	if s.confirmed.Sub(s.taken) >= s.Challenge+Lease+Lease*2/100+leaseMargin {
 		return true
 	}
-	for id := range s.crew {
+	for id := range s.inherited {
 		w, ok := s.workers[id]
 		if ok && !w.synced && !w.gone {
 			return false
@@ -155,20 +155,20 @@
 	s.changed = true
 }
 
-// Replaced tells a new owner which workers run on which hosts. A worker of the crew whose host has another one, or is on
-// its way to another pool or in upkeep, is gone. A worker that is merely missing from lists may live.
+// Replaced tells a new owner which workers run on which hosts. A worker of an earlier owner whose host has another one, or is on
+// its way to another pool or in maintenance, is gone. A worker that is merely missing from lists may live.
 func (s *Service) Replaced(now time.Time, hosts []cuminstair.HostRecord) {
 	byName := make(map[string]cuminstair.HostRecord, len(hosts))
 	for _, h := range hosts {
 		byName[h.Name] = h
 	}
-	for id := range s.crew {
+	for id := range s.inherited {
 		w, ok := s.workers[id]
 		if !ok || w.listed || w.synced || w.info.Host == "" {
 			continue
 		}
 		h, ok := byName[w.info.Host]
-		if ok && (h.State == "moving" || h.State == "upkeep" || (h.Worker != "" && h.Worker != id)) {
+		if ok && (h.Phase == cuminstair.PhaseMoving || h.Phase == cuminstair.PhaseMaintenance || (h.Worker != "" && h.Worker != id)) {
 			s.lifeOver(now, w, "its host has moved on")
 		}
 	}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/intake"
+	"cuminstair.org/cuminstair/admission"
 )
 
 // Times and shares of admission.
@@ -54,12 +54,12 @@
 		j.sent = first
 	}
 	j.due = s.objective(j, j.sent)
-	if _, again := s.refused[id]; !again && !j.lasting() {
+	if _, again := s.refused[id]; !again && !j.longRunning() {
 		s.offer(now, s.total(j))
-		if s.patience == 0 {
-			s.patience = j.due.Sub(now)
+		if s.meanObjective == 0 {
+			s.meanObjective = j.due.Sub(now)
 		}
-		s.patience += time.Duration(patienceWeight * float64(j.due.Sub(now)-s.patience))
+		s.meanObjective += time.Duration(objectiveWeight * float64(j.due.Sub(now)-s.meanObjective))
 	}
 	if r := s.admit(now, j); r.Outcome != Accepted {
 		s.refuse(now, id, r, reply)
@@ -90,14 +90,14 @@
 	if why := s.impossible(j); why != "" {
 		return Result{Outcome: Never, Wait: maxWait, Why: why}
 	}
-	if j.lasting() || j.spec.Repeats > 0 || j.spec.First > 0 {
+	if j.longRunning() || j.spec.Repeats > 0 || j.spec.First > 0 {
 		return Result{Outcome: Accepted}
 	}
-	ask := intake.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
+	ask := admission.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
 	ask.Work, ask.Width = s.total(j), s.firstWidth(j)
-	v := intake.Decide(now, s.pool(), s.recentLoad(now), ask)
+	v := admission.Decide(now, s.pool(), s.recentLoad(now), ask)
 	if v.Accept {
-		s.loads = append(s.loads, intake.Load{Due: ask.Due, Work: ask.Work, Front: ask.Width * s.length(j, 0).Seconds()})
+		s.loads = append(s.loads, admission.Load{Due: ask.Due, Work: ask.Work, Front: ask.Width * s.length(j, 0).Seconds()})
 		return Result{Outcome: Accepted}
 	}
 	wait := min(max(v.Wait, minWait), maxWait)
@@ -149,8 +149,8 @@
 }
 
 // pool is the room that short tasks may use.
-func (s *Service) pool() intake.Pool {
-	p := intake.Pool{Share: fillShare}
+func (s *Service) pool() admission.Pool {
+	p := admission.Pool{Share: fillShare}
 	largest := 0
 	for _, w := range s.workers {
 		largest = max(largest, w.total.CPU)
@@ -160,7 +160,7 @@
 		p.Cores += float64(w.total.CPU) / 1000
 		p.Free += w.freeCores()
 	}
-	p.Rest = time.Duration(restShare * float64(s.patience))
+	p.Rest = time.Duration(restShare * float64(s.meanObjective))
 	each := float64(largest) / 1000
 	p.More, p.Delay = float64(s.incoming)*each, incomingDelay
 	if more := availableShare * float64(s.available) * each; more > p.More {
@@ -169,7 +169,7 @@
 	for _, j := range s.active {
 		for _, o := range j.runs {
 			for _, st := range o.steps {
-				if st.Lasting && !st.Filler {
+				if st.LongRunning && !st.BestEffort {
 					p.Cores -= float64(st.left) * s.cores(&st.JobStep)
 				}
 			}
@@ -183,16 +183,16 @@
 const loadAge = 60 * time.Millisecond
 
 // recentLoad is the accepted work as it was a short time ago.
-func (s *Service) recentLoad(now time.Time) []intake.Load {
+func (s *Service) recentLoad(now time.Time) []admission.Load {
 	if now.Sub(s.loadsAt) > loadAge {
 		s.loads, s.loadsAt = s.load(now), now
 	}
 	return s.loads
 }
 
-// load is the accepted work that is not done. Lasting tasks are taken out of the pool instead.
-func (s *Service) load(now time.Time) []intake.Load {
-	var list []intake.Load
+// load is the accepted work that is not done. long-running tasks are taken out of the pool instead.
+func (s *Service) load(now time.Time) []admission.Load {
+	var list []admission.Load
 	for _, j := range s.jobs {
 		if j.over() || (j.stored && s.active[j.id] == nil) {
 			continue
@@ -200,7 +200,7 @@
 		work := 0.0
 		if len(j.runs) == 0 {
 			for i := range j.spec.Steps {
-				if !j.spec.Steps[i].Lasting {
+				if !j.spec.Steps[i].LongRunning {
 					work += s.work(j, i) * float64(j.spec.Steps[i].Count)
 				}
 			}
@@ -212,7 +212,7 @@
 			late = late || s.late(now, o)
 		}
 		if work > 0 {
-			list = append(list, intake.Load{Due: j.due, Work: work, Front: front, Late: late})
+			list = append(list, admission.Load{Due: j.due, Work: work, Front: front, Late: late})
 		}
 	}
 	return list
@@ -222,7 +222,7 @@
 func (s *Service) firstWidth(j *job) float64 {
 	width := 0.0
 	for i := range j.spec.Steps {
-		if st := &j.spec.Steps[i]; len(st.After) == 0 && !st.Filler {
+		if st := &j.spec.Steps[i]; len(st.After) == 0 && !st.BestEffort {
 			width += float64(st.Count) * s.cores(st)
 		}
 	}
@@ -233,7 +233,7 @@
 func (s *Service) front(o *occurrence) float64 {
 	work := 0.0
 	for _, st := range o.steps {
-		if !st.listed || st.Lasting {
+		if !st.listed || st.LongRunning {
 			continue
 		}
 		each := s.work(o.job, st.index)
@@ -260,7 +260,7 @@
 func (s *Service) left(now time.Time, o *occurrence) float64 {
 	work := 0.0
 	for _, st := range o.steps {
-		if st.Lasting || st.left == 0 {
+		if st.LongRunning || st.left == 0 {
 			continue
 		}
 		each := s.work(o.job, st.index)
@@ -299,7 +299,7 @@
 // memory, if these are more.
 func (s *Service) cores(st *cuminstair.JobStep) float64 {
 	cpu := float64(st.CPU)
-	if st.Filler {
+	if st.BestEffort {
 		cpu = 0
 	}
 	if s.hostMemory > 0 {
@@ -329,7 +329,7 @@
 // learn takes the duration of a task that has ended as done.
 func (s *Service) learn(now time.Time, a *attempt) {
 	t := a.task
-	if a.answered.IsZero() || t.step.Lasting || t.step.Estimate <= 0 || a.resumed {
+	if a.answered.IsZero() || t.step.LongRunning || t.step.Estimate <= 0 || a.resumed {
 		return
 	}
 	name := t.step.occ.job.queue.Name
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -11,18 +11,18 @@
 
 // worker is what the owner knows of a worker.
 type worker struct {
-	info     cuminstair.WorkerInfo
-	total    place.Room
-	used     place.Room // of all attempts, those that are being stopped included
-	attempts map[cuminstair.TaskID]*attempt
-	lasting  int       // attempts of lasting tasks that don't fill
-	fillers  int       // attempts of fillers
-	listed   bool      // the platform's list has it
-	leaving  time.Time // when it was first seen to be leaving; zero: it is not
-	cordon   time.Time // until then it gets no tasks because its host is due for upkeep or a move
-	recorded bool      // the crew record has it, so that the next owner will look at it
-	synced   bool      // its lists were read under the own token in its present life
-	gone     bool      // its life is over
+	info        cuminstair.WorkerInfo
+	total       place.Room
+	used        place.Room // of all attempts, those that are being stopped included
+	attempts    map[cuminstair.TaskID]*attempt
+	longRunning int       // attempts of long-running tasks that don't fill
+	bestEffort  int       // attempts of best-effort task
+	listed      bool      // the platform's list has it
+	leaving     time.Time // when it was first seen to be leaving; zero: it is not
+	cordon      time.Time // until then it gets no tasks because its host is due for maintenance or a move
+	recorded    bool      // the record of workers has it, so that the next owner will look at it
+	synced      bool      // its lists were read under the own token in its present life
+	gone        bool      // its life is over
 
 	clock     time.Duration // its clock at clockAt, at least
 	clockAt   time.Time
@@ -102,10 +102,10 @@
 func (w *worker) book(a *attempt, n int) {
 	w.used = w.used.Plus(a.room, n)
 	switch {
-	case a.filler:
-		w.fillers += n
-	case a.lasting:
-		w.lasting += n
+	case a.bestEffort:
+		w.bestEffort += n
+	case a.longRunning:
+		w.longRunning += n
 	}
 }
 
@@ -127,7 +127,7 @@
 		if !ok {
 			w = newWorker(info)
 			s.workers[info.ID] = w
-			s.crewDirty = true
+			s.workersDirty = true
 			s.changed = true
 		}
 		s.updateWorker(now, w, info)
@@ -144,7 +144,7 @@
 		w.listed = false
 		if len(w.attempts) == 0 && s.settled() {
 			delete(s.workers, id)
-			s.crewDirty = true
+			s.workersDirty = true
 		}
 	}
 	s.mostCores = max(s.mostCores, cores)
@@ -296,7 +296,7 @@
 		a.task.checkpoint = t.Checkpoint
 	}
 	a.task.step.started()
-	if a.task.step.Lasting && t.Percent >= 100 && a.stop.IsZero() {
+	if a.task.step.LongRunning && t.Percent >= 100 && a.stop.IsZero() {
 		a.task.away, a.task.moved = time.Time{}, false
 	}
 }
@@ -311,7 +311,7 @@
 		x = j.task(t.Task)
 	}
 	if x != nil {
-		a.room, a.lasting, a.filler = x.step.room(), x.step.Lasting, x.step.Filler
+		a.room, a.longRunning, a.bestEffort = x.step.room(), x.step.LongRunning, x.step.BestEffort
 		x.run = max(x.run, t.Run)
 	}
 	if old, ok := w.attempts[t.Task]; ok {
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -9,7 +9,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
-	"cuminstair.org/cuminstair/tenure"
+	"cuminstair.org/cuminstair/ownership"
 )
 
 // write sends the next batch, unless one is under way.
@@ -47,7 +47,7 @@
 }
 
 func (r *runner) ownerKey() cuminstair.RecordKey {
-	return cuminstair.RecordKey{Table: tenure.Table, Part: r.service, Key: tenure.OwnerKey}
+	return cuminstair.RecordKey{Table: ownership.Table, Part: r.service, Key: ownership.OwnerKey}
 }
 
 func (r *runner) check() cuminstair.RecordCheck {
@@ -120,15 +120,15 @@
 }
 
 // ownerOf returns the owner record of a conflict and its version.
-func ownerOf(c *cuminstair.Conflict) (tenure.Owner, uint64) {
+func ownerOf(c *cuminstair.Conflict) (ownership.Owner, uint64) {
 	for _, rec := range c.Records {
-		if rec.Key != tenure.OwnerKey || rec.Table != tenure.Table {
+		if rec.Key != ownership.OwnerKey || rec.Table != ownership.Table {
 			continue
 		}
-		var o tenure.Owner
+		var o ownership.Owner
 		if err := json.Unmarshal(rec.Value, &o); err == nil {
 			return o, rec.Version
 		}
 	}
-	return tenure.Owner{}, 0
+	return ownership.Owner{}, 0
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -1,5 +1,5 @@
 // Package entry is the entry daemon of the job path: it takes jobs from callers, owns services, and drives the decisions
-// of the packages dispatch, tenure and upkeep with the platform's store, workers and controller of hosts.
+// of the packages dispatch, ownership and maintenance with the platform's store, workers and controller of hosts.
 package entry
 
 import (
@@ -17,8 +17,8 @@
 	"github.com/oklog/run"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/ownership"
 	"cuminstair.org/cuminstair/platform"
-	"cuminstair.org/cuminstair/tenure"
 )
 
 // Times of the daemon.
@@ -51,7 +51,7 @@
 	Timer    cuminstair.Timer
 	Store    cuminstair.RecordStore
 	Workers  cuminstair.WorkerCalls
-	Hosts    cuminstair.HostControl // nil: no upkeep and no moves
+	Hosts    cuminstair.HostControl // nil: no maintenance and no moves
 	Metrics  *Metrics
 	// MetricsAddr is where the metrics are served; empty: nowhere.
 	MetricsAddr string
@@ -66,7 +66,7 @@
 	peers    *peerClient
 
 	mu       sync.Mutex
-	view     *tenure.View
+	view     *ownership.View
 	viewAt   uint64 // version up to which the view is read
 	runners  map[string]*runner
 	taking   map[string]bool
@@ -89,7 +89,7 @@
 // Run serves until ctx ends and then hands over and stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.run = strconv.FormatInt(d.Timer.Now().UnixNano(), 36)
-	d.view = tenure.NewView(d.Settings.Name, d.run)
+	d.view = ownership.NewView(d.Settings.Name, d.run)
 	d.runners, d.taking = map[string]*runner{}, map[string]bool{}
 	d.workers, d.waves = map[string]cuminstair.WorkerInfo{}, map[string]cuminstair.MaintenanceWave{}
 	d.poke, d.listNow = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -121,7 +121,7 @@
 	for i, l := range []net.Listener{callers, internal, ready} {
 		group.Add(func() error { return serve(servers[i], l, stopped) }, func(error) { _ = servers[i].Close() })
 	}
-	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.beat, d.upkeepLoop, d.watchReach} {
+	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.beat, d.maintenanceLoop, d.watchReach} {
 		loopCtx, stop := context.WithCancel(work)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { stop() })
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// followConfig keeps the configuration and the waves of upkeep up to date.
+// followConfig keeps the configuration and the waves of maintenance up to date.
 func (d *Daemon) followConfig(ctx context.Context) error {
 	dep := &dependency{name: "configuration in the store"}
 	after := uint64(0)
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -10,15 +10,15 @@
 	"github.com/labstack/echo/v4"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/maintenance"
+	"cuminstair.org/cuminstair/ownership"
 	"cuminstair.org/cuminstair/platform"
 	"cuminstair.org/cuminstair/pools"
-	"cuminstair.org/cuminstair/tenure"
-	"cuminstair.org/cuminstair/upkeep"
 )
 
-// Times of upkeep.
+// Times of maintenance.
 const (
-	upkeepEvery = 300 * time.Millisecond
+	maintenanceEvery = 300 * time.Millisecond
 	// moveSettles is how long the list of hosts may take to show a move.
 	moveSettles = 900 * time.Millisecond
 	orderAgain  = 900 * time.Millisecond
@@ -27,13 +27,13 @@
 	waveTable = "wave"
 )
 
-// upkeepLoop carries out waves while this daemon has the hosts' duty.
-func (d *Daemon) upkeepLoop(ctx context.Context) error {
+// maintenanceLoop carries out waves while this daemon has the hosts' duty.
+func (d *Daemon) maintenanceLoop(ctx context.Context) error {
 	duty := &hostDuty{d: d, memory: dependency{name: "record of the demand in the store"}}
 	for ctx.Err() == nil {
-		d.sleep(ctx, upkeepEvery)
+		d.sleep(ctx, maintenanceEvery)
 		d.mu.Lock()
-		r := d.runners[tenure.HostsPart]
+		r := d.runners[ownership.HostsPart]
 		d.mu.Unlock()
 		if r == nil || r.closed.Load() {
 			duty.waves = nil
@@ -48,7 +48,7 @@
 type hostDuty struct {
 	d      *Daemon
 	token  uint64
-	waves  map[string]*upkeep.Wave
+	waves  map[string]*maintenance.Wave
 	ended  map[string]bool
 	told   map[string]string // wave, state in the status table
 	saved  map[string]string // wave, record as written last
@@ -68,7 +68,7 @@
 func (h *hostDuty) step(ctx context.Context, r *runner) {
 	if h.waves == nil || h.token != r.token {
 		h.token = r.token
-		h.waves, h.ended = map[string]*upkeep.Wave{}, map[string]bool{}
+		h.waves, h.ended = map[string]*maintenance.Wave{}, map[string]bool{}
 		h.told, h.saved = map[string]string{}, map[string]string{}
 		h.plan, h.moved = nil, map[string]hostMove{}
 	}
@@ -92,7 +92,7 @@
 // mayOrder tells whether orders of an earlier controller are surely over. The controller of hosts turns them away by
 // their lower token, unless it does not check tokens.
 func (h *hostDuty) mayOrder(r *runner) bool {
-	return h.d.Settings.Bounds.Fenced || !r.after || h.d.Timer.Now().Sub(r.taken) >= h.d.Settings.Bounds.TurnTime+upkeepEvery
+	return h.d.Settings.Bounds.Fenced || !r.after || h.d.Timer.Now().Sub(r.taken) >= h.d.Settings.Bounds.TurnTime+maintenanceEvery
 }
 
 // load reads the records of waves that are new to this daemon.
@@ -108,14 +108,14 @@
 	if len(fresh) == 0 {
 		return
 	}
-	records, _, err := h.d.Store.Read(ctx, waveTable, tenure.HostsPart, "", "")
+	records, _, err := h.d.Store.Read(ctx, waveTable, ownership.HostsPart, "", "")
 	if err != nil {
 		h.d.Log.Warn("entry: can't read the records of waves", "error", err)
 		return
 	}
-	known := map[string]upkeep.Record{}
+	known := map[string]maintenance.Record{}
 	for _, rec := range records {
-		v, err := upkeep.ReadRecord(rec.Value)
+		v, err := maintenance.ReadRecord(rec.Value)
 		if err != nil {
 			h.d.Log.Error("entry: can't read the record of a wave", "wave", rec.Key, "error", err)
 			continue
@@ -127,12 +127,12 @@
 			h.ended[key] = true
 			continue
 		}
-		h.waves[key] = upkeep.New(h.d.Timer.Now(), w, known[key].Begun)
+		h.waves[key] = maintenance.New(h.d.Timer.Now(), w, known[key].Begun)
 	}
 }
 
 // wave takes the next hosts of a wave.
-func (h *hostDuty) wave(ctx context.Context, r *runner, w *upkeep.Wave, list []cuminstair.HostRecord) {
+func (h *hostDuty) wave(ctx context.Context, r *runner, w *maintenance.Wave, list []cuminstair.HostRecord) {
 	byName := map[string]cuminstair.HostRecord{}
 	for _, rec := range list {
 		byName[rec.Name] = rec
@@ -141,7 +141,7 @@
 	candidates := w.Candidates(func(host string) int {
 		rec, ok := byName[host]
 		switch {
-		case !ok || rec.State != "up":
+		case !ok || rec.Phase != cuminstair.PhaseUp:
 			return -1
 		case rec.Worker == "":
 			return 0
@@ -179,19 +179,19 @@
 	return idle
 }
 
-func (h *hostDuty) order(ctx context.Context, w *upkeep.Wave, host string) {
-	err := h.d.Hosts.Upkeep(ctx, h.d.Settings.Name, int64(h.token), host, w.Number)
+func (h *hostDuty) order(ctx context.Context, w *maintenance.Wave, host string) {
+	err := h.d.Hosts.Maintain(ctx, h.d.Settings.Name, int64(h.token), host, w.Number)
 	now := h.d.Timer.Now()
 	refused := err != nil && !errors.Is(err, cuminstair.ErrUncertain)
 	w.Confirm(now, host, err == nil, refused)
-	h.d.Log.Info("entry: upkeep ordered", "wave", w.Number, "host", host, "token", h.token, "down", w.Down(), "limit", w.Limit, "error", err)
+	h.d.Log.Info("entry: maintenance ordered", "wave", w.Number, "host", host, "token", h.token, "down", w.Down(), "limit", w.Limit, "error", err)
 }
 
 // save writes the record and the state of a wave if they have changed.
-func (h *hostDuty) save(ctx context.Context, key string, w *upkeep.Wave) {
+func (h *hostDuty) save(ctx context.Context, key string, w *maintenance.Wave) {
 	value := string(w.Value())
 	if h.saved[key] != value {
-		rec := cuminstair.RecordKey{Table: waveTable, Part: tenure.HostsPart, Key: key}
+		rec := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: key}
 		tx := cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: rec, Value: []byte(value)}}}
 		if _, err := h.d.Store.Commit(ctx, tx); err != nil {
 			h.d.Log.Debug("entry: can't write the record of a wave", "wave", w.Number, "error", err)
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -10,8 +10,8 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/ownership"
 	"cuminstair.org/cuminstair/pools"
-	"cuminstair.org/cuminstair/tenure"
 )
 
 // demandPath is where an owner tells the demand of its service.
@@ -50,8 +50,8 @@
 	}
 	moves := h.plan.Plan(now, flat, view.spare)
 	for _, p := range flat {
-		h.d.Log.Debug("entry: demand", "service", p.Service, "rate", p.Rate, "backlog", p.Backlog, "lasting", p.Lasting, "active", p.Active, "patience", p.Patience.Milliseconds(),
-			"anchors", p.Anchors, "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known)
+		h.d.Log.Debug("entry: demand", "service", p.Service, "rate", p.Rate, "backlog", p.Backlog, "longRunning", p.LongRunning, "active", p.Active, "objective", p.Objective.Milliseconds(),
+			"pinned", p.Pinned, "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known)
 	}
 	h.carryOut(ctx, moves, view)
 	h.keep(ctx)
@@ -62,7 +62,7 @@
 
 // recall makes a planner that goes on from what an earlier one has learned.
 func (h *hostDuty) recall(ctx context.Context, spare string) bool {
-	records, _, err := h.d.Store.Read(ctx, waveTable, tenure.HostsPart, planKey, planKey+"\x00")
+	records, _, err := h.d.Store.Read(ctx, waveTable, ownership.HostsPart, planKey, planKey+"\x00")
 	h.d.note(&h.memory, err)
 	if err != nil {
 		return false
@@ -83,7 +83,7 @@
 	if stamp == h.kept {
 		return
 	}
-	key := cuminstair.RecordKey{Table: waveTable, Part: tenure.HostsPart, Key: planKey}
+	key := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: planKey}
 	tx := cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: key, Value: h.plan.Keep()}}}
 	if _, err := h.d.Store.Commit(ctx, tx); err != nil {
 		h.d.Log.Debug("entry: can't write what was learned of the demand", "error", err)
@@ -118,11 +118,11 @@
 		}
 	}
 	for _, rec := range list {
-		to, moving := rec.Pool, rec.State == "moving"
+		to, moving := rec.Pool, rec.Phase == cuminstair.PhaseMoving
 		if m, ok := h.moved[rec.Name]; ok {
 			if now.Sub(m.at) < moveSettles && rec.Pool != m.to {
 				to, moving = m.to, true
-			} else if rec.State == "up" && rec.Pool == m.to {
+			} else if rec.Phase == cuminstair.PhaseUp && rec.Pool == m.to {
 				delete(h.moved, rec.Name)
 			}
 		}
@@ -131,19 +131,19 @@
 		}
 		p := v.pools[to]
 		switch {
-		case p == nil && to == h.plan.Spare && rec.State == "up" && !moving && !h.inWave(rec.Name):
+		case p == nil && to == h.plan.Spare && rec.Phase == cuminstair.PhaseUp && !moving && !h.inWave(rec.Name):
 			v.spare = append(v.spare, rec.Name)
 		case p == nil:
 		case moving:
 			p.Incoming++
-		case rec.State == "up":
+		case rec.Phase == cuminstair.PhaseUp:
 			p.Have++
 		}
 	}
 	return v
 }
 
-// inWave tells whether the upkeep of a host is under way or next.
+// inWave tells whether the maintenance of a host is under way or next.
 func (h *hostDuty) inWave(host string) bool {
 	for _, w := range h.waves {
 		if x := w.State[host]; x != nil && x.Busy() {
@@ -173,9 +173,9 @@
 			if !ok {
 				return
 			}
-			p.Known, p.Rate, p.Backlog, p.Lasting = true, d.Rate, d.Backlog, d.Lasting
+			p.Known, p.Rate, p.Backlog, p.LongRunning = true, d.Rate, d.Backlog, d.LongRunning
 			p.Active, p.Spread = d.Active, d.Spread
-			p.Anchors, p.Cores, p.Patience = d.Anchors, d.Cores, time.Duration(d.Patience)*time.Millisecond
+			p.Pinned, p.Cores, p.Objective = d.Pinned, d.Cores, time.Duration(d.Objective)*time.Millisecond
 			for _, id := range d.Idle {
 				if host, ok := v.hosts[id]; ok && !h.inWave(host) {
 					p.Idle = append(p.Idle, host)
@@ -238,7 +238,7 @@
 
 func demandLocal(ctx context.Context, r *runner, q demandRequest) (dispatch.Demand, bool) {
 	answers := make(chan dispatch.Demand, 1)
-	if r.service == tenure.HostsPart || !r.post(func(now time.Time) { answers <- r.state.Demand(now, q.Incoming, q.Available) }) {
+	if r.service == ownership.HostsPart || !r.post(func(now time.Time) { answers <- r.state.Demand(now, q.Incoming, q.Available) }) {
 		return dispatch.Demand{}, false
 	}
 	select {
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/tenure"
+	"cuminstair.org/cuminstair/ownership"
 )
 
 // challengeAgain is the pause before an earlier owner is told again to stop.
@@ -35,18 +35,18 @@
 		if d.config.Load() != nil && !d.stopping.Load() {
 			d.writeBeat(ctx)
 		}
-		d.sleep(ctx, tenure.BeatEvery)
+		d.sleep(ctx, ownership.BeatEvery)
 	}
 	return nil
 }
 
 func (d *Daemon) writeBeat(ctx context.Context) {
-	n := tenure.Node{
+	n := ownership.Node{
 		Run: d.run, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(), Beat: d.Timer.Now().UnixMilli(),
 	}
 	// A Node always encodes.
 	data, _ := json.Marshal(n)
-	key := cuminstair.RecordKey{Table: tenure.Table, Part: tenure.NodePart, Key: d.Settings.Name}
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.NodePart, Key: d.Settings.Name}
 	if _, err := d.Store.Commit(ctx, cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: key, Value: data}}}); err != nil {
 		d.Log.Debug("entry: can't write the daemon's record", "error", err)
 	}
@@ -78,7 +78,7 @@
 	var next uint64
 	var err error
 	if after > 0 {
-		records, next, err = d.Store.Changes(ctx, tenure.Table, after, 0)
+		records, next, err = d.Store.Changes(ctx, ownership.Table, after, 0)
 	}
 	if after == 0 || errors.Is(err, cuminstair.ErrCompacted) {
 		records, next, err = d.readOwnersWhole(ctx)
@@ -97,19 +97,19 @@
 
 // readOwnersWhole reads all records. Changes after the version of the first reading are read again by the next call.
 func (d *Daemon) readOwnersWhole(ctx context.Context) ([]cuminstair.Record, uint64, error) {
-	parts, err := d.Store.Parts(ctx, tenure.Table)
+	parts, err := d.Store.Parts(ctx, ownership.Table)
 	if err != nil {
 		return nil, 0, err
 	}
-	records, first, err := d.Store.Read(ctx, tenure.Table, tenure.NodePart, "", "")
+	records, first, err := d.Store.Read(ctx, ownership.Table, ownership.NodePart, "", "")
 	if err != nil {
 		return nil, 0, err
 	}
 	for _, part := range parts {
-		if part == tenure.NodePart {
+		if part == ownership.NodePart {
 			continue
 		}
-		more, _, err := d.Store.Read(ctx, tenure.Table, part, "", "")
+		more, _, err := d.Store.Read(ctx, ownership.Table, part, "", "")
 		if err != nil {
 			return nil, 0, err
 		}
@@ -135,7 +135,7 @@
 		}
 	}
 	if d.Hosts != nil {
-		list = append(list, tenure.HostsPart)
+		list = append(list, ownership.HostsPart)
 	}
 	return list
 }
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -9,7 +9,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
-	"cuminstair.org/cuminstair/tenure"
+	"cuminstair.org/cuminstair/ownership"
 )
 
 // Times of a runner.
@@ -54,7 +54,7 @@
 	stepped time.Time       // when the last decision was made
 	state   *dispatch.Service
 
-	owner     tenure.Owner
+	owner     ownership.Owner
 	version   uint64 // of the owner record
 	confirmed time.Time
 	inflight  *dispatch.Batch
@@ -70,7 +70,7 @@
 	ended     bool
 }
 
-func newRunner(d *Daemon, service string, token uint64, owner tenure.Owner, after bool) *runner {
+func newRunner(d *Daemon, service string, token uint64, owner ownership.Owner, after bool) *runner {
 	now := d.Timer.Now()
 	s := dispatch.New(service, int64(token), now, d.Log)
 	s.Bounds, s.Grace = d.Settings.Bounds, storeGrace
@@ -152,7 +152,7 @@
 		r.end("deposed")
 		return
 	}
-	if r.service != tenure.HostsPart {
+	if r.service != ownership.HostsPart {
 		r.open.Store(int64(r.state.Open()))
 		counts := r.state.Counts()
 		r.d.Metrics.events(r.counted, counts)
@@ -217,7 +217,7 @@
 		r.post(func(now time.Time) { r.state.Held(now, begin, o.Worker.ID, report, err) })
 	case dispatch.OrderPace:
 		if err = w.Pace(ctx, o.Worker, o.Task, o.Run, o.Percent, o.Token); err != nil {
-			r.d.Log.Debug("entry: filler was not paced", "service", r.service, "worker", o.Worker.ID, "error", err)
+			r.d.Log.Debug("entry: best-effort task was not paced", "service", r.service, "worker", o.Worker.ID, "error", err)
 		}
 	}
 	r.d.Metrics.worker(o.Kind, err, r.d.Timer.Now().Sub(begin))
@@ -262,7 +262,7 @@
 
 // release empties the owner record.
 func (r *runner) release(ctx context.Context) {
-	o := tenure.Owner{Seq: r.owner.Seq + 1}
+	o := ownership.Owner{Seq: r.owner.Seq + 1}
 	if _, err := r.d.writeOwner(ctx, r.service, r.version, o); err != nil {
 		r.d.Log.Warn("entry: owner record was not released", "service", r.service, "error", err)
 	}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -9,19 +9,19 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/ownership"
 	"cuminstair.org/cuminstair/platform"
-	"cuminstair.org/cuminstair/tenure"
 )
 
 // take takes a service over: it writes the owner record, reads the service's records and starts its runner.
-func (d *Daemon) take(ctx context.Context, service string, old tenure.Owner, version uint64) {
+func (d *Daemon) take(ctx context.Context, service string, old ownership.Owner, version uint64) {
 	defer func() {
 		d.mu.Lock()
 		delete(d.taking, service)
 		d.mu.Unlock()
 	}()
 	begin := d.Timer.Now()
-	mine := tenure.Owner{Name: d.Settings.Name, Run: d.run, Addr: d.addr, Seq: 1}
+	mine := ownership.Owner{Name: d.Settings.Name, Run: d.run, Addr: d.addr, Seq: 1}
 	token, err := d.writeOwner(ctx, service, version, mine)
 	if err != nil {
 		d.Log.Info("entry: service was not taken", "service", service, "version", version, "error", err)
@@ -30,7 +30,7 @@
 	}
 	d.Log.Info("entry: owner record written", "service", service, "token", token, "before", old.Name, "version", version)
 	r := newRunner(d, service, token, mine, old.Name != "" || version > 0)
-	if service != tenure.HostsPart {
+	if service != ownership.HostsPart {
 		if !d.recover(ctx, r) {
 			return
 		}
@@ -48,7 +48,7 @@
 
 // challenge tells the earlier owner to stop, until it does or the time is over for which it may give orders. An owner
 // that has released its service or has started again gives none.
-func (d *Daemon) challenge(ctx context.Context, r *runner, old tenure.Owner) {
+func (d *Daemon) challenge(ctx context.Context, r *runner, old ownership.Owner) {
 	end := r.taken.Add(storeGrace)
 	for ctx.Err() == nil && d.Timer.Now().Before(end) {
 		d.mu.Lock()
@@ -63,8 +63,8 @@
 }
 
 // writeOwner writes an owner record on the condition of its version and returns the version of the write.
-func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o tenure.Owner) (uint64, error) {
-	key := cuminstair.RecordKey{Table: tenure.Table, Part: service, Key: tenure.OwnerKey}
+func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o ownership.Owner) (uint64, error) {
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: service, Key: ownership.OwnerKey}
 	// An Owner always encodes.
 	data, _ := json.Marshal(o)
 	tx := cuminstair.Tx{
@@ -124,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	crew, _, err := d.Store.Read(ctx, dispatch.CrewTable, r.service, "", "")
+	workers, _, err := d.Store.Read(ctx, dispatch.WorkerTable, r.service, "", "")
 	if err != nil {
 		return err
 	}
@@ -133,7 +133,7 @@
 		return err
 	}
 	now := d.Timer.Now()
-	r.state.Recover(now, jobs, runs, crew)
+	r.state.Recover(now, jobs, runs, workers)
 	if len(list) > 0 {
 		r.state.SetWorkers(now, list)
 		d.findReplaced(ctx, r)
--- a/jobs.go
+++ b/jobs.go
@@ -12,24 +12,24 @@
 
 // JobStep is a step of a job: Count equal tasks.
 type JobStep struct {
-	Count      int           `json:"n"`               // above zero
-	CPU        int           `json:"cpu"`             // thousandths of a core that each task asks for
-	Memory     int           `json:"mem"`             // MB that each task asks for
-	Accel      int           `json:"acc,omitempty"`   // accelerators that each task asks for
-	Estimate   time.Duration `json:"est,omitempty"`   // duration of a task as declared; may be off by a factor
-	After      []int         `json:"after,omitempty"` // steps that must be done first; each smaller than the own index
-	Saves      bool          `json:"saves,omitempty"` // the tasks write checkpoints
-	Gang       bool          `json:"gang,omitempty"`  // the tasks run only together
-	OneRack    bool          `json:"tight,omitempty"` // the tasks are slow when spread over racks
-	Label      string        `json:"label,omitempty"` // label that the worker must have; empty: any worker
-	DataRack   string        `json:"rack,omitempty"`  // rack on which the tasks are fast; empty: any rack
-	PerWorker  int           `json:"apart,omitempty"` // tasks of the step on one worker at most; 0: no limit
-	Duplicates bool          `json:"dup,omitempty"`   // copies may run at the same time
-	Lasting    bool          `json:"lasts,omitempty"` // the tasks run until the job is cancelled
-	Image      string        `json:"image,omitempty"` // tasks of one image behave alike
-	TailTarget time.Duration `json:"tail,omitempty"`  // bound of the response times of a lasting task; 0: none
-	Filler     bool          `json:"fills,omitempty"` // uses the processor time that others leave; CPU is not reserved
-	MayMiss    int           `json:"miss,omitempty"`  // tasks of a lasting step that planned work may hold away at once
+	Count       int           `json:"n"`               // above zero
+	CPU         int           `json:"cpu"`             // thousandths of a core that each task asks for
+	Memory      int           `json:"mem"`             // MB that each task asks for
+	Accel       int           `json:"acc,omitempty"`   // accelerators that each task asks for
+	Estimate    time.Duration `json:"est,omitempty"`   // duration of a task as declared; may be off by a factor
+	After       []int         `json:"after,omitempty"` // steps that must be done first; each smaller than the own index
+	Saves       bool          `json:"saves,omitempty"` // the tasks write checkpoints
+	Gang        bool          `json:"gang,omitempty"`  // the tasks run only together
+	OneRack     bool          `json:"tight,omitempty"` // the tasks are slow when spread over racks
+	Label       string        `json:"label,omitempty"` // label that the worker must have; empty: any worker
+	DataRack    string        `json:"rack,omitempty"`  // rack on which the tasks are fast; empty: any rack
+	PerWorker   int           `json:"apart,omitempty"` // tasks of the step on one worker at most; 0: no limit
+	Duplicates  bool          `json:"dup,omitempty"`   // copies may run at the same time
+	LongRunning bool          `json:"long,omitempty"`  // the tasks run until the job is cancelled
+	Image       string        `json:"image,omitempty"` // tasks of one image behave alike
+	TailTarget  time.Duration `json:"tail,omitempty"`  // bound of the response times of a long-running task; 0: none
+	BestEffort  bool          `json:"fills,omitempty"` // uses the processor time that others leave; CPU is not reserved
+	MayMiss     int           `json:"miss,omitempty"`  // tasks of a long-running step that planned work may hold away at once
 }
 
 // JobSpec is a job as a caller hands it in.
@@ -122,8 +122,8 @@
 	Task       TaskID
 	Run        int64
 	Checkpoint string // newest checkpoint, empty if there is none
-	Percent    int    // progress; of a lasting task 100 means at work
-	// Gauge is the tail of the response times in milliseconds for a lasting task with a target, and otherwise the
+	Percent    int    // progress; of a long-running task 100 means at work
+	// Gauge is the tail of the response times in milliseconds for a long-running task with a target, and otherwise the
 	// thousandths of a core in use; over the last half second.
 	Gauge float64
 }
@@ -169,16 +169,27 @@
 	Ticket     string
 }
 
+// HostPhase is what a host does.
+type HostPhase uint8
+
+// Phases of a host.
+const (
+	PhaseDown HostPhase = iota
+	PhaseUp
+	PhaseMoving      // between two pools
+	PhaseMaintenance // down for a wave
+)
+
 // HostRecord is an entry of the list of the platform's hosts.
 type HostRecord struct {
 	Name   string
 	Pool   string
-	State  string // "up", "moving", "upkeep" or "down"
+	Phase  HostPhase
 	Centre string
 	Worker string // id of the worker on it, empty if there is none
 }
 
-// MaintenanceWave asks for the upkeep of hosts.
+// MaintenanceWave asks for the maintenance of hosts.
 type MaintenanceWave struct {
 	Number   int
 	Hosts    []string
--- a/upkeep/upkeep.go
+++ b/maintenance/maintenance.go
@@ -1,6 +1,6 @@
-// Package upkeep decides which hosts of a maintenance wave are taken next. It answers waves that ask for half of the
+// Package maintenance decides which hosts of a maintenance wave are taken next. It answers waves that ask for half of the
 // fleet while demand is high: hosts are emptied first, a few at a time, and only idle ones are taken down.
-package upkeep
+package maintenance
 
 import (
 	"encoding/json"
@@ -20,7 +20,7 @@
 // Phases of a host.
 const (
 	Due     Phase = iota
-	Ordered       // its upkeep was asked for; it may have begun
+	Ordered       // its maintenance was asked for; it may have begun
 	Begun         // the platform has confirmed it
 	Done          // the host is up again, or gone
 )
@@ -40,10 +40,10 @@
 	Ready bool      // its worker is idle
 }
 
-// Busy tells whether the upkeep of the host is under way.
+// Busy tells whether the maintenance of the host is under way.
 func (h *Host) Busy() bool { return h.Phase == Ordered || h.Phase == Begun }
 
-// New returns the state of a wave. begun are the hosts whose upkeep an earlier controller has confirmed.
+// New returns the state of a wave. begun are the hosts whose maintenance an earlier controller has confirmed.
 func New(now time.Time, w cuminstair.MaintenanceWave, begun []string) *Wave {
 	s := &Wave{MaintenanceWave: w, Seen: now, State: map[string]*Host{}}
 	for _, name := range w.Hosts {
@@ -68,14 +68,12 @@
 		switch {
 		case !ok:
 			h.Phase = Done
-		case h.Phase == Begun && r.State == stateUp && at.After(h.At):
+		case h.Phase == Begun && r.Phase == cuminstair.PhaseUp && at.After(h.At):
 			h.Phase = Done
 		}
 	}
 }
 
-const stateUp = "up"
-
 // Down counts the hosts that are, or may be, down.
 func (w *Wave) Down() int {
 	n := 0
@@ -87,7 +85,7 @@
 	return n
 }
 
-// Completed tells whether every host has had its upkeep.
+// Completed tells whether every host has had its maintenance.
 func (w *Wave) Completed() bool {
 	for _, h := range w.State {
 		if h.Phase != Done {
--- a/upkeep/upkeep_test.go
+++ b/maintenance/maintenance_test.go
@@ -1,4 +1,4 @@
-package upkeep_test
+package maintenance_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/upkeep"
+	"cuminstair.org/cuminstair/maintenance"
 )
 
 var begin = time.Unix(1000, 0)
@@ -16,10 +16,10 @@
 	return cuminstair.MaintenanceWave{Number: 1, Hosts: hosts, Duration: 20 * time.Second, Limit: 2}
 }
 
-func list(state string, hosts ...string) []cuminstair.HostRecord {
+func list(phase cuminstair.HostPhase, hosts ...string) []cuminstair.HostRecord {
 	var out []cuminstair.HostRecord
 	for _, h := range hosts {
-		out = append(out, cuminstair.HostRecord{Name: h, State: state})
+		out = append(out, cuminstair.HostRecord{Name: h, Phase: phase})
 	}
 	return out
 }
@@ -27,7 +27,7 @@
 // Guards against more hosts down than the wave allows, orders without an answer included.
 func TestLimit(t *testing.T) {
 	is := is.New(t)
-	w := upkeep.New(begin, wave("a", "b", "c", "d"), nil)
+	w := maintenance.New(begin, wave("a", "b", "c", "d"), nil)
 	is.Equal(len(w.Take(begin, []string{"a", "b", "c"}, time.Second)), 2)
 	w.Confirm(begin, "a", true, false)
 	w.Confirm(begin, "b", false, false) // no answer: it may be down
@@ -41,33 +41,33 @@
 // wave up.
 func TestCompleted(t *testing.T) {
 	is := is.New(t)
-	w := upkeep.New(begin, wave("a", "b"), nil)
-	w.Observe(begin, list("up", "a", "b"))
+	w := maintenance.New(begin, wave("a", "b"), nil)
+	w.Observe(begin, list(cuminstair.PhaseUp, "a", "b"))
 	is.True(!w.Completed())
 	w.Take(begin, []string{"a"}, time.Second)
 	w.Confirm(begin.Add(time.Second), "a", true, false)
-	w.Observe(begin.Add(500*time.Millisecond), list("up", "a", "b")) // read before the confirmation
+	w.Observe(begin.Add(500*time.Millisecond), list(cuminstair.PhaseUp, "a", "b")) // read before the confirmation
 	is.Equal(w.Down(), 1)
-	w.Observe(begin.Add(2*time.Second), list("upkeep", "a", "b"))
+	w.Observe(begin.Add(2*time.Second), list(cuminstair.PhaseMaintenance, "a", "b"))
 	is.Equal(w.Down(), 1)
-	w.Observe(begin.Add(4*time.Second), list("up", "a", "b"))
+	w.Observe(begin.Add(4*time.Second), list(cuminstair.PhaseUp, "a", "b"))
 	is.Equal(w.Down(), 0)
 	is.True(!w.Completed())
-	w.Observe(begin.Add(5*time.Second), list("up", "a")) // b is gone for good
+	w.Observe(begin.Add(5*time.Second), list(cuminstair.PhaseUp, "a")) // b is gone for good
 	is.True(w.Completed())
 }
 
 // Guards against hosts that are taken down a second time by the next controller.
 func TestNextControllerGoesOn(t *testing.T) {
 	is := is.New(t)
-	w := upkeep.New(begin, wave("a", "b", "c"), nil)
+	w := maintenance.New(begin, wave("a", "b", "c"), nil)
 	w.Take(begin, []string{"a"}, time.Second)
 	w.Confirm(begin, "a", true, false)
-	r, err := upkeep.ReadRecord(w.Value())
+	r, err := maintenance.ReadRecord(w.Value())
 	is.NoErr(err)
-	next := upkeep.New(begin.Add(time.Second), wave("a", "b", "c"), r.Begun)
+	next := maintenance.New(begin.Add(time.Second), wave("a", "b", "c"), r.Begun)
 	is.Equal(next.Down(), 1)
 	is.Equal(next.Candidates(func(string) int { return 0 }), []string{"b", "c"})
-	_, err = upkeep.ReadRecord([]byte("{"))
+	_, err = maintenance.ReadRecord([]byte("{"))
 	is.True(err != nil)
 }
--- a/tenure/tenure.go
+++ b/ownership/ownership.go
@@ -1,8 +1,8 @@
-// Package tenure decides which daemon owns which service. Every daemon keeps a record in the store that it rewrites
+// Package ownership decides which daemon owns which service. Every daemon keeps a record in the store that it rewrites
 // again and again; a service belongs to the daemon that its owner record names. When that daemon's record stops
 // changing, another takes the service by a conditional write of the owner record. No clocks are compared: a record's age
 // counts from when the observer saw it change.
-package tenure
+package ownership
 
 import (
 	"encoding/json"
@@ -19,7 +19,7 @@
 	Table = "owner"
 	// NodePart is the part of the daemons' records; a service's owner record lies in the part of the service.
 	NodePart = "@node"
-	// HostsPart is the part of the owner record of upkeep and moves of hosts.
+	// HostsPart is the part of the owner record of maintenance and moves of hosts.
 	HostsPart = "@hosts"
 	// OwnerKey is the key of an owner record.
 	OwnerKey = "owner"
--- a/tenure/tenure_test.go
+++ b/ownership/ownership_test.go
@@ -1,4 +1,4 @@
-package tenure_test
+package ownership_test
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
-	"cuminstair.org/cuminstair/tenure"
+	"cuminstair.org/cuminstair/ownership"
 )
 
 var begin = time.Unix(1000, 0)
@@ -26,22 +26,22 @@
 	}
 	w.version++
 	w.records = append(w.records, cuminstair.Record{
-		RecordKey: cuminstair.RecordKey{Table: tenure.Table, Part: part, Key: key}, Value: data, Version: w.version,
+		RecordKey: cuminstair.RecordKey{Table: ownership.Table, Part: part, Key: key}, Value: data, Version: w.version,
 	})
 }
 
 func (w *world) beat(name string, ready bool) {
-	w.put(tenure.NodePart, name, tenure.Node{Run: name + "1", Addr: name, Weight: 1, Ready: ready, Beat: int64(w.version)})
+	w.put(ownership.NodePart, name, ownership.Node{Run: name + "1", Addr: name, Weight: 1, Ready: ready, Beat: int64(w.version)})
 }
 
 func (w *world) own(service, name string) {
-	w.put(service, tenure.OwnerKey, tenure.Owner{Name: name, Run: name + "1", Addr: name})
+	w.put(service, ownership.OwnerKey, ownership.Owner{Name: name, Run: name + "1", Addr: name})
 }
 
-func (w *world) read(v *tenure.View, now time.Time) { v.Apply(now, w.records) }
+func (w *world) read(v *ownership.View, now time.Time) { v.Apply(now, w.records) }
 
 // play lets daemons beat and read for a time. Those in dead don't.
-func (w *world) play(views map[string]*tenure.View, from time.Time, d time.Duration, dead string) time.Time {
+func (w *world) play(views map[string]*ownership.View, from time.Time, d time.Duration, dead string) time.Time {
 	now := from
 	for end := from.Add(d); now.Before(end); now = now.Add(500 * time.Millisecond) {
 		for name := range views {
@@ -56,10 +56,10 @@
 	return now.Add(-500 * time.Millisecond)
 }
 
-func daemons(names ...string) map[string]*tenure.View {
-	views := map[string]*tenure.View{}
+func daemons(names ...string) map[string]*ownership.View {
+	views := map[string]*ownership.View{}
 	for _, n := range names {
-		views[n] = tenure.NewView(n, n+"1")
+		views[n] = ownership.NewView(n, n+"1")
 	}
 	return views
 }
@@ -99,7 +99,7 @@
 	w.own("s2", "b")
 	now = w.play(views, now, 1500*time.Millisecond, "a")
 	is.Equal(len(views["c"].Claims(now, []string{"s1", "s2"})), 0) // not dead for sure
-	now = w.play(views, now, tenure.StaleAfter, "a")
+	now = w.play(views, now, ownership.StaleAfter, "a")
 	is.Equal(views["c"].Claims(now, []string{"s1", "s2"}), []string{"s1"}) // b carries one already
 	is.Equal(len(views["b"].Claims(now, []string{"s1", "s2"})), 0)
 }
@@ -110,7 +110,7 @@
 	w, views := &world{}, daemons("a", "b")
 	now := w.play(views, begin, 3*time.Second, "")
 	w.own("s1", "a")
-	w.put(tenure.NodePart, "a", tenure.Node{Run: "a2", Weight: 1, Ready: true})
+	w.put(ownership.NodePart, "a", ownership.Node{Run: "a2", Weight: 1, Ready: true})
 	w.read(views["b"], now)
 	_, live := views["b"].Live(now, "s1")
 	is.True(!live)
@@ -166,7 +166,7 @@
 	w, views := &world{}, daemons("a", "b", "c")
 	now := w.play(views, begin, 3*time.Second, "")
 	for name, weight := range map[string]float64{"a": 0.2, "b": 0.2, "c": 0.8} {
-		w.put(tenure.NodePart, name, tenure.Node{Run: name + "1", Addr: name, Weight: weight, Ready: true})
+		w.put(ownership.NodePart, name, ownership.Node{Run: name + "1", Addr: name, Weight: weight, Ready: true})
 	}
 	w.own("s1", "a")
 	w.own("s2", "c")
--- a/place/place.go
+++ b/place/place.go
@@ -1,5 +1,5 @@
 // Package place chooses workers for tasks. It answers a pool that is nearly full with tasks of mixed sizes: best fit
-// keeps large gaps whole, and lasting tasks are spread so that the loss of one worker costs each job little.
+// keeps large gaps whole, and long-running tasks are spread so that the loss of one worker costs each job little.
 package place
 
 // Room is what a worker has free, or what a task takes.
@@ -21,20 +21,20 @@
 
 // Candidate is a worker that may take the task.
 type Candidate struct {
-	Free     Room
-	Total    Room    // above zero in CPU and Memory
-	Same     int     // tasks of the same step on it
-	SameRack int     // tasks of the same step in its rack
-	Far      bool    // away from the data of the task
-	Slow     float64 // how much longer tasks take than on other workers; 1: as long
-	Lasting  int     // lasting tasks on it
-	Shared   int     // tasks on it that disturb, or are disturbed by, the task
+	Free        Room
+	Total       Room    // above zero in CPU and Memory
+	Same        int     // tasks of the same step on it
+	SameRack    int     // tasks of the same step in its rack
+	Far         bool    // away from the data of the task
+	Slow        float64 // how much longer tasks take than on other workers; 1: as long
+	LongRunning int     // long-running tasks on it
+	Shared      int     // tasks on it that disturb, or are disturbed by, the task
 }
 
 // Want is what the task needs.
 type Want struct {
 	Room   Room
-	Spread bool // a lasting task: few of its step on one worker or rack, few workers with lasting tasks
+	Spread bool // a long-running task: few of its step on one worker or rack, few workers with long-running tasks
 	Quiet  bool // prefer workers without tasks that disturb it
 }
 
@@ -44,7 +44,7 @@
 	slowWeight   = 3.0
 	sameWeight   = 0.8
 	rackWeight   = 0.6
-	anchorWeight = 1.0
+	pinnedWeight = 1.0
 	sharedWeight = 1.0
 	strandWeight = 0.5
 )
@@ -81,9 +81,9 @@
 	}
 	if want.Spread {
 		s += sameWeight*float64(c.Same) + rackWeight*float64(c.SameRack)
-		if c.Lasting > 0 {
-			// Workers without lasting tasks can be given to another pool.
-			s -= anchorWeight
+		if c.LongRunning > 0 {
+			// Workers without long-running tasks can be given to another pool.
+			s -= pinnedWeight
 		}
 	}
 	if want.Quiet {
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -19,10 +19,10 @@
 	return c
 }
 
-// Guards against gaps that are broken up, full or slow workers that are chosen, and lasting tasks that pile up.
+// Guards against gaps that are broken up, full or slow workers that are chosen, and long-running tasks that pile up.
 func TestBest(t *testing.T) {
 	task := place.Want{Room: place.Room{CPU: 4000, Memory: 8000}}
-	lasting := place.Want{Room: task.Room, Spread: true}
+	longRunning := place.Want{Room: task.Room, Spread: true}
 	whole := free(32000, 128000)
 	for _, c := range []struct {
 		name string
@@ -35,11 +35,11 @@
 		{"memory would be stranded", task, []place.Candidate{free(8000, 128000), free(8000, 32000)}, 1},
 		{"slow worker", task, []place.Candidate{with(free(6000, 24000), func(c *place.Candidate) { c.Slow = 3 }), whole}, 1},
 		{"away from its data", task, []place.Candidate{with(free(6000, 24000), func(c *place.Candidate) { c.Far = true }), whole}, 1},
-		{"lasting tasks stay on few workers", lasting, []place.Candidate{whole, with(whole, func(c *place.Candidate) { c.Lasting = 2 })}, 1},
-		{"but not all of a step on one", lasting, []place.Candidate{
-			with(whole, func(c *place.Candidate) { c.Lasting, c.Same, c.SameRack = 2, 2, 2 }), whole,
+		{"longRunning tasks stay on few workers", longRunning, []place.Candidate{whole, with(whole, func(c *place.Candidate) { c.LongRunning = 2 })}, 1},
+		{"but not all of a step on one", longRunning, []place.Candidate{
+			with(whole, func(c *place.Candidate) { c.LongRunning, c.Same, c.SameRack = 2, 2, 2 }), whole,
 		}, 1},
-		{"nor in one rack", lasting, []place.Candidate{with(whole, func(c *place.Candidate) { c.SameRack = 2 }), whole}, 1},
+		{"nor in one rack", longRunning, []place.Candidate{with(whole, func(c *place.Candidate) { c.SameRack = 2 }), whole}, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is.New(t).Equal(place.Best(c.want, c.list), c.best)
--- a/pools/memory.go
+++ b/pools/memory.go
@@ -8,16 +8,16 @@
 
 // Memory is what a planner has learned, as it is kept for the next controller. Times are milliseconds since 1970.
 type Memory struct {
-	First  map[string]int        `json:"first"` // hosts that each pool had at first
-	Last   string                `json:"last,omitempty"`
-	Began  int64                 `json:"began,omitempty"`
-	Length int64                 `json:"length,omitempty"` // milliseconds
-	Next   map[string]string     `json:"next,omitempty"`
-	Turns  map[string]TurnMemory `json:"turns,omitempty"`
+	First  map[string]int          `json:"first"` // hosts that each pool had at first
+	Last   string                  `json:"last,omitempty"`
+	Began  int64                   `json:"began,omitempty"`
+	Length int64                   `json:"length,omitempty"` // milliseconds
+	Next   map[string]string       `json:"next,omitempty"`
+	Series map[string]SeriesMemory `json:"series,omitempty"`
 }
 
-// TurnMemory is what is known of the turns of one service.
-type TurnMemory struct {
+// SeriesMemory is what is known of the peaks of one service.
+type SeriesMemory struct {
 	Base  float64 `json:"base,omitempty"`
 	Mean  float64 `json:"mean,omitempty"`
 	Began int64   `json:"began,omitempty"`
@@ -26,7 +26,7 @@
 
 // Stamp changes whenever there is something new to keep.
 func (p *Planner) Stamp() string {
-	return fmt.Sprint(p.turns.last, p.turns.began.UnixMilli(), p.firstSum())
+	return fmt.Sprint(p.forecast.last, p.forecast.began.UnixMilli(), p.firstSum())
 }
 
 func (p *Planner) firstSum() int {
@@ -39,8 +39,8 @@
 
 // Keep returns what the planner has learned.
 func (p *Planner) Keep() []byte {
-	t := p.turns
-	m := Memory{First: map[string]int{}, Last: t.last, Length: t.length.Milliseconds(), Next: t.next, Turns: map[string]TurnMemory{}}
+	t := p.forecast
+	m := Memory{First: map[string]int{}, Last: t.last, Length: t.length.Milliseconds(), Next: t.next, Series: map[string]SeriesMemory{}}
 	if !t.began.IsZero() {
 		m.Began = t.began.UnixMilli()
 	}
@@ -48,11 +48,11 @@
 		m.First[name] = n.first
 	}
 	for name, s := range t.services {
-		x := TurnMemory{Base: s.base, Mean: s.mean, Peak: s.peak}
+		x := SeriesMemory{Base: s.base, Mean: s.mean, Peak: s.peak}
 		if !s.began.IsZero() {
 			x.Began = s.began.UnixMilli()
 		}
-		m.Turns[name] = x
+		m.Series[name] = x
 	}
 	// A Memory always encodes.
 	data, _ := json.Marshal(m)
@@ -68,7 +68,7 @@
 	for name, first := range m.First {
 		p.needs[name] = &need{first: first, at: now}
 	}
-	t := p.turns
+	t := p.forecast
 	t.last, t.length = m.Last, time.Duration(m.Length)*time.Millisecond
 	if m.Began > 0 {
 		t.began = time.UnixMilli(m.Began)
@@ -76,8 +76,8 @@
 	if m.Next != nil {
 		t.next = m.Next
 	}
-	for name, x := range m.Turns {
-		s := &turn{base: x.Base, mean: x.Mean, peak: x.Peak, seen: now}
+	for name, x := range m.Series {
+		s := &series{base: x.Base, mean: x.Mean, peak: x.Peak, seen: now}
 		if x.Began > 0 {
 			s.began = time.UnixMilli(x.Began)
 		}
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -1,4 +1,4 @@
-// Package pools decides which hosts change their pool. It answers demand that turns from service to service: each asks
+// Package pools decides which hosts change their pool. It answers demand that peaks in one service after the other: each asks
 // for more than its own hosts for some seconds and for little in between, so that hosts follow the demand and those that
 // nobody needs are switched off in the spare pool.
 package pools
@@ -22,8 +22,8 @@
 	// keepFor is how long a pool keeps hosts after it needed them. A move there and back costs as much as about two
 	// seconds of a host.
 	keepFor = 1500 * time.Millisecond
-	// patient is the objective above which work can wait for hosts that are ordered when it comes.
-	patient = 4 * time.Second
+	// longObjective is the objective above which work can wait for hosts that are ordered when it comes.
+	longObjective = 4 * time.Second
 	// movesAtOnce and the hosts divided by hostsPerMove, whichever is more, bound the moves of one plan; the controller of
 	// hosts takes a limited number of calls a second.
 	movesAtOnce  = 12
@@ -32,19 +32,19 @@
 
 // Pool is a service's pool at one moment.
 type Pool struct {
-	Service  string
-	Rate     float64       // cores that the work handed in lately asks for
-	Backlog  float64       // cores that accepted work asks for
-	Active   float64       // cores of the short tasks that run or could run
-	Spread   int           // hosts that the widest step needs because its tasks keep apart
-	Lasting  float64       // cores of lasting tasks
-	Anchors  int           // hosts with lasting tasks
-	Cores    float64       // of one host, above zero
-	Have     int           // hosts that are up in the pool
-	Incoming int           // hosts on their way to it
-	Idle     []string      // hosts without tasks, the longest idle first
-	Patience time.Duration // mean objective of its work; 0: unknown
-	Known    bool          // the owner has answered; if not, the pool is left alone
+	Service     string
+	Rate        float64       // cores that the work handed in lately asks for
+	Backlog     float64       // cores that accepted work asks for
+	Active      float64       // cores of the short tasks that run or could run
+	Spread      int           // hosts that the widest step needs because its tasks keep apart
+	LongRunning float64       // cores of long-running tasks
+	Pinned      int           // hosts with long-running tasks
+	Cores       float64       // of one host, above zero
+	Have        int           // hosts that are up in the pool
+	Incoming    int           // hosts on their way to it
+	Idle        []string      // hosts without tasks, the longest idle first
+	Objective   time.Duration // mean objective of its work; 0: unknown
+	Known       bool          // the owner has answered; if not, the pool is left alone
 }
 
 // Move puts a host into another pool.
@@ -57,9 +57,9 @@
 
 // Planner keeps what pools needed lately. It must be made with New.
 type Planner struct {
-	Spare string // pool that is switched off; empty: hosts are not switched off
-	needs map[string]*need
-	turns *Turns
+	Spare    string // pool that is switched off; empty: hosts are not switched off
+	needs    map[string]*need
+	forecast *Forecast
 }
 
 // need is the number of hosts that a pool needed.
@@ -71,7 +71,7 @@
 
 // New returns a planner.
 func New(spare string) *Planner {
-	return &Planner{Spare: spare, needs: map[string]*need{}, turns: NewTurns()}
+	return &Planner{Spare: spare, needs: map[string]*need{}, forecast: NewForecast()}
 }
 
 // Plan returns the moves to make now. spare are the hosts in the spare pool.
@@ -81,7 +81,7 @@
 	for i := range list {
 		x := &list[i]
 		if x.Known && x.Cores > 0 {
-			p.turns.Observe(now, x.Service, x.Rate, float64(p.need(now, x).first)*x.Cores)
+			p.forecast.Observe(now, x.Service, x.Rate, float64(p.need(now, x).first)*x.Cores)
 		}
 	}
 	for i := range list {
@@ -128,7 +128,7 @@
 }
 
 // supply finds a host for a pool: one that is switched off, an idle one that its own pool does not want, or an idle one
-// that its pool only keeps for a turn that is not near.
+// that its pool only keeps for a peak that is not near.
 func (p *Planner) supply(now time.Time, x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
 	if len(*spare) > 0 {
 		return Move{Host: take(spare), From: p.Spare, To: x.Service, Why: "demand"}, true
@@ -155,7 +155,7 @@
 
 // lendable is the number of hosts that a pool keeps while another is short of hosts.
 func (p *Planner) lendable(now time.Time, o *Pool) int {
-	if _, ok := p.turns.Expect(now, o.Service); ok {
+	if _, ok := p.forecast.Expect(now, o.Service); ok {
 		return o.Have + o.Incoming
 	}
 	return max(p.demanded(now, o), (p.need(now, o).first+1)/2)
@@ -171,7 +171,7 @@
 func (p *Planner) want(now time.Time, x *Pool) int {
 	n := p.need(now, x)
 	hosts := p.demanded(now, x)
-	if x.Patience < patient && !p.turns.Seen(x.Service) {
+	if x.Objective < longObjective && !p.forecast.Seen(x.Service) {
 		// Work that can't wait for hosts finds those that the operators gave the pool until its peak is known.
 		hosts = max(hosts, n.first)
 	}
@@ -184,16 +184,16 @@
 // demanded is the number of hosts that the demand of a pool asks for.
 func (p *Planner) demanded(now time.Time, x *Pool) int {
 	cores := max(x.Backlog*backlogReserve, x.Rate*rateReserve, x.Active)
-	if x.Patience < patient {
-		if ahead, ok := p.turns.Expect(now, x.Service); ok {
+	if x.Objective < longObjective {
+		if ahead, ok := p.forecast.Expect(now, x.Service); ok {
 			cores = max(cores, ahead*rateReserve)
 		}
-		if rising, ok := p.turns.Rising(now, x.Service); ok {
+		if rising, ok := p.forecast.Rising(now, x.Service); ok {
 			cores = max(cores, rising*rateReserve)
 		}
 	}
-	hosts := int(math.Ceil((cores/fill + x.Lasting) / x.Cores))
-	return max(hosts, x.Anchors, min(x.Spread, p.need(now, x).first), leastHosts)
+	hosts := int(math.Ceil((cores/fill + x.LongRunning) / x.Cores))
+	return max(hosts, x.Pinned, min(x.Spread, p.need(now, x).first), leastHosts)
 }
 
 // need returns what is kept of a pool.
@@ -203,7 +203,7 @@
 		n = &need{hosts: x.Have, at: now, first: x.Have}
 		p.needs[x.Service] = n
 	}
-	if x.Patience == 0 {
+	if x.Objective == 0 {
 		// Until work comes, hosts that are still starting join the pool.
 		n.first = max(n.first, x.Have)
 	}
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -47,37 +47,37 @@
 	is := is.New(t)
 	p := pools.New("spare")
 	patient := quiet("b", 10)
-	patient.Patience = 6 * time.Second
+	patient.Objective = 6 * time.Second
 	p.Plan(begin, []pools.Pool{quiet("a", 10), patient}, nil)
 	peak := quiet("a", 10)
-	peak.Idle, peak.Rate, peak.Active, peak.Patience = nil, 560, 300, 6*time.Second // 560 x 1.3 / 0.85 / 32 = 27 hosts
+	peak.Idle, peak.Rate, peak.Active, peak.Objective = nil, 560, 300, 6*time.Second // 560 x 1.3 / 0.85 / 32 = 27 hosts
 	n := count(p.Plan(begin.Add(2*time.Second), []pools.Pool{peak, patient}, idle("spare", 4)))
 	is.Equal(n["spare>a"], 4)
 	is.Equal(n["b>a"], 8)
 }
 
-// Guards against hosts that wait for the turn of one service while another refuses work: the burst of trouble-1 of
-// ladle-sched met 12 hosts, and 20 stood idle in pools that had no turn yet.
-func TestHostsThatWaitForATurnAreLent(t *testing.T) {
+// Guards against hosts that wait for the peak of one service while another refuses work: the burst of trouble-1 of
+// ladle-sched met 12 hosts, and 20 stood idle in pools that had no peak yet.
+func TestHostsThatWaitForAPeakAreLent(t *testing.T) {
 	is := is.New(t)
 	p := pools.New("spare")
 	waiting := quiet("b", 10)
-	waiting.Patience = 2 * time.Second // its hosts are kept until its first turn
+	waiting.Objective = 2 * time.Second // its hosts are kept until its first peak
 	peak := quiet("a", 10)
-	peak.Idle, peak.Active, peak.Patience = nil, 900, 6*time.Second
+	peak.Idle, peak.Active, peak.Objective = nil, 900, 6*time.Second
 	p.Plan(begin, []pools.Pool{quiet("a", 10), quiet("b", 10)}, nil)
 	n := count(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, waiting}, nil))
 	is.Equal(n["b>a"], 5) // half of them stay
 }
 
-// Guards against moves that take a host from work or from lasting tasks.
+// Guards against moves that take a host from work or from long-running tasks.
 func TestOnlyIdleHostsLeave(t *testing.T) {
 	is := is.New(t)
 	p := pools.New("spare")
 	busy := quiet("b", 10)
-	busy.Patience, busy.Idle, busy.Anchors = 6*time.Second, idle("b", 2), 5
+	busy.Objective, busy.Idle, busy.Pinned = 6*time.Second, idle("b", 2), 5
 	peak := quiet("a", 4)
-	peak.Idle, peak.Rate, peak.Patience = nil, 400, 2*time.Second
+	peak.Idle, peak.Rate, peak.Objective = nil, 400, 2*time.Second
 	p.Plan(begin, []pools.Pool{peak, busy}, nil)
 	n := count(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, busy}, nil))
 	is.Equal(n["b>a"], 2)
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	p := pools.New("spare")
 	x := quiet("a", 10)
-	x.Patience, x.Rate, x.Idle = 6*time.Second, 200, nil
+	x.Objective, x.Rate, x.Idle = 6*time.Second, 200, nil
 	p.Plan(begin, []pools.Pool{x}, nil)
 	x.Rate, x.Idle = 0, idle("a", 10)
 	is.Equal(len(p.Plan(begin.Add(500*time.Millisecond), []pools.Pool{x}, nil)), 0)
@@ -100,22 +100,22 @@
 	is := is.New(t)
 	p := pools.New("spare")
 	x := quiet("a", 10)
-	x.Patience = 6 * time.Second
+	x.Objective = 6 * time.Second
 	p.Plan(begin, []pools.Pool{x}, nil)
 	x.Known = false
 	is.Equal(len(p.Plan(begin.Add(5*time.Second), []pools.Pool{x}, nil)), 0)
 }
 
-// turns plays demand that goes from service to service, 8 s each, and returns the planner and the time.
-func turns(p *pools.Planner, services []string, rounds int) time.Time {
+// rotate plays demand that goes from service to service, 8 s each, and returns the planner and the time.
+func rotate(p *pools.Planner, services []string, rounds int) time.Time {
 	now := begin
-	for turn := range rounds {
+	for peak := range rounds {
 		for range 40 {
 			var list []pools.Pool
 			for i, s := range services {
 				x := quiet(s, 20)
-				x.Patience, x.Rate, x.Idle = 2*time.Second, 10, nil
-				if turn%len(services) == i {
+				x.Objective, x.Rate, x.Idle = 2*time.Second, 10, nil
+				if peak%len(services) == i {
 					x.Rate = 400
 				}
 				list = append(list, x)
@@ -127,8 +127,8 @@
 	return now
 }
 
-// Guards against hosts that follow the rise of a turn step by step and come when it is over.
-func TestRisingTurnGetsItsHostsAtOnce(t *testing.T) {
+// Guards against hosts that follow the rise of a peak step by step and come when it is over.
+func TestRisingPeakGetsItsHostsAtOnce(t *testing.T) {
 	is := is.New(t)
 	p := pools.New("spare")
 	other := quiet("b", 10)
@@ -138,23 +138,23 @@
 		now = now.Add(300 * time.Millisecond)
 	}
 	x := quiet("a", 10) // 320 cores
-	x.Patience, x.Rate, x.Idle = 2*time.Second, 200, nil
+	x.Objective, x.Rate, x.Idle = 2*time.Second, 200, nil
 	n := count(p.Plan(now, []pools.Pool{x, other}, idle("spare", 30)))
 	is.Equal(n["spare>a"], 12) // 320 x 1.6 x 1.3 / 0.85 / 32 are 25 hosts, of which 12 are ordered at once
 }
 
-// Guards against a turn that is known to come and finds no hosts, also after another controller took over.
-func TestTurnIsExpected(t *testing.T) {
+// Guards against a peak that is known to come and finds no hosts, also after another controller took over.
+func TestPeakIsExpected(t *testing.T) {
 	is := is.New(t)
 	services := []string{"a", "b", "c"}
 	p := pools.New("spare")
-	now := turns(p, services, 3) // the turn of a comes again
+	now := rotate(p, services, 3) // the peak of a comes again
 	next := pools.New("spare")
 	is.NoErr(next.Restore(now, p.Keep()))
 	x := quiet("a", 4)
-	x.Patience, x.Idle = 2*time.Second, nil
+	x.Objective, x.Idle = 2*time.Second, nil
 	y := quiet("b", 4)
-	y.Patience, y.Idle = 2*time.Second, nil
+	y.Objective, y.Idle = 2*time.Second, nil
 	n := count(next.Plan(now.Add(-1500*time.Millisecond), []pools.Pool{x, y}, idle("spare", 30)))
 	is.True(n["spare>a"] >= 12) // 400 cores are 13 hosts at least, some of which are there
 	is.Equal(n["spare>b"], 0)
--- a/store.go
+++ b/store.go
@@ -107,8 +107,8 @@
 type HostControl interface {
 	// List returns all hosts. Error: ErrUnavailable.
 	List(ctx context.Context) ([]HostRecord, error)
-	// Upkeep takes a host down for a wave. Errors: ErrFenced, ErrBusy, ErrMalformed, ErrUncertain, ErrNotDone.
-	Upkeep(ctx context.Context, holder string, token int64, host string, wave int) error
-	// Move puts a host into another pool. Errors as Upkeep.
+	// Maintain takes a host down for a wave. Errors: ErrFenced, ErrBusy, ErrMalformed, ErrUncertain, ErrNotDone.
+	Maintain(ctx context.Context, holder string, token int64, host string, wave int) error
+	// Move puts a host into another pool. Errors as Maintain.
 	Move(ctx context.Context, holder string, token int64, host, pool string) error
 }
