--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -569,3 +569,43 @@
 	p.run(5 * time.Minute)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 }
+
+// Guards against planned work that takes a task away right after a takeover, while a stop of the earlier owner is under
+// way: AVAIL on the day trouble-2 of ladle-sched with seed 856814155254.
+func TestNoMovesRightAfterATakeover(t *testing.T) {
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(3))
+	p.run(3 * time.Second)
+	var ids []string
+	for _, w := range p.workers {
+		if len(w.runs) > 0 {
+			ids = append(ids, w.info.ID)
+		}
+	}
+	p.takeOver(200, 0)
+	for range 30 {
+		p.s.Cordon(p.now, ids)
+		p.run(tick)
+	}
+	p.is.Equal(p.atWork(), 3)
+}
+
+// Guards against more tasks on a worker than it has room for, because what still runs of a job that is over is taken to
+// need none: LIMIT on the day fresh-452f of ladle-sched.
+func TestRunsOfEndedJobsKeepTheirRoom(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(10)) // 20 of 32 cores
+	p.run(2 * time.Second)
+	p.s.Cancel(p.now, jobA, func(dispatch.Result) {})
+	p.write() // stored, and the stops are lost with the owner
+	p.workers[0].cut = true
+	p.takeOver(200, 0)
+	p.workers[0].cut = false
+	p.workers[0].slowStop = time.Second
+	p.submit(jobB, step(8, 3000)) // 24 cores
+	p.run(4 * time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+	p.is.Equal(p.over, 0)
+}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// moveAfterTakeover is how long after a takeover, besides the time of a stop, planned work takes no task away.
+const moveAfterTakeover = 1500 * time.Millisecond
+
 // cordonFor is how long a worker gets no tasks after it was last asked for.
 const cordonFor = 2 * time.Second
 
@@ -39,7 +42,7 @@
 			if a.task == nil || !a.task.step.LongRunning || !a.stop.IsZero() || a.answered.IsZero() {
 				continue
 			}
-			if w.leaving.IsZero() && !s.mayMove(a.task) {
+			if w.leaving.IsZero() && !s.mayMove(now, a.task) {
 				continue
 			}
 			if s.choose(a.task.step, a.task, s.neighbours(a.task.step)) == nil {
@@ -51,7 +54,10 @@
 }
 
 // mayMove tells whether planned work may take a long-running task away now.
-func (s *Service) mayMove(t *task) bool {
+func (s *Service) mayMove(now time.Time, t *task) bool {
+	if now.Sub(s.taken) < s.Bounds.StopGrace+moveAfterTakeover {
+		return false // an earlier owner's stops of other tasks may not show yet
+	}
 	away := 0
 	for _, o := range t.step.tasks {
 		if o != t && (!o.away.IsZero() || o.at == nil || !o.at.stop.IsZero() || o.at.percent < 100) {
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -33,20 +33,21 @@
 
 // fakeWorker is a worker as the users' protocol describes it.
 type fakeWorker struct {
-	info    cuminstair.WorkerInfo
-	birth   time.Time
-	token   int64
-	lease   time.Duration
-	runs    map[cuminstair.TaskID]*fakeRun
-	barred  map[cuminstair.TaskID]int64
-	ended   []cuminstair.EndedTask
-	seq     int64
-	dead    bool          // nothing answers, nothing runs
-	cut     bool          // nothing answers, runs go on
-	mute    bool          // starts are carried out at once and not answered
-	swallow bool          // starts are lost
-	delay   time.Duration // starts are not answered and carried out this much later
-	late    []lateStart
+	info     cuminstair.WorkerInfo
+	birth    time.Time
+	token    int64
+	lease    time.Duration
+	runs     map[cuminstair.TaskID]*fakeRun
+	barred   map[cuminstair.TaskID]int64
+	ended    []cuminstair.EndedTask
+	seq      int64
+	dead     bool          // nothing answers, nothing runs
+	cut      bool          // nothing answers, runs go on
+	mute     bool          // starts are carried out at once and not answered
+	swallow  bool          // starts are lost
+	delay    time.Duration // starts are not answered and carried out this much later
+	late     []lateStart
+	slowStop time.Duration // how long a stop takes
 }
 
 // lateStart is a start that is carried out later.
@@ -167,7 +168,7 @@
 				delete(w.runs, id)
 			case p.now.Sub(w.birth) > w.lease:
 				w.end(id, r, cuminstair.EndLapsed)
-			case !r.stopped.IsZero():
+			case !r.stopped.IsZero() && p.now.Sub(r.stopped) >= w.slowStop:
 				w.end(id, r, cuminstair.EndStopped)
 			case !p.step(id).LongRunning && p.now.Sub(r.started) >= p.length(id):
 				how := cuminstair.EndDone
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -310,8 +310,15 @@
 	if j != nil {
 		x = j.task(t.Task)
 	}
+	switch {
+	case j != nil && t.Task.Step < len(j.spec.Steps):
+		// Jobs that are over have no tasks any more, but what still runs of them takes its room.
+		st := step{JobStep: j.spec.Steps[t.Task.Step]}
+		a.room, a.longRunning, a.bestEffort = st.room(), st.LongRunning, st.BestEffort
+	default:
+		a.room = w.free() // nothing is known of it: the worker gets no tasks until it has ended
+	}
 	if x != nil {
-		a.room, a.longRunning, a.bestEffort = x.step.room(), x.step.LongRunning, x.step.BestEffort
 		x.run = max(x.run, t.Run)
 	}
 	if old, ok := w.attempts[t.Task]; ok {
