--- a/cmd/cuminstairjobs/soak_test.go
+++ b/cmd/cuminstairjobs/soak_test.go
@@ -28,7 +28,9 @@
 )
 
 // seedsThatFailed are seeds that once broke a promise, with the cause.
-var seedsThatFailed = map[uint64]string{}
+var seedsThatFailed = map[uint64]string{
+	611: "a controller of hosts was killed between storing the end of a wave and telling it",
+}
 
 // outcome is what a caller knows of its job.
 type outcome uint8
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -123,11 +123,7 @@
 		known[rec.Key] = v
 	}
 	for key, w := range fresh {
-		if known[key].Ended {
-			h.ended[key] = true
-			continue
-		}
-		h.waves[key] = maintenance.New(h.d.Timer.Now(), w, known[key].Begun)
+		h.waves[key] = maintenance.New(h.d.Timer.Now(), w, known[key])
 	}
 }
 
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -43,17 +43,23 @@
 // Busy tells whether the maintenance of the host is under way.
 func (h *Host) Busy() bool { return h.Phase == Ordered || h.Phase == Begun }
 
-// New returns the state of a wave. begun are the hosts whose maintenance an earlier controller has confirmed.
-func New(now time.Time, w cuminstair.MaintenanceWave, begun []string) *Wave {
+// New returns the state of a wave. r is what an earlier controller has stored. A wave that has ended is completed at once,
+// so that its state is told again: the earlier controller may have ended before it told it.
+func New(now time.Time, w cuminstair.MaintenanceWave, r Record) *Wave {
 	s := &Wave{MaintenanceWave: w, Seen: now, State: map[string]*Host{}}
 	for _, name := range w.Hosts {
 		s.State[name] = &Host{Name: name}
 	}
-	for _, name := range begun {
+	for _, name := range r.Begun {
 		if h, ok := s.State[name]; ok {
 			h.Phase, h.At = Begun, now
 		}
 	}
+	for _, h := range s.State {
+		if r.Ended {
+			h.Phase = Done
+		}
+	}
 	return s
 }
 
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -27,7 +27,7 @@
 // Guards against more hosts down than the wave allows, orders without an answer included.
 func TestLimit(t *testing.T) {
 	is := is.New(t)
-	w := maintenance.New(begin, wave("a", "b", "c", "d"), nil)
+	w := maintenance.New(begin, wave("a", "b", "c", "d"), maintenance.Record{})
 	is.Equal(len(w.Take(begin, []string{"a", "b", "c"}, time.Second)), 2)
 	w.Confirm(begin, "a", true, false)
 	w.Confirm(begin, "b", false, false) // no answer: it may be down
@@ -41,7 +41,7 @@
 // wave up.
 func TestCompleted(t *testing.T) {
 	is := is.New(t)
-	w := maintenance.New(begin, wave("a", "b"), nil)
+	w := maintenance.New(begin, wave("a", "b"), maintenance.Record{})
 	w.Observe(begin, list(cuminstair.PhaseUp, "a", "b"))
 	is.True(!w.Completed())
 	w.Take(begin, []string{"a"}, time.Second)
@@ -60,14 +60,28 @@
 // Guards against hosts that are taken down a second time by the next controller.
 func TestNextControllerGoesOn(t *testing.T) {
 	is := is.New(t)
-	w := maintenance.New(begin, wave("a", "b", "c"), nil)
+	w := maintenance.New(begin, wave("a", "b", "c"), maintenance.Record{})
 	w.Take(begin, []string{"a"}, time.Second)
 	w.Confirm(begin, "a", true, false)
 	r, err := maintenance.ReadRecord(w.Value())
 	is.NoErr(err)
-	next := maintenance.New(begin.Add(time.Second), wave("a", "b", "c"), r.Begun)
+	next := maintenance.New(begin.Add(time.Second), wave("a", "b", "c"), r)
 	is.Equal(next.Down(), 1)
 	is.Equal(next.Candidates(func(string) int { return 0 }), []string{"b", "c"})
 	_, err = maintenance.ReadRecord([]byte("{"))
 	is.True(err != nil)
 }
+
+// Guards against a wave that is never told completed because its controller ended between storing and telling it: seed 611
+// of the soak.
+func TestEndedWaveIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	w := maintenance.New(begin, wave("a"), maintenance.Record{})
+	w.Take(begin, []string{"a"}, time.Second)
+	w.Confirm(begin, "a", true, false)
+	w.Observe(begin.Add(3*time.Second), list(cuminstair.PhaseUp, "a"))
+	r, err := maintenance.ReadRecord(w.Value())
+	is.NoErr(err)
+	is.True(r.Ended)
+	is.True(maintenance.New(begin.Add(4*time.Second), wave("a"), r).Completed())
+}
