Repeat an order for a host only while the host is idle

A host whose order had no answer was no longer cordoned, got tasks after 2 s, and the repeated order ended them. TestLimit now also asks that a host with tasks is not ordered again, and failed before.

--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -144,7 +144,8 @@
 		}
 		return 1
 	})
-	idle := h.cordon(ctx, candidates, byName)
+	// An order without an answer may be carried out later, so that its host stays without tasks.
+	idle := h.cordon(ctx, append(candidates, w.Pending()...), byName)
 	if !h.mayOrder(r) {
 		return
 	}
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -121,11 +122,24 @@
 	return due[:min(n, len(due))]
 }
 
-// Take returns the hosts to order now: those without a clear answer again, then idle ones as far as the limit allows.
+// Pending returns the hosts whose order has no clear answer. They have to be kept idle.
+func (w *Wave) Pending() []string {
+	var out []string
+	for _, h := range w.State {
+		if h.Phase == Ordered {
+			out = append(out, h.Name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Take returns the hosts to order now: those without a clear answer again, then others as far as the limit allows. Only
+// idle hosts are ordered.
 func (w *Wave) Take(now time.Time, idle []string, again time.Duration) []string {
 	var out []string
 	for _, h := range w.State {
-		if h.Phase == Ordered && now.Sub(h.At) >= again {
+		if h.Phase == Ordered && now.Sub(h.At) >= again && slices.Contains(idle, h.Name) {
 			out = append(out, h.Name)
 		}
 	}
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -32,8 +32,10 @@
 	w.Confirm(begin, "a", true, false)
 	w.Confirm(begin, "b", false, false) // no answer: it may be down
 	is.Equal(len(w.Take(begin.Add(100*time.Millisecond), []string{"c", "d"}, time.Second)), 0)
-	is.Equal(w.Take(begin.Add(2*time.Second), []string{"c", "d"}, time.Second), []string{"b"}) // asked again
-	w.Confirm(begin.Add(2*time.Second), "b", false, true)                                      // refused: it is up
+	is.Equal(w.Pending(), []string{"b"})
+	is.Equal(len(w.Take(begin.Add(2*time.Second), []string{"c", "d"}, time.Second)), 0)             // b has tasks again
+	is.Equal(w.Take(begin.Add(2*time.Second), []string{"b", "c", "d"}, time.Second), []string{"b"}) // asked again
+	w.Confirm(begin.Add(2*time.Second), "b", false, true)                                           // refused: it is up
 	is.Equal(w.Take(begin.Add(2*time.Second), []string{"c"}, time.Second), []string{"c"})
 }
 
