--- a/cmd/cuminstairjobs/day_test.go
+++ b/cmd/cuminstairjobs/day_test.go
@@ -108,7 +108,7 @@
 	f.submit(f.daemons[0], "s1", jobID(1), 3, 0)
 	for i, d := range f.daemons[:2] {
 		d.signal(syscall.SIGHUP)
-		time.Sleep(50 * time.Millisecond)
+		f.until(soon, "the settings are reloaded", func() bool { return strings.Contains(d.log.String(), "settings reloaded") })
 		d.signal(syscall.SIGTERM)
 		f.submit(f.daemons[2], "s1", jobID(10+i), 2, 100*time.Millisecond)
 		f.submit(f.daemons[2], "s2", jobID(20+i), 2, 100*time.Millisecond)
@@ -144,7 +144,7 @@
 		status, _ := f.call(f.daemons[0], http.MethodPost, "/s1/"+jobID(3), body(jobID(3), 1, false))
 		return status == http.StatusServiceUnavailable
 	})
-	time.Sleep(2 * time.Second)
+	f.until(soon, "the tasks end while the store is away", func() bool { return f.site.Running(jobID(1)) == 0 })
 	f.site.Store.Compact()
 	f.site.Store.SetDown(false)
 	for _, id := range []string{jobID(1), jobID(2)} {
--- a/cmd/cuminstairjobs/fleet_test.go
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -46,6 +46,26 @@
 	os.Exit(code)
 }
 
+// logBuffer keeps what a daemon writes. It may be read while the daemon writes.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns all that was written.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // daemon is a process of the program.
 type daemon struct {
 	name    string
@@ -53,7 +73,7 @@
 	ready   string
 	file    string
 	store   *proxy
-	log     *bytes.Buffer
+	log     *logBuffer
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	ended   chan struct{}
@@ -119,7 +139,7 @@
 	local := func() string { return "127.0.0.1:" + strconv.Itoa(freePort(f.t)) }
 	internal := freePort(f.t)
 	d := &daemon{
-		name: fmt.Sprintf("d%d", i), callers: local(), ready: local(), store: p, log: &bytes.Buffer{},
+		name: fmt.Sprintf("d%d", i), callers: local(), ready: local(), store: p, log: &logBuffer{},
 		file: filepath.Join(f.t.TempDir(), fmt.Sprintf("d%d.json", i)),
 	}
 	data, err := json.Marshal(map[string]any{
