--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -203,7 +203,7 @@
 	}
 	p.s.SetWorkers(p.now, p.list)
 	p.run(1500 * time.Millisecond)
-	p.submit(jobB, step(20, 1000))
+	p.submit(jobB, step(40, 2000)) // more than the others have room for
 	p.run(300 * time.Millisecond)
 	p.is.Equal(len(p.worker(leaving).runs), 0)
 	p.is.Equal(p.running(), 3)
