--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,5 +1,6 @@
 // Package admission decides whether a new job can end within its objective. It answers demand that asks for a multiple of
-// the pool for some seconds: work that would end late is refused at once, so that what is accepted ends in time.
+// the pool for some seconds: what is accepted in time ends in time, what can only end late is accepted behind it as long
+// as its result is of use, and the rest is refused at once.
 package admission
 
 import (
@@ -10,6 +11,7 @@
 // Load is accepted work that is not done.
 type Load struct {
 	Due  time.Time // when it should be done
+	Use  time.Time // when its result is of no use any more
 	Work float64   // core-seconds left
 	// Front is the part of Work that could run now and waits for room; later steps wait for it and don't stand in the way.
 	Front float64
@@ -19,6 +21,7 @@
 // Ask is a new job.
 type Ask struct {
 	Due   time.Time
+	Use   time.Time     // when its result is of no use any more
 	Work  float64       // core-seconds
 	Chain time.Duration // longest chain of its steps when nothing waits
 	Width float64       // cores that its first steps keep busy
@@ -64,22 +67,29 @@
 // laterShare is the part of the work of later steps that comes up in time to stand in the way of a new job.
 const laterShare = 0.7
 
+// lateReserve is by how much all accepted work has to fit before a late job's result is of no use any more, since
+// work that comes later and can be in time goes first.
+const lateReserve = 1.5
+
 // never stands for work that a pool without cores does not do.
 const never = time.Hour
 
 // Verdict is the answer.
 type Verdict struct {
 	Accept bool
+	Late   bool          // accepted: it can't be in time and gives way to all that can
 	Finish time.Time     // when the job is expected to end
 	Wait   time.Duration // refused: when room is expected
 }
 
 // Decide accepts the job if its own chain fits before its due time and, with the work in the order of the due times,
-// the pool can do everything that is due up to each due time.
+// the pool can do everything that is due up to each due time. A job that can't be in time is accepted late if the pool
+// can do it, and everything that was accepted before, while its result is of use.
 func Decide(now time.Time, pool Pool, load []Load, ask Ask) Verdict {
 	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
-	before, front, total, excess := 0.0, 0.0, 0.0, time.Duration(0)
+	before, front, total, all, excess := 0.0, 0.0, 0.0, 0.0, time.Duration(0)
 	for _, l := range load {
+		all += l.Work
 		if l.Late {
 			continue
 		}
@@ -100,7 +110,14 @@
 	if late := finish.Sub(ask.Due); late > 0 {
 		excess = max(excess, late)
 	}
-	return Verdict{Accept: excess == 0, Finish: finish, Wait: excess}
+	if excess == 0 {
+		return Verdict{Accept: true, Finish: finish}
+	}
+	last := now.Add(max(wait+ask.Chain, pool.time(lateReserve*(all+ask.Work))))
+	if !last.After(ask.Use) {
+		return Verdict{Accept: true, Late: true, Finish: last}
+	}
+	return Verdict{Finish: finish, Wait: excess}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"cuminstair.org/cuminstair/admission"
 )
 
 // Windows of demand.
@@ -69,13 +71,7 @@
 		}
 	}
 	d.Objective = s.meanObjective.Milliseconds()
-	load := s.load(now)
-	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
-	work := 0.0
-	for _, l := range load {
-		work += l.Work
-		d.Backlog = max(d.Backlog, work/max(leastTime, l.Due.Sub(now)).Seconds())
-	}
+	d.Backlog = backlog(now, s.load(now))
 	d.Active, d.Spread = s.activity()
 	var idle []*worker
 	for _, w := range s.workers {
@@ -112,8 +108,25 @@
 	return d
 }
 
-// activity returns the cores of the short tasks that run or could run, and how many workers a step needs whose tasks
-// keep apart.
+// backlog returns the cores that do accepted work before it should be done, and late work while it is of use.
+func backlog(now time.Time, load []admission.Load) float64 {
+	until := func(l *admission.Load) time.Time {
+		if l.Late {
+			return l.Use
+		}
+		return l.Due
+	}
+	sort.Slice(load, func(i, j int) bool { return until(&load[i]).Before(until(&load[j])) })
+	work, cores := 0.0, 0.0
+	for i := range load {
+		work += load[i].Work
+		cores = max(cores, work/max(leastTime, until(&load[i]).Sub(now)).Seconds())
+	}
+	return cores
+}
+
+// activity returns the cores of the short tasks that run, or could run and may be in time, and how many workers a step
+// needs whose tasks keep apart.
 func (s *Service) activity() (cores float64, spread int) {
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
@@ -129,7 +142,7 @@
 				waiting++
 			}
 		}
-		if !st.LongRunning {
+		if !st.LongRunning && st.rank == rankInTime {
 			cores += float64(waiting) * s.cores(&st.JobStep)
 		}
 		if st.PerWorker > 0 {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -5,6 +5,10 @@
 // moveAfterTakeover is how long after a takeover, besides the time of a stop, planned work takes no task away.
 const moveAfterTakeover = 1500 * time.Millisecond
 
+// stopSettles is how long a worker that leaves waits with a move for the planned stop of another task. It is well below
+// the time for which a worker serves on after it was seen to leave.
+const stopSettles = 1200 * time.Millisecond
+
 // cordonFor is how long a worker gets no tasks after it was last asked for.
 const cordonFor = 2 * time.Second
 
@@ -45,6 +49,9 @@
 			if w.leaving.IsZero() && !s.mayMove(now, a.task) {
 				continue
 			}
+			if !w.leaving.IsZero() && stopping(now, a.task) {
+				continue
+			}
 			if s.choose(a.task.step, a.task, s.neighbours(a.task.step)) == nil {
 				continue
 			}
@@ -67,6 +74,17 @@
 	return away < max(1, t.step.MayMiss)
 }
 
+// stopping tells whether a task of the same step is being stopped on a worker that stays. Its end counts as planned, so
+// that no other task may be away by then.
+func stopping(now time.Time, t *task) bool {
+	for _, o := range t.step.tasks {
+		if o != t && o.moved && o.at != nil && o.at.worker.leaving.IsZero() && !o.at.stop.IsZero() && now.Sub(o.away) < stopSettles {
+			return true
+		}
+	}
+	return false
+}
+
 // move stops a long-running task, which is then started on another worker.
 func (s *Service) move(now time.Time, a *attempt) {
 	a.task.away, a.task.moved = now, true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -17,6 +17,7 @@
 	sent     time.Time           // when it was first handed in, refused sendings included
 	arrived  time.Time           // when the sending that was accepted came
 	due      time.Time           // end of its objective; for long-running jobs unused
+	late     bool                // accepted although it can't be in time
 	runs     []*occurrence       // in the order of their numbers
 	next     int                 // occurrences before it have been created
 	stored   bool                // the store has the job
@@ -47,6 +48,7 @@
 	tail   time.Duration // longest chain of work after this step
 	listed bool          // in Service.ready
 	latest time.Time     // when its tasks have to start for the job to be in time
+	rank   int           // see Service.rank
 }
 
 // task is a task of a step.
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -31,8 +31,9 @@
 	s.ready = kept
 	for _, st := range s.ready {
 		st.latest = s.latest(st)
+		st.rank = s.rank(now, st)
 	}
-	sort.SliceStable(s.ready, func(i, j int) bool { return before(now, s.ready[i], s.ready[j]) })
+	sort.SliceStable(s.ready, func(i, j int) bool { return before(s.ready[i], s.ready[j]) })
 	s.lookAround(now)
 	for _, st := range s.ready {
 		if st.occ.job.old && !settled {
@@ -75,29 +76,61 @@
 	return false
 }
 
+// Ranks of steps, the first to be placed first.
+const (
+	rankInTime  = iota // can be in time
+	rankLate           // can't, but the result is of use
+	rankUseless        // its result comes too late to be of use
+)
+
+// rank tells how much an early start of a step is worth.
+func (s *Service) rank(now time.Time, st *step) int {
+	if st.LongRunning {
+		return rankInTime
+	}
+	from, due := st.occ.begin(), s.dueOf(st.occ)
+	switch after := st.tail + s.length(st.occ.job, st.index); {
+	case now.Add(after).After(useful(from, due)):
+		return rankUseless
+	case st.occ.job.late, st.latest.Before(now):
+		return rankLate
+	}
+	return rankInTime
+}
+
 // before orders steps: what lasts, then what can be in time by the time that is left, then what is late.
-func before(now time.Time, a, b *step) bool {
+func before(a, b *step) bool {
 	if a.LongRunning != b.LongRunning {
 		return a.LongRunning
 	}
 	if a.BestEffort != b.BestEffort {
 		return b.BestEffort
 	}
-	aLate, bLate := a.latest.Before(now), b.latest.Before(now)
-	if aLate != bLate {
-		return bLate
+	if a.rank != b.rank {
+		return a.rank < b.rank
 	}
 	return a.latest.Before(b.latest)
 }
 
 // latest is when the tasks of a step have to start for the job to be in time.
 func (s *Service) latest(st *step) time.Time {
-	j := st.occ.job
-	due := j.due
-	if !st.occ.due.IsZero() {
-		due = s.objective(j, st.occ.due)
+	return s.dueOf(st.occ).Add(-st.tail - s.length(st.occ.job, st.index))
+}
+
+// dueOf is when an occurrence should be done.
+func (s *Service) dueOf(o *occurrence) time.Time {
+	if o.due.IsZero() {
+		return o.job.due
+	}
+	return s.objective(o.job, o.due)
+}
+
+// begin is when the objective of the occurrence began.
+func (o *occurrence) begin() time.Time {
+	if o.due.IsZero() {
+		return o.job.sent
 	}
-	return due.Add(-st.tail - s.length(j, st.index))
+	return o.due
 }
 
 func (s *Service) placeStep(now time.Time, st *step) {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -30,6 +30,8 @@
 	maxRatio = 4.0
 	// defaultEstimate stands for a duration that was not declared.
 	defaultEstimate = time.Second
+	// usefulFor is the multiple of its objective up to which the result of a job is of use to its caller.
+	usefulFor = 3
 	// waveShare is the part of the pool above which a step counts as running in several waves.
 	waveShare = 0.25
 )
@@ -93,11 +95,14 @@
 	if j.longRunning() || j.spec.Repeats > 0 || j.spec.First > 0 {
 		return Result{Outcome: Accepted}
 	}
-	ask := admission.Ask{Due: j.due, Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
+	ask := admission.Ask{Due: j.due, Use: useful(j.sent, j.due), Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
 	ask.Work, ask.Width = s.total(j), s.firstWidth(j)
 	v := admission.Decide(now, s.pool(), s.recentLoad(now), ask)
 	if v.Accept {
-		s.loads = append(s.loads, admission.Load{Due: ask.Due, Work: ask.Work, Front: ask.Width * s.length(j, 0).Seconds()})
+		j.late = v.Late
+		s.loads = append(s.loads, admission.Load{
+			Due: ask.Due, Use: ask.Use, Work: ask.Work, Front: ask.Width * s.length(j, 0).Seconds(), Late: v.Late,
+		})
 		return Result{Outcome: Accepted}
 	}
 	wait := min(max(v.Wait, minWait), maxWait)
@@ -205,14 +210,14 @@
 				}
 			}
 		}
-		front, late := 0.0, false
+		front, late := 0.0, j.late
 		for _, o := range j.runs {
 			work += s.left(now, o)
 			front += s.front(o)
 			late = late || s.late(now, o)
 		}
 		if work > 0 {
-			list = append(list, admission.Load{Due: j.due, Work: work, Front: front, Late: late})
+			list = append(list, admission.Load{Due: j.due, Use: useful(j.sent, j.due), Work: work, Front: front, Late: late})
 		}
 	}
 	return list
@@ -326,6 +331,9 @@
 	return from.Add(time.Duration(float64(longest)*max(1, j.queue.Stretch)) + j.queue.Target)
 }
 
+// useful is when the result of a job is of no use any more that was handed in at sent and should be done at due.
+func useful(sent, due time.Time) time.Time { return sent.Add(usefulFor * due.Sub(sent)) }
+
 // learn takes the duration of a task that has ended as done.
 func (s *Service) learn(now time.Time, a *attempt) {
 	t := a.task
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,10 +54,11 @@
 	told   map[string]string // wave, state in the status table
 	saved  map[string]string // wave, record as written last
 	plan   *pools.Planner
-	kept   string              // Stamp of what was stored last
-	memory dependency          // record of what earlier controllers have learned
-	idle   map[string]int      // by service: idle hosts when it was asked last
-	moved  map[string]hostMove // host, last order to move it
+	kept   string         // Stamp of what was stored last
+	memory dependency     // record of what earlier controllers have learned
+	idle   map[string]int // by service: idle hosts when it was asked last
+	mu     sync.Mutex
+	moved  map[string]hostMove // host, last order to move it; guarded by mu while moves are ordered
 }
 
 // hostMove is an order to move a host.
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -41,6 +41,7 @@
 		return
 	}
 	h.plan.Spare = sparePool(config)
+	h.plan.AtOnce = int(h.d.Settings.HostRate * maintenanceEvery.Seconds())
 	now := h.d.Timer.Now()
 	view := h.look(now, config, list)
 	h.ask(ctx, view)
@@ -189,26 +190,55 @@
 	wg.Wait()
 }
 
-// carryOut empties the hosts to move and orders the moves.
+// carryOut orders the moves. Hosts of other pools than the spare one are emptied first.
 func (h *hostDuty) carryOut(ctx context.Context, moves []pools.Move, v *hostView) {
-	byPool := map[string][]string{}
+	byPool := map[string][]pools.Move{}
 	for _, m := range moves {
-		if m.From != h.plan.Spare {
-			byPool[m.From] = append(byPool[m.From], v.worker[m.Host])
-		}
+		byPool[m.From] = append(byPool[m.From], m)
+	}
+	var wg sync.WaitGroup
+	for pool, list := range byPool {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if pool != h.plan.Spare {
+				list = h.emptied(ctx, pool, list, v)
+			}
+			h.orderMoves(ctx, list)
+		}()
+	}
+	wg.Wait()
+}
+
+// emptied returns the moves whose hosts run nothing and get nothing more.
+func (h *hostDuty) emptied(ctx context.Context, service string, moves []pools.Move, v *hostView) []pools.Move {
+	ids := make([]string, len(moves))
+	for i, m := range moves {
+		ids[i] = v.worker[m.Host]
 	}
 	idle := map[string]bool{}
-	for service, ids := range byPool {
-		for _, id := range h.d.cordon(ctx, service, ids) {
-			idle[v.hosts[id]] = true
+	for _, id := range h.d.cordon(ctx, service, ids) {
+		idle[v.hosts[id]] = true
+	}
+	var ready []pools.Move
+	for _, m := range moves {
+		if idle[m.Host] {
+			ready = append(ready, m)
 		}
 	}
+	return ready
+}
+
+// orderMoves orders moves out of one pool.
+func (h *hostDuty) orderMoves(ctx context.Context, moves []pools.Move) {
+	now := h.d.Timer.Now()
+	h.mu.Lock()
+	for _, m := range moves {
+		h.moved[m.Host] = hostMove{to: m.To, at: now}
+	}
+	h.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, m := range moves {
-		if m.From != h.plan.Spare && !idle[m.Host] {
-			continue
-		}
-		h.moved[m.Host] = hostMove{to: m.To, at: h.d.Timer.Now()}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -24,10 +24,8 @@
 	keepFor = 1500 * time.Millisecond
 	// longObjective is the objective above which work can wait for hosts that are ordered when it comes.
 	longObjective = 4 * time.Second
-	// movesAtOnce and the hosts divided by hostsPerMove, whichever is more, bound the moves of one plan; the controller of
-	// hosts takes a limited number of calls a second.
-	movesAtOnce  = 12
-	hostsPerMove = 16
+	// movesAtOnce bounds the moves of one plan unless the planner is told another bound.
+	movesAtOnce = 12
 )
 
 // Pool is a service's pool at one moment.
@@ -57,7 +55,10 @@
 
 // Planner keeps what pools needed lately. It must be made with New.
 type Planner struct {
-	Spare    string // pool that is switched off; empty: hosts are not switched off
+	Spare string // pool that is switched off; empty: hosts are not switched off
+	// AtOnce bounds the moves of one plan, since the controller of hosts takes a limited number of orders a second. 0:
+	// movesAtOnce.
+	AtOnce   int
 	needs    map[string]*need
 	forecast *Forecast
 }
@@ -93,7 +94,10 @@
 		want[x.Service] = p.want(now, x)
 	}
 	var moves []Move
-	most := mostMoves(list, len(spare))
+	most := p.AtOnce
+	if most <= 0 {
+		most = movesAtOnce
+	}
 	spare = append([]string(nil), spare...)
 	for i := range list {
 		x := &list[i]
@@ -118,15 +122,6 @@
 	return moves
 }
 
-// mostMoves bounds the moves of one plan.
-func mostMoves(list []Pool, spare int) int {
-	hosts := spare
-	for i := range list {
-		hosts += list[i].Have + list[i].Incoming
-	}
-	return max(movesAtOnce, hosts/hostsPerMove)
-}
-
 // supply finds a host for a pool: one that is switched off, an idle one that its own pool does not want, or an idle one
 // that its pool only keeps for a peak that is not near.
 func (p *Planner) supply(now time.Time, x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
