--- a/cmd/cuminstairjobs/main.go
+++ b/cmd/cuminstairjobs/main.go
@@ -31,6 +31,7 @@
 	// defaultMetrics is the port that deploy/system.toml names.
 	defaultMetrics = 9464
 	memoryShare    = 0.5 // of the limit, at which the collector works harder
+	heapGrowth     = 200 // percent of the live heap; an owner allocates most in a peak, when it has no processor time to spare
 )
 
 func main() {
@@ -64,6 +65,7 @@
 	if c.Bool("check") {
 		return nil
 	}
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -35,6 +35,10 @@
 	attempt *attempt
 }
 
+// lookEvery is the pause between two passes over all runs for those that have to be settled or paced. The times that
+// they are compared with are several times as long.
+const lookEvery = 60 * time.Millisecond
+
 // blockAfterRefusal is how long a worker that turned an order away gets no new tasks.
 const blockAfterRefusal = 300 * time.Millisecond
 
@@ -54,11 +58,18 @@
 			i--
 		}
 	}
-	s.settle(now)
+	look := now.Sub(s.looked) >= lookEvery
+	if look {
+		s.looked = now
+		s.settle(now)
+	}
 	s.lookAround(now)
+	s.stranded = 0
 	s.evacuate(now)
 	if !s.stopping {
 		s.placeAll(now)
+	}
+	if look && !s.stopping {
 		s.paceAll(now)
 	}
 	s.holdAll(now)
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -20,6 +20,8 @@
 	// availableShare is how many of the hosts that could be sent are counted on, and availableDelay when they take tasks.
 	availableShare = 0.6
 	availableDelay = 2300 * time.Millisecond
+	// strandedAtOnce is for how many tasks that have to move workers are asked for; they move one after the other.
+	strandedAtOnce = 2
 	// incomingDelay is when a worker that is on its way takes tasks, on average.
 	incomingDelay = 1300 * time.Millisecond
 )
@@ -27,11 +29,12 @@
 // Demand is what a service asks of its pool.
 type Demand struct {
 	Rate        float64  `json:"rate"`             // cores that the work handed in during the last second would keep busy
-	Backlog     float64  `json:"backlog"`          // cores that do the accepted work in time
-	Active      float64  `json:"active"`           // cores of the short tasks that run or could run
+	Backlog     float64  `json:"backlog"`          // cores that do the accepted work in time that can be in time
+	Late        float64  `json:"late,omitempty"`   // cores that do the other work while its results are of use
+	Active      float64  `json:"active"`           // cores of the short tasks that run or could run, and may be in time
 	Spread      int      `json:"spread,omitempty"` // workers that the widest step needs because its tasks keep apart
 	LongRunning float64  `json:"long,omitempty"`   // cores of long-running tasks
-	Pinned      int      `json:"pinned,omitempty"` // workers with long-running tasks
+	Pinned      int      `json:"pinned,omitempty"` // workers with long-running tasks, and those that such tasks lack
 	Workers     int      `json:"workers"`          // that take tasks
 	Cores       float64  `json:"cores"`            // of one worker
 	Idle        []string `json:"idle,omitempty"`   // workers without tasks, the longest idle first
@@ -71,7 +74,7 @@
 		}
 	}
 	d.Objective = s.meanObjective.Milliseconds()
-	d.Backlog = backlog(now, s.load(now))
+	d.Backlog, d.Late = backlogs(now, s.load(now))
 	d.Active, d.Spread = s.activity()
 	var idle []*worker
 	for _, w := range s.workers {
@@ -96,6 +99,8 @@
 			idle = append(idle, w)
 		}
 	}
+	d.LongRunning += s.homelessCores
+	d.Pinned += s.homeless + min(s.stranded, strandedAtOnce)
 	sort.Slice(idle, func(i, j int) bool {
 		if !idle[i].idle.Equal(idle[j].idle) {
 			return idle[i].idle.Before(idle[j].idle)
@@ -108,21 +113,22 @@
 	return d
 }
 
-// backlog returns the cores that do accepted work before it should be done, and late work while it is of use.
-func backlog(now time.Time, load []admission.Load) float64 {
-	until := func(l *admission.Load) time.Time {
+// backlogs returns the cores that do accepted work before it should be done, and those that do late work while it is of
+// use.
+func backlogs(now time.Time, load []admission.Load) (inTime, late float64) {
+	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
+	work, lateWork := 0.0, 0.0
+	for _, l := range load {
+		// The use of a result ends in the order of the due times, but for jobs of unlike lengths.
 		if l.Late {
-			return l.Use
+			lateWork += l.Work
+			late = max(late, lateWork/max(leastTime, l.Use.Sub(now)).Seconds())
+			continue
 		}
-		return l.Due
-	}
-	sort.Slice(load, func(i, j int) bool { return until(&load[i]).Before(until(&load[j])) })
-	work, cores := 0.0, 0.0
-	for i := range load {
-		work += load[i].Work
-		cores = max(cores, work/max(leastTime, until(&load[i]).Sub(now)).Seconds())
+		work += l.Work
+		inTime = max(inTime, work/max(leastTime, l.Due.Sub(now)).Seconds())
 	}
-	return cores
+	return inTime, late
 }
 
 // activity returns the cores of the short tasks that run, or could run and may be in time, and how many workers a step
@@ -130,7 +136,7 @@
 func (s *Service) activity() (cores float64, spread int) {
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
-			if a.task != nil && !a.task.step.LongRunning {
+			if a.task != nil && !a.task.step.LongRunning && a.task.step.rank == rankInTime {
 				cores += s.cores(&a.task.step.JobStep)
 			}
 		}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -245,6 +245,131 @@
 	is.Equal(p.running(), 2)
 }
 
+// Guards against a planned move that ends a task at work while another one's worker does not answer: on scale-1 of
+// ladle-sched-grown a rack went dark, and its tasks counted as at work until their leases had run out.
+func TestNoMovesWhileAWorkerIsSilent(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	s := longRunning(2)
+	s.PerWorker = 1
+	p.submit(jobA, s)
+	p.run(3 * time.Second)
+	var busy []*fakeWorker
+	for _, w := range p.workers {
+		if len(w.runs) > 0 {
+			busy = append(busy, w)
+		}
+	}
+	is.Equal(len(busy), 2)
+	dark, sound := busy[0], busy[1]
+	dark.dead = true
+	p.run(time.Second)
+	for range 200 { // the dark worker's task is at work elsewhere after 7 s
+		p.s.Cordon(p.now, []string{sound.info.ID})
+		p.run(tick)
+		if p.atWork() == 0 {
+			is.Equal(len(sound.runs), 1)
+		}
+	}
+	p.run(6 * time.Second)
+	is.Equal(p.running(), 2)
+}
+
+// Guards against long-running tasks on hosts that are due for maintenance, which hold a wave up because they may leave
+// only one after the other: 10 of 144 hosts of trouble-2 of ladle-sched-grown were left.
+func TestShunnedWorkersLoseLongRunningTasks(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 6)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(3))
+	p.run(2 * time.Second)
+	var due []string
+	for _, w := range p.workers {
+		if len(w.runs) > 0 {
+			due = append(due, w.info.ID)
+		}
+	}
+	var free []string
+	for range 300 {
+		free = p.s.Shun(p.now, due)
+		p.run(tick)
+		is.True(p.atWork() >= 2)
+	}
+	is.Equal(len(free), len(due))
+	p.submit(jobB, step(6*hostCPU/2000, 2000)) // as much as all workers have room for
+	p.run(300 * time.Millisecond)
+	for _, id := range due {
+		is.True(len(p.worker(id).runs) > 0) // short tasks go on there
+	}
+}
+
+// Guards against late work on workers that another pool needs, and against yielding those with long-running tasks.
+func TestYield(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	p.run(200 * time.Millisecond)
+	for i := range 60 {
+		p.submit("00000000000001"+string(rune('a'+i/26))+string(rune('a'+i%26)), step(10, 4000))
+	}
+	p.run(200 * time.Millisecond)
+	for range 50 {
+		p.s.Yield(p.now, 2)
+		p.run(tick)
+	}
+	empty := 0
+	for _, w := range p.workers {
+		if len(w.runs) == 0 {
+			empty++
+		}
+	}
+	is.Equal(empty, 2)
+	is.Equal(len(p.s.Demand(p.now, 0, 0).Idle), 2)
+	is.Equal(p.running(), 1)
+}
+
+// Guards against a long-running task without room in a pool that asks for no more workers: on scale-2 of
+// ladle-sched-grown the tasks of 20 workers left room, but none enough for a task of 91 GB, for 23 s.
+func TestLongRunningTaskWithoutRoomIsDemand(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	half := longRunning(2)
+	half.Memory, half.PerWorker = hostMemory/2, 1
+	p.submit(jobA, half)
+	p.run(500 * time.Millisecond)
+	is.Equal(p.s.Demand(p.now, 0, 0).Pinned, 2)
+	large := longRunning(1)
+	large.Memory = hostMemory * 3 / 4
+	p.submit(jobB, large)
+	p.run(500 * time.Millisecond)
+	is.Equal(p.s.Demand(p.now, 0, 0).Pinned, 3)
+}
+
+// Guards against a long-running task that never finds room beside short tasks, each of which fits where one has ended.
+func TestLongRunningTaskGetsRoomInAFullPool(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 3)
+	p.run(200 * time.Millisecond)
+	lengths := 0
+	p.length = func(cuminstair.TaskID) time.Duration { // the ends of the short tasks of a worker don't coincide
+		lengths++
+		return 600*time.Millisecond + time.Duration(lengths%7)*100*time.Millisecond
+	}
+	for i := range 60 {
+		p.submit("00000000000001"+string(rune('a'+i/26))+string(rune('a'+i%26)), step(10, 4000))
+	}
+	p.run(500 * time.Millisecond)
+	large := longRunning(1)
+	large.CPU = 24000
+	p.submit(jobA, large)
+	p.run(2500 * time.Millisecond)
+	is.Equal(p.running(), 1)
+	is.Equal(p.over, 0)
+}
+
 // stream hands jobs in at a constant pace, waits until all that were accepted have ended, and tells how long each took.
 // The answers that came at once are refusals.
 func (p *pool) stream(n int, every time.Duration, s cuminstair.JobStep) (took map[string]time.Duration, refused int) {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // moveAfterTakeover is how long after a takeover, besides the time of a stop, planned work takes no task away.
 const moveAfterTakeover = 1500 * time.Millisecond
@@ -9,6 +12,9 @@
 // the time for which a worker serves on after it was seen to leave.
 const stopSettles = 1200 * time.Millisecond
 
+// silentAfter is the age of the last answer of a worker at which its tasks count as away.
+const silentAfter = renewEvery + holdWait
+
 // cordonFor is how long a worker gets no tasks after it was last asked for.
 const cordonFor = 2 * time.Second
 
@@ -33,13 +39,57 @@
 	return idle
 }
 
-// evacuate moves long-running tasks away from workers that leave or are cordoned.
+// Yield empties up to n workers without long-running tasks, those that are free most first, so that their hosts can go
+// to a pool that lacks them. Workers that are being emptied already count.
+func (s *Service) Yield(now time.Time, n int) {
+	var list []*worker
+	for _, w := range s.workers {
+		if !w.listed || w.gone || !w.synced || !w.leaving.IsZero() || w.longRunning > 0 || w.bestEffort > 0 || len(w.attempts) == 0 {
+			continue
+		}
+		if now.Before(w.cordon) {
+			n--
+			w.cordon = now.Add(cordonFor)
+			continue
+		}
+		list = append(list, w)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := freeShare(list[i]), freeShare(list[j])
+		if a != b {
+			return a > b
+		}
+		return list[i].info.ID < list[j].info.ID
+	})
+	for _, w := range list[:max(0, min(n, len(list)))] {
+		w.cordon = now.Add(cordonFor)
+	}
+}
+
+// Shun keeps new long-running tasks away from workers whose hosts are due for maintenance later, and moves those that are
+// there away one after the other; short tasks go on there. It returns the workers without long-running tasks, and has to
+// be called again and again.
+func (s *Service) Shun(now time.Time, ids []string) (free []string) {
+	for _, id := range ids {
+		w, ok := s.workers[id]
+		if !ok {
+			continue
+		}
+		w.shun = now.Add(cordonFor)
+		if w.synced && w.longRunning == 0 && w.bestEffort == 0 {
+			free = append(free, id)
+		}
+	}
+	return free
+}
+
+// evacuate moves long-running tasks away from workers that leave, are cordoned or shunned.
 func (s *Service) evacuate(now time.Time) {
 	if s.stopping {
 		return
 	}
 	for _, w := range s.workers {
-		if w.leaving.IsZero() && !now.Before(w.cordon) {
+		if w.leaving.IsZero() && !now.Before(w.cordon) && !w.shunned {
 			continue
 		}
 		for _, a := range w.attempts {
@@ -52,9 +102,16 @@
 			if !w.leaving.IsZero() && stopping(now, a.task) {
 				continue
 			}
-			if s.choose(a.task.step, a.task, s.neighbours(a.task.step)) == nil {
+			near := s.neighbours(a.task.step)
+			to := s.choose(a.task.step, a.task, near)
+			if to != nil && to.shunned && w.leaving.IsZero() && !now.Before(w.cordon) {
+				continue // it would have to move again
+			}
+			if to == nil {
+				s.reserve(now, a.task.step, a.task, near)
 				continue
 			}
+			to.keep(now, a.task) // until it has stopped
 			s.move(now, a)
 		}
 	}
@@ -67,13 +124,18 @@
 	}
 	away := 0
 	for _, o := range t.step.tasks {
-		if o != t && (!o.away.IsZero() || o.at == nil || !o.at.stop.IsZero() || o.at.percent < 100) {
+		if o != t && (!o.away.IsZero() || o.at == nil || !o.at.stop.IsZero() || o.at.percent < 100 || silent(now, o.at.worker)) {
 			away++
 		}
 	}
 	return away < max(1, t.step.MayMiss)
 }
 
+// silent tells whether a worker has not answered for longer than the renewals take, so that its tasks may be gone.
+func silent(now time.Time, w *worker) bool {
+	return w.failed > 0 || now.Sub(w.held) > silentAfter
+}
+
 // stopping tells whether a task of the same step is being stopped on a worker that stays. Its end counts as planned, so
 // that no other task may be away by then.
 func stopping(now time.Time, t *task) bool {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -64,6 +64,7 @@
 	avoid      string    // worker on which the last run failed
 	away       time.Time // of a long-running task: since when it is not at work; zero: at work
 	moved      bool      // it is away because of an order of the owner
+	reserved   *worker   // worker that was last reserved for it
 }
 
 // attempt is a run of a task on a worker. It holds its room there until its end is certain.
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -16,6 +16,7 @@
 		return
 	}
 	s.changed = false
+	s.homeless, s.homelessCores = 0, 0
 	settled := s.settled()
 	if !settled {
 		s.changed = true
@@ -47,10 +48,12 @@
 func (s *Service) lookAround(now time.Time) {
 	s.around = s.around[:0]
 	for _, w := range s.workers {
+		w.shunned = now.Before(w.shun)
 		if w.usable(now) {
 			s.around = append(s.around, w)
 		}
 	}
+	s.expireReservations(now)
 	s.mostFree = mostFree(s.around)
 }
 
@@ -134,7 +137,7 @@
 }
 
 func (s *Service) placeStep(now time.Time, st *step) {
-	if !st.room().Fits(s.mostFree) {
+	if !st.room().Fits(s.mostFree) && !st.LongRunning {
 		return
 	}
 	if st.Gang {
@@ -148,6 +151,10 @@
 			continue
 		}
 		w := s.choose(st, t, near)
+		if w == nil && st.LongRunning {
+			s.reserve(now, st, t, near)
+			continue
+		}
 		if w == nil {
 			if len(t.avoid) == 0 && st.PerWorker == 0 && st.Label == "" {
 				s.mostFree = mostFree(s.around)
@@ -239,15 +246,12 @@
 	var best *worker
 	low := 0.0
 	for _, w := range s.around {
-		if t.avoid == w.info.ID && len(s.around) > 1 || w.attempts[t.id] != nil || !matches(st.Label, w.info.Labels) {
+		if !want.Room.Fits(w.free()) || w.reservedFor != nil && w.reservedFor != t || !s.eligible(st, t, w, near) {
 			continue
 		}
 		c := place.Candidate{
 			Free: w.free(), Total: w.total, Slow: max(1, w.slow), LongRunning: w.longRunning, Same: near.workers[w],
-			SameRack: near.racks[w.info.Rack], Far: st.DataRack != "" && st.DataRack != w.info.Rack,
-		}
-		if st.PerWorker > 0 && c.Same >= st.PerWorker {
-			continue
+			Due: w.shunned, SameRack: near.racks[w.info.Rack], Far: st.DataRack != "" && st.DataRack != w.info.Rack,
 		}
 		if c.Shared = w.bestEffort; st.BestEffort {
 			c.Shared = w.longRunning
@@ -259,9 +263,23 @@
 	return best
 }
 
+// eligible tells whether a worker may run a task, apart from its room.
+func (s *Service) eligible(st *step, t *task, w *worker, near neighbours) bool {
+	switch {
+	case t.avoid == w.info.ID && len(s.around) > 1, st.PerWorker > 0 && near.workers[w] >= st.PerWorker:
+		return false
+	case !matches(st.Label, w.info.Labels):
+		return false
+	}
+	return w.attempts[t.id] == nil
+}
+
 func (s *Service) start(now time.Time, t *task, w *worker, run int64) {
 	j, st := t.step.occ.job, t.step
 	t.run = run
+	if w.reservedFor == t {
+		w.reservedFor = nil
+	}
 	a := &attempt{
 		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort, sent: now, share: 100,
 		expected: s.length(j, st.index), resumed: t.checkpoint != "",
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -72,6 +72,10 @@
 	storeDown     bool
 	lastBatch     time.Time
 	swept         time.Time
+	looked        time.Time // when all runs were looked at last
+	homeless      int       // long-running tasks that wait and found no worker when tasks were placed last
+	homelessCores float64   // what these take
+	stranded      int       // long-running tasks that have to move and found no worker in the last decision
 	stopping      bool
 	counts        Counts
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,6 +20,8 @@
 	listed      bool      // the platform's list has it
 	leaving     time.Time // when it was first seen to be leaving; zero: it is not
 	cordon      time.Time // until then it gets no tasks because its host is due for maintenance or a move
+	shun        time.Time // until then it gets no long-running tasks because its host is due for maintenance later
+	shunned     bool      // shun as of the last decision
 	recorded    bool      // the record of workers has it, so that the next owner will look at it
 	synced      bool      // its lists were read under the own token in its present life
 	gone        bool      // its life is over
@@ -38,7 +40,11 @@
 	blocked time.Time // until then it gets no tasks after refusals or failures
 	streak  int       // runs that failed in a row
 	idle    time.Time // since when it has no tasks
-	slow    float64   // moving mean of how much longer tasks take than expected; 0: unknown
+
+	reservedFor   *task     // only this task may be placed on it; nil: any
+	reservedUntil time.Time // when the reservation ends unless it is renewed
+
+	slow float64 // moving mean of how much longer tasks take than expected; 0: unknown
 }
 
 func newWorker(info cuminstair.WorkerInfo) *worker {
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -23,7 +22,7 @@
 	// moveSettles is how long the list of hosts may take to show a move.
 	moveSettles = 900 * time.Millisecond
 	orderAgain  = 900 * time.Millisecond
-	cordonTime  = 800 * time.Millisecond
+	cordonTime  = 400 * time.Millisecond
 	// waveTable has a record for each wave, in the part of the hosts' duty.
 	waveTable = "wave"
 )
@@ -54,9 +53,11 @@
 	told   map[string]string // wave, state in the status table
 	saved  map[string]string // wave, record as written last
 	plan   *pools.Planner
-	kept   string         // Stamp of what was stored last
-	memory dependency     // record of what earlier controllers have learned
-	idle   map[string]int // by service: idle hosts when it was asked last
+	kept   string          // Stamp of what was stored last
+	free   map[string]bool // workers of hosts that are due and have no long-running tasks
+	asked  map[string]bool // services whose owners have told that
+	memory dependency      // record of what earlier controllers have learned
+	idle   map[string]int  // by service: idle hosts when it was asked last
 	mu     sync.Mutex
 	moved  map[string]hostMove // host, last order to move it; guarded by mu while moves are ordered
 }
@@ -74,6 +75,7 @@
 		h.told, h.saved = map[string]string{}, map[string]string{}
 		h.plan, h.moved = nil, map[string]hostMove{}
 	}
+	h.free, h.asked = map[string]bool{}, map[string]bool{}
 	h.load(ctx)
 	at := h.d.Timer.Now()
 	list, err := h.d.Hosts.List(ctx)
@@ -135,16 +137,21 @@
 	for _, rec := range list {
 		byName[rec.Name] = rec
 	}
+	h.shun(ctx, w.Due(), byName)
 	now := h.d.Timer.Now()
 	candidates := w.Candidates(func(host string) int {
 		rec, ok := byName[host]
 		switch {
 		case !ok || rec.Phase != cuminstair.PhaseUp:
-			return -1
+			return rankNever
 		case rec.Worker == "":
-			return 0
+			return rankEmpty
+		case h.free[rec.Worker]:
+			return rankFree
+		case h.asked[rec.Pool]:
+			return rankPinned
 		}
-		return 1
+		return rankNever
 	})
 	// An order without an answer may be carried out later, so that its host stays without tasks.
 	idle := h.cordon(ctx, append(candidates, w.Pending()...), byName)
@@ -156,9 +163,58 @@
 	}
 }
 
+// Ranks of hosts for maintenance, those that are taken first first.
+const (
+	rankNever  = -1 // not up, or nothing is known of it
+	rankEmpty  = 0  // has no worker
+	rankFree   = 1  // runs short tasks at most
+	rankPinned = 2  // has long-running tasks, which move away one after the other
+)
+
+// shun keeps long-running tasks away from hosts that are due.
+func (h *hostDuty) shun(ctx context.Context, hosts []string, byName map[string]cuminstair.HostRecord) {
+	asks := map[string]cordonRequest{}
+	for _, host := range hosts {
+		if rec := byName[host]; rec.Worker != "" {
+			q := asks[rec.Pool]
+			q.Due = append(q.Due, rec.Worker)
+			asks[rec.Pool] = q
+		}
+	}
+	for service, a := range h.askOwners(ctx, asks) {
+		h.asked[service] = true
+		for _, id := range a.Free {
+			h.free[id] = true
+		}
+	}
+}
+
+// askOwners asks the owners of several services at the same time and returns the answers that came, by service.
+func (h *hostDuty) askOwners(ctx context.Context, asks map[string]cordonRequest) map[string]cordonReply {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := map[string]cordonReply{}
+	for service, q := range asks {
+		q.Service = service
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a, ok := h.d.cordonWorkers(ctx, q)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers[service] = a
+		}()
+	}
+	wg.Wait()
+	return answers
+}
+
 // cordon asks the owners to empty the workers of hosts and returns the hosts that are idle.
 func (h *hostDuty) cordon(ctx context.Context, hosts []string, byName map[string]cuminstair.HostRecord) []string {
-	workers := map[string][]string{}
+	asks := map[string]cordonRequest{}
 	hostOf := map[string]string{}
 	var idle []string
 	for _, host := range hosts {
@@ -167,11 +223,13 @@
 			idle = append(idle, host)
 			continue
 		}
-		workers[rec.Pool] = append(workers[rec.Pool], rec.Worker)
+		q := asks[rec.Pool]
+		q.Workers = append(q.Workers, rec.Worker)
+		asks[rec.Pool] = q
 		hostOf[rec.Worker] = host
 	}
-	for service, ids := range workers {
-		for _, id := range h.d.cordon(ctx, service, ids) {
+	for _, a := range h.askOwners(ctx, asks) {
+		for _, id := range a.Idle {
 			idle = append(idle, hostOf[id])
 		}
 	}
@@ -216,40 +274,52 @@
 
 // cordon asks the owner of a service to empty workers and returns those that are idle.
 func (d *Daemon) cordon(ctx context.Context, service string, ids []string) []string {
+	a, _ := d.cordonWorkers(ctx, cordonRequest{Service: service, Workers: ids})
+	return a.Idle
+}
+
+// cordonWorkers asks the owner of a service to empty workers, in this daemon or another.
+func (d *Daemon) cordonWorkers(ctx context.Context, q cordonRequest) (cordonReply, bool) {
 	ctx, cancel := context.WithTimeout(ctx, cordonTime)
 	defer cancel()
-	r, addr := d.owner(service)
-	if r != nil {
-		return cordonLocal(ctx, r, ids)
-	}
-	if addr == "" {
-		if c := d.config.Load(); c != nil {
-			for _, p := range c.Pools {
-				if p.Name == service && p.Spare {
-					return ids // nothing runs in a pool that is switched off
-				}
-			}
-		}
-		return nil
+	r, addr := d.owner(q.Service)
+	switch {
+	case r != nil:
+		return cordonLocal(ctx, r, q)
+	case addr == "" && d.spare(q.Service):
+		return cordonReply{Idle: q.Workers, Free: q.Due}, true // nothing runs in a pool that is switched off
+	case addr == "":
+		return cordonReply{}, false
 	}
 	var a cordonReply
-	if err := d.peers.post(ctx, addr, cordonPath, cordonRequest{Service: service, Workers: ids}, &a); err != nil {
-		d.Log.Debug("entry: owner did not answer", "service", service, "error", err)
-		return nil
+	if err := d.peers.post(ctx, addr, cordonPath, q, &a); err != nil {
+		d.Log.Debug("entry: owner did not answer", "service", q.Service, "error", err)
+		return cordonReply{}, false
 	}
-	return a.Idle
+	return a, !a.NotOwner
+}
+
+// spare tells whether a service is the pool of the hosts that are switched off.
+func (d *Daemon) spare(service string) bool {
+	c := d.config.Load()
+	return c != nil && service != "" && sparePool(c) == service
 }
 
-func cordonLocal(ctx context.Context, r *runner, ids []string) []string {
-	answers := make(chan []string, 1)
-	if !r.post(func(now time.Time) { answers <- r.state.Cordon(now, ids) }) {
-		return nil
+func cordonLocal(ctx context.Context, r *runner, q cordonRequest) (cordonReply, bool) {
+	answers := make(chan cordonReply, 1)
+	if !r.post(func(now time.Time) {
+		if q.Yield > 0 {
+			r.state.Yield(now, q.Yield)
+		}
+		answers <- cordonReply{Idle: r.state.Cordon(now, q.Workers), Free: r.state.Shun(now, q.Due)}
+	}) {
+		return cordonReply{}, false
 	}
 	select {
-	case idle := <-answers:
-		return idle
+	case a := <-answers:
+		return a, true
 	case <-ctx.Done():
-		return nil
+		return cordonReply{}, false
 	}
 }
 
@@ -262,9 +332,7 @@
 	if r == nil {
 		return c.JSON(http.StatusOK, cordonReply{NotOwner: true})
 	}
-	data, err := json.Marshal(cordonReply{Idle: cordonLocal(c.Request().Context(), r, q.Workers)})
-	if err != nil {
-		return c.String(http.StatusInternalServerError, err.Error())
-	}
-	return c.JSONBlob(http.StatusOK, data)
+	a, ok := cordonLocal(c.Request().Context(), r, q)
+	a.NotOwner = !ok
+	return c.JSON(http.StatusOK, a)
 }
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -49,12 +49,13 @@
 	for _, p := range view.pools {
 		flat = append(flat, *p)
 	}
-	moves := h.plan.Plan(now, flat, view.spare)
+	moves, yields := h.plan.Plan(now, flat, view.spare)
 	for _, p := range flat {
-		h.d.Log.Debug("entry: demand", "service", p.Service, "rate", p.Rate, "backlog", p.Backlog, "longRunning", p.LongRunning, "active", p.Active, "objective", p.Objective.Milliseconds(),
+		h.d.Log.Debug("entry: demand", "service", p.Service, "rate", p.Rate, "backlog", p.Backlog, "late", p.Late, "longRunning", p.LongRunning, "active", p.Active, "objective", p.Objective.Milliseconds(),
 			"pinned", p.Pinned, "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known)
 	}
 	h.carryOut(ctx, moves, view)
+	h.yield(ctx, yields)
 	h.keep(ctx)
 }
 
@@ -175,7 +176,7 @@
 				return
 			}
 			p.Known, p.Rate, p.Backlog, p.LongRunning = true, d.Rate, d.Backlog, d.LongRunning
-			p.Active, p.Spread = d.Active, d.Spread
+			p.Active, p.Spread, p.Late = d.Active, d.Spread, d.Late
 			p.Pinned, p.Cores, p.Objective = d.Pinned, d.Cores, time.Duration(d.Objective)*time.Millisecond
 			for _, id := range d.Idle {
 				if host, ok := v.hosts[id]; ok && !h.inWave(host) {
@@ -190,6 +191,16 @@
 	wg.Wait()
 }
 
+// yield asks the owners to empty hosts for other pools.
+func (h *hostDuty) yield(ctx context.Context, yields []pools.Yield) {
+	asks := map[string]cordonRequest{}
+	for _, y := range yields {
+		asks[y.Service] = cordonRequest{Yield: y.Hosts}
+		h.d.Log.Info("entry: pool gives hosts up", "service", y.Service, "hosts", y.Hosts, "token", h.token)
+	}
+	h.askOwners(ctx, asks)
+}
+
 // carryOut orders the moves. Hosts of other pools than the spare one are emptied first.
 func (h *hostDuty) carryOut(ctx context.Context, moves []pools.Move, v *hostView) {
 	byPool := map[string][]pools.Move{}
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -189,6 +189,10 @@
 		if r.closed.Load() || now.Sub(r.taken) < reliefEvery || r.open.Load() > reliefOpen {
 			continue
 		}
+		// While the hosts' duty changes hands no host moves for about two seconds.
+		if r.service == ownership.HostsPart && d.view.Strongest(now) {
+			continue
+		}
 		if best == nil || r.open.Load() < best.open.Load() {
 			best = r
 		}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -52,7 +52,9 @@
 // cordonRequest asks an owner to empty workers.
 type cordonRequest struct {
 	Service string   `json:"service"`
-	Workers []string `json:"workers"`
+	Workers []string `json:"workers,omitempty"` // get no tasks
+	Due     []string `json:"due,omitempty"`     // get no long-running tasks
+	Yield   int      `json:"yield,omitempty"`   // how many workers to empty for another pool
 }
 
 // stopRequest tells an earlier owner that it is one no more.
@@ -79,7 +81,8 @@
 
 type cordonReply struct {
 	NotOwner bool     `json:"not,omitempty"`
-	Idle     []string `json:"idle"`
+	Idle     []string `json:"idle,omitempty"` // of Workers: those without tasks
+	Free     []string `json:"free,omitempty"` // of Due: those without long-running tasks
 }
 
 // peerClient calls other daemons.
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -122,6 +122,18 @@
 	return due[:min(n, len(due))]
 }
 
+// Due returns the hosts that have not been asked for yet.
+func (w *Wave) Due() []string {
+	var out []string
+	for _, h := range w.State {
+		if h.Phase == Due {
+			out = append(out, h.Name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Pending returns the hosts whose order has no clear answer. They have to be kept idle.
 func (w *Wave) Pending() []string {
 	var out []string
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -274,6 +274,20 @@
 	return (carried[name] + 1) / max(0.01, v.nodes[name].Weight)
 }
 
+// Strongest tells whether no other live daemon can carry more than this one.
+func (v *View) Strongest(now time.Time) bool {
+	own, ok := v.nodes[v.self]
+	if !ok {
+		return false
+	}
+	for name, n := range v.nodes {
+		if n.Ready && n.Weight > own.Weight && v.fresh(now, name, "") {
+			return false
+		}
+	}
+	return true
+}
+
 // Overloaded tells whether another daemon would carry a service of this one with half the load or less.
 func (v *View) Overloaded(now time.Time) bool {
 	own, ok := v.nodes[v.self]
--- a/place/place.go
+++ b/place/place.go
@@ -25,6 +25,7 @@
 	Total       Room    // above zero in CPU and Memory
 	Same        int     // tasks of the same step on it
 	SameRack    int     // tasks of the same step in its rack
+	Due         bool    // its host is due for maintenance
 	Far         bool    // away from the data of the task
 	Slow        float64 // how much longer tasks take than on other workers; 1: as long
 	LongRunning int     // long-running tasks on it
@@ -47,6 +48,7 @@
 	pinnedWeight = 1.0
 	sharedWeight = 1.0
 	strandWeight = 0.5
+	dueWeight    = 6.0
 )
 
 // Best returns the index of the best candidate that has room, or -1.
@@ -79,6 +81,9 @@
 	if c.Far {
 		s += farWeight
 	}
+	if want.Spread && c.Due {
+		s += dueWeight
+	}
 	if want.Spread {
 		s += sameWeight*float64(c.Same) + rackWeight*float64(c.SameRack)
 		if c.LongRunning > 0 {
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -32,11 +32,12 @@
 type Pool struct {
 	Service     string
 	Rate        float64       // cores that the work handed in lately asks for
-	Backlog     float64       // cores that accepted work asks for
-	Active      float64       // cores of the short tasks that run or could run
+	Backlog     float64       // cores that accepted work asks for that can be in time
+	Late        float64       // cores that other accepted work asks for
+	Active      float64       // cores of the short tasks that run or could run, and may be in time
 	Spread      int           // hosts that the widest step needs because its tasks keep apart
 	LongRunning float64       // cores of long-running tasks
-	Pinned      int           // hosts with long-running tasks
+	Pinned      int           // hosts with long-running tasks, and those that such tasks lack
 	Cores       float64       // of one host, above zero
 	Have        int           // hosts that are up in the pool
 	Incoming    int           // hosts on their way to it
@@ -53,6 +54,12 @@
 	Why  string
 }
 
+// Yield is how many hosts a pool should empty, since another lacks them for work that can be in time.
+type Yield struct {
+	Service string
+	Hosts   int
+}
+
 // Planner keeps what pools needed lately. It must be made with New.
 type Planner struct {
 	Spare string // pool that is switched off; empty: hosts are not switched off
@@ -75,8 +82,11 @@
 	return &Planner{Spare: spare, needs: map[string]*need{}, forecast: NewForecast()}
 }
 
-// Plan returns the moves to make now. spare are the hosts in the spare pool.
-func (p *Planner) Plan(now time.Time, list []Pool, spare []string) []Move {
+// Plan returns the moves to make now, and the pools that should empty hosts. spare are the hosts in the spare pool.
+//
+// Hosts go first to the pools that lack them for work that can be in time. A pool keeps hosts for late work only while no
+// other lacks them.
+func (p *Planner) Plan(now time.Time, list []Pool, spare []string) ([]Move, []Yield) {
 	sort.Slice(list, func(i, j int) bool { return list[i].Service < list[j].Service })
 	want := map[string]int{}
 	for i := range list {
@@ -99,27 +109,58 @@
 		most = movesAtOnce
 	}
 	spare = append([]string(nil), spare...)
+	short := 0
 	for i := range list {
 		x := &list[i]
-		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0 && len(moves) < most; lack-- {
-			m, ok := p.supply(now, x, list, want, &spare)
+		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0; lack-- {
+			m, ok := Move{}, false
+			if len(moves) < most {
+				m, ok = p.supply(now, x, list, want, &spare)
+			}
 			if !ok {
+				short += lack
 				break
 			}
 			moves = append(moves, m)
 		}
 	}
-	if p.Spare == "" {
-		return moves
-	}
+	yields := p.yields(short, list, want)
 	for i := range list {
 		x := &list[i]
-		for x.Known && x.Have+x.Incoming > want[x.Service] && len(x.Idle) > 0 && len(moves) < most {
+		late := p.lateHosts(x, want[x.Service])
+		for late > x.Have+x.Incoming && len(spare) > 0 && len(moves) < most {
+			moves = append(moves, Move{Host: take(&spare), From: p.Spare, To: x.Service, Why: "late work"})
+			x.Incoming++
+		}
+		for p.Spare != "" && x.Known && x.Have+x.Incoming > late && len(x.Idle) > 0 && len(moves) < most {
 			moves = append(moves, Move{Host: take(&x.Idle), From: x.Service, To: p.Spare, Why: "idle"})
 			x.Have--
 		}
 	}
-	return moves
+	return moves, yields
+}
+
+// lateHosts is the number of hosts that a pool should have for late work as well, want being those for other work.
+func (p *Planner) lateHosts(x *Pool, want int) int {
+	if !x.Known || x.Cores <= 0 {
+		return want
+	}
+	return max(want, int(math.Ceil(((x.Late+x.Backlog)/fill+x.LongRunning)/x.Cores)))
+}
+
+// yields asks pools that have more hosts than their work in time needs to empty as many as are lacking.
+func (p *Planner) yields(lack int, list []Pool, want map[string]int) []Yield {
+	var out []Yield
+	for i := range list {
+		x := &list[i]
+		more := min(lack, x.Have-len(x.Idle)-want[x.Service])
+		if !x.Known || more <= 0 {
+			continue
+		}
+		out = append(out, Yield{Service: x.Service, Hosts: more})
+		lack -= more
+	}
+	return out
 }
 
 // supply finds a host for a pool: one that is switched off, an idle one that its own pool does not want, or an idle one
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -33,11 +33,14 @@
 	return n
 }
 
+// plan is count for the results of a plan.
+func plan(moves []pools.Move, _ []pools.Yield) map[string]int { return count(moves) }
+
 // Guards against pools that are emptied before any demand has come.
 func TestFirstPoolsStayUntilWorkComes(t *testing.T) {
 	p := pools.New("spare")
 	for i := range 20 {
-		moves := p.Plan(begin.Add(time.Duration(i)*300*time.Millisecond), []pools.Pool{quiet("a", 10), quiet("b", 10)}, idle("spare", 8))
+		moves, _ := p.Plan(begin.Add(time.Duration(i)*300*time.Millisecond), []pools.Pool{quiet("a", 10), quiet("b", 10)}, idle("spare", 8))
 		is.New(t).Equal(len(moves), 0)
 	}
 }
@@ -51,7 +54,7 @@
 	p.Plan(begin, []pools.Pool{quiet("a", 10), patient}, nil)
 	peak := quiet("a", 10)
 	peak.Idle, peak.Rate, peak.Active, peak.Objective = nil, 560, 300, 6*time.Second // 560 x 1.3 / 0.85 / 32 = 27 hosts
-	n := count(p.Plan(begin.Add(2*time.Second), []pools.Pool{peak, patient}, idle("spare", 4)))
+	n := plan(p.Plan(begin.Add(2*time.Second), []pools.Pool{peak, patient}, idle("spare", 4)))
 	is.Equal(n["spare>a"], 4)
 	is.Equal(n["b>a"], 8)
 }
@@ -66,10 +69,29 @@
 	peak := quiet("a", 10)
 	peak.Idle, peak.Active, peak.Objective = nil, 900, 6*time.Second
 	p.Plan(begin, []pools.Pool{quiet("a", 10), quiet("b", 10)}, nil)
-	n := count(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, waiting}, nil))
+	n := plan(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, waiting}, nil))
 	is.Equal(n["b>a"], 5) // half of them stay
 }
 
+// Guards against late work of one service that holds the hosts that another needs for work in time: on scale-2 of
+// ladle-sched-grown the pool of the first peak kept 180 hosts for 8 s after it, and the next peak met 36.
+func TestLateWorkYields(t *testing.T) {
+	is := is.New(t)
+	p := pools.New("spare")
+	late := quiet("a", 30)
+	late.Objective, late.Late, late.Idle = 2*time.Second, 1500, nil
+	peak := quiet("b", 5)
+	peak.Idle, peak.Rate, peak.Active, peak.Objective = nil, 500, 300, 6*time.Second // 500 x 1.3 / 0.85 / 32 = 24 hosts
+	p.Plan(begin, []pools.Pool{quiet("a", 5), quiet("b", 5)}, nil)
+	moves, yields := p.Plan(begin.Add(2*time.Second), []pools.Pool{late, peak}, idle("spare", 4))
+	is.Equal(count(moves)["spare>b"], 4)
+	is.Equal(yields, []pools.Yield{{Service: "a", Hosts: 15}})
+	// Without another peak the late work gets hosts.
+	moves, yields = p.Plan(begin.Add(5*time.Second), []pools.Pool{late, quiet("b", 5)}, idle("spare", 40))
+	is.True(count(moves)["spare>a"] > 0)
+	is.Equal(len(yields), 0)
+}
+
 // Guards against moves that take a host from work or from long-running tasks.
 func TestOnlyIdleHostsLeave(t *testing.T) {
 	is := is.New(t)
@@ -79,7 +101,7 @@
 	peak := quiet("a", 4)
 	peak.Idle, peak.Rate, peak.Objective = nil, 400, 2*time.Second
 	p.Plan(begin, []pools.Pool{peak, busy}, nil)
-	n := count(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, busy}, nil))
+	n := plan(p.Plan(begin.Add(3*time.Second), []pools.Pool{peak, busy}, nil))
 	is.Equal(n["b>a"], 2)
 }
 
@@ -91,8 +113,8 @@
 	x.Objective, x.Rate, x.Idle = 6*time.Second, 200, nil
 	p.Plan(begin, []pools.Pool{x}, nil)
 	x.Rate, x.Idle = 0, idle("a", 10)
-	is.Equal(len(p.Plan(begin.Add(500*time.Millisecond), []pools.Pool{x}, nil)), 0)
-	is.Equal(count(p.Plan(begin.Add(3*time.Second), []pools.Pool{x}, nil))["a>spare"], 8)
+	is.Equal(len(plan(p.Plan(begin.Add(500*time.Millisecond), []pools.Pool{x}, nil))), 0)
+	is.Equal(plan(p.Plan(begin.Add(3*time.Second), []pools.Pool{x}, nil))["a>spare"], 8)
 }
 
 // Guards against a pool whose owner does not answer: nothing is known of its work.
@@ -103,7 +125,7 @@
 	x.Objective = 6 * time.Second
 	p.Plan(begin, []pools.Pool{x}, nil)
 	x.Known = false
-	is.Equal(len(p.Plan(begin.Add(5*time.Second), []pools.Pool{x}, nil)), 0)
+	is.Equal(len(plan(p.Plan(begin.Add(5*time.Second), []pools.Pool{x}, nil))), 0)
 }
 
 // rotate plays demand that goes from service to service, 8 s each, and returns the planner and the time.
@@ -139,7 +161,7 @@
 	}
 	x := quiet("a", 10) // 320 cores
 	x.Objective, x.Rate, x.Idle = 2*time.Second, 200, nil
-	n := count(p.Plan(now, []pools.Pool{x, other}, idle("spare", 30)))
+	n := plan(p.Plan(now, []pools.Pool{x, other}, idle("spare", 30)))
 	is.Equal(n["spare>a"], 12) // 320 x 1.6 x 1.3 / 0.85 / 32 are 25 hosts, of which 12 are ordered at once
 }
 
@@ -155,7 +177,7 @@
 	x.Objective, x.Idle = 2*time.Second, nil
 	y := quiet("b", 4)
 	y.Objective, y.Idle = 2*time.Second, nil
-	n := count(next.Plan(now.Add(-1500*time.Millisecond), []pools.Pool{x, y}, idle("spare", 30)))
+	n := plan(next.Plan(now.Add(-1500*time.Millisecond), []pools.Pool{x, y}, idle("spare", 30)))
 	is.True(n["spare>a"] >= 12) // 400 cores are 13 hosts at least, some of which are there
 	is.Equal(n["spare>b"], 0)
 }
