--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -198,12 +198,16 @@
 	if w.processed > w.stored {
 		return 0 // it would answer at once with the ends that it has listed
 	}
+	wait := holdWait
 	for _, a := range w.attempts {
-		if !a.barred.IsZero() {
+		switch {
+		case !a.barred.IsZero():
 			return 0
+		case a.longRunning && a.percent < 100 && a.stop.IsZero():
+			wait = startupWait // the next planned move of its step waits until it is at work
 		}
 	}
-	return holdWait
+	return wait
 }
 
 // Started takes the answer to a start.
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -19,6 +19,8 @@
 	renewEvery = 1200 * time.Millisecond
 	// holdWait is how long a worker may keep a renewal open while it waits for an end.
 	holdWait = 900 * time.Millisecond
+	// startupWait is the same while a long-running task starts up, which ends nothing.
+	startupWait = 120 * time.Millisecond
 	// holdGap is the pause between two renewals, in which ends are stored and acknowledged together.
 	holdGap = 30 * time.Millisecond
 	// holdRate bounds the renewals of a service in a second: with many workers the pause between two is longer.
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -88,10 +88,7 @@
 	if s.stopping {
 		return
 	}
-	for _, w := range s.workers {
-		if w.leaving.IsZero() && !now.Before(w.cordon) && !w.shunned {
-			continue
-		}
+	for _, w := range s.toEmpty(now) {
 		for _, a := range w.attempts {
 			if a.task == nil || !a.task.step.LongRunning || !a.stop.IsZero() || a.answered.IsZero() {
 				continue
@@ -117,6 +114,28 @@
 	}
 }
 
+// toEmpty returns the workers that long-running tasks should leave: those that go first, and then those with the fewest,
+// so that hosts become free one after the other.
+func (s *Service) toEmpty(now time.Time) []*worker {
+	var list []*worker
+	for _, w := range s.workers {
+		if w.longRunning+w.bestEffort > 0 && (!w.leaving.IsZero() || now.Before(w.cordon) || w.shunned) {
+			list = append(list, w)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i], list[j]
+		if a.leaving.IsZero() != b.leaving.IsZero() {
+			return b.leaving.IsZero()
+		}
+		if a.longRunning != b.longRunning {
+			return a.longRunning < b.longRunning
+		}
+		return a.info.ID < b.info.ID
+	})
+	return list
+}
+
 // mayMove tells whether planned work may take a long-running task away now.
 func (s *Service) mayMove(now time.Time, t *task) bool {
 	if now.Sub(s.taken) < s.Bounds.StopGrace+moveAfterTakeover {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -210,7 +210,7 @@
 				}
 			}
 		}
-		front, late := 0.0, j.late
+		front, late := 0.0, j.late || j.due.Before(now)
 		for _, o := range j.runs {
 			work += s.left(now, o)
 			front += s.front(o)
@@ -251,10 +251,10 @@
 	return work
 }
 
-// late tells whether a step of an occurrence that has not begun can't be started in time any more.
+// late tells whether tasks of an occurrence wait that can't be started in time any more.
 func (s *Service) late(now time.Time, o *occurrence) bool {
 	for _, st := range o.steps {
-		if st.listed && !st.begun && s.latest(st).Before(now) {
+		if st.listed && s.latest(st).Before(now) && waits(st) {
 			return true
 		}
 	}
