--- a/pools/pools.go
+++ b/pools/pools.go
@@ -109,20 +109,23 @@
 		most = movesAtOnce
 	}
 	spare = append([]string(nil), spare...)
+	none := map[string]bool{} // pools for which no host was found
+	for len(moves) < most {
+		x := neediest(list, want, none)
+		if x == nil {
+			break
+		}
+		m, ok := p.supply(now, x, list, want, &spare)
+		if !ok {
+			none[x.Service] = true
+			continue
+		}
+		x.Incoming++
+		moves = append(moves, m)
+	}
 	short := 0
 	for i := range list {
-		x := &list[i]
-		for lack := want[x.Service] - x.Have - x.Incoming; lack > 0; lack-- {
-			m, ok := Move{}, false
-			if len(moves) < most {
-				m, ok = p.supply(now, x, list, want, &spare)
-			}
-			if !ok {
-				short += lack
-				break
-			}
-			moves = append(moves, m)
-		}
+		short += max(0, lack(&list[i], want))
 	}
 	yields := p.yields(short, list, want)
 	for i := range list {
@@ -140,6 +143,29 @@
 	return moves, yields
 }
 
+// lack is the number of hosts that a pool has too few.
+func lack(x *Pool, want map[string]int) int { return want[x.Service] - x.Have - x.Incoming }
+
+// neediest returns the pool that gets the next host, or nil if none lacks any but those in none: first one whose
+// long-running tasks have no room, and then the one that lacks the largest part of what it wants.
+func neediest(list []Pool, want map[string]int, none map[string]bool) *Pool {
+	var best *Pool
+	homeless, most := false, 0.0
+	for i := range list {
+		x := &list[i]
+		n := lack(x, want)
+		if n <= 0 || none[x.Service] {
+			continue
+		}
+		without := x.Have+x.Incoming < x.Pinned
+		share := float64(n) / float64(want[x.Service])
+		if best == nil || (without && !homeless) || (without == homeless && share > most) {
+			best, homeless, most = x, without, share
+		}
+	}
+	return best
+}
+
 // lateHosts is the number of hosts that a pool should have for late work as well, want being those for other work.
 func (p *Planner) lateHosts(x *Pool, want int) int {
 	if !x.Known || x.Cores <= 0 {
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -73,6 +73,23 @@
 	is.Equal(n["b>a"], 5) // half of them stay
 }
 
+// Guards against a pool that gets all hosts while another, or its long-running tasks, get none: on scale-2 of
+// ladle-sched-grown tasks had no room for 6 s since the pools before theirs by name took every host.
+func TestShortHostsAreShared(t *testing.T) {
+	is := is.New(t)
+	p := pools.New("spare")
+	p.Plan(begin, []pools.Pool{quiet("a", 5), quiet("b", 5), quiet("c", 5)}, nil)
+	a, b, c := quiet("a", 5), quiet("b", 5), quiet("c", 5)
+	for _, x := range []*pools.Pool{&a, &b} {
+		x.Idle, x.Rate, x.Active, x.Objective = nil, 400, 300, 6*time.Second
+	}
+	c.Idle, c.Pinned, c.Objective = nil, 7, 6*time.Second
+	n := plan(p.Plan(begin.Add(2*time.Second), []pools.Pool{a, b, c}, idle("spare", 10)))
+	is.Equal(n["spare>a"], 4)
+	is.Equal(n["spare>b"], 4)
+	is.Equal(n["spare>c"], 2)
+}
+
 // Guards against late work of one service that holds the hosts that another needs for work in time: on scale-2 of
 // ladle-sched-grown the pool of the first peak kept 180 hosts for 8 s after it, and the next peak met 36.
 func TestLateWorkYields(t *testing.T) {
