--- a/admission/admission.go
+++ b/admission/admission.go
@@ -113,7 +113,9 @@
 	if excess == 0 {
 		return Verdict{Accept: true, Finish: finish}
 	}
-	last := now.Add(max(wait+ask.Chain, pool.time(lateReserve*(all+ask.Work))))
+	own := pool
+	own.More = 0 // hosts that come for a peak go to the next one after it
+	last := now.Add(max(wait+ask.Chain, own.time(lateReserve*(all+ask.Work))))
 	if !last.After(ask.Use) {
 		return Verdict{Accept: true, Late: true, Finish: last}
 	}
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -15,6 +15,8 @@
 	rateBucket = 100 * time.Millisecond
 	// leastTime is the least time in which accepted work is asked to be done.
 	leastTime = 1200 * time.Millisecond
+	// uselessTime is the time in which work is asked to be done whose result is of no use any more.
+	uselessTime = 20 * time.Second
 	// objectiveWeight is the weight of a new job in the mean of objectives.
 	objectiveWeight = 0.1
 	// availableShare is how many of the hosts that could be sent are counted on, and availableDelay when they take tasks.
@@ -122,7 +124,11 @@
 		// The use of a result ends in the order of the due times, but for jobs of unlike lengths.
 		if l.Late {
 			lateWork += l.Work
-			late = max(late, lateWork/max(leastTime, l.Use.Sub(now)).Seconds())
+			least := leastTime
+			if l.Use.Before(now) {
+				least = uselessTime
+			}
+			late = max(late, lateWork/max(least, l.Use.Sub(now)).Seconds())
 			continue
 		}
 		work += l.Work
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -234,8 +234,9 @@
 	n := p.need(now, x)
 	hosts := p.demanded(now, x)
 	if x.Objective < longObjective && !p.forecast.Seen(x.Service) {
-		// Work that can't wait for hosts finds those that the operators gave the pool until its peak is known.
-		hosts = max(hosts, n.first)
+		// Work that can't wait for hosts finds those that the operators gave the pool until its peak is known, as far as
+		// they have not been lent meanwhile.
+		hosts = max(hosts, min(n.first, x.Have+x.Incoming))
 	}
 	if hosts >= n.hosts || now.Sub(n.at) > keepFor {
 		n.hosts, n.at = hosts, now
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -109,6 +109,18 @@
 	is.Equal(len(yields), 0)
 }
 
+// Guards against hosts that go back and forth: on scale-1 of cmlb-tannery-grown a pool that waited for its first peak got
+// 30 to 50 hosts again and again, from which each plan lent others away.
+func TestLentHostsStayAway(t *testing.T) {
+	is := is.New(t)
+	p := pools.New("spare")
+	p.Plan(begin, []pools.Pool{quiet("a", 10), quiet("b", 10)}, nil)
+	waiting := quiet("b", 5) // the others are lent
+	waiting.Objective = 2 * time.Second
+	n := plan(p.Plan(begin.Add(3*time.Second), []pools.Pool{quiet("a", 10), waiting}, idle("spare", 8)))
+	is.Equal(n["spare>b"], 0)
+}
+
 // Guards against moves that take a host from work or from long-running tasks.
 func TestOnlyIdleHostsLeave(t *testing.T) {
 	is := is.New(t)
