--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -24,10 +24,13 @@
 
 // Times of waiting callers and of finished jobs.
 const (
-	// waitForStore is how long a caller waits for its job to be stored.
-	waitForStore = 1200 * time.Millisecond
-	sweepEvery   = 5 * time.Second
-	sweepAtOnce  = 20
+	// waitForStore is how long a caller waits for its job to be stored while the store does not answer, and
+	// waitForSlowStore while it is slow, or when the job may be stored: the answer that its fate is unknown is final for the
+	// caller.
+	waitForStore     = 1200 * time.Millisecond
+	waitForSlowStore = 2400 * time.Millisecond
+	sweepEvery       = 5 * time.Second
+	sweepAtOnce      = 20
 )
 
 // Batch returns what is to be written now, or nil. Its fate has to be told by Stored before the next call.
@@ -229,9 +232,13 @@
 			unknown[j] = true
 		}
 	}
+	wait := waitForSlowStore
+	if s.storeDown {
+		wait = waitForStore
+	}
 	kept := s.dirty[:0]
 	for _, j := range s.dirty {
-		if j.stored || unknown[j] || now.Sub(j.arrived) < waitForStore {
+		if j.stored || unknown[j] || now.Sub(j.arrived) < wait {
 			kept = append(kept, j)
 			continue
 		}
@@ -242,7 +249,7 @@
 	}
 	s.dirty = kept
 	for j := range unknown {
-		if now.Sub(j.arrived) >= waitForStore && len(j.accepted) > 0 {
+		if now.Sub(j.arrived) >= waitForSlowStore && len(j.accepted) > 0 {
 			s.Log.Info("dispatch: fate of a job is unknown", "service", s.Name, "job", j.id, "why", "the store did not answer in time")
 			answer(&j.accepted, Result{Outcome: Uncertain, Why: "the store did not answer in time"})
 		}
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -10,7 +10,7 @@
 // Times and limits of a service.
 const (
 	// Lease is the longest time that a worker runs tasks without hearing from the owner.
-	Lease = 5 * time.Second
+	Lease = 4 * time.Second
 	// clockSlow is how much slower than the own clock a worker's clock may run.
 	clockSlow = 0.02
 	// leaseMargin covers the resolution of the workers' clocks.
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -31,7 +31,7 @@
 // hedge sends the transaction under way once more if it has no answer when several usual times have passed. It answers
 // stores that lose answers: the condition lets one sending take effect, and any answer settles all of them.
 func (r *runner) hedge(ctx context.Context, seq int64) {
-	r.d.Timer.After(max(hedgeLeast, hedgeFactor*r.latency), func(time.Time) {
+	r.d.Timer.After(max(hedgeLeast, hedgeFactor*r.latency)<<r.hedges, func(time.Time) {
 		// Nothing is left to send when the runner has ended.
 		_ = r.post(func(time.Time) {
 			if r.inflight == nil || r.owner.Seq != seq || r.ended {
@@ -103,7 +103,8 @@
 func (r *runner) settle(now, sent time.Time, b *dispatch.Batch, version uint64) {
 	r.version = version
 	r.inflight = nil
-	r.latency += (now.Sub(sent) - r.latency) / 8
+	took := now.Sub(sent)
+	r.latency = max(took, r.latency+(took-r.latency)/8)
 	r.confirm0(sent)
 	if !r.failing.IsZero() {
 		r.d.Log.Info("entry: dependency regained", "dependency", "writes of "+r.service, "after", now.Sub(r.failing).Round(time.Millisecond).String())
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -62,6 +62,7 @@
 	stopping atomic.Bool
 	cutOff   atomic.Bool               // neither the store nor another data centre answers
 	readAt   atomic.Pointer[time.Time] // last successful reading of the owner records
+	unread   atomic.Bool               // the last reading of the owner records failed
 	calls    atomic.Int64              // of callers that are being answered
 	peers    *peerClient
 
@@ -72,6 +73,7 @@
 	taking   map[string]bool
 	workers  map[string]cuminstair.WorkerInfo
 	waves    map[string]cuminstair.MaintenanceWave
+	beatNow  chan struct{} // write the daemon's record now
 	poke     chan struct{} // read the owner records now
 	listNow  chan struct{} // read the list of workers now
 	seen     map[string]bool
@@ -92,7 +94,7 @@
 	d.view = ownership.NewView(d.Settings.Name, d.run)
 	d.runners, d.taking = map[string]*runner{}, map[string]bool{}
 	d.workers, d.waves = map[string]cuminstair.WorkerInfo{}, map[string]cuminstair.MaintenanceWave{}
-	d.poke, d.listNow = make(chan struct{}, 1), make(chan struct{}, 1)
+	d.poke, d.listNow, d.beatNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	d.hints = map[string]hint{}
 	d.peers = newPeerClient()
 	internal, err := d.listenInternal(ctx)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -86,6 +86,9 @@
 		return
 	}
 	d.config.Store(c)
+	if old == nil {
+		signal(d.beatNow)
+	}
 	before := int64(0)
 	if old != nil {
 		before = old.Version
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -28,6 +28,8 @@
 	answerReserve = 150 * time.Millisecond
 	// ownerWait is how long a call waits for a service to have an owner.
 	ownerWait = 250 * time.Millisecond
+	// peerSilent is how long another daemon may take for a call until it is asked whether it is there.
+	peerSilent = 400 * time.Millisecond
 	// noOwnerRetry is when a caller comes again whose service has no owner.
 	noOwnerRetry   = time.Second
 	defaultMaxBody = 256 << 10
@@ -228,6 +230,9 @@
 	return dispatch.Result{Outcome: a.Outcome, Wait: time.Duration(a.Wait) * time.Millisecond, Why: a.Why}
 }
 
+// errUnanswered means that an owner may have acted and none has answered.
+const errUnanswered = errors.ConstError("no owner has answered")
+
 // errNoOwner means that no byte of the call was handed to an owner.
 const errNoOwner = errors.ConstError("the service has no owner")
 
@@ -244,8 +249,8 @@
 		switch {
 		case r != nil:
 			a, err = d.askLocal(ctx, r, x, spec)
-		case addr != "":
-			a, err = d.peers.ask(ctx, addr, x, spec)
+		case addr != "" && !d.cutOff.Load():
+			a, err = d.askPeer(ctx, addr, x, spec)
 		}
 		if err == nil && !a.NotOwner {
 			return a, nil
@@ -257,9 +262,10 @@
 		if err != nil && !errors.Is(err, errNoOwner) {
 			sent = true
 		}
-		if ctx.Err() != nil || d.Timer.Now().Sub(begin) > ownerWait {
+		// That the fate of a call is unknown is final for its caller, so that another owner is tried to the end.
+		if ctx.Err() != nil || (!sent && d.Timer.Now().Sub(begin) > ownerWait) {
 			if sent {
-				return reply{}, err
+				return reply{}, errUnanswered
 			}
 			return reply{}, errNoOwner
 		}
@@ -267,3 +273,19 @@
 		d.sleep(ctx, ownerWait/5)
 	}
 }
+
+// askPeer brings a call to another daemon. A daemon that does not answer in time is asked whether it is there; only one
+// that waits for the store keeps the call.
+func (d *Daemon) askPeer(ctx context.Context, addr string, x call, spec *cuminstair.JobSpec) (reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := d.Timer.After(peerSilent, func(time.Time) {
+		go func() {
+			if !d.peers.poke(ctx, addr) {
+				cancel()
+			}
+		}()
+	})
+	defer stop()
+	return d.peers.ask(ctx, addr, x, spec)
+}
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -26,6 +26,9 @@
 // reliefOpen is the number of open jobs above which a service is not released.
 const reliefOpen = 20
 
+// readSilent is the age of the last reading of the owner records after which the store counts as silent.
+const readSilent = 1300 * time.Millisecond
+
 // offersAtOnce is how many daemons are asked to take a service before a pause.
 const offersAtOnce = 3
 
@@ -35,21 +38,35 @@
 		if d.config.Load() != nil && !d.stopping.Load() {
 			d.writeBeat(ctx)
 		}
-		d.sleep(ctx, ownership.BeatEvery)
+		d.pause(ctx, d.beatNow, d.beatEvery())
 	}
 	return nil
 }
 
+// beatEvery is the pause between two beats. What the daemon owns is looked at again with each beat.
+func (d *Daemon) beatEvery() time.Duration {
+	if len(d.owned()) > 0 {
+		return ownership.OwnerBeatEvery
+	}
+	return ownership.BeatEvery
+}
+
 func (d *Daemon) writeBeat(ctx context.Context) {
+	now := d.Timer.Now()
 	n := ownership.Node{
-		Run: d.run, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(), Beat: d.Timer.Now().UnixMilli(),
+		Run: d.run, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(),
+		Beat: now.UnixMilli(), Every: d.beatEvery().Milliseconds(),
 	}
 	// A Node always encodes.
 	data, _ := json.Marshal(n)
 	key := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.NodePart, Key: d.Settings.Name}
 	if _, err := d.Store.Commit(ctx, cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: key, Value: data}}}); err != nil {
 		d.Log.Debug("entry: can't write the daemon's record", "error", err)
+		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view.Took(d.Timer.Now().Sub(now))
 }
 
 // followOwners reads the owner records, takes services and drops those that others have taken.
@@ -61,6 +78,7 @@
 		if ctx.Err() == nil {
 			d.note(dep, err)
 		}
+		d.unread.Store(err != nil)
 		if err == nil {
 			d.readAt.Store(&sent)
 			d.applyOwners(ctx, sent)
@@ -71,6 +89,7 @@
 }
 
 func (d *Daemon) readOwners(ctx context.Context) error {
+	begin := d.Timer.Now()
 	d.mu.Lock()
 	after := d.viewAt
 	d.mu.Unlock()
@@ -88,6 +107,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.view.Took(d.Timer.Now().Sub(begin))
 	d.viewAt = max(d.viewAt, next)
 	if bad := d.view.Apply(d.Timer.Now(), records); len(bad) > 0 {
 		d.Log.Error("entry: can't read owner records", "parts", bad)
@@ -203,6 +223,13 @@
 	return best
 }
 
+// refused tells whether the store does not answer this daemon. A store that is slow or loses answers of writes still
+// answers readings; another daemon would fare no better.
+func (d *Daemon) refused() bool {
+	at := d.readAt.Load()
+	return d.unread.Load() || at == nil || d.Timer.Now().Sub(*at) > readSilent
+}
+
 // giveAway offers a service to a daemon that reaches the store, when this one does not.
 func (d *Daemon) giveAway(ctx context.Context, service string) {
 	d.mu.Lock()
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -137,12 +137,12 @@
 	return a, err
 }
 
-// poke makes a daemon read the owner records at once.
-func (p *peerClient) poke(ctx context.Context, addr string) {
+// poke makes a daemon read the owner records at once and returns whether it answers. The daemon reads the records by
+// itself soon; a lost poke only costs time.
+func (p *peerClient) poke(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pokeTime)
 	defer cancel()
-	// The daemon reads the records by itself soon; a lost poke only costs time.
-	_ = p.post(ctx, addr, pokePath, struct{}{}, nil)
+	return p.post(ctx, addr, pokePath, struct{}{}, nil) == nil
 }
 
 // stop tells an earlier owner to stop and returns whether it has.
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -18,10 +18,11 @@
 	commitRetry = 200 * time.Millisecond
 	// downAfter is how long writes fail until new work is refused at once.
 	downAfter = 700 * time.Millisecond
-	// hedgeLeast and hedgeFactor times the usual time of an answer is when a write is sent once more, hedgeMost times.
+	// hedgeLeast and hedgeFactor times the usual time of an answer is when a write is sent once more, hedgeMost times with
+	// doubled pauses: each sending takes its turn in the store.
 	hedgeLeast  = 200 * time.Millisecond
 	hedgeFactor = 4
-	hedgeMost   = 4
+	hedgeMost   = 3
 	// giveAwayAfter is how long writes fail until another daemon is asked to take the service.
 	giveAwayAfter = 600 * time.Millisecond
 	giveAwayAgain = 500 * time.Millisecond
@@ -60,7 +61,7 @@
 	inflight  *dispatch.Batch
 	sentTx    cuminstair.Tx
 	failing   time.Time     // since when writes fail; zero: they don't
-	latency   time.Duration // moving mean of the answers of the store
+	latency   time.Duration // moving mean of the answers of the store, which follows a rise at once
 	hedges    int           // times that it was sent again without waiting
 	maybe     bool          // a sending of it had no answer
 	again     time.Time     // when the next batch may be sent
@@ -165,7 +166,7 @@
 		if r.inflight != nil && r.failing.IsZero() && now.Sub(r.sentAt) > silentAfter {
 			r.failed(r.sentAt, errSilent)
 		}
-		if !r.failing.IsZero() && now.Sub(r.failing) > giveAwayAfter && now.Sub(r.offered) > giveAwayAgain {
+		if !r.failing.IsZero() && now.Sub(r.failing) > giveAwayAfter && now.Sub(r.offered) > giveAwayAgain && r.d.refused() {
 			r.offered = now
 			go r.d.giveAway(ctx, r.service)
 		}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -41,6 +41,7 @@
 	d.Metrics.Takeover.Observe(d.Timer.Now().Sub(begin).Seconds())
 	r.start(ctx)
 	signal(d.listNow)
+	signal(d.beatNow)
 	if r.after {
 		d.challenge(ctx, r, old)
 	}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -27,13 +27,18 @@
 
 // Times of records.
 const (
-	// BeatEvery is how often a daemon rewrites its record.
-	BeatEvery = 600 * time.Millisecond
-	// StaleAfter is the age at which a daemon counts as gone: three lost writes and the delay of reading.
-	StaleAfter = 2400 * time.Millisecond
+	// BeatEvery is how often a daemon rewrites its record, OwnerBeatEvery while it owns services, so that its death is
+	// noticed soon.
+	BeatEvery      = time.Second
+	OwnerBeatEvery = 300 * time.Millisecond
+	// staleBase and staleBeats beats are the age at which a daemon counts as gone, plus staleDelays times the time that
+	// calls to the store take: two lost writes and the delay of reading.
+	staleBase   = 1100 * time.Millisecond
+	staleBeats  = 2
+	staleDelays = 3
 	// settleTime is how long a daemon looks on before it takes anything, so that daemons that start together know of
 	// each other.
-	settleTime = 1300 * time.Millisecond
+	settleTime = 800 * time.Millisecond
 	// blindAfter is the pause between two readings after which ages say nothing.
 	blindAfter = 1500 * time.Millisecond
 )
@@ -46,6 +51,7 @@
 	Weight float64 `json:"weight"` // what it can carry
 	Ready  bool    `json:"ready"`  // false: it takes no services
 	Beat   int64   `json:"beat"`   // rises with each write
+	Every  int64   `json:"every"`  // milliseconds until the next write
 }
 
 // Owner is the record of a service's owner.
@@ -73,8 +79,9 @@
 	run    string
 	nodes  map[string]*nodeSeen
 	owners map[string]ownerSeen
-	read   time.Time // last successful reading
-	first  time.Time // first successful reading
+	delay  time.Duration // of calls to the store, as seen lately
+	read   time.Time     // last successful reading
+	first  time.Time     // first successful reading
 }
 
 // NewView returns the empty view of a daemon.
@@ -130,9 +137,31 @@
 		}
 	}
 	v.owners[r.Part] = o
+	// An owner rewrites its owner records with every transaction.
+	if n := v.nodes[o.Name]; n != nil && n.Run == o.Run {
+		n.changed = now
+	}
 	return nil
 }
 
+// Took notes how long a call to the store took that has succeeded. A slow store makes the records of all daemons old.
+func (v *View) Took(t time.Duration) {
+	if t > v.delay {
+		v.delay = t
+		return
+	}
+	v.delay += (t - v.delay) / 4
+}
+
+// stale is the age at which the record of a daemon tells that it is gone.
+func (v *View) stale(n *nodeSeen) time.Duration {
+	every := BeatEvery
+	if n.Every > 0 {
+		every = time.Duration(n.Every) * time.Millisecond
+	}
+	return staleBase + staleBeats*every + staleDelays*v.delay
+}
+
 // Owner returns the owner record of a service and its version, 0 if there is none.
 func (v *View) Owner(service string) (Owner, uint64) {
 	o := v.owners[service]
@@ -142,7 +171,7 @@
 // fresh tells whether a daemon lives.
 func (v *View) fresh(now time.Time, name, run string) bool {
 	n := v.nodes[name]
-	return n != nil && (run == "" || n.Run == run) && now.Sub(n.changed) < StaleAfter
+	return n != nil && (run == "" || n.Run == run) && now.Sub(n.changed) < v.stale(n)
 }
 
 // Live returns the live owner of a service, or false.
