--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -62,6 +62,7 @@
 	if look {
 		s.looked = now
 		s.settle(now)
+		s.watchCentres(now)
 	}
 	s.lookAround(now)
 	s.stranded = 0
@@ -177,6 +178,7 @@
 		}
 		switch {
 		case !w.synced, len(w.attempts) > 0, w.stored > w.seen:
+		case w.failed > 0 && w.listed: // it is asked until it answers, or is gone
 		default:
 			continue
 		}
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -38,6 +38,8 @@
 	LongRunning float64  `json:"long,omitempty"`   // cores of long-running tasks
 	Pinned      int      `json:"pinned,omitempty"` // workers with long-running tasks, and those that such tasks lack
 	Workers     int      `json:"workers"`          // that take tasks
+	Silent      int      `json:"silent,omitempty"` // workers that do not answer or lie in data centres that are cut off
+	Dark        []string `json:"dark,omitempty"`   // data centres that are cut off
 	Cores       float64  `json:"cores"`            // of one worker
 	Idle        []string `json:"idle,omitempty"`   // workers without tasks, the longest idle first
 	// Objective is the mean objective of jobs in milliseconds, 0 if none has come yet.
@@ -78,13 +80,17 @@
 	d.Objective = s.meanObjective.Milliseconds()
 	d.Backlog, d.Late = backlogs(now, s.load(now))
 	d.Active, d.Spread = s.activity()
+	d.Dark = s.darkCentres(now)
 	var idle []*worker
 	for _, w := range s.workers {
 		if w.gone || !w.listed {
 			continue
 		}
 		d.Cores = max(d.Cores, float64(w.total.CPU)/1000)
-		if w.usable(now) {
+		switch {
+		case w.suspect() || s.isDark(now, w):
+			d.Silent++
+		case w.usable(now):
 			d.Workers++
 		}
 		longRunning := false
@@ -97,7 +103,7 @@
 		if longRunning {
 			d.Pinned++
 		}
-		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() {
+		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() && w.failed == 0 && !s.isDark(now, w) {
 			idle = append(idle, w)
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -43,7 +43,7 @@
 	p.is.Equal(first.n, 0) // nothing is known yet
 	second := p.submit(jobB, step(1, 1000))
 	p.run(1200 * time.Millisecond)
-	p.is.Equal(first.n, 0) // a slow store may still take it, and that its fate is unknown is final for the caller
+	p.is.Equal(first.n, 0)                        // a slow store may still take it, and that its fate is unknown is final for the caller
 	p.run(1500 * time.Millisecond)                // callers wait for 3 s
 	p.is.Equal(first.Outcome, dispatch.Uncertain) // its write is under way
 	p.is.Equal(second.Outcome, dispatch.Away)     // its write was never sent
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -49,7 +49,7 @@
 	s.around = s.around[:0]
 	for _, w := range s.workers {
 		w.shunned = now.Before(w.shun)
-		if w.usable(now) {
+		if w.usable(now) && !s.isDark(now, w) {
 			s.around = append(s.around, w)
 		}
 	}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -76,6 +76,7 @@
 	confirm time.Time
 	gauge   float64 // tail of tasks with a target, in milliseconds
 	share   int     // that the last order gave a best-effort task
+	orders  []dispatch.Order
 }
 
 func newPool(t *testing.T, workers int) *pool {
@@ -212,6 +213,9 @@
 }
 
 func (p *pool) carryOut(o dispatch.Order) {
+	if o.Kind == dispatch.OrderStart {
+		p.orders = append(p.orders, o)
+	}
 	w := p.worker(o.Worker.ID)
 	down := w == nil || w.dead || w.cut
 	if !down && o.Token < w.token {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -61,11 +61,12 @@
 	offered       []offered
 	loads         []admission.Load // see recentLoad
 	loadsAt       time.Time
-	mostCores     float64            // largest room of the pool so far, in cores
-	incoming      int                // workers on their way to the pool
-	available     int                // hosts that could be sent to the pool
-	meanObjective time.Duration      // mean objective of jobs
-	ratio         map[string]float64 // by queue: how long tasks take against their estimates
+	mostCores     float64              // largest room of the pool so far, in cores
+	incoming      int                  // workers on their way to the pool
+	available     int                  // hosts that could be sent to the pool
+	meanObjective time.Duration        // mean objective of jobs
+	ratio         map[string]float64   // by queue: how long tasks take against their estimates
+	dark          map[string]time.Time // by data centre: until when it counts as cut off
 	workersDirty  bool
 	changed       bool // placement may find something new
 	deposed       bool
@@ -90,7 +91,7 @@
 	return &Service{
 		Name: name, Token: token, Log: log, taken: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]time.Time{},
-		ratio: map[string]float64{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
+		ratio: map[string]float64{}, dark: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -97,7 +97,7 @@
 	}
 	ask := admission.Ask{Due: j.due, Use: useful(j.sent, j.due), Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
 	ask.Work, ask.Width = s.total(j), s.firstWidth(j)
-	v := admission.Decide(now, s.pool(), s.recentLoad(now), ask)
+	v := admission.Decide(now, s.pool(now), s.recentLoad(now), ask)
 	if v.Accept {
 		j.late = v.Late
 		s.loads = append(s.loads, admission.Load{
@@ -154,12 +154,12 @@
 }
 
 // pool is the room that short tasks may use.
-func (s *Service) pool() admission.Pool {
+func (s *Service) pool(now time.Time) admission.Pool {
 	p := admission.Pool{Share: fillShare}
 	largest := 0
 	for _, w := range s.workers {
 		largest = max(largest, w.total.CPU)
-		if !w.listed || w.gone || !w.leaving.IsZero() || w.suspect() {
+		if !w.listed || w.gone || !w.leaving.IsZero() || w.suspect() || s.isDark(now, w) {
 			continue
 		}
 		p.Cores += float64(w.total.CPU) / 1000
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
 )
@@ -240,3 +242,65 @@
 	p.is.Equal(p.running(), 4)
 	p.is.Equal(p.twice, 0)
 }
+
+// Guards against a worker that was cut off until its tasks had ended elsewhere and is never asked again: after the cut of
+// trouble-1 of ladle-sched-grown 70 workers got no tasks any more.
+func TestSilentWorkerIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 2)
+	p.length = func(cuminstair.TaskID) time.Duration { return 2 * time.Second }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(4, 8000)) // half of each worker, or all of one
+	p.run(300 * time.Millisecond)
+	cut := p.workers[0]
+	if len(cut.runs) == 0 {
+		cut = p.workers[1]
+	}
+	cut.cut = true
+	p.run(9 * time.Second)
+	is.Equal(p.s.State(jobA), cuminstair.JobCompleted) // done by the other
+	cut.cut = false
+	p.run(1500 * time.Millisecond)
+	p.submit(jobB, step(8, 8000)) // as much as both have room for
+	p.run(500 * time.Millisecond)
+	is.True(len(cut.runs) > 0)
+}
+
+// Guards against tasks that are placed behind a cut until each worker there has failed on its own, and against a data
+// centre that is avoided although only its workers are busy or the owner itself is slow.
+func TestDarkCentreIsAvoided(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		cut  int // workers of the first data centre that are cut
+		dark bool
+	}{{"cut", 4, true}, {"one worker", 1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(t, 8)
+			for i := range p.list {
+				p.list[i].Centre = string(rune('x' + i/4))
+			}
+			p.s.SetWorkers(p.now, p.list)
+			p.length = func(cuminstair.TaskID) time.Duration { return 2 * time.Second }
+			p.run(200 * time.Millisecond)
+			for _, w := range p.workers[:c.cut] {
+				w.swallow = true // orders are lost without a sign
+			}
+			p.submit(jobA, step(32, 6000)) // four on each worker
+			p.run(500 * time.Millisecond)
+			before := len(p.orders)
+			p.submit(jobB, step(4, 6000))
+			p.run(200 * time.Millisecond)
+			behind := 0
+			for _, o := range p.orders[before:] {
+				if o.Task.Job == jobB && o.Worker.Centre == "x" {
+					behind++
+				}
+			}
+			is.Equal(len(p.s.Demand(p.now, 0, 0).Dark) > 0, c.dark)
+			if c.dark {
+				is.Equal(behind, 0)
+			}
+		})
+	}
+}
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -22,7 +22,9 @@
 	// moveSettles is how long the list of hosts may take to show a move.
 	moveSettles = 900 * time.Millisecond
 	orderAgain  = 900 * time.Millisecond
-	cordonTime  = 400 * time.Millisecond
+	// ordersShow is how long after a takeover the list of hosts may lack what the earlier controller ordered.
+	ordersShow = 1500 * time.Millisecond
+	cordonTime = 400 * time.Millisecond
 	// waveTable has a record for each wave, in the part of the hosts' duty.
 	waveTable = "wave"
 )
@@ -57,6 +59,7 @@
 	free   map[string]bool // workers of hosts that are due and have no long-running tasks
 	asked  map[string]bool // services whose owners have told that
 	memory dependency      // record of what earlier controllers have learned
+	dark   map[string]bool // data centres that an owner finds cut off
 	idle   map[string]int  // by service: idle hosts when it was asked last
 	mu     sync.Mutex
 	moved  map[string]hostMove // host, last order to move it; guarded by mu while moves are ordered
@@ -99,6 +102,12 @@
 	return h.d.Settings.Bounds.Fenced || !r.after || h.d.Timer.Now().Sub(r.taken) >= h.d.Settings.Bounds.TurnTime+maintenanceEvery
 }
 
+// mayTakeDown tells whether all hosts that are down are known: orders of an earlier controller show in the list, and no
+// other controller is about to follow because the store turns this one away.
+func (h *hostDuty) mayTakeDown(r *runner) bool {
+	return !h.d.refused() && (!r.after || h.d.Timer.Now().Sub(r.taken) >= ordersShow)
+}
+
 // load reads the records of waves that are new to this daemon.
 func (h *hostDuty) load(ctx context.Context) {
 	h.d.mu.Lock()
@@ -155,7 +164,7 @@
 	})
 	// An order without an answer may be carried out later, so that its host stays without tasks.
 	idle := h.cordon(ctx, append(candidates, w.Pending()...), byName)
-	if !h.mayOrder(r) {
+	if !h.mayOrder(r) || !h.mayTakeDown(r) {
 		return
 	}
 	for _, host := range w.Take(now, idle, orderAgain) {
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -107,13 +108,14 @@
 type hostView struct {
 	pools  map[string]*pools.Pool
 	spare  []string
+	centre map[string]string // host, data centre
 	hosts  map[string]string // worker, host
 	worker map[string]string // host, worker
 }
 
 // look sorts the hosts by pools. A host that was ordered to move counts for its new pool until the list shows it.
 func (h *hostDuty) look(now time.Time, config *cuminstair.JobConfig, list []cuminstair.HostRecord) *hostView {
-	v := &hostView{pools: map[string]*pools.Pool{}, hosts: map[string]string{}, worker: map[string]string{}}
+	v := &hostView{pools: map[string]*pools.Pool{}, hosts: map[string]string{}, worker: map[string]string{}, centre: map[string]string{}}
 	for _, p := range config.Pools {
 		if !p.Spare {
 			v.pools[p.Name] = &pools.Pool{Service: p.Name}
@@ -131,6 +133,7 @@
 		if rec.Worker != "" {
 			v.hosts[rec.Worker], v.worker[rec.Name] = rec.Name, rec.Worker
 		}
+		v.centre[rec.Name] = rec.Centre
 		p := v.pools[to]
 		switch {
 		case p == nil && to == h.plan.Spare && rec.Phase == cuminstair.PhaseUp && !moving && !h.inWave(rec.Name):
@@ -165,7 +168,7 @@
 		free += n
 	}
 	own := h.idle
-	h.idle = map[string]int{}
+	h.idle, h.dark = map[string]int{}, map[string]bool{}
 	var mu sync.Mutex
 	for _, p := range v.pools {
 		wg.Add(1)
@@ -178,17 +181,31 @@
 			p.Known, p.Rate, p.Backlog, p.LongRunning = true, d.Rate, d.Backlog, d.LongRunning
 			p.Active, p.Spread, p.Late = d.Active, d.Spread, d.Late
 			p.Pinned, p.Cores, p.Objective = d.Pinned, d.Cores, time.Duration(d.Objective)*time.Millisecond
+			p.Have = max(0, p.Have-d.Silent)
 			for _, id := range d.Idle {
 				if host, ok := v.hosts[id]; ok && !h.inWave(host) {
 					p.Idle = append(p.Idle, host)
 				}
 			}
 			mu.Lock()
+			for _, centre := range d.Dark {
+				h.dark[centre] = true
+			}
 			h.idle[p.Service] = len(p.Idle)
 			mu.Unlock()
 		}()
 	}
 	wg.Wait()
+	h.dropDark(v)
+}
+
+// dropDark leaves out hosts in data centres that are cut off: a move would bring nothing.
+func (h *hostDuty) dropDark(v *hostView) {
+	dark := func(host string) bool { return h.dark[v.centre[host]] }
+	v.spare = slices.DeleteFunc(v.spare, dark)
+	for _, p := range v.pools {
+		p.Idle = slices.DeleteFunc(p.Idle, dark)
+	}
 }
 
 // yield asks the owners to empty hosts for other pools.
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -75,6 +75,8 @@
 		switch {
 		case !ok:
 			h.Phase = Done
+		case h.Phase == Due && r.Phase == cuminstair.PhaseMaintenance:
+			h.Phase, h.At = Begun, at // an earlier controller ordered it and could not store that
 		case h.Phase == Begun && r.Phase == cuminstair.PhaseUp && at.After(h.At):
 			h.Phase = Done
 		}
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -74,6 +74,18 @@
 	is.True(err != nil)
 }
 
+// Guards against more hosts down than the wave allows after a change of its controller: on a hunted trouble-1 of
+// ladle-sched the store turned the first one away, which had ordered hosts that its record did not name.
+func TestHostsThatAreDownCount(t *testing.T) {
+	is := is.New(t)
+	w := maintenance.New(begin, wave("a", "b", "c", "d"), maintenance.Record{})
+	w.Observe(begin, append(list(cuminstair.PhaseMaintenance, "a", "b"), list(cuminstair.PhaseUp, "c", "d")...))
+	is.Equal(w.Down(), 2)
+	is.Equal(len(w.Take(begin, []string{"c", "d"}, time.Second)), 0)
+	w.Observe(begin.Add(2*time.Second), list(cuminstair.PhaseUp, "a", "b", "c", "d"))
+	is.Equal(w.Due(), []string{"c", "d"})
+}
+
 // Guards against a wave that is never told completed because its controller ended between storing and telling it: seed 611
 // of the soak.
 func TestEndedWaveIsToldAgain(t *testing.T) {
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -125,9 +125,12 @@
 	}
 	short := 0
 	for i := range list {
-		short += max(0, lack(&list[i], want))
+		x := &list[i]
+		if x.Known && x.Cores > 0 {
+			short += max(0, p.demanded(now, x)-x.Have-x.Incoming)
+		}
 	}
-	yields := p.yields(short, list, want)
+	yields := p.yields(now, short, list)
 	for i := range list {
 		x := &list[i]
 		late := p.lateHosts(x, want[x.Service])
@@ -174,13 +177,16 @@
 	return max(want, int(math.Ceil(((x.Late+x.Backlog)/fill+x.LongRunning)/x.Cores)))
 }
 
-// yields asks pools that have more hosts than their work in time needs to empty as many as are lacking.
-func (p *Planner) yields(lack int, list []Pool, want map[string]int) []Yield {
+// yields asks pools that have more hosts than their work in time needs now to empty as many as are lacking.
+func (p *Planner) yields(now time.Time, lack int, list []Pool) []Yield {
 	var out []Yield
 	for i := range list {
 		x := &list[i]
-		more := min(lack, x.Have-len(x.Idle)-want[x.Service])
-		if !x.Known || more <= 0 {
+		if !x.Known || x.Cores <= 0 {
+			continue
+		}
+		more := min(lack, x.Have-len(x.Idle)-p.demanded(now, x))
+		if more <= 0 {
 			continue
 		}
 		out = append(out, Yield{Service: x.Service, Hosts: more})
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -103,8 +103,14 @@
 	moves, yields := p.Plan(begin.Add(2*time.Second), []pools.Pool{late, peak}, idle("spare", 4))
 	is.Equal(count(moves)["spare>b"], 4)
 	is.Equal(yields, []pools.Yield{{Service: "a", Hosts: 15}})
+	// At once, also right after the pool needed them.
+	late.Active = 900
+	p.Plan(begin.Add(3*time.Second), []pools.Pool{late, quiet("b", 5)}, nil)
+	late.Active = 0
+	_, yields = p.Plan(begin.Add(3500*time.Millisecond), []pools.Pool{late, peak}, nil)
+	is.Equal(yields, []pools.Yield{{Service: "a", Hosts: 19}})
 	// Without another peak the late work gets hosts.
-	moves, yields = p.Plan(begin.Add(5*time.Second), []pools.Pool{late, quiet("b", 5)}, idle("spare", 40))
+	moves, yields = p.Plan(begin.Add(6*time.Second), []pools.Pool{late, quiet("b", 5)}, idle("spare", 40))
 	is.True(count(moves)["spare>a"] > 0)
 	is.Equal(len(yields), 0)
 }
