--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -38,7 +38,7 @@
 	Name  string
 	Phase Phase
 	At    time.Time // of the last order or confirmation
-	Ready bool      // its worker is idle
+	Seen  bool      // the list shows it in maintenance; if it is due, an earlier controller ordered that and did not store it
 }
 
 // Busy tells whether the maintenance of the host is under way.
@@ -72,11 +72,10 @@
 	}
 	for _, h := range w.State {
 		r, ok := byName[h.Name]
+		h.Seen = ok && r.Phase == cuminstair.PhaseMaintenance
 		switch {
 		case !ok:
 			h.Phase = Done
-		case h.Phase == Due && r.Phase == cuminstair.PhaseMaintenance:
-			h.Phase, h.At = Begun, at // an earlier controller ordered it and could not store that
 		case h.Phase == Begun && r.Phase == cuminstair.PhaseUp && at.After(h.At):
 			h.Phase = Done
 		}
@@ -87,7 +86,7 @@
 func (w *Wave) Down() int {
 	n := 0
 	for _, h := range w.State {
-		if h.Busy() {
+		if h.Busy() || (h.Phase == Due && h.Seen) {
 			n++
 		}
 	}
