--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -231,18 +231,7 @@
 	is := is.New(t)
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	s := longRunning(2)
-	s.PerWorker = 1
-	p.submit(jobA, s)
-	p.run(2 * time.Second)
-	var busy []*fakeWorker
-	for _, w := range p.workers {
-		if len(w.runs) > 0 {
-			busy = append(busy, w)
-		}
-	}
-	is.Equal(len(busy), 2)
-	sound, leaving := busy[0], busy[1]
+	sound, leaving := p.pair()
 	sound.slowStop = stopGrace
 	p.s.Cordon(p.now, []string{sound.info.ID})
 	p.run(2 * tick)
@@ -267,18 +256,7 @@
 	is := is.New(t)
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	s := longRunning(2)
-	s.PerWorker = 1
-	p.submit(jobA, s)
-	p.run(3 * time.Second)
-	var busy []*fakeWorker
-	for _, w := range p.workers {
-		if len(w.runs) > 0 {
-			busy = append(busy, w)
-		}
-	}
-	is.Equal(len(busy), 2)
-	dark, sound := busy[0], busy[1]
+	dark, sound := p.pair()
 	dark.dead = true
 	p.run(time.Second)
 	for range 200 { // the dark worker's task is at work elsewhere after 7 s
@@ -301,10 +279,8 @@
 	p.submit(jobA, longRunning(3))
 	p.run(2 * time.Second)
 	var due []string
-	for _, w := range p.workers {
-		if len(w.runs) > 0 {
-			due = append(due, w.info.ID)
-		}
+	for _, w := range p.busy() {
+		due = append(due, w.info.ID)
 	}
 	var free []string
 	for range 300 {
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -93,7 +93,7 @@
 	return p
 }
 
-func (p *pool) addWorker(id string, rack int) *fakeWorker {
+func (p *pool) addWorker(id string, rack int) {
 	w := &fakeWorker{
 		info: cuminstair.WorkerInfo{
 			ID: id, Service: "s", Addr: id + ":1", Born: p.now.UnixMilli(), CPU: hostCPU, Memory: hostMemory,
@@ -103,7 +103,6 @@
 	}
 	p.workers = append(p.workers, w)
 	p.list = append(p.list, w.info)
-	return w
 }
 
 // takeOver starts a new owner from what the store has.
@@ -355,6 +354,28 @@
 	return s
 }
 
+// busy returns the workers that run something.
+func (p *pool) busy() []*fakeWorker {
+	var list []*fakeWorker
+	for _, w := range p.workers {
+		if len(w.runs) > 0 {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// pair starts two long-running tasks that keep apart and returns their workers.
+func (p *pool) pair() (a, b *fakeWorker) {
+	s := longRunning(2)
+	s.PerWorker = 1
+	p.submit(jobA, s)
+	p.run(3 * time.Second)
+	busy := p.busy()
+	p.is.Equal(len(busy), 2)
+	return busy[0], busy[1]
+}
+
 // atWork counts the long-running tasks of job A that have started up.
 func (p *pool) atWork() int {
 	n := 0
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -88,62 +88,104 @@
 // other lacks them.
 func (p *Planner) Plan(now time.Time, list []Pool, spare []string) ([]Move, []Yield) {
 	sort.Slice(list, func(i, j int) bool { return list[i].Service < list[j].Service })
-	want := map[string]int{}
 	for i := range list {
 		x := &list[i]
 		if x.Known && x.Cores > 0 {
 			p.forecast.Observe(now, x.Service, x.Rate, float64(p.need(now, x).first)*x.Cores)
 		}
 	}
+	d := draft{Planner: p, now: now, list: list, spare: append([]string(nil), spare...), want: map[string]int{}, most: p.AtOnce}
+	if d.most <= 0 {
+		d.most = movesAtOnce
+	}
 	for i := range list {
-		x := &list[i]
-		if !x.Known || x.Cores <= 0 {
-			want[x.Service] = x.Have + x.Incoming
-			continue
-		}
-		want[x.Service] = p.want(now, x)
+		d.want[list[i].Service] = p.want(now, &list[i])
 	}
-	var moves []Move
-	most := p.AtOnce
-	if most <= 0 {
-		most = movesAtOnce
+	d.supplyAll()
+	yields := d.yields()
+	for i := range list {
+		d.settle(&list[i])
 	}
-	spare = append([]string(nil), spare...)
+	return d.moves, yields
+}
+
+// draft is a plan that is being made.
+type draft struct {
+	*Planner
+	now   time.Time
+	list  []Pool
+	spare []string
+	want  map[string]int // by service: hosts for work that can be in time
+	moves []Move
+	most  int // moves
+}
+
+func (d *draft) full() bool { return len(d.moves) >= d.most }
+
+// supplyAll finds hosts for the pools that lack them.
+func (d *draft) supplyAll() {
 	none := map[string]bool{} // pools for which no host was found
-	for len(moves) < most {
-		x := neediest(list, want, none)
+	for !d.full() {
+		x := neediest(d.list, d.want, none)
 		if x == nil {
-			break
+			return
 		}
-		m, ok := p.supply(now, x, list, want, &spare)
+		m, ok := d.supply(x)
 		if !ok {
 			none[x.Service] = true
 			continue
 		}
 		x.Incoming++
-		moves = append(moves, m)
+		d.moves = append(d.moves, m)
 	}
-	short := 0
-	for i := range list {
-		x := &list[i]
-		if x.Known && x.Cores > 0 {
-			short += max(0, p.demanded(now, x)-x.Have-x.Incoming)
-		}
+}
+
+// settle gives a pool hosts for its late work, and switches those off that it does not need.
+func (d *draft) settle(x *Pool) {
+	late := lateHosts(x, d.want[x.Service])
+	for late > x.Have+x.Incoming && len(d.spare) > 0 && !d.full() {
+		d.moves = append(d.moves, Move{Host: take(&d.spare), From: d.Spare, To: x.Service, Why: "late work"})
+		x.Incoming++
 	}
-	yields := p.yields(now, short, list)
-	for i := range list {
-		x := &list[i]
-		late := p.lateHosts(x, want[x.Service])
-		for late > x.Have+x.Incoming && len(spare) > 0 && len(moves) < most {
-			moves = append(moves, Move{Host: take(&spare), From: p.Spare, To: x.Service, Why: "late work"})
-			x.Incoming++
-		}
-		for p.Spare != "" && x.Known && x.Have+x.Incoming > late && len(x.Idle) > 0 && len(moves) < most {
-			moves = append(moves, Move{Host: take(&x.Idle), From: x.Service, To: p.Spare, Why: "idle"})
-			x.Have--
+	for d.Spare != "" && x.Known && x.Have+x.Incoming > late && len(x.Idle) > 0 && !d.full() {
+		d.moves = append(d.moves, Move{Host: take(&x.Idle), From: x.Service, To: d.Spare, Why: "idle"})
+		x.Have--
+	}
+}
+
+// lateHosts is the number of hosts that a pool should have for late work as well, want being those for other work.
+func lateHosts(x *Pool, want int) int {
+	if !x.Known || x.Cores <= 0 {
+		return want
+	}
+	return max(want, int(math.Ceil(((x.Late+x.Backlog)/fill+x.LongRunning)/x.Cores)))
+}
+
+// yields asks pools that have more hosts than their work in time needs now to empty as many as are lacking.
+func (d *draft) yields() []Yield {
+	lacking := 0
+	for i := range d.list {
+		lacking += max(0, -d.surplus(&d.list[i]))
+	}
+	var out []Yield
+	for i := range d.list {
+		x := &d.list[i]
+		n := min(lacking, d.surplus(x)-len(x.Idle)-x.Incoming)
+		if n <= 0 {
+			continue
 		}
+		out = append(out, Yield{Service: x.Service, Hosts: n})
+		lacking -= n
+	}
+	return out
+}
+
+// surplus is the number of hosts that a pool has more than its work in time asks for now.
+func (d *draft) surplus(x *Pool) int {
+	if !x.Known || x.Cores <= 0 {
+		return 0
 	}
-	return moves, yields
+	return x.Have + x.Incoming - d.demanded(d.now, x)
 }
 
 // lack is the number of hosts that a pool has too few.
@@ -169,58 +211,37 @@
 	return best
 }
 
-// lateHosts is the number of hosts that a pool should have for late work as well, want being those for other work.
-func (p *Planner) lateHosts(x *Pool, want int) int {
-	if !x.Known || x.Cores <= 0 {
-		return want
-	}
-	return max(want, int(math.Ceil(((x.Late+x.Backlog)/fill+x.LongRunning)/x.Cores)))
-}
-
-// yields asks pools that have more hosts than their work in time needs now to empty as many as are lacking.
-func (p *Planner) yields(now time.Time, lack int, list []Pool) []Yield {
-	var out []Yield
-	for i := range list {
-		x := &list[i]
-		if !x.Known || x.Cores <= 0 {
-			continue
-		}
-		more := min(lack, x.Have-len(x.Idle)-p.demanded(now, x))
-		if more <= 0 {
-			continue
-		}
-		out = append(out, Yield{Service: x.Service, Hosts: more})
-		lack -= more
-	}
-	return out
-}
-
 // supply finds a host for a pool: one that is switched off, an idle one that its own pool does not want, or an idle one
 // that its pool only keeps for a peak that is not near.
-func (p *Planner) supply(now time.Time, x *Pool, list []Pool, want map[string]int, spare *[]string) (Move, bool) {
-	if len(*spare) > 0 {
-		return Move{Host: take(spare), From: p.Spare, To: x.Service, Why: "demand"}, true
+func (d *draft) supply(x *Pool) (Move, bool) {
+	if len(d.spare) > 0 {
+		return Move{Host: take(&d.spare), From: d.Spare, To: x.Service, Why: "demand"}, true
 	}
-	for i := range list {
-		o := &list[i]
-		if o.Service == x.Service || !o.Known || len(o.Idle) == 0 || o.Have+o.Incoming <= want[o.Service] {
+	for i := range d.list {
+		o := &d.list[i]
+		if !lends(o, x) || o.Have+o.Incoming <= d.want[o.Service] {
 			continue
 		}
 		o.Have--
 		return Move{Host: take(&o.Idle), From: o.Service, To: x.Service, Why: "demand"}, true
 	}
-	for i := range list {
-		o := &list[i]
-		if o.Service == x.Service || !o.Known || len(o.Idle) == 0 || o.Have+o.Incoming <= p.lendable(now, o) {
+	for i := range d.list {
+		o := &d.list[i]
+		if !lends(o, x) || o.Have+o.Incoming <= d.lendable(d.now, o) {
 			continue
 		}
 		o.Have--
-		want[o.Service]--
+		d.want[o.Service]--
 		return Move{Host: take(&o.Idle), From: o.Service, To: x.Service, Why: "lent"}, true
 	}
 	return Move{}, false
 }
 
+// lends tells whether a pool has an idle host for another.
+func lends(from, to *Pool) bool {
+	return from.Service != to.Service && from.Known && len(from.Idle) > 0
+}
+
 // lendable is the number of hosts that a pool keeps while another is short of hosts.
 func (p *Planner) lendable(now time.Time, o *Pool) int {
 	if _, ok := p.forecast.Expect(now, o.Service); ok {
@@ -235,8 +256,12 @@
 	return first
 }
 
-// want is the number of hosts that a pool should have.
+// want is the number of hosts that a pool should have for work that can be in time. A pool of which nothing is known is
+// left alone.
 func (p *Planner) want(now time.Time, x *Pool) int {
+	if !x.Known || x.Cores <= 0 {
+		return x.Have + x.Incoming
+	}
 	n := p.need(now, x)
 	hosts := p.demanded(now, x)
 	if x.Objective < longObjective && !p.forecast.Seen(x.Service) {
