--- a/dispatch/centre.go
+++ b/dispatch/centre.go
@@ -65,7 +65,7 @@
 // signs tells whether a worker was asked lately, and whether it owes an answer.
 func (w *worker) signs(now time.Time) (asked, silent bool) {
 	if w.failed > 0 {
-		return true, true
+		return !w.nobody, !w.nobody
 	}
 	for _, a := range w.attempts {
 		since := now.Sub(a.sent)
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -38,7 +38,7 @@
 	LongRunning float64  `json:"long,omitempty"`   // cores of long-running tasks
 	Pinned      int      `json:"pinned,omitempty"` // workers with long-running tasks, and those that such tasks lack
 	Workers     int      `json:"workers"`          // that take tasks
-	Silent      int      `json:"silent,omitempty"` // workers that do not answer or lie in data centres that are cut off
+	Silent      []string `json:"silent,omitempty"` // workers that do not answer or lie in data centres that are cut off
 	Dark        []string `json:"dark,omitempty"`   // data centres that are cut off
 	Cores       float64  `json:"cores"`            // of one worker
 	Idle        []string `json:"idle,omitempty"`   // workers without tasks, the longest idle first
@@ -88,8 +88,8 @@
 		}
 		d.Cores = max(d.Cores, float64(w.total.CPU)/1000)
 		switch {
-		case w.suspect() || s.isDark(now, w):
-			d.Silent++
+		case w.suspect() && !w.nobody || s.isDark(now, w):
+			d.Silent = append(d.Silent, w.info.ID)
 		case w.usable(now):
 			d.Workers++
 		}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	cut      bool          // nothing answers, runs go on
 	mute     bool          // starts are carried out at once and not answered
 	swallow  bool          // starts are lost
+	gone     bool          // nobody listens at its address
 	delay    time.Duration // starts are not answered and carried out this much later
 	late     []lateStart
 	slowStop time.Duration // how long a stop takes
@@ -225,6 +227,10 @@
 		p.answer(o, cuminstair.ErrNotDone, nil)
 		return
 	}
+	if w.gone {
+		p.answer(o, fmt.Errorf("%w: %w", cuminstair.ErrNotDone, cuminstair.ErrNobody), nil)
+		return
+	}
 	w.token = o.Token
 	switch o.Kind {
 	case dispatch.OrderStart:
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -273,7 +273,8 @@
 		name string
 		cut  int // workers of the first data centre that are cut
 		dark bool
-	}{{"cut", 4, true}, {"one worker", 1, false}} {
+		gone bool // their hosts have moved on and refuse connections
+	}{{"cut", 4, true, false}, {"one worker", 1, false, false}, {"hosts have moved", 4, false, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPool(t, 8)
@@ -284,7 +285,7 @@
 			p.length = func(cuminstair.TaskID) time.Duration { return 2 * time.Second }
 			p.run(200 * time.Millisecond)
 			for _, w := range p.workers[:c.cut] {
-				w.swallow = true // orders are lost without a sign
+				w.swallow, w.gone = !c.gone, c.gone // orders are lost without a sign, or turned away
 			}
 			p.submit(jobA, step(32, 6000)) // four on each worker
 			p.run(500 * time.Millisecond)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,7 @@
 	held    time.Time // when the last successful renewal was sent
 	next    time.Time // when the next renewal may be sent
 	failed  int       // renewals that failed in a row
+	nobody  bool      // its host answered the last of them and nobody listened at its address: it is not cut off
 	blocked time.Time // until then it gets no tasks after refusals or failures
 	streak  int       // runs that failed in a row
 	idle    time.Time // since when it has no tasks
@@ -231,6 +232,7 @@
 		s.lifeOver(now, w, "another worker answers at its address")
 	default:
 		w.failed++
+		w.nobody = errors.Is(err, cuminstair.ErrNobody)
 		w.next = now.Add(holdBackoff)
 		if w.failed == suspectAfter {
 			s.Log.Warn("dispatch: worker does not answer", "service", s.Name, "worker", id, "tasks", len(w.attempts), "error", err)
@@ -255,7 +257,7 @@
 	if !w.synced {
 		s.changed = true
 	}
-	w.synced, w.failed, w.held = true, 0, sent
+	w.synced, w.failed, w.nobody, w.held = true, 0, false, sent
 	w.clock, w.clockAt = r.Clock, now
 	s.takeEnds(now, w, r.Ended)
 	for _, t := range r.Running {
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -181,7 +181,11 @@
 			p.Known, p.Rate, p.Backlog, p.LongRunning = true, d.Rate, d.Backlog, d.LongRunning
 			p.Active, p.Spread, p.Late = d.Active, d.Spread, d.Late
 			p.Pinned, p.Cores, p.Objective = d.Pinned, d.Cores, time.Duration(d.Objective)*time.Millisecond
-			p.Have = max(0, p.Have-d.Silent)
+			for _, id := range d.Silent {
+				if _, ok := v.hosts[id]; ok {
+					p.Have = max(0, p.Have-1)
+				}
+			}
 			for _, id := range d.Idle {
 				if host, ok := v.hosts[id]; ok && !h.inWave(host) {
 					p.Idle = append(p.Idle, host)
