--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -63,6 +63,7 @@
 		s.looked = now
 		s.settle(now)
 		s.watchCentres(now)
+		s.copyAll(now)
 	}
 	s.lookAround(now)
 	s.stranded = 0
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -70,39 +70,15 @@
 // could be sent.
 func (s *Service) Demand(now time.Time, incoming, available int) Demand {
 	s.incoming, s.available = incoming, available
-	var d Demand
-	oldest := now.UnixNano()/int64(rateBucket) - int64(rateWindow/rateBucket)
-	for _, o := range s.offered {
-		if o.slot > oldest {
-			d.Rate += o.work / rateWindow.Seconds()
-		}
-	}
-	d.Objective = s.meanObjective.Milliseconds()
+	d := Demand{Rate: s.rate(now), Objective: s.meanObjective.Milliseconds(), Dark: s.darkCentres(now)}
 	d.Backlog, d.Late = backlogs(now, s.load(now))
 	d.Active, d.Spread = s.activity()
-	d.Dark = s.darkCentres(now)
 	var idle []*worker
 	for _, w := range s.workers {
 		if w.gone || !w.listed {
 			continue
 		}
-		d.Cores = max(d.Cores, float64(w.total.CPU)/1000)
-		switch {
-		case w.suspect() && !w.nobody || s.isDark(now, w):
-			d.Silent = append(d.Silent, w.info.ID)
-		case w.usable(now):
-			d.Workers++
-		}
-		longRunning := false
-		for _, a := range w.attempts {
-			if a.task != nil && a.task.step.LongRunning {
-				longRunning = true
-				d.LongRunning += s.cores(&a.task.step.JobStep)
-			}
-		}
-		if longRunning {
-			d.Pinned++
-		}
+		s.addWorker(now, w, &d)
 		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() && w.failed == 0 && !s.isDark(now, w) {
 			idle = append(idle, w)
 		}
@@ -121,6 +97,39 @@
 	return d
 }
 
+// rate is the work that was handed in during the last second, in cores.
+func (s *Service) rate(now time.Time) float64 {
+	oldest := now.UnixNano()/int64(rateBucket) - int64(rateWindow/rateBucket)
+	rate := 0.0
+	for _, o := range s.offered {
+		if o.slot > oldest {
+			rate += o.work / rateWindow.Seconds()
+		}
+	}
+	return rate
+}
+
+// addWorker adds what a worker counts for.
+func (s *Service) addWorker(now time.Time, w *worker, d *Demand) {
+	d.Cores = max(d.Cores, float64(w.total.CPU)/1000)
+	switch {
+	case w.suspect() && !w.nobody || s.isDark(now, w):
+		d.Silent = append(d.Silent, w.info.ID)
+	case w.usable(now):
+		d.Workers++
+	}
+	longRunning := false
+	for _, a := range w.attempts {
+		if a.task != nil && a.task.step.LongRunning {
+			longRunning = true
+			d.LongRunning += s.cores(&a.task.step.JobStep)
+		}
+	}
+	if longRunning {
+		d.Pinned++
+	}
+}
+
 // backlogs returns the cores that do accepted work before it should be done, and those that do late work while it is of
 // use.
 func backlogs(now time.Time, load []admission.Load) (inTime, late float64) {
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -29,6 +29,9 @@
 	if t != nil && !j.over() {
 		t.run = max(t.run, e.Run)
 		s.count(now, w, t, e)
+		if t.done && t.at != nil && t.at != a {
+			s.stop(now, t.at) // a copy that is not needed any more
+		}
 	}
 	if a != nil {
 		s.release(now, a)
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -37,7 +37,7 @@
 	sort.SliceStable(s.ready, func(i, j int) bool { return before(s.ready[i], s.ready[j]) })
 	s.lookAround(now)
 	for _, st := range s.ready {
-		if st.occ.job.old && !settled {
+		if st.occ.job.old && !settled && (!st.mayCopy() || now.Sub(s.taken) < copiesAfter) {
 			continue
 		}
 		s.placeStep(now, st)
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -305,3 +306,38 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for the leases of a data centre that is cut off although copies of them may run, against
+// copies of other tasks, and against copies that run on when they are not needed.
+func TestCopiesRunDuringACut(t *testing.T) {
+	for _, dup := range []bool{true, false} {
+		t.Run(fmt.Sprintf("duplicates=%v", dup), func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(t, 8)
+			for i := range p.list {
+				p.list[i].Centre = string(rune('x' + i/4))
+			}
+			p.s.SetWorkers(p.now, p.list)
+			p.length = func(cuminstair.TaskID) time.Duration { return 1500 * time.Millisecond }
+			p.run(200 * time.Millisecond)
+			s := step(16, 6000)
+			s.Duplicates = dup
+			p.submit(jobA, s)
+			p.run(500 * time.Millisecond)
+			for _, w := range p.workers[:4] {
+				w.cut = true
+			}
+			p.run(3500 * time.Millisecond)
+			is.Equal(p.s.State(jobA) == cuminstair.JobCompleted, dup)
+			for _, w := range p.workers {
+				w.cut = false
+			}
+			p.run(5 * time.Second)
+			is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+			is.Equal(len(p.busy()), 0)
+			if !dup {
+				is.Equal(p.twice, 0)
+			}
+		})
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -297,6 +297,9 @@
 		a.percent, a.moved = t.Percent, now
 	}
 	a.percent, a.gauge = t.Percent, t.Gauge
+	if s.leftBehind(a) {
+		s.stop(now, a)
+	}
 	if a.task == nil {
 		return
 	}
