--- a/cmd/cuminstairjobs/main.go
+++ b/cmd/cuminstairjobs/main.go
@@ -28,6 +28,7 @@
 	storeTimeout  = 1500 * time.Millisecond
 	workerTimeout = 800 * time.Millisecond
 	hostsTimeout  = 1200 * time.Millisecond
+	adviceTimeout = 2 * time.Second // calls wait for those before them
 	// defaultMetrics is the port that deploy/system.toml names.
 	defaultMetrics = 9464
 	memoryShare    = 0.5 // of the limit, at which the collector works harder
@@ -90,6 +91,9 @@
 	if s.Hosts != "" {
 		d.Hosts = &platform.Hosts{Client: client, Addr: s.Hosts, Timeout: hostsTimeout}
 	}
+	if s.Advice != "" {
+		d.Adviser = &platform.Adviser{Client: client, Addr: s.Advice, Timeout: adviceTimeout}
+	}
 	return d.Run(ctx)
 }
 
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -17,6 +17,7 @@
 	OrderStop
 	OrderHold
 	OrderPace
+	OrderAdvise // asks the adviser, not a worker
 )
 
 // Order is a call to a worker. Its answer goes back to Started, Stopped or Held.
@@ -31,6 +32,7 @@
 	Seen    int64                 // OrderHold
 	Wait    time.Duration         // OrderHold
 	Percent int                   // OrderPace
+	Advise  Advise                // OrderAdvise
 
 	attempt *attempt
 }
@@ -48,7 +50,7 @@
 	if s.deposed {
 		return nil
 	}
-	s.confirmed = confirmed
+	s.now, s.confirmed = now, confirmed
 	s.expire(now, confirmed)
 	for i := 0; i < len(s.timed); i++ {
 		j := s.timed[i]
@@ -100,6 +102,9 @@
 			if w, ok := s.workers[o.Worker.ID]; ok {
 				w.holding = false
 			}
+		case OrderAdvise:
+			o.Advise.step.advice.asking = false
+			s.advising--
 		default:
 		}
 	}
@@ -246,8 +251,11 @@
 		w.blocked = now.Add(blockAfterRefusal)
 	case errors.Is(err, cuminstair.ErrNoRoom):
 		w.blocked = now.Add(blockAfterRefusal)
-	case errors.Is(err, cuminstair.ErrMalformed), errors.Is(err, cuminstair.ErrTicket):
+	case errors.Is(err, cuminstair.ErrMalformed):
 		w.blocked = now.Add(firstBlock)
+	case errors.Is(err, cuminstair.ErrTicket) && a.task != nil:
+		delete(a.task.step.advice.tickets, w.info.ID)
+		delete(a.task.step.advice.asked, w.info.ID)
 	}
 	s.Log.Info("dispatch: start was turned away", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", w.info.ID, "error", err)
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -104,6 +104,10 @@
 			if to != nil && to.shunned && w.leaving.IsZero() && !now.Before(w.cordon) {
 				continue // it would have to move again
 			}
+			if to == nil && a.task.step.advised() {
+				s.seekAdvice(now, a.task.step)
+				continue
+			}
 			if to == nil {
 				s.reserve(now, a.task.step, a.task, near)
 				continue
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -49,6 +49,7 @@
 	listed bool          // in Service.ready
 	latest time.Time     // when its tasks have to start for the job to be in time
 	rank   int           // see Service.rank
+	advice advice        // of an advised queue
 }
 
 // task is a task of a step.
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -151,6 +151,10 @@
 			continue
 		}
 		w := s.choose(st, t, near)
+		if w == nil && st.advised() {
+			s.seekAdvice(now, st)
+			break
+		}
 		if w == nil && st.LongRunning {
 			s.reserve(now, st, t, near)
 			continue
@@ -225,6 +229,9 @@
 			continue
 		}
 		w := s.choose(st, t, near)
+		if w == nil && st.advised() {
+			defer s.seekAdvice(now, st)
+		}
 		if w == nil {
 			for _, o := range s.orders[mark:] {
 				o.attempt.worker.remove(now, o.attempt)
@@ -268,7 +275,7 @@
 	switch {
 	case t.avoid == w.info.ID && len(s.around) > 1, st.PerWorker > 0 && near.workers[w] >= st.PerWorker:
 		return false
-	case !matches(st.Label, w.info.Labels):
+	case !matches(st.Label, w.info.Labels), st.advised() && st.ticketFor(s.now, w) == "":
 		return false
 	}
 	return w.attempts[t.id] == nil
@@ -289,6 +296,7 @@
 	s.counts.Starts++
 	order := cuminstair.StartOrder{
 		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: w.nextLease(now), Token: s.Token, Checkpoint: t.checkpoint,
+		Ticket: st.ticketFor(now, w),
 	}
 	s.orders = append(s.orders, Order{Kind: OrderStart, Worker: w.info, Task: t.id, Run: run, Token: s.Token, Start: order, attempt: a})
 }
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -20,6 +20,7 @@
 	readEvery  = 500 * time.Millisecond // between two readings of the owner records
 	startup    = 900 * time.Millisecond
 	stopGrace  = 400 * time.Millisecond
+	validity   = 800 * time.Millisecond // of tickets
 )
 
 var begin = time.Unix(1_700_000_000, 0)
@@ -79,6 +80,9 @@
 	gauge   float64 // tail of tasks with a target, in milliseconds
 	share   int     // that the last order gave a best-effort task
 	orders  []dispatch.Order
+	good    map[string]bool // by worker: may run steps of the queue; nil: the queue needs no advice
+	asked   int             // workers that the adviser was asked about
+	barred  int             // starts without the ticket of the worker
 }
 
 func newPool(t *testing.T, workers int) *pool {
@@ -214,8 +218,13 @@
 }
 
 func (p *pool) carryOut(o dispatch.Order) {
-	if o.Kind == dispatch.OrderStart {
+	switch o.Kind {
+	case dispatch.OrderStart:
 		p.orders = append(p.orders, o)
+	case dispatch.OrderAdvise:
+		p.advise(o)
+		return
+	default:
 	}
 	w := p.worker(o.Worker.ID)
 	down := w == nil || w.dead || w.cut
@@ -248,7 +257,26 @@
 	}
 }
 
+// advise gives tickets that name the worker and its life.
+func (p *pool) advise(o dispatch.Order) {
+	tickets := map[string]string{}
+	for _, id := range o.Advise.Workers {
+		p.asked++
+		if p.good[id] {
+			tickets[id] = ticketOf(p.worker(id))
+		}
+	}
+	p.s.Advised(p.now, p.now, o, tickets, validity, nil)
+}
+
+func ticketOf(w *fakeWorker) string { return fmt.Sprintf("%s-%d", w.info.ID, w.info.Born) }
+
 func (p *pool) begin(w *fakeWorker, o dispatch.Order) {
+	if p.good != nil && o.Start.Ticket != ticketOf(w) {
+		p.barred++
+		p.answer(o, cuminstair.ErrTicket, nil)
+		return
+	}
 	w.lease = max(w.lease, o.Start.Lease)
 	if w.delay > 0 {
 		w.late = append(w.late, lateStart{at: p.now.Add(w.delay), order: o})
@@ -335,6 +363,9 @@
 	spec := &cuminstair.JobSpec{Steps: steps}
 	p.specs[id] = spec
 	queue := cuminstair.WorkQueue{Name: "q", Service: "s", Stretch: 2, Target: 600 * time.Millisecond, Attempts: 3}
+	if p.good != nil {
+		queue.Advised, queue.Decision, queue.Validity = true, 20*time.Millisecond, validity
+	}
 	p.s.Submit(p.now, id, spec, queue, a.take)
 	return a
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -42,7 +42,10 @@
 	Grace time.Duration
 	// Challenge is how long after the takeover an earlier owner may give orders; the leases of these run out after it.
 	Challenge time.Duration
+	// Adviser tells whether there is one. Queues that need advice are refused without it.
+	Adviser bool
 
+	now           time.Time // of the decision that is being made
 	taken         time.Time // when the service was taken over
 	confirmed     time.Time // when the store was last seen to name this owner
 	jobs          map[string]*job
@@ -67,6 +70,7 @@
 	meanObjective time.Duration        // mean objective of jobs
 	ratio         map[string]float64   // by queue: how long tasks take against their estimates
 	dark          map[string]time.Time // by data centre: until when it counts as cut off
+	advising      int                  // calls that wait for the adviser
 	workersDirty  bool
 	changed       bool // placement may find something new
 	deposed       bool
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -86,8 +86,8 @@
 
 // admit decides whether a job is taken.
 func (s *Service) admit(now time.Time, j *job) Result {
-	if j.queue.Advised {
-		return Result{Outcome: Never, Wait: maxWait, Why: "the queue needs advice, which is not supported"}
+	if j.queue.Advised && !s.Adviser {
+		return Result{Outcome: Never, Wait: maxWait, Why: "the queue needs advice, and the settings name no adviser"}
 	}
 	if why := s.impossible(j); why != "" {
 		return Result{Outcome: Never, Wait: maxWait, Why: why}
@@ -95,7 +95,7 @@
 	if j.longRunning() || j.spec.Repeats > 0 || j.spec.First > 0 {
 		return Result{Outcome: Accepted}
 	}
-	ask := admission.Ask{Due: j.due, Use: useful(j.sent, j.due), Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost })}
+	ask := admission.Ask{Due: j.due, Use: useful(j.sent, j.due), Chain: chain(j.spec.Steps, func(i int) time.Duration { return s.length(j, i) + stepCost + adviceTime(&j.queue, adviceWorkers) })}
 	ask.Work, ask.Width = s.total(j), s.firstWidth(j)
 	v := admission.Decide(now, s.pool(now), s.recentLoad(now), ask)
 	if v.Accept {
@@ -326,7 +326,7 @@
 		if cores > 0 {
 			waves = max(1, math.Ceil(float64(st.Count*st.CPU)/1000/(cores*waveShare)))
 		}
-		return time.Duration(float64(s.length(j, i)) * waves)
+		return time.Duration(float64(s.length(j, i))*waves) + adviceTime(&j.queue, adviceWorkers)
 	})
 	return from.Add(time.Duration(float64(longest)*max(1, j.queue.Stretch)) + j.queue.Target)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -52,6 +52,7 @@
 	Store    cuminstair.RecordStore
 	Workers  cuminstair.WorkerCalls
 	Hosts    cuminstair.HostControl // nil: no maintenance and no moves
+	Adviser  cuminstair.Adviser     // nil: queues that need advice are refused
 	Metrics  *Metrics
 	// MetricsAddr is where the metrics are served; empty: nowhere.
 	MetricsAddr string
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -80,7 +80,7 @@
 	}
 }
 
-var orderNames = [...]string{"start", "stop", "hold", "pace"}
+var orderNames = [...]string{"start", "stop", "hold", "pace", "advise"}
 
 func (m *Metrics) worker(kind dispatch.OrderKind, err error, took time.Duration) {
 	m.WorkerCalls.WithLabelValues(orderNames[kind], outcome(err)).Observe(took.Seconds())
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -74,7 +74,7 @@
 func newRunner(d *Daemon, service string, token uint64, owner ownership.Owner, after bool) *runner {
 	now := d.Timer.Now()
 	s := dispatch.New(service, int64(token), now, d.Log)
-	s.Bounds, s.Grace = d.Settings.Bounds, storeGrace
+	s.Bounds, s.Grace, s.Adviser = d.Settings.Bounds, storeGrace, d.Adviser != nil
 	if after {
 		s.Challenge = storeGrace
 	}
@@ -216,6 +216,9 @@
 		var report cuminstair.WorkerReport
 		report, err = w.Hold(ctx, o.Worker, o.Lease, o.Token, o.Seen, o.Wait)
 		r.post(func(now time.Time) { r.state.Held(now, begin, o.Worker.ID, report, err) })
+	case dispatch.OrderAdvise:
+		r.advise(ctx, begin, o)
+		return
 	case dispatch.OrderPace:
 		if err = w.Pace(ctx, o.Worker, o.Task, o.Run, o.Percent, o.Token); err != nil {
 			r.d.Log.Debug("entry: best-effort task was not paced", "service", r.service, "worker", o.Worker.ID, "error", err)
@@ -224,6 +227,13 @@
 	r.d.Metrics.worker(o.Kind, err, r.d.Timer.Now().Sub(begin))
 }
 
+// advise asks the adviser and hands its answer back.
+func (r *runner) advise(ctx context.Context, begin time.Time, o dispatch.Order) {
+	tickets, validity, err := r.d.Adviser.Advise(ctx, o.Advise.Step, o.Advise.Workers)
+	r.post(func(now time.Time) { r.state.Advised(now, begin, o, tickets, validity, err) })
+	r.d.Metrics.worker(o.Kind, err, r.d.Timer.Now().Sub(begin))
+}
+
 // confirm notes that the store named this daemon as the owner at sent.
 func (r *runner) confirm(sent time.Time) {
 	r.post(func(time.Time) { r.confirm0(sent) })
--- a/jobs.go
+++ b/jobs.go
@@ -70,7 +70,9 @@
 	Stretch  float64       // part of the objective as a factor of the job's longest chain
 	Priority int           // 0 comes first
 	Attempts int           // runs of a task that may end as failed before the job fails
-	Advised  bool          // workers must be approved by the adviser
+	Advised  bool          // workers must be approved by the adviser; the next three are its times
+	// Decision and PerWorker are what an answer of the adviser takes, Validity is how long its tickets are valid.
+	Decision, PerWorker, Validity time.Duration
 }
 
 // WorkPool is a service as the configuration has it: a pool of workers.
@@ -169,6 +171,13 @@
 	Ticket     string
 }
 
+// StepID names a step of one occurrence of a job.
+type StepID struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
 // HostPhase is what a host does.
 type HostPhase uint8
 
--- a/store.go
+++ b/store.go
@@ -105,6 +105,13 @@
 	Pace(ctx context.Context, w WorkerInfo, task TaskID, run int64, percent int, token int64) error
 }
 
+// Adviser judges which workers may run a step.
+type Adviser interface {
+	// Advise returns the tickets of those of the workers that may run the step, by worker, and for how long they are
+	// valid, 0 if that is not told. Errors: ErrNotDone, ErrUncertain.
+	Advise(ctx context.Context, step StepID, workers []string) (map[string]string, time.Duration, error)
+}
+
 // HostControl changes hosts. holder and token fence the calls of each host.
 type HostControl interface {
 	// List returns all hosts. Error: ErrUnavailable.
