--- a/dispatch/centre.go
+++ b/dispatch/centre.go
@@ -11,13 +11,13 @@
 	answerTime = 250 * time.Millisecond
 	// askedLately is how long ago an order counts for the share of the workers that answer.
 	askedLately = time.Second
-	// darkLeast is how many workers have to be silent, and darkShare which part of those that were asked lately. In the
-	// other data centres at most brightShare may be: if all are silent, it is the owner that is cut off or slow.
-	darkLeast   = 3
-	darkShare   = 0.5
-	brightShare = 0.2
-	// darkFor is how long a data centre counts as dark after the last signs.
-	darkFor = 700 * time.Millisecond
+	// cutLeast is how many workers have to be silent, and cutShare which part of those that were asked lately. In the
+	// other data centres at most othersShare may be: if all are silent, it is the owner that is cut off or slow.
+	cutLeast    = 3
+	cutShare    = 0.5
+	othersShare = 0.2
+	// cutFor is how long a data centre counts as cut off after the last signs.
+	cutFor = 700 * time.Millisecond
 )
 
 // centreSigns counts workers of a data centre that were asked lately, and those that have not answered.
@@ -51,21 +51,21 @@
 	}
 	for name, c := range signs {
 		others := centreSigns{asked: all.asked - c.asked, silent: all.silent - c.silent}
-		if c.silent < darkLeast || c.share() < darkShare || others.asked == 0 || others.share() > brightShare {
+		if c.silent < cutLeast || c.share() < cutShare || others.asked == 0 || others.share() > othersShare {
 			continue
 		}
-		if !now.Before(s.dark[name]) {
+		if !now.Before(s.cutOff[name]) {
 			s.Log.Warn("dispatch: data centre is cut off", "service", s.Name, "centre", name, "silent", c.silent, "asked", c.asked,
 				"silent elsewhere", others.silent, "asked elsewhere", others.asked)
 		}
-		s.dark[name] = now.Add(darkFor)
+		s.cutOff[name] = now.Add(cutFor)
 	}
 }
 
 // signs tells whether a worker was asked lately, and whether it owes an answer.
 func (w *worker) signs(now time.Time) (asked, silent bool) {
 	if w.failed > 0 {
-		return !w.nobody, !w.nobody
+		return !w.refusing, !w.refusing
 	}
 	for _, a := range w.attempts {
 		since := now.Sub(a.sent)
@@ -79,13 +79,13 @@
 	return asked, false
 }
 
-// isDark tells whether the data centre of a worker is cut off.
-func (s *Service) isDark(now time.Time, w *worker) bool { return now.Before(s.dark[w.info.Centre]) }
+// isCutOff tells whether the data centre of a worker is cut off.
+func (s *Service) isCutOff(now time.Time, w *worker) bool { return now.Before(s.cutOff[w.info.Centre]) }
 
-// darkCentres returns the data centres that are cut off.
-func (s *Service) darkCentres(now time.Time) []string {
+// cutOffCentres returns the data centres that are cut off.
+func (s *Service) cutOffCentres(now time.Time) []string {
 	var list []string
-	for name, until := range s.dark {
+	for name, until := range s.cutOff {
 		if now.Before(until) {
 			list = append(list, name)
 		}
--- a/dispatch/copy.go
+++ b/dispatch/copy.go
@@ -10,12 +10,12 @@
 // It answers cuts of data centres: a task that must not run twice waits until the lease of its worker has run out.
 func (s *Service) copyAll(now time.Time) {
 	for _, w := range s.workers {
-		if len(w.attempts) == 0 || (!w.suspect() && !s.isDark(now, w)) {
+		if len(w.attempts) == 0 || (!w.suspect() && !s.isCutOff(now, w)) {
 			continue
 		}
 		for _, a := range w.attempts {
 			if a.task != nil && a.task.step.mayCopy() && a.stop.IsZero() {
-				s.leaveBehind(now, a)
+				s.detach(now, a)
 			}
 		}
 	}
@@ -24,8 +24,8 @@
 // mayCopy tells whether copies of the tasks may run at the same time.
 func (st *step) mayCopy() bool { return st.Duplicates && !st.Gang && !st.LongRunning && !st.BestEffort }
 
-// leaveBehind lets a run go on without its task, which is started elsewhere. Its room stays taken, and its end counts.
-func (s *Service) leaveBehind(now time.Time, a *attempt) {
+// detach lets a run go on without its task, which is started elsewhere. Its room stays taken, and its end counts.
+func (s *Service) detach(now time.Time, a *attempt) {
 	t := a.task
 	s.Log.Info("dispatch: task is started once more", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", a.worker.info.ID, "silent for", now.Sub(a.worker.held).Round(time.Millisecond).String())
@@ -34,8 +34,8 @@
 	s.relist(t.step)
 }
 
-// leftBehind tells whether a run was left behind and is of no use any more, since its task is done or its job over.
-func (s *Service) leftBehind(a *attempt) bool {
+// superseded tells whether a detached run is of no use any more, since its task is done or its job over.
+func (s *Service) superseded(a *attempt) bool {
 	if a.task != nil || !a.stop.IsZero() {
 		return false
 	}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -68,7 +68,7 @@
 		s.copyAll(now)
 	}
 	s.lookAround(now)
-	s.stranded = 0
+	s.movers = 0
 	s.evacuate(now)
 	if !s.stopping {
 		s.placeAll(now)
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -22,8 +22,8 @@
 	// availableShare is how many of the hosts that could be sent are counted on, and availableDelay when they take tasks.
 	availableShare = 0.6
 	availableDelay = 2300 * time.Millisecond
-	// strandedAtOnce is for how many tasks that have to move workers are asked for; they move one after the other.
-	strandedAtOnce = 2
+	// moversAtOnce is for how many tasks that have to move workers are asked for; they move one after the other.
+	moversAtOnce = 2
 	// incomingDelay is when a worker that is on its way takes tasks, on average.
 	incomingDelay = 1300 * time.Millisecond
 )
@@ -39,7 +39,7 @@
 	Pinned      int      `json:"pinned,omitempty"` // workers with long-running tasks, and those that such tasks lack
 	Workers     int      `json:"workers"`          // that take tasks
 	Silent      []string `json:"silent,omitempty"` // workers that do not answer or lie in data centres that are cut off
-	Dark        []string `json:"dark,omitempty"`   // data centres that are cut off
+	CutOff      []string `json:"cut,omitempty"`    // data centres that are cut off
 	Cores       float64  `json:"cores"`            // of one worker
 	Idle        []string `json:"idle,omitempty"`   // workers without tasks, the longest idle first
 	// Objective is the mean objective of jobs in milliseconds, 0 if none has come yet.
@@ -70,7 +70,7 @@
 // could be sent.
 func (s *Service) Demand(now time.Time, incoming, available int) Demand {
 	s.incoming, s.available = incoming, available
-	d := Demand{Rate: s.rate(now), Objective: s.meanObjective.Milliseconds(), Dark: s.darkCentres(now)}
+	d := Demand{Rate: s.rate(now), Objective: s.meanObjective.Milliseconds(), CutOff: s.cutOffCentres(now)}
 	d.Backlog, d.Late = backlogs(now, s.load(now))
 	d.Active, d.Spread = s.activity()
 	var idle []*worker
@@ -79,12 +79,12 @@
 			continue
 		}
 		s.addWorker(now, w, &d)
-		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() && w.failed == 0 && !s.isDark(now, w) {
+		if len(w.attempts) == 0 && w.synced && w.leaving.IsZero() && w.failed == 0 && !s.isCutOff(now, w) {
 			idle = append(idle, w)
 		}
 	}
-	d.LongRunning += s.homelessCores
-	d.Pinned += s.homeless + min(s.stranded, strandedAtOnce)
+	d.LongRunning += s.unplacedCores
+	d.Pinned += s.unplaced + min(s.movers, moversAtOnce)
 	sort.Slice(idle, func(i, j int) bool {
 		if !idle[i].idle.Equal(idle[j].idle) {
 			return idle[i].idle.Before(idle[j].idle)
@@ -113,7 +113,7 @@
 func (s *Service) addWorker(now time.Time, w *worker, d *Demand) {
 	d.Cores = max(d.Cores, float64(w.total.CPU)/1000)
 	switch {
-	case w.suspect() && !w.nobody || s.isDark(now, w):
+	case w.suspect() && !w.refusing || s.isCutOff(now, w):
 		d.Silent = append(d.Silent, w.info.ID)
 	case w.usable(now):
 		d.Workers++
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -251,15 +251,15 @@
 }
 
 // Guards against a planned move that ends a task at work while another one's worker does not answer: on scale-1 of
-// ladle-sched-grown a rack went dark, and its tasks counted as at work until their leases had run out.
+// ladle-sched-grown a rack lost power, and its tasks counted as at work until their leases had run out.
 func TestNoMovesWhileAWorkerIsSilent(t *testing.T) {
 	is := is.New(t)
 	p := newPool(t, 4)
 	p.run(200 * time.Millisecond)
-	dark, sound := p.pair()
-	dark.dead = true
+	silent, sound := p.pair()
+	silent.dead = true
 	p.run(time.Second)
-	for range 200 { // the dark worker's task is at work elsewhere after 7 s
+	for range 200 { // the silent worker's task is at work elsewhere after 7 s
 		p.s.Cordon(p.now, []string{sound.info.ID})
 		p.run(tick)
 		if p.atWork() == 0 {
@@ -272,7 +272,7 @@
 
 // Guards against long-running tasks on hosts that are due for maintenance, which hold a wave up because they may leave
 // only one after the other: 10 of 144 hosts of trouble-2 of ladle-sched-grown were left.
-func TestShunnedWorkersLoseLongRunningTasks(t *testing.T) {
+func TestVacatedWorkersLoseLongRunningTasks(t *testing.T) {
 	is := is.New(t)
 	p := newPool(t, 6)
 	p.run(200 * time.Millisecond)
@@ -284,7 +284,7 @@
 	}
 	var free []string
 	for range 300 {
-		free = p.s.Shun(p.now, due)
+		free = p.s.Vacate(p.now, due)
 		p.run(tick)
 		is.True(p.atWork() >= 2)
 	}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -66,16 +66,16 @@
 	}
 }
 
-// Shun keeps new long-running tasks away from workers whose hosts are due for maintenance later, and moves those that are
+// Vacate keeps new long-running tasks away from workers whose hosts are due for maintenance later, and moves those that are
 // there away one after the other; short tasks go on there. It returns the workers without long-running tasks, and has to
 // be called again and again.
-func (s *Service) Shun(now time.Time, ids []string) (free []string) {
+func (s *Service) Vacate(now time.Time, ids []string) (free []string) {
 	for _, id := range ids {
 		w, ok := s.workers[id]
 		if !ok {
 			continue
 		}
-		w.shun = now.Add(cordonFor)
+		w.vacate = now.Add(cordonFor)
 		if w.synced && w.longRunning == 0 && w.bestEffort == 0 {
 			free = append(free, id)
 		}
@@ -83,7 +83,7 @@
 	return free
 }
 
-// evacuate moves long-running tasks away from workers that leave, are cordoned or shunned.
+// evacuate moves long-running tasks away from workers that leave, are cordoned, or whose hosts are due for maintenance.
 func (s *Service) evacuate(now time.Time) {
 	if s.stopping {
 		return
@@ -101,7 +101,7 @@
 			}
 			near := s.neighbours(a.task.step)
 			to := s.choose(a.task.step, a.task, near)
-			if to != nil && to.shunned && w.leaving.IsZero() && !now.Before(w.cordon) {
+			if to != nil && to.vacating && w.leaving.IsZero() && !now.Before(w.cordon) {
 				continue // it would have to move again
 			}
 			if to == nil && a.task.step.advised() {
@@ -123,7 +123,7 @@
 func (s *Service) toEmpty(now time.Time) []*worker {
 	var list []*worker
 	for _, w := range s.workers {
-		if w.longRunning+w.bestEffort > 0 && (!w.leaving.IsZero() || now.Before(w.cordon) || w.shunned) {
+		if w.longRunning+w.bestEffort > 0 && (!w.leaving.IsZero() || now.Before(w.cordon) || w.vacating) {
 			list = append(list, w)
 		}
 	}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -16,7 +16,7 @@
 		return
 	}
 	s.changed = false
-	s.homeless, s.homelessCores = 0, 0
+	s.unplaced, s.unplacedCores = 0, 0
 	settled := s.settled()
 	if !settled {
 		s.changed = true
@@ -48,8 +48,8 @@
 func (s *Service) lookAround(now time.Time) {
 	s.around = s.around[:0]
 	for _, w := range s.workers {
-		w.shunned = now.Before(w.shun)
-		if w.usable(now) && !s.isDark(now, w) {
+		w.vacating = now.Before(w.vacate)
+		if w.usable(now) && !s.isCutOff(now, w) {
 			s.around = append(s.around, w)
 		}
 	}
@@ -258,7 +258,7 @@
 		}
 		c := place.Candidate{
 			Free: w.free(), Total: w.total, Slow: max(1, w.slow), LongRunning: w.longRunning, Same: near.workers[w],
-			Due: w.shunned, SameRack: near.racks[w.info.Rack], Far: st.DataRack != "" && st.DataRack != w.info.Rack,
+			Due: w.vacating, SameRack: near.racks[w.info.Rack], Far: st.DataRack != "" && st.DataRack != w.info.Rack,
 		}
 		if c.Shared = w.bestEffort; st.BestEffort {
 			c.Shared = w.longRunning
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -237,7 +237,7 @@
 		return
 	}
 	if w.gone {
-		p.answer(o, fmt.Errorf("%w: %w", cuminstair.ErrNotDone, cuminstair.ErrNobody), nil)
+		p.answer(o, fmt.Errorf("%w: %w", cuminstair.ErrNotDone, cuminstair.ErrConnRefused), nil)
 		return
 	}
 	w.token = o.Token
@@ -254,6 +254,7 @@
 		p.hold(w, o)
 	case dispatch.OrderPace:
 		p.share = o.Percent
+	default:
 	}
 }
 
@@ -353,7 +354,7 @@
 		p.s.Stopped(p.now, o, err)
 	case dispatch.OrderHold:
 		p.s.Held(p.now, p.now.Add(-time.Millisecond), o.Worker.ID, *r, err)
-	case dispatch.OrderPace:
+	default:
 	}
 }
 
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -16,10 +16,10 @@
 // soon as one ends, another fits in its place, so that a larger task would never find room.
 func (s *Service) reserve(now time.Time, st *step, t *task, near neighbours) {
 	if t.at == nil {
-		s.homeless++
-		s.homelessCores += s.cores(&st.JobStep)
+		s.unplaced++
+		s.unplacedCores += s.cores(&st.JobStep)
 	} else {
-		s.stranded++
+		s.movers++
 	}
 	if w := t.reserved; w != nil && w.reservedFor == t && w.usable(now) {
 		w.reservedUntil = now.Add(reserveFor)
@@ -32,7 +32,7 @@
 			reserved++
 			continue
 		}
-		if w.shunned {
+		if w.vacating {
 			continue
 		}
 		if !s.eligible(st, t, w, near) || !st.room().Fits(w.freeOfShort()) {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -69,7 +69,7 @@
 	available     int                  // hosts that could be sent to the pool
 	meanObjective time.Duration        // mean objective of jobs
 	ratio         map[string]float64   // by queue: how long tasks take against their estimates
-	dark          map[string]time.Time // by data centre: until when it counts as cut off
+	cutOff        map[string]time.Time // by data centre: until when it counts as cut off
 	advising      int                  // calls that wait for the adviser
 	workersDirty  bool
 	changed       bool // placement may find something new
@@ -78,9 +78,9 @@
 	lastBatch     time.Time
 	swept         time.Time
 	looked        time.Time // when all runs were looked at last
-	homeless      int       // long-running tasks that wait and found no worker when tasks were placed last
-	homelessCores float64   // what these take
-	stranded      int       // long-running tasks that have to move and found no worker in the last decision
+	unplaced      int       // long-running tasks that wait and found no worker when tasks were placed last
+	unplacedCores float64   // what these take
+	movers        int       // long-running tasks that have to move and found no worker in the last decision
 	stopping      bool
 	counts        Counts
 }
@@ -95,7 +95,7 @@
 	return &Service{
 		Name: name, Token: token, Log: log, taken: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]time.Time{},
-		ratio: map[string]float64{}, dark: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
+		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -159,7 +159,7 @@
 	largest := 0
 	for _, w := range s.workers {
 		largest = max(largest, w.total.CPU)
-		if !w.listed || w.gone || !w.leaving.IsZero() || w.suspect() || s.isDark(now, w) {
+		if !w.listed || w.gone || !w.leaving.IsZero() || w.suspect() || s.isCutOff(now, w) {
 			continue
 		}
 		p.Cores += float64(w.total.CPU) / 1000
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -269,12 +269,12 @@
 
 // Guards against tasks that are placed behind a cut until each worker there has failed on its own, and against a data
 // centre that is avoided although only its workers are busy or the owner itself is slow.
-func TestDarkCentreIsAvoided(t *testing.T) {
+func TestCutOffCentreIsAvoided(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		cut  int // workers of the first data centre that are cut
-		dark bool
-		gone bool // their hosts have moved on and refuse connections
+		name   string
+		cut    int // workers of the first data centre that are cut
+		cutOff bool
+		gone   bool // their hosts have moved on and refuse connections
 	}{{"cut", 4, true, false}, {"one worker", 1, false, false}, {"hosts have moved", 4, false, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -299,8 +299,8 @@
 					behind++
 				}
 			}
-			is.Equal(len(p.s.Demand(p.now, 0, 0).Dark) > 0, c.dark)
-			if c.dark {
+			is.Equal(len(p.s.Demand(p.now, 0, 0).CutOff) > 0, c.cutOff)
+			if c.cutOff {
 				is.Equal(behind, 0)
 			}
 		})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,8 +20,8 @@
 	listed      bool      // the platform's list has it
 	leaving     time.Time // when it was first seen to be leaving; zero: it is not
 	cordon      time.Time // until then it gets no tasks because its host is due for maintenance or a move
-	shun        time.Time // until then it gets no long-running tasks because its host is due for maintenance later
-	shunned     bool      // shun as of the last decision
+	vacate      time.Time // until then it gets no long-running tasks because its host is due for maintenance later
+	vacating    bool      // vacate as of the last decision
 	recorded    bool      // the record of workers has it, so that the next owner will look at it
 	synced      bool      // its lists were read under the own token in its present life
 	gone        bool      // its life is over
@@ -33,14 +33,14 @@
 	stored    int64         // ends up to here are counted in the store
 	seen      int64         // ends up to here were acknowledged
 
-	holding bool      // a renewal is under way
-	held    time.Time // when the last successful renewal was sent
-	next    time.Time // when the next renewal may be sent
-	failed  int       // renewals that failed in a row
-	nobody  bool      // its host answered the last of them and nobody listened at its address: it is not cut off
-	blocked time.Time // until then it gets no tasks after refusals or failures
-	streak  int       // runs that failed in a row
-	idle    time.Time // since when it has no tasks
+	holding  bool      // a renewal is under way
+	held     time.Time // when the last successful renewal was sent
+	next     time.Time // when the next renewal may be sent
+	failed   int       // renewals that failed in a row
+	refusing bool      // its host refused the connection of the last of them: it is not cut off
+	blocked  time.Time // until then it gets no tasks after refusals or failures
+	streak   int       // runs that failed in a row
+	idle     time.Time // since when it has no tasks
 
 	reservedFor   *task     // only this task may be placed on it; nil: any
 	reservedUntil time.Time // when the reservation ends unless it is renewed
@@ -232,7 +232,7 @@
 		s.lifeOver(now, w, "another worker answers at its address")
 	default:
 		w.failed++
-		w.nobody = errors.Is(err, cuminstair.ErrNobody)
+		w.refusing = errors.Is(err, cuminstair.ErrConnRefused)
 		w.next = now.Add(holdBackoff)
 		if w.failed == suspectAfter {
 			s.Log.Warn("dispatch: worker does not answer", "service", s.Name, "worker", id, "tasks", len(w.attempts), "error", err)
@@ -257,7 +257,7 @@
 	if !w.synced {
 		s.changed = true
 	}
-	w.synced, w.failed, w.nobody, w.held = true, 0, false, sent
+	w.synced, w.failed, w.refusing, w.held = true, 0, false, sent
 	w.clock, w.clockAt = r.Clock, now
 	s.takeEnds(now, w, r.Ended)
 	for _, t := range r.Running {
@@ -297,7 +297,7 @@
 		a.percent, a.moved = t.Percent, now
 	}
 	a.percent, a.gauge = t.Percent, t.Gauge
-	if s.leftBehind(a) {
+	if s.superseded(a) {
 		s.stop(now, a)
 	}
 	if a.task == nil {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -57,15 +57,15 @@
 	// MetricsAddr is where the metrics are served; empty: nowhere.
 	MetricsAddr string
 
-	run      string // unique for this start
-	addr     string // for calls between daemons
-	config   atomic.Pointer[cuminstair.JobConfig]
-	stopping atomic.Bool
-	cutOff   atomic.Bool               // neither the store nor another data centre answers
-	readAt   atomic.Pointer[time.Time] // last successful reading of the owner records
-	unread   atomic.Bool               // the last reading of the owner records failed
-	calls    atomic.Int64              // of callers that are being answered
-	peers    *peerClient
+	run        string // unique for this start
+	addr       string // for calls between daemons
+	config     atomic.Pointer[cuminstair.JobConfig]
+	stopping   atomic.Bool
+	cutOff     atomic.Bool               // neither the store nor another data centre answers
+	readAt     atomic.Pointer[time.Time] // last successful reading of the owner records
+	readFailed atomic.Bool               // the last reading of the owner records failed
+	calls      atomic.Int64              // of callers that are being answered
+	peers      *peerClient
 
 	mu       sync.Mutex
 	view     *ownership.View
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -59,7 +59,7 @@
 	free   map[string]bool // workers of hosts that are due and have no long-running tasks
 	asked  map[string]bool // services whose owners have told that
 	memory dependency      // record of what earlier controllers have learned
-	dark   map[string]bool // data centres that an owner finds cut off
+	cutOff map[string]bool // data centres that an owner finds cut off
 	idle   map[string]int  // by service: idle hosts when it was asked last
 	mu     sync.Mutex
 	moved  map[string]hostMove // host, last order to move it; guarded by mu while moves are ordered
@@ -105,7 +105,7 @@
 // mayTakeDown tells whether all hosts that are down are known: orders of an earlier controller show in the list, and no
 // other controller is about to follow because the store turns this one away.
 func (h *hostDuty) mayTakeDown(r *runner) bool {
-	return !h.d.refused() && (!r.after || h.d.Timer.Now().Sub(r.taken) >= ordersShow)
+	return !h.d.storeRefuses() && (!r.after || h.d.Timer.Now().Sub(r.taken) >= ordersShow)
 }
 
 // load reads the records of waves that are new to this daemon.
@@ -146,7 +146,7 @@
 	for _, rec := range list {
 		byName[rec.Name] = rec
 	}
-	h.shun(ctx, w.Due(), byName)
+	h.vacate(ctx, w.Due(), byName)
 	now := h.d.Timer.Now()
 	candidates := w.Candidates(func(host string) int {
 		rec, ok := byName[host]
@@ -180,8 +180,8 @@
 	rankPinned = 2  // has long-running tasks, which move away one after the other
 )
 
-// shun keeps long-running tasks away from hosts that are due.
-func (h *hostDuty) shun(ctx context.Context, hosts []string, byName map[string]cuminstair.HostRecord) {
+// vacate keeps long-running tasks away from hosts that are due.
+func (h *hostDuty) vacate(ctx context.Context, hosts []string, byName map[string]cuminstair.HostRecord) {
 	asks := map[string]cordonRequest{}
 	for _, host := range hosts {
 		if rec := byName[host]; rec.Worker != "" {
@@ -320,7 +320,7 @@
 		if q.Yield > 0 {
 			r.state.Yield(now, q.Yield)
 		}
-		answers <- cordonReply{Idle: r.state.Cordon(now, q.Workers), Free: r.state.Shun(now, q.Due)}
+		answers <- cordonReply{Idle: r.state.Cordon(now, q.Workers), Free: r.state.Vacate(now, q.Due)}
 	}) {
 		return cordonReply{}, false
 	}
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -168,7 +168,7 @@
 		free += n
 	}
 	own := h.idle
-	h.idle, h.dark = map[string]int{}, map[string]bool{}
+	h.idle, h.cutOff = map[string]int{}, map[string]bool{}
 	var mu sync.Mutex
 	for _, p := range v.pools {
 		wg.Add(1)
@@ -192,23 +192,23 @@
 				}
 			}
 			mu.Lock()
-			for _, centre := range d.Dark {
-				h.dark[centre] = true
+			for _, centre := range d.CutOff {
+				h.cutOff[centre] = true
 			}
 			h.idle[p.Service] = len(p.Idle)
 			mu.Unlock()
 		}()
 	}
 	wg.Wait()
-	h.dropDark(v)
+	h.dropCutOff(v)
 }
 
-// dropDark leaves out hosts in data centres that are cut off: a move would bring nothing.
-func (h *hostDuty) dropDark(v *hostView) {
-	dark := func(host string) bool { return h.dark[v.centre[host]] }
-	v.spare = slices.DeleteFunc(v.spare, dark)
+// dropCutOff leaves out hosts in data centres that are cut off: a move would bring nothing.
+func (h *hostDuty) dropCutOff(v *hostView) {
+	cutOff := func(host string) bool { return h.cutOff[v.centre[host]] }
+	v.spare = slices.DeleteFunc(v.spare, cutOff)
 	for _, p := range v.pools {
-		p.Idle = slices.DeleteFunc(p.Idle, dark)
+		p.Idle = slices.DeleteFunc(p.Idle, cutOff)
 	}
 }
 
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -78,7 +78,7 @@
 		if ctx.Err() == nil {
 			d.note(dep, err)
 		}
-		d.unread.Store(err != nil)
+		d.readFailed.Store(err != nil)
 		if err == nil {
 			d.readAt.Store(&sent)
 			d.applyOwners(ctx, sent)
@@ -223,11 +223,11 @@
 	return best
 }
 
-// refused tells whether the store does not answer this daemon. A store that is slow or loses answers of writes still
+// storeRefuses tells whether the store does not answer this daemon. A store that is slow or loses answers of writes still
 // answers readings; another daemon would fare no better.
-func (d *Daemon) refused() bool {
+func (d *Daemon) storeRefuses() bool {
 	at := d.readAt.Load()
-	return d.unread.Load() || at == nil || d.Timer.Now().Sub(*at) > readSilent
+	return d.readFailed.Load() || at == nil || d.Timer.Now().Sub(*at) > readSilent
 }
 
 // giveAway offers a service to a daemon that reaches the store, when this one does not.
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -166,7 +166,7 @@
 		if r.inflight != nil && r.failing.IsZero() && now.Sub(r.sentAt) > silentAfter {
 			r.failed(r.sentAt, errSilent)
 		}
-		if !r.failing.IsZero() && now.Sub(r.failing) > giveAwayAfter && now.Sub(r.offered) > giveAwayAgain && r.d.refused() {
+		if !r.failing.IsZero() && now.Sub(r.failing) > giveAwayAfter && now.Sub(r.offered) > giveAwayAgain && r.d.storeRefuses() {
 			r.offered = now
 			go r.d.giveAway(ctx, r.service)
 		}
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -197,7 +197,7 @@
 // long-running tasks have no room, and then the one that lacks the largest part of what it wants.
 func neediest(list []Pool, want map[string]int, none map[string]bool) *Pool {
 	var best *Pool
-	homeless, most := false, 0.0
+	unplaced, most := false, 0.0
 	for i := range list {
 		x := &list[i]
 		n := lack(x, want)
@@ -206,8 +206,8 @@
 		}
 		without := x.Have+x.Incoming < x.Pinned
 		share := float64(n) / float64(want[x.Service])
-		if best == nil || (without && !homeless) || (without == homeless && share > most) {
-			best, homeless, most = x, without, share
+		if best == nil || (without && !unplaced) || (without == unplaced && share > most) {
+			best, unplaced, most = x, without, share
 		}
 	}
 	return best
--- a/store.go
+++ b/store.go
@@ -23,8 +23,8 @@
 	ErrTicket = errors.ConstError("the ticket is not valid")
 	// ErrNotDone means that the peer answered that it did nothing; the call may be repeated.
 	ErrNotDone = errors.ConstError("the call was not carried out")
-	// ErrNobody means, besides ErrNotDone, that the host of the peer answers and nobody listens at the address.
-	ErrNobody = errors.ConstError("nobody listens at the address")
+	// ErrConnRefused means, besides ErrNotDone, that the host of the peer answers and nobody listens at the address.
+	ErrConnRefused = errors.ConstError("connection refused")
 	// ErrOtherLife means that another life of the worker answered.
 	ErrOtherLife = errors.ConstError("another life of the worker is there")
 	// ErrBusy means that the host is not up, or leaving.
@@ -90,7 +90,7 @@
 	Parts(ctx context.Context, table string) ([]string, error)
 }
 
-// WorkerCalls are the orders to workers. Errors of all methods: ErrFenced, ErrOtherLife, ErrNotDone (nothing happened), ErrNobody,
+// WorkerCalls are the orders to workers. Errors of all methods: ErrFenced, ErrOtherLife, ErrNotDone (nothing happened), ErrConnRefused,
 // ErrUncertain (it may happen, also later).
 type WorkerCalls interface {
 	// Start starts a task. Starting a run that is there already does nothing. More errors: ErrOldRun, ErrLeaseOver,
