--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -192,7 +192,7 @@
 		o := Order{Kind: OrderHold, Worker: w.info, Token: s.Token, Seen: w.stored}
 		if w.synced {
 			if len(w.attempts) > 0 {
-				o.Lease = w.nextLease(now)
+				o.Lease = s.nextLease(now, w)
 				o.Wait = waitFor(w)
 			}
 			w.seen = w.stored
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -295,7 +295,7 @@
 	w.add(a)
 	s.counts.Starts++
 	order := cuminstair.StartOrder{
-		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: w.nextLease(now), Token: s.Token, Checkpoint: t.checkpoint,
+		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: s.nextLease(now, w), Token: s.Token, Checkpoint: t.checkpoint,
 		Ticket: st.ticketFor(now, w),
 	}
 	s.orders = append(s.orders, Order{Kind: OrderStart, Worker: w.info, Task: t.id, Run: run, Token: s.Token, Start: order, attempt: a})
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -145,7 +145,7 @@
 // settled tells whether every run that an earlier owner started is known or has ended. That leases have run out counts
 // only if the store named this owner after that: the next owner could have extended them.
 func (s *Service) settled() bool {
-	if s.confirmed.Sub(s.taken) >= s.Challenge+Lease+Lease*2/100+leaseMargin {
+	if s.confirmed.Sub(s.taken) >= s.leasesEnd() {
 		return true
 	}
 	for id := range s.inherited {
@@ -157,6 +157,15 @@
 	return true
 }
 
+// leasesEnd is how long after the takeover the last lease of an earlier owner has run out.
+func (s *Service) leasesEnd() time.Duration {
+	last := s.Challenge + Lease
+	if s.Grace > 0 {
+		last = min(last, s.Grace)
+	}
+	return last + time.Duration(clockSlow*float64(last)) + leaseMargin
+}
+
 // Unchallenged notes that earlier owners give no more orders from now on, so that only the leases that they gave last
 // have to run out.
 func (s *Service) Unchallenged(now time.Time) {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -95,10 +95,32 @@
 		w.cut = len(w.runs) > 0
 	}
 	p.takeOver(200, 6*time.Second)
-	p.run(9 * time.Second)
+	p.run(5 * time.Second) // the earlier owner may still extend leases
+	for _, n := range p.starts {
+		p.is.Equal(n, 1)
+	}
+	p.run(2 * time.Second) // no lease of the earlier owner is longer than its time for orders
+	p.is.Equal(p.running(), 2)
 	p.is.Equal(p.twice, 0)
-	p.run(6 * time.Second)
-	p.is.Equal(p.running(), 2) // the leases are over
+}
+
+// Guards against leases that outlast the time for which an owner without the store may give orders: the next owner waits
+// for them before it starts the tasks of earlier jobs again.
+func TestLeasesEndWithTheGrace(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(2))
+	p.run(2 * time.Second)
+	confirmed := p.now // the store does not answer any more
+	for end := p.now.Add(8 * time.Second); p.now.Before(end); p.now = p.now.Add(tick) {
+		for _, o := range p.s.Decide(p.now, confirmed) {
+			p.carryOut(o)
+		}
+	}
+	for _, w := range p.workers {
+		is.True(!w.birth.Add(w.lease).After(confirmed.Add(p.s.Grace)))
+	}
 }
 
 // Guards against a new owner that is cut off at once, and takes the leases that the earlier owner gave for over while the
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -71,12 +71,17 @@
 }
 
 // nextLease returns the lease to send now. A worker that does not answer keeps the lease that it has, so that its tasks
-// surely end.
-func (w *worker) nextLease(now time.Time) time.Duration {
+// surely end. No lease is longer than the time for which the owner may give orders, so that the next one knows when all
+// have run out.
+func (s *Service) nextLease(now time.Time, w *worker) time.Duration {
 	if w.failed > 0 {
 		return w.lease
 	}
-	w.lease = max(w.lease, w.clock+now.Sub(w.clockAt)+Lease)
+	length := Lease
+	if s.Grace > 0 {
+		length = max(0, min(Lease, s.confirmed.Add(s.Grace).Sub(now)))
+	}
+	w.lease = max(w.lease, w.clock+now.Sub(w.clockAt)+length)
 	return w.lease
 }
 
