--- a/entry/moves.go
+++ b/entry/moves.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
 	"cuminstair.org/cuminstair"
@@ -51,15 +53,33 @@
 		flat = append(flat, *p)
 	}
 	moves, yields := h.plan.Plan(now, flat, view.spare)
-	for _, p := range flat {
-		h.d.Log.Debug("entry: demand", "service", p.Service, "rate", p.Rate, "backlog", p.Backlog, "late", p.Late, "longRunning", p.LongRunning, "active", p.Active, "objective", p.Objective.Milliseconds(),
-			"pinned", p.Pinned, "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known)
-	}
+	h.logDemand(flat, moves)
 	h.carryOut(ctx, moves, view)
 	h.yield(ctx, yields)
 	h.keep(ctx)
 }
 
+// logDemand writes what decided a plan: a line for each pool that hosts come to or go from, and with the level debug for
+// the others.
+func (h *hostDuty) logDemand(list []pools.Pool, moves []pools.Move) {
+	changed := map[string]int{}
+	for _, m := range moves {
+		changed[m.From]++
+		changed[m.To]++
+	}
+	for i := range list {
+		p := &list[i]
+		level := hclog.Debug
+		if changed[p.Service] > 0 {
+			level = hclog.Info
+		}
+		h.d.Log.Log(level, "entry: demand", "service", p.Service, "rate", math.Round(p.Rate), "backlog", math.Round(p.Backlog),
+			"late", math.Round(p.Late), "active", math.Round(p.Active), "longRunning", math.Round(p.LongRunning), "pinned", p.Pinned,
+			"objective", p.Objective.Milliseconds(), "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known,
+			"moves", changed[p.Service])
+	}
+}
+
 // planKey is the key of what the planner has learned, in waveTable.
 const planKey = "plan"
 
