--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -62,6 +62,7 @@
 	config     atomic.Pointer[cuminstair.JobConfig]
 	stopping   atomic.Bool
 	cutOff     atomic.Bool               // neither the store nor another data centre answers
+	reading    atomic.Pointer[time.Time] // when the reading of the owner records under way began; nil: there is none
 	readAt     atomic.Pointer[time.Time] // last successful reading of the owner records
 	readFailed atomic.Bool               // the last reading of the owner records failed
 	calls      atomic.Int64              // of callers that are being answered
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -74,7 +74,9 @@
 	dep := &dependency{name: "owner records in the store"}
 	for ctx.Err() == nil {
 		sent := d.Timer.Now()
+		d.reading.Store(&sent)
 		err := d.readOwners(ctx)
+		d.reading.Store(nil)
 		if ctx.Err() == nil {
 			d.note(dep, err)
 		}
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -8,9 +8,13 @@
 
 // Times of the watch on the own data centre.
 const (
-	reachEvery = 400 * time.Millisecond
-	// cutAfter is how long the store is silent until daemons of other data centres are asked.
-	cutAfter = 800 * time.Millisecond
+	reachEvery = 200 * time.Millisecond
+	// cutAfter is the age of the last reading of the store, and answerAfter the time without an answer to one, after which
+	// daemons of other data centres are asked.
+	cutAfter    = 1300 * time.Millisecond
+	answerAfter = 400 * time.Millisecond
+	// probeTime is how long they may take.
+	probeTime = 300 * time.Millisecond
 	// probesAtOnce bounds the daemons that are asked.
 	probesAtOnce = 4
 )
@@ -31,8 +35,12 @@
 
 // silentStore tells whether the owner records could not be read for a while.
 func (d *Daemon) silentStore() bool {
+	now := d.Timer.Now()
+	if since := d.reading.Load(); since != nil && now.Sub(*since) > answerAfter {
+		return true
+	}
 	at := d.readAt.Load()
-	return at != nil && d.Timer.Now().Sub(*at) > cutAfter+viewEvery
+	return at != nil && now.Sub(*at) > cutAfter
 }
 
 // anyRemote tells whether a daemon of another data centre answers, or none is known.
@@ -56,7 +64,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			ctx, cancel := context.WithTimeout(ctx, pokeTime)
+			ctx, cancel := context.WithTimeout(ctx, probeTime)
 			defer cancel()
 			answers <- d.peers.post(ctx, remote[i], pokePath, struct{}{}, nil) == nil
 		}()
--- /dev/null
+++ b/entry/reach_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+)
+
+// stillTimer is a timer service whose time stands still.
+type stillTimer struct {
+	cuminstair.Timer
+	now time.Time
+}
+
+// Now implements cuminstair.Timer.
+func (t stillTimer) Now() time.Time { return t.now }
+
+// Guards against a cut that is noticed late, a slow store that is taken for silent, and a service that is given away though
+// the store would serve another daemon no better.
+func TestSilentStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) *time.Time {
+		at := now.Add(-d)
+		return &at
+	}
+	for _, c := range []struct {
+		name            string
+		read, reading   *time.Time
+		failed          bool
+		silent, refuses bool
+	}{
+		{"never read", nil, nil, false, false, true},
+		{"read lately", ago(300 * time.Millisecond), nil, false, false, false},
+		{"slow", ago(900 * time.Millisecond), ago(320 * time.Millisecond), false, false, false},
+		{"no answer", ago(900 * time.Millisecond), ago(450 * time.Millisecond), false, true, false},
+		{"read long ago", ago(1500 * time.Millisecond), nil, false, true, true},
+		{"turned away", ago(600 * time.Millisecond), nil, true, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := &Daemon{Timer: stillTimer{now: now}}
+			d.readAt.Store(c.read)
+			d.reading.Store(c.reading)
+			d.readFailed.Store(c.failed)
+			is.Equal(d.silentStore(), c.silent)
+			is.Equal(d.storeRefuses(), c.refuses)
+		})
+	}
+}
