--- a/entry/runner.go
+++ b/entry/runner.go
@@ -20,9 +20,9 @@
 	downAfter = 700 * time.Millisecond
 	// hedgeLeast and hedgeFactor times the usual time of an answer is when a write is sent once more, hedgeMost times with
 	// doubled pauses: each sending takes its turn in the store.
-	hedgeLeast  = 200 * time.Millisecond
+	hedgeLeast  = 400 * time.Millisecond
 	hedgeFactor = 4
-	hedgeMost   = 3
+	hedgeMost   = 2
 	// giveAwayAfter is how long writes fail until another daemon is asked to take the service.
 	giveAwayAfter = 600 * time.Millisecond
 	giveAwayAgain = 500 * time.Millisecond
