--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -38,7 +38,6 @@
 type Advise struct {
 	Step    cuminstair.StepID
 	Workers []string
-	Time    time.Duration // that the answer takes at least
 
 	step *step
 }
@@ -76,8 +75,7 @@
 	a.asking = true
 	s.advising++
 	o := Order{Kind: OrderAdvise, Advise: Advise{
-		Step: cuminstair.StepID{Job: st.occ.job.id, Occurrence: st.occ.number, Step: st.index}, Workers: ids,
-		Time: adviceTime(&st.occ.job.queue, len(ids)), step: st,
+		Step: cuminstair.StepID{Job: st.occ.job.id, Occurrence: st.occ.number, Step: st.index}, Workers: ids, step: st,
 	}}
 	s.orders = append(s.orders, o)
 }
