--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -80,15 +80,16 @@
 	gauge   float64 // tail of tasks with a target, in milliseconds
 	share   int     // that the last order gave a best-effort task
 	orders  []dispatch.Order
-	good    map[string]bool // by worker: may run steps of the queue; nil: the queue needs no advice
-	asked   int             // workers that the adviser was asked about
-	barred  int             // starts without the ticket of the worker
+	good    map[string]bool      // by worker: may run steps of the queue; nil: the queue needs no advice
+	asked   int                  // workers that the adviser was asked about
+	issued  map[string]time.Time // by ticket: when it was given last
+	barred  int                  // starts without a valid ticket of the worker
 }
 
 func newPool(t *testing.T, workers int) *pool {
 	p := &pool{
 		t: t, is: is.New(t), now: begin, store: map[cuminstair.RecordKey][]byte{}, starts: map[cuminstair.TaskID]int{},
-		specs:  map[string]*cuminstair.JobSpec{},
+		specs: map[string]*cuminstair.JobSpec{}, issued: map[string]time.Time{},
 		length: func(cuminstair.TaskID) time.Duration { return 600 * time.Millisecond },
 		fails:  func(cuminstair.TaskID, *fakeWorker) bool { return false },
 	}
@@ -265,6 +266,7 @@
 		p.asked++
 		if p.good[id] {
 			tickets[id] = ticketOf(p.worker(id))
+			p.issued[tickets[id]] = p.now
 		}
 	}
 	p.s.Advised(p.now, p.now, o, tickets, validity, nil)
@@ -273,7 +275,7 @@
 func ticketOf(w *fakeWorker) string { return fmt.Sprintf("%s-%d", w.info.ID, w.info.Born) }
 
 func (p *pool) begin(w *fakeWorker, o dispatch.Order) {
-	if p.good != nil && o.Start.Ticket != ticketOf(w) {
+	if p.good != nil && (o.Start.Ticket != ticketOf(w) || p.now.Sub(p.issued[o.Start.Ticket]) >= validity) {
 		p.barred++
 		p.answer(o, cuminstair.ErrTicket, nil)
 		return
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -342,7 +342,7 @@
 			p.s.SetWorkers(p.now, p.list)
 			p.length = func(cuminstair.TaskID) time.Duration { return 1500 * time.Millisecond }
 			p.run(200 * time.Millisecond)
-			s := step(16, 6000)
+			s := step(40, 6000) // five on each worker, so that some are behind the cut wherever they are placed
 			s.Duplicates = dup
 			p.submit(jobA, s)
 			p.run(500 * time.Millisecond)
