Go on with jobs whose tasks a new owner has found; write the controller's records without waiting

And from 18 to 24 s, with the store silent, hosts were ordered to move at 17.8, 19.8, 21.6 and 23.6 s: each step of the controller waited 1.5 s for the record of a wave. Change: a task that the new owner finds on a worker which answers can't run elsewhere, and the steps after it have not been started: both go on. A run that is lost with its worker proves nothing. Records of waves and plans are written beside the steps, on the condition of their version and of the controller's token, so that a late write can't replace a newer one. Conclusion: a takeover holds back only what may run behind the cut.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -67,6 +67,7 @@
 	awaySince   time.Time // of a long-running task: since when it is down; zero: it is serving
 	plannedMove bool      // it is down because the owner moved it
 	reserved    *worker   // worker last reserved for it
+	adopted     bool      // this owner found a run of an earlier owner on a worker that answered
 }
 
 // attempt is a run of a task on a worker. Its room on the worker stays taken until the run has certainly ended.
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -37,9 +37,8 @@
 	sort.SliceStable(s.ready, func(i, j int) bool { return moreUrgent(s.ready[i], s.ready[j]) })
 	s.listCandidates(now)
 	for _, st := range s.ready {
-		if st.occ.job.inherited && !settled && (!st.copyable() || now.Sub(s.takenOverAt) < copyDelay) {
-			continue
-		}
+		s.waitForInherited = st.occ.job.inherited && !settled && !st.followsAdopted() &&
+			(!st.copyable() || now.Sub(s.takenOverAt) < copyDelay)
 		s.placeStep(now, st)
 	}
 }
@@ -139,6 +138,31 @@
 	return o.startAt
 }
 
+// followsAdopted reports whether the earlier owner can't have started the step: a task of a step on which it depends
+// still ran when this owner first read the lists of its worker, which have been closed to the earlier owner since. Steps
+// that allow copies prove nothing, since their tasks may be done while another copy runs.
+func (st *step) followsAdopted() bool {
+	for _, i := range st.After {
+		before := st.occ.steps[i]
+		if before.followsAdopted() {
+			return true
+		}
+		if before.Duplicates {
+			continue
+		}
+		for _, t := range before.tasks {
+			if t.adopted {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mustWait reports whether a run of the task that an earlier owner started may still be active on a worker that has not
+// answered. An adopted task has no other run.
+func (s *Service) mustWait(t *task) bool { return s.waitForInherited && !t.adopted }
+
 func (s *Service) placeStep(now time.Time, st *step) {
 	if !st.room().Fits(s.maxFree) && !st.LongRunning {
 		return
@@ -151,7 +175,7 @@
 	s.preferCentre(st)
 	placed := 0
 	for _, t := range st.tasks {
-		if t.done || t.attempt != nil {
+		if t.done || t.attempt != nil || s.mustWait(t) {
 			continue
 		}
 		w := s.choose(st, t, near)
@@ -221,7 +245,7 @@
 		if t.done {
 			continue
 		}
-		if t.attempt != nil {
+		if t.attempt != nil || s.mustWait(t) {
 			return // a task of the previous run has not ended yet
 		}
 		run = max(run, t.run)
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -408,3 +408,55 @@
 	}
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// twoJobsInTwoCentres starts two jobs of two steps, each in a data centre of its own, and lets another owner take over
+// while the workers of the first job do not answer.
+func twoJobsInTwoCentres(t *testing.T) *pool {
+	p := newCentresPool(t, 6)
+	second := step(2, 2000)
+	second.After = []int{0}
+	p.submit(jobA, step(2, 2000), second)
+	p.run(100 * time.Millisecond)
+	p.submit(jobB, step(2, 2000), second)
+	p.run(200 * time.Millisecond)
+	for _, w := range p.workers {
+		for id := range w.runs {
+			w.partitioned = w.partitioned || id.Job == jobA
+		}
+	}
+	p.takeOver(200, 6*time.Second)
+	return p
+}
+
+// Guards against jobs that wait for the leases of workers on which none of their tasks can run: the next step of a job
+// whose tasks ran on workers that answer the new owner.
+func TestTakeoverGoesOnWithJobsOnWorkersThatAnswer(t *testing.T) {
+	p := twoJobsInTwoCentres(t)
+	p.run(1600 * time.Millisecond) // two steps of 600 ms
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+	p.is.True(p.s.State(jobA) != cuminstair.JobCompleted)
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.is.Equal(p.duplicateRuns, 0)
+}
+
+// Guards against a second run of a task whose worker failed after the takeover: the earlier owner may have noticed the
+// failure too, and have started the task again on a worker that does not answer the new owner.
+func TestTakeoverWaitsForTasksOfFailedWorkers(t *testing.T) {
+	p := twoJobsInTwoCentres(t)
+	p.run(100 * time.Millisecond)
+	before := map[cuminstair.TaskID]int{}
+	for id, n := range p.starts {
+		before[id] = n
+	}
+	for _, w := range p.workers {
+		if len(w.runs) > 0 && !w.partitioned {
+			w.runs = map[cuminstair.TaskID]*fakeRun{}
+			w.info.Incarnation, w.startedAt, w.token = p.now.UnixMilli(), p.now, 0
+		}
+	}
+	p.run(2 * time.Second)
+	for id, n := range p.starts {
+		p.is.Equal(n, before[id])
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -219,6 +219,9 @@
 	s.counts.Lost++
 	s.Log.Info("dispatch: task lost", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", a.worker.info.ID, "why", why)
+	if a.task != nil {
+		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
+	}
 	s.release(now, a)
 }
 
@@ -346,7 +349,7 @@
 	}
 	w.add(a)
 	if x != nil && !x.done && !j.finished() && x.attempt == nil {
-		a.task, x.attempt = x, a
+		a.task, x.attempt, x.adopted = x, a, true
 		return a
 	}
 	s.Log.Warn("dispatch: stopping an unexpected run", "service", s.Name, "job", t.Task.Job,
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -56,10 +56,13 @@
 	token         uint64
 	waves         map[string]*maintenance.Wave
 	ended         map[string]bool
-	reportedState map[string]string // by wave: state last written to the status table
-	savedRecord   map[string]string // by wave: record last written
+	records       *recordWriter
+	reported      map[string]bool // waves whose state has been written
+	reportedState map[string]bool // by wave: whether the state last written is completed
 	planner       *pools.Planner
 	savedRevision string          // Revision of the planner state that was stored last
+	planRevision  string          // Revision of planSnapshot
+	planSnapshot  []byte          // planner state that is being stored; nil: none
 	freeWorkers   map[string]bool // workers without long-running tasks on hosts due for maintenance
 	answered      map[string]bool // services whose owners have reported their free workers
 	planDep       dependency      // reads of the planner state in the store
@@ -79,8 +82,9 @@
 	if h.waves == nil || h.token != r.token {
 		h.token = r.token
 		h.waves, h.ended = map[string]*maintenance.Wave{}, map[string]bool{}
-		h.reportedState, h.savedRecord = map[string]string{}, map[string]string{}
-		h.planner, h.moved = nil, map[string]hostMove{}
+		h.reported, h.reportedState = map[string]bool{}, map[string]bool{}
+		h.records = newRecordWriter(h.d, r.token)
+		h.planner, h.planSnapshot, h.moved = nil, nil, map[string]hostMove{}
 	}
 	h.freeWorkers, h.answered = map[string]bool{}, map[string]bool{}
 	h.loadWaves(ctx)
@@ -257,29 +261,23 @@
 	h.d.Log.Info("entry: maintenance ordered", "wave", w.Number, "host", host, "token", h.token, "down", w.Down(), "limit", w.Limit, "error", err)
 }
 
-// saveWave writes the record and the state of a wave if they have changed.
+// saveWave writes the record and the state of a wave if they have changed. Later steps call it again until both are
+// stored.
 func (h *hostController) saveWave(ctx context.Context, key string, w *maintenance.Wave) {
-	value := string(w.EncodeRecord())
-	if h.savedRecord[key] != value {
-		rec := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: key}
-		tx := cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: rec, Value: []byte(value)}}}
-		if _, err := h.d.Store.Commit(ctx, tx); err != nil {
-			h.d.Log.Debug("entry: can't write the record of a wave", "wave", w.Number, "error", err)
-			return
-		}
-		h.savedRecord[key] = value
+	record := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: key}
+	if !h.records.save(ctx, record, w.EncodeRecord()) {
+		return
 	}
-	state := platform.EncodeWaveState(w.Completed())
-	if h.reportedState[key] != string(state) {
-		rec := cuminstair.RecordKey{Table: platform.StatusTable, Key: platform.WaveKey(w.Number)}
-		if _, err := h.d.Store.Commit(ctx, cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: rec, Value: state}}}); err != nil {
-			h.d.Log.Debug("entry: can't write the state of a wave", "wave", w.Number, "error", err)
-			return
-		}
-		h.reportedState[key] = string(state)
-		h.d.Log.Info("entry: wave state written", "wave", w.Number, "completed", w.Completed(), "after", h.d.Timer.Now().Sub(w.FirstSeen).Round(time.Millisecond).String())
+	completed := w.Completed()
+	state := cuminstair.RecordKey{Table: platform.StatusTable, Key: platform.WaveKey(w.Number)}
+	if !h.records.save(ctx, state, platform.EncodeWaveState(completed)) {
+		return
+	}
+	if h.reportedState[key] != completed || !h.reported[key] {
+		h.reported[key], h.reportedState[key] = true, completed
+		h.d.Log.Info("entry: wave state written", "wave", w.Number, "completed", completed, "after", h.d.Timer.Now().Sub(w.FirstSeen).Round(time.Millisecond).String())
 	}
-	if w.Completed() {
+	if completed {
 		delete(h.waves, key)
 		h.ended[key] = true
 	}
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -107,12 +107,12 @@
 		return
 	}
 	key := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: planKey}
-	tx := cuminstair.Tx{Puts: []cuminstair.RecordPut{{RecordKey: key, Value: h.planner.Snapshot()}}}
-	if _, err := h.d.Store.Commit(ctx, tx); err != nil {
-		h.d.Log.Debug("entry: can't write the planner state", "error", err)
-		return
+	if h.planSnapshot == nil || h.planRevision != revision {
+		h.planRevision, h.planSnapshot = revision, h.planner.Snapshot()
+	}
+	if h.records.save(ctx, key, h.planSnapshot) {
+		h.savedRevision, h.planSnapshot = revision, nil
 	}
-	h.savedRevision = revision
 }
 
 func sparePool(c *cuminstair.JobConfig) string {
