Probe an owner that is silent in the store, and take its services over when it does not answer

Ruled out: a shorter limit for the age of a record alone (a heartbeat and a read apart already make 0.8 s). Change: an owner whose record is 0.5 s + a heartbeat old is probed by the daemon that would succeed it; without an answer it counts as gone until its record changes. Suspected daemons, and those of a suspected owner's data centre, succeed last. Conclusion: the age of a record and a probe together show a lost owner sooner than either alone.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,6 +76,7 @@
 	viewVersion   uint64 // store version up to which the view has been read
 	runners       map[string]*runner
 	taking        map[string]bool // by service: a takeover is in progress
+	probing       map[string]bool // by daemon: a probe is in progress
 	workers       map[string]cuminstair.WorkerInfo
 	waves         map[string]cuminstair.MaintenanceWave
 	heartbeatNow  chan struct{}        // signal: write the daemon's record
@@ -97,7 +98,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	d.runID = strconv.FormatInt(d.Timer.Now().UnixNano(), 36)
 	d.view = ownership.NewView(d.Settings.Name, d.runID)
-	d.runners, d.taking = map[string]*runner{}, map[string]bool{}
+	d.runners, d.taking, d.probing = map[string]*runner{}, map[string]bool{}, map[string]bool{}
 	d.workers, d.waves = map[string]cuminstair.WorkerInfo{}, map[string]cuminstair.MaintenanceWave{}
 	d.readOwnersNow, d.listNow, d.heartbeatNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	d.ownerHints = map[string]ownerHint{}
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -187,6 +187,11 @@
 			}
 		}
 	}
+	if !d.stopping.Load() {
+		for _, s := range d.view.Suspects(now, services) {
+			d.probeOwner(ctx, s)
+		}
+	}
 	for _, service := range claims {
 		if d.runners[service] != nil || d.taking[service] {
 			continue
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"cuminstair.org/cuminstair/ownership"
 )
 
 // Intervals and limits of the check whether the daemon's data centre is cut off.
@@ -79,3 +81,28 @@
 	}
 	return false
 }
+
+// probeOwner asks a suspected owner whether it is there, unless a probe is in progress. An owner that neither writes its
+// record nor answers counts as gone, so that its services are taken over before its record is stale. The caller holds
+// d.mu.
+func (d *Daemon) probeOwner(ctx context.Context, s ownership.Suspect) {
+	if d.probing[s.Name] {
+		return
+	}
+	d.probing[s.Name] = true
+	go func() {
+		probe, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		err := d.peers.post(probe, s.Node.Addr, notifyPath, struct{}{}, nil)
+		d.mu.Lock()
+		delete(d.probing, s.Name)
+		if err != nil && ctx.Err() == nil {
+			d.view.Unreachable(s)
+		}
+		d.mu.Unlock()
+		if err != nil {
+			d.Log.Info("entry: owner does not answer", "owner", s.Name, "error", err)
+			signal(d.readOwnersNow)
+		}
+	}()
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -64,8 +64,17 @@
 
 type observedNode struct {
 	Node
-	version uint64
-	changed time.Time
+	version     uint64
+	changed     time.Time
+	unreachable bool // see View.Unreachable
+}
+
+// interval returns the time between two heartbeats of the daemon.
+func (n *observedNode) interval() time.Duration {
+	if n.IntervalMillis > 0 {
+		return time.Duration(n.IntervalMillis) * time.Millisecond
+	}
+	return HeartbeatInterval
 }
 
 type observedOwner struct {
@@ -140,7 +149,7 @@
 	v.owners[r.Part] = o
 	// An owner rewrites the owner record of a service with every transaction, so a change shows that the owner is alive.
 	if n := v.nodes[o.Name]; n != nil && n.Run == o.Run {
-		n.changed = now
+		n.changed, n.unreachable = now, false
 	}
 	return nil
 }
@@ -157,11 +166,7 @@
 
 // staleAfter is the age of a daemon's record at which the daemon counts as gone.
 func (v *View) staleAfter(n *observedNode) time.Duration {
-	every := HeartbeatInterval
-	if n.IntervalMillis > 0 {
-		every = time.Duration(n.IntervalMillis) * time.Millisecond
-	}
-	return staleBase + staleHeartbeats*every + staleLatencies*v.latency
+	return staleBase + staleHeartbeats*n.interval() + staleLatencies*v.latency
 }
 
 // Owner returns the owner record of a service and its version, 0 if there is none.
@@ -174,7 +179,7 @@
 // identify the daemon's current start.
 func (v *View) alive(now time.Time, name, run string) bool {
 	n := v.nodes[name]
-	return n != nil && (run == "" || n.Run == run) && now.Sub(n.changed) < v.staleAfter(n)
+	return n != nil && !n.unreachable && (run == "" || n.Run == run) && now.Sub(n.changed) < v.staleAfter(n)
 }
 
 // LiveOwner returns the owner of a service, or false if there is none that is alive.
@@ -220,8 +225,8 @@
 }
 
 // assign gives each service without a live owner to the ready daemon with the least load for its weight; a hash of the
-// service and the daemon breaks ties. The daemon exclude gets none, and services that it owns count as having
-// no owner. Daemons that see the same records get the same result.
+// service and the daemon breaks ties. Suspected daemons, and those of the data centre of a suspected owner, get a service
+// only if there is no other daemon. The daemon exclude gets none, and services that it owns count as having no owner. Daemons that see the same records get the same result.
 func (v *View) assign(now time.Time, services []string, exclude string) map[string]string {
 	counts := v.serviceCounts(now)
 	var unowned []string
@@ -243,15 +248,21 @@
 }
 
 func (v *View) leastLoaded(now time.Time, service, exclude string, counts map[string]float64) string {
-	best, lowest, bestHash := "", 0.0, uint64(0)
+	silent := v.silentCentre(now, service)
+	best, lowest, bestHash, bestDoubtful := "", 0.0, uint64(0), false
 	for name, n := range v.nodes {
 		if name == exclude || !n.Ready || !v.alive(now, name, "") {
 			continue
 		}
+		doubtful := v.suspected(now, name) || (silent != "" && n.Centre == silent)
 		load := v.load(name, counts)
 		h := hash(service, name)
-		if best == "" || load < lowest || (load == lowest && h > bestHash) {
-			best, lowest, bestHash = name, load, h
+		better := load < lowest || (load == lowest && h > bestHash)
+		if doubtful != bestDoubtful {
+			better = bestDoubtful
+		}
+		if best == "" || better {
+			best, lowest, bestHash, bestDoubtful = name, load, h, doubtful
 		}
 	}
 	return best
