Settle workers whose hosts were moved, and order nothing on them

Change: a new owner reads the list of hosts again while earlier workers refuse connections, and takes one for gone whose host is in another pool, moves or has another worker. A worker reported as idle for a move gets tasks after the cordon only when it has answered. Conclusion: moved hosts no longer hold back a takeover.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		switch {
-		case !w.synced, len(w.attempts) > 0, w.stored > w.acknowledged:
+		case !w.synced, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
 		case w.failedCalls > 0 && w.listed: // retry until the worker answers or is no longer listed
 		default:
 			continue
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -545,3 +545,25 @@
 	p.run(5 * time.Minute)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 }
+
+// Guards against tasks that are ordered on a worker whose host was moved while it was cordoned: the list of workers shows
+// it for some seconds more.
+func TestNothingIsOrderedOnAMovedHost(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.is.Equal(p.s.Cordon(p.now, []string{"a"}), []string{"a"})
+	moved := p.worker("a")
+	moved.connRefused = true
+	p.run(3 * time.Second) // the cordon is over
+	p.submit(jobA, step(6, hostCPU/8))
+	p.run(time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	for _, o := range p.orders {
+		p.is.True(o.Kind != dispatch.OrderStart || o.Worker.ID != "a")
+	}
+	p.is.Equal(p.s.Cordon(p.now, []string{"b"}), []string{"b"})
+	p.run(3 * time.Second) // not moved: it gets tasks again
+	p.submit(jobB, step(6, hostCPU/8))
+	p.run(time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+}
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -460,3 +460,31 @@
 		p.is.Equal(n, before[id])
 	}
 }
+
+// Guards against a new owner that holds back earlier jobs for a lease although the worker which does not answer is gone:
+// its host was moved to another pool, and the list of workers shows it still.
+func TestTakeoverDoesNotWaitForMovedHosts(t *testing.T) {
+	p := newPool(t, 2)
+	for i, w := range p.workers {
+		w.info.Host = "h" + w.info.ID
+		p.list[i] = w.info
+	}
+	p.s.SetWorkers(p.now, p.list)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	p.run(2 * time.Second)
+	for _, w := range p.workers {
+		if len(w.runs) > 0 {
+			w.connRefused = true
+			w.runs = map[cuminstair.TaskID]*fakeRun{}
+		}
+	}
+	p.takeOver(200, 0)
+	p.run(time.Second)
+	p.is.Equal(p.running(), 0) // the refused connection alone is no proof
+	p.is.True(p.s.NeedsHosts())
+	p.s.SetHosts(p.now, []cuminstair.HostRecord{{Name: "ha", Pool: "other"}, {Name: "hb", Pool: "other"}})
+	p.run(300 * time.Millisecond)
+	p.is.Equal(p.running(), 1)
+	p.is.Equal(p.duplicateRuns, 0)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,6 +20,7 @@
 	listed        bool      // in the platform's list
 	leavingSince  time.Time // when it was first seen leaving; zero: it is not
 	cordonedUntil time.Time // no new tasks until then: its host is due for maintenance or a move
+	mayHaveMoved  bool      // it was reported as idle for a move: no new tasks until it answers after the cordon
 	vacateUntil   time.Time // no new long-running tasks until then: its host is due for maintenance later
 	vacating      bool      // whether vacateUntil was in the future at the last decision
 	recorded      bool      // in the stored worker record, so that the next owner will contact it
@@ -90,7 +91,7 @@
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
 	return w.listed && !w.gone && w.synced && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
-		now.After(w.blockedUntil) && now.After(w.cordonedUntil)
+		now.After(w.blockedUntil) && now.After(w.cordonedUntil) && !w.mayHaveMoved
 }
 
 func (w *worker) free() place.Room { return w.total.Plus(w.used, -1) }
@@ -268,6 +269,10 @@
 	}
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal = true, 0, false, sent
 	w.clock, w.clockAt = r.Clock, now
+	if w.mayHaveMoved && sent.After(w.cordonedUntil) {
+		w.mayHaveMoved = false
+		s.changed = true
+	}
 	s.handleEnds(now, w, r.Ended)
 	for _, t := range r.Running {
 		s.handleRunning(now, w, t)
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -43,6 +43,7 @@
 	signal(d.listNow)
 	signal(d.heartbeatNow)
 	if r.hadOwner {
+		go d.findGoneWorkers(ctx, r)
 		d.stopEarlierOwner(ctx, r, old)
 	}
 }
@@ -64,6 +65,40 @@
 	}
 }
 
+// findGoneWorkers reads the list of hosts again while workers of the earlier owner refuse connections. Until they are
+// known to be gone, or their leases are over, tasks of earlier jobs wait.
+func (d *Daemon) findGoneWorkers(ctx context.Context, r *runner) {
+	end := r.takenAt.Add(ownerGrace + dispatch.Lease)
+	for r.service != ownership.HostsPart && ctx.Err() == nil && d.Timer.Now().Before(end) {
+		d.sleep(ctx, hostsRetry)
+		needed := make(chan bool, 1)
+		if !r.post(func(time.Time) { needed <- r.state.NeedsHosts() }) {
+			return
+		}
+		select {
+		case yes := <-needed:
+			if yes {
+				d.reloadHosts(ctx, r)
+			}
+		case <-r.done:
+			return
+		}
+	}
+}
+
+// reloadHosts passes the list of hosts to the state of a service that runs.
+func (d *Daemon) reloadHosts(ctx context.Context, r *runner) {
+	if d.Hosts == nil {
+		return
+	}
+	hosts, err := d.Hosts.List(ctx)
+	if err != nil {
+		d.Log.Debug("entry: can't list the hosts after a takeover", "service", r.service, "error", err)
+		return
+	}
+	r.post(func(now time.Time) { r.state.SetHosts(now, hosts) })
+}
+
 // writeOwner writes an owner record if its version is still the given one, and returns the version of the write.
 func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o ownership.Owner) (uint64, error) {
 	key := cuminstair.RecordKey{Table: ownership.Table, Part: service, Key: ownership.OwnerKey}
