Write new jobs first, and refuse at once what a slow store can't take

Callers beyond what the store takes waited 1.2 to 2.4 s for a refusal. Work refused without a store was no demand, so that its service met the return of the store with the hosts of its lull (72 hosts for 18,000 cores at 23.5 s). Ruled out: several jobs a record (the state of one job is read by its key while a service has no owner). Change: a batch takes jobs that callers wait for first, then ended jobs, then progress; a sixth of it stays for the latter two, so that ends are acknowledged in a lasting peak. A job for which two writes and those before it take longer than a caller waits is refused at once, with a Retry-After spread over half of that time. Work refused without a store counts as offered. Conclusion: a slow store costs refusals at once, not waits.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -54,17 +54,8 @@
 	if s.workersDirty {
 		s.putWorkers(b)
 	}
-	size := 0
-	deferred := s.dirty[:0]
-	for _, j := range s.dirty {
-		if len(b.Puts) >= batchPuts-1 || size > batchBytes {
-			deferred = append(deferred, j)
-			continue
-		}
-		size += s.putJob(b, j)
-	}
-	s.dirty = deferred
-	if len(deferred) == 0 {
+	s.dirty = s.putJobs(b, s.dirty)
+	if len(s.dirty) == 0 {
 		for _, w := range s.workers {
 			b.processed[w] = endPosition{incarnation: w.info.Incarnation, seq: w.processed}
 		}
@@ -92,6 +83,58 @@
 	return false
 }
 
+// Classes of the jobs in a batch, the most urgent first.
+const (
+	classAwaited  = iota // a caller waits for the job or its cancellation to be stored
+	classEnded           // the job has ended, which is shown to callers once it is stored
+	classProgress        // progress of a running job
+	classes
+)
+
+// batchClass returns the class of a job in a batch.
+func (j *job) batchClass() int {
+	switch {
+	case !j.stored, len(j.cancelWaiters) > 0:
+		return classAwaited
+	case j.finished():
+		return classEnded
+	}
+	return classProgress
+}
+
+// progressPuts is the number of records in a batch that are kept for progress and ended jobs while callers wait, so that
+// ends are acknowledged to workers in a lasting peak too.
+const progressPuts = batchPuts / 6
+
+// putJobs adds the records of jobs to the batch, by class and within a class in the order in which they became due, and
+// returns the jobs for which the batch had no room. It is made for a store so slow that a batch can't take all that has
+// changed between two writes.
+func (s *Service) putJobs(b *Batch, dirty []*job) []*job {
+	byClass := [classes][]*job{}
+	for _, j := range dirty {
+		class := j.batchClass()
+		byClass[class] = append(byClass[class], j)
+	}
+	others := len(byClass[classEnded]) + len(byClass[classProgress])
+	awaited, size := s.putSome(b, byClass[classAwaited], batchPuts-1-min(others, progressPuts), 0)
+	ended, size := s.putSome(b, byClass[classEnded], batchPuts-1, size)
+	progress, size := s.putSome(b, byClass[classProgress], batchPuts-1, size)
+	awaited, _ = s.putSome(b, awaited, batchPuts-1, size)
+	return append(append(awaited, ended...), progress...)
+}
+
+// putSome adds the records of jobs while the batch has fewer than limit records, and returns the other jobs and the size
+// of the batch in bytes.
+func (s *Service) putSome(b *Batch, list []*job, limit, size int) ([]*job, int) {
+	for i, j := range list {
+		if len(b.Puts) >= limit || size > batchBytes {
+			return list[i:], size
+		}
+		size += s.putJob(b, j)
+	}
+	return nil, size
+}
+
 // putJob adds the records of a job to the batch and returns their size in bytes.
 func (s *Service) putJob(b *Batch, j *job) int {
 	j.dirty = false
@@ -225,6 +268,23 @@
 	}
 }
 
+// SetWriteLatency records how long a write to the store takes at present.
+func (s *Service) SetWriteLatency(latency time.Duration) { s.writeLatency = latency }
+
+// acceptanceDelay returns how long the acceptance of a new job takes: the write in flight, and the writes for jobs that
+// already wait. inTime is whether that leaves the caller an answer.
+func (s *Service) acceptanceDelay() (delay time.Duration, inTime bool) {
+	waiting := 0
+	for _, j := range s.dirty {
+		if j.batchClass() == classAwaited {
+			waiting++
+		}
+	}
+	writes := 2 + waiting/(batchPuts-1-progressPuts)
+	delay = time.Duration(writes) * s.writeLatency
+	return delay, writes == 2 || delay < storeSlowTimeout
+}
+
 // AnswerLate answers callers that have waited too long for the store. inflight is the batch whose result is unknown, or
 // nil: its jobs may be stored and are answered with Uncertain; other jobs that are not stored are dropped and answered
 // with Unavailable.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -78,6 +78,7 @@
 	workersDirty     bool                 // the worker record in the store is out of date
 	changed          bool                 // placement has to run again
 	deposed          bool                 // see Deposed
+	writeLatency     time.Duration        // see SetWriteLatency
 	storeDown        bool
 	lastBatch        time.Time
 	lastSweep        time.Time
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -47,22 +47,21 @@
 		j.submitWaiters = append(j.submitWaiters, reply)
 		return
 	}
-	if s.storeDown || s.deposed || s.stopping {
-		s.refuse(now, id, Result{Outcome: Unavailable, Wait: storeRetryWait, Why: "no store"}, reply)
-		return
-	}
 	j := newJob(id, spec, queue)
 	j.firstSent, j.receivedAt = now, now
 	if first, ok := s.refused[id]; ok {
 		j.firstSent = first
 	}
 	j.due = s.objective(j, j.firstSent)
-	if _, again := s.refused[id]; !again && !j.longRunning() {
-		s.recordOffered(now, s.totalWork(j))
-		if s.meanObjective == 0 {
-			s.meanObjective = j.due.Sub(now)
-		}
-		s.meanObjective += time.Duration(objectiveWeight * float64(j.due.Sub(now)-s.meanObjective))
+	s.observeOffer(now, j)
+	if s.storeDown || s.deposed || s.stopping {
+		s.refuse(now, id, Result{Outcome: Unavailable, Wait: s.spread(storeRetryWait), Why: "no store"}, reply)
+		return
+	}
+	if delay, ok := s.acceptanceDelay(); !ok {
+		wait := s.spread(min(max(delay, minWait), maxWait))
+		s.refuse(now, id, Result{Outcome: Unavailable, Wait: wait, Why: "the store is too slow to accept it in time"}, reply)
+		return
 	}
 	if r := s.admit(now, j); r.Outcome != Accepted {
 		s.refuse(now, id, r, reply)
@@ -75,6 +74,24 @@
 	s.markDirty(j)
 }
 
+// observeOffer adds a job that is submitted for the first time to the demand. Jobs that are refused because the store is
+// down count too: their callers come again, and hosts for them can be moved meanwhile.
+func (s *Service) observeOffer(now time.Time, j *job) {
+	if _, again := s.refused[j.id]; again || j.longRunning() {
+		return
+	}
+	s.recordOffered(now, s.totalWork(j))
+	if s.meanObjective == 0 {
+		s.meanObjective = j.due.Sub(now)
+	}
+	s.meanObjective += time.Duration(objectiveWeight * float64(j.due.Sub(now)-s.meanObjective))
+}
+
+// spread adds up to half of a wait at random, so that refused callers do not return together.
+func (s *Service) spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(s.Rand.Float64()*float64(wait)/2)
+}
+
 func (s *Service) refuse(now time.Time, id string, r Result, reply func(Result)) {
 	s.counts.Refused++
 	if _, ok := s.refused[id]; !ok {
@@ -108,8 +125,7 @@
 		})
 		return Result{Outcome: Accepted}
 	}
-	wait := min(max(v.Wait, minWait), maxWait)
-	wait += time.Duration(s.Rand.Float64() * float64(wait) / 2)
+	wait := s.spread(min(max(v.Wait, minWait), maxWait))
 	return Result{Outcome: Refused, Wait: wait, Why: "no room in time"}
 }
 
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -114,6 +114,14 @@
 	r.state.Stored(now, b)
 }
 
+// writeLatency returns how long a write takes at present; the write in flight counts with the time that it has taken.
+func (r *runner) writeLatency(now time.Time) time.Duration {
+	if r.inflight == nil {
+		return r.latency
+	}
+	return max(r.latency, now.Sub(r.sentAt))
+}
+
 func (r *runner) writeFailed(now time.Time, err error) {
 	if r.failingSince.IsZero() {
 		r.failingSince = now
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -164,6 +164,7 @@
 			go r.execute(ctx, o)
 		}
 		r.state.SetStoreDown(!r.failingSince.IsZero() && now.Sub(r.failingSince) > storeDownAfter)
+		r.state.SetWriteLatency(r.writeLatency(now))
 		r.state.AnswerLate(now, r.inflight)
 		if r.inflight != nil && r.failingSince.IsZero() && now.Sub(r.sentAt) > writeSilentAfter {
 			r.writeFailed(r.sentAt, errNoAnswer)
