Order no host down or away on an old answer of its owner

The controller of hosts asks an owner to drain workers, and orders the idle ones moved or taken down. The owner gives them tasks again after 2 s; a controller that was paused in between, or whose orders one after the other were slow, ended those tasks. Ruled out: the platform's fencing (the token is still the newest if nobody took over within the pause). Change: an order is sent only within 1.2 s of the request to drain; a wave orders the host again later.

--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -28,6 +28,9 @@
 	orderVisibleAfter = 1500 * time.Millisecond
 	// cordonTimeout bounds a request to an owner to drain workers.
 	cordonTimeout = 400 * time.Millisecond
+	// orderMaxAge is how long after the request to drain a worker its host may still be ordered down or moved. The owner
+	// gives the worker tasks again after two seconds.
+	orderMaxAge = 1200 * time.Millisecond
 	// waveTable has a record for each wave, in the part ownership.HostsPart.
 	waveTable = "wave"
 )
@@ -169,16 +172,23 @@
 		}
 		return costExcluded
 	})
+	cordoned := h.d.Timer.Now()
 	// An order without an answer may still take effect, so its host is kept without tasks.
 	idle := h.cordon(ctx, append(candidates, w.Pending()...), byName)
 	if !h.mayOrder(r) || !h.mayTakeDown(r) {
 		return
 	}
 	for _, host := range w.OrderNext(now, idle, orderRetry) {
-		h.orderMaintenance(ctx, w, host)
+		h.orderMaintenance(ctx, w, host, cordoned)
 	}
 }
 
+// mayStillOrder reports whether the host of a worker that an owner was asked to drain at cordoned may be ordered down or
+// moved. After a pause of this process, or slow orders before this one, the worker may have tasks again.
+func (h *hostController) mayStillOrder(cordoned time.Time) bool {
+	return h.d.Timer.Now().Sub(cordoned) < orderMaxAge
+}
+
 // Costs of draining a host for maintenance; hosts with a negative cost are not drained.
 const (
 	costExcluded = -1 // not up, or the owner of its pool has not answered
@@ -252,7 +262,11 @@
 	return idle
 }
 
-func (h *hostController) orderMaintenance(ctx context.Context, w *maintenance.Wave, host string) {
+func (h *hostController) orderMaintenance(ctx context.Context, w *maintenance.Wave, host string, cordoned time.Time) {
+	if !h.mayStillOrder(cordoned) {
+		h.d.Log.Info("entry: maintenance not ordered", "wave", w.Number, "host", host, "token", h.token, "why", "its worker may have tasks again")
+		return // the wave orders it again
+	}
 	err := h.d.Hosts.Maintain(ctx, h.d.Settings.Name, int64(h.token), host, w.Number)
 	now := h.d.Timer.Now()
 	refused := err != nil && !errors.Is(err, cuminstair.ErrUncertain)
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -254,10 +254,11 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			cordoned := h.d.Timer.Now()
 			if pool != h.planner.Spare {
 				list = h.drainedMoves(ctx, pool, list, v)
 			}
-			h.orderMoves(ctx, list)
+			h.orderMoves(ctx, list, cordoned)
 		}()
 	}
 	wg.Wait()
@@ -282,8 +283,8 @@
 	return ready
 }
 
-// orderMoves orders moves out of one pool.
-func (h *hostController) orderMoves(ctx context.Context, moves []pools.Move) {
+// orderMoves orders moves out of one pool, whose owner was asked to drain the hosts at cordoned.
+func (h *hostController) orderMoves(ctx context.Context, moves []pools.Move, cordoned time.Time) {
 	now := h.d.Timer.Now()
 	h.mu.Lock()
 	for _, m := range moves {
@@ -295,6 +296,10 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			if !h.mayStillOrder(cordoned) {
+				h.d.Log.Info("entry: move not ordered", "host", m.Host, "from", m.From, "to", m.To, "token", h.token, "why", "its worker may have tasks again")
+				return
+			}
 			err := h.d.Hosts.Move(ctx, h.d.Settings.Name, int64(h.token), m.Host, m.To)
 			h.d.Log.Info("entry: move ordered", "host", m.Host, "from", m.From, "to", m.To, "why", m.Reason, "token", h.token, "error", err)
 		}()
