--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -280,7 +280,7 @@
 			waiting++
 		}
 	}
-	writes := 2 + waiting/(batchPuts-1-progressPuts)
+	writes := 2 + waiting/(batchPuts-1-progressPuts) // the one in flight, and that of the job itself
 	delay = time.Duration(writes) * s.writeLatency
 	return delay, writes == 2 || delay < storeSlowTimeout
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -226,7 +226,8 @@
 
 // assign gives each service without a live owner to the ready daemon with the least load for its weight; a hash of the
 // service and the daemon breaks ties. Suspected daemons, and those of the data centre of a suspected owner, get a service
-// only if there is no other daemon. The daemon exclude gets none, and services that it owns count as having no owner. Daemons that see the same records get the same result.
+// only if there is no other daemon. The daemon exclude gets none, and services that it owns count as having no owner.
+// Daemons that see the same records get the same result.
 func (v *View) assign(now time.Time, services []string, exclude string) map[string]string {
 	counts := v.serviceCounts(now)
 	var unowned []string
