Make two tests fail when their guard is taken out

TestProgressKeepsAPartOfEachBatch passed without its guard: all 60 ended jobs fitted into the batch in flight. With 160 it fails without the guard and passes with it. Nothing failed when the write of a service's record did not clear a failed probe: TestSuspectThatServesIsAlive is new and does.

--- a/dispatch/batch_test.go
+++ b/dispatch/batch_test.go
@@ -50,9 +50,10 @@
 
 // Guards against ends that are never acknowledged to workers because new jobs fill every batch.
 func TestProgressKeepsAPartOfEachBatch(t *testing.T) {
+	const jobs = 160 // the batch in flight takes 89
 	p := newPool(t, 6)
 	p.run(200 * time.Millisecond)
-	p.submitMany(1, 60)
+	p.submitMany(1, jobs)
 	p.run(300 * time.Millisecond)
 	p.storeDown = true
 	p.run(time.Second)
@@ -62,12 +63,12 @@
 		p.run(tick)
 	}
 	ended := 0
-	for i := range 60 {
+	for i := range jobs {
 		if p.s.State(fmt.Sprintf("%016x", i+1)).String() == "completed" {
 			ended++
 		}
 	}
-	p.is.Equal(ended, 60)
+	p.is.Equal(ended, jobs)
 }
 
 // Guards against callers that wait for the store until their time is over although it can't take so many jobs: those that
--- a/ownership/suspect_test.go
+++ b/ownership/suspect_test.go
@@ -107,3 +107,17 @@
 		is.Equal(len(c.claims("")), 0)
 	}
 }
+
+// Guards against a takeover from an owner whose own record is late but which still writes the records of its service.
+func TestSuspectThatServesIsAlive(t *testing.T) {
+	is := is.New(t)
+	c := newCentres("x1")
+	c.run(4*time.Second, "")
+	c.run(1100*time.Millisecond, "x")
+	prober, suspect := c.prober()
+	is.True(prober != nil)
+	prober.Unreachable(suspect)
+	c.store.setOwner("s", "x1")
+	c.store.read(prober, c.now)
+	is.Equal(len(c.claims("x")), 0)
+}
