Log which runs were on a worker that crashed, and the demand while a pool lacks hosts

The logs could not tell a crash from a move, nor how long each run had been on the worker. No change of logic.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -234,7 +234,7 @@
 	}
 	switch {
 	case err == nil:
-		a.answeredAt = now
+		a.answeredAt, w.answeredAt = now, now
 		if a.progressAt.IsZero() {
 			a.progressAt = now
 		}
@@ -251,7 +251,7 @@
 		s.depose("worker has seen a higher token", w.info.ID)
 		return
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
-		s.workerGone(now, w, "another worker answers at its address")
+		s.workerReplaced(now, w)
 		return
 	case errors.Is(err, cuminstair.ErrNotDone):
 		w.failedCalls++
@@ -274,12 +274,12 @@
 	a := o.attempt
 	switch {
 	case err == nil:
-		a.stopConfirmedAt = now
+		a.stopConfirmedAt, a.worker.answeredAt = now, now
 		a.worker.nextRenewal = now
 	case errors.Is(err, cuminstair.ErrFenced):
 		s.depose("worker has seen a higher token", o.Worker.ID)
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
-		s.workerGone(now, a.worker, "another worker answers at its address")
+		s.workerReplaced(now, a.worker)
 	default:
 	}
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -92,6 +92,7 @@
 // Counts are totals since the service was taken over.
 type Counts struct {
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
+	Crashes                                              int // of workers that ran tasks
 }
 
 // New returns the state of a service that was taken over at now.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,6 +36,7 @@
 
 	renewing     bool      // a renewal is in flight
 	lastRenewal  time.Time // when the last successful renewal was sent
+	answeredAt   time.Time // when it last answered a call
 	nextRenewal  time.Time // when the next renewal may be sent
 	failedCalls  int       // consecutive failed renewals, and starts that did not reach it
 	connRefused  bool      // the last failed renewal was a refused connection, so the host is not cut off
@@ -190,6 +191,7 @@
 // kept, and so are those whose start was answered after sent or not at all, since these may belong to the new
 // incarnation.
 func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, sent time.Time, running map[cuminstair.TaskID]int64) {
+	s.workerCrashed(now, w, "it has restarted")
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts))
 	w.info.Incarnation = incarnation
 	w.processed, w.stored, w.acknowledged, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0
@@ -203,6 +205,15 @@
 	}
 }
 
+// workerReplaced records that another worker answers at the address of a worker.
+func (s *Service) workerReplaced(now time.Time, w *worker) {
+	const why = "another worker answers at its address"
+	if !w.gone {
+		s.workerCrashed(now, w, why)
+	}
+	s.workerGone(now, w, why)
+}
+
 // workerGone records that a worker no longer exists; all its runs are lost.
 func (s *Service) workerGone(now time.Time, w *worker, why string) {
 	if w.gone {
@@ -239,7 +250,7 @@
 	case errors.Is(err, cuminstair.ErrFenced):
 		s.depose("worker has seen a higher token", id)
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
-		s.workerGone(now, w, "another worker answers at its address")
+		s.workerReplaced(now, w)
 	default:
 		w.failedCalls++
 		w.connRefused = errors.Is(err, cuminstair.ErrConnRefused)
@@ -267,7 +278,7 @@
 	if !w.synced {
 		s.changed = true
 	}
-	w.synced, w.failedCalls, w.connRefused, w.lastRenewal = true, 0, false, sent
+	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.clock, w.clockAt = r.Clock, now
 	if w.mayHaveMoved && sent.After(w.cordonedUntil) {
 		w.mayHaveMoved = false
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -38,7 +38,7 @@
 			Name: "cuminstair_store_write_seconds", Help: "Transactions of services.", Buckets: buckets,
 		}, []string{"outcome"}),
 		Events: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped.",
+			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped, workers that crashed.",
 		}, []string{"event"}),
 		Takeover: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cuminstair_takeover_seconds", Help: "Time from the decision to take a service to its first order.", Buckets: buckets,
@@ -73,6 +73,7 @@
 		{"failed", now.Failed - before.Failed},
 		{"lost", now.Lost - before.Lost},
 		{"stopped", now.Stops - before.Stops},
+		{"crashed", now.Crashes - before.Crashes},
 	} {
 		if e.n > 0 {
 			m.Events.WithLabelValues(e.name).Add(float64(e.n))
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -53,15 +53,15 @@
 		flat = append(flat, *p)
 	}
 	moves, yields := h.planner.Plan(now, flat, view.spare)
-	h.logDemand(flat, moves)
+	h.logDemand(flat, moves, len(yields) > 0)
 	h.executeMoves(ctx, moves, view)
 	h.requestYields(ctx, yields)
 	h.savePlan(ctx)
 }
 
-// logDemand logs the input of a plan: one line for each pool, at the level info if the plan moves hosts to or from it
-// and at the level debug otherwise.
-func (h *hostController) logDemand(list []pools.Pool, moves []pools.Move) {
+// logDemand logs the input of a plan: one line for each pool, at the level info if the plan moves hosts to or from it or
+// some pool lacks hosts that others have in use (short), and at the level debug otherwise.
+func (h *hostController) logDemand(list []pools.Pool, moves []pools.Move, short bool) {
 	changed := map[string]int{}
 	for _, m := range moves {
 		changed[m.From]++
@@ -70,7 +70,7 @@
 	for i := range list {
 		p := &list[i]
 		level := hclog.Debug
-		if changed[p.Service] > 0 {
+		if short || changed[p.Service] > 0 {
 			level = hclog.Info
 		}
 		h.d.Log.Log(level, "entry: demand", "service", p.Service, "rate", math.Round(p.Rate), "backlog", math.Round(p.Backlog),
