Reproduce tasks that crash their workers in four failing tests

The two tests beside them, of workers that crash for another reason or are only unreachable, pass and must stay so.

--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,159 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// crashTask is the task of job A that crashes the workers that start it in these tests.
+var crashTask = cuminstair.TaskID{Job: jobA, Index: 1}
+
+func crashesWorkers(id cuminstair.TaskID) bool { return id == crashTask }
+
+// maxCrashes is how many workers a task may crash: after two its job may be given up.
+const maxCrashes = 2
+
+// Guards against restarting a task that crashes each worker that starts it for ever, since a run that is lost with its
+// worker is not an attempt.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(st *cuminstair.JobStep)
+	}{
+		{"short", func(*cuminstair.JobStep) {}},
+		{"with copies", func(st *cuminstair.JobStep) { st.Duplicates = true }},
+		{"long-running", func(st *cuminstair.JobStep) { st.LongRunning, st.MaxUnavailable = true, 1 }},
+		{"one per worker", func(st *cuminstair.JobStep) { st.PerWorker = 1 }},
+		{"gang", func(st *cuminstair.JobStep) { st.Gang = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPool(t, 8)
+			p.crashes = crashesWorkers
+			st := step(3, 2000)
+			c.change(&st)
+			p.run(200 * time.Millisecond)
+			p.submit(jobA, st)
+			p.run(25 * time.Second)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+			p.is.Equal(p.crashCount[crashTask], maxCrashes)
+			p.is.Equal(p.running(), 0)
+		})
+	}
+}
+
+// Guards against a new owner that does not know of the crashes before its takeover. It may miss the last one.
+func TestCrashesAreCountedAcrossTakeovers(t *testing.T) {
+	for _, after := range []time.Duration{100, 500, 1000, 2000, 3000, 3200, 3400, 3600, 4000, 6000} {
+		after *= time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			p := newPool(t, 8)
+			p.crashes = crashesWorkers
+			p.run(200 * time.Millisecond)
+			p.submit(jobA, step(3, 2000))
+			for token := int64(101); token < 105; token++ {
+				p.run(after)
+				p.takeOver(token, 0)
+			}
+			p.run(25 * time.Second)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+			p.is.True(p.crashCount[crashTask] < maxCrashes+3) // the third start after the third crash is one too many
+		})
+	}
+}
+
+// Guards against losing the runs of other tasks again and again, when a task that crashes its workers is placed among
+// them each time.
+func TestTasksBesideACrashingTaskFinish(t *testing.T) {
+	p := newPool(t, 8)
+	p.crashes = crashesWorkers
+	p.run(200 * time.Millisecond)
+	const long = "00000000000000cc"
+	p.submit(long, longRunning(4))
+	p.run(2 * time.Second)
+	for i := range 60 {
+		p.submit(fmt.Sprintf("%016x", 1000+i), step(4, 2000))
+		p.run(40 * time.Millisecond)
+		if i == 20 {
+			p.submit(jobA, step(3, 2000))
+		}
+	}
+	p.run(10 * time.Second)
+	for i := range 60 {
+		p.is.Equal(p.s.State(fmt.Sprintf("%016x", 1000+i)), cuminstair.JobCompleted)
+	}
+	p.is.Equal(p.s.State(long), cuminstair.JobRunning)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	p.is.Equal(p.crashCount[crashTask], maxCrashes)
+	// The first crash can't be foreseen; the second start is on a worker without other runs.
+	p.is.True(p.runsLost <= hostCPU/2000)
+}
+
+// Guards against giving up a job whose workers crashed for another reason.
+func TestTaskOnCrashedWorkersIsStartedAgain(t *testing.T) {
+	p := newPool(t, 6)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 1500 * time.Millisecond }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(4, 2000))
+	for range 2 {
+		p.run(700 * time.Millisecond)
+		for _, w := range p.busy() {
+			w.crashAt, w.crashedBy = p.now, cuminstair.TaskID{}
+		}
+		p.run(restartTime + 500*time.Millisecond)
+	}
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
+
+// Guards against counting a worker that can't be reached for a while as crashed by the task that it started last.
+func TestUnreachableWorkerIsNoCrash(t *testing.T) {
+	for name, cut := range map[string]func(w *fakeWorker, on bool){
+		"silent":  func(w *fakeWorker, on bool) { w.partitioned = on },
+		"refused": func(w *fakeWorker, on bool) { w.connRefused = on },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 6)
+			p.duration = func(cuminstair.TaskID) time.Duration { return 20 * time.Second }
+			p.run(200 * time.Millisecond)
+			p.submit(jobA, step(1, 2000))
+			for range 4 {
+				p.run(60 * time.Millisecond)
+				busy := p.busy()
+				for _, w := range busy {
+					cut(w, true)
+				}
+				p.run(dispatch.Lease + time.Second)
+				for _, w := range busy {
+					cut(w, false)
+				}
+				p.run(2 * time.Second)
+			}
+			p.run(25 * time.Second)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+			p.is.Equal(p.duplicateRuns, 0)
+		})
+	}
+}
+
+// Guards against retrying a task on which workers crash before the crash is stored, so that a takeover would lose it.
+func TestCrashIsStoredBeforeTheNextStart(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 8)
+	p.crashes = crashesWorkers
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(3, 2000))
+	p.run(100 * time.Millisecond)
+	p.storeDown = true
+	p.run(restartTime + 4*time.Second)
+	is.Equal(p.starts[crashTask], 1)
+	p.storeDown = false
+	p.run(10 * time.Second)
+	is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	is.Equal(p.starts[crashTask], maxCrashes)
+}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	startup         = 900 * time.Millisecond
 	stopGrace       = 400 * time.Millisecond
 	validity        = 800 * time.Millisecond // validity of tickets
+	crashDelay      = 10 * time.Millisecond  // from the start of a task that crashes its worker to the crash
+	restartTime     = 3 * time.Second        // from a crash to the start of another worker at the address
 )
 
 var begin = time.Unix(1_700_000_000, 0)
@@ -43,11 +46,15 @@
 	barred       map[cuminstair.TaskID]int64 // by task: highest run that has ended or was stopped; runs up to it are not started
 	ended        []cuminstair.EndedTask
 	seq          int64
-	crashed      bool          // answers nothing and runs nothing
-	partitioned  bool          // answers nothing, but its runs continue
-	dropReplies  bool          // starts are executed but not answered
-	dropStarts   bool          // starts are lost
-	connRefused  bool          // its address refuses connections
+	crashed      bool      // answers nothing and runs nothing
+	partitioned  bool      // answers nothing, but its runs continue
+	dropReplies  bool      // starts are executed but not answered
+	dropStarts   bool      // starts are lost
+	connRefused  bool      // its address refuses connections
+	crashAt      time.Time // when a task that it has started crashes it; zero: never
+	crashedBy    cuminstair.TaskID
+	backAt       time.Time     // when another worker appears at its address after the crash; zero: never
+	replaced     bool          // another worker answers at its address
 	startDelay   time.Duration // starts are not answered, and executed after this time
 	delayed      []delayedStart
 	stopDuration time.Duration // time that a stop takes
@@ -72,6 +79,10 @@
 	batch          *dispatch.Batch
 	duration       func(id cuminstair.TaskID) time.Duration
 	fails          func(id cuminstair.TaskID, w *fakeWorker) bool
+	crashes        func(id cuminstair.TaskID) bool // whether a task crashes the worker that starts it
+	crashCount     map[cuminstair.TaskID]int       // by task: workers that it has crashed
+	replacements   int                             // workers started in the place of crashed ones
+	runsLost       int                             // runs of other tasks that ended with a worker that a task has crashed
 	starts         map[cuminstair.TaskID]int
 	duplicateRuns  int // runs that started while another run of the task was active
 	overCapacity   int // starts that exceeded the capacity of a worker
@@ -92,6 +103,7 @@
 		specs: map[string]*cuminstair.JobSpec{}, issued: map[string]time.Time{},
 		duration: func(cuminstair.TaskID) time.Duration { return 600 * time.Millisecond },
 		fails:    func(cuminstair.TaskID, *fakeWorker) bool { return false },
+		crashes:  func(cuminstair.TaskID) bool { return false }, crashCount: map[cuminstair.TaskID]int{},
 	}
 	for i := range workers {
 		p.addWorker(string(rune('a'+i)), i)
@@ -138,6 +150,7 @@
 // run advances the virtual time by d.
 func (p *pool) run(d time.Duration) {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(tick) {
+		p.crashWorkers()
 		p.endRuns()
 		p.confirmedAt = p.now.Add(-confirmationAge)
 		for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, p.confirmedAt)...) {
@@ -165,6 +178,30 @@
 	p.batch = nil
 }
 
+// crashWorkers crashes the workers that have started a task that crashes them, and starts others in the place of those
+// that have crashed.
+func (p *pool) crashWorkers() {
+	for _, w := range p.workers {
+		switch {
+		case !w.crashed && !w.crashAt.IsZero() && !p.now.Before(w.crashAt):
+			w.crashed, w.backAt = true, p.now.Add(restartTime)
+			p.crashCount[w.crashedBy]++
+			p.runsLost += len(w.runs) - 1
+		case !w.backAt.IsZero() && !p.now.Before(w.backAt):
+			w.replaced, w.backAt = true, time.Time{}
+			p.unlist(w.info.ID)
+			p.replacements++
+			p.addWorker(fmt.Sprintf("r%d", p.replacements), p.replacements)
+			p.s.SetWorkers(p.now, p.list)
+		}
+	}
+}
+
+// unlist removes a worker from the list of workers.
+func (p *pool) unlist(id string) {
+	p.list = slices.DeleteFunc(p.list, func(info cuminstair.WorkerInfo) bool { return info.ID == id })
+}
+
 // endRuns ends the runs that have finished, were stopped, or lost their lease.
 func (p *pool) endRuns() {
 	for _, w := range p.workers {
@@ -233,6 +270,10 @@
 		p.deliver(o, cuminstair.ErrFenced, nil)
 		return
 	}
+	if w != nil && w.replaced {
+		p.deliver(o, cuminstair.ErrOtherIncarnation, nil)
+		return
+	}
 	if down {
 		p.deliver(o, cuminstair.ErrNotDone, nil)
 		return
@@ -319,6 +360,9 @@
 	}
 	w.runs[o.Task] = &fakeRun{run: o.Run, started: p.now, cpu: cpu}
 	p.starts[o.Task]++
+	if p.crashes(o.Task) && w.crashAt.IsZero() {
+		w.crashAt, w.crashedBy = p.now.Add(crashDelay), o.Task
+	}
 }
 
 func (p *pool) renew(w *fakeWorker, o dispatch.Order) {
