Suspect, try alone and give up tasks that crash their workers

Cause: a run lost with its worker counted for nothing, so that its task was started again for ever (class: a retry without a budget for one kind of failure), each time among the runs of others.

Change: when a worker stops answering, the runs that it had just started are suspects; a crash is counted once the worker restarts or another one answers at its address. Suspects start again in trials on workers that run nothing else; two crashes, one of them without another suspect, end the job as failed; three do in any case. Crashes are stored before the next start and go on counting after a takeover. Once a cause is known, the other suspects of that crash are cleared. Short tasks of a suspected queue keep off workers with long-running tasks. A worker that answers again withdraws the suspicion.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -14,6 +14,7 @@
 
 	created   []*job
 	states    map[*job]cuminstair.JobState // job states that the batch writes
+	changes   map[*job]int                 // by job: job.changes at the time of the batch
 	swept     []*job
 	processed map[*worker]endPosition // the task ends up to this position count as stored once the batch is stored
 	workers   []*worker
@@ -50,7 +51,7 @@
 		return nil
 	}
 	s.lastBatch = now
-	b := &Batch{states: map[*job]cuminstair.JobState{}, processed: map[*worker]endPosition{}}
+	b := &Batch{states: map[*job]cuminstair.JobState{}, changes: map[*job]int{}, processed: map[*worker]endPosition{}}
 	if s.workersDirty {
 		s.putWorkers(b)
 	}
@@ -150,7 +151,7 @@
 		b.Puts = append(b.Puts, s.put(RunTable, j.id, value))
 		size += len(value)
 	}
-	b.states[j] = j.state
+	b.states[j], b.changes[j] = j.state, j.changes
 	return size
 }
 
@@ -233,7 +234,10 @@
 		answerAll(&j.submitWaiters, Result{Outcome: Accepted})
 	}
 	for j, state := range b.states {
-		j.storedState = state
+		j.storedState, j.storedChanges = state, b.changes[j]
+		if j.crashChange > 0 {
+			s.changed = true // tasks may wait for their crashes to be stored
+		}
 		if j.finished() && j.storedState == j.state {
 			answerAll(&j.cancelWaiters, Result{Outcome: Accepted})
 		}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -9,15 +9,237 @@
 	"cuminstair.org/cuminstair"
 )
 
-// workerCrashed records that a worker has ended without notice while it ran tasks, and logs these with the age of their
-// runs.
+// A task may crash each worker that starts it. When a worker crashes, the runs that it had just started are suspected.
+// Their tasks start again in trials, on workers that run nothing else: one at a time, so that a second crash has one
+// cause, but together if each of them was the only suspect of its first crash, since then all of them are given up after
+// one more crash. The crashes of a task are stored before its next start, since a new owner has to know them. Once the
+// cause of a crash is known, its other suspects need no trial.
+
+// Parameters of the handling of crashes.
+const (
+	// startWindow is how old a run may have been when its worker last answered for the crash to be blamed on its start.
+	startWindow = 50 * time.Millisecond
+	// crashLimit is the number of crashes after which a task is given up if no other run can have caused one of them.
+	crashLimit = 2
+	// maxCrashes is the number of crashes after which a task is given up in any case.
+	maxCrashes = 3
+	// riskTime is how long after a crash the short tasks of a suspected queue avoid workers with long-running tasks.
+	riskTime = 10 * time.Second
+)
+
+// crash is a run of a task whose worker crashed, or may have crashed.
+type crash struct {
+	Run       int64  `json:"r"`
+	Worker    string `json:"w"`
+	Confirmed bool   `json:"c,omitempty"` // the worker has crashed; otherwise it just does not answer
+	Early     bool   `json:"e,omitempty"` // soon after the start of the run
+	Alone     bool   `json:"a,omitempty"` // no other run had been started at that time
+}
+
+// mayStart reports whether the crashes of the task permit another start: they are stored, and none that would make the
+// job fail is still uncertain.
+func (t *task) mayStart() bool {
+	if len(t.crashes) == 0 {
+		return true
+	}
+	j := t.step.occ.job
+	return j.storedChanges >= j.crashChange && (len(t.crashes) < crashLimit || t.confirmedCrashes() == len(t.crashes))
+}
+
+func (t *task) confirmedCrashes() int {
+	n := 0
+	for _, c := range t.crashes {
+		if c.Confirmed {
+			n++
+		}
+	}
+	return n
+}
+
+// crashesWorkers reports whether the task is to be given up.
+func (t *task) crashesWorkers() bool {
+	n := t.confirmedCrashes()
+	if n < crashLimit {
+		return false
+	}
+	return n >= maxCrashes || t.step.Gang || slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Alone })
+}
+
+// early reports whether a run may have crashed its worker by its start.
+func (a *attempt) early() bool {
+	return !a.adopted && a.stopConfirmedAt.IsZero() && !a.sentAt.Before(a.worker.answeredAt.Add(-startWindow))
+}
+
+// taskOf returns the task of an attempt, which may be detached, or nil if the task or its job is done.
+func (s *Service) taskOf(a *attempt) *task {
+	j := s.jobs[a.id.Job]
+	if j == nil || j.finished() {
+		return nil
+	}
+	t := j.task(a.id)
+	if t == nil || t.done {
+		return nil
+	}
+	return t
+}
+
+// suspectRuns records that a worker which does not answer may have crashed by the runs that it started last.
+func (s *Service) suspectRuns(now time.Time, w *worker) {
+	if w.suspectsKnown {
+		return
+	}
+	w.suspectsKnown = true
+	var list []*attempt
+	for _, a := range w.attempts {
+		if a.early() {
+			list = append(list, a)
+		}
+	}
+	for _, a := range list {
+		t := s.taskOf(a)
+		if t == nil {
+			continue
+		}
+		s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Early: true, Alone: len(list) == 1})
+		w.suspects = append(w.suspects, t)
+		w.trialFailed = w.trialFailed || a.trial
+		s.riskUntil[t.step.occ.job.queue.Name] = now.Add(riskTime)
+		s.Log.Info("dispatch: task may have crashed its worker", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+			"run", a.run, "worker", a.worker.info.ID, "age", now.Sub(a.sentAt).Round(time.Millisecond).String(), "suspects", len(list), "crashes", len(t.crashes))
+	}
+}
+
+// addCrash adds a crash to a task, which starts again only when that is stored.
+func (s *Service) addCrash(t *task, c crash) {
+	t.crashes = append(t.crashes, c)
+	j := t.step.occ.job
+	s.markDirty(j)
+	j.crashChange = j.changes
+}
+
+// workerAnswers withdraws the suspicion against runs on a worker that answers again.
+func (s *Service) workerAnswers(w *worker) {
+	w.suspectsKnown, w.trialFailed = false, false
+	for _, t := range w.suspects {
+		t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return !c.Confirmed && c.Worker == w.info.ID })
+		s.markDirty(t.step.occ.job)
+		s.changed = true
+	}
+	w.suspects = nil
+}
+
+// settleSuspects decides on the suspects of a worker that has left the list without having answered: it has crashed if
+// its address refused connections.
+func (s *Service) settleSuspects(now time.Time, w *worker) {
+	if w.connRefused {
+		s.workerCrashed(now, w, "it has left the list and its address refuses connections")
+		return
+	}
+	s.workerAnswers(w)
+}
+
+// workerCrashed records that a worker has ended without notice, and gives up the jobs whose tasks crash their workers.
 func (s *Service) workerCrashed(now time.Time, w *worker, why string) {
-	if len(w.attempts) == 0 || !w.leavingSince.IsZero() {
+	if !w.leavingSince.IsZero() {
+		s.workerAnswers(w) // it was expected to end
+		return
+	}
+	if len(w.attempts) == 0 && len(w.suspects) == 0 {
 		return
 	}
 	s.counts.Crashes++
 	s.Log.Info("dispatch: worker crashed", "service", s.Name, "worker", w.info.ID, "why", why, "tasks", w.listRuns(now),
 		"answered", now.Sub(w.answeredAt).Round(time.Millisecond).String())
+	s.suspectRuns(now, w)
+	hit := w.suspects
+	w.suspects, w.suspectsKnown, w.trialFailed = nil, false, false
+	for _, t := range hit {
+		for i := range t.crashes {
+			if t.crashes[i].Worker == w.info.ID {
+				t.crashes[i].Confirmed = true
+			}
+		}
+		s.markDirty(t.step.occ.job)
+	}
+	for _, a := range w.attempts {
+		// A long-running task that has started up is not counted: workers crash now and then in its lifetime.
+		if t := s.taskOf(a); t != nil && !t.step.LongRunning && !slices.Contains(hit, t) {
+			s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Confirmed: true})
+			hit = append(hit, t)
+		}
+	}
+	for _, t := range hit {
+		s.giveUpCrashing(now, t)
+	}
+	s.changed = true
+}
+
+// giveUpCrashing ends the job of a task that crashes its workers.
+func (s *Service) giveUpCrashing(now time.Time, t *task) {
+	j := t.step.occ.job
+	if j.finished() || !t.crashesWorkers() {
+		return
+	}
+	s.Log.Warn("dispatch: task crashes its workers", "service", s.Name, "job", j.id, "step", t.id.Step, "task", t.id.Index, "crashes", len(t.crashes))
+	s.finish(now, j, cuminstair.JobFailed, "a task crashes its workers")
+	for _, c := range t.crashes {
+		if c.Alone || len(t.crashes) > crashLimit {
+			s.clearSuspects(c.Worker)
+		}
+	}
+}
+
+// clearSuspects withdraws the suspicion against the tasks that had been started on a worker before a crash whose cause
+// is known. That a worker crashed under them still counts.
+func (s *Service) clearSuspects(worker string) {
+	for _, j := range s.active {
+		if j.crashChange == 0 {
+			continue
+		}
+		for _, o := range j.runs {
+			for _, st := range o.steps {
+				for _, t := range st.tasks {
+					t.clearSuspicion(worker)
+				}
+			}
+		}
+	}
+}
+
+func (t *task) clearSuspicion(worker string) {
+	for i := range t.crashes {
+		if t.crashes[i].Worker == worker {
+			t.crashes[i].Early = false
+		}
+	}
+}
+
+// recoverCrashes connects uncertain crashes in the records of a job with the workers. A worker that is not in the record
+// of workers was gone when that was written.
+func (s *Service) recoverCrashes(now time.Time, j *job) {
+	for _, o := range j.runs {
+		for _, st := range o.steps {
+			for _, t := range st.tasks {
+				s.recoverTaskCrashes(now, t)
+			}
+		}
+	}
+}
+
+func (s *Service) recoverTaskCrashes(now time.Time, t *task) {
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if c.Confirmed {
+			continue
+		}
+		w, ok := s.workers[c.Worker]
+		if !ok {
+			c.Confirmed = true
+			continue
+		}
+		w.suspects, w.suspectsKnown = append(w.suspects, t), true
+	}
+	s.giveUpCrashing(now, t)
 }
 
 // listRuns lists the runs on a worker for the log, the youngest first, with the time since their start.
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -49,8 +49,7 @@
 
 // Guards against a new owner that does not know of the crashes before its takeover. It may miss the last one.
 func TestCrashesAreCountedAcrossTakeovers(t *testing.T) {
-	for _, after := range []time.Duration{100, 500, 1000, 2000, 3000, 3200, 3400, 3600, 4000, 6000} {
-		after *= time.Millisecond
+	for after := tick; after < 7*time.Second; after += 3 * tick {
 		t.Run(after.String(), func(t *testing.T) {
 			p := newPool(t, 8)
 			p.crashes = crashesWorkers
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -218,6 +218,8 @@
 		switch {
 		case !a.stopConfirmedAt.IsZero():
 			return 0
+		case a.trial && !a.passed:
+			wait = startupRenewalWait
 		case a.longRunning && a.percent < 100 && a.stopSentAt.IsZero():
 			wait = startupRenewalWait // the next planned move in the step waits until this task has started up
 		}
@@ -255,6 +257,7 @@
 		return
 	case errors.Is(err, cuminstair.ErrNotDone):
 		w.failedCalls++
+		s.suspectRuns(now, w)
 		w.blockedUntil = now.Add(refusalBlock)
 	case errors.Is(err, cuminstair.ErrNoRoom):
 		w.blockedUntil = now.Add(refusalBlock)
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -86,7 +86,7 @@
 		}
 	}
 	d.LongRunning += s.unplacedCores
-	d.Pinned += s.unplaced + min(s.unplacedMoves, maxConcurrentMoves)
+	d.Pinned += s.unplaced + min(s.unplacedMoves, maxConcurrentMoves) + min(s.waitingTrials, minTrials)
 	sort.Slice(idle, func(i, j int) bool {
 		if !idle[i].idleSince.Equal(idle[j].idleSince) {
 			return idle[i].idleSince.Before(idle[j].idleSince)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,6 +22,9 @@
 	next          int                 // number of the next occurrence to create
 	stored        bool                // the job is in the store
 	dirty         bool                // the progress in the store is out of date
+	changes       int                 // number of the last change of the progress
+	storedChanges int                 // number of the last change that is stored
+	crashChange   int                 // number of the change that recorded its last crash
 	finishedAt    time.Time           // when it reached its final state
 	submitWaiters []func(Result)      // callers waiting for the job to be stored
 	cancelWaiters []func(Result)      // callers waiting for its cancellation to be stored
@@ -68,6 +71,8 @@
 	awaySince   time.Time // of a long-running task: since when it is down; zero: it is serving
 	plannedMove bool      // it is down because the owner moved it
 	reserved    *worker   // worker last reserved for it
+	crashes     []crash   // runs whose workers crashed, or may have crashed, the latest last
+	trialSince  time.Time // since when a trial finds no worker without long-running tasks; zero: it does not
 	adopted     bool      // this owner found a run of an earlier owner on a worker that answered
 }
 
@@ -93,6 +98,9 @@
 	stopConfirmedAt time.Time     // when the worker confirmed the stop; zero: not yet
 	expected        time.Duration // duration expected at its start
 	resumed         bool          // started from a checkpoint
+	trial           bool          // its start was a trial, see needsTrial
+	passed          bool          // the trial is over: the worker has not crashed
+	adopted         bool          // it was found on the worker, so that the time of its start is unknown
 }
 
 func newJob(id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue) *job {
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -16,7 +16,7 @@
 		return
 	}
 	s.changed = false
-	s.unplaced, s.unplacedCores = 0, 0
+	s.unplaced, s.unplacedCores, s.waitingTrials = 0, 0, 0
 	settled := s.inheritedResolved()
 	if !settled {
 		s.changed = true
@@ -36,6 +36,7 @@
 	}
 	sort.SliceStable(s.ready, func(i, j int) bool { return moreUrgent(s.ready[i], s.ready[j]) })
 	s.listCandidates(now)
+	s.countTrials()
 	for _, st := range s.ready {
 		st.mayRun = st.occ.job.inherited && !settled && !st.followsAdopted() &&
 			(!st.copyable() || now.Sub(s.takenOverAt) < copyDelay)
@@ -175,7 +176,7 @@
 	s.preferCentre(st)
 	placed := 0
 	for _, t := range st.tasks {
-		if t.done || t.attempt != nil || t.mayRun() {
+		if t.done || t.attempt != nil || t.mayRun() || !t.mayStart() {
 			continue
 		}
 		w := s.choose(st, t, near)
@@ -183,6 +184,10 @@
 			s.requestAdvice(now, st)
 			break
 		}
+		if w == nil && t.needsTrial() {
+			s.reserveForTrial(now, st, t, near)
+			continue
+		}
 		if w == nil && st.LongRunning {
 			s.reserve(now, st, t, near)
 			continue
@@ -245,7 +250,7 @@
 		if t.done {
 			continue
 		}
-		if t.attempt != nil || t.mayRun() {
+		if t.attempt != nil || t.mayRun() || !t.mayStart() {
 			return // a task of the previous run has not ended yet
 		}
 		run = max(run, t.run)
@@ -279,10 +284,11 @@
 // choose returns the candidate with the lowest score that may run the task and has room for it, or nil.
 func (s *Service) choose(st *step, t *task, near neighbours) *worker {
 	want := place.Want{Room: st.room(), Spread: st.LongRunning, Quiet: st.LongRunning || st.BestEffort}
+	risky := !st.LongRunning && s.now.Before(s.riskUntil[st.occ.job.queue.Name])
 	var best *worker
 	low := 0.0
 	for _, w := range s.candidates {
-		if !want.Room.Fits(w.free()) || w.reservedFor != nil && w.reservedFor != t || !s.eligible(st, t, w, near) {
+		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w, near) {
 			continue
 		}
 		c := place.Candidate{
@@ -290,6 +296,7 @@
 			MaintenanceDue: w.vacating, SameRack: near.racks[w.info.Rack],
 			RemoteData:  st.DataRack != "" && st.DataRack != w.info.Rack,
 			OtherCentre: st.occ.centre != "" && st.occ.centre != w.info.Centre,
+			Endangered:  risky && w.longRunning > 0,
 		}
 		if c.Interfering = w.bestEffort; st.BestEffort {
 			c.Interfering = w.longRunning
@@ -315,15 +322,18 @@
 func (s *Service) start(now time.Time, t *task, w *worker, run int64) {
 	j, st := t.step.occ.job, t.step
 	t.run = run
-	if w.reservedFor == t {
-		w.reservedFor = nil
-	}
 	a := &attempt{
 		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort,
 		sentAt: now, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.checkpoint != "",
 	}
 	t.attempt = a
 	w.add(a)
+	if t.needsTrial() {
+		s.startTrial(now, a)
+	}
+	if w.reservedFor == t {
+		w.reservedFor = nil
+	}
 	s.centreFree[w.info.Centre] -= s.taskCores(&st.JobStep)
 	s.counts.Starts++
 	order := cuminstair.StartOrder{
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -48,6 +48,7 @@
 	Index      int     `json:"i"`
 	Failed     []int64 `json:"f,omitempty"` // failed runs
 	Checkpoint string  `json:"c,omitempty"`
+	Crashes    []crash `json:"x,omitempty"` // runs whose workers crashed, or may have crashed
 }
 
 // workersRecord is the value of the record of WorkerTable.
@@ -100,8 +101,8 @@
 			if t.done {
 				bits[i/8] |= 1 << (i % 8)
 				any = true
-			} else if len(t.failed) > 0 || t.checkpoint != "" {
-				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Checkpoint: t.checkpoint})
+			} else if len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 {
+				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Checkpoint: t.checkpoint, Crashes: t.crashes})
 			}
 		}
 		text := ""
@@ -173,7 +174,10 @@
 			continue
 		}
 		x := o.steps[t.Step].tasks[t.Index]
-		x.failed, x.checkpoint = t.Failed, t.Checkpoint
+		x.failed, x.checkpoint, x.crashes = t.Failed, t.Checkpoint, t.Crashes
+		for _, c := range t.Crashes {
+			x.run = max(x.run, c.Run)
+		}
 		for _, run := range t.Failed {
 			x.run = max(x.run, run)
 		}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -81,11 +81,15 @@
 	storeDown       bool
 	lastBatch       time.Time
 	lastSweep       time.Time
-	lastScan        time.Time // last pass over all runs
-	unplaced        int       // waiting long-running tasks for which the last placement found no worker
-	unplacedCores   float64   // cores that these need
-	unplacedMoves   int       // long-running tasks to be moved for which the last decision found no worker
-	stopping        bool      // see Stopping
+	lastScan        time.Time            // last pass over all runs
+	unplaced        int                  // waiting long-running tasks for which the last placement found no worker
+	unplacedCores   float64              // cores that these need
+	trials          int                  // see countTrials; updated by each placement
+	primeTrials     int                  // trials of prime suspects among them
+	riskUntil       map[string]time.Time // by queue: until when its tasks count as likely to crash their workers
+	waitingTrials   int                  // tasks for whose trial the last placement found no worker
+	unplacedMoves   int                  // long-running tasks to be moved for which the last decision found no worker
+	stopping        bool                 // see Stopping
 	counts          Counts
 }
 
@@ -100,7 +104,7 @@
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]time.Time{},
-		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
+		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
@@ -123,6 +127,7 @@
 		j.due = s.objective(j, j.firstSent)
 		if !j.finished() {
 			s.activate(now, j)
+			s.recoverCrashes(now, j)
 		}
 	}
 	s.Log.Info("dispatch: service taken over", "service", s.Name, "token", s.Token, "jobs", len(s.jobs), "open", len(s.active), "workers", len(s.workers))
@@ -291,6 +296,7 @@
 
 // markDirty marks the progress of a job as out of date in the store.
 func (s *Service) markDirty(j *job) {
+	j.changes++
 	if !j.dirty {
 		j.dirty = true
 		s.dirty = append(s.dirty, j)
--- /dev/null
+++ b/dispatch/trial.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Parameters of trials.
+const (
+	// trialDivisor limits the workers that run trials or have crashed in one to about one in trialDivisor candidates, but
+	// not to fewer than minTrials.
+	trialDivisor = 8
+	minTrials    = 2
+	// trialPatience is how long a trial waits for a worker without long-running tasks.
+	trialPatience = 2 * time.Second
+)
+
+// needsTrial reports whether the next start of the task is a trial: it may crash the worker. The tasks of a gang have no
+// trials, since they run only together.
+func (t *task) needsTrial() bool {
+	if len(t.crashes) == 0 || t.step.Gang {
+		return false
+	}
+	return len(t.crashes) >= crashLimit || slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Early })
+}
+
+// prime reports whether the task was the only suspect of a crash.
+func (t *task) prime() bool {
+	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Early && c.Alone })
+}
+
+// endTrials ends the trials on a worker whose runs were still listed after startWindow.
+func (s *Service) endTrials(now time.Time, w *worker, running map[cuminstair.TaskID]int64) {
+	if w.trials == 0 {
+		return
+	}
+	for _, a := range w.attempts {
+		if a.trial && !a.passed && running[a.id] == a.run && now.Sub(a.sentAt) >= startWindow {
+			s.passTrial(now, a)
+		}
+	}
+}
+
+func (s *Service) passTrial(now time.Time, a *attempt) {
+	a.passed = true
+	a.worker.trials--
+	s.changed = true
+	t := s.taskOf(a)
+	if t == nil {
+		return
+	}
+	s.Log.Info("dispatch: task did not crash its worker", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+		"run", a.run, "worker", a.worker.info.ID, "age", now.Sub(a.sentAt).Round(time.Millisecond).String())
+	if t.step.LongRunning {
+		t.crashes = nil
+	}
+	for i := range t.crashes {
+		t.crashes[i].Early = false
+	}
+}
+
+// admits reports whether the trials and reservations on a worker permit the start of a task there. A trial needs a worker
+// whose other runs are those of earlier trials; a worker reserved for the trial may have long-running tasks too.
+func (s *Service) admits(w *worker, t *task) bool {
+	reserved := w.reservedFor == t
+	switch {
+	case w.trials > 0:
+		return w.trialAt.Equal(s.now) && w.primeTrial && t.needsTrial() && t.prime()
+	case w.reservedFor != nil && !reserved:
+		return false
+	case !t.needsTrial():
+		return true
+	case !reserved && !s.trialAllowed(t):
+		return false
+	}
+	for _, a := range w.attempts {
+		mayStay := a.trial || reserved && a.longRunning
+		if !mayStay {
+			return false
+		}
+	}
+	return true
+}
+
+// trialAllowed reports whether another worker may be used for a trial of a task. Trials of prime suspects, which
+// probably crash their worker, use half of the workers for trials.
+func (s *Service) trialAllowed(t *task) bool {
+	limit := max(minTrials, len(s.candidates)/trialDivisor)
+	return s.trials < limit && (!t.prime() || s.primeTrials < max(1, limit/2))
+}
+
+// countTrials counts the workers that run a trial, are reserved for one, or have crashed in one and are not back.
+func (s *Service) countTrials() {
+	s.trials, s.primeTrials = 0, 0
+	for _, w := range s.workers {
+		reserved := w.reservedFor != nil && w.reservedFor.needsTrial()
+		inTrial := w.trials > 0 || w.trialFailed
+		switch {
+		case w.gone:
+		case reserved:
+			s.addTrial(w.reservedFor.prime())
+		case inTrial:
+			s.addTrial(w.primeTrial)
+		}
+	}
+}
+
+// addTrial counts a worker as used for a trial.
+func (s *Service) addTrial(prime bool) {
+	s.trials++
+	if prime {
+		s.primeTrials++
+	}
+}
+
+// startTrial marks a run as a trial.
+func (s *Service) startTrial(now time.Time, a *attempt) {
+	w, t := a.worker, a.task
+	if w.trials == 0 && w.reservedFor != t {
+		s.addTrial(t.prime())
+	}
+	a.trial, w.trialAt, w.primeTrial, t.trialSince = true, now, t.prime(), time.Time{}
+	w.trials++
+}
+
+// reserveForTrial reserves the worker with the fewest runs for a trial, one without long-running tasks if possible.
+func (s *Service) reserveForTrial(now time.Time, st *step, t *task, near neighbours) {
+	s.waitingTrials++
+	if w := t.reserved; w != nil && w.reservedFor == t && w.usable(now) {
+		w.reservedUntil = now.Add(reservationTTL)
+		return
+	}
+	if !s.trialAllowed(t) {
+		t.trialSince = time.Time{}
+		return
+	}
+	if t.trialSince.IsZero() {
+		t.trialSince = now
+	}
+	anywhere := now.Sub(t.trialSince) > trialPatience
+	var best *worker
+	for _, w := range s.candidates {
+		pinned := w.longRunning+w.bestEffort > 0
+		if w.reservedFor != nil || w.trials > 0 || pinned && !anywhere || !s.eligible(st, t, w, near) || !st.room().Fits(w.freeWithoutShort()) {
+			continue
+		}
+		if best == nil || len(w.attempts) < len(best.attempts) {
+			best = w
+		}
+	}
+	if best == nil {
+		return
+	}
+	best.reserve(now, t)
+	s.addTrial(t.prime())
+	s.Log.Info("dispatch: worker reserved for a task that may crash it", "service", s.Name, "job", t.id.Job, "step", t.id.Step, "task", t.id.Index,
+		"worker", best.info.ID, "tasks", len(best.attempts), "trials", s.trials, "workers", len(s.candidates))
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -47,6 +47,13 @@
 	reservedFor   *task     // only this task may be placed on it; nil: any
 	reservedUntil time.Time // when the reservation ends unless it is renewed
 
+	trials        int       // runs whose start may crash the worker, which gets no other tasks meanwhile
+	trialAt       time.Time // when the last trial was started
+	primeTrial    bool      // the last trial was of prime suspects
+	trialFailed   bool      // it stopped answering in a trial
+	suspects      []*task   // tasks that may have crashed it
+	suspectsKnown bool      // suspects has been set since it last answered
+
 	slowdown float64 // moving mean of actual to expected durations; 0: unknown
 }
 
@@ -129,6 +136,9 @@
 	}
 	delete(w.attempts, a.id)
 	w.adjustUsage(a, -1)
+	if a.trial && !a.passed {
+		w.trials--
+	}
 	w.idleSince = now
 }
 
@@ -157,6 +167,7 @@
 		}
 		w.listed = false
 		if len(w.attempts) == 0 && s.inheritedResolved() {
+			s.settleSuspects(now, w)
 			delete(s.workers, id)
 			s.workersDirty = true
 		}
@@ -255,6 +266,7 @@
 		w.failedCalls++
 		w.connRefused = errors.Is(err, cuminstair.ErrConnRefused)
 		w.nextRenewal = now.Add(renewalBackoff)
+		s.suspectRuns(now, w)
 		if w.failedCalls == suspectAfter {
 			s.Log.Warn("dispatch: worker does not answer", "service", s.Name, "worker", id, "tasks", len(w.attempts), "error", err)
 		}
@@ -275,6 +287,9 @@
 	if w.suspect() {
 		s.Log.Info("dispatch: worker answers again", "service", s.Name, "worker", w.info.ID)
 	}
+	if w.suspectsKnown {
+		s.workerAnswers(w)
+	}
 	if !w.synced {
 		s.changed = true
 	}
@@ -288,6 +303,7 @@
 	for _, t := range r.Running {
 		s.handleRunning(now, w, t)
 	}
+	s.endTrials(now, w, running)
 	s.handleMissing(now, sent, w, running)
 	w.nextRenewal = now.Add(max(renewalGap, time.Duration(len(s.workers))*time.Second/maxRenewalRate))
 	if w.processed > w.stored {
@@ -340,7 +356,7 @@
 // adopt takes over a run that an earlier owner started or that is otherwise unknown. A run that is not wanted is
 // stopped and keeps its room until it has ended.
 func (s *Service) adopt(now time.Time, w *worker, t cuminstair.RunningTask) *attempt {
-	a := &attempt{id: t.Task, run: t.Run, sentAt: now, answeredAt: now, cpuShare: 100}
+	a := &attempt{id: t.Task, run: t.Run, sentAt: now, answeredAt: now, cpuShare: 100, adopted: true}
 	j := s.jobs[t.Task.Job]
 	var x *task
 	if j != nil {
--- a/place/place.go
+++ b/place/place.go
@@ -30,6 +30,7 @@
 	OtherCentre    bool    // in another data centre than the one preferred for the job
 	Slowdown       float64 // durations relative to other workers; 1: equal
 	LongRunning    int     // long-running tasks on it
+	Endangered     bool    // it has long-running tasks and the task may crash it
 	Interfering    int     // tasks on it that slow the task down or are slowed down by it
 }
 
@@ -52,6 +53,7 @@
 	interferingWeight = 1.0
 	imbalanceWeight   = 0.5
 	maintenanceWeight = 6.0
+	endangeredWeight  = 3.0
 )
 
 // Best returns the index of the best candidate that has room, or -1.
@@ -88,6 +90,9 @@
 	if c.OtherCentre {
 		s += otherCentreWeight
 	}
+	if c.Endangered {
+		s += endangeredWeight
+	}
 	if want.Spread && c.MaintenanceDue {
 		s += maintenanceWeight
 	}
