Take a worker for gone when its host is reported as down

Callers saw: tasks of a crashed or dark worker started again only after 3.4 to 4 s, when another worker answered at its address or the lease had run out, so that nearly all of their jobs were late.

Cause: a refused connection or silence is no proof that a worker has ended. It was read by owners at a takeover only.

Change: while workers with runs don't answer, the owner reads the list of hosts every 250 ms; a worker whose host is down is gone. The list must have been requested after the worker started and after it last answered. A host in a state that is not known is no longer taken for down.

Evidence: TestTasksOfADownHostAreStartedAgain and TestOldRecordOfAHostProvesNothing fail without the two conditions that they guard (taken out and put back).

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -186,7 +186,7 @@
 		return
 	}
 	for _, x := range c.Workers {
-		w := newWorker(cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Incarnation: x.Born, Host: x.Host})
+		w := newWorker(s.takenOverAt, cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Incarnation: x.Born, Host: x.Host})
 		w.recorded = true
 		s.workers[x.ID] = w
 		s.inherited[x.ID] = true
--- /dev/null
+++ b/dispatch/hosts_test.go
@@ -0,0 +1,77 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// hostedPool returns a pool whose workers run on hosts, with a long-running task on one of them, which is returned.
+func hostedPool(t *testing.T) (*pool, *fakeWorker) {
+	t.Helper()
+	p := newPool(t, 4)
+	for i, w := range p.workers {
+		w.info.Host = "h" + w.info.ID
+		p.list[i] = w.info
+	}
+	p.s.SetWorkers(p.now, p.list)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	p.run(2 * time.Second)
+	p.is.Equal(len(p.busy()), 1)
+	return p, p.busy()[0]
+}
+
+// hostsIn returns records of the hosts of all workers, of which one has the given phase and the others are up.
+func (p *pool) hostsIn(w *fakeWorker, phase cuminstair.HostPhase) []cuminstair.HostRecord {
+	var list []cuminstair.HostRecord
+	for _, x := range p.workers {
+		h := cuminstair.HostRecord{Name: x.info.Host, Pool: "s", Phase: cuminstair.PhaseUp, Worker: x.info.ID}
+		if x == w {
+			h.Phase = phase
+			if phase == cuminstair.PhaseDown {
+				h.Worker = ""
+			}
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// Guards against tasks that wait for the end of a lease although their worker is known to have ended.
+func TestTasksOfADownHostAreStartedAgain(t *testing.T) {
+	p, w := hostedPool(t)
+	w.crashed = true
+	p.run(1500 * time.Millisecond)
+	p.is.True(p.s.NeedsHosts())
+	p.s.SetHosts(p.now, p.now, p.hostsIn(w, cuminstair.PhaseDown))
+	p.run(200 * time.Millisecond)
+	p.is.Equal(p.running(), 1)
+}
+
+// Guards against starting the tasks of a worker again that only can't be reached.
+func TestTasksOfAHostThatIsNotDownStay(t *testing.T) {
+	for name, phase := range map[string]cuminstair.HostPhase{"up": cuminstair.PhaseUp, "unknown": cuminstair.PhaseUnknown} {
+		t.Run(name, func(t *testing.T) {
+			p, w := hostedPool(t)
+			w.partitioned = true
+			p.run(1500 * time.Millisecond)
+			p.s.SetHosts(p.now, p.now, p.hostsIn(w, phase))
+			p.run(time.Second)
+			p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
+		})
+	}
+}
+
+// Guards against taking a worker for gone by a record of its host that was requested before it last answered, or before
+// it started: its host was down then.
+func TestOldRecordOfAHostProvesNothing(t *testing.T) {
+	p, w := hostedPool(t)
+	before := p.now.Add(-time.Second)
+	w.partitioned = true
+	p.run(1500 * time.Millisecond)
+	p.s.SetHosts(p.now, before, p.hostsIn(w, cuminstair.PhaseDown))
+	p.run(time.Second)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -183,39 +183,6 @@
 	s.changed = true
 }
 
-// SetHosts gives a new owner the records of the hosts. A worker known from an earlier owner is gone if its host has
-// another worker, is moving or is in maintenance. Workers in the platform's list may be newer than the record of their
-// host, so that these count as gone only if their address refuses connections too; then another pool is a sign as well.
-// A worker that is only missing from lists may still run.
-func (s *Service) SetHosts(now time.Time, hosts []cuminstair.HostRecord) {
-	byName := make(map[string]cuminstair.HostRecord, len(hosts))
-	for _, h := range hosts {
-		byName[h.Name] = h
-	}
-	for id := range s.inherited {
-		w, ok := s.workers[id]
-		if !ok || w.synced || w.info.Host == "" || (w.listed && !w.connRefused) {
-			continue
-		}
-		h, ok := byName[w.info.Host]
-		replaced := h.Phase == cuminstair.PhaseMoving || h.Phase == cuminstair.PhaseMaintenance || (h.Worker != "" && h.Worker != id)
-		if ok && (replaced || (w.connRefused && h.Pool != "" && h.Pool != s.Name)) {
-			s.workerGone(now, w, "its host has another worker, is moving or is in maintenance")
-		}
-	}
-}
-
-// NeedsHosts reports whether the records of the hosts may show that workers of an earlier owner are gone: their addresses
-// refuse connections.
-func (s *Service) NeedsHosts() bool {
-	for id := range s.inherited {
-		if w, ok := s.workers[id]; ok && !w.synced && !w.gone && w.connRefused {
-			return true
-		}
-	}
-	return false
-}
-
 // State returns the state of a job as reported to callers. A final state is reported only once it is stored; until then
 // the job counts as running.
 func (s *Service) State(id string) cuminstair.JobState {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -483,7 +483,7 @@
 	p.run(time.Second)
 	p.is.Equal(p.running(), 0) // the refused connection alone is no proof
 	p.is.True(p.s.NeedsHosts())
-	p.s.SetHosts(p.now, []cuminstair.HostRecord{{Name: "ha", Pool: "other"}, {Name: "hb", Pool: "other"}})
+	p.s.SetHosts(p.now, p.now, []cuminstair.HostRecord{{Name: "ha", Pool: "other"}, {Name: "hb", Pool: "other"}})
 	p.run(300 * time.Millisecond)
 	p.is.Equal(p.running(), 1)
 	p.is.Equal(p.duplicateRuns, 0)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,8 +37,10 @@
 	renewing     bool      // a renewal is in flight
 	lastRenewal  time.Time // when the last successful renewal was sent
 	answeredAt   time.Time // when it last answered a call
+	knownSince   time.Time // when this owner learned of the present incarnation
 	nextRenewal  time.Time // when the next renewal may be sent
 	failedCalls  int       // consecutive failed renewals, and starts that did not reach it
+	failingSince time.Time // first of the failedCalls; zero: none
 	connRefused  bool      // the last failed renewal was a refused connection, so the host is not cut off
 	blockedUntil time.Time // no new tasks until then, after refusals or failures
 	failedRuns   int       // consecutive failed runs
@@ -57,8 +59,8 @@
 	slowdown float64 // moving mean of actual to expected durations; 0: unknown
 }
 
-func newWorker(info cuminstair.WorkerInfo) *worker {
-	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}}
+func newWorker(now time.Time, info cuminstair.WorkerInfo) *worker {
+	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, knownSince: now}
 	w.setInfo(info)
 	return w
 }
@@ -94,6 +96,14 @@
 	return w.lease
 }
 
+// callFailed counts a call that did not reach the worker or got no answer.
+func (w *worker) callFailed(now time.Time) {
+	if w.failedCalls == 0 {
+		w.failingSince = now
+	}
+	w.failedCalls++
+}
+
 func (w *worker) suspect() bool { return w.failedCalls >= suspectAfter }
 
 // usable reports whether the worker may be given new tasks.
@@ -149,7 +159,7 @@
 		inList[info.ID] = true
 		w, ok := s.workers[info.ID]
 		if !ok {
-			w = newWorker(info)
+			w = newWorker(now, info)
 			s.workers[info.ID] = w
 			s.workersDirty = true
 			s.changed = true
@@ -182,7 +192,7 @@
 	case info.Incarnation > w.info.Incarnation && w.info.Incarnation != 0:
 		s.workerRestarted(now, w, info.Incarnation, now, nil)
 	case info.Incarnation > w.info.Incarnation:
-		w.info.Incarnation = info.Incarnation
+		w.info.Incarnation, w.knownSince = info.Incarnation, now
 	}
 	if w.gone && info.Incarnation == w.info.Incarnation {
 		return
@@ -204,9 +214,9 @@
 func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, sent time.Time, running map[cuminstair.TaskID]int64) {
 	s.workerCrashed(now, w, "it has restarted")
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts))
-	w.info.Incarnation = incarnation
+	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0
-	w.synced, w.gone, w.clock, w.lease = false, false, 0, 0
+	w.synced, w.gone, w.clock, w.lease, w.failingSince = false, false, 0, 0, time.Time{}
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for id, a := range w.attempts {
 		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) {
@@ -263,7 +273,7 @@
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
 		s.workerReplaced(now, w)
 	default:
-		w.failedCalls++
+		w.callFailed(now)
 		w.connRefused = errors.Is(err, cuminstair.ErrConnRefused)
 		w.nextRenewal = now.Add(renewalBackoff)
 		s.suspectRuns(now, w)
@@ -294,6 +304,7 @@
 		s.changed = true
 	}
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
+	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
 	if w.mayHaveMoved && sent.After(w.cordonedUntil) {
 		w.mayHaveMoved = false
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -17,8 +17,8 @@
 // ownerWriteTimeout is how long a write of an owner record may take before it is sent again.
 const ownerWriteTimeout = 900 * time.Millisecond
 
-// hostsRetry is the pause between two looks at the workers of an earlier owner that refuse connections.
-const hostsRetry = 400 * time.Millisecond
+// hostsRetry is the pause between two looks at the workers that do not answer.
+const hostsRetry = 250 * time.Millisecond
 
 // takeoverRetry is the pause after a step of a takeover failed.
 const takeoverRetry = 150 * time.Millisecond
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -43,7 +43,6 @@
 	signal(d.listNow)
 	signal(d.heartbeatNow)
 	if r.hadOwner {
-		go d.findGoneWorkers(ctx, r)
 		d.stopEarlierOwner(ctx, r, old)
 	}
 }
@@ -65,38 +64,53 @@
 	}
 }
 
-// findGoneWorkers reads the list of hosts again while workers of the earlier owner refuse connections. Until they are
-// known to be gone, or their leases are over, tasks of earlier jobs wait.
-func (d *Daemon) findGoneWorkers(ctx context.Context, r *runner) {
-	end := r.takenAt.Add(ownerGrace + dispatch.Lease)
-	for r.service != ownership.HostsPart && ctx.Err() == nil && d.Timer.Now().Before(end) {
+// findGoneWorkers reads the list of hosts while workers with tasks do not answer. The tasks of workers whose hosts are
+// down or have another worker are started again at once; the others wait until their leases have run out.
+func (d *Daemon) findGoneWorkers(ctx context.Context) error {
+	for ctx.Err() == nil {
 		d.sleep(ctx, hostsRetry)
-		needed := make(chan bool, 1)
-		if !r.post(func(time.Time) { needed <- r.state.NeedsHosts() }) {
-			return
-		}
-		select {
-		case yes := <-needed:
-			if yes {
-				d.reloadHosts(ctx, r)
+		var needed []*runner
+		for _, r := range d.owned() {
+			if r.needsHosts(ctx) {
+				needed = append(needed, r)
 			}
-		case <-r.done:
-			return
 		}
+		if len(needed) > 0 {
+			d.reloadHosts(ctx, needed)
+		}
+	}
+	return nil
+}
+
+// needsHosts asks the state of a service whether it needs the records of the hosts.
+func (r *runner) needsHosts(ctx context.Context) bool {
+	needed := make(chan bool, 1)
+	if r.service == ownership.HostsPart || !r.post(func(time.Time) { needed <- r.state.NeedsHosts() }) {
+		return false
+	}
+	select {
+	case yes := <-needed:
+		return yes
+	case <-r.done:
+	case <-ctx.Done():
 	}
+	return false
 }
 
-// reloadHosts passes the list of hosts to the state of a service that runs.
-func (d *Daemon) reloadHosts(ctx context.Context, r *runner) {
+// reloadHosts passes the list of hosts to the states of services that run.
+func (d *Daemon) reloadHosts(ctx context.Context, runners []*runner) {
 	if d.Hosts == nil {
 		return
 	}
+	sent := d.Timer.Now()
 	hosts, err := d.Hosts.List(ctx)
 	if err != nil {
-		d.Log.Debug("entry: can't list the hosts after a takeover", "service", r.service, "error", err)
+		d.Log.Debug("entry: can't list the hosts of workers that do not answer", "error", err)
 		return
 	}
-	r.post(func(now time.Time) { r.state.SetHosts(now, hosts) })
+	for _, r := range runners {
+		r.post(func(now time.Time) { r.state.SetHosts(now, sent, hosts) })
+	}
 }
 
 // writeOwner writes an owner record if its version is still the given one, and returns the version of the write.
@@ -184,12 +198,13 @@
 	if d.Hosts == nil {
 		return
 	}
+	sent := d.Timer.Now()
 	hosts, err := d.Hosts.List(ctx)
 	if err != nil {
 		d.Log.Info("entry: can't list the hosts at a takeover", "service", r.service, "error", err)
 		return
 	}
-	r.state.SetHosts(d.Timer.Now(), hosts)
+	r.state.SetHosts(d.Timer.Now(), sent, hosts)
 }
 
 // workersOf returns the workers of a service. It reads the list of workers first if the daemon owns no service yet,
--- a/jobs.go
+++ b/jobs.go
@@ -183,7 +183,8 @@
 
 // Phases of a host.
 const (
-	PhaseDown HostPhase = iota
+	PhaseUnknown HostPhase = iota
+	PhaseDown              // runs nothing
 	PhaseUp
 	PhaseMoving      // between two pools
 	PhaseMaintenance // down for the maintenance of a wave
