Clear the other suspects of a crash whose cause is known, and let refused starts be no suspects

Evidence: TestTaskThatCrashesWorkersLateIsGivenUp and the second half of TestOldRecordOfAHostProvesNothing.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -13,7 +13,8 @@
 // Their tasks start again in trials, on workers that run nothing else: one at a time, so that a second crash has one
 // cause, but together if each of them was the only suspect of its first crash, since then all of them are given up after
 // one more crash. The crashes of a task are stored before its next start, since a new owner has to know them. Once the
-// cause of a crash is known, its other suspects need no trial.
+// cause of a crash is known, its other suspects need no trial. A task that was on several crashed workers, whatever the
+// age of its runs, has a worker to itself until its run ends: it may crash workers long after its start.
 
 // Parameters of the handling of crashes.
 const (
@@ -22,8 +23,9 @@
 	// crashLimit is the number of crashes after which a task is given up if no other run can have caused one of them.
 	crashLimit = 2
 	// maxCrashes is the number of crashes after which a task is given up in any case.
-	maxCrashes = 3
-	// riskTime is how long after a crash the short tasks of a suspected queue avoid workers with long-running tasks.
+	maxCrashes = 4
+	// riskTime is how long the short tasks of a queue avoid workers with long-running tasks after one of its tasks was given
+	// up.
 	riskTime = 10 * time.Second
 )
 
@@ -33,7 +35,7 @@
 	Worker    string `json:"w"`
 	Confirmed bool   `json:"c,omitempty"` // the worker has crashed; otherwise it just does not answer
 	Early     bool   `json:"e,omitempty"` // soon after the start of the run
-	Alone     bool   `json:"a,omitempty"` // no other run had been started at that time
+	Alone     bool   `json:"a,omitempty"` // no other run can have caused it
 }
 
 // mayStart reports whether the crashes of the task permit another start: they are stored, and none that would make the
@@ -62,12 +64,22 @@
 	if n < crashLimit {
 		return false
 	}
-	return n >= maxCrashes || t.step.Gang || slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Alone })
+	return n >= maxCrashes || t.step.Gang || t.aloneOnce()
+}
+
+// aloneOnce reports whether only this task can have caused one of its crashes.
+func (t *task) aloneOnce() bool {
+	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Alone })
+}
+
+// mayHaveRun reports whether a run may have been on its worker when that stopped answering.
+func (a *attempt) mayHaveRun() bool {
+	return !a.answeredAt.IsZero() || a.worker.failingSince.IsZero() || a.sentAt.Before(a.worker.failingSince)
 }
 
 // early reports whether a run may have crashed its worker by its start.
 func (a *attempt) early() bool {
-	return !a.adopted && a.stopConfirmedAt.IsZero() && !a.sentAt.Before(a.worker.answeredAt.Add(-startWindow))
+	return !a.adopted && a.mayHaveRun() && a.stopConfirmedAt.IsZero() && !a.sentAt.Before(a.worker.answeredAt.Add(-startWindow))
 }
 
 // taskOf returns the task of an attempt, which may be detached, or nil if the task or its job is done.
@@ -103,12 +115,21 @@
 		s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Early: true, Alone: len(list) == 1})
 		w.suspects = append(w.suspects, t)
 		w.trialFailed = w.trialFailed || a.trial
-		s.riskUntil[t.step.occ.job.queue.Name] = now.Add(riskTime)
 		s.Log.Info("dispatch: task may have crashed its worker", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 			"run", a.run, "worker", a.worker.info.ID, "age", now.Sub(a.sentAt).Round(time.Millisecond).String(), "suspects", len(list), "crashes", len(t.crashes))
 	}
 }
 
+// withdrawRun removes a run that was not carried out from the crashes of its task.
+func (s *Service) withdrawRun(a *attempt) {
+	t := s.taskOf(a)
+	if t == nil || len(t.crashes) == 0 {
+		return
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return c.Run == a.run })
+	s.markDirty(t.step.occ.job)
+}
+
 // addCrash adds a crash to a task, which starts again only when that is stored.
 func (s *Service) addCrash(t *task, c crash) {
 	t.crashes = append(t.crashes, c)
@@ -117,6 +138,19 @@
 	j.crashChange = j.changes
 }
 
+// atRisk reports whether tasks of a queue are likely to crash their workers.
+func (s *Service) atRisk(now time.Time, queue string) bool { return now.Before(s.riskUntil[queue]) }
+
+// anyRisk reports whether the tasks of some queue are likely to crash their workers.
+func (s *Service) anyRisk(now time.Time) bool {
+	for queue := range s.riskUntil {
+		if s.atRisk(now, queue) {
+			return true
+		}
+	}
+	return false
+}
+
 // workerAnswers withdraws the suspicion against runs on a worker that answers again.
 func (s *Service) workerAnswers(w *worker) {
 	w.suspectsKnown, w.trialFailed = false, false
@@ -163,8 +197,8 @@
 	}
 	for _, a := range w.attempts {
 		// A long-running task that has started up is not counted: workers crash now and then in its lifetime.
-		if t := s.taskOf(a); t != nil && !t.step.LongRunning && !slices.Contains(hit, t) {
-			s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Confirmed: true})
+		if t := s.taskOf(a); t != nil && !t.step.LongRunning && a.mayHaveRun() && !slices.Contains(hit, t) {
+			s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Confirmed: true, Alone: len(w.attempts) == 1})
 			hit = append(hit, t)
 		}
 	}
@@ -181,9 +215,13 @@
 		return
 	}
 	s.Log.Warn("dispatch: task crashes its workers", "service", s.Name, "job", j.id, "step", t.id.Step, "task", t.id.Index, "crashes", len(t.crashes))
+	s.riskUntil[j.queue.Name] = now.Add(riskTime)
 	s.finish(now, j, cuminstair.JobFailed, "a task crashes its workers")
+	if !t.aloneOnce() {
+		return
+	}
 	for _, c := range t.crashes {
-		if c.Alone || len(t.crashes) > crashLimit {
+		if c.Early {
 			s.clearSuspects(c.Worker)
 		}
 	}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -93,6 +93,25 @@
 	p.is.True(p.runsLost <= hostCPU/2000)
 }
 
+// Guards against taking the runs that were started last for the cause of each crash: a task may crash its worker in the
+// middle of its run.
+func TestTaskThatCrashesWorkersLateIsGivenUp(t *testing.T) {
+	p := newPool(t, 8)
+	p.crashes, p.crashDelay = crashesWorkers, 400*time.Millisecond
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(3, 2000))
+	for i := range 100 {
+		p.submit(fmt.Sprintf("%016x", 1000+i), step(4, 2000))
+		p.run(60 * time.Millisecond)
+	}
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	p.is.True(p.crashCount[crashTask] < maxCrashes+3) // the third start after the third crash is one too many
+	for i := range 100 {
+		p.is.Equal(p.s.State(fmt.Sprintf("%016x", 1000+i)), cuminstair.JobCompleted)
+	}
+}
+
 // Guards against giving up a job whose workers crashed for another reason.
 func TestTaskOnCrashedWorkersIsStartedAgain(t *testing.T) {
 	p := newPool(t, 6)
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -67,6 +67,7 @@
 		s.checkRuns(now)
 		s.detectCutOffs(now)
 		s.detachUnreachable(now)
+		s.changed = s.changed || s.waitingTrials > 0 // they wait for a time too
 	}
 	s.listCandidates(now)
 	s.unplacedMoves = 0
@@ -253,11 +254,12 @@
 		s.depose("worker has seen a higher token", w.info.ID)
 		return
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
+		s.release(now, a)
+		s.withdrawRun(a)
 		s.workerReplaced(now, w)
 		return
 	case errors.Is(err, cuminstair.ErrNotDone):
-		w.failedCalls++
-		s.suspectRuns(now, w)
+		w.callFailed(now)
 		w.blockedUntil = now.Add(refusalBlock)
 	case errors.Is(err, cuminstair.ErrNoRoom):
 		w.blockedUntil = now.Add(refusalBlock)
@@ -270,6 +272,10 @@
 	s.Log.Info("dispatch: start was refused", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", w.info.ID, "error", err)
 	s.release(now, a)
+	s.withdrawRun(a)
+	if w.failedCalls > 0 {
+		s.suspectRuns(now, w)
+	}
 }
 
 // Stopped processes the answer to a stop order.
--- a/dispatch/hosts_test.go
+++ b/dispatch/hosts_test.go
@@ -74,4 +74,24 @@
 	p.s.SetHosts(p.now, before, p.hostsIn(w, cuminstair.PhaseDown))
 	p.run(time.Second)
 	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
+
+	p, w = hostedPool(t)
+	before = p.now
+	w.info.Incarnation += 1000 // a new incarnation, which does not answer yet
+	w.startedAt, w.runs, w.partitioned = p.now, map[cuminstair.TaskID]*fakeRun{}, true
+	for i := range p.list {
+		if p.list[i].ID == w.info.ID {
+			p.list[i] = w.info
+		}
+	}
+	p.run(tick)
+	p.s.SetWorkers(p.now, p.list)
+	p.run(time.Second)
+	p.s.SetHosts(p.now, before, p.hostsIn(w, cuminstair.PhaseDown))
+	w.partitioned = false
+	for _, x := range p.workers {
+		x.partitioned = x != w
+	}
+	p.run(6 * time.Second)
+	p.is.Equal(len(w.runs), 1) // it is used
 }
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -284,7 +284,7 @@
 // choose returns the candidate with the lowest score that may run the task and has room for it, or nil.
 func (s *Service) choose(st *step, t *task, near neighbours) *worker {
 	want := place.Want{Room: st.room(), Spread: st.LongRunning, Quiet: st.LongRunning || st.BestEffort}
-	risky := !st.LongRunning && s.now.Before(s.riskUntil[st.occ.job.queue.Name])
+	risky := !st.LongRunning && s.atRisk(s.now, st.occ.job.queue.Name)
 	var best *worker
 	low := 0.0
 	for _, w := range s.candidates {
