Ignore entries of workers that are older than the last one

A read of the list of workers after a compaction of the store's history may be seconds old. Its entries brought the capacity of before back, so that tasks were started on a worker that had shrunk (LIMIT), and took a worker that is leaving for one that is ready (DRAIN). Entries have versions from one counter; an older one is ignored now.

TestStaleEntryDoesNotBringCapacityBack failed before (6 starts beyond the capacity), and TestStaleEntryDoesNotEndDraining (1 start). Three more tests of capacities that shrink and grow while tasks run, while one is being stopped and across a takeover pass on the code as it was: nothing to mend there.

--- /dev/null
+++ b/dispatch/capacity_test.go
@@ -0,0 +1,125 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// capacityPool returns a pool of two workers of which the first runs most of a job of long tasks.
+func capacityPool(t *testing.T) *pool {
+	t.Helper()
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 3 * time.Second }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(10, 4000))
+	p.run(300 * time.Millisecond)
+	p.is.Equal(p.running(), 10)
+	return p
+}
+
+// resize changes the capacity of a worker and of its entry in the list, which gets a new version.
+func (p *pool) resize(w *fakeWorker, cpu int) {
+	w.info.CPU = cpu
+	w.info.Version++
+	p.relist(w)
+}
+
+// relist puts the entry of a worker into the list and passes the list to the service.
+func (p *pool) relist(w *fakeWorker) {
+	for i := range p.list {
+		if p.list[i].ID == w.info.ID {
+			p.list[i] = w.info
+		}
+	}
+	p.s.SetWorkers(p.now, p.list)
+}
+
+// usedCPU returns the CPU of the runs on a worker, in thousandths of a core.
+func (w *fakeWorker) usedCPU() int {
+	used := 0
+	for _, r := range w.runs {
+		used += r.cpu
+	}
+	return used
+}
+
+// Guards against starts on a worker whose capacity has shrunk below what runs there, and against leaving it unused when
+// it has grown again.
+func TestShrunkWorkerGetsNoTasksBeyondItsCapacity(t *testing.T) {
+	p := capacityPool(t)
+	w := p.busy()[0]
+	for _, cpu := range []int{w.usedCPU() / 2, hostCPU, 6000, 30000, 1000, hostCPU} {
+		p.resize(w, cpu)
+		p.submit(jobB, step(10, 4000))
+		p.run(1500 * time.Millisecond)
+		p.s.Cancel(p.now, jobB, func(dispatch.Result) {})
+		p.run(time.Second)
+	}
+	p.is.Equal(p.overCapacity, 0)
+	p.submit("00000000000000cc", step(16, 4000))
+	p.run(2 * time.Second)
+	p.is.True(w.usedCPU() > hostCPU/2) // all of its capacity is used again
+}
+
+// Guards against using the room of a run that is being stopped on a worker that has shrunk meanwhile.
+func TestStoppedRunCountsOnAShrunkWorker(t *testing.T) {
+	p := capacityPool(t)
+	for _, w := range p.workers {
+		w.stopDuration = stopGrace
+	}
+	p.s.Cancel(p.now, jobA, func(dispatch.Result) {})
+	p.run(tick)
+	for _, w := range p.workers {
+		p.resize(w, w.usedCPU())
+	}
+	p.submit(jobB, step(10, 4000))
+	p.run(3 * time.Second)
+	p.is.Equal(p.overCapacity, 0)
+}
+
+// Guards against a new owner that counts with the capacity of before.
+func TestTakeoverKnowsShrunkWorkers(t *testing.T) {
+	for _, cpu := range []int{1000, 12000, 20000} {
+		p := capacityPool(t)
+		w := p.busy()[0]
+		p.resize(w, cpu)
+		p.takeOver(200, 0)
+		p.submit(jobB, step(12, 4000))
+		p.run(8 * time.Second)
+		p.is.Equal(p.overCapacity, 0)
+		p.is.Equal(p.duplicateRuns, 0)
+	}
+}
+
+// Guards against an entry of the list that is older than the last one, from a stale read after the history was compacted:
+// it shows the capacity of before.
+func TestStaleEntryDoesNotBringCapacityBack(t *testing.T) {
+	p := capacityPool(t)
+	var old []cuminstair.WorkerInfo
+	for _, w := range p.workers {
+		old = append(old, w.info)
+		p.resize(w, w.usedCPU())
+	}
+	p.s.SetWorkers(p.now, old)
+	p.submit(jobB, step(10, 4000))
+	p.run(1500 * time.Millisecond)
+	p.is.Equal(p.overCapacity, 0)
+}
+
+// Guards against a stale entry that takes a worker that is leaving for one that is ready.
+func TestStaleEntryDoesNotEndDraining(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	w := p.workers[0]
+	old := w.info
+	w.info.State = cuminstair.WorkerLeaving
+	w.info.Version++
+	p.relist(w)
+	p.s.SetWorkers(p.now, []cuminstair.WorkerInfo{old})
+	p.submit(jobA, step(1, 1000))
+	p.run(500 * time.Millisecond)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 0)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -187,6 +187,8 @@
 
 func (s *Service) updateWorker(now time.Time, w *worker, info cuminstair.WorkerInfo) {
 	switch {
+	case info.Version < w.info.Version:
+		return // the entry is from a stale read
 	case info.Incarnation < w.info.Incarnation && info.Incarnation != 0:
 		return // the entry is of an earlier incarnation
 	case info.Incarnation > w.info.Incarnation && w.info.Incarnation != 0:
