Park jobs that take down the workers that start them

Three losses in a row within a minute of the start park it now; an operator can release it. A job that had run for longer is not counted, since workers are lost now and then.

TestJobThatTakesWorkersDownIsParked failed before (queued for ever); the test beside it keeps long jobs from being parked.

--- a/job/job.go
+++ b/job/job.go
@@ -55,6 +55,7 @@
 	Task    string           `json:"task,omitempty"`   // id of the current task
 	Tries   int              `json:"tries"`            // tasks started so far
 	Failed  []string         `json:"failed,omitempty"` // workers on which it failed, except those quarantined since
+	Lost    int              `json:"lost,omitempty"`   // workers lost one after the other soon after they had started it
 	Why     string           `json:"why,omitempty"`    // explanation of the last change
 }
 
@@ -75,6 +76,9 @@
 	// parkAfter is the number of workers on which a job fails before it is parked. Failures on a worker no longer count
 	// once it is quarantined.
 	parkAfter = 3
+	// lostSoon is how long a task may have run on a worker that is lost for the job to be the possible cause. A job is
+	// parked after parkAfter such losses one after the other.
+	lostSoon = time.Minute
 	// quarantineAfter is the number of jobs that fail on a worker and later run longer on another before the worker is
 	// quarantined.
 	quarantineAfter = 3
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -371,3 +371,49 @@
 		w.is.True(j.Worker != name)
 	}
 }
+
+// Guards against a job that takes down each worker that starts it and is started again for ever: a lost worker is not a
+// failure of the job.
+func TestJobThatTakesWorkersDownIsParked(t *testing.T) {
+	const workers = 10
+	w := newWorld(t, workers)
+	w.classes["j"], w.classes["k"] = kind{cores: 1}, kind{cores: 1}
+	lost := map[string]bool{}
+	w.submit(1, job.Job{ID: "j", Class: "j", Cores: 20, Memory: 1e9})
+	for range workers * 100 {
+		w.run(time.Second)
+		for _, r := range w.tasks {
+			if r.task.Job != "j-0" || w.unreachable[r.task.Worker] {
+				continue
+			}
+			lost[r.task.Worker], w.unreachable[r.task.Worker] = true, true
+			w.s.MarkWorkerLost(r.task.Worker)
+			w.after(job.Lease, func() { w.end(r) })
+		}
+	}
+	j, _ := w.s.Job("j-0")
+	w.is.Equal(j.State, job.Parked)
+	w.is.Equal(len(lost), 3)
+	w.s.Release("j-0") // an operator may try again
+	w.run(2 * time.Second)
+	j, _ = w.s.Job("j-0")
+	w.is.Equal(j.State, job.Running)
+}
+
+// Guards against parking a job that has run for long on each worker that was lost.
+func TestLongJobOnLostWorkersIsNotParked(t *testing.T) {
+	w := newWorld(t, 6)
+	w.classes["j"] = kind{cores: 1}
+	w.submit(1, job.Job{ID: "j", Class: "j", Cores: 20, Memory: 1e9})
+	for range 4 {
+		w.run(5 * time.Minute)
+		for _, r := range w.tasks {
+			w.unreachable[r.task.Worker] = true
+			w.s.MarkWorkerLost(r.task.Worker)
+			w.after(job.Lease/2, func() { w.end(r) }) // the lease may have been renewed before the loss
+		}
+		w.run(2 * time.Minute)
+	}
+	j, _ := w.s.Job("j-0")
+	w.is.Equal(j.State, job.Running)
+}
--- a/job/renew.go
+++ b/job/renew.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -85,7 +86,7 @@
 		switch {
 		case t.released:
 		case now.Sub(t.renewed) >= Lease+leaseSlack:
-			s.requeue(t, "its worker is lost")
+			s.requeueLost(t)
 		case t.worker.lost || t.unreported:
 			remaining = append(remaining, t)
 		default: // the worker is back in service, or the task was reported again
@@ -96,6 +97,25 @@
 	s.expiring = remaining
 }
 
+// requeueLost queues the job of a lost worker again, or parks it if it may be the cause of several such losses.
+func (s *Scheduler) requeueLost(t *task) {
+	e := t.job
+	if t.lastReport.Sub(t.requested) > lostSoon {
+		e.Lost = 0
+	} else {
+		e.Lost++
+	}
+	if e.Lost < parkAfter {
+		s.requeue(t, "its worker is lost")
+		return
+	}
+	s.release(t)
+	if s.step(e, "lose", "its worker is lost") {
+		// As after failures, the state is set without step: the job is in no queue.
+		e.State, e.Why = Parked, fmt.Sprintf("%d workers were lost soon after they had started it, last %s", e.Lost, t.worker.Name)
+	}
+}
+
 // CordonWorker stops the placement of new tasks on a worker. Tasks that already run there continue.
 func (s *Scheduler) CordonWorker(name string) {
 	w, ok := s.workers.all[name]
--- a/job/report.go
+++ b/job/report.go
@@ -143,6 +143,7 @@
 // Release queues a parked job again.
 func (s *Scheduler) Release(id string) {
 	if e, ok := s.jobs[id]; ok && e.State == Parked && s.step(e, "release", "released") {
+		e.Lost = 0
 		s.enqueue(e)
 	}
 }
