--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -18,14 +18,18 @@
 
 // Parameters of the handling of crashes.
 const (
-	// startWindow is how old a run may have been when its worker last answered for the crash to be blamed on its start.
-	startWindow = 50 * time.Millisecond
+	// startWindow is how long before the last answer of a worker a start may have been answered for the crash to be blamed
+	// on it.
+	startWindow = 20 * time.Millisecond
+	// startSpacing is the pause between two starts on a worker while their queue is at risk, so that a crash has one
+	// suspect.
+	startSpacing = 30 * time.Millisecond
 	// crashLimit is the number of crashes after which a task is given up if no other run can have caused one of them.
 	crashLimit = 2
 	// maxCrashes is the number of crashes after which a task is given up in any case.
 	maxCrashes = 4
-	// riskTime is how long the short tasks of a queue avoid workers with long-running tasks after one of its tasks was given
-	// up.
+	// riskTime is how long a queue is at risk after one of its tasks was given up. Its short tasks start one at a time on
+	// each worker meanwhile, and avoid workers with long-running tasks.
 	riskTime = 10 * time.Second
 )
 
@@ -77,9 +81,13 @@
 	return !a.answeredAt.IsZero() || a.worker.failingSince.IsZero() || a.sentAt.Before(a.worker.failingSince)
 }
 
-// early reports whether a run may have crashed its worker by its start.
+// early reports whether a run may have crashed its worker by its start: this was not answered, or hardly before the worker
+// stopped answering.
 func (a *attempt) early() bool {
-	return !a.adopted && a.mayHaveRun() && a.stopConfirmedAt.IsZero() && !a.sentAt.Before(a.worker.answeredAt.Add(-startWindow))
+	if a.adopted || !a.mayHaveRun() || !a.stopConfirmedAt.IsZero() {
+		return false
+	}
+	return a.answeredAt.IsZero() || !a.answeredAt.Before(a.worker.answeredAt.Add(-startWindow))
 }
 
 // taskOf returns the task of an attempt, which may be detached, or nil if the task or its job is done.
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -175,3 +175,48 @@
 	is.Equal(p.s.State(jobA), cuminstair.JobFailed)
 	is.Equal(p.starts[crashTask], maxCrashes)
 }
+
+// Guards against a crash for each second start, where the causes of several crashes are nearly certain: their tasks are
+// tried together.
+func TestCertainCausesAreTriedTogether(t *testing.T) {
+	const jobs = 6
+	p := newPool(t, 16)
+	p.crashes = func(id cuminstair.TaskID) bool { return id.Index == 0 }
+	p.run(200 * time.Millisecond)
+	ids := make([]string, jobs)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", 1000+i)
+		p.submit(ids[i], step(1, 4000))
+		p.run(200 * time.Millisecond)
+	}
+	p.run(20 * time.Second)
+	crashes := 0
+	for _, id := range ids {
+		p.is.Equal(p.s.State(id), cuminstair.JobFailed)
+		crashes += p.crashCount[cuminstair.TaskID{Job: id}]
+	}
+	p.is.True(crashes < 2*jobs)
+}
+
+// Guards against crashes with several suspects while a queue is known to have tasks that crash their workers: its tasks
+// start one at a time on each worker.
+func TestTasksOfAQueueAtRiskStartOneByOne(t *testing.T) {
+	p := newPool(t, 8)
+	p.crashes = crashesWorkers
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(3, 2000))
+	p.run(12 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	p.submit(jobB, step(20, 2000))
+	for range 50 {
+		before := len(p.orders)
+		p.run(tick)
+		starts := map[string]int{}
+		for _, o := range p.orders[before:] {
+			starts[o.Worker.ID]++
+			p.is.Equal(starts[o.Worker.ID], 1)
+		}
+	}
+	p.run(2 * time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -71,6 +71,7 @@
 	}
 	s.listCandidates(now)
 	s.unplacedMoves = 0
+	s.changed = s.changed || s.spaced
 	s.evacuate(now)
 	if !s.stopping {
 		s.placeAll(now)
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -89,7 +89,7 @@
 	if s.anyRisk(now) {
 		d.LongRunning = max(d.LongRunning, float64(d.Pinned)*d.Cores) // short tasks need hosts of their own
 	}
-	d.Pinned += s.unplaced + min(s.unplacedMoves, maxConcurrentMoves) + min(s.waitingTrials, minTrials)
+	d.Pinned += s.unplaced + min(s.unplacedMoves, maxConcurrentMoves) + min(s.waitingTrials, s.trialLimit())
 	sort.Slice(idle, func(i, j int) bool {
 		if !idle[i].idleSince.Equal(idle[j].idleSince) {
 			return idle[i].idleSince.Before(idle[j].idleSince)
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -15,7 +15,7 @@
 	if !s.changed {
 		return
 	}
-	s.changed = false
+	s.changed, s.spaced = false, false
 	s.unplaced, s.unplacedCores, s.waitingTrials = 0, 0, 0
 	settled := s.inheritedResolved()
 	if !settled {
@@ -291,6 +291,10 @@
 		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w, near) {
 			continue
 		}
+		if risky && !t.needsTrial() && s.now.Sub(w.riskyStart) < startSpacing {
+			s.spaced = true
+			continue
+		}
 		c := place.Candidate{
 			Free: w.free(), Total: w.total, Slowdown: max(1, w.slowdown), LongRunning: w.longRunning, SameStep: near.workers[w],
 			MaintenanceDue: w.vacating, SameRack: near.racks[w.info.Rack],
@@ -328,6 +332,9 @@
 	}
 	t.attempt = a
 	w.add(a)
+	if s.atRisk(now, j.queue.Name) {
+		w.riskyStart = now
+	}
 	if t.needsTrial() {
 		s.startTrial(now, a)
 	}
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -9,10 +9,12 @@
 
 // Parameters of trials.
 const (
-	// trialDivisor limits the workers that run trials or have crashed in one to about one in trialDivisor candidates, but
-	// not to fewer than minTrials.
+	// trialDivisor limits the workers that run trials or have crashed in one to about one in trialDivisor candidates or
+	// hosts that could be moved to the pool, but not to fewer than minTrials.
 	trialDivisor = 8
 	minTrials    = 2
+	// trialTime is how long a trial lasts at least.
+	trialTime = 50 * time.Millisecond
 	// trialPatience is how long a trial waits for a worker without long-running tasks, and primePatience that of a prime
 	// suspect.
 	trialPatience = 3 * time.Second
@@ -36,13 +38,13 @@
 // lastsUntilEnd reports whether a trial of the task lasts until its run ends.
 func (t *task) lastsUntilEnd() bool { return len(t.crashes) >= crashLimit && !t.step.LongRunning }
 
-// endTrials ends the trials on a worker whose runs were still listed after startWindow.
+// endTrials ends the trials on a worker whose runs are still listed after trialTime.
 func (s *Service) endTrials(now time.Time, w *worker, running map[cuminstair.TaskID]int64) {
 	if w.trials == 0 {
 		return
 	}
 	for _, a := range w.attempts {
-		if !a.trial || a.passed || running[a.id] != a.run || now.Sub(a.sentAt) < startWindow {
+		if !a.trial || a.passed || running[a.id] != a.run || now.Sub(a.sentAt) < trialTime {
 			continue
 		}
 		if t := s.taskOf(a); t == nil || !t.lastsUntilEnd() {
@@ -95,10 +97,15 @@
 // trialAllowed reports whether another worker may be used for a trial of a task. Trials of prime suspects, which
 // probably crash their worker, use half of the workers for trials.
 func (s *Service) trialAllowed(t *task) bool {
-	limit := max(minTrials, len(s.candidates)/trialDivisor)
+	limit := s.trialLimit()
 	return s.trials < limit && (!t.prime() || s.primeTrials < max(1, limit/2))
 }
 
+// trialLimit returns how many workers may be used for trials.
+func (s *Service) trialLimit() int {
+	return max(minTrials, max(len(s.candidates), s.available)/trialDivisor)
+}
+
 // countTrials counts the workers that run a trial, are reserved for one, or have crashed in one and are not back.
 func (s *Service) countTrials() {
 	s.trials, s.primeTrials = 0, 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -49,6 +49,7 @@
 	reservedFor   *task     // only this task may be placed on it; nil: any
 	reservedUntil time.Time // when the reservation ends unless it is renewed
 
+	riskyStart    time.Time // last start of a task whose queue is at risk
 	trials        int       // runs whose start may crash the worker, which gets no other tasks meanwhile
 	trialAt       time.Time // when the last trial was started
 	primeTrial    bool      // the last trial was of prime suspects
