Count only crashes of workers that had the task, and take the last start on a silent host for no certain cause

Cause, by the logs: a rack went dark while jobs ran on it; their tasks were tried on another worker that had just gone dark too and never answered the start, and this counted as their second crash, so that the jobs were given up. The last start on each dark worker counted as the only suspect, although it had been made a second and a half before.

Change: a crash counts towards giving up only if the worker had answered the start or listed the run; a start is the certain cause only if the failure was noticed within 100 ms of it. The soak of the stand-ins now has tasks that crash their workers and workers that shrink and grow, with the two limits checked.

Evidence: TestUnansweredStartIsNoCrash fails without the condition.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -24,6 +24,9 @@
 	// startSpacing is the pause between two starts on a worker while their queue is at risk, so that a crash has one
 	// suspect.
 	startSpacing = 30 * time.Millisecond
+	// crashNotice is how long after a start a failed call may show that the worker has crashed for the cause to be certain. A
+	// host that goes silent is noticed much later, so that its last start proves nothing.
+	crashNotice = 100 * time.Millisecond
 	// crashLimit is the number of crashes after which a task is given up if no other run can have caused one of them.
 	crashLimit = 2
 	// maxCrashes is the number of crashes after which a task is given up in any case.
@@ -38,6 +41,7 @@
 	Run       int64  `json:"r"`
 	Worker    string `json:"w"`
 	Confirmed bool   `json:"c,omitempty"` // the worker has crashed; otherwise it just does not answer
+	Started   bool   `json:"s,omitempty"` // the worker had the run; otherwise its start was not answered
 	Early     bool   `json:"e,omitempty"` // soon after the start of the run
 	Alone     bool   `json:"a,omitempty"` // no other run can have caused it
 }
@@ -64,7 +68,12 @@
 
 // crashesWorkers reports whether the task is to be given up.
 func (t *task) crashesWorkers() bool {
-	n := t.confirmedCrashes()
+	n := 0
+	for _, c := range t.crashes {
+		if c.Confirmed && c.Started {
+			n++
+		}
+	}
 	if n < crashLimit {
 		return false
 	}
@@ -90,6 +99,14 @@
 	return a.answeredAt.IsZero() || !a.answeredAt.Before(a.worker.answeredAt.Add(-startWindow))
 }
 
+// beganAt returns when a run began as far as this owner knows.
+func (a *attempt) beganAt() time.Time {
+	if a.answeredAt.IsZero() {
+		return a.sentAt
+	}
+	return a.answeredAt
+}
+
 // taskOf returns the task of an attempt, which may be detached, or nil if the task or its job is done.
 func (s *Service) taskOf(a *attempt) *task {
 	j := s.jobs[a.id.Job]
@@ -120,7 +137,8 @@
 		if t == nil {
 			continue
 		}
-		s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Early: true, Alone: len(list) == 1})
+		alone := len(list) == 1 && now.Sub(a.beganAt()) <= crashNotice
+		s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Started: !a.answeredAt.IsZero(), Early: true, Alone: alone})
 		w.suspects = append(w.suspects, t)
 		w.trialFailed = w.trialFailed || a.trial
 		s.Log.Info("dispatch: task may have crashed its worker", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
@@ -206,7 +224,9 @@
 	for _, a := range w.attempts {
 		// A long-running task that has started up is not counted: workers crash now and then in its lifetime.
 		if t := s.taskOf(a); t != nil && !t.step.LongRunning && a.mayHaveRun() && !slices.Contains(hit, t) {
-			s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Confirmed: true, Alone: len(w.attempts) == 1})
+			s.addCrash(t, crash{
+				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: len(w.attempts) == 1,
+			})
 			hit = append(hit, t)
 		}
 	}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -93,6 +93,45 @@
 	p.is.True(p.runsLost <= hostCPU/2000)
 }
 
+// Guards against giving up a task under which one worker has crashed, since the start on a second one was not answered:
+// that may have crashed before it had the task.
+func TestUnansweredStartIsNoCrash(t *testing.T) {
+	p := newPool(t, 4)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 1500 * time.Millisecond }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	p.run(60 * time.Millisecond)
+	p.busy()[0].crashAt = p.now
+	for _, w := range p.workers {
+		w.dropStarts = true
+	}
+	p.run(restartTime - 500*time.Millisecond)
+	p.s.SetWorkers(p.now, p.list)
+	for range 2 {
+		before := len(p.orders)
+		for len(p.orders) == before {
+			p.run(tick)
+			if p.now.Sub(begin) > time.Minute {
+				t.Fatal("the task is not started again")
+			}
+		}
+		w := p.worker(p.orders[before].Worker.ID)
+		w.dropStarts, w.crashAt = true, p.now
+		for _, x := range p.workers {
+			x.dropStarts = true
+		}
+		p.run(restartTime + 500*time.Millisecond)
+		for _, x := range p.workers {
+			x.dropStarts = true
+		}
+	}
+	for _, w := range p.workers {
+		w.dropStarts = false
+	}
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
+
 // Guards against taking the runs that were started last for the cause of each crash: a task may crash its worker in the
 // middle of its run.
 func TestTaskThatCrashesWorkersLateIsGivenUp(t *testing.T) {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -14,10 +14,17 @@
 
 // Capacity of a host, and times of the simulated platform.
 const (
-	hostCPU     = 32000                  // thousandths of a core
-	runInterval = 5 * time.Millisecond   // between two checks for runs that have ended
-	upkeepTime  = 300 * time.Millisecond // how long a host is down for upkeep
-	moveTime    = 200 * time.Millisecond // how long a host is down while it moves to another pool
+	hostCPU     = 32000                   // thousandths of a core
+	runInterval = 5 * time.Millisecond    // between two checks for runs that have ended
+	upkeepTime  = 300 * time.Millisecond  // how long a host is down for upkeep
+	moveTime    = 200 * time.Millisecond  // how long a host is down while it moves to another pool
+	crashDelay  = 10 * time.Millisecond   // from the start of a task that crashes its worker to the crash
+	crashTime   = 1500 * time.Millisecond // how long a host is down after such a crash
+	// resizeGrace is how long starts may exceed a capacity that has shrunk.
+	resizeGrace = 4500 * time.Millisecond
+	// Limits of tasks that crash their workers: after crashLimit crashes, startLimit further starts are too many.
+	crashLimit = 3
+	startLimit = 3
 	// SparePool is the pool of the hosts that run no worker.
 	SparePool = "spare"
 )
@@ -26,6 +33,8 @@
 type Task struct {
 	CPU    int           // of each task, in thousandths of a core
 	Length time.Duration // run time; 0: runs until it is stopped
+	// Crashes is set if a task crashes each worker that starts it: the task with index 0 of step 0.
+	Crashes bool
 }
 
 // host is a host of the simulated platform.
@@ -51,6 +60,8 @@
 	done          map[string]bool      // by task: the daemon acknowledged the end of a run with cause "done"
 	starts        map[string]int       // by task: number of starts
 	lastStart     map[string]time.Time // by task
+	crashes       map[string]int       // by task: workers that crashed while it ran there
+	crashStarts   map[string]int       // by task that crashes its workers: starts after crashLimit crashes
 	violations    []string
 	workerCount   int // workers started so far; part of their ids
 	configVersion int
@@ -61,6 +72,7 @@
 	s := &Site{
 		Store: newStore(), ctx: ctx, hosts: map[string]*host{}, jobs: map[string]Task{}, running: map[string]int{},
 		done: map[string]bool{}, starts: map[string]int{}, lastStart: map[string]time.Time{},
+		crashes: map[string]int{}, crashStarts: map[string]int{},
 	}
 	var err error
 	if s.StoreAddr, err = s.listen(s.Store.handler()); err != nil {
@@ -249,9 +261,44 @@
 	s.running[name]++
 	s.lastStart[name] = time.Now()
 	s.starts[name]++
+	s.checkCrashes(name, t)
 	return t.CPU
 }
 
+// checkCrashes records a violation if a task that crashes its workers is started too often. s.mu is held.
+func (s *Site) checkCrashes(name string, t Task) {
+	if !t.crashesIn(name) || s.crashes[name] < crashLimit {
+		return
+	}
+	s.crashStarts[name]++
+	if s.crashStarts[name] == startLimit {
+		s.violations = append(s.violations, fmt.Sprintf("%s was started %d times after %d workers had crashed under it", name, startLimit, crashLimit))
+	}
+}
+
+// crashesIn reports whether the task with the given name crashes its workers.
+func (t Task) crashesIn(name string) bool { return t.Crashes && strings.HasSuffix(name, ".0.0.0") }
+
+// crashesWorkers reports whether a task crashes its workers.
+func (s *Site) crashesWorkers(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs[jobOf(name)].crashesIn(name)
+}
+
+// CrashedUnder returns the number of workers that crashed under one task of a job, for the task with the most.
+func (s *Site) CrashedUnder(job string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for name, n := range s.crashes {
+		if strings.HasPrefix(name, job+".") {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // doneAcked records that the daemon acknowledged the end of a run with cause "done", and a violation if the task was
 // started again after that end, which was at the time at. If the worker crashes before the acknowledgement, the task
 // may be started again.
@@ -399,6 +446,9 @@
 	}
 	h.worker, h.state = nil, "down"
 	pool := h.pool
+	for _, name := range w.tasks() {
+		s.crashes[name]++
+	}
 	s.mu.Unlock()
 	w.Kill()
 	time.AfterFunc(after, func() {
