Suspect no run of a host that goes silent

The last start on a host that goes dark is noticed a second and more later and says nothing of the cause, but its task waited for a trial. A start is suspected only if the failure was noticed within 300 ms of it; calls to a worker pause for 250 ms while ends wait to be stored, so that 100 ms missed crashes.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -24,9 +24,9 @@
 	// startSpacing is the pause between two starts on a worker while their queue is at risk, so that a crash has one
 	// suspect.
 	startSpacing = 30 * time.Millisecond
-	// crashNotice is how long after a start a failed call may show that the worker has crashed for the cause to be certain. A
-	// host that goes silent is noticed much later, so that its last start proves nothing.
-	crashNotice = 100 * time.Millisecond
+	// crashNotice is how long after a start a failed call may show that the worker has crashed for the start to be the cause.
+	// A host that goes silent is noticed much later, so that its last start proves nothing.
+	crashNotice = 300 * time.Millisecond
 	// crashLimit is the number of crashes after which a task is given up if no other run can have caused one of them.
 	crashLimit = 2
 	// maxCrashes is the number of crashes after which a task is given up in any case.
@@ -91,9 +91,9 @@
 }
 
 // early reports whether a run may have crashed its worker by its start: this was not answered, or hardly before the worker
-// stopped answering.
-func (a *attempt) early() bool {
-	if a.adopted || !a.mayHaveRun() || !a.stopConfirmedAt.IsZero() {
+// stopped answering, and the failure was noticed soon after it.
+func (a *attempt) early(now time.Time) bool {
+	if a.adopted || !a.mayHaveRun() || !a.stopConfirmedAt.IsZero() || now.Sub(a.beganAt()) > crashNotice {
 		return false
 	}
 	return a.answeredAt.IsZero() || !a.answeredAt.Before(a.worker.answeredAt.Add(-startWindow))
@@ -128,7 +128,7 @@
 	w.suspectsKnown = true
 	var list []*attempt
 	for _, a := range w.attempts {
-		if a.early() {
+		if a.early(now) {
 			list = append(list, a)
 		}
 	}
@@ -137,8 +137,7 @@
 		if t == nil {
 			continue
 		}
-		alone := len(list) == 1 && now.Sub(a.beganAt()) <= crashNotice
-		s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Started: !a.answeredAt.IsZero(), Early: true, Alone: alone})
+		s.addCrash(t, crash{Run: a.run, Worker: w.info.ID, Started: !a.answeredAt.IsZero(), Early: true, Alone: len(list) == 1})
 		w.suspects = append(w.suspects, t)
 		w.trialFailed = w.trialFailed || a.trial
 		s.Log.Info("dispatch: task may have crashed its worker", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
