Count crashes under long-running tasks until a run has lasted five seconds

By reading: a long-running task that crashes its worker while it starts up, or seconds after, was not counted unless it did so at once, and would have been started for ever. A crash counts now if the run was younger than five seconds when the worker last answered; a run that gets older clears the count. The trial of such a task waits one second, not nine, for a worker without others of its kind, since it has to be at work again within six. A reservation for a trial that has run out no longer takes a place, and suspects of a worker whose host was replaced are settled.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -31,6 +31,8 @@
 	crashLimit = 2
 	// maxCrashes is the number of crashes after which a task is given up in any case.
 	maxCrashes = 4
+	// settleTime is the age at which a run of a long-running task has proved not to crash its worker.
+	settleTime = 5 * time.Second
 	// riskTime is how long a queue is at risk after one of its tasks was given up. Its short tasks start one at a time on
 	// each worker meanwhile, and avoid workers with long-running tasks.
 	riskTime = 10 * time.Second
@@ -107,6 +109,12 @@
 	return a.answeredAt
 }
 
+// settled reports whether a run is that of a long-running task which has proved not to crash its worker. Workers crash now
+// and then in the lifetime of such a task.
+func (a *attempt) settled() bool {
+	return a.longRunning && a.worker.answeredAt.Sub(a.beganAt()) >= settleTime
+}
+
 // taskOf returns the task of an attempt, which may be detached, or nil if the task or its job is done.
 func (s *Service) taskOf(a *attempt) *task {
 	j := s.jobs[a.id.Job]
@@ -221,8 +229,7 @@
 		s.markDirty(t.step.occ.job)
 	}
 	for _, a := range w.attempts {
-		// A long-running task that has started up is not counted: workers crash now and then in its lifetime.
-		if t := s.taskOf(a); t != nil && !t.step.LongRunning && a.mayHaveRun() && !slices.Contains(hit, t) {
+		if t := s.taskOf(a); t != nil && !a.settled() && a.mayHaveRun() && !slices.Contains(hit, t) {
 			s.addCrash(t, crash{
 				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: len(w.attempts) == 1,
 			})
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -93,6 +93,25 @@
 	p.is.True(p.runsLost <= hostCPU/2000)
 }
 
+// Guards against restarting a long-running task for ever that crashes its workers while it starts up or after that.
+func TestLongRunningTaskThatCrashesWorkersLateIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{400, 1200, 3000} {
+		delay *= time.Millisecond
+		t.Run(delay.String(), func(t *testing.T) {
+			p := newPool(t, 8)
+			p.crashes, p.crashDelay = crashesWorkers, delay
+			p.run(200 * time.Millisecond)
+			p.submit(jobA, longRunning(3))
+			const other = "00000000000000cc"
+			p.submit(other, longRunning(3))
+			p.run(time.Minute)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+			p.is.True(p.crashCount[crashTask] < maxCrashes+3)
+			p.is.Equal(p.s.State(other), cuminstair.JobRunning)
+		})
+	}
+}
+
 // Guards against giving up a task under which one worker has crashed, since the start on a second one was not answered:
 // that may have crashed before it had the task.
 func TestUnansweredStartIsNoCrash(t *testing.T) {
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -25,6 +25,7 @@
 			s.workerCrashed(now, w, why)
 			s.workerGone(now, w, why)
 		case s.hostIsReplaced(w, h):
+			s.settleSuspects(now, w)
 			s.workerGone(now, w, "its host has another worker, is moving or is in maintenance")
 		}
 	}
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -15,10 +15,11 @@
 	minTrials    = 2
 	// trialTime is how long a trial lasts at least.
 	trialTime = 50 * time.Millisecond
-	// trialPatience is how long a trial waits for a worker without long-running tasks, and primePatience that of a prime
-	// suspect.
-	trialPatience = 3 * time.Second
-	primePatience = 9 * time.Second
+	// trialPatience is how long a trial waits for a worker without long-running tasks, primePatience that of a prime
+	// suspect, and longRunningPatience that of a long-running task.
+	trialPatience       = 3 * time.Second
+	primePatience       = 9 * time.Second
+	longRunningPatience = time.Second
 )
 
 // needsTrial reports whether the next start of the task is a trial: it may crash the worker. The tasks of a gang have no
@@ -35,8 +36,15 @@
 	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Early && c.Alone })
 }
 
-// lastsUntilEnd reports whether a trial of the task lasts until its run ends.
-func (t *task) lastsUntilEnd() bool { return len(t.crashes) >= crashLimit && !t.step.LongRunning }
+// trialOver reports whether the trial of a run that its worker still lists is over. That of a task which was on several
+// crashed workers lasts until the run ends or has settled.
+func (s *Service) trialOver(now time.Time, a *attempt) bool {
+	t := s.taskOf(a)
+	if t != nil && len(t.crashes) >= crashLimit && !a.settled() {
+		return false
+	}
+	return now.Sub(a.sentAt) >= trialTime
+}
 
 // endTrials ends the trials on a worker whose runs are still listed after trialTime.
 func (s *Service) endTrials(now time.Time, w *worker, running map[cuminstair.TaskID]int64) {
@@ -44,10 +52,7 @@
 		return
 	}
 	for _, a := range w.attempts {
-		if !a.trial || a.passed || running[a.id] != a.run || now.Sub(a.sentAt) < trialTime {
-			continue
-		}
-		if t := s.taskOf(a); t == nil || !t.lastsUntilEnd() {
+		if a.trial && !a.passed && running[a.id] == a.run && s.trialOver(now, a) {
 			s.passTrial(now, a)
 		}
 	}
@@ -63,9 +68,6 @@
 	}
 	s.Log.Info("dispatch: task did not crash its worker", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", a.worker.info.ID, "age", now.Sub(a.sentAt).Round(time.Millisecond).String())
-	if t.step.LongRunning {
-		t.crashes = nil
-	}
 	for i := range t.crashes {
 		t.crashes[i].Early = false
 	}
@@ -110,7 +112,7 @@
 func (s *Service) countTrials() {
 	s.trials, s.primeTrials = 0, 0
 	for _, w := range s.workers {
-		reserved := w.reservedFor != nil && w.reservedFor.needsTrial()
+		reserved := w.reservedFor != nil && s.now.Before(w.reservedUntil) && w.reservedFor.needsTrial()
 		inTrial := w.trials > 0 || w.trialFailed
 		switch {
 		case w.gone:
@@ -140,6 +142,17 @@
 	w.trials++
 }
 
+// trialPatience returns how long a trial of the task waits for a worker without long-running tasks.
+func (t *task) trialPatience() time.Duration {
+	switch {
+	case t.step.LongRunning:
+		return longRunningPatience
+	case t.prime():
+		return primePatience
+	}
+	return trialPatience
+}
+
 // reserveForTrial reserves the worker with the fewest runs for a trial, one without long-running tasks if possible.
 func (s *Service) reserveForTrial(now time.Time, st *step, t *task, near neighbours) {
 	s.waitingTrials++
@@ -154,11 +167,7 @@
 	if t.trialSince.IsZero() {
 		t.trialSince = now
 	}
-	patience := trialPatience
-	if t.prime() {
-		patience = primePatience
-	}
-	anywhere := now.Sub(t.trialSince) > patience
+	anywhere := now.Sub(t.trialSince) > t.trialPatience()
 	var best *worker
 	for _, w := range s.candidates {
 		pinned := w.longRunning+w.bestEffort > 0
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -362,6 +362,9 @@
 		a.task.checkpoint = t.Checkpoint
 	}
 	a.task.step.markStarted()
+	if len(a.task.crashes) > 0 && a.settled() {
+		a.task.crashes = nil
+	}
 	if a.task.step.LongRunning && t.Percent >= 100 && a.stopSentAt.IsZero() {
 		a.task.awaySince, a.task.plannedMove = time.Time{}, false
 	}
