--- a/jobs.go
+++ b/jobs.go
@@ -1,6 +1,10 @@
 package cuminstair
 
-import "time"
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
 
 // TaskID names one task of a job.
 type TaskID struct {
@@ -75,6 +79,37 @@
 	Decision, PerWorker, Validity time.Duration
 }
 
+// plainQueue is a WorkQueue without its methods.
+type plainQueue WorkQueue
+
+// encodedQueue is a WorkQueue in records and in calls between daemons.
+type encodedQueue struct {
+	plainQueue
+	Stretch float64 // TargetFactor, as earlier versions call it
+}
+
+// MarshalJSON implements json.Marshaler.
+func (q WorkQueue) MarshalJSON() ([]byte, error) {
+	data, err := json.Marshal(encodedQueue{plainQueue(q), q.TargetFactor})
+	if err != nil {
+		return nil, fmt.Errorf("encode queue %s: %w", q.Name, err)
+	}
+	return data, nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (q *WorkQueue) UnmarshalJSON(data []byte) error {
+	var e encodedQueue
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("decode queue: %w", err)
+	}
+	*q = WorkQueue(e.plainQueue)
+	if q.TargetFactor == 0 {
+		q.TargetFactor = e.Stretch
+	}
+	return nil
+}
+
 // WorkPool is the configuration of a service on the job path: a pool of workers.
 type WorkPool struct {
 	Name    string
