Mend a deadlock of the stand-in site, which the soak found

The tasks under a crash are counted after the worker has been killed, with one lock at a time. The product is not concerned.

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -446,11 +446,13 @@
 	}
 	h.worker, h.state = nil, "down"
 	pool := h.pool
-	for _, name := range w.tasks() {
+	s.mu.Unlock()
+	tasks := w.Kill()
+	s.mu.Lock()
+	for _, name := range tasks {
 		s.crashes[name]++
 	}
 	s.mu.Unlock()
-	w.Kill()
 	time.AfterFunc(after, func() {
 		s.Store.Remove("servers", "", w.ID)
 		s.mu.Lock()
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -49,22 +49,17 @@
 	newEnd   chan struct{} // closed and replaced when a run ends
 }
 
-// Kill ends the worker and all runs on it.
-func (w *Worker) Kill() {
+// Kill ends the worker and all runs on it, and returns the names of their tasks.
+func (w *Worker) Kill() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dead = true
-	for name := range w.runs {
+	tasks := slices.Collect(maps.Keys(w.runs))
+	for _, name := range tasks {
 		w.site.runEnded(name)
 	}
 	w.runs = map[string]*run{}
-}
-
-// tasks returns the names of the tasks that run.
-func (w *Worker) tasks() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Collect(maps.Keys(w.runs))
+	return tasks
 }
 
 // Resize changes the capacity of the worker, which its entry in the store shows.
