Check jobs from daemons and records as those from callers

Very large numbers from callers became negative room. A repeated job whose occurrences are all due created them all at once.

JobSpec.Validate is the one check for all three ways in; occurrences are created as long as the open ones have fewer than 8,192 tasks.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -47,6 +47,8 @@
 	refusedTTL = 20 * time.Second
 	// keepMargin is added to the retention period of finished jobs.
 	keepMargin = 30 * time.Second
+	// maxOpenTasks limits the tasks of a repeated job whose occurrences are due. It is the most that one occurrence may have.
+	maxOpenTasks = 8192
 	// runsPerToken is the size of the range of run numbers that each token has.
 	runsPerToken = 1 << 10
 )
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -123,6 +123,15 @@
 // occurrences returns how many times the steps run.
 func (j *job) occurrences() int { return max(1, j.spec.Repeats) }
 
+// tasks returns the number of tasks of one occurrence.
+func (j *job) tasks() int {
+	n := 0
+	for i := range j.spec.Steps {
+		n += j.spec.Steps[i].Count
+	}
+	return n
+}
+
 // criticalPath returns the length of the longest dependency path, where length returns the time of a step.
 func criticalPath(steps []cuminstair.JobStep, length func(i int) time.Duration) time.Duration {
 	end := make([]time.Duration, len(steps))
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -124,6 +124,9 @@
 	if jr.Spec == nil {
 		return nil, fmt.Errorf("job %s without steps: %w", id, cuminstair.ErrMalformed)
 	}
+	if err := jr.Spec.Validate(); err != nil {
+		return nil, fmt.Errorf("job %s: %w", id, err)
+	}
 	j := newJob(id, jr.Spec, jr.Queue)
 	j.firstSent, j.stored, j.inherited = time.UnixMilli(jr.Sent), true, true
 	var rr runRecord
@@ -170,7 +173,7 @@
 		}
 	}
 	for _, t := range r.Tasks {
-		if t.Step >= len(o.steps) || t.Index >= len(o.steps[t.Step].tasks) {
+		if t.Step < 0 || t.Step >= len(o.steps) || t.Index < 0 || t.Index >= len(o.steps[t.Step].tasks) {
 			continue
 		}
 		x := o.steps[t.Step].tasks[t.Index]
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -229,10 +229,11 @@
 	}
 }
 
-// createDueOccurrences creates the occurrences whose start time has come.
+// createDueOccurrences creates the occurrences whose start time has come, as long as those that are not done have fewer than
+// maxOpenTasks tasks.
 func (s *Service) createDueOccurrences(now time.Time, j *job) {
 	tail := []time.Duration(nil)
-	for j.next < j.occurrences() {
+	for j.next < j.occurrences() && len(j.runs)*j.tasks() < maxOpenTasks {
 		startAt := time.Time{}
 		if j.spec.First > 0 || j.spec.Repeats > 0 {
 			startAt = time.UnixMilli(j.spec.First).Add(time.Duration(j.next) * j.spec.Interval)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -214,6 +214,12 @@
 	if err := decodeBody(c, &q); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
+	if q.Job != nil {
+		if err := q.Job.Validate(); err != nil {
+			d.Log.Error("entry: invalid job from another daemon", "job", q.ID, "error", err)
+			return c.String(http.StatusBadRequest, err.Error())
+		}
+	}
 	r, addr := d.owner(q.Queue.Service)
 	if r == nil {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true, Owner: addr})
--- a/jobs.go
+++ b/jobs.go
@@ -45,6 +45,57 @@
 	First    int64         `json:"first,omitempty"` // due time of the first occurrence, milliseconds since 1970
 }
 
+// Limits of a job.
+const (
+	maxSteps     = 64
+	maxStepTasks = 4096                 // in one step
+	maxJobTasks  = 8192                 // in all steps together
+	maxResource  = 1_000_000_000        // of each resource that a task requests
+	maxDuration  = 365 * 24 * time.Hour // of a task, or between two occurrences
+)
+
+// Validate checks a job from outside: a caller, another daemon or a record. Error: ErrMalformed, with the invalid field.
+func (j *JobSpec) Validate() error {
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		return fmt.Errorf("steps: %d, at least 1 and at most %d: %w", len(j.Steps), maxSteps, ErrMalformed)
+	}
+	if j.Repeats < 0 || j.Interval < 0 || j.Interval > maxDuration {
+		return fmt.Errorf("repetitions or interval out of range: %w", ErrMalformed)
+	}
+	total := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i); err != nil {
+			return err
+		}
+		total += j.Steps[i].Count
+	}
+	if total > maxJobTasks {
+		return fmt.Errorf("steps: %d tasks in all, at most %d: %w", total, maxJobTasks, ErrMalformed)
+	}
+	return nil
+}
+
+// validate checks step i.
+func (s *JobStep) validate(i int) error {
+	if s.Count < 1 || s.Count > maxStepTasks {
+		return fmt.Errorf("steps[%d].count: %d, at least 1 and at most %d: %w", i, s.Count, maxStepTasks, ErrMalformed)
+	}
+	for _, n := range [...]int{s.CPU, s.Memory, s.Accel, s.PerWorker, s.MaxUnavailable} {
+		if n < 0 || n > maxResource {
+			return fmt.Errorf("steps[%d]: %d is out of range: %w", i, n, ErrMalformed)
+		}
+	}
+	if s.Estimate < 0 || s.Estimate > maxDuration || s.TailTarget < 0 || s.TailTarget > maxDuration {
+		return fmt.Errorf("steps[%d]: duration out of range: %w", i, ErrMalformed)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			return fmt.Errorf("steps[%d].after: %d is not an earlier step: %w", i, a, ErrMalformed)
+		}
+	}
+	return nil
+}
+
 // JobState is the state of a job as it is reported to callers.
 type JobState uint8
 
