Take a crash of a lone task for its doing only in a trial, and see the guards of crashes fail

Alone is now only a task that had its worker to itself as a trial.

Guards were taken out one by one. Four were not tested: the withdrawal of a suspicion, of a refused start, the time in which a failure is noticed, and workers that end as announced.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -231,7 +231,7 @@
 	for _, a := range w.attempts {
 		if t := s.taskOf(a); t != nil && !a.settled() && a.mayHaveRun() && !slices.Contains(hit, t) {
 			s.addCrash(t, crash{
-				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: len(w.attempts) == 1,
+				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: a.trial && len(w.attempts) == 1,
 			})
 			hit = append(hit, t)
 		}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -163,36 +163,111 @@
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 }
 
-// Guards against counting a worker that can't be reached for a while as crashed by the task that it started last.
+// Guards against counting a worker that can't be reached for a while as crashed by the task that it has just started.
 func TestUnreachableWorkerIsNoCrash(t *testing.T) {
 	for name, cut := range map[string]func(w *fakeWorker, on bool){
 		"silent":  func(w *fakeWorker, on bool) { w.partitioned = on },
 		"refused": func(w *fakeWorker, on bool) { w.connRefused = on },
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := newPool(t, 6)
-			p.duration = func(cuminstair.TaskID) time.Duration { return 20 * time.Second }
+			p := newPool(t, 8)
+			p.duration = func(cuminstair.TaskID) time.Duration { return 8 * time.Second }
 			p.run(200 * time.Millisecond)
 			p.submit(jobA, step(1, 2000))
 			for range 4 {
-				p.run(60 * time.Millisecond)
-				busy := p.busy()
-				for _, w := range busy {
-					cut(w, true)
-				}
-				p.run(dispatch.Lease + time.Second)
-				for _, w := range busy {
-					cut(w, false)
-				}
-				p.run(2 * time.Second)
+				w := p.nextStart()
+				cut(w, true)
+				p.run(dispatch.Lease + 200*time.Millisecond)
+				cut(w, false)
 			}
-			p.run(25 * time.Second)
+			p.run(20 * time.Second)
 			p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 			p.is.Equal(p.duplicateRuns, 0)
 		})
 	}
 }
 
+// nextStart runs the pool until a task is started, and returns its worker.
+func (p *pool) nextStart() *fakeWorker {
+	before := len(p.orders)
+	for end := p.now.Add(20 * time.Second); len(p.orders) == before; p.run(tick) {
+		if p.now.After(end) {
+			p.t.Fatal("no task is started")
+		}
+	}
+	return p.worker(p.orders[before].Worker.ID)
+}
+
+// Guards against taking the last start on a host that has gone silent for the cause: it was made long before, but the
+// worker had no reason to answer a call since.
+func TestLastStartOnASilentHostIsNoSuspect(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 6 * time.Second }
+	p.run(200 * time.Millisecond)
+	other := step(8, 4000)
+	other.PerWorker = 4
+	p.submit(jobB, other) // both workers run something else
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	w := p.nextStart()
+	w.hangs = true
+	p.run(800 * time.Millisecond)
+	w.hangs, w.crashed, w.replaced = false, true, true
+	p.run(500 * time.Millisecond)
+	p.is.Equal(p.running(), 1) // started again beside the tasks of job B
+}
+
+// Guards against counting a start that was refused after another call had shown that the worker is gone.
+func TestRefusedStartIsWithdrawn(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	p.writeBatch()
+	orders := p.s.Decide(p.now, p.now)
+	p.is.Equal(orders[0].Kind, dispatch.OrderStart)
+	p.storeDown = true // a crash would have to be stored before the next start
+	refused := fmt.Errorf("%w: %w", cuminstair.ErrNotDone, cuminstair.ErrConnRefused)
+	p.now = p.now.Add(time.Millisecond)
+	p.s.Renewed(p.now, p.now, orders[0].Worker.ID, cuminstair.WorkerReport{}, refused)
+	p.s.Started(p.now, orders[0], 0, refused)
+	p.worker(orders[0].Worker.ID).connRefused = true
+	p.run(200 * time.Millisecond)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
+}
+
+// Guards against giving up a long-running task that was alone on workers which crashed for another reason.
+func TestLoneTaskOnCrashedWorkersIsStartedAgain(t *testing.T) {
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	for range 2 {
+		w := p.nextStart()
+		p.run(2 * time.Second)
+		w.crashAt = p.now
+	}
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobRunning)
+	p.is.Equal(p.running(), 1)
+}
+
+// Guards against giving up a task that was on workers which ended as they had announced.
+func TestEndOfALeavingWorkerIsNoCrash(t *testing.T) {
+	p := newPool(t, 4)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 1500 * time.Millisecond }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	for range 3 {
+		w := p.nextStart()
+		w.info.State = cuminstair.WorkerLeaving
+		p.relist(w)
+		p.run(300 * time.Millisecond)
+		w.crashAt = p.now
+		p.run(restartTime - 200*time.Millisecond)
+	}
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
+
 // Guards against retrying a task on which workers crash before the crash is stored, so that a takeover would lose it.
 func TestCrashIsStoredBeforeTheNextStart(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -52,9 +52,11 @@
 	connRefused  bool      // its address refuses connections
 	crashAt      time.Time // when a task that it has started crashes it; zero: never
 	crashedBy    cuminstair.TaskID
-	backAt       time.Time     // when another worker appears at its address after the crash; zero: never
-	replaced     bool          // another worker answers at its address
-	startDelay   time.Duration // starts are not answered, and executed after this time
+	backAt       time.Time        // when another worker appears at its address after the crash; zero: never
+	replaced     bool             // another worker answers at its address
+	hangs        bool             // calls fail only once it is reset
+	hanging      []dispatch.Order // these calls
+	startDelay   time.Duration    // starts are not answered, and executed after this time
 	delayed      []delayedStart
 	stopDuration time.Duration // time that a stop takes
 }
@@ -153,6 +155,7 @@
 func (p *pool) run(d time.Duration) {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(tick) {
 		p.crashWorkers()
+		p.failHanging()
 		p.endRuns()
 		p.confirmedAt = p.now.Add(-confirmationAge)
 		for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, p.confirmedAt)...) {
@@ -199,6 +202,17 @@
 	}
 }
 
+// failHanging fails the calls that have waited for workers which hang no more.
+func (p *pool) failHanging() {
+	for _, w := range p.workers {
+		for !w.hangs && len(w.hanging) > 0 {
+			o := w.hanging[0]
+			w.hanging = w.hanging[1:]
+			p.deliver(o, cuminstair.ErrUncertain, nil)
+		}
+	}
+}
+
 // unlist removes a worker from the list of workers.
 func (p *pool) unlist(id string) {
 	p.list = slices.DeleteFunc(p.list, func(info cuminstair.WorkerInfo) bool { return info.ID == id })
@@ -272,6 +286,10 @@
 		p.deliver(o, cuminstair.ErrFenced, nil)
 		return
 	}
+	if w != nil && w.hangs {
+		w.hanging = append(w.hanging, o)
+		return
+	}
 	if w != nil && w.replaced {
 		p.deliver(o, cuminstair.ErrOtherIncarnation, nil)
 		return
