--- a/dispatch/hosts_test.go
+++ b/dispatch/hosts_test.go
@@ -11,6 +11,13 @@
 func hostedPool(t *testing.T) (*pool, *fakeWorker) {
 	t.Helper()
 	p := newPool(t, 4)
+	p.startOnHosts()
+	p.is.Equal(len(p.busy()), 1)
+	return p, p.busy()[0]
+}
+
+// startOnHosts gives the workers hosts and starts a long-running task of job A.
+func (p *pool) startOnHosts() {
 	for i, w := range p.workers {
 		w.info.Host = "h" + w.info.ID
 		p.list[i] = w.info
@@ -19,8 +26,6 @@
 	p.run(200 * time.Millisecond)
 	p.submit(jobA, longRunning(1))
 	p.run(2 * time.Second)
-	p.is.Equal(len(p.busy()), 1)
-	return p, p.busy()[0]
 }
 
 // hostsIn returns records of the hosts of all workers, of which one has the given phase and the others are up.
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -465,14 +465,7 @@
 // its host was moved to another pool, and the list of workers shows it still.
 func TestTakeoverDoesNotWaitForMovedHosts(t *testing.T) {
 	p := newPool(t, 2)
-	for i, w := range p.workers {
-		w.info.Host = "h" + w.info.ID
-		p.list[i] = w.info
-	}
-	p.s.SetWorkers(p.now, p.list)
-	p.run(200 * time.Millisecond)
-	p.submit(jobA, longRunning(1))
-	p.run(2 * time.Second)
+	p.startOnHosts()
 	for _, w := range p.workers {
 		if len(w.runs) > 0 {
 			w.connRefused = true
