--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -86,7 +86,7 @@
 	unplaced        int                  // waiting long-running tasks for which the last placement found no worker
 	unplacedCores   float64              // cores that these need
 	trials          int                  // see countTrials; updated by each placement
-	primeTrials     int                  // trials of prime suspects among them
+	soleTrials      int                  // trials of sole suspects among them
 	riskUntil       map[string]time.Time // by queue: until when its tasks count as likely to crash their workers
 	waitingTrials   int                  // tasks for whose trial the last placement found no worker
 	unplacedMoves   int                  // long-running tasks to be moved for which the last decision found no worker
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -15,10 +15,10 @@
 	minTrials    = 2
 	// trialTime is how long a trial lasts at least.
 	trialTime = 50 * time.Millisecond
-	// trialPatience is how long a trial waits for a worker without long-running tasks, primePatience that of a prime
+	// trialPatience is how long a trial waits for a worker without long-running tasks, solePatience that of a sole
 	// suspect, and longRunningPatience that of a long-running task.
 	trialPatience       = 3 * time.Second
-	primePatience       = 9 * time.Second
+	solePatience        = 9 * time.Second
 	longRunningPatience = time.Second
 )
 
@@ -31,8 +31,8 @@
 	return len(t.crashes) >= crashLimit || slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Early })
 }
 
-// prime reports whether the task was the only suspect of a crash.
-func (t *task) prime() bool {
+// soleSuspect reports whether the task was the only suspect of a crash.
+func (t *task) soleSuspect() bool {
 	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Early && c.Alone })
 }
 
@@ -79,7 +79,7 @@
 	reserved := w.reservedFor == t
 	switch {
 	case w.trials > 0:
-		return w.trialAt.Equal(s.now) && w.primeTrial && t.needsTrial() && t.prime()
+		return w.trialAt.Equal(s.now) && w.soleTrial && t.needsTrial() && t.soleSuspect()
 	case w.reservedFor != nil && !reserved:
 		return false
 	case !t.needsTrial():
@@ -96,11 +96,11 @@
 	return true
 }
 
-// trialAllowed reports whether another worker may be used for a trial of a task. Trials of prime suspects, which
+// trialAllowed reports whether another worker may be used for a trial of a task. Trials of sole suspects, which
 // probably crash their worker, use half of the workers for trials.
 func (s *Service) trialAllowed(t *task) bool {
 	limit := s.trialLimit()
-	return s.trials < limit && (!t.prime() || s.primeTrials < max(1, limit/2))
+	return s.trials < limit && (!t.soleSuspect() || s.soleTrials < max(1, limit/2))
 }
 
 // trialLimit returns how many workers may be used for trials.
@@ -110,25 +110,25 @@
 
 // countTrials counts the workers that run a trial, are reserved for one, or have crashed in one and are not back.
 func (s *Service) countTrials() {
-	s.trials, s.primeTrials = 0, 0
+	s.trials, s.soleTrials = 0, 0
 	for _, w := range s.workers {
 		reserved := w.reservedFor != nil && s.now.Before(w.reservedUntil) && w.reservedFor.needsTrial()
 		inTrial := w.trials > 0 || w.trialFailed
 		switch {
 		case w.gone:
 		case reserved:
-			s.addTrial(w.reservedFor.prime())
+			s.addTrial(w.reservedFor.soleSuspect())
 		case inTrial:
-			s.addTrial(w.primeTrial)
+			s.addTrial(w.soleTrial)
 		}
 	}
 }
 
 // addTrial counts a worker as used for a trial.
-func (s *Service) addTrial(prime bool) {
+func (s *Service) addTrial(sole bool) {
 	s.trials++
-	if prime {
-		s.primeTrials++
+	if sole {
+		s.soleTrials++
 	}
 }
 
@@ -136,9 +136,9 @@
 func (s *Service) startTrial(now time.Time, a *attempt) {
 	w, t := a.worker, a.task
 	if w.trials == 0 && w.reservedFor != t {
-		s.addTrial(t.prime())
+		s.addTrial(t.soleSuspect())
 	}
-	a.trial, w.trialAt, w.primeTrial, t.trialSince = true, now, t.prime(), time.Time{}
+	a.trial, w.trialAt, w.soleTrial, t.trialSince = true, now, t.soleSuspect(), time.Time{}
 	w.trials++
 }
 
@@ -147,8 +147,8 @@
 	switch {
 	case t.step.LongRunning:
 		return longRunningPatience
-	case t.prime():
-		return primePatience
+	case t.soleSuspect():
+		return solePatience
 	}
 	return trialPatience
 }
@@ -182,7 +182,7 @@
 		return
 	}
 	best.reserve(now, t)
-	s.addTrial(t.prime())
+	s.addTrial(t.soleSuspect())
 	s.Log.Info("dispatch: worker reserved for a task that may crash it", "service", s.Name, "job", t.id.Job, "step", t.id.Step, "task", t.id.Index,
 		"worker", best.info.ID, "tasks", len(best.attempts), "trials", s.trials, "workers", len(s.candidates))
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -52,7 +52,7 @@
 	riskyStart    time.Time // last start of a task whose queue is at risk
 	trials        int       // runs whose start may crash the worker, which gets no other tasks meanwhile
 	trialAt       time.Time // when the last trial was started
-	primeTrial    bool      // the last trial was of prime suspects
+	soleTrial     bool      // the last trial was of sole suspects
 	trialFailed   bool      // it stopped answering in a trial
 	suspects      []*task   // tasks that may have crashed it
 	suspectsKnown bool      // suspects has been set since it last answered
