Count settled long-running tasks as no suspects of a crash, and break open calls of the stand-in's dead workers

A run that has settled is no suspect. An open call to a dead worker of the stand-in breaks off. TestTrialBesideSettledTasksIsCertain fails without the change in the product (no third crash is the last).

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -115,6 +115,17 @@
 	return a.longRunning && a.worker.answeredAt.Sub(a.beganAt()) >= settleTime
 }
 
+// unsettledRuns returns the number of runs that may crash the worker.
+func (w *worker) unsettledRuns() int {
+	n := 0
+	for _, a := range w.attempts {
+		if !a.settled() {
+			n++
+		}
+	}
+	return n
+}
+
 // taskOf returns the task of an attempt, which may be detached, or nil if the task or its job is done.
 func (s *Service) taskOf(a *attempt) *task {
 	j := s.jobs[a.id.Job]
@@ -228,10 +239,11 @@
 		}
 		s.markDirty(t.step.occ.job)
 	}
+	unsettled := w.unsettledRuns()
 	for _, a := range w.attempts {
 		if t := s.taskOf(a); t != nil && !a.settled() && a.mayHaveRun() && !slices.Contains(hit, t) {
 			s.addCrash(t, crash{
-				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: a.trial && len(w.attempts) == 1,
+				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: a.trial && unsettled == 1,
 			})
 			hit = append(hit, t)
 		}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+// Guards against crashes without a certain cause where each worker has long-running tasks: these have proved not to crash
+// their workers.
+func TestTrialBesideSettledTasksIsCertain(t *testing.T) {
+	p := newPool(t, 3)
+	p.crashes, p.crashDelay = crashesWorkers, 400*time.Millisecond
+	p.run(200 * time.Millisecond)
+	const long = "00000000000000cc"
+	st := longRunning(3)
+	st.PerWorker = 1
+	p.submit(long, st)
+	p.run(8 * time.Second)
+	p.submit(jobA, step(3, 2000))
+	p.run(time.Minute)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	p.is.Equal(p.s.State(long), cuminstair.JobRunning)
+	p.is.Equal(p.crashCount[crashTask], maxCrashes+1)
+}
+
 // Guards against losing the runs of other tasks again and again, when a task that crashes its workers is placed among
 // them each time.
 func TestTasksBesideACrashingTaskFinish(t *testing.T) {
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -59,9 +59,17 @@
 		w.site.runEnded(name)
 	}
 	w.runs = map[string]*run{}
+	close(w.newEnd)
+	w.newEnd = make(chan struct{})
 	return tasks
 }
 
+func (w *Worker) isDead() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead
+}
+
 // Resize changes the capacity of the worker, which its entry in the store shows.
 func (w *Worker) Resize(cpu int) {
 	w.mu.Lock()
@@ -139,11 +147,8 @@
 	mux.HandleFunc("POST /api/pace", w.handle(func(workerRequest) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /api/hold", w.hold)
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		w.mu.Lock()
-		dead := w.dead
-		w.mu.Unlock()
 		switch {
-		case dead:
+		case w.isDead():
 			panic(http.ErrAbortHandler)
 		case r.Header.Get("X-Expected-Instance") != w.ID:
 			rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -278,6 +283,9 @@
 		case <-r.Context().Done():
 		}
 	}
+	if w.isDead() {
+		panic(http.ErrAbortHandler) // the connection ends with the process
+	}
 	writeJSON(rw, http.StatusOK, w.report())
 }
 
