Go on with a trial after a takeover, and start nothing on dead workers of the stand-in

The first, by the logs: a new owner found the runs of suspects and no longer knew that they were on trial, so that other tasks were placed beside them and later crashes had several suspects, which counted for the innocent too. A run that a new owner finds goes on as a trial. TestTakeoverGoesOnWithATrial fails without it (four crashes, not three).

The second is the stand-in's: a start that came in before the kill of its worker was carried out after it, on the dead worker, and its run never ended.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -84,6 +84,30 @@
 	p.is.Equal(p.crashCount[crashTask], maxCrashes+1)
 }
 
+// Guards against a new owner that places other tasks beside a run on trial, so that a crash has other suspects again.
+func TestTakeoverGoesOnWithATrial(t *testing.T) {
+	p := newPool(t, 6)
+	p.crashes, p.crashDelay = crashesWorkers, 2*time.Second
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(2))
+	for p.starts[crashTask] < 3 { // the third start is a trial until the run has settled
+		p.run(tick)
+	}
+	p.run(500 * time.Millisecond)
+	p.takeOver(200, 0)
+	p.run(200 * time.Millisecond)
+	for i := range 30 {
+		p.submit(fmt.Sprintf("%016x", 1000+i), step(4, 2000))
+		p.run(40 * time.Millisecond)
+	}
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	p.is.Equal(p.crashCount[crashTask], maxCrashes+1)
+	for i := range 30 {
+		p.is.Equal(p.s.State(fmt.Sprintf("%016x", 1000+i)), cuminstair.JobCompleted)
+	}
+}
+
 // Guards against losing the runs of other tasks again and again, when a task that crashes its workers is placed among
 // them each time.
 func TestTasksBesideACrashingTaskFinish(t *testing.T) {
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// startTrial marks a run as a trial.
+// startTrial marks a run as a trial. Only sole suspects that are started at the same time, if it is known, may join it.
 func (s *Service) startTrial(now time.Time, a *attempt) {
 	w, t := a.worker, a.task
 	if w.trials == 0 && w.reservedFor != t {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -399,6 +399,9 @@
 	w.add(a)
 	if x != nil && !x.done && !j.finished() && x.attempt == nil {
 		a.task, x.attempt, x.adopted = x, a, true
+		if x.needsTrial() {
+			s.startTrial(time.Time{}, a)
+		}
 		return a
 	}
 	s.Log.Warn("dispatch: stopping an unexpected run", "service", s.Name, "job", t.Task.Job,
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -173,6 +173,10 @@
 			return
 		}
 		w.mu.Lock()
+		if w.dead {
+			w.mu.Unlock()
+			panic(http.ErrAbortHandler) // it has been killed since the call came in
+		}
 		status, reason := http.StatusConflict, "fence"
 		if o.Token >= w.token {
 			w.token = o.Token
