Hold trials only beside long-running tasks that have settled

Traced by the log of a failing run: of three workers with a long-running task the trial took one on which that task had started 3.6 s before, so that the crash had two suspects and a fourth was needed; the choice among workers with as many runs is by chance. The test is right, the product was not: a trial where a crash would prove nothing costs a worker.

A worker with a long-running task that has not settled is left out.

--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -153,6 +153,17 @@
 	return trialPatience
 }
 
+// longRunningSettled reports whether all long-running tasks on the worker have settled, so that they are no suspects of a
+// crash.
+func (w *worker) longRunningSettled() bool {
+	for _, a := range w.attempts {
+		if a.longRunning && !a.settled() {
+			return false
+		}
+	}
+	return true
+}
+
 // reserveForTrial reserves the worker with the fewest runs for a trial, one without long-running tasks if possible.
 func (s *Service) reserveForTrial(now time.Time, st *step, t *task, near neighbours) {
 	s.waitingTrials++
@@ -170,8 +181,8 @@
 	anywhere := now.Sub(t.trialSince) > t.trialPatience()
 	var best *worker
 	for _, w := range s.candidates {
-		pinned := w.longRunning+w.bestEffort > 0
-		if w.reservedFor != nil || w.trials > 0 || pinned && !anywhere || !s.eligible(st, t, w, near) || !st.room().Fits(w.freeWithoutShort()) {
+		suits := w.longRunning+w.bestEffort == 0 || anywhere && w.longRunningSettled()
+		if !suits || w.reservedFor != nil || w.trials > 0 || !s.eligible(st, t, w, near) || !st.room().Fits(w.freeWithoutShort()) {
 			continue
 		}
 		if best == nil || len(w.attempts) < len(best.attempts) {
