Test the guards of trials, suspects and crash counts

Each test guards one condition of dispatch/crash.go and dispatch/trial.go; TestTakeoverGoesOnWithATrial ends after a minute of virtual time instead of running on when the third start does not come.

No change of the product.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -90,9 +90,10 @@
 	p.crashes, p.crashDelay = crashesWorkers, 2*time.Second
 	p.run(200 * time.Millisecond)
 	p.submit(jobA, longRunning(2))
-	for p.starts[crashTask] < 3 { // the third start is a trial until the run has settled
+	for end := p.now.Add(time.Minute); p.starts[crashTask] < 3 && p.now.Before(end); { // the third start is a trial until the run has settled
 		p.run(tick)
 	}
+	p.is.Equal(p.starts[crashTask], 3)
 	p.run(500 * time.Millisecond)
 	p.takeOver(200, 0)
 	p.run(200 * time.Millisecond)
@@ -371,3 +372,65 @@
 	p.run(2 * time.Second)
 	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
 }
+
+// Guards against tasks that may crash their workers beside long-running tasks, and against a pool without hosts for them.
+func TestTasksOfAQueueAtRiskAvoidLongRunningTasks(t *testing.T) {
+	const long = "00000000000000cc"
+	place := func(risky bool) (p *pool, beside bool) {
+		p = newPool(t, 6)
+		if risky {
+			p.crashes = crashesWorkers
+		}
+		p.run(200 * time.Millisecond)
+		p.submit(jobA, step(3, 2000))
+		p.run(12 * time.Second)
+		p.submit(long, longRunning(1))
+		p.run(2 * time.Second)
+		p.submit(jobB, step(1, 2000))
+		w := p.nextStart()
+		_, beside = w.runs[cuminstair.TaskID{Job: long}]
+		return p, beside
+	}
+	p, beside := place(false)
+	p.is.True(beside) // as best fit has it
+	d := p.s.Demand(p.now, 0, 0)
+	p.is.Equal(d.LongRunning, float64(longRunningCPU)/1000)
+
+	p, beside = place(true)
+	p.is.True(!beside)
+	d = p.s.Demand(p.now, 0, 0)
+	p.is.Equal(d.LongRunning, float64(hostCPU)/1000) // the host counts as full
+}
+
+// Guards against trials that wait for a worker which nobody asks for, where each worker has long-running tasks.
+func TestWaitingTrialsAreDemand(t *testing.T) {
+	p := newPool(t, 3)
+	p.crashes = crashesWorkers
+	p.run(200 * time.Millisecond)
+	st := longRunning(3)
+	st.PerWorker = 1
+	p.submit("00000000000000cc", st)
+	p.run(8 * time.Second)
+	p.is.Equal(p.s.Demand(p.now, 0, 0).Pinned, 3)
+	p.submit(jobA, step(3, 2000))
+	p.run(restartTime + 2*time.Second)
+	p.is.Equal(p.s.Demand(p.now, 0, 0).Pinned, 3+2)
+}
+
+// Guards against adding up the crashes in the long life of a task: a run that has lasted proves that it is not the cause.
+func TestSettledRunClearsTheCrashes(t *testing.T) {
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	for range 8 {
+		w := p.nextStart()
+		p.run(2 * time.Second)
+		w.crashAt = p.now
+		p.nextStart()
+		p.run(7 * time.Second)
+		w = p.busy()[0]
+		w.crashAt = p.now // a settled run: not counted
+	}
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobRunning)
+}
