Log on what grounds a new owner takes the runs of earlier owners for settled

The logs could not tell apart the hypotheses about a task that ran twice. Now they name, once a takeover, how many inherited workers answered, are gone or stayed silent when their runs were taken for settled; with each placement the grounds on which no run of an earlier owner can be active; each end of a task that this owner does not know, and each end by an expired lease; and each worker that leaves the list before its ends are stored. At most one line a takeover, and one for each such end or worker.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -49,6 +49,8 @@
 	keepMargin = 30 * time.Second
 	// maxOpenTasks limits the tasks of a repeated job whose occurrences are due. It is the most that one occurrence may have.
 	maxOpenTasks = 8192
+	// maxLogged is the most workers that one log line names.
+	maxLogged = 8
 	// runsPerToken is the size of the range of run numbers that each token has.
 	runsPerToken = 1 << 10
 )
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -27,6 +27,7 @@
 		t = j.task(e.Task)
 	}
 	s.recordWorkerOutcome(now, w, a, e)
+	s.logEnd(w, t, e)
 	if t != nil && !j.finished() {
 		t.run = max(t.run, e.Run)
 		s.recordTaskEnd(now, w, t, e)
@@ -37,8 +38,17 @@
 	if a != nil {
 		s.release(now, a)
 	}
-	s.Log.Debug("dispatch: run has ended", "service", s.Name, "job", e.Task.Job, "step", e.Task.Step, "task", e.Task.Index,
-		"run", e.Run, "worker", w.info.ID, "how", e.How)
+}
+
+// logEnd logs the end of a run: those of unknown tasks and those by an expired lease at the level info, others at debug.
+func (s *Service) logEnd(w *worker, t *task, e cuminstair.EndedTask) {
+	log := s.Log.Debug
+	j := s.jobs[e.Task.Job]
+	if j == nil || (t == nil && !j.finished() && e.Task.Occurrence >= j.next) || e.How == cuminstair.EndLeaseExpired {
+		log = s.Log.Info
+	}
+	log("dispatch: run has ended", "service", s.Name, "job", e.Task.Job, "step", e.Task.Step, "task", e.Task.Index,
+		"run", e.Run, "worker", w.info.ID, "how", e.How, "known", t != nil, "number", e.Seq)
 }
 
 // recordWorkerOutcome updates the failure count of a worker, and blocks it after repeated failures.
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -21,6 +21,10 @@
 	if !settled {
 		s.changed = true
 	}
+	if settled && !s.settled && len(s.inherited) > 0 {
+		s.logSettled(now)
+	}
+	s.settled = settled
 	kept := s.ready[:0]
 	for _, st := range s.ready {
 		if st.occ.job.finished() || !hasWaitingTask(st) {
@@ -214,7 +218,23 @@
 		fmt.Fprintf(&list, "%d:%d@%s ", o.Task.Index, o.Run, o.Worker.ID)
 	}
 	s.Log.Info("dispatch: tasks placed", "service", s.Name, "job", st.occ.job.id, "step", st.index,
-		"tasks", strings.TrimSpace(list.String()), "waiting", st.tasksLeft, "workers", len(s.candidates), "free", s.maxFree.CPU)
+		"tasks", strings.TrimSpace(list.String()), "waiting", st.tasksLeft, "workers", len(s.candidates), "free", s.maxFree.CPU,
+		"grounds", s.grounds(st))
+}
+
+// grounds names for the log why no run of an earlier owner of the tasks of a step may be active.
+func (s *Service) grounds(st *step) string {
+	switch {
+	case !st.occ.job.inherited:
+		return "new job"
+	case s.settled:
+		return "settled"
+	case st.followsAdopted():
+		return "follows a found task"
+	case st.copyable():
+		return "copies allowed"
+	}
+	return "found task"
 }
 
 // neighbours counts the tasks of a step by worker and rack. Both maps are nil for short steps without a limit per worker.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -91,6 +93,7 @@
 	waitingTrials   int                  // tasks for whose trial the last placement found no worker
 	unplacedMoves   int                  // long-running tasks to be moved for which the last decision found no worker
 	stopping        bool                 // see Stopping
+	settled         bool                 // the runs of earlier owners were settled at the last placement; see inheritedResolved
 	counts          Counts
 }
 
@@ -169,6 +172,27 @@
 	return true
 }
 
+// logSettled logs on what grounds the runs of earlier owners are settled.
+func (s *Service) logSettled(now time.Time) {
+	answered, gone := 0, 0
+	var silent []string
+	for id := range s.inherited {
+		w, ok := s.workers[id]
+		switch {
+		case !ok || w.gone:
+			gone++
+		case w.synced:
+			answered++
+		default:
+			silent = append(silent, id)
+		}
+	}
+	slices.Sort(silent)
+	s.Log.Info("dispatch: runs of earlier owners are settled", "service", s.Name, "token", s.Token,
+		"after", now.Sub(s.takenOverAt).Round(time.Millisecond).String(), "answered", answered, "gone", gone, "silent", len(silent),
+		"first", strings.Join(silent[:min(len(silent), maxLogged)], " "))
+}
+
 // lastLeaseExpiry returns the time from the takeover until the last lease of an earlier owner has run out.
 func (s *Service) lastLeaseExpiry() time.Duration {
 	last := s.EarlierOwnerGrace + Lease
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -181,6 +181,10 @@
 			s.settleSuspects(now, w)
 			delete(s.workers, id)
 			s.workersDirty = true
+			if w.processed > w.stored {
+				s.Log.Info("dispatch: worker has left the list before its ends were stored", "service", s.Name, "worker", id,
+					"processed", w.processed, "stored", w.stored)
+			}
 		}
 	}
 	s.maxCores = max(s.maxCores, cores)
