Record a returned worker before it gets tasks

Cause: a worker that was taken for gone is left out of the next stored record of workers, but kept its mark of being recorded. When it came back under its id it got tasks at once, and a new owner, which asks the workers of the record, did not know of it and started its tasks elsewhere. The mark was also set by the answer to a write that had another incarnation of the worker.

Now the mark holds for the identity that was written (id, address, start, host). A worker whose identity changes, or that is gone, waits for the next write before it gets tasks.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -16,8 +16,8 @@
 	states    map[*job]cuminstair.JobState // job states that the batch writes
 	changes   map[*job]int                 // by job: job.changes at the time of the batch
 	swept     []*job
-	processed map[*worker]endPosition // the task ends up to this position count as stored once the batch is stored
-	workers   []*worker
+	processed map[*worker]endPosition  // the task ends up to this position count as stored once the batch is stored
+	workers   map[*worker]workerRecord // as written; nil if the batch does not write the workers
 }
 
 // endPosition is a position in the list of task ends of one incarnation of a worker.
@@ -165,13 +165,14 @@
 
 func (s *Service) putWorkers(b *Batch) {
 	s.workersDirty = false
+	b.workers = map[*worker]workerRecord{}
 	r := workersRecord{Ratio: s.ratio, Objective: s.meanObjective.Milliseconds(), Cores: s.maxCores}
-	for id, w := range s.workers {
+	for _, w := range s.workers {
 		if w.gone && len(w.attempts) == 0 {
 			continue
 		}
-		r.Workers = append(r.Workers, workerRecord{ID: id, Addr: w.info.Addr, Born: w.info.Incarnation, Host: w.info.Host})
-		b.workers = append(b.workers, w)
+		b.workers[w] = w.identity()
+		r.Workers = append(r.Workers, b.workers[w])
 	}
 	// Encoding this type never fails.
 	data, _ := json.Marshal(r)
@@ -251,8 +252,8 @@
 			w.nextRenewal = now
 		}
 	}
-	for _, w := range b.workers {
-		if !w.recorded {
+	for w, identity := range b.workers {
+		if !w.recorded && !w.gone && w.identity() == identity {
 			w.recorded = true
 			s.changed = true
 		}
@@ -267,7 +268,7 @@
 	for j := range b.states {
 		s.markDirty(j)
 	}
-	if len(b.workers) > 0 {
+	if b.workers != nil {
 		s.workersDirty = true
 	}
 }
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -48,7 +48,7 @@
 		log = s.Log.Info
 	}
 	log("dispatch: run has ended", "service", s.Name, "job", e.Task.Job, "step", e.Task.Step, "task", e.Task.Index,
-		"run", e.Run, "worker", w.info.ID, "how", e.How, "known", t != nil, "number", e.Seq)
+		"run", e.Run, "worker", w.info.ID, "how", e.How.String(), "known", t != nil, "number", e.Seq)
 }
 
 // recordWorkerOutcome updates the failure count of a worker, and blocks it after repeated failures.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -23,7 +23,7 @@
 	mayHaveMoved  bool      // it was reported as idle for a move: no new tasks until it answers after the cordon
 	vacateUntil   time.Time // no new long-running tasks until then: its host is due for maintenance later
 	vacating      bool      // whether vacateUntil was in the future at the last decision
-	recorded      bool      // in the stored worker record, so that the next owner will contact it
+	recorded      bool      // the stored worker record has its present identity, so that the next owner will contact it
 	synced        bool      // this owner has read the lists of running and ended tasks of the present incarnation
 	gone          bool      // this incarnation has ended
 
@@ -66,6 +66,17 @@
 	return w
 }
 
+// identity is what the next owner needs to contact the worker.
+func (w *worker) identity() workerRecord {
+	return workerRecord{ID: w.info.ID, Addr: w.info.Addr, Born: w.info.Incarnation, Host: w.info.Host}
+}
+
+// recordAgain makes the worker wait for tasks until its present identity is stored.
+func (s *Service) recordAgain(w *worker) {
+	w.recorded = false
+	s.workersDirty = true
+}
+
 func (w *worker) setInfo(info cuminstair.WorkerInfo) {
 	w.info = info
 	w.total = place.Room{CPU: info.CPU, Memory: info.Memory, Accel: info.Accel}
@@ -204,7 +215,11 @@
 	if w.gone && info.Incarnation == w.info.Incarnation {
 		return
 	}
+	before := w.identity()
 	w.setInfo(info)
+	if w.identity() != before {
+		s.recordAgain(w)
+	}
 	w.listed = true
 	switch {
 	case info.State != cuminstair.WorkerLeaving:
@@ -224,6 +239,7 @@
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0
 	w.synced, w.gone, w.clock, w.lease, w.failingSince = false, false, 0, 0, time.Time{}
+	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for id, a := range w.attempts {
 		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) {
@@ -249,6 +265,7 @@
 	}
 	s.Log.Info("dispatch: worker is gone", "service", s.Name, "worker", w.info.ID, "why", why, "tasks", len(w.attempts))
 	w.gone, w.listed = true, false
+	s.recordAgain(w)
 	for _, a := range w.attempts {
 		s.attemptLost(now, a, why)
 	}
--- a/jobs.go
+++ b/jobs.go
@@ -229,6 +229,11 @@
 	EndGangIncomplete         // the other tasks of the gang did not start in time
 )
 
+var taskEnds = [...]string{"done", "failed", "stopped", "lease expired", "gang broken", "gang incomplete"}
+
+// String returns the name of the end for logs.
+func (e TaskEnd) String() string { return taskEnds[e] }
+
 // EndedTask is a run that has ended.
 type EndedTask struct {
 	Seq        int64 // position in the worker's list of ended runs; increases within one incarnation of the worker
