Keep workers with unstored ends on record, and their hosts where they are

Callers saw: work that is done a second time after an owner is lost.

Cause: a worker without runs could leave the stored record of workers, and its host could be moved or taken down, while ends that it had reported waited to be stored. If the owner was lost then, the next one did not ask the worker, or the worker was gone with the only knowledge of these ends, and the tasks were started again.

Evidence: TestWorkerStaysRecordedUntilItsEndsAreStored (tasks started 2 times) and TestHostsWithUnstoredEndsAreNotIdle fail without the change and pass with it.

Now a worker counts as idle only when the ends that it reported are stored.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		s.addWorkerDemand(now, w, &d)
-		if len(w.attempts) == 0 && w.synced && w.leavingSince.IsZero() && w.failedCalls == 0 && !s.isCutOff(now, w) {
+		if w.idle() && w.synced && w.leavingSince.IsZero() && w.failedCalls == 0 && !s.isCutOff(now, w) {
 			idle = append(idle, w)
 		}
 	}
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -20,7 +20,8 @@
 const cordonTTL = 2 * time.Second
 
 // Cordon keeps new tasks off workers whose hosts are due for maintenance or a move, and moves their long-running tasks
-// elsewhere. It returns the idle workers, whose hosts may be taken down or moved. Callers repeat the call until the hosts
+// elsewhere. It returns the idle workers, whose hosts may be taken down or moved: they have no tasks, and the ends of their
+// tasks are stored. Callers repeat the call until the hosts
 // are down or moved, since a cordon expires. An unknown worker counts as idle only once all runs started by earlier
 // owners are known or have ended. The list of workers may show an idle worker for seconds after its host was moved, so it
 // gets no task after the cordon until it has answered.
@@ -34,7 +35,7 @@
 			}
 		default:
 			w.cordonedUntil = now.Add(cordonTTL)
-			if w.synced && len(w.attempts) == 0 {
+			if w.synced && w.idle() {
 				idle = append(idle, id)
 				w.mayHaveMoved = true
 			}
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -51,3 +52,51 @@
 	p.is.True(len(a.runs) > 0)
 	p.is.True(strings.Contains(p.workerRecord(), `"id":"a"`))
 }
+
+// Guards against a worker that leaves the stored record of workers before the ends that it reported are stored, since a
+// write has no room for all: the next owner would not ask the worker and would start its tasks again.
+func TestWorkerStaysRecordedUntilItsEndsAreStored(t *testing.T) {
+	const jobs = 300 // more than two writes take
+	p := newPool(t, 3)
+	p.run(200 * time.Millisecond)
+	for i := range jobs {
+		p.submit(fmt.Sprintf("%016x", i), step(1, 100))
+	}
+	p.run(300 * time.Millisecond)
+	p.is.Equal(len(p.starts), jobs)
+	p.storeDown = true
+	p.run(time.Second) // the tasks end
+	p.is.Equal(len(p.busy()), 0)
+	for _, w := range p.workers {
+		p.unlist(w.info.ID)
+	}
+	p.s.SetWorkers(p.now, p.list)
+	p.storeDown = false
+	p.writeBatch() // in flight when the workers left the list
+	p.writeBatch()
+	p.takeOver(200, 0)
+	p.addWorker("d", 3)
+	p.s.SetWorkers(p.now, p.list)
+	p.run(3 * time.Second)
+	for id, n := range p.starts {
+		if n != 1 {
+			t.Fatalf("task %v was started %d times", id, n)
+		}
+	}
+}
+
+// Guards against moving a host away whose worker alone knows how a task has ended: if the owner is lost before it has stored
+// the end, the task would run again.
+func TestHostsWithUnstoredEndsAreNotIdle(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	p.run(300 * time.Millisecond)
+	p.storeDown = true
+	p.run(time.Second) // the task ends
+	p.is.Equal(len(p.busy()), 0)
+	p.is.Equal(len(p.s.Cordon(p.now, []string{"a"})), 0)
+	p.storeDown = false
+	p.run(300 * time.Millisecond)
+	p.is.Equal(len(p.s.Cordon(p.now, []string{"a"})), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -116,6 +116,9 @@
 	w.failedCalls++
 }
 
+// idle reports whether the worker has no runs, and no ends that only it and this owner know of.
+func (w *worker) idle() bool { return len(w.attempts) == 0 && (w.gone || w.processed == w.stored) }
+
 func (w *worker) suspect() bool { return w.failedCalls >= suspectAfter }
 
 // usable reports whether the worker may be given new tasks.
@@ -188,14 +191,10 @@
 			continue
 		}
 		w.listed = false
-		if len(w.attempts) == 0 && s.inheritedResolved() {
+		if w.idle() && s.inheritedResolved() {
 			s.settleSuspects(now, w)
 			delete(s.workers, id)
 			s.workersDirty = true
-			if w.processed > w.stored {
-				s.Log.Info("dispatch: worker has left the list before its ends were stored", "service", s.Name, "worker", id,
-					"processed", w.processed, "stored", w.stored)
-			}
 		}
 	}
 	s.maxCores = max(s.maxCores, cores)
