Count leases on the slowest clock that a worker may have

Cause: a lease was sent as the last reading of the worker's clock, plus the time since, plus 4 s. A worker that has been idle is not read, and its clock may run 2% slow: after 40 s the lease lasts 0.8 s longer. The next owner waits 4.18 s for the leases of its predecessor, so that it started tasks again which still ran on a worker that it could not reach.

Evidence: TestLeaseOfAnIdleSlowWorkerIsNotLonger fails without the change (one duplicate run) and passes with it.

Now a lease counts from the least that the clock can show. Idle workers are read again every 30 s, since the lease would otherwise begin in the past after 200 s (TestWorkerGetsTasksAfterALongIdleTime, which fails without the reading).

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -194,6 +194,7 @@
 		switch {
 		case !w.synced, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
 		case w.failedCalls > 0 && w.listed: // retry until the worker answers or is no longer listed
+		case w.listed && now.Sub(w.clockAt) > maxClockAge:
 		default:
 			continue
 		}
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -13,6 +13,9 @@
 	Lease = 4 * time.Second
 	// maxClockSlowdown is the greatest fraction by which a worker's clock may run slower than the owner's.
 	maxClockSlowdown = 0.02
+	// maxClockAge is the age of a reading of an idle worker's clock after which it is read again. The lease of its next task
+	// is shorter by the possible error.
+	maxClockAge = 30 * time.Second
 	// leaseMargin covers the resolution of the workers' clocks.
 	leaseMargin = 100 * time.Millisecond
 	// renewInterval is the longest time between two renewals of a lease.
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -100,3 +100,32 @@
 	p.run(300 * time.Millisecond)
 	p.is.Equal(len(p.s.Cordon(p.now, []string{"a"})), 1)
 }
+
+// Guards against leases that are longer than the next owner waits for them, since they were counted from an old reading of
+// a slow clock.
+func TestLeaseOfAnIdleSlowWorkerIsNotLonger(t *testing.T) {
+	p := newPool(t, 2)
+	for _, w := range p.workers {
+		w.slowClock = true
+	}
+	p.run(40 * time.Second)
+	p.submit(jobA, longRunning(1))
+	p.run(20 * time.Millisecond)
+	p.run(20 * time.Millisecond)
+	p.is.Equal(len(p.busy()), 1)
+	p.busy()[0].partitioned = true
+	p.takeOver(200, 0)
+	p.run(6 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+	p.is.Equal(p.running(), 1)
+}
+
+// Guards against refused starts on a worker that was idle for long: its lease would begin in the past.
+func TestWorkerGetsTasksAfterALongIdleTime(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(5 * time.Minute)
+	p.submit(jobA, longRunning(1))
+	p.run(2 * time.Second)
+	p.is.Equal(p.running(), 1)
+	p.is.Equal(len(p.orders), 1)
+}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -39,6 +39,7 @@
 type fakeWorker struct {
 	info         cuminstair.WorkerInfo
 	startedAt    time.Time
+	slowClock    bool // its clock runs 2% slow
 	token        int64
 	lease        time.Duration
 	runs         map[cuminstair.TaskID]*fakeRun
@@ -213,6 +214,15 @@
 	}
 }
 
+// clock returns the time on the worker's clock.
+func (w *fakeWorker) clock(now time.Time) time.Duration {
+	d := now.Sub(w.startedAt)
+	if w.slowClock {
+		d -= d / 50
+	}
+	return d
+}
+
 // unlist removes a worker from the list of workers.
 func (p *pool) unlist(id string) {
 	p.list = slices.DeleteFunc(p.list, func(info cuminstair.WorkerInfo) bool { return info.ID == id })
@@ -226,7 +236,7 @@
 			switch {
 			case w.crashed:
 				delete(w.runs, id)
-			case p.now.Sub(w.startedAt) > w.lease:
+			case w.clock(p.now) > w.lease:
 				w.end(id, r, cuminstair.EndLeaseExpired)
 			case !r.stopOrdered.IsZero() && p.now.Sub(r.stopOrdered) >= w.stopDuration:
 				w.end(id, r, cuminstair.EndStopped)
@@ -246,7 +256,7 @@
 	for len(w.delayed) > 0 && !p.now.Before(w.delayed[0].at) {
 		o := w.delayed[0].order
 		w.delayed = w.delayed[1:]
-		if o.Token < w.token || o.Run <= w.barred[o.Task] || p.now.Sub(w.startedAt) > o.Start.Lease {
+		if o.Token < w.token || o.Run <= w.barred[o.Task] || w.clock(p.now) > o.Start.Lease {
 			continue
 		}
 		p.launch(w, o)
@@ -364,7 +374,7 @@
 		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
 		return
 	}
-	p.s.Started(p.now, o, p.now.Sub(w.startedAt), nil)
+	p.s.Started(p.now, o, w.clock(p.now), nil)
 }
 
 // launch starts a run, and counts violations of capacity and of single execution.
@@ -400,7 +410,7 @@
 		}
 	}
 	w.ended = kept
-	r := cuminstair.WorkerReport{Clock: p.now.Sub(w.startedAt), Incarnation: w.info.Incarnation, Ended: append([]cuminstair.EndedTask(nil), w.ended...)}
+	r := cuminstair.WorkerReport{Clock: w.clock(p.now), Incarnation: w.info.Incarnation, Ended: append([]cuminstair.EndedTask(nil), w.ended...)}
 	for id, x := range w.runs {
 		percent := 100
 		if !p.step(id).LongRunning {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -94,8 +94,8 @@
 }
 
 // nextLease returns the lease to send now. A worker that does not answer keeps its present lease, so that its tasks end
-// for certain. No lease outlasts the time for which the owner may give orders, so that the next owner knows when all
-// leases have run out.
+// for certain. No lease outlasts the time for which the owner may give orders, and none is longer than Lease on the
+// slowest clock that the worker may have, so that the next owner knows when all leases have run out.
 func (s *Service) nextLease(now time.Time, w *worker) time.Duration {
 	if w.failedCalls > 0 {
 		return w.lease
@@ -104,7 +104,7 @@
 	if s.Grace > 0 {
 		length = max(0, min(Lease, s.confirmedAt.Add(s.Grace).Sub(now)))
 	}
-	w.lease = max(w.lease, w.clock+now.Sub(w.clockAt)+length)
+	w.lease = max(w.lease, w.clockAtLeast(now)+length)
 	return w.lease
 }
 
