Wait for all ends of a worker before its runs are judged

Callers saw: tasks that run again although they were done (rule TWICE).

Cause: a worker lists 500 ends at a time. A run that was neither listed as running nor among these ends was taken for lost after two reports, and a new owner took the first report for all ends, so that the tasks of the other ends were started again. It takes 500 ends that are not acknowledged: small tasks on large workers while the store is away.

Evidence: TestEndsBeyondOneReportAreWaitedFor fails in both forms without the change (tasks started 2 times). The stand-in's workers list 500 ends too.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -192,7 +192,7 @@
 			continue
 		}
 		switch {
-		case !w.synced, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
+		case !w.synced, w.moreEnds, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
 		case w.failedCalls > 0 && w.listed: // retry until the worker answers or is no longer listed
 		case w.listed && now.Sub(w.clockAt) > maxClockAge:
 		default:
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -129,3 +129,34 @@
 	p.is.Equal(p.running(), 1)
 	p.is.Equal(len(p.orders), 1)
 }
+
+// Guards against taking a part of a worker's ends for all of them: tasks whose ends are not listed yet would run again.
+func TestEndsBeyondOneReportAreWaitedFor(t *testing.T) {
+	for name, newOwner := range map[string]bool{"same owner": false, "new owner": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 2)
+			p.workers[0].info.CPU, p.workers[0].info.Memory = 1000_000, 10_000_000
+			p.list[0] = p.workers[0].info
+			p.s.SetWorkers(p.now, p.list)
+			p.run(200 * time.Millisecond)
+			for i := range 6 {
+				p.submit(fmt.Sprintf("%016x", i), step(100, 1000))
+			}
+			p.run(300 * time.Millisecond)
+			p.is.Equal(len(p.starts), 600)
+			p.storeDown = true
+			p.run(time.Second) // the tasks end
+			p.storeDown = false
+			if newOwner {
+				p.takeOver(200, 0)
+			}
+			p.run(3 * time.Second)
+			for id, n := range p.starts {
+				if n != 1 {
+					t.Fatalf("task %v was started %d times", id, n)
+				}
+			}
+			p.is.Equal(p.s.Open(), 0)
+		})
+	}
+}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -22,6 +22,7 @@
 	startup         = 900 * time.Millisecond
 	stopGrace       = 400 * time.Millisecond
 	validity        = 800 * time.Millisecond // validity of tickets
+	maxListedEnds   = 500                    // in one report
 	restartTime     = 3 * time.Second        // from a crash to the start of another worker at the address
 )
 
@@ -411,6 +412,9 @@
 	}
 	w.ended = kept
 	r := cuminstair.WorkerReport{Clock: w.clock(p.now), Incarnation: w.info.Incarnation, Ended: append([]cuminstair.EndedTask(nil), w.ended...)}
+	if len(r.Ended) >= maxListedEnds {
+		r.Ended, r.More = r.Ended[:maxListedEnds], true
+	}
 	for id, x := range w.runs {
 		percent := 100
 		if !p.step(id).LongRunning {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -165,7 +165,7 @@
 	}
 	for id := range s.inherited {
 		w, ok := s.workers[id]
-		if ok && !w.synced && !w.gone {
+		if ok && !w.gone && (!w.synced || w.moreEnds) {
 			return false
 		}
 	}
@@ -181,7 +181,7 @@
 		switch {
 		case !ok || w.gone:
 			gone++
-		case w.synced:
+		case w.synced && !w.moreEnds:
 			answered++
 		default:
 			silent = append(silent, id)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -25,6 +25,7 @@
 	vacating      bool      // whether vacateUntil was in the future at the last decision
 	recorded      bool      // the stored worker record has its present identity, so that the next owner will contact it
 	synced        bool      // this owner has read the lists of running and ended tasks of the present incarnation
+	moreEnds      bool      // its last report lacked ends, so that a missing run may have ended
 	gone          bool      // this incarnation has ended
 
 	clock        time.Duration // lower bound of its clock at clockAt
@@ -117,13 +118,15 @@
 }
 
 // idle reports whether the worker has no runs, and no ends that only it and this owner know of.
-func (w *worker) idle() bool { return len(w.attempts) == 0 && (w.gone || w.processed == w.stored) }
+func (w *worker) idle() bool {
+	return len(w.attempts) == 0 && (w.gone || !w.moreEnds && w.processed == w.stored)
+}
 
 func (w *worker) suspect() bool { return w.failedCalls >= suspectAfter }
 
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.gone && w.synced && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
+	return w.listed && !w.gone && w.synced && !w.moreEnds && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
 		now.After(w.blockedUntil) && now.After(w.cordonedUntil) && !w.mayHaveMoved
 }
 
@@ -237,7 +240,7 @@
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts))
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0
-	w.synced, w.gone, w.clock, w.lease, w.failingSince = false, false, 0, 0, time.Time{}
+	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
 	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for id, a := range w.attempts {
@@ -323,9 +326,10 @@
 	if w.suspectsKnown {
 		s.workerAnswers(w)
 	}
-	if !w.synced {
+	if !w.synced || w.moreEnds {
 		s.changed = true
 	}
+	w.moreEnds = r.More
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
@@ -338,7 +342,9 @@
 		s.handleRunning(now, w, t)
 	}
 	s.endTrials(now, w, running)
-	s.handleMissing(now, sent, w, running)
+	if !r.More {
+		s.handleMissing(now, sent, w, running)
+	}
 	w.nextRenewal = now.Add(max(renewalGap, time.Duration(len(s.workers))*time.Second/maxRenewalRate))
 	if w.processed > w.stored {
 		w.nextRenewal = now.Add(unstoredEndsGap)
--- a/jobs.go
+++ b/jobs.go
@@ -249,6 +249,7 @@
 	Incarnation int64         // WorkerInfo.Incarnation of the worker that answers; 0 if not reported
 	Running     []RunningTask
 	Ended       []EndedTask
+	More        bool // Ended lacks later ends; the worker lists them once these are acknowledged
 }
 
 // StartOrder asks a worker to start a task.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -24,6 +24,9 @@
 	at     time.Time
 }
 
+// maxListedEnds is the most ends that a worker lists in one response.
+const maxListedEnds = 500
+
 // Worker is a worker process on a host; a restart makes a new Worker. Its faults may be set while it is serving.
 type Worker struct {
 	ID   string
@@ -304,6 +307,6 @@
 		}
 		running = append(running, []any{name, r.number, "", percent, 0})
 	}
-	ended := append([][]any{}, w.ended...)
+	ended := append([][]any{}, w.ended[:min(len(w.ended), maxListedEnds)]...)
 	return map[string]any{"clock_ms": w.clock().Milliseconds(), "running": running, "ended": ended, "born": w.started.UnixMilli()}
 }
