Count runs and ends of occurrences that are not due yet by the clock of a new owner

Callers saw: tasks of a scheduled job that run twice after a takeover (rule TWICE).

Cause: a new owner whose clock is behind does not have the occurrence yet that its predecessor has begun. It dropped the ends of its tasks, which were acknowledged all the same, stopped its runs as unexpected, and started the tasks when the occurrence came due.

Evidence: TestTasksOfOccurrencesThatAreNotDueYetCount fails in both forms without the change (tasks started 2 times) and passes with it.

Now an occurrence is created when a worker reports a run of it; its other tasks wait for their time as before. An end whose occurrence can't be created stays unacknowledged. Restored occurrences keep their start time, so that they begin no earlier and have the objective of their own time.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -53,14 +53,7 @@
 	}
 	s.now, s.confirmedAt = now, confirmed
 	s.expireLeases(now, confirmed)
-	for i := 0; i < len(s.scheduled); i++ {
-		j := s.scheduled[i]
-		s.createDueOccurrences(now, j)
-		if j.next >= j.occurrences() || j.finished() {
-			s.scheduled = append(s.scheduled[:i], s.scheduled[i+1:]...)
-			i--
-		}
-	}
+	s.startScheduled(now)
 	scan := now.Sub(s.lastScan) >= scanInterval
 	if scan {
 		s.lastScan = now
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -15,20 +15,15 @@
 	maxBlock = 16 * time.Second
 )
 
-// handleEnd processes an entry of a worker's list of ended tasks.
-func (s *Service) handleEnd(now time.Time, w *worker, e cuminstair.EndedTask) {
+// handleEnd processes an entry of a worker's list of ended tasks. t is its task, or nil if there is none.
+func (s *Service) handleEnd(now time.Time, w *worker, t *task, e cuminstair.EndedTask) {
 	a := w.attempts[e.Task]
 	if a != nil && a.run != e.Run {
 		a = nil
 	}
-	var t *task
-	j := s.jobs[e.Task.Job]
-	if j != nil {
-		t = j.task(e.Task)
-	}
 	s.recordWorkerOutcome(now, w, a, e)
 	s.logEnd(w, t, e)
-	if t != nil && !j.finished() {
+	if t != nil && !t.step.occ.job.finished() {
 		t.run = max(t.run, e.Run)
 		s.recordTaskEnd(now, w, t, e)
 		if t.done && t.attempt != nil && t.attempt != a {
@@ -40,11 +35,10 @@
 	}
 }
 
-// logEnd logs the end of a run: those of unknown tasks and those by an expired lease at the level info, others at debug.
+// logEnd logs the end of a run: those of unknown jobs and those by an expired lease at the level info, others at debug.
 func (s *Service) logEnd(w *worker, t *task, e cuminstair.EndedTask) {
 	log := s.Log.Debug
-	j := s.jobs[e.Task.Job]
-	if j == nil || (t == nil && !j.finished() && e.Task.Occurrence >= j.next) || e.How == cuminstair.EndLeaseExpired {
+	if s.jobs[e.Task.Job] == nil || e.How == cuminstair.EndLeaseExpired {
 		log = s.Log.Info
 	}
 	log("dispatch: run has ended", "service", s.Name, "job", e.Task.Job, "step", e.Task.Step, "task", e.Task.Index,
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -28,6 +28,7 @@
 	finishedAt    time.Time           // when it reached its final state
 	submitWaiters []func(Result)      // callers waiting for the job to be stored
 	cancelWaiters []func(Result)      // callers waiting for its cancellation to be stored
+	scheduled     bool                // listed in Service.scheduled
 	inherited     bool                // accepted by an earlier owner: unknown runs of its tasks may exist
 }
 
@@ -36,6 +37,7 @@
 	number    int
 	job       *job
 	startAt   time.Time // when its first steps may start; zero: immediately
+	due       bool      // startAt had passed when its steps were last looked at
 	steps     []*step
 	openSteps int    // steps that are not done
 	centre    string // data centre preferred for its short tasks; see Service.preferCentre
@@ -123,6 +125,14 @@
 // occurrences returns how many times the steps run.
 func (j *job) occurrences() int { return max(1, j.spec.Repeats) }
 
+// startOf returns when an occurrence may start, the zero time if at once.
+func (j *job) startOf(number int) time.Time {
+	if j.spec.First == 0 && j.spec.Repeats == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(j.spec.First).Add(time.Duration(number) * j.spec.Interval)
+}
+
 // tasks returns the number of tasks of one occurrence.
 func (j *job) tasks() int {
 	n := 0
@@ -160,7 +170,7 @@
 
 // occurrence returns a new occurrence with its steps and tasks. tail is the result of pathsAfter for the job.
 func (j *job) occurrence(number int, tail []time.Duration) *occurrence {
-	o := &occurrence{number: number, job: j, openSteps: len(j.spec.Steps)}
+	o := &occurrence{number: number, job: j, startAt: j.startOf(number), openSteps: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		s := &step{JobStep: j.spec.Steps[i], index: i, occ: o, tasksLeft: j.spec.Steps[i].Count, pathAfter: tail[i]}
 		s.tasks = make([]*task, s.Count)
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -160,3 +160,36 @@
 		})
 	}
 }
+
+// Guards against a new owner whose clock is behind that of the earlier one, and which does not know yet that an occurrence of
+// a job has begun: it would drop the ends of its tasks, stop its runs and start its tasks again.
+func TestTasksOfOccurrencesThatAreNotDueYetCount(t *testing.T) {
+	for name, runTime := range map[string]time.Duration{"ended": 300 * time.Millisecond, "running": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 2)
+			p.duration = func(cuminstair.TaskID) time.Duration { return runTime }
+			p.run(200 * time.Millisecond)
+			spec := &cuminstair.JobSpec{
+				Steps: []cuminstair.JobStep{step(2, 1000), step(2, 1000)}, First: p.now.Add(time.Second).UnixMilli(),
+			}
+			spec.Steps[1].After = []int{0}
+			p.specs[jobA] = spec
+			p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Target: time.Second, Attempts: 3}, func(dispatch.Result) {})
+			p.run(900 * time.Millisecond)
+			p.storeDown = true // the progress is not stored
+			p.run(500 * time.Millisecond)
+			p.is.Equal(len(p.starts) >= 2, true)
+			p.storeDown = false
+			p.now = p.now.Add(-700 * time.Millisecond)
+			p.takeOver(200, 0)
+			p.run(8 * time.Second)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+			p.is.Equal(p.duplicateRuns, 0)
+			for id, n := range p.starts {
+				if n != 1 {
+					t.Errorf("task %v was started %d times", id, n)
+				}
+			}
+		})
+	}
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -245,7 +245,7 @@
 func (s *Service) activate(now time.Time, j *job) {
 	s.active[j.id] = j
 	if j.next < j.occurrences() {
-		s.scheduled = append(s.scheduled, j)
+		s.schedule(j)
 	}
 	s.createDueOccurrences(now, j)
 	for _, o := range j.runs {
@@ -253,31 +253,88 @@
 	}
 }
 
+// schedule makes Decide look for occurrences of a job whose start time has come.
+func (s *Service) schedule(j *job) {
+	if !j.scheduled {
+		j.scheduled = true
+		s.scheduled = append(s.scheduled, j)
+	}
+}
+
+// startScheduled begins the occurrences whose start time has come.
+func (s *Service) startScheduled(now time.Time) {
+	kept := s.scheduled[:0]
+	for _, j := range s.scheduled {
+		if s.startOccurrences(now, j) {
+			kept = append(kept, j)
+		} else {
+			j.scheduled = false
+		}
+	}
+	clear(s.scheduled[len(kept):])
+	s.scheduled = kept
+}
+
+// startOccurrences begins the occurrences of a job whose start time has come, and reports whether others are to come.
+func (s *Service) startOccurrences(now time.Time, j *job) bool {
+	if j.finished() {
+		return false
+	}
+	s.createDueOccurrences(now, j)
+	toCome := j.next < j.occurrences()
+	for _, o := range j.runs {
+		if !o.due {
+			s.enqueue(now, o)
+			toCome = toCome || !o.due
+		}
+	}
+	return toCome
+}
+
 // createDueOccurrences creates the occurrences whose start time has come, as long as those that are not done have fewer than
 // maxOpenTasks tasks.
 func (s *Service) createDueOccurrences(now time.Time, j *job) {
-	tail := []time.Duration(nil)
-	for j.next < j.occurrences() && len(j.runs)*j.tasks() < maxOpenTasks {
-		startAt := time.Time{}
-		if j.spec.First > 0 || j.spec.Repeats > 0 {
-			startAt = time.UnixMilli(j.spec.First).Add(time.Duration(j.next) * j.spec.Interval)
-		}
-		if startAt.After(now) {
-			return
-		}
-		if tail == nil {
-			tail = s.pathsAfter(j)
+	for j.next < j.occurrences() && len(j.runs)*j.tasks() < maxOpenTasks && !j.startOf(j.next).After(now) {
+		s.createOccurrence(now, j)
+	}
+}
+
+// createOccurrence creates the next occurrence of a job.
+func (s *Service) createOccurrence(now time.Time, j *job) {
+	o := j.occurrence(j.next, s.pathsAfter(j))
+	j.runs = append(j.runs, o)
+	j.next++
+	s.enqueue(now, o)
+}
+
+// taskOfRun returns the task of a run that a worker reports, or nil if there is none. An earlier owner may have begun
+// occurrences that are not due yet by the clock of this one; they are created, and begin otherwise when they are due.
+func (s *Service) taskOfRun(now time.Time, id cuminstair.TaskID) *task {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	if !j.finished() && j.stored && id.Occurrence < j.occurrences() {
+		for j.next <= id.Occurrence && len(j.runs)*j.tasks() < maxOpenTasks {
+			s.createOccurrence(now, j)
 		}
-		o := j.occurrence(j.next, tail)
-		o.startAt = startAt
-		j.runs = append(j.runs, o)
-		j.next++
-		s.enqueue(now, o)
 	}
+	return j.task(id)
+}
+
+// toCome reports whether a task is of an occurrence that is not created yet.
+func (s *Service) toCome(id cuminstair.TaskID) bool {
+	j := s.jobs[id.Job]
+	return j != nil && !j.finished() && id.Occurrence >= j.next && id.Occurrence < j.occurrences()
 }
 
 // enqueue adds the startable steps of an occurrence to the ready list.
 func (s *Service) enqueue(now time.Time, o *occurrence) {
+	o.due = !now.Before(o.startAt)
+	if !o.due {
+		s.schedule(o.job)
+		return
+	}
 	for _, st := range o.steps {
 		if !st.queued && st.startable(now) {
 			st.queued = true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -329,7 +329,6 @@
 	if !w.synced || w.moreEnds {
 		s.changed = true
 	}
-	w.moreEnds = r.More
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
@@ -337,12 +336,12 @@
 		w.mayHaveMoved = false
 		s.changed = true
 	}
-	s.handleEnds(now, w, r.Ended)
+	w.moreEnds = !s.handleEnds(now, w, r.Ended) || r.More
 	for _, t := range r.Running {
 		s.handleRunning(now, w, t)
 	}
 	s.endTrials(now, w, running)
-	if !r.More {
+	if !w.moreEnds {
 		s.handleMissing(now, sent, w, running)
 	}
 	w.nextRenewal = now.Add(max(renewalGap, time.Duration(len(s.workers))*time.Second/maxRenewalRate))
@@ -351,14 +350,21 @@
 	}
 }
 
-func (s *Service) handleEnds(now time.Time, w *worker, list []cuminstair.EndedTask) {
+// handleEnds processes the ends that are new, and reports whether it could process them all: an end is left for a later
+// report while its occurrence can't be created, since it would be acknowledged without having been stored.
+func (s *Service) handleEnds(now time.Time, w *worker, list []cuminstair.EndedTask) bool {
 	for _, e := range list {
 		if e.Seq <= w.processed {
 			continue
 		}
-		s.handleEnd(now, w, e)
+		t := s.taskOfRun(now, e.Task)
+		if t == nil && s.toCome(e.Task) {
+			return false
+		}
+		s.handleEnd(now, w, t, e)
 		w.processed = e.Seq
 	}
+	return true
 }
 
 // handleRunning processes an entry of the list of running tasks.
@@ -400,11 +406,7 @@
 // stopped and keeps its room until it has ended.
 func (s *Service) adopt(now time.Time, w *worker, t cuminstair.RunningTask) *attempt {
 	a := &attempt{id: t.Task, run: t.Run, sentAt: now, answeredAt: now, cpuShare: 100, adopted: true}
-	j := s.jobs[t.Task.Job]
-	var x *task
-	if j != nil {
-		x = j.task(t.Task)
-	}
+	j, x := s.jobs[t.Task.Job], s.taskOfRun(now, t.Task)
 	switch {
 	case j != nil && t.Task.Step < len(j.spec.Steps):
 		// Finished jobs have no tasks, but their remaining runs still take room.
