Place waiting tasks when the block of a worker ends

Callers saw: jobs that wait although all workers are free (rule LOST).

Cause: placement runs after events only, and the end of a block, of a cordon or of a cut is none. If every worker was blocked at the last event, the tasks waited for the next one, which may never come.

Now a worker that may get tasks again is an event.

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -193,3 +193,13 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for ever since no event follows the end of a worker's block.
+func TestTasksStartWhenABlockEnds(t *testing.T) {
+	p := newPool(t, 1)
+	p.fails = func(cuminstair.TaskID, *fakeWorker) bool { return p.now.Sub(begin) < 2500*time.Millisecond }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 1000))
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -54,7 +54,10 @@
 	clear(s.centreFree)
 	for _, w := range s.workers {
 		w.vacating = now.Before(w.vacateUntil)
-		if w.usable(now) && !s.isCutOff(now, w) {
+		was := w.candidate
+		w.candidate = w.usable(now) && !s.isCutOff(now, w)
+		if w.candidate {
+			s.changed = s.changed || !was // tasks may have waited for the end of a block or a cordon
 			s.candidates = append(s.candidates, w)
 			s.centreFree[w.info.Centre] += w.freeCores()
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -45,6 +45,7 @@
 	connRefused  bool      // the last failed renewal was a refused connection, so the host is not cut off
 	blockedUntil time.Time // no new tasks until then, after refusals or failures
 	failedRuns   int       // consecutive failed runs
+	candidate    bool      // it might be given tasks at the last decision
 	idleSince    time.Time // since when it has no tasks
 
 	reservedFor   *task     // only this task may be placed on it; nil: any
