Keep the runs that a restarted worker may have started

Cause: when the list of workers showed a new incarnation, all runs that had been answered before counted as lost, also those which the new incarnation had started before the owner knew of it: calls name a worker by its id only. They were also counted as crashes of the worker.

Runs that were ordered after the last report of the earlier incarnation are now kept until reports of the new one decide on them.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -21,6 +21,9 @@
 	if a != nil && a.run != e.Run {
 		a = nil
 	}
+	if a != nil {
+		s.confirmRun(a)
+	}
 	s.recordWorkerOutcome(now, w, a, e)
 	s.logEnd(w, t, e)
 	if t != nil && !t.step.occ.job.finished() {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -102,6 +102,7 @@
 	resumed         bool          // started from a checkpoint
 	trial           bool          // its start was a trial, see needsTrial
 	passed          bool          // the trial is over: the worker has not crashed
+	unsure          bool          // it may have ended with an earlier incarnation of the worker
 	adopted         bool          // it was found on the worker, so that the time of its start is unknown
 }
 
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -194,6 +194,42 @@
 	}
 }
 
+// Guards against starting a task again that runs on a worker which has restarted under its id: the new incarnation carried
+// the start out before the owner knew of it.
+func TestStartsOnARestartedWorkerCount(t *testing.T) {
+	p := newPool(t, 3)
+	p.run(200 * time.Millisecond)
+	for _, w := range p.workers {
+		w.restart(p.now.Add(time.Millisecond))
+	}
+	p.submit(jobA, step(1, 1000))
+	p.writeBatch()
+	for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, p.now)...) {
+		if o.Kind == dispatch.OrderStart {
+			p.execute(o)
+		} else {
+			p.deliver(o, cuminstair.ErrUncertain, nil)
+		}
+	}
+	p.is.Equal(len(p.busy()), 1)
+	busy := p.busy()[0]
+	for i, w := range p.workers {
+		if w == busy {
+			p.list[i] = w.info
+		}
+	}
+	busy.partitioned = true // answers no renewal yet
+	p.s.SetWorkers(p.now, p.list)
+	p.run(400 * time.Millisecond)
+	busy.partitioned = false
+	p.run(3 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.is.Equal(p.duplicateRuns, 0)
+	for _, n := range p.starts {
+		p.is.Equal(n, 1)
+	}
+}
+
 // Guards against tasks that wait for ever since no event follows the end of a worker's block.
 func TestTasksStartWhenABlockEnds(t *testing.T) {
 	p := newPool(t, 1)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -234,8 +234,8 @@
 }
 
 // workerRestarted handles a restart of a worker, which ended all its earlier runs. Attempts that running lists are
-// kept, and so are those whose start was answered after sent or not at all, since these may belong to the new
-// incarnation.
+// kept, and so are those that may have been started by the new incarnation: their start was answered after sent or not at all,
+// or ordered after the last report of the earlier incarnation. Its next reports decide on these.
 func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, sent time.Time, running map[cuminstair.TaskID]int64) {
 	s.workerCrashed(now, w, "it has restarted")
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts))
@@ -245,13 +245,22 @@
 	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for id, a := range w.attempts {
-		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) {
+		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) || a.sentAt.After(w.lastRenewal) {
+			a.unsure = true
 			continue
 		}
 		s.attemptLost(now, a, "the worker restarted")
 	}
 }
 
+// confirmRun withdraws the crash that was counted for a run when its worker restarted, since the new incarnation has it.
+func (s *Service) confirmRun(a *attempt) {
+	if a.unsure {
+		a.unsure = false
+		s.withdrawRun(a)
+	}
+}
+
 // workerReplaced records that another worker answers at the address of a worker.
 func (s *Service) workerReplaced(now time.Time, w *worker) {
 	const why = "another worker answers at its address"
@@ -381,6 +390,7 @@
 		a.answeredAt = now
 	}
 	a.seen, a.missingReports = true, 0
+	s.confirmRun(a)
 	if t.Percent > a.percent || a.progressAt.IsZero() {
 		a.percent, a.progressAt = t.Percent, now
 	}
