Refuse offers of former owners

Callers saw: a service that changes its owner once more right after a cut, with the waits of a takeover, and with them the chance of a task that runs twice.

Cause: a daemon that can't reach the store offers its services to others. At the end of a cut it does not know yet that it has a successor, and the daemon that accepted took the service from that successor.

Now an offer names the start of its owner, and is accepted only if the owner record names the same. Offers of daemons of an earlier version name none and are refused; their services are taken over when their heartbeats stop.

--- a/entry/owners.go
+++ b/entry/owners.go
@@ -250,23 +250,27 @@
 	nodes := d.view.Peers(d.Timer.Now())
 	d.mu.Unlock()
 	for _, n := range nodes[:min(len(nodes), maxOffers)] {
-		if d.peers.offer(ctx, n.Addr, service) {
+		if d.peers.offer(ctx, n.Addr, offerRequest{Service: service, Run: d.runID}) {
 			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", service, "to", n.Addr)
 			return
 		}
 	}
 }
 
-// acceptOffer starts to take over a service that its owner offers, if the store answers this daemon.
-func (d *Daemon) acceptOffer(service string) bool {
+// acceptOffer starts to take over a service that its owner offers, if the store answers this daemon. An offer of a former
+// owner, which does not know yet that it has a successor, is refused.
+func (d *Daemon) acceptOffer(q offerRequest) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopping.Load() || d.view.Outdated(d.Timer.Now()) || d.taking[service] || d.runners[service] != nil || d.workCtx == nil {
+	if d.stopping.Load() || d.view.Outdated(d.Timer.Now()) || d.taking[q.Service] || d.runners[q.Service] != nil || d.workCtx == nil {
 		return false
 	}
-	d.taking[service] = true
-	old, version := d.view.Owner(service)
-	go d.takeOver(d.workCtx, service, old, version)
+	old, version := d.view.Owner(q.Service)
+	if old.Run != q.Run {
+		return false
+	}
+	d.taking[q.Service] = true
+	go d.takeOver(d.workCtx, q.Service, old, version)
 	return true
 }
 
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -73,6 +73,7 @@
 // offerRequest asks a daemon to take over a service.
 type offerRequest struct {
 	Service string `json:"service"`
+	Run     string `json:"run"` // Node.Run of the owner that offers it
 }
 
 type offerReply struct {
@@ -155,11 +156,11 @@
 }
 
 // offer asks a daemon to take over a service and returns whether it has begun to.
-func (p *peerClient) offer(ctx context.Context, addr, service string) bool {
+func (p *peerClient) offer(ctx context.Context, addr string, q offerRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var a offerReply
-	return p.post(ctx, addr, offerPath, offerRequest{Service: service}, &a) == nil && a.Taken
+	return p.post(ctx, addr, offerPath, q, &a) == nil && a.Taken
 }
 
 // serveStop ends this daemon's runner of a service that has a newer owner.
@@ -191,7 +192,7 @@
 	if err := decodeBody(c, &q); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
-	return c.JSON(http.StatusOK, offerReply{Taken: d.acceptOffer(q.Service)})
+	return c.JSON(http.StatusOK, offerReply{Taken: d.acceptOffer(q)})
 }
 
 func (d *Daemon) peerServer() *http.Server {
