Wait for the orders of all earlier owners

Cause: a new owner shortens its wait for old leases from 6.2 s to 4.2 s once its predecessor has stopped, released the service or was restarted. That says nothing about the owner before the predecessor, which may be cut off and give orders, and extend leases, for 6 s after the last sign of the store. Two more ways to a wait that is too short: a daemon in the middle of its own takeover answered that it had stopped and went on; a record of the predecessor's earlier start passed for a restart.

TestFullWaitAfterAnUnsettledOwner, TestOwnerRecordTellsOfUnsettledOwners, TestStopEndsATakeoverInProgress and TestOldRecordProvesNoRestart fail, each with its guard taken out.

Now the owner record says whether earlier owners may still give orders; a successor of such an owner waits in full for workers that do not answer. A stop ends a takeover in progress. Only a record newer than the owner record proves a restart.

--- a/entry/commit.go
+++ b/entry/commit.go
@@ -22,6 +22,7 @@
 		return
 	}
 	r.owner.Seq++
+	r.owner.Unsettled = r.unsettled(now)
 	r.inflight, r.sentAt, r.uncertain, r.hedges = b, now, false, 0
 	r.sentTx = cuminstair.Tx{Puts: append(b.Puts, r.ownerPut()), Deletes: b.Deletes, Checks: []cuminstair.RecordCheck{r.ownerCheck()}}
 	go r.commit(ctx, r.sentTx, r.owner.Seq)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -84,6 +84,7 @@
 	listNow       chan struct{}        // signal: read the list of workers
 	badWorkers    map[string]bool      // invalid worker records that have been logged
 	rebalancedAt  time.Time            // when a service was last released because this daemon was overloaded
+	newerOwners   map[string]int64     // by service: highest token of an owner that told this daemon to stop
 	ownerHints    map[string]ownerHint // by service: owner address received from other daemons
 	workCtx       context.Context      // context of all background work; nil before Run
 }
@@ -101,7 +102,7 @@
 	d.runners, d.taking, d.probing = map[string]*runner{}, map[string]bool{}, map[string]bool{}
 	d.workers, d.waves = map[string]cuminstair.WorkerInfo{}, map[string]cuminstair.MaintenanceWave{}
 	d.readOwnersNow, d.listNow, d.heartbeatNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
-	d.ownerHints = map[string]ownerHint{}
+	d.ownerHints, d.newerOwners = map[string]ownerHint{}, map[string]int64{}
 	d.peers = newPeerClient()
 	internal, err := d.listenInternal(ctx)
 	if err != nil {
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -57,7 +57,7 @@
 func peerDaemon() (*Daemon, *runner) {
 	d := &Daemon{Timer: fixedTimer{now: peerTime}, Log: hclog.NewNullLogger(), Settings: &platform.Settings{}}
 	d.view = ownership.NewView("d1", "run1")
-	d.ownerHints, d.taking = map[string]ownerHint{}, map[string]bool{}
+	d.ownerHints, d.taking, d.newerOwners = map[string]ownerHint{}, map[string]bool{}, map[string]int64{}
 	d.readOwnersNow = make(chan struct{}, 1)
 	r := newRunner(d, "s", 7, ownership.Owner{}, false)
 	d.runners = map[string]*runner{"s": r}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -172,6 +172,7 @@
 	d.mu.Lock()
 	r := d.runners[q.Service]
 	d.ownerHints[q.Service] = ownerHint{addr: q.Owner, at: d.Timer.Now()}
+	d.newerOwners[q.Service] = max(d.newerOwners[q.Service], q.Token) // ends a takeover in progress
 	d.mu.Unlock()
 	if r == nil || int64(r.token) >= q.Token {
 		// A runner of an earlier start of this daemon ended with its process; this process has no runner of the service,
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -57,9 +57,10 @@
 	lastStep    time.Time
 	state       *dispatch.Service
 
-	owner        ownership.Owner
-	version      uint64    // of the owner record
-	confirmedAt  time.Time // when the store last named this daemon as the owner
+	owner        ownership.Owner // as last written, or being written
+	settled      bool            // earlier owners give no more orders
+	version      uint64          // of the owner record
+	confirmedAt  time.Time       // when the store last named this daemon as the owner
 	inflight     *dispatch.Batch
 	sentTx       cuminstair.Tx
 	failingSince time.Time     // when writes began to fail; zero: they succeed
@@ -82,7 +83,7 @@
 	}
 	return &runner{
 		d: d, service: service, token: token, takenAt: now, hadOwner: hadOwner, state: s, owner: owner, version: token,
-		confirmedAt: now, events: make(chan func(time.Time), eventQueueSize), done: make(chan struct{}),
+		settled: !owner.Unsettled, confirmedAt: now, events: make(chan func(time.Time), eventQueueSize), done: make(chan struct{}),
 	}
 }
 
@@ -248,6 +249,15 @@
 	}
 }
 
+// earlierOwnersStopped records that no earlier owner gives orders any more.
+func (r *runner) earlierOwnersStopped(now time.Time) {
+	r.settled = true
+	r.state.EarlierOwnerStopped(now)
+}
+
+// unsettled reports whether earlier owners may still give orders.
+func (r *runner) unsettled(now time.Time) bool { return !r.settled && now.Sub(r.takenAt) < ownerGrace }
+
 func (r *runner) depose(why string) {
 	go r.post(func(time.Time) { r.state.Depose(why) })
 }
@@ -276,7 +286,7 @@
 
 // release writes an owner record without a name and ends the runner.
 func (r *runner) release(ctx context.Context) {
-	o := ownership.Owner{Seq: r.owner.Seq + 1}
+	o := ownership.Owner{Seq: r.owner.Seq + 1, Unsettled: r.unsettled(r.d.Timer.Now())}
 	if _, err := r.d.writeOwner(ctx, r.service, r.version, o); err != nil {
 		r.d.Log.Warn("entry: owner record was not released", "service", r.service, "error", err)
 	}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -21,7 +21,7 @@
 		d.mu.Unlock()
 	}()
 	begin := d.Timer.Now()
-	mine := ownership.Owner{Name: d.Settings.Name, Run: d.runID, Addr: d.addr, Seq: 1}
+	mine := ownership.Owner{Name: d.Settings.Name, Run: d.runID, Addr: d.addr, Seq: 1, Unsettled: old.Leaves(version)}
 	token, err := d.writeOwner(ctx, service, version, mine)
 	if err != nil {
 		d.Log.Info("entry: service was not taken over", "service", service, "version", version, "error", err)
@@ -35,29 +35,45 @@
 			return
 		}
 	}
-	d.mu.Lock()
-	d.runners[service] = r
-	d.mu.Unlock()
+	if !d.install(r) {
+		d.Log.Info("entry: service has a newer owner", "service", service, "token", token)
+		return
+	}
 	d.Metrics.Takeover.Observe(d.Timer.Now().Sub(begin).Seconds())
 	r.start(ctx)
 	signal(d.listNow)
 	signal(d.heartbeatNow)
 	if r.hadOwner {
-		d.stopEarlierOwner(ctx, r, old)
+		d.stopEarlierOwner(ctx, r, old, version)
+	}
+}
+
+// install makes a runner the one of its service, unless a newer owner has told this daemon to stop meanwhile.
+func (d *Daemon) install(r *runner) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.newerOwners[r.service] > int64(r.token) {
+		return false
 	}
+	d.runners[r.service] = r
+	return true
 }
 
 // stopEarlierOwner tells the earlier owner to stop, and repeats this until the earlier owner confirms or ownerGrace has
 // passed, after which the earlier owner gives no orders in any case. An owner that has released its service or was
-// restarted gives no orders either and is not called.
-func (d *Daemon) stopEarlierOwner(ctx context.Context, r *runner, old ownership.Owner) {
+// restarted gives no orders either and is not called. version is that of its record. The leases of earlier owners are
+// waited for in full if the earlier owner had not settled those of the owners before it: one of these may be cut off and still
+// give orders.
+func (d *Daemon) stopEarlierOwner(ctx context.Context, r *runner, old ownership.Owner, version uint64) {
 	end := r.takenAt.Add(ownerGrace)
 	for ctx.Err() == nil && d.Timer.Now().Before(end) {
 		d.mu.Lock()
-		gone := old.Name == "" || d.view.Restarted(old.Name, old.Run)
+		gone := old.Name == "" || d.view.Restarted(old.Name, old.Run, version)
 		d.mu.Unlock()
 		if gone || d.peers.stop(ctx, old.Addr, stopRequest{Service: r.service, Token: int64(r.token), Run: old.Run, Owner: d.addr}) {
-			r.post(func(now time.Time) { r.state.EarlierOwnerStopped(now) })
+			if !old.Unsettled {
+				r.post(r.earlierOwnersStopped)
+			}
 			return
 		}
 		d.sleep(ctx, stopRetry)
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -13,6 +15,50 @@
 	"cuminstair.org/cuminstair/ownership"
 )
 
+// handleEvents runs the events that wait for the runner.
+func (r *runner) handleEvents(now time.Time) {
+	for len(r.events) > 0 {
+		(<-r.events)(now)
+	}
+}
+
+// Guards against a new owner that waits for one lease only, since its predecessor has stopped, although the owner before
+// that one is cut off and still gives orders: tasks would run twice.
+func TestFullWaitAfterAnUnsettledOwner(t *testing.T) {
+	for name, unsettled := range map[string]bool{"settled": false, "unsettled": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, _ := peerDaemon()
+			released := ownership.Owner{Seq: 5, Unsettled: unsettled}
+			r := newRunner(d, "s", 9, ownership.Owner{Unsettled: released.Leaves(7)}, true)
+			d.stopEarlierOwner(t.Context(), r, released, 7)
+			r.handleEvents(peerTime)
+			is.Equal(r.unsettled(peerTime), unsettled)
+			is.Equal(r.state.EarlierOwnerGrace == ownerGrace, unsettled)
+		})
+	}
+}
+
+// Guards against an owner record that hides from the next owner that earlier ones may still give orders.
+func TestOwnerRecordTellsOfUnsettledOwners(t *testing.T) {
+	is := is.New(t)
+	d, _ := peerDaemon()
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	store := &conditionalStore{version: 9, rows: map[cuminstair.RecordKey]cuminstair.Record{key: {RecordKey: key, Version: 9}}}
+	d.Store = store
+	former := ownership.Owner{Name: "d2", Run: "run2"}
+	is.True(former.Leaves(7))
+	is.True(!ownership.Owner{}.Leaves(0))
+	r := newRunner(d, "s", 9, ownership.Owner{Name: "d1", Run: "run1", Seq: 1, Unsettled: true}, true)
+	is.True(r.unsettled(peerTime.Add(ownerGrace - 1)))
+	is.True(!r.unsettled(peerTime.Add(ownerGrace)))
+	r.release(context.Background())
+	var released ownership.Owner
+	is.NoErr(json.Unmarshal(store.rows[key].Value, &released))
+	is.Equal(released.Name, "")
+	is.True(released.Unsettled)
+}
+
 // post sends a call of another daemon and returns the answer.
 func post(d *Daemon, path, body string) string {
 	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
@@ -21,6 +67,18 @@
 	return strings.TrimSpace(answer.Body.String())
 }
 
+// Guards against a daemon that answers that it has stopped while it takes the service over, and gives orders afterwards.
+func TestStopEndsATakeoverInProgress(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	d.taking["s"] = true
+	is.Equal(post(d, stopPath, `{"service":"s","token":12,"run":"run1","owner":"d2:1"}`), `{"stopped":true}`)
+	is.True(!d.install(newRunner(d, "s", 11, ownership.Owner{}, true)))
+	is.True(d.runners["s"] == nil)
+	is.True(d.install(newRunner(d, "s", 13, ownership.Owner{}, true)))
+}
+
 // Guards against a former owner that was cut off and offers its service, which would take it from the present owner.
 func TestOffersOfFormerOwnersAreRefused(t *testing.T) {
 	is := is.New(t)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -60,8 +60,15 @@
 	Run  string `json:"run"`  // Node.Run of the owner
 	Addr string `json:"addr"`
 	Seq  int64  `json:"seq"` // increases with each write of the owner
+	// Unsettled means that owners before this one may still give orders: they have not confirmed that they stopped, and the
+	// time for which they give orders without the store has not passed.
+	Unsettled bool `json:"unsettled,omitempty"`
 }
 
+// Leaves reports whether a successor of the owner has to expect orders of earlier owners, at the time of its takeover.
+// version is that of the owner record, 0 if there was none.
+func (o Owner) Leaves(version uint64) bool { return version > 0 && (o.Name != "" || o.Unsettled) }
+
 type observedNode struct {
 	Node
 	version     uint64
@@ -194,10 +201,11 @@
 // Outdated reports whether the last read is too long ago for the ages of records to be valid.
 func (v *View) Outdated(now time.Time) bool { return now.Sub(v.lastRead) > outdatedAfter }
 
-// Restarted reports whether a daemon has been restarted since the start that is identified by run.
-func (v *View) Restarted(name, run string) bool {
+// Restarted reports whether a daemon has been restarted since the start that is identified by run, and that wrote a record
+// with the given version. An older record of the daemon proves nothing: it may be of the start before.
+func (v *View) Restarted(name, run string, version uint64) bool {
 	n := v.nodes[name]
-	return n != nil && n.Run != run
+	return n != nil && n.Run != run && n.version > version
 }
 
 // Claims returns those of the given services that this daemon should take over now.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -220,3 +220,20 @@
 	is.True(!views["c"].Overloaded(now))
 	is.True(!views["b"].Overloaded(now))
 }
+
+// Guards against taking a daemon for restarted because an old record of it is known: its present start would not be told to
+// stop and would go on giving orders.
+func TestOldRecordProvesNoRestart(t *testing.T) {
+	is := is.New(t)
+	v := ownership.NewView("a", "a1")
+	record := func(version uint64, run string) cuminstair.Record {
+		data, err := json.Marshal(ownership.Node{Run: run, Addr: "b", Ready: true})
+		is.NoErr(err)
+		key := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.NodePart, Key: "b"}
+		return cuminstair.Record{RecordKey: key, Value: data, Version: version}
+	}
+	v.Apply(begin, []cuminstair.Record{record(3, "b1")})
+	is.True(!v.Restarted("b", "b2", 5)) // the owner record of b2 is newer
+	v.Apply(begin, []cuminstair.Record{record(6, "b3")})
+	is.True(v.Restarted("b", "b2", 5))
+}
