Look twice at ends that an unconfirmed owner has waited for

Cause: a renewal that waits at a worker for an end is answered at that end, even if a new owner has read the worker's lists meanwhile. So the earlier owner, cut off from the store but not from the worker, learned of an end after the new one had found the run, and started the task again or the next step on a worker that the new owner had not reached. The new owner did the same on another one: it takes a run that it finds for the only one of its task, and the next step for not started.

It costs one more call for each batch of ends while the store does not answer.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -200,12 +200,16 @@
 			}
 			w.acknowledged = w.stored
 		}
+		w.waits = o.Wait > 0
 		s.orders = append(s.orders, o)
 	}
 }
 
 // renewalWait returns how long a worker may delay its answer to a renewal while it waits for a task to end.
 func renewalWait(w *worker) time.Duration {
+	if w.secondLook {
+		return 0
+	}
 	if w.processed > w.stored {
 		return 0 // the worker would answer at once with the ends that it has already reported
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,6 +36,8 @@
 	acknowledged int64         // sequence number up to which ends are acknowledged
 
 	renewing     bool      // a renewal is in flight
+	waits        bool      // the renewal in flight waits for an end
+	secondLook   bool      // the next renewal does not wait; see newsAreLate
 	lastRenewal  time.Time // when the last successful renewal was sent
 	answeredAt   time.Time // when it last answered a call
 	knownSince   time.Time // when this owner learned of the present incarnation
@@ -342,6 +344,11 @@
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
+	if s.newsAreLate(now, w, r, running) {
+		w.secondLook, w.nextRenewal = true, now
+		return
+	}
+	w.secondLook = false
 	if w.mayHaveMoved && sent.After(w.cordonedUntil) {
 		w.mayHaveMoved = false
 		s.changed = true
@@ -360,6 +367,26 @@
 	}
 }
 
+// newsAreLate reports whether a report has ends or lacks runs, and may be of a time at which a new owner has read the lists of
+// the worker: a renewal that waits is answered at an end even if the worker has seen a higher token meanwhile. A new owner
+// relies on that this one knows nothing later. The next renewal does not wait, and is refused if there is a new owner.
+func (s *Service) newsAreLate(now time.Time, w *worker, r cuminstair.WorkerReport, running map[cuminstair.TaskID]int64) bool {
+	if !w.waits || now.Sub(s.confirmedAt) < freshConfirmation {
+		return false
+	}
+	for _, e := range r.Ended {
+		if e.Seq > w.processed {
+			return true
+		}
+	}
+	for id, a := range w.attempts {
+		if running[id] != a.run {
+			return true
+		}
+	}
+	return false
+}
+
 // handleEnds processes the ends that are new, and reports whether it could process them all: an end is left for a later
 // report while its occurrence can't be created, since it would be acknowledged without having been stored.
 func (s *Service) handleEnds(now time.Time, w *worker, list []cuminstair.EndedTask) bool {
