Expect a long lease on a worker that has restarted

Cause: until the owner knows of the restart, its orders have leases on the clock of the earlier incarnation. The clock of the new one begins at zero, so that it takes the longest lease that it grants, 6 to 10 s. The owner counted 4 s, and gave up runs that went on.

The fake workers of the tests shorten leases as real ones do.

Now the owner expects the longest lease on a worker to which it sent a lease between the last report of the earlier incarnation and the first of the new one, and sends no lease to a worker that does not answer.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -194,8 +194,10 @@
 		w.renewing = true
 		o := Order{Kind: OrderRenew, Worker: w.info, Token: s.Token, Seen: w.stored}
 		if w.synced {
+			if len(w.attempts) > 0 && w.failedCalls == 0 {
+				o.Lease = s.nextLease(now, w) // a worker that does not answer keeps the lease that it has
+			}
 			if len(w.attempts) > 0 {
-				o.Lease = s.nextLease(now, w)
 				o.Wait = renewalWait(w)
 			}
 			w.acknowledged = w.stored
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -282,3 +282,22 @@
 		})
 	}
 }
+
+// Guards against giving up runs of a restarted worker too early: it may have got a lease that was counted on the clock of its
+// earlier incarnation, and that is as long as the worker permits.
+func TestLeaseOfARestartedWorkerMayBeLong(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(30 * time.Second)
+	p.submit(jobA, longRunning(1))
+	p.run(2 * time.Second)
+	w := p.workers[0]
+	w.restart(p.now) // the next renewal has a lease on the earlier clock
+	p.run(400 * time.Millisecond)
+	p.is.Equal(p.running(), 1)
+	w.partitioned = true
+	p.addWorker("b", 1)
+	p.s.SetWorkers(p.now, p.list)
+	p.run(15 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+	p.is.Equal(p.running(), 1)
+}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -23,6 +23,7 @@
 	stopGrace       = 400 * time.Millisecond
 	validity        = 800 * time.Millisecond // validity of tickets
 	maxListedEnds   = 500                    // in one report
+	maxLease        = 10 * time.Second       // longest lease that a worker grants
 	restartTime     = 3 * time.Second        // from a crash to the start of another worker at the address
 )
 
@@ -133,7 +134,7 @@
 // takeOver starts a new owner from the records in the store.
 func (p *pool) takeOver(token int64, earlierOwnerGrace time.Duration) {
 	p.s = dispatch.New("s", token, p.now, hclog.NewNullLogger())
-	p.s.Bounds = cuminstair.Bounds{StopGrace: stopGrace, StateRetention: time.Minute}
+	p.s.Bounds = cuminstair.Bounds{StopGrace: stopGrace, StateRetention: time.Minute, MaxLease: maxLease}
 	p.s.EarlierOwnerGrace, p.s.Grace = earlierOwnerGrace, 6*time.Second
 	p.batch = nil
 	p.confirmedAt = p.now
@@ -224,6 +225,11 @@
 	return d
 }
 
+// extend takes a lease, which is shortened to maxLease.
+func (w *fakeWorker) extend(now time.Time, lease time.Duration) {
+	w.lease = max(w.lease, min(lease, w.clock(now)+maxLease))
+}
+
 // unlist removes a worker from the list of workers.
 func (p *pool) unlist(id string) {
 	p.list = slices.DeleteFunc(p.list, func(info cuminstair.WorkerInfo) bool { return info.ID == id })
@@ -352,7 +358,7 @@
 		p.deliver(o, cuminstair.ErrTicketInvalid, nil)
 		return
 	}
-	w.lease = max(w.lease, o.Start.Lease)
+	w.extend(p.now, o.Start.Lease)
 	if w.startDelay > 0 {
 		w.delayed = append(w.delayed, delayedStart{at: p.now.Add(w.startDelay), order: o})
 		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
@@ -401,9 +407,7 @@
 }
 
 func (p *pool) renew(w *fakeWorker, o dispatch.Order) {
-	if o.Lease > 0 {
-		w.lease = max(w.lease, o.Lease)
-	}
+	w.extend(p.now, o.Lease)
 	kept := w.ended[:0]
 	for _, e := range w.ended {
 		if e.Seq > o.Seen {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -31,6 +31,9 @@
 	clock        time.Duration // lower bound of its clock at clockAt
 	clockAt      time.Time
 	lease        time.Duration // latest lease sent, as a time on its clock
+	heldLease    time.Duration // latest lease that it may have got by an order for its earlier incarnation
+	leaseSentAt  time.Time     // when the last order with a lease was sent
+	leaseUnsure  bool          // heldLease is to be set by its next report
 	processed    int64         // sequence number up to which ends are processed
 	stored       int64         // sequence number up to which ends are stored
 	acknowledged int64         // sequence number up to which ends are acknowledged
@@ -94,7 +97,7 @@
 
 // leaseExpired reports whether all runs on the worker under this owner's token have certainly ended.
 func (w *worker) leaseExpired(now time.Time) bool {
-	return w.synced && w.clockAtLeast(now) > w.lease+leaseMargin
+	return w.synced && w.clockAtLeast(now) > max(w.lease, w.heldLease)+leaseMargin
 }
 
 // nextLease returns the lease to send now. A worker that does not answer keeps its present lease, so that its tasks end
@@ -108,7 +111,7 @@
 	if s.Grace > 0 {
 		length = max(0, min(Lease, s.confirmedAt.Add(s.Grace).Sub(now)))
 	}
-	w.lease = max(w.lease, w.clockAtLeast(now)+length)
+	w.lease, w.leaseSentAt = max(w.lease, w.clockAtLeast(now)+length), now
 	return w.lease
 }
 
@@ -244,6 +247,7 @@
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0
 	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
+	w.leaseUnsure = w.leaseSentAt.After(w.lastRenewal)
 	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for id, a := range w.attempts {
@@ -344,6 +348,9 @@
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
+	if w.leaseUnsure {
+		w.leaseUnsure, w.heldLease = false, r.Clock+s.Bounds.MaxLease
+	}
 	if s.newsAreLate(now, w, r, running) {
 		w.secondLook, w.nextRenewal = true, now
 		return
