Begin the next step only when no other run of a done task is left

Cause: a run whose worker was cut off until its lease ran out may turn out to have ended as done, after its task was started again. The step went on at once, while the second run was being stopped. A new owner that found this run took the next step for not started by its predecessor, and started it again without waiting for workers that did not answer.

Evidence: by reading.

Now such a task keeps its step open until the second run has ended; the end as done is stored at once as before. Gangs end together, and steps that allow copies are no sign for a new owner, so that these go on as before. taskDone has one more argument, which its internal test passes.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -28,7 +28,7 @@
 	s.logEnd(w, t, e)
 	if t != nil && !t.step.occ.job.finished() {
 		t.run = max(t.run, e.Run)
-		s.recordTaskEnd(now, w, t, e)
+		s.recordTaskEnd(now, w, t, a, e)
 		if t.done && t.attempt != nil && t.attempt != a {
 			s.orderStop(now, t.attempt) // a copy that is no longer needed
 		}
@@ -67,9 +67,9 @@
 	}
 }
 
-// recordTaskEnd applies an end to its task. The end is stored before it is acknowledged to the worker, which may then
-// drop it.
-func (s *Service) recordTaskEnd(now time.Time, w *worker, t *task, e cuminstair.EndedTask) {
+// recordTaskEnd applies an end to its task. a is the attempt that has ended, or nil. The end is stored before it is
+// acknowledged to the worker, which may then drop it.
+func (s *Service) recordTaskEnd(now time.Time, w *worker, t *task, a *attempt, e cuminstair.EndedTask) {
 	j := t.step.occ.job
 	if t.done {
 		return
@@ -79,7 +79,7 @@
 		if t.step.LongRunning {
 			break // long-running tasks are restarted however they end
 		}
-		s.taskDone(now, t)
+		s.taskDone(now, t, a)
 		if t.step.Gang {
 			s.gangDone(now, t.step)
 		}
@@ -112,23 +112,34 @@
 func (s *Service) gangDone(now time.Time, st *step) {
 	for _, t := range st.tasks {
 		if !t.done {
-			s.taskDone(now, t)
+			s.taskDone(now, t, t.attempt) // they end together
 		}
 	}
 }
 
-// taskDone marks a task as done, and completes its step, occurrence and job if none of their tasks is left.
-func (s *Service) taskDone(now time.Time, t *task) {
+// taskDone marks a task as done by the attempt a, which may be nil. Its step goes on once no other run of the task is
+// left, which is being stopped: a new owner takes a run that it finds as a sign that the next step has not begun. Steps that
+// allow copies are no such sign.
+func (s *Service) taskDone(now time.Time, t *task, a *attempt) {
 	t.done = true
 	s.counts.Done++
+	s.markDirty(t.step.occ.job)
+	if t.attempt != nil && t.attempt.run != t.run {
+		s.orderStop(now, t.attempt)
+	}
+	if t.attempt != nil && t.attempt != a && !t.step.Duplicates {
+		t.closing = true
+		return
+	}
+	s.taskComplete(now, t)
+}
+
+// taskComplete completes the step, occurrence and job of a task if none of their tasks is left.
+func (s *Service) taskComplete(now time.Time, t *task) {
 	st := t.step
 	st.tasksLeft--
 	o := st.occ
 	j := o.job
-	s.markDirty(j)
-	if t.attempt != nil && t.attempt.run != t.run {
-		s.orderStop(now, t.attempt)
-	}
 	if st.tasksLeft > 0 {
 		return
 	}
@@ -179,7 +190,14 @@
 	if t.step.LongRunning && t.awaySince.IsZero() {
 		t.awaySince = now
 	}
-	if t.done || t.step.occ.job.finished() {
+	if t.step.occ.job.finished() {
+		return
+	}
+	if t.closing {
+		t.closing = false
+		s.taskComplete(now, t)
+	}
+	if t.done {
 		return
 	}
 	s.requeue(t.step)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -68,6 +68,7 @@
 	run         int64   // highest run number started or seen
 	checkpoint  string  // newest known checkpoint
 	attempt     *attempt
+	closing     bool      // done, while another run is being stopped
 	stuckStops  int       // how often it was stopped for lack of progress
 	avoidWorker string    // worker on which the last run failed
 	awaySince   time.Time // of a long-running task: since when it is down; zero: it is serving
--- a/dispatch/malformed_test.go
+++ b/dispatch/malformed_test.go
@@ -56,7 +56,7 @@
 	next := j.next
 	for _, st := range append([]*occurrence(nil), j.runs...) {
 		for _, x := range st.steps[0].tasks {
-			s.taskDone(now, x)
+			s.taskDone(now, x, nil)
 		}
 	}
 	s.Decide(now, now)
