Let the lists decide on a start that is refused as an old run

Callers saw: a task that could run again after it was done (rule TWICE).

Cause: a worker refuses a run that is not higher than one which has ended there. The owner took that for a start that did not happen and placed the task again, although the run itself may have been there: a start can be carried out twice on its way.

Evidence: by reading; TestRefusalAsAnOldRunIsNoProofThatItDidNotRun fails without the change and passes with it. Now the lists of the worker decide, as for a start without an answer.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -247,7 +247,8 @@
 		}
 		_ = clock
 		return
-	case errors.Is(err, cuminstair.ErrUncertain):
+	case errors.Is(err, cuminstair.ErrUncertain), errors.Is(err, cuminstair.ErrStaleRun):
+		// A run number is used once, so a run that is not higher than an ended one has been there. The lists of the worker decide.
 		s.Log.Info("dispatch: start was not answered", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 			"run", a.run, "worker", w.info.ID, "error", err)
 		return
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -331,3 +331,32 @@
 		p.is.True(!runs)
 	}
 }
+
+// Guards against starting a task again that a worker refuses to start since the same run has already ended there: a start
+// may be carried out twice on its way.
+func TestRefusalAsAnOldRunIsNoProofThatItDidNotRun(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	p.writeBatch()
+	orders := append([]dispatch.Order(nil), p.s.Decide(p.now, p.now)...)
+	for _, o := range orders {
+		if o.Kind != dispatch.OrderStart {
+			p.execute(o)
+			continue
+		}
+		w := p.worker(o.Worker.ID)
+		p.starts[o.Task]++
+		w.token, w.lease = o.Token, o.Start.Lease
+		w.end(o.Task, &fakeRun{run: o.Run}, cuminstair.EndDone)
+		p.execute(o)
+		w.partitioned = true
+	}
+	p.run(200 * time.Millisecond)
+	for _, w := range p.workers {
+		w.partitioned = false
+	}
+	p.run(3 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
+}
