Add a random walk of takeovers to package dispatch

Package dispatch had tests with one owner at a time. The walk runs the real Service of several owners in virtual time, with modelled workers, store, network and daemons, and checks the starts and ends that the workers see.

--- /dev/null
+++ b/dispatch/export_test.go
@@ -0,0 +1,21 @@
+package dispatch
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Belief returns what an owner knows of its workers, for the reports of tests.
+func (s *Service) Belief(now time.Time) string {
+	var list []string
+	for id, w := range s.workers {
+		list = append(list, fmt.Sprintf("%s[inherited=%v recorded=%v listed=%v synced=%v gone=%v born=%d failed calls=%d runs=%d ends=%d/%d/%d lease left=%s clock age=%s]",
+			id, s.inherited[id], w.recorded, w.listed, w.synced, w.gone, w.info.Incarnation, w.failedCalls, len(w.attempts), w.processed, w.stored, w.acknowledged,
+			(w.lease-w.clockAtLeast(now)).Round(time.Millisecond), now.Sub(w.clockAt).Round(time.Millisecond)))
+	}
+	sort.Strings(list)
+	return fmt.Sprintf("resolved=%v earlier owner grace=%s age=%s confirmed %s ago, deposed=%v, stopping=%v: %s", s.inheritedResolved(), s.EarlierOwnerGrace,
+		now.Sub(s.takenOverAt).Round(time.Millisecond), now.Sub(s.confirmedAt).Round(time.Millisecond), s.deposed, s.stopping, strings.Join(list, " "))
+}
--- /dev/null
+++ b/dispatch/walk_test.go
@@ -0,0 +1,757 @@
+package dispatch_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+var (
+	walkSeeds   = flag.Int("walk.seeds", 60, "number of seeds of TestWalk")
+	walkFirst   = flag.Uint64("walk.first", 1, "first seed of TestWalk")
+	walkVerbose = flag.Bool("walk.all", false, "print the whole trace of a violation")
+)
+
+// Times of a walk.
+const (
+	walkFaults   = 24 * time.Second // in which faults are injected and jobs are submitted
+	walkFinish   = 90 * time.Second // after the faults, in which all jobs must end
+	walkWorkers  = 2                // fewest workers that a fault leaves
+	cancelDelay  = 8 * time.Second  // after the acknowledgement of a cancellation, in which earlier owners may still start tasks
+	earlyLimit   = 2 * time.Second  // by which the clocks of the daemons may differ
+	walkCentres  = 3
+	walkDaemons  = 4
+	maxTraceRows = 260
+	maxTraceText = 400 // bytes of a row
+	manyJobs     = 3   // jobs of a walk that have many short tasks
+)
+
+// modelJob is a job that a walk submits.
+type modelJob struct {
+	id        string
+	spec      *cuminstair.JobSpec
+	work      []time.Duration // by step: mean duration of its tasks
+	failRate  float64
+	accepted  bool
+	tries     int
+	cancelled time.Time // when its cancellation was acknowledged
+	final     cuminstair.JobState
+}
+
+// walkCounts tell what a walk has reached.
+type walkCounts struct {
+	starts, takeovers, chains, lapses, held, restarts, mostEnds, crashes, jobs int
+	refused                                                                    map[string]int
+}
+
+func (c *walkCounts) add(o *walkCounts) {
+	c.starts, c.takeovers, c.chains, c.lapses = c.starts+o.starts, c.takeovers+o.takeovers, c.chains+o.chains, c.lapses+o.lapses
+	c.held, c.restarts, c.crashes, c.jobs = c.held+o.held, c.restarts+o.restarts, c.crashes+o.crashes, c.jobs+o.jobs
+	c.mostEnds = max(c.mostEnds, o.mostEnds)
+	for k, n := range o.refused {
+		c.refused[k] += n
+	}
+}
+
+// walk is one random walk: several daemons own a service one after the other while workers, network and store fail.
+type walk struct {
+	seed        uint64
+	sim         *simulation
+	store       *modelStore
+	daemons     []*daemon
+	hosts       []*modelHost
+	entries     map[string]cuminstair.WorkerInfo // platform's list of workers
+	links       map[pair]link
+	cutCentres  []time.Time // by centre: until when it is cut off
+	guarded     bool
+	slowAnswers float64
+	longFailure float64
+	storeTime   time.Duration
+	listAge     time.Duration
+	hostsAge    time.Duration
+	many        bool // jobs with many short tasks
+	jobs        map[string]*modelJob
+	list        []*modelJob
+	runs        map[cuminstair.TaskID][]*modelRun
+	numbers     int
+	lives       int
+	begins      []time.Time // times of takeovers
+	healed      bool
+	counts      walkCounts
+	trace       []traceRow
+	broken      string
+}
+
+// beliefText marks what an owner knows of its workers.
+const beliefText = "belief"
+
+// traceRow is an event of a walk.
+type traceRow struct {
+	at   time.Time
+	who  string
+	text string
+	args []any
+}
+
+func (w *walk) note(who, text string, args ...any) {
+	w.trace = append(w.trace, traceRow{w.sim.now, who, text, args})
+}
+
+// walkLog adds the log of an owner to the trace.
+type walkLog struct {
+	hclog.Logger
+	w   *walk
+	who string
+}
+
+func (l walkLog) Info(msg string, args ...any)  { l.w.note(l.who, msg, args...) }
+func (l walkLog) Warn(msg string, args ...any)  { l.w.note(l.who, msg, args...) }
+func (l walkLog) Error(msg string, args ...any) { l.w.note(l.who, msg, args...) }
+
+func newWalk(seed uint64) *walk {
+	s := &simulation{now: begin, rand: rand.New(rand.NewPCG(seed, 5))}
+	w := &walk{
+		seed: seed, sim: s, store: &modelStore{version: 100, records: map[cuminstair.RecordKey][]byte{}, beats: map[string]heartbeat{}},
+		entries: map[string]cuminstair.WorkerInfo{}, links: map[pair]link{}, cutCentres: make([]time.Time, walkCentres),
+		jobs: map[string]*modelJob{}, runs: map[cuminstair.TaskID][]*modelRun{}, counts: walkCounts{refused: map[string]int{}},
+	}
+	w.guarded = s.chance(0.4)
+	w.slowAnswers = []float64{0, 0, 0.02, 0.2}[s.rand.IntN(4)]
+	w.longFailure = []float64{0, 0.3}[s.rand.IntN(2)]
+	w.storeTime = []time.Duration{2 * time.Millisecond, 15 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond}[s.rand.IntN(4)]
+	w.listAge = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}[s.rand.IntN(3)]
+	w.hostsAge = []time.Duration{0, 0, 300 * time.Millisecond}[s.rand.IntN(3)]
+	w.many = s.chance(0.1)
+	for i := range walkDaemons {
+		d := &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres, offset: s.between(-500*time.Millisecond, 500*time.Millisecond)}
+		w.daemons = append(w.daemons, d)
+	}
+	hosts := 3 + s.rand.IntN(7)
+	if w.many {
+		hosts = 2
+	}
+	for range hosts {
+		w.addHost()
+	}
+	for _, d := range w.daemons {
+		d.boot()
+	}
+	return w
+}
+
+func (w *walk) storeDelay() time.Duration { return w.sim.between(0, w.storeTime) }
+
+// Workers.
+
+func (w *walk) addHost() {
+	n := strconv.Itoa(len(w.hosts) + 1)
+	h := &modelHost{name: "h" + n, addr: "h" + n + ":1", centre: len(w.hosts) % walkCentres, phase: cuminstair.PhaseUp, pool: "s"}
+	w.hosts = append(w.hosts, h)
+	p := w.startProcess(h, w.newLife(h))
+	p.offset = w.sim.between(0, 200*time.Second) // it has run for some time
+}
+
+// newLife returns a new worker id.
+func (w *walk) newLife(h *modelHost) string {
+	w.lives++
+	return fmt.Sprintf("%s-%d", h.name, w.lives)
+}
+
+// startProcess starts a worker on a host, which joins the list of workers later.
+func (w *walk) startProcess(h *modelHost, id string) *process {
+	cpu := []int{8000, 16000, 32000}[w.sim.rand.IntN(3)]
+	p := &process{w: w, host: h, startedAt: w.sim.now, rate: 1 - 0.02*w.sim.rand.Float64(), barred: map[cuminstair.TaskID]int64{}}
+	if w.sim.chance(0.3) {
+		p.rate = 0.98
+	}
+	p.info = cuminstair.WorkerInfo{
+		ID: id, Service: "s", Addr: h.addr, Centre: "c" + strconv.Itoa(h.centre), Host: h.name, Incarnation: w.sim.now.UnixMilli(),
+		CPU: cpu, Memory: 4 * cpu, Rack: "r" + strconv.Itoa(h.centre),
+	}
+	h.proc = p
+	w.setPhase(h, cuminstair.PhaseUp, "s")
+	w.note("platform", "worker starts", "worker", id, "born", p.info.Incarnation, "cpu", cpu, "rate", p.rate)
+	w.sim.after(w.sim.between(0, 500*time.Millisecond), func() { w.register(p) })
+	return p
+}
+
+// register writes the entry of a worker into the list.
+func (w *walk) register(p *process) {
+	if p.dead || p.unlisted {
+		return
+	}
+	w.store.version++
+	info := p.info
+	info.Version = w.store.version
+	if p.leaving {
+		info.State = cuminstair.WorkerLeaving
+	}
+	w.entries[info.ID] = info
+}
+
+// unregister removes the entry of a worker after a time, unless it has started again.
+func (w *walk) unregister(p *process, after time.Duration) {
+	w.sim.after(after, func() {
+		if e, ok := w.entries[p.info.ID]; ok && e.Incarnation == p.info.Incarnation {
+			delete(w.entries, p.info.ID)
+			w.note("platform", "entry removed", "worker", p.info.ID)
+		}
+	})
+}
+
+func (w *walk) workerList() []cuminstair.WorkerInfo {
+	list := make([]cuminstair.WorkerInfo, 0, len(w.entries))
+	for _, e := range w.entries {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// setPhase changes the state of a host, which the list of hosts shows after a time.
+func (w *walk) setPhase(h *modelHost, phase cuminstair.HostPhase, pool string) {
+	w.sim.after(w.sim.between(0, w.hostsAge), func() { h.phase, h.pool = phase, pool })
+}
+
+func (w *walk) hostList() []cuminstair.HostRecord {
+	var list []cuminstair.HostRecord
+	for _, h := range w.hosts {
+		r := cuminstair.HostRecord{Name: h.name, Phase: h.phase, Pool: h.pool, Centre: "c" + strconv.Itoa(h.centre)}
+		if h.proc != nil && h.phase == cuminstair.PhaseUp {
+			r.Worker = h.proc.info.ID
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+func (w *walk) hostAt(addr string) *modelHost {
+	for _, h := range w.hosts {
+		if h.addr == addr {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *walk) daemonNamed(name string) *daemon {
+	for _, d := range w.daemons {
+		if d.name == name {
+			return d
+		}
+	}
+	return nil
+}
+
+// mayTakeOver reports whether a daemon takes part in takeovers now.
+func (w *walk) mayTakeOver(d *daemon) bool {
+	return !w.sim.now.Before(begin.Add(time.Second)) && d.alive
+}
+
+func (w *walk) tookOver(*runner) {
+	w.counts.takeovers++
+	w.begins = append(w.begins, w.sim.now)
+	if n := len(w.begins); n > 2 && w.begins[n-1].Sub(w.begins[n-3]) < ownerGrace {
+		w.counts.chains++
+	}
+}
+
+func (w *walk) closed(*runner) {}
+
+// Tasks.
+
+func (w *walk) stepOf(t cuminstair.TaskID) *cuminstair.JobStep {
+	return &w.jobs[t.Job].spec.Steps[t.Step]
+}
+
+func (w *walk) workOf(t cuminstair.TaskID) time.Duration {
+	mean := w.jobs[t.Job].work[t.Step]
+	return w.sim.between(mean/2, mean*3/2)
+}
+
+func (w *walk) fails(t cuminstair.TaskID) bool { return w.sim.chance(w.jobs[t.Job].failRate) }
+
+// gang returns the runs of the gang of a run.
+func (w *walk) gang(r *modelRun) []*modelRun {
+	var list []*modelRun
+	for i := range w.stepOf(r.task).Count {
+		t := r.task
+		t.Index = i
+		for _, x := range w.runs[t] {
+			if x.run == r.run {
+				list = append(list, x)
+			}
+		}
+	}
+	return list
+}
+
+// joinGang lets the runs of a gang begin once all are present.
+func (w *walk) joinGang(r *modelRun) {
+	present := 0
+	members := w.gang(r)
+	for _, x := range members {
+		if x.active() {
+			present++
+		}
+	}
+	if present < w.stepOf(r.task).Count {
+		w.sim.after(walkGangTimeout, func() {
+			if r.active() && r.begun.IsZero() {
+				r.on.end(r, cuminstair.EndGangIncomplete)
+			}
+		})
+		return
+	}
+	for _, x := range members {
+		x.begun = w.sim.now
+	}
+	how := cuminstair.EndDone
+	if w.fails(r.task) {
+		how = cuminstair.EndFailed
+	}
+	w.sim.after(r.work, func() { r.finish(how) })
+}
+
+// endGang ends all runs of a gang as done, or one of them as failed, which breaks the others.
+func (w *walk) endGang(r *modelRun, how cuminstair.TaskEnd) {
+	if how != cuminstair.EndDone {
+		r.on.end(r, how)
+		return
+	}
+	members := w.gang(r)
+	for _, x := range members {
+		if !x.active() {
+			w.breakGang(r)
+			return
+		}
+	}
+	for _, x := range members {
+		x.on.end(x, how)
+	}
+}
+
+func (w *walk) breakGang(r *modelRun) {
+	for _, x := range w.gang(r) {
+		if x.active() && !x.begun.IsZero() {
+			x.on.end(x, cuminstair.EndGangBroken)
+		}
+	}
+}
+
+// Rules.
+
+func (w *walk) violation(rule string, t cuminstair.TaskID, text string) {
+	if w.broken != "" {
+		return
+	}
+	w.broken = fmt.Sprintf("%s: seed %d at %s: task %s: %s", rule, w.seed, w.sim.now.Sub(begin), taskText(t), text)
+	w.note("check", "VIOLATION of "+rule, "why", text)
+	for _, d := range w.daemons {
+		if d.alive && d.runner != nil {
+			w.note(d.runner.name(), beliefText, "workers", d.runner.state.Belief(d.now()))
+		}
+	}
+	w.broken += "\n" + w.explain(t)
+}
+
+func taskText(t cuminstair.TaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// checkStart checks a start before it is recorded.
+func (w *walk) checkStart(r *modelRun) {
+	j, step := w.jobs[r.task.Job], w.stepOf(r.task)
+	failed := 0
+	for _, x := range w.runs[r.task] {
+		if step.Duplicates {
+			continue
+		}
+		if x.active() {
+			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s while run %d is active on %s", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
+		}
+		if x.ended && x.acked && !x.lapsed {
+			switch x.how {
+			case cuminstair.EndDone:
+				w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s after run %d ended done on %s and was acknowledged", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
+			case cuminstair.EndFailed:
+				failed++
+			default:
+			}
+		}
+	}
+	if failed >= walkAttempts && !step.LongRunning {
+		w.violation("BUDGET", r.task, fmt.Sprintf("run %d starts on %s by %s after %d failures", r.run, r.on.info.ID, r.by, failed))
+	}
+	for _, i := range step.After {
+		for n := range j.spec.Steps[i].Count {
+			t := cuminstair.TaskID{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: i, Index: n}
+			if !slices.ContainsFunc(w.runs[t], func(x *modelRun) bool { return x.ended && x.how == cuminstair.EndDone }) {
+				w.violation("ORDER", r.task, fmt.Sprintf("run %d starts on %s by %s before task %s is done", r.run, r.on.info.ID, r.by, taskText(t)))
+			}
+		}
+	}
+	if j.spec.First > 0 {
+		if due := time.UnixMilli(j.spec.First).Add(time.Duration(r.task.Occurrence) * j.spec.Interval); w.sim.now.Add(earlyLimit).Before(due) {
+			w.violation("ORDER", r.task, "starts too early")
+		}
+	}
+	if !j.cancelled.IsZero() && w.sim.now.Sub(j.cancelled) > cancelDelay {
+		w.violation("UNASKED", r.task, fmt.Sprintf("run %d starts by %s after its job was cancelled", r.run, r.by))
+	}
+}
+
+func (w *walk) recordStart(r *modelRun) {
+	w.numbers++
+	r.startNo = w.numbers
+	w.counts.starts++
+	w.runs[r.task] = append(w.runs[r.task], r)
+	w.note(r.by, "run started", "worker", r.on.info.ID, "job", r.task.Job, "occurrence", r.task.Occurrence, "step", r.task.Step, "task", r.task.Index, "run", r.run)
+}
+
+func (w *walk) recordEnd(r *modelRun) {
+	w.numbers++
+	r.endNo = w.numbers
+}
+
+// checkAcknowledged checks an end that was acknowledged: starts after it may have been wrong.
+func (w *walk) checkAcknowledged(r *modelRun) {
+	step := w.stepOf(r.task)
+	if r.lapsed || step.Duplicates || step.LongRunning {
+		return
+	}
+	runs := w.runs[r.task]
+	for _, x := range runs {
+		if x.startNo < r.endNo {
+			continue
+		}
+		failed := 0
+		for _, y := range runs {
+			if y.acked && !y.lapsed && y.how == cuminstair.EndFailed && y.endNo < x.startNo {
+				failed++
+			}
+		}
+		switch {
+		case r.how == cuminstair.EndDone:
+			w.violation("TWICE", r.task, fmt.Sprintf("run %d was started on %s by %s after run %d had ended done on %s, which is acknowledged now", x.run, x.on.info.ID, x.by, r.run, r.on.info.ID))
+		case failed >= walkAttempts:
+			w.violation("BUDGET", r.task, fmt.Sprintf("run %d was started on %s by %s after %d failures, the last acknowledged now", x.run, x.on.info.ID, x.by, failed))
+		}
+	}
+}
+
+// explain returns the trace of a task: the events of its job, of the workers that ran it, and of owners.
+func (w *walk) explain(t cuminstair.TaskID) string {
+	on := map[string]bool{}
+	for _, r := range w.runs[t] {
+		on[r.on.info.ID] = true
+	}
+	var rows []string
+	for _, e := range w.trace {
+		if *walkVerbose || e.concerns(t, on) {
+			row := fmt.Sprintf("%10s %-9s %s %s", e.at.Sub(begin).Round(100*time.Microsecond), e.who, e.text, argText(e.args))
+			if e.text != beliefText {
+				row = row[:min(len(row), maxTraceText)]
+			}
+			rows = append(rows, row)
+		}
+	}
+	if n := len(rows); n > maxTraceRows && !*walkVerbose {
+		rows = append(rows[:20], append([]string{fmt.Sprintf("... %d rows ...", n-maxTraceRows)}, rows[n-maxTraceRows+20:]...)...)
+	}
+	return strings.Join(rows, "\n")
+}
+
+func argText(args []any) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(args); i += 2 {
+		fmt.Fprintf(&b, "%v=%v ", args[i], args[i+1])
+	}
+	return b.String()
+}
+
+// concerns reports whether an event is of interest for a task that ran on some workers.
+func (e *traceRow) concerns(t cuminstair.TaskID, on map[string]bool) bool {
+	job, worker := "", ""
+	for i := 0; i+1 < len(e.args); i += 2 {
+		switch e.args[i] {
+		case "job":
+			job, _ = e.args[i+1].(string)
+		case "worker":
+			worker, _ = e.args[i+1].(string)
+		case "step":
+			if n, ok := e.args[i+1].(int); ok && job == t.Job && n != t.Step {
+				return false
+			}
+		case "task":
+			if n, ok := e.args[i+1].(int); ok && job == t.Job && n != t.Index {
+				return false
+			}
+		}
+	}
+	switch {
+	case job != "":
+		return job == t.Job
+	case worker != "":
+		return on[worker]
+	}
+	return true
+}
+
+// Jobs.
+
+// walkAttempts is the number of failures after which a job has failed.
+const walkAttempts = 3
+
+func (w *walk) queue() cuminstair.WorkQueue {
+	return cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 50, Target: time.Hour, Attempts: walkAttempts}
+}
+
+func (w *walk) addJob() {
+	s := w.sim
+	j := &modelJob{id: fmt.Sprintf("%016x", len(w.list)+1), spec: &cuminstair.JobSpec{}}
+	long := s.chance(0.06)
+	for i := range 1 + s.rand.IntN(3) {
+		st := cuminstair.JobStep{Count: 1 + s.rand.IntN(6), CPU: 500 * (1 + s.rand.IntN(12)), Memory: 500 * (1 + s.rand.IntN(12))}
+		work := s.between(20*time.Millisecond, time.Second)
+		switch s.rand.IntN(6) {
+		case 0:
+			work = s.between(2*time.Second, 9*time.Second)
+		case 1:
+			work = s.between(10*time.Millisecond, 60*time.Millisecond)
+		}
+		st.Estimate = work
+		st.Duplicates = s.chance(0.15)
+		if i > 0 && s.chance(0.8) {
+			st.After = []int{s.rand.IntN(i)}
+		}
+		if st.Count > 1 && st.Count < 4 && s.chance(0.2) {
+			st.Gang, st.Duplicates = true, false
+		}
+		if long {
+			st.LongRunning, st.Duplicates, st.Gang, st.After, st.MaxUnavailable = true, false, false, nil, 1
+		}
+		if w.many && len(w.list) < manyJobs && !long && !st.Gang {
+			st.Count, st.CPU, st.Memory = 400+s.rand.IntN(800), 500, 500
+			work = s.between(5*time.Millisecond, 20*time.Millisecond)
+			st.Estimate = work
+		}
+		j.spec.Steps = append(j.spec.Steps, st)
+		j.work = append(j.work, work)
+	}
+	if !long && !w.many && s.chance(0.2) {
+		j.spec.First = s.now.Add(s.between(0, 5*time.Second)).UnixMilli()
+		if s.chance(0.4) {
+			j.spec.Repeats, j.spec.Interval = 2+s.rand.IntN(3), s.between(200*time.Millisecond, 3*time.Second)
+		}
+	}
+	if s.chance(0.4) {
+		j.failRate = 0.3 * s.rand.Float64()
+	}
+	w.jobs[j.id] = j
+	w.list = append(w.list, j)
+	w.submit(j)
+	if s.chance(0.08) {
+		s.after(s.between(0, 5*time.Second), func() { w.cancel(j) })
+	}
+}
+
+// anyRunner returns a runner of a daemon that answers callers, or nil.
+func (w *walk) anyRunner() *runner {
+	var list []*runner
+	for _, d := range w.daemons {
+		if r := d.runner; d.alive && !d.frozen && r != nil && !r.releasing && !r.ended {
+			list = append(list, r)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[w.sim.rand.IntN(len(list))]
+}
+
+func (w *walk) submit(j *modelJob) {
+	if j.accepted || j.tries > 40 {
+		return
+	}
+	j.tries++
+	answered := false
+	again := func() {
+		if !answered {
+			answered = true
+			w.sim.after(500*time.Millisecond, func() { w.submit(j) })
+		}
+	}
+	w.sim.after(4*time.Second, again)
+	r := w.anyRunner()
+	if r == nil {
+		again()
+		return
+	}
+	r.post(func(now time.Time) {
+		r.state.Submit(now, j.id, j.spec, w.queue(), func(x dispatch.Result) {
+			if x.Outcome != dispatch.Accepted {
+				again()
+				return
+			}
+			j.accepted, answered = true, true
+		})
+	})
+}
+
+func (w *walk) cancel(j *modelJob) {
+	if !j.cancelled.IsZero() || j.final != cuminstair.JobUnknown {
+		return
+	}
+	again := func() { w.sim.after(time.Second, func() { w.cancel(j) }) }
+	r := w.anyRunner()
+	if r == nil || !j.accepted {
+		again()
+		return
+	}
+	answered := false
+	w.sim.after(4*time.Second, func() {
+		if !answered {
+			again()
+		}
+	})
+	r.post(func(now time.Time) {
+		r.state.Cancel(now, j.id, func(x dispatch.Result) {
+			answered = true
+			switch {
+			case x.Outcome != dispatch.Accepted:
+				again()
+			case j.cancelled.IsZero():
+				j.cancelled = w.sim.now
+			}
+		})
+	})
+}
+
+// finished reports whether the jobs have ended, and names one that has not.
+func (w *walk) finished() (bool, string) {
+	for _, j := range w.list {
+		if !j.accepted || j.final != cuminstair.JobUnknown {
+			continue
+		}
+		state, err := dispatch.RecordState(orEmpty(w.store.records[cuminstair.RecordKey{Table: dispatch.RunTable, Part: "s", Key: j.id}]))
+		if err != nil || state < cuminstair.JobCompleted {
+			return false, j.id
+		}
+		j.final = state
+		w.checkFinal(j)
+	}
+	return true, ""
+}
+
+func orEmpty(value []byte) []byte {
+	if value == nil {
+		return []byte("{}")
+	}
+	return value
+}
+
+// checkFinal checks that the final state of a job has a cause.
+func (w *walk) checkFinal(j *modelJob) {
+	if j.final == cuminstair.JobCancelled {
+		return
+	}
+	for k := range max(1, j.spec.Repeats) {
+		for i := range j.spec.Steps {
+			for n := range j.spec.Steps[i].Count {
+				t := cuminstair.TaskID{Job: j.id, Occurrence: k, Step: i, Index: n}
+				failed, done := 0, false
+				for _, r := range w.runs[t] {
+					done = done || r.ended && r.how == cuminstair.EndDone
+					if r.ended && r.how == cuminstair.EndFailed {
+						failed++
+					}
+				}
+				if j.final == cuminstair.JobFailed && failed >= walkAttempts {
+					return
+				}
+				if j.final == cuminstair.JobCompleted && !done {
+					w.violation("MIXED", t, "its job is completed although the task is not done")
+				}
+			}
+		}
+	}
+	if j.final == cuminstair.JobFailed && w.counts.crashes == 0 {
+		w.violation("LOST", cuminstair.TaskID{Job: j.id}, "its job has failed without cause")
+	}
+}
+
+// run runs the walk to its end.
+func (w *walk) run() {
+	w.planFaults()
+	for at := 1500 * time.Millisecond; at < walkFaults; at += w.sim.between(50*time.Millisecond, 900*time.Millisecond) {
+		w.sim.after(at, w.addJob)
+	}
+	w.sim.after(walkFaults, w.heal)
+	end := begin.Add(walkFaults + walkFinish)
+	next := begin.Add(walkFaults + time.Second)
+	for len(w.sim.queue) > 0 && w.broken == "" {
+		w.sim.step()
+		if w.sim.now.Before(next) {
+			continue
+		}
+		next = next.Add(500 * time.Millisecond)
+		ok, open := w.finished()
+		if ok {
+			break
+		}
+		if w.sim.now.After(end) {
+			w.violation("LOST", cuminstair.TaskID{Job: open}, "its job does not end")
+		}
+	}
+	w.counts.jobs = len(w.list)
+}
+
+// TestWalk lets several owners of a service follow each other at random while workers, network, store and daemons fail,
+// and checks the starts and ends that the workers see. It guards against runs of a task beside or after another, starts
+// before their turn or beyond the attempts, starts without room, and jobs that never end. The order of Go's maps varies,
+// so that a seed does not always take the same course.
+func TestWalk(t *testing.T) {
+	began := time.Now()
+	total := walkCounts{refused: map[string]int{}}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	seeds := make(chan uint64)
+	broken := 0
+	for range min(2, runtime.GOMAXPROCS(0)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for seed := range seeds {
+				w := newWalk(seed)
+				w.run()
+				mu.Lock()
+				total.add(&w.counts)
+				if w.broken != "" {
+					broken++
+					t.Error(w.broken)
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := range *walkSeeds {
+		seeds <- *walkFirst + uint64(i)
+	}
+	close(seeds)
+	wg.Wait()
+	t.Logf("%d seeds, %d broken, %s: %+v", *walkSeeds, broken, time.Since(began).Round(time.Millisecond), total)
+}
