--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -172,7 +172,10 @@
 
 // startProcess starts a worker on a host, which joins the list of workers later.
 func (w *walk) startProcess(h *modelHost, id string) *process {
-	cpu := []int{8000, 16000, 32000}[w.sim.rand.IntN(3)]
+	if h.cpu == 0 {
+		h.cpu = []int{8000, 16000, 32000}[w.sim.rand.IntN(3)]
+	}
+	cpu := h.cpu
 	p := &process{w: w, host: h, startedAt: w.sim.now, rate: 1 - 0.02*w.sim.rand.Float64(), barred: map[cuminstair.TaskID]int64{}}
 	if w.sim.chance(0.3) {
 		p.rate = 0.98
@@ -563,6 +566,7 @@
 	}
 	w.jobs[j.id] = j
 	w.list = append(w.list, j)
+	w.note("callers", "job submitted", "job", j.id, "start in", time.UnixMilli(max(j.spec.First, s.now.UnixMilli())).Sub(s.now), "times", j.spec.Repeats, "steps", fmt.Sprintf("%+v", j.spec.Steps))
 	w.submit(j)
 	if s.chance(0.08) {
 		s.after(s.between(0, 5*time.Second), func() { w.cancel(j) })
--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
@@ -257,7 +258,7 @@
 			then(got.version, true)
 		case err == nil && got.owner == o:
 			then(got.at, true) // an earlier attempt of this write
-		case err == nil, err == cuminstair.ErrUnavailable:
+		case err == nil, errors.Is(err, cuminstair.ErrUnavailable):
 			then(0, false)
 		default:
 			d.after(takeoverPause, func() { d.writeOwner(version, o, then) })
@@ -531,7 +532,7 @@
 				r.committed(now, sent, b, got.at)
 			case err == nil:
 				r.state.Depose("the store has another owner record: " + got.owner.name)
-			case err == cuminstair.ErrUnavailable && !r.uncertain && r.hedges == 0:
+			case errors.Is(err, cuminstair.ErrUnavailable) && !r.uncertain && r.hedges == 0:
 				r.writeFailed(now)
 				r.state.NotStored(b)
 				r.inflight, r.retryAt = nil, now.Add(commitRetryPause)
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -126,6 +126,7 @@
 	phase   cuminstair.HostPhase
 	pool    string
 	proc    *process // process at its address; nil: none
+	cpu     int      // of its workers
 	refuses bool     // connections are refused while there is no process
 }
 
