Test trials of short tasks beside those of long-running tasks, and known causes

Two tests that fail on this code. Short suspects wait until the trials of long-running tasks have settled (5 s each), and tasks that were on several crashed workers are tried one after the other although the causes of the crashes are known.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -434,3 +434,49 @@
 	p.run(10 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobRunning)
 }
+
+// Guards against short tasks that wait while long-running tasks are tried: such a trial lasts until the run has settled, and
+// the tasks of a long-running step come first.
+func TestTrialsOfLongRunningTasksDelayNoShortOnes(t *testing.T) {
+	p := newPool(t, 14)
+	p.crashes = crashesWorkers
+	p.run(200 * time.Millisecond)
+	const long = "00000000000000cc"
+	st := longRunning(6)
+	st.PerWorker = 1
+	p.submit(long, st)
+	for range 2 {
+		p.run(time.Second)
+		for _, w := range p.busy() {
+			w.crashAt = p.now
+		}
+		p.run(restartTime + 200*time.Millisecond)
+	}
+	p.submit(jobA, step(3, 2000))
+	p.run(2*restartTime + 2*time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+	p.is.Equal(p.crashCount[crashTask], maxCrashes)
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(long), cuminstair.JobRunning)
+}
+
+// Guards against trials of tasks that were on several crashed workers although the causes of the crashes are known: each of
+// them has a worker to itself until its run ends.
+func TestTasksBesideKnownCausesNeedNoTrial(t *testing.T) {
+	const jobs = 6
+	p := newPool(t, 8)
+	p.crashes = func(id cuminstair.TaskID) bool { return id.Index == 0 && id.Job != jobB }
+	p.duration = func(cuminstair.TaskID) time.Duration { return 6 * time.Second }
+	p.run(200 * time.Millisecond)
+	p.submit(jobB, step(120, 2000)) // fills nearly all of the pool
+	p.run(200 * time.Millisecond)
+	for i := range jobs {
+		p.submit(fmt.Sprintf("%016x", 1000+i), step(1, 1000))
+		p.run(time.Second)
+	}
+	p.run(20 * time.Second)
+	for i := range jobs {
+		p.is.Equal(p.s.State(fmt.Sprintf("%016x", 1000+i)), cuminstair.JobFailed)
+	}
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+}
