Give each kind of suspect its own workers for trials, and drop crashes with a known cause

Cause: a long-running task that was on two crashed workers is on trial for 5 s, and such tasks are placed first, so that they took both places for trials (of a pool of 9 to 19 workers) while short suspects waited. So did innocent short tasks that were on two crashed workers: each had a worker to itself until its run ended, two at a time, while the sole suspects that explain the crashes waited for a place.

Change: long-running tasks, sole suspects and other suspects have trials on workers of their own, each kind up to the limit of before. Once the cause of a crash is known, it no longer counts for tasks that had been started long before it. It still counts for those that had just been started, since several of them may crash workers.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -44,7 +44,8 @@
 	Worker    string `json:"w"`
 	Confirmed bool   `json:"c,omitempty"` // the worker has crashed; otherwise it just does not answer
 	Started   bool   `json:"s,omitempty"` // the worker had the run; otherwise its start was not answered
-	Early     bool   `json:"e,omitempty"` // soon after the start of the run
+	Early     bool   `json:"e,omitempty"` // soon after the start of the run, and not explained by another task
+	Late      bool   `json:"l,omitempty"` // long after the start of the run
 	Alone     bool   `json:"a,omitempty"` // no other run can have caused it
 }
 
@@ -243,7 +244,7 @@
 	for _, a := range w.attempts {
 		if t := s.taskOf(a); t != nil && !a.settled() && a.mayHaveRun() && !slices.Contains(hit, t) {
 			s.addCrash(t, crash{
-				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Alone: a.trial && unsettled == 1,
+				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Late: true, Alone: a.trial && unsettled == 1,
 			})
 			hit = append(hit, t)
 		}
@@ -273,8 +274,8 @@
 	}
 }
 
-// clearSuspects withdraws the suspicion against the tasks that had been started on a worker before a crash whose cause
-// is known. That a worker crashed under them still counts.
+// clearSuspects withdraws the suspicion against the tasks that were on a worker at a crash whose cause is known. The crash
+// still counts for those that had just been started, since several tasks may have caused it.
 func (s *Service) clearSuspects(worker string) {
 	for _, j := range s.active {
 		if j.crashChange == 0 {
@@ -283,19 +284,29 @@
 		for _, o := range j.runs {
 			for _, st := range o.steps {
 				for _, t := range st.tasks {
-					t.clearSuspicion(worker)
+					if t.clearSuspicion(worker) {
+						s.markDirty(j)
+						s.changed = true
+					}
 				}
 			}
 		}
 	}
 }
 
-func (t *task) clearSuspicion(worker string) {
+// clearSuspicion reports whether a crash of the worker was recorded.
+func (t *task) clearSuspicion(worker string) bool {
+	ofWorker := func(c crash) bool { return c.Worker == worker }
+	if !slices.ContainsFunc(t.crashes, ofWorker) {
+		return false
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return ofWorker(c) && c.Late && !c.Alone })
 	for i := range t.crashes {
-		if t.crashes[i].Worker == worker {
+		if ofWorker(t.crashes[i]) {
 			t.crashes[i].Early = false
 		}
 	}
+	return true
 }
 
 // recoverCrashes connects uncertain crashes in the records of a job with the workers. A worker that is not in the record
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -10,7 +10,8 @@
 // Parameters of trials.
 const (
 	// trialDivisor limits the workers that run trials or have crashed in one to about one in trialDivisor candidates or
-	// hosts that could be moved to the pool, but not to fewer than minTrials.
+	// hosts that could be moved to the pool, but not to fewer than minTrials. It holds for each kind of task, see
+	// trialAllowed.
 	trialDivisor = 8
 	minTrials    = 2
 	// trialTime is how long a trial lasts at least.
@@ -96,34 +97,74 @@
 	return true
 }
 
-// trialAllowed reports whether another worker may be used for a trial of a task. Trials of sole suspects, which
-// probably crash their worker, use half of the workers for trials.
+// trialAllowed reports whether another worker may be used for a trial of a task. Each kind of task has workers of its own:
+// long-running ones, sole suspects, which probably crash their worker and then explain a crash to others, and the rest.
 func (s *Service) trialAllowed(t *task) bool {
 	limit := s.trialLimit()
-	return s.trials < limit && (!t.soleSuspect() || s.soleTrials < max(1, limit/2))
+	switch {
+	case t.step.LongRunning:
+		return s.longRunningTrials() < limit
+	case t.soleSuspect():
+		return s.soleTrials < max(1, limit/2)
+	}
+	return s.trials-s.soleTrials < limit
 }
 
-// trialLimit returns how many workers may be used for trials.
+// trialLimit returns how many workers may be used for trials of one kind of task.
 func (s *Service) trialLimit() int {
 	return max(minTrials, max(len(s.candidates), s.available)/trialDivisor)
 }
 
-// countTrials counts the workers that run a trial, are reserved for one, or have crashed in one and are not back.
+// countTrials counts the workers that run a trial of short tasks, are reserved for one, or have crashed in one and are not
+// back.
 func (s *Service) countTrials() {
 	s.trials, s.soleTrials = 0, 0
 	for _, w := range s.workers {
-		reserved := w.reservedFor != nil && s.now.Before(w.reservedUntil) && w.reservedFor.needsTrial()
-		inTrial := w.trials > 0 || w.trialFailed
 		switch {
-		case w.gone:
-		case reserved:
+		case w.gone, w.triesLongRunning(s.now):
+		case w.reservedForTrial(s.now):
 			s.addTrial(w.reservedFor.soleSuspect())
-		case inTrial:
+		case w.trials > 0, w.trialFailed:
 			s.addTrial(w.soleTrial)
 		}
 	}
 }
 
+// longRunningTrials counts the workers that run a trial of a long-running task, are reserved for one, or have crashed in one
+// and are not back.
+func (s *Service) longRunningTrials() int {
+	n := 0
+	for _, w := range s.workers {
+		if !w.gone && w.triesLongRunning(s.now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) reservedForTrial(now time.Time) bool {
+	return w.reservedFor != nil && now.Before(w.reservedUntil) && w.reservedFor.needsTrial()
+}
+
+// triesLongRunning reports whether a worker is used for a trial of a long-running task.
+func (w *worker) triesLongRunning(now time.Time) bool {
+	if w.reservedForTrial(now) {
+		return w.reservedFor.step.LongRunning
+	}
+	if w.trialFailed {
+		return slices.ContainsFunc(w.suspects, func(t *task) bool { return t.step.LongRunning })
+	}
+	if w.trials == 0 {
+		return false
+	}
+	for _, a := range w.attempts {
+		if a.longRunning && a.trial && !a.passed {
+			return true
+		}
+	}
+	return false
+}
+
 // addTrial counts a worker as used for a trial.
 func (s *Service) addTrial(sole bool) {
 	s.trials++
@@ -135,7 +176,7 @@
 // startTrial marks a run as a trial. Only sole suspects that are started at the same time, if it is known, may join it.
 func (s *Service) startTrial(now time.Time, a *attempt) {
 	w, t := a.worker, a.task
-	if w.trials == 0 && w.reservedFor != t {
+	if w.trials == 0 && w.reservedFor != t && !t.step.LongRunning {
 		s.addTrial(t.soleSuspect())
 	}
 	a.trial, w.trialAt, w.soleTrial, t.trialSince = true, now, t.soleSuspect(), time.Time{}
@@ -193,7 +234,9 @@
 		return
 	}
 	best.reserve(now, t)
-	s.addTrial(t.soleSuspect())
+	if !t.step.LongRunning {
+		s.addTrial(t.soleSuspect())
+	}
 	s.Log.Info("dispatch: worker reserved for a task that may crash it", "service", s.Name, "job", t.id.Job, "step", t.id.Step, "task", t.id.Index,
 		"worker", best.info.ID, "tasks", len(best.attempts), "trials", s.trials, "workers", len(s.candidates))
 }
