--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -39,7 +39,7 @@
 			c.change(&st)
 			p.run(200 * time.Millisecond)
 			p.submit(jobA, st)
-			p.run(35 * time.Second)
+			p.run(25 * time.Second)
 			p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
 			p.is.Equal(p.crashCount[crashTask], maxCrashes)
 			p.is.Equal(p.running(), 0)
@@ -59,7 +59,7 @@
 				p.run(after)
 				p.takeOver(token, 0)
 			}
-			p.run(35 * time.Second)
+			p.run(25 * time.Second)
 			p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
 			p.is.True(p.crashCount[crashTask] < maxCrashes+3) // the third start after the third crash is one too many
 		})
@@ -101,7 +101,7 @@
 		p.submit(fmt.Sprintf("%016x", 1000+i), step(4, 2000))
 		p.run(40 * time.Millisecond)
 	}
-	p.run(35 * time.Second)
+	p.run(20 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
 	p.is.Equal(p.crashCount[crashTask], maxCrashes+1)
 	for i := range 30 {
@@ -181,7 +181,7 @@
 		p.submit(fmt.Sprintf("%016x", 1000+i), step(4, 2000))
 		p.run(60 * time.Millisecond)
 	}
-	p.run(35 * time.Second)
+	p.run(20 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
 	p.is.True(p.crashCount[crashTask] < maxCrashes+3) // the third start after the third crash is one too many
 	for i := range 100 {
@@ -223,7 +223,7 @@
 				p.run(dispatch.Lease + 200*time.Millisecond)
 				cut(w, false)
 			}
-			p.run(35 * time.Second)
+			p.run(20 * time.Second)
 			p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 			p.is.Equal(p.duplicateRuns, 0)
 		})
@@ -288,7 +288,7 @@
 		p.run(2 * time.Second)
 		w.crashAt = p.now
 	}
-	p.run(35 * time.Second)
+	p.run(20 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobRunning)
 	p.is.Equal(p.running(), 1)
 }
@@ -341,7 +341,7 @@
 		p.submit(ids[i], step(1, 4000))
 		p.run(200 * time.Millisecond)
 	}
-	p.run(35 * time.Second)
+	p.run(20 * time.Second)
 	crashes := 0
 	for _, id := range ids {
 		p.is.Equal(p.s.State(id), cuminstair.JobFailed)
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -12,7 +12,7 @@
 const maxPending = 4096
 
 // maxWrite is the size in bytes from which no further lines are added to a write; the last line may exceed it.
-const maxWrite = 12 << 10
+const maxWrite = 4 << 10
 
 // Sink is an io.Writer that passes lines to a writer goroutine through a buffer, and drops them while the buffer is full.
 // It must be created with New.
