Let planned work take a host whose loss lowers the reserve

MayTake refused any host while the account had no room, also one in the only rack that holds the most instances. The reserve for the loss of a rack falls with such a host, so that the account still has room for it afterwards: 2 allowed, one out, an extra instance beside another in one rack, reserve 2. Planned work could take neither of the two, although unavailable instances and the reserve that is needed then stay within the budget.

MayTake now counts the reserve as it is once the host is taken. Accounts, Room and the definition of availability are unchanged. TestMayTakeFromLargestRack fails on the code before.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -251,10 +251,11 @@
 	return tightest, ok
 }
 
-// MayTake reports whether planned work may make the host unavailable. Taking a host that is already unavailable uses no
-// further budget, and a host that provides extra instances may be taken while no declared instance is unavailable, since
-// the budget covers declared instances only. limiting is an account that has no room if ok is false, else the tightest
-// one; it is zero for an unknown host and for a pool without services.
+// MayTake reports whether planned work may make the host unavailable: whether room is left afterwards for the reserve
+// that is needed then. Taking a host that is already unavailable uses no further budget, and a host that provides extra
+// instances may be taken while no declared instance is unavailable, since the budget covers declared instances only.
+// limiting is an account that has no room if ok is false, else the tightest one; it is zero for an unknown host and for a
+// pool without services.
 func (b *Budgets) MayTake(name string) (limiting Account, ok bool) {
 	h, known := b.hosts[name]
 	if !known {
@@ -264,12 +265,13 @@
 	if !limited || !h.Available() || tightest.Room() >= 1 {
 		return tightest, true
 	}
-	if h.Pool == h.Home {
-		return tightest, false
-	}
 	for _, s := range b.byPool[h.Pool] {
 		for _, c := range []string{h.Centre, Fleet} {
-			if a := b.Account(s.name, c); a.Room() < 1 && a.Unavailable > 0 {
+			a := b.Account(s.name, c)
+			if h.Pool != h.Home && a.Unavailable == 0 {
+				continue
+			}
+			if a.Room()+s.scopes[c].reserveDrop(h) < 1 {
 				return a, false
 			}
 		}
@@ -277,6 +279,16 @@
 	return tightest, true
 }
 
+// reserveDrop returns by how much the reserve falls if the available host h becomes unavailable: by 1 if no other rack
+// holds as many available instances as its rack, else by 0.
+func (c *scope) reserveDrop(h Host) int {
+	n := c.racks[rack{centre: h.Centre, name: h.Rack}]
+	if n == c.largestRack && c.racksBySize[n] == 1 {
+		return 1
+	}
+	return 0
+}
+
 // Buffer holds the number of spare hosts in one data centre and the number that is needed.
 type Buffer struct {
 	Idle   int // hosts that the fleet file puts in pools without a service, including those that are lent
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -47,6 +47,36 @@
 	is.Equal(b.Buffer("a"), budget.Buffer{Idle: 1, Needed: 1})
 }
 
+// Guards against a host that may not be taken although the reserve falls with it, so that room for the reserve is left
+// afterwards, and against a host that may be taken although another rack keeps the reserve as high.
+func TestMayTakeFromLargestRack(t *testing.T) {
+	is := is.New(t)
+	b := budget.New([]cuminstair.Service{service("s", "p", 0.4)})
+	h := budget.Host{Centre: "a", Home: "p", Pool: "p", State: cuminstair.HostActive, Healthy: true}
+	for i := range 5 {
+		h.Rack = fmt.Sprint(i)
+		b.Set(fmt.Sprint("h", i), h)
+	}
+	h.Rack, h.State = "4", cuminstair.HostRebooting
+	b.Set("h4", h)
+	is.Equal(b.Account("s", "a").Room(), 0)
+	lent := budget.Host{Centre: "a", Rack: "0", Home: "spare", Pool: "p", State: cuminstair.HostActive, Healthy: true}
+	b.Set("x0", lent)
+	is.Equal(b.Account("s", "a").Room(), 0) // one extra instance, and two in rack 0
+	for name, want := range map[string]bool{"x0": true, "h0": true, "h1": false, "h2": false, "h3": false} {
+		_, ok := b.MayTake(name)
+		is.Equal(ok, want)
+	}
+	lent.Rack = "1"
+	b.Set("x1", lent)
+	is.Equal(b.Account("s", "a").Room(), 1)
+	b.Set("h3", budget.Host{Centre: "a", Rack: "3", Home: "p", Pool: "p", State: cuminstair.HostRebooting})
+	for _, name := range []string{"x0", "x1", "h0", "h1", "h2"} {
+		_, ok := b.MayTake(name)
+		is.True(!ok) // racks 0 and 1 both hold two instances
+	}
+}
+
 // Guards against a budget that allows one instance too few because of binary rounding.
 func TestAllowed(t *testing.T) {
 	is := is.New(t)
