Lend spare hosts to pools that could go on without them

A wave lent spare hosts only to pools without any room of their own, so in the example fleets, where each pool of a data centre has room for one host, five rounds of reboots followed the first step.

Once a host of the wave has returned to service, spare hosts are also lent to pools whose room, and not the limit of the wave, decides how long the wave takes. In the example fleets each spare host shares its rack with a host of the pool, so that it raises the reserve by as much as it adds, unless that rack mate is out. The wave therefore takes the rack mates of lent hosts first and hosts in racks without spare hosts before others, and a lent host whose rack mates are done moves on. Lending is planned before the waves, since such a host can't leave once the wave has used the room. The growth of the steps from one host is unchanged.

A wave also no longer takes hosts, and spare hosts are no longer lent for it, in the same decision in which it stops or pauses: after a failed first step 5 hosts moved for nothing (TestFailedFirstStepLendsNothing on the code before).

--- a/wave/decide.go
+++ b/wave/decide.go
@@ -30,13 +30,20 @@
 	}
 	for _, s := range p.planned {
 		p.Budgets.Set(s.name, s.account())
-		s.planned = false
+		s.planned, s.plannedPool = false, ""
 	}
 	return p.plan
 }
 
-// requeue returns hosts to their queues if the last Decide planned their drain but the plan was not committed.
+// requeue returns hosts to their queues if the last Decide planned their drain but the plan was not committed, and
+// resets what the last Decide planned for the waves.
 func (p *Planner) requeue() {
+	for _, r := range p.runs {
+		r.changing = false
+		for _, q := range r.queues {
+			q.planned = 0
+		}
+	}
 	for _, s := range p.dequeued {
 		for _, r := range p.runs {
 			r.enqueue(s)
@@ -62,8 +69,8 @@
 	return waiting
 }
 
-// takeHosts takes hosts out of service: first for operators' orders, removals, moves and repairs, then for waves, then
-// for lending.
+// takeHosts takes hosts out of service: first for operators' orders, removals, moves and repairs, then for lending, then
+// for waves. A lent host that no longer helps its pool can leave it only before a wave takes the next host of the pool.
 func (p *Planner) takeHosts(now time.Time, waiting []*status) {
 	clear(p.blocked)
 	for _, s := range waiting {
@@ -71,10 +78,11 @@
 			p.blocked[s.row.Pool]++
 		}
 	}
+	p.lend(now, waiting)
+	p.lendsTo = p.poolsWithSpares()
 	for _, name := range p.waveNames {
 		p.advanceWave(p.runs[name])
 	}
-	p.lend(now, waiting)
 }
 
 // takeOne plans to take a host out of service for an order, a quarantine, a removal, a repair or a move. It returns false
@@ -141,18 +149,18 @@
 // two more be taken. Once one host has returned, hosts of the spare pool no longer count towards the step, since no
 // service runs on them.
 func (p *Planner) advanceWave(r *run) {
-	if r.row.State != Running {
+	if !r.takes() {
 		return
 	}
 	out, outInFleet, window := r.outInCentre, r.outInFleet, r.window()
-	anyReturned := r.done > r.row.DoneAtStart
+	anyReturned := r.anyReturned()
 	if q := r.queues[p.spare]; q != nil && anyReturned {
 		out -= q.out
 	}
 	for _, pool := range p.order(r) {
 		q := r.queues[pool]
 		delete(r.blockReason, pool)
-		q.planned = 0
+		p.sortQueue(r, pool)
 		// A host that can't be taken now moves to the end of the queue; each host is tried once.
 		for range len(q.hosts) {
 			why := ""
@@ -162,7 +170,7 @@
 			case outInFleet >= r.wave.Limit:
 				why = fmt.Sprintf("%d hosts are out over the fleet, as many as the wave's limit", outInFleet)
 			default:
-				if a, limited := p.room(pool); limited && a.Room() < 1 {
+				if a, ok := p.Budgets.MayTake(q.hosts[0].name); !ok {
 					why = a.String()
 				}
 			}
@@ -173,7 +181,7 @@
 			s := q.hosts[0]
 			q.hosts = q.hosts[1:]
 			if p.takeForWave(r, s) {
-				delete(q.queued, s.name)
+				q.forget(s)
 				p.dequeued = append(p.dequeued, s)
 				q.planned++
 				outInFleet++
--- a/wave/lend.go
+++ b/wave/lend.go
@@ -22,9 +22,9 @@
 		return
 	}
 	supplies := p.supplies()
-	l := &lending{free: p.freeSpares(waiting, p.poolsToRelease(now, supplies))}
+	l := &lending{free: p.freeSpares(now, waiting, p.poolsToRelease(now, supplies))}
 	for _, pool := range p.pools {
-		if d := p.demand(now, pool, supplies[pool]); d.minimum > 0 || d.remaining > d.room {
+		if d := p.demand(now, pool, supplies[pool]); d.minimum > 0 || d.wantsMore() {
 			l.demands = append(l.demands, d)
 		}
 	}
@@ -52,8 +52,17 @@
 	minimum   int // spare hosts that the pool needs before any of its hosts can be taken or its shortage ends
 	room      int // hosts that can be out at once, with the spare hosts that are in the pool or moving to it
 	remaining int // hosts that a wave still has to take or that are out for it; at most the wave's limit
+	rounds    int // rounds of hosts that the wave needs in any case; a pool that needs no more gets no further hosts
+	// shortens is set if the pool can go on without spare hosts, and gets them so that the wave ends sooner.
+	shortens bool
 }
 
+// wantsMore reports whether the wave would end sooner if more hosts of the pool could be out at once.
+func (d *demand) wantsMore() bool { return rounds(d.remaining, max(1, d.room)) > d.rounds }
+
+// slower reports whether the wave takes longer for this pool than for another.
+func (d *demand) slower(o *demand) bool { return d.remaining*o.room > o.remaining*d.room }
+
 // assignSpares first gives each pool its minimum, starting with the pool with the most hosts remaining, and then gives
 // one more host at a time to the pool that would otherwise take the longest. Serving pools in parallel needs fewer
 // moves than giving all spare hosts to one pool after the other.
@@ -68,7 +77,7 @@
 	for len(l.free) > 0 {
 		var slowest *demand
 		for _, d := range l.demands {
-			if d.room < d.remaining && d.room > 0 && (slowest == nil || d.remaining*slowest.room > slowest.remaining*d.room) {
+			if d.wantsMore() && d.room > 0 && (slowest == nil || d.slower(slowest)) {
 				slowest = d
 			}
 		}
@@ -102,6 +111,9 @@
 func (p *Planner) assignBest(l *lending, d *demand) bool {
 	for {
 		i := p.bestSpare(d.pool, l.free, l.racks)
+		if d.shortens {
+			i = p.bestToShorten(l, d)
+		}
 		if i < 0 {
 			return false
 		}
@@ -119,7 +131,11 @@
 }
 
 func (p *Planner) startMove(s *status, pool string) bool {
-	return p.planDrain(s, GoalMove, ReasonSpare, "moves from pool "+s.row.Pool+" to "+pool, func(h *Host) { h.To = pool })
+	if !p.planDrain(s, GoalMove, ReasonSpare, "moves from pool "+s.row.Pool+" to "+pool, func(h *Host) { h.To = pool }) {
+		return false
+	}
+	s.plannedPool = pool
+	return true
 }
 
 // supplies counts the lent hosts of all pools.
@@ -142,10 +158,10 @@
 	return all
 }
 
-// demand returns a pool's need for spare hosts. A wave that can proceed without spare hosts adds nothing to the need,
-// so that no hosts are moved needlessly.
+// demand returns a pool's need for spare hosts. A wave that can proceed without spare hosts adds to the need only if it
+// would end sooner with them, so that no hosts are moved needlessly.
 func (p *Planner) demand(now time.Time, pool string, have supply) *demand {
-	d := &demand{pool: pool}
+	d := &demand{pool: pool, rounds: 1}
 	a, limited := p.room(pool)
 	if !limited || pool == p.spare {
 		return d
@@ -153,13 +169,13 @@
 	for _, name := range p.waveNames {
 		r := p.runs[name]
 		q := r.queues[pool]
-		if r.row.State != Running || q == nil || len(q.hosts) == 0 {
+		if !r.takes() || q == nil || len(q.hosts) == 0 {
 			continue
 		}
-		out := q.out + q.planned
-		if a.Room()+out-have.lent >= 1 {
+		if p.demandToShorten(r, d, have) {
 			continue
 		}
+		out := q.out + q.planned
 		d.room = a.Room() + out + have.incoming
 		d.remaining = min(len(q.hosts)+out, r.wave.Limit)
 		d.minimum = 1 - d.room
@@ -195,8 +211,8 @@
 }
 
 // freeSpares returns the hosts of the spare pool that can be moved to another pool: hosts in the spare pool first, then
-// lent hosts of the given pools.
-func (p *Planner) freeSpares(waiting []*status, pools map[string]bool) []*status {
+// lent hosts of the given pools and those that no longer help their pool.
+func (p *Planner) freeSpares(now time.Time, waiting []*status, pools map[string]bool) []*status {
 	var idle, lent []*status
 	for _, s := range waiting {
 		if s.host.Pool != p.spare || !s.active() || !s.healthy || s.planned || s.row.Hold || s.orderAt > s.row.Order {
@@ -205,7 +221,7 @@
 		switch {
 		case s.row.Pool == p.spare && !p.queuedForWave(s):
 			idle = append(idle, s)
-		case s.row.Pool != p.spare && pools[s.row.Pool]:
+		case s.row.Pool != p.spare && (pools[s.row.Pool] || p.surplus(now, s)):
 			if _, ok := p.Budgets.MayTake(s.name); ok {
 				lent = append(lent, s)
 			}
@@ -354,6 +370,9 @@
 
 // destination returns the pool that the host moves to, or else the pool that it is in.
 func (s *status) destination() string {
+	if s.planned && s.plannedPool != "" {
+		return s.plannedPool
+	}
 	if s.row.Goal == GoalMove && s.row.To != "" {
 		return s.row.To
 	}
--- a/wave/planner.go
+++ b/wave/planner.go
@@ -48,7 +48,8 @@
 	quarantineWhy  string    // why the host is to be quarantined; empty if it is not
 	order          Order
 	orderAt        uint64
-	planned        bool // the running Decide has planned a transition of the host
+	planned        bool   // the running Decide has planned a transition of the host
+	plannedPool    string // if the planned transition begins a move: the pool that the host is to join
 }
 
 func (s *status) active() bool { return s.hasRow && s.row.State == cuminstair.HostActive }
@@ -68,6 +69,7 @@
 	racks         map[string]*rackLoss
 	homes         map[poolRack]int     // number of hosts that the fleet file puts in a pool and rack
 	hostCount     int                  // hosts of this data centre in the fleet file
+	poolHosts     map[string]int       // by pool: hosts of all data centres in the fleet file
 	noRows        bool                 // no host of this data centre has a row
 	frozen        string               // why planned work is stopped; empty if it is not
 	shortSince    map[string]time.Time // by pool: since when unplanned loss leaves it short of instances
@@ -75,10 +77,11 @@
 	stuckSince    map[string]time.Time // by pool: since when waves can't take its hosts despite lent hosts
 	lossFreeSince time.Time            // since when no wave has to wait for repairs
 	plan          Plan
-	planned       []*status      // hosts with a transition in plan; Decide restores their accounts at its end
-	dequeued      []*status      // removed from queues by the last Decide
-	blocked       map[string]int // by pool: hosts for which the budget had no room in the running Decide
-	repairing     int            // replacements planned by the running Decide
+	planned       []*status       // hosts with a transition in plan; Decide restores their accounts at its end
+	dequeued      []*status       // removed from queues by the last Decide
+	blocked       map[string]int  // by pool: hosts for which the budget had no room in the running Decide
+	lendsTo       map[string]bool // pools that spare hosts are lent to or are on their way to, in the running Decide
+	repairing     int             // replacements planned by the running Decide
 }
 
 // rackLoss counts the hosts of a rack that are out of service through unplanned loss.
@@ -108,7 +111,7 @@
 func (p *Planner) SetFleet(now time.Time, f *cuminstair.Fleet) {
 	p.Budgets = budget.New(f.Services)
 	p.racks, p.homes = map[string]*rackLoss{}, map[poolRack]int{}
-	p.spare, p.pools, p.waveNames, p.hostCount = "", nil, nil, 0
+	p.spare, p.pools, p.waveNames, p.hostCount, p.poolHosts = "", nil, nil, 0, map[string]int{}
 	for _, pool := range f.Pools {
 		p.pools = append(p.pools, pool.Name)
 		if pool.Spare {
@@ -122,6 +125,7 @@
 	for i := range f.Hosts {
 		s := p.status(now, f.Hosts[i].Name)
 		s.host = f.Hosts[i]
+		p.poolHosts[s.host.Pool]++
 		if s.host.Centre == p.Centre {
 			p.hostCount++
 			p.rack(s).hosts++
@@ -141,7 +145,11 @@
 	runs := p.runs
 	p.runs = map[string]*run{}
 	for _, name := range p.waveNames {
-		p.runs[name] = newRun(p.declared[name], runs[name])
+		r := newRun(p.declared[name], runs[name])
+		for _, pool := range r.wave.Pools {
+			r.hostsInFleet += p.poolHosts[pool]
+		}
+		p.runs[name] = r
 	}
 	for _, s := range p.sorted() {
 		p.add(s, 1)
--- a/wave/run.go
+++ b/wave/run.go
@@ -19,30 +19,51 @@
 	row     Wave
 	order   Order
 	orderAt uint64
+	// changing is set if the running Decide plans a transition of the wave.
+	changing bool
 
-	done        int // hosts of this data centre on which the action is complete
-	late        int // sum of Host.Late over the hosts of this data centre
-	outInCentre int // hosts of this data centre that are out of service for the wave
-	outInFleet  int // hosts of all data centres that are out of service for the wave
-	queues      map[string]*queue
-	blockReason map[string]string // by pool: why none of its hosts is taken
+	done         int // hosts of this data centre on which the action is complete
+	hostsInFleet int // hosts that the fleet file puts into the pools of the wave
+	doneInFleet  int // hosts of all data centres on which the action is complete
+	late         int // sum of Host.Late over the hosts of this data centre
+	outInCentre  int // hosts of this data centre that are out of service for the wave
+	outInFleet   int // hosts of all data centres that are out of service for the wave
+	queues       map[string]*queue
+	blockReason  map[string]string // by pool: why none of its hosts is taken
 }
 
 // queue holds the hosts of a pool in this data centre that the wave still has to take, in order.
 type queue struct {
 	hosts   []*status
 	queued  map[string]bool
-	out     int // hosts of the pool that are out of service for the wave
-	planned int // hosts that the running Decide takes for the wave
+	racks   map[string]int // number of queued hosts by rack
+	out     int            // hosts of the pool that are out of service for the wave
+	planned int            // hosts that the running Decide takes for the wave
 }
 
+// add appends a host to the queue.
+func (q *queue) add(s *status) {
+	q.hosts = append(q.hosts, s)
+	q.queued[s.name] = true
+	q.racks[s.host.Rack]++
+}
+
+// forget updates the counts for a host that the caller has removed from the hosts of the queue.
+func (q *queue) forget(s *status) {
+	delete(q.queued, s.name)
+	q.racks[s.host.Rack]--
+}
+
+// left returns the number of hosts of the pool that are out of service for the wave or that it still has to take.
+func (q *queue) left() int { return len(q.hosts) + q.out + q.planned }
+
 func newRun(w cuminstair.Wave, old *run) *run {
 	r := &run{wave: w, row: Wave{State: Ready}, queues: map[string]*queue{}, blockReason: map[string]string{}}
 	if old != nil {
 		r.row, r.order, r.orderAt = old.row, old.order, old.orderAt
 	}
 	for _, pool := range w.Pools {
-		r.queues[pool] = &queue{queued: map[string]bool{}}
+		r.queues[pool] = &queue{queued: map[string]bool{}, racks: map[string]int{}}
 	}
 	return r
 }
@@ -79,6 +100,9 @@
 	if r.isOut(s) {
 		r.outInFleet += n
 	}
+	if s.row.Done {
+		r.doneInFleet += n
+	}
 	if !inCentre {
 		return
 	}
@@ -98,8 +122,7 @@
 	if q == nil || !s.hasRow || q.queued[s.name] || r.isOut(s) || (s.row.Wave == r.wave.Name && s.row.Done) {
 		return
 	}
-	q.queued[s.name] = true
-	q.hosts = append(q.hosts, s)
+	q.add(s)
 }
 
 // pending returns the number of queued hosts of this data centre. It includes hosts that were removed from the fleet
@@ -116,6 +139,12 @@
 // so that the size doubles from step to step.
 func (r *run) window() int { return max(1, 1+r.done-r.row.DoneAtStart) }
 
+// anyReturned reports whether a host has returned to service since the wave was last started or resumed.
+func (r *run) anyReturned() bool { return r.done > r.row.DoneAtStart }
+
+// takes reports whether the wave takes hosts out of service: it runs and is not about to stop, pause or end.
+func (r *run) takes() bool { return r.row.State == Running && !r.changing }
+
 // failing reports whether more hosts than tolerated did not return to service.
 func (r *run) failing() bool {
 	return r.late-r.row.LateAtStart > (r.done-r.row.DoneAtStart)/latePerDone
@@ -178,7 +207,7 @@
 		q.hosts = slices.DeleteFunc(q.hosts, func(s *status) bool {
 			gone := s.host.Pool != pool || !s.hasRow || s.row.Hold || r.isOut(s) || (s.row.Wave == r.wave.Name && s.row.Done)
 			if gone {
-				delete(q.queued, s.name)
+				q.forget(s)
 			}
 			return gone
 		})
@@ -194,6 +223,7 @@
 // applyOrder plans an operator's order. An order that the state does not allow is recorded as seen, with a reason, and
 // does not change the state.
 func (p *Planner) applyOrder(r *run) {
+	r.changing = true
 	row := r.row
 	row.Order, row.Reason = r.orderAt, "ordered by an operator"
 	next, err := waveChart.Next(string(r.row.State), r.order.Event)
@@ -216,6 +246,7 @@
 	if err != nil {
 		return
 	}
+	r.changing = true
 	row := r.row
 	row.State, row.Reason = State(next), why
 	p.plan.Waves = append(p.plan.Waves, Change{Name: r.wave.Name, Row: row, Reason: reason})
