Let a task return to the worker on which it failed if no other has room

Cause: a task never went back to the worker on which its last run had failed while there was another worker, also if no other could take it.

Now the task waits for another worker for 4 s at most.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -13,6 +13,8 @@
 	// failed run in a row, up to maxBlock.
 	minBlock = time.Second
 	maxBlock = 16 * time.Second
+	// avoidTime is how long a task waits for another worker than the one on which it has failed.
+	avoidTime = 4 * time.Second
 )
 
 // handleEnd processes an entry of a worker's list of ended tasks. t is its task, or nil if there is none.
@@ -85,7 +87,7 @@
 		}
 		return
 	case cuminstair.EndFailed:
-		t.avoidWorker = w.info.ID
+		t.avoidWorker, t.avoidUntil = w.info.ID, now.Add(avoidTime)
 		if t.step.LongRunning {
 			break
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -71,6 +71,7 @@
 	closing     bool      // done, while another run is being stopped
 	stuckStops  int       // how often it was stopped for lack of progress
 	avoidWorker string    // worker on which the last run failed
+	avoidUntil  time.Time // until when the next run has to be on another worker
 	awaySince   time.Time // of a long-running task: since when it is down; zero: it is serving
 	plannedMove bool      // it is down because the owner moved it
 	reserved    *worker   // worker last reserved for it
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -360,3 +360,19 @@
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
 }
+
+// Guards against tasks that wait for ever since the only worker that has room for them is the one on which they failed.
+func TestTaskReturnsToTheOnlyWorkerWithRoom(t *testing.T) {
+	p := newPool(t, 2)
+	p.list[1].CPU = 1000
+	p.s.SetWorkers(p.now, p.list)
+	failures := 0
+	p.fails = func(cuminstair.TaskID, *fakeWorker) bool {
+		failures++
+		return failures == 1
+	}
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 20000))
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -338,7 +338,10 @@
 // eligible reports whether a worker may run a task, regardless of its free room.
 func (s *Service) eligible(st *step, t *task, w *worker, near neighbours) bool {
 	switch {
-	case t.avoidWorker == w.info.ID && len(s.candidates) > 1, st.PerWorker > 0 && near.workers[w] >= st.PerWorker:
+	case t.avoidWorker == w.info.ID && len(s.candidates) > 1 && s.now.Before(t.avoidUntil):
+		s.spaced = true // it may start there later
+		return false
+	case st.PerWorker > 0 && near.workers[w] >= st.PerWorker:
 		return false
 	case !hasLabel(st.Label, w.info.Labels), st.needsTicket() && st.ticketFor(s.now, w) == "":
 		return false
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -78,7 +78,7 @@
 	adviceCallsOpen int                  // open calls to the adviser
 	workersDirty    bool                 // the worker record in the store is out of date
 	changed         bool                 // placement has to run again
-	spaced          bool                 // the last placement left a task waiting for startSpacing
+	spaced          bool                 // the last placement left a task waiting for startSpacing or avoidTime
 	deposed         bool                 // see Deposed
 	writeLatency    time.Duration        // see SetWriteLatency
 	storeDown       bool
