Read the clock of a worker that refuses a start as too late

Cause: after a pause of the owner its reading of a worker's clock is too old, so that the lease of a start has passed when it comes.

Now the worker is read at once and gets no task for 0.3 s.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -265,6 +265,9 @@
 		w.blockedUntil = now.Add(refusalBlock)
 	case errors.Is(err, cuminstair.ErrNoRoom):
 		w.blockedUntil = now.Add(refusalBlock)
+	case errors.Is(err, cuminstair.ErrLeaseExpired):
+		// The reading of the worker's clock is too old, for instance after a pause of this daemon.
+		w.blockedUntil, w.nextRenewal = now.Add(refusalBlock), now
 	case errors.Is(err, cuminstair.ErrMalformed):
 		w.blockedUntil = now.Add(minBlock)
 	case errors.Is(err, cuminstair.ErrTicketInvalid) && a.task != nil:
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -376,3 +376,22 @@
 	p.run(10 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 }
+
+// Guards against sending starts again and again that a worker refuses since their lease has passed on its clock, which this
+// owner has read too long ago.
+func TestStartsAreNotRepeatedOnAWorkerWithAnUnknownClock(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	p.writeBatch()
+	refused := 0
+	for end := p.now.Add(280 * time.Millisecond); p.now.Before(end); p.now = p.now.Add(tick) {
+		for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, p.now)...) {
+			if o.Kind == dispatch.OrderStart {
+				refused++
+				p.deliver(o, cuminstair.ErrLeaseExpired, nil)
+			}
+		}
+	}
+	p.is.Equal(refused, 1)
+}
