Tell apart by writes whether an owner may have a successor, and complete done tasks whose start is withdrawn

Whether an owner may act on a report that it has waited for depends on its last write to the store: others take it for alive by its writes, and its reads may succeed while its writes fail. After an offer of the service it counts as silent for a second.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -89,8 +89,7 @@
 		case OrderStart:
 			o.attempt.worker.remove(now, o.attempt)
 			if t := o.attempt.task; t != nil && t.attempt == o.attempt {
-				t.attempt = nil
-				s.requeue(t.step)
+				s.freeTask(now, t)
 			}
 		case OrderStop:
 			o.attempt.stopSentAt = time.Time{}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -188,10 +188,15 @@
 	if t == nil || t.attempt != a {
 		return
 	}
-	t.attempt = nil
 	if t.step.LongRunning && t.awaySince.IsZero() {
 		t.awaySince = now
 	}
+	s.freeTask(now, t)
+}
+
+// freeTask takes the attempt of a task away, and queues the task again if it is not done.
+func (s *Service) freeTask(now time.Time, t *task) {
+	t.attempt = nil
 	if t.step.occ.job.finished() {
 		return
 	}
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -240,11 +240,17 @@
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 }
 
+// decide returns the orders of an owner that wrote to the store some time ago.
+func (p *pool) decide(ago time.Duration) []dispatch.Order {
+	p.s.SetAlive(p.now.Add(-ago))
+	return append([]dispatch.Order(nil), p.s.Decide(p.now, p.now)...)
+}
+
 // Guards against an owner that acts on an end which a worker reported after a new owner had read the worker: the new owner
 // takes the run for the only one of its task, and the next step for not started. A renewal that waits at the worker is
 // answered at its end whoever owns the service by then.
-func TestUnconfirmedOwnerLooksTwiceAtEnds(t *testing.T) {
-	for name, age := range map[string]time.Duration{"confirmed": 500 * time.Millisecond, "unconfirmed": time.Second} {
+func TestSilentOwnerLooksTwiceAtEnds(t *testing.T) {
+	for name, age := range map[string]time.Duration{"alive": 500 * time.Millisecond, "silent": time.Second} {
 		t.Run(name, func(t *testing.T) {
 			p := newPool(t, 1)
 			p.run(200 * time.Millisecond)
@@ -254,7 +260,7 @@
 			p.run(200 * time.Millisecond)
 			var waiting dispatch.Order
 			for end := p.now.Add(time.Second); waiting.Wait == 0 && p.now.Before(end); p.now = p.now.Add(tick) {
-				for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, p.now.Add(-age))...) {
+				for _, o := range p.decide(age) {
 					if o.Kind == dispatch.OrderRenew && o.Wait > 0 {
 						waiting = o
 						continue
@@ -265,9 +271,9 @@
 			p.is.True(waiting.Wait > 0)
 			p.now = p.now.Add(800 * time.Millisecond)
 			p.endRuns()
-			p.s.Decide(p.now, p.now.Add(-age))
+			p.s.SetAlive(p.now.Add(-age))
 			p.execute(waiting)
-			orders := p.s.Decide(p.now, p.now.Add(-age))
+			orders := p.decide(age)
 			p.is.Equal(len(orders), 1)
 			if age < time.Second {
 				p.is.Equal(orders[0].Kind, dispatch.OrderStart)
@@ -276,7 +282,7 @@
 			p.is.Equal(orders[0].Kind, dispatch.OrderRenew)
 			p.is.Equal(orders[0].Wait, time.Duration(0))
 			p.execute(orders[0])
-			orders = p.s.Decide(p.now, p.now.Add(-age))
+			orders = p.decide(age)
 			p.is.True(len(orders) > 0)
 			p.is.Equal(orders[0].Kind, dispatch.OrderStart)
 		})
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -52,6 +52,7 @@
 	now             time.Time // time of the current decision
 	takenOverAt     time.Time // time of the takeover
 	confirmedAt     time.Time // when the store last confirmed this owner
+	aliveAt         time.Time // see SetAlive
 	jobs            map[string]*job
 	active          map[string]*job // stored jobs that have not finished
 	workers         map[string]*worker
@@ -153,6 +154,10 @@
 // SetStoreDown records whether the store is down.
 func (s *Service) SetStoreDown(down bool) { s.storeDown = down }
 
+// SetAlive records when the last write of this daemon to the store was sent that has been stored. Other daemons take it for
+// alive for some time after it. The zero time means that another daemon may take the service over at any time.
+func (s *Service) SetAlive(at time.Time) { s.aliveAt = at }
+
 // Stopping prepares a handover: from now on the service starts and moves no tasks and accepts no jobs.
 func (s *Service) Stopping() { s.stopping = true }
 
--- a/dispatch/suspect_test.go
+++ b/dispatch/suspect_test.go
@@ -89,3 +89,14 @@
 	s.countTrials()
 	is.Equal(s.trials, 0)
 }
+
+// Guards against a job that never ends: a task is done by an earlier run, and the start of its next run is not sent.
+func TestDoneTaskIsCompleteWhenItsStartIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	s, tasks := suspectService(nil)
+	s.start(suspectTime, tasks[0], s.workers["a"], 5)
+	s.taskDone(suspectTime, tasks[0], nil)
+	is.True(!tasks[0].step.occ.job.finished()) // the run may still start
+	s.withdrawOrders(suspectTime)
+	is.True(tasks[0].step.occ.job.finished())
+}
--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -43,8 +43,9 @@
 	queued   []func() // events that wait for the end of the freeze
 	runner   *runner
 	taking   bool
-	seen     ownerRow // owner record as last read
-	seenAt   uint64   // its version
+	wroteAt  time.Time // start of the last write that was stored, on the daemon's clock
+	seen     ownerRow  // owner record as last read
+	seenAt   uint64    // its version
 	beats    map[string]heartbeat
 	readAt   time.Time     // when the last successful read was sent; true time
 	patience time.Duration // after which it takes over from a silent owner
@@ -79,7 +80,7 @@
 	}
 	d.run++
 	d.alive, d.frozen, d.queued, d.runner, d.taking, d.reading = true, false, nil, nil, false, false
-	d.seen, d.seenAt, d.beats, d.readAt = ownerRow{}, 0, map[string]heartbeat{}, time.Time{}
+	d.seen, d.seenAt, d.beats, d.readAt, d.wroteAt = ownerRow{}, 0, map[string]heartbeat{}, time.Time{}, time.Time{}
 	d.patience = d.w.sim.between(800*time.Millisecond, 1700*time.Millisecond)
 	d.w.note(d.name, "daemon starts", "number", d.run)
 	d.beat()
@@ -161,8 +162,12 @@
 }
 
 func (d *daemon) beat() {
-	b, name := d.run, d.name
-	d.storeCall(storeTimeout, func() { d.w.store.beats[name] = heartbeat{run: b, at: d.w.sim.now} }, func(error) {})
+	b, name, sent := d.run, d.name, d.now()
+	d.storeCall(storeTimeout, func() { d.w.store.beats[name] = heartbeat{run: b, at: d.w.sim.now} }, func(err error) {
+		if err == nil {
+			d.wroteAt = sent
+		}
+	})
 	d.after(heartbeatInterval, d.beat)
 }
 
@@ -224,7 +229,7 @@
 	}
 	d.taking = true
 	old, version := d.seen, d.seenAt
-	mine := ownerRow{name: d.name, run: d.run, seq: 1}
+	mine := ownerRow{name: d.name, run: d.run, seq: 1, unsettled: version > 0 && (old.name != "" || old.unsettled)}
 	d.writeOwner(version, mine, func(token uint64, ok bool) {
 		if !ok {
 			d.taking = false
@@ -348,6 +353,8 @@
 	token       uint64
 	takenAt     time.Time // on the daemon's clock
 	hadOwner    bool
+	settled     bool
+	offeredAt   time.Time // another daemon may take the service over since then
 	owner       ownerRow
 	version     uint64
 	confirmedAt time.Time
@@ -366,7 +373,7 @@
 
 func newRunner(d *daemon, token uint64, owner ownerRow, hadOwner bool) *runner {
 	now := d.now()
-	r := &runner{d: d, token: token, takenAt: now, hadOwner: hadOwner, owner: owner, version: token, confirmedAt: now}
+	r := &runner{d: d, token: token, takenAt: now, hadOwner: hadOwner, settled: !owner.unsettled, owner: owner, version: token, confirmedAt: now}
 	s := dispatch.New("s", int64(token), now, walkLog{Logger: hclog.NewNullLogger(), w: d.w, who: fmt.Sprintf("%s/%d", d.name, token)})
 	s.Bounds = cuminstair.Bounds{MaxLease: walkMaxHold, StopGrace: walkStopGrace, StateRetention: 2 * time.Minute}
 	s.Grace, s.Rand = ownerGrace, rand.New(rand.NewPCG(token, 1))
@@ -421,6 +428,11 @@
 		return
 	}
 	now := r.d.now()
+	alive := r.d.wroteAt
+	if !alive.After(r.offeredAt) {
+		alive = time.Time{}
+	}
+	r.state.SetAlive(alive)
 	orders := r.state.Decide(now, r.confirmedAt)
 	sort.SliceStable(orders, func(i, j int) bool { return orderLess(&orders[i], &orders[j]) })
 	for _, o := range orders {
@@ -498,6 +510,7 @@
 		return
 	}
 	r.owner.seq++
+	r.owner.unsettled = r.unsettled()
 	r.inflight, r.uncertain, r.hedges = b, false, 0
 	r.commit(b, r.owner)
 	r.hedge(b, r.owner, hedgePause)
@@ -558,6 +571,7 @@
 func (r *runner) committed(now, sent time.Time, b *dispatch.Batch, version uint64) {
 	r.version, r.inflight, r.failing = version, nil, time.Time{}
 	r.setConfirmed(sent)
+	r.d.wroteAt = sent
 	r.state.Stored(now, b)
 }
 
@@ -570,9 +584,12 @@
 
 func (r *runner) release() {
 	r.writing = true
-	r.d.writeOwner(r.version, ownerRow{seq: r.owner.seq + 1}, func(uint64, bool) { r.end("handed over") })
+	r.d.writeOwner(r.version, ownerRow{seq: r.owner.seq + 1, unsettled: r.unsettled()}, func(uint64, bool) { r.end("handed over") })
 }
 
+// unsettled reports whether earlier owners may still give orders.
+func (r *runner) unsettled() bool { return !r.settled && r.d.now().Sub(r.takenAt) < ownerGrace }
+
 // stopEarlier tells the earlier owner to stop until that is certain or it gives no orders in any case.
 func (r *runner) stopEarlier(old ownerRow) {
 	d := r.d
@@ -581,7 +598,10 @@
 	}
 	stopped := func() {
 		d.w.note(r.name(), "earlier owner has stopped", "earlier", old.name)
-		r.post(func(now time.Time) { r.state.EarlierOwnerStopped(now) })
+		if !old.unsettled {
+			r.settled = true
+			r.post(func(now time.Time) { r.state.EarlierOwnerStopped(now) })
+		}
 	}
 	b, known := d.beats[old.name]
 	if old.name == "" || known && b.run != old.run {
--- a/dispatch/walkfaults_test.go
+++ b/dispatch/walkfaults_test.go
@@ -235,6 +235,11 @@
 	}
 	d.do(d.run, func() {
 		d.read(func() {
+			for _, x := range d.w.daemons {
+				if r := x.runner; r != nil {
+					r.offeredAt = x.now() // an owner that is not silent loses the service only by its own offer
+				}
+			}
 			d.takeOver()
 			d.after(100*time.Millisecond, func() { d.snatch(tries - 1) })
 		})
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -341,6 +341,7 @@
 		}
 		rep.Running = append(rep.Running, cuminstair.RunningTask{Task: r.task, Run: r.run, Percent: percent})
 	}
+	rep.More = len(p.ends) >= walkEndsPage
 	for _, r := range p.ends[:min(len(p.ends), walkEndsPage)] {
 		rep.Ended = append(rep.Ended, cuminstair.EndedTask{Seq: r.seq, Task: r.task, Run: r.run, How: r.how})
 	}
@@ -369,9 +370,10 @@
 
 // ownerRow is the conditional record that names the owner.
 type ownerRow struct {
-	name string // daemon; empty after a release
-	run  int
-	seq  int64
+	name      string // daemon; empty after a release
+	run       int
+	seq       int64
+	unsettled bool // owners before it may still give orders
 }
 
 // heartbeat is the record of a daemon.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -378,7 +378,7 @@
 // the worker: a renewal that waits is answered at an end even if the worker has seen a higher token meanwhile. A new owner
 // relies on that this one knows nothing later. The next renewal does not wait, and is refused if there is a new owner.
 func (s *Service) newsAreLate(now time.Time, w *worker, r cuminstair.WorkerReport, running map[cuminstair.TaskID]int64) bool {
-	if !w.waits || now.Sub(s.confirmedAt) < freshConfirmation {
+	if !w.waits || now.Sub(s.aliveAt) < aliveTime {
 		return false
 	}
 	for _, e := range r.Ended {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -67,6 +67,7 @@
 	cutOff      atomic.Bool               // neither the store nor a daemon of another data centre answers
 	readStarted atomic.Pointer[time.Time] // when the current read of the owner records began; nil: none is in progress
 	readAt      atomic.Pointer[time.Time] // start of the last successful read of the owner records
+	wroteAt     atomic.Pointer[time.Time] // start of the last write to the store that has been stored
 	readFailed  atomic.Bool               // the last read of the owner records failed
 	openCalls   atomic.Int64              // callers' requests in progress
 	peers       *peerClient
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -68,6 +68,7 @@
 		d.Log.Debug("entry: can't write the daemon's record", "error", err)
 		return
 	}
+	d.wroteAt.Store(&now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view.ObserveLatency(d.Timer.Now().Sub(now))
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -27,6 +27,8 @@
 	// time between offers.
 	offerAfter    = 600 * time.Millisecond
 	offerInterval = 500 * time.Millisecond
+	// offerTime is how long after an offer another daemon may take the service over.
+	offerTime = time.Second
 	// writeSilentAfter is how long a write has no answer before it counts as failing.
 	writeSilentAfter = 1200 * time.Millisecond
 	// stepInterval is the minimum time between two steps; events in between are batched. The cost of a step grows with
@@ -161,6 +163,7 @@
 		counts := r.state.Counts()
 		r.d.Metrics.countEvents(r.counted, counts)
 		r.counted = counts
+		r.state.SetAlive(r.aliveAt())
 		for _, o := range r.state.Decide(now, r.confirmedAt) {
 			go r.execute(ctx, o)
 		}
@@ -181,6 +184,16 @@
 	}
 }
 
+// aliveAt returns when this daemon last wrote to the store, or the zero time if another daemon may take the service over since
+// it was offered.
+func (r *runner) aliveAt() time.Time {
+	at := r.d.wroteAt.Load()
+	if at == nil || !at.After(r.offeredAt.Add(offerTime)) {
+		return time.Time{}
+	}
+	return *at
+}
+
 // end stops the runner; waiting callers are told that the outcome of their calls is unknown.
 func (r *runner) end(why string) {
 	if r.ended {
