Acknowledge ends once, and not to an incarnation that has not been read

Cause: each renewal acknowledged all ends up to the last stored one. A worker that had restarted under its id, and had run tasks before the owner knew of it, forgot their ends: the owner never saw them, took the runs for lost and started the tasks again.

Now an acknowledgement is sent until one renewal with it has been answered, and no more; none is sent to a worker whose answer to a start shows an earlier clock. TestLostAcknowledgementsAreRepeated holds before and after.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -191,7 +191,7 @@
 			continue
 		}
 		w.renewing = true
-		o := Order{Kind: OrderRenew, Worker: w.info, Token: s.Token, Seen: w.stored}
+		o := Order{Kind: OrderRenew, Worker: w.info, Token: s.Token, Seen: w.toAcknowledge()}
 		if w.synced {
 			if len(w.attempts) > 0 && w.failedCalls == 0 {
 				o.Lease = s.nextLease(now, w) // a worker that does not answer keeps the lease that it has
@@ -199,13 +199,22 @@
 			if len(w.attempts) > 0 {
 				o.Wait = renewalWait(w)
 			}
-			w.acknowledged = w.stored
 		}
+		w.ackSent = o.Seen
 		w.waits = o.Wait > 0
 		s.orders = append(s.orders, o)
 	}
 }
 
+// toAcknowledge returns the sequence number up to which the worker may forget ends, 0 if it has been told already. A
+// needless acknowledgement could reach a new incarnation of the worker, which would forget ends that no owner has read.
+func (w *worker) toAcknowledge() int64 {
+	if w.stored == w.acknowledged || w.clockBack {
+		return 0
+	}
+	return w.stored
+}
+
 // renewalWait returns how long a worker may delay its answer to a renewal while it waits for a task to end.
 func renewalWait(w *worker) time.Duration {
 	if w.secondLook {
@@ -237,6 +246,9 @@
 	}
 	switch {
 	case err == nil:
+		if clock > 0 && clock+leaseMargin < w.clockAtLeast(a.sentAt) {
+			w.clockBack, w.nextRenewal = true, now
+		}
 		a.answeredAt, w.answeredAt = now, now
 		if a.progressAt.IsZero() {
 			a.progressAt = now
@@ -244,7 +256,6 @@
 		if w.attempts[a.id] == a && a.task != nil {
 			a.task.step.markStarted()
 		}
-		_ = clock
 		return
 	case errors.Is(err, cuminstair.ErrUncertain), errors.Is(err, cuminstair.ErrStaleRun):
 		// A run number is used once, so a run that is not higher than an ended one has been there. The lists of the worker decide.
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -401,3 +401,57 @@
 	}
 	p.is.Equal(refused, 1)
 }
+
+// Guards against an acknowledgement that was meant for the earlier incarnation of a worker: the new one would forget ends that
+// no owner has read.
+func TestEndsOfARestartedWorkerAreNotAcknowledgedUnread(t *testing.T) {
+	for name, answered := range map[string]bool{"start answered": true, "start not answered": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 1)
+			p.duration = func(cuminstair.TaskID) time.Duration { return 20 * time.Millisecond }
+			p.run(200 * time.Millisecond)
+			p.submit(jobA, step(5, 2000))
+			p.run(2 * time.Second)
+			p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+			w := p.workers[0]
+			p.is.Equal(len(w.ended), 0) // acknowledged
+			w.restart(p.now)
+			w.dropReplies = !answered
+			p.submit(jobB, step(1, 2000))
+			p.writeBatch()
+			for _, o := range p.decide(0) {
+				if o.Kind == dispatch.OrderStart {
+					p.execute(o)
+				} else {
+					p.deliver(o, cuminstair.ErrUncertain, nil) // the run ends before the first report
+				}
+			}
+			p.run(4 * time.Second)
+			p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+			p.is.Equal(p.starts[cuminstair.TaskID{Job: jobB}], 1)
+		})
+	}
+}
+
+// Guards against acknowledgements that are lost with a renewal.
+func TestLostAcknowledgementsAreRepeated(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 2000))
+	p.run(500 * time.Millisecond)
+	lost := 0
+	for end := p.now.Add(3 * time.Second); p.now.Before(end); p.now = p.now.Add(tick) {
+		p.endRuns()
+		for _, o := range p.decide(0) {
+			if o.Kind == dispatch.OrderRenew && o.Seen > 0 && lost < 2 {
+				lost++
+				p.deliver(o, cuminstair.ErrUncertain, nil)
+				continue
+			}
+			p.execute(o)
+		}
+		p.writeBatch()
+	}
+	p.is.Equal(lost, 2)
+	p.is.Equal(len(p.workers[0].ended), 0)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,8 @@
 	processed    int64         // sequence number up to which ends are processed
 	stored       int64         // sequence number up to which ends are stored
 	acknowledged int64         // sequence number up to which ends are acknowledged
+	ackSent      int64         // the acknowledgement in the renewal in flight, 0 if none
+	clockBack    bool          // an answer had an earlier clock: a new incarnation that has not been read
 
 	renewing     bool      // a renewal is in flight
 	waits        bool      // the renewal in flight waits for an end
@@ -245,7 +247,7 @@
 	s.workerCrashed(now, w, "it has restarted")
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts))
 	w.info.Incarnation, w.knownSince = incarnation, now
-	w.processed, w.stored, w.acknowledged, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0
+	w.processed, w.stored, w.acknowledged, w.ackSent, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0, 0
 	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
 	w.leaseUnsure = w.leaseSentAt.After(w.lastRenewal)
 	s.recordAgain(w)
@@ -348,6 +350,7 @@
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
+	w.acknowledged, w.clockBack = max(w.acknowledged, w.ackSent), false
 	if w.leaseUnsure {
 		w.leaseUnsure, w.heldLease = false, r.Clock+s.Bounds.MaxLease
 	}
