Count a takeover as confirmed from the time at which its write was sent

Cause: a new owner counted as confirmed by the store when it processed the answer to its takeover. A daemon that was frozen meanwhile, or whose answer was late, took itself for the owner for 6 s more, although another one could have taken over since and counted on the end of its leases.

--- a/entry/runner.go
+++ b/entry/runner.go
@@ -300,7 +300,7 @@
 // release writes an owner record without a name and ends the runner.
 func (r *runner) release(ctx context.Context) {
 	o := ownership.Owner{Seq: r.owner.Seq + 1, Unsettled: r.unsettled(r.d.Timer.Now())}
-	if _, err := r.d.writeOwner(ctx, r.service, r.version, o); err != nil {
+	if _, _, err := r.d.writeOwner(ctx, r.service, r.version, o); err != nil {
 		r.d.Log.Warn("entry: owner record was not released", "service", r.service, "error", err)
 	}
 	r.end("handed over")
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -22,7 +22,7 @@
 	}()
 	begin := d.Timer.Now()
 	mine := ownership.Owner{Name: d.Settings.Name, Run: d.runID, Addr: d.addr, Seq: 1, Unsettled: old.Leaves(version)}
-	token, err := d.writeOwner(ctx, service, version, mine)
+	token, sent, err := d.writeOwner(ctx, service, version, mine)
 	if err != nil {
 		d.Log.Info("entry: service was not taken over", "service", service, "version", version, "error", err)
 		signal(d.readOwnersNow)
@@ -30,6 +30,7 @@
 	}
 	d.Log.Info("entry: owner record written", "service", service, "token", token, "before", old.Name, "version", version)
 	r := newRunner(d, service, token, mine, old.Name != "" || version > 0)
+	r.confirmedAt = sent
 	if service != ownership.HostsPart {
 		if !d.recover(ctx, r) {
 			return
@@ -129,8 +130,9 @@
 	}
 }
 
-// writeOwner writes an owner record if its version is still the given one, and returns the version of the write.
-func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o ownership.Owner) (uint64, error) {
+// writeOwner writes an owner record if its version is still the given one, and returns the version of the write. sent is when
+// the first attempt was sent: the store names this daemon at that time at the earliest.
+func (d *Daemon) writeOwner(ctx context.Context, service string, version uint64, o ownership.Owner) (written uint64, sent time.Time, err error) {
 	key := cuminstair.RecordKey{Table: ownership.Table, Part: service, Key: ownership.OwnerKey}
 	// Encoding an Owner can't fail.
 	data, _ := json.Marshal(o)
@@ -138,6 +140,7 @@
 		Checks: []cuminstair.RecordCheck{{RecordKey: key, Version: version}},
 		Puts:   []cuminstair.RecordPut{{RecordKey: key, Value: data}},
 	}
+	sent = d.Timer.Now()
 	for {
 		try, cancel := context.WithTimeout(ctx, ownerWriteTimeout)
 		got, err := d.Store.Commit(try, tx)
@@ -145,20 +148,20 @@
 		var conflict *cuminstair.Conflict
 		switch {
 		case err == nil:
-			return got, nil
+			return got, sent, nil
 		case errors.As(err, &conflict):
 			for _, r := range conflict.Records {
 				if string(r.Value) == string(data) {
-					return r.Version, nil // an earlier attempt of this write
+					return r.Version, sent, nil // an earlier attempt of this write
 				}
 			}
-			return 0, err
+			return 0, sent, err
 		case !errors.Is(err, cuminstair.ErrUncertain):
-			return 0, err
+			return 0, sent, err
 		}
 		d.sleep(ctx, takeoverRetry)
 		if ctx.Err() != nil {
-			return 0, ctx.Err()
+			return 0, sent, ctx.Err()
 		}
 	}
 }
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -93,3 +93,38 @@
 	is.Equal(post(d, offerPath, `{"service":"s","run":"run2"}`), `{"taken":false}`)
 	is.True(!d.taking["s"])
 }
+
+// slowStore is a store whose answers take a time.
+type slowStore struct {
+	conditionalStore
+	timer *movingTimer
+	delay time.Duration
+}
+
+// Commit implements cuminstair.RecordStore.
+func (s *slowStore) Commit(ctx context.Context, tx cuminstair.Tx) (uint64, error) {
+	s.timer.now = s.timer.now.Add(s.delay)
+	return s.conditionalStore.Commit(ctx, tx)
+}
+
+// movingTimer is a timer service whose time the test sets.
+type movingTimer struct {
+	cuminstair.Timer
+	now time.Time
+}
+
+// Now implements cuminstair.Timer.
+func (t *movingTimer) Now() time.Time { return t.now }
+
+// Guards against an owner that counts as confirmed when it processes the answer to its takeover, long after the store gave it:
+// another daemon may have taken over since.
+func TestTakeoverIsConfirmedWhenItIsSent(t *testing.T) {
+	is := is.New(t)
+	d, _ := peerDaemon()
+	timer := &movingTimer{now: peerTime}
+	d.Timer = timer
+	d.Store = &slowStore{conditionalStore: conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}, timer: timer, delay: 5 * time.Second}
+	_, sent, err := d.writeOwner(context.Background(), "s", 0, ownership.Owner{Name: "d1"})
+	is.NoErr(err)
+	is.Equal(sent, peerTime)
+}
