--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -455,3 +455,21 @@
 	p.is.Equal(lost, 2)
 	p.is.Equal(len(p.workers[0].ended), 0)
 }
+
+// Guards against a new owner that takes the step after a gang for not started since it has found a member of the gang: any
+// other member may have told the earlier owner of its end.
+func TestFoundGangDoesNotProveThatTheNextStepHasNotBegun(t *testing.T) {
+	p := newPool(t, 3)
+	p.run(200 * time.Millisecond)
+	gang, next := step(2, 20000), step(1, 2000)
+	gang.Gang, next.After = true, []int{0}
+	p.submit(jobA, gang, next)
+	p.run(200 * time.Millisecond)
+	p.is.Equal(len(p.busy()), 2)
+	for _, w := range p.workers {
+		w.partitioned = w != p.busy()[0]
+	}
+	p.takeOver(200, 6*time.Second)
+	p.run(3 * time.Second)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA, Step: 1}], 0)
+}
