Start lost tasks again only while no new owner can have read their ends

Cause: an owner that is cut off from the store notices that a worker is gone, or has restarted, and started its tasks elsewhere. A new owner may have read the worker before, with the tasks' ends as done.

Now such a task waits until the store has confirmed this owner after the loss, unless this daemon wrote to the store in the last 0.7 s, as it does in normal operation. While the store is away, tasks of lost workers wait for it.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -68,6 +68,7 @@
 	run         int64   // highest run number started or seen
 	checkpoint  string  // newest known checkpoint
 	attempt     *attempt
+	lostAt      time.Time // when its last run was lost without a report of its end; zero: it was not
 	closing     bool      // done, while another run is being stopped
 	stuckStops  int       // how often it was stopped for lack of progress
 	avoidWorker string    // worker on which the last run failed
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -473,3 +473,32 @@
 	p.run(3 * time.Second)
 	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA, Step: 1}], 0)
 }
+
+// Guards against an owner that starts the tasks of a lost worker again although it may have a successor, which may have read
+// their ends before.
+func TestLossIsNotActedUponByAnOwnerWithoutTheStore(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	p.run(time.Second)
+	w := p.busy()[0]
+	w.replaced = true
+	w.runs = map[cuminstair.TaskID]*fakeRun{}
+	confirmed := p.now
+	starts := 0
+	for end := p.now.Add(3 * time.Second); p.now.Before(end); p.now = p.now.Add(tick) {
+		if p.now.After(begin.Add(3 * time.Second)) {
+			confirmed = p.now // the store answers again
+		}
+		p.s.SetAlive(begin)
+		for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, confirmed)...) {
+			if o.Kind == dispatch.OrderStart {
+				starts++
+				p.is.True(p.now.After(begin.Add(3 * time.Second)))
+			}
+			p.execute(o)
+		}
+		p.writeBatch()
+	}
+	p.is.Equal(starts, 1)
+}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -172,6 +172,17 @@
 // answered. An adopted task has no other run.
 func (t *task) mayRun() bool { return t.step.mayRun && !t.adopted }
 
+// lossIsCertain reports whether a lost run of the task may be taken for undone. A new owner could have read the end of the run
+// before its worker was gone, so that there must be none: the store has confirmed this owner since, or this daemon wrote to
+// it a moment ago.
+func (s *Service) lossIsCertain(t *task) bool {
+	if t.lostAt.IsZero() || s.confirmedAt.After(t.lostAt) || s.now.Sub(s.aliveAt) < aliveTime {
+		return true
+	}
+	s.spaced = true
+	return false
+}
+
 func (s *Service) placeStep(now time.Time, st *step) {
 	if !st.room().Fits(s.maxFree) && !st.LongRunning {
 		return
@@ -184,7 +195,7 @@
 	s.preferCentre(st)
 	placed := 0
 	for _, t := range st.tasks {
-		if t.done || t.attempt != nil || t.mayRun() || !t.mayStart() {
+		if t.done || t.attempt != nil || t.mayRun() || !t.mayStart() || !s.lossIsCertain(t) {
 			continue
 		}
 		w := s.choose(st, t, near)
@@ -274,7 +285,7 @@
 		if t.done {
 			continue
 		}
-		if t.attempt != nil || t.mayRun() || !t.mayStart() {
+		if t.attempt != nil || t.mayRun() || !t.mayStart() || !s.lossIsCertain(t) {
 			return // a task of the previous run has not ended yet
 		}
 		run = max(run, t.run)
@@ -352,7 +363,7 @@
 
 func (s *Service) start(now time.Time, t *task, w *worker, run int64) {
 	j, st := t.step.occ.job, t.step
-	t.run = run
+	t.run, t.lostAt = run, time.Time{}
 	a := &attempt{
 		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort,
 		sentAt: now, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.checkpoint != "",
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -79,7 +79,7 @@
 	adviceCallsOpen int                  // open calls to the adviser
 	workersDirty    bool                 // the worker record in the store is out of date
 	changed         bool                 // placement has to run again
-	spaced          bool                 // the last placement left a task waiting for startSpacing or avoidTime
+	spaced          bool                 // the last placement left a task waiting for startSpacing, avoidTime or the store
 	deposed         bool                 // see Deposed
 	writeLatency    time.Duration        // see SetWriteLatency
 	storeDown       bool
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -297,6 +297,7 @@
 	s.Log.Info("dispatch: task lost", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", a.worker.info.ID, "why", why)
 	if a.task != nil {
+		a.task.lostAt = now
 		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
 	}
 	s.release(now, a)
