--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -141,7 +141,6 @@
 	st := t.step
 	st.tasksLeft--
 	o := st.occ
-	j := o.job
 	if st.tasksLeft > 0 {
 		return
 	}
@@ -150,12 +149,13 @@
 		s.enqueue(now, o)
 		return
 	}
-	for i, x := range j.runs {
-		if x == o {
-			j.runs = append(j.runs[:i], j.runs[i+1:]...)
-			break
-		}
-	}
+	s.occurrenceComplete(now, o)
+}
+
+// occurrenceComplete removes an occurrence whose steps are done, and completes the job if it was the last one.
+func (s *Service) occurrenceComplete(now time.Time, o *occurrence) {
+	j := o.job
+	j.runs = slices.DeleteFunc(j.runs, func(x *occurrence) bool { return x == o })
 	if len(j.runs) == 0 && j.next >= j.occurrences() {
 		s.finish(now, j, cuminstair.JobCompleted, "all tasks are done")
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -253,7 +253,11 @@
 		s.schedule(j)
 	}
 	s.createDueOccurrences(now, j)
-	for _, o := range j.runs {
+	for _, o := range slices.Clone(j.runs) {
+		if o.openSteps == 0 {
+			s.occurrenceComplete(now, o) // its last task was done while another run of it was being stopped
+			continue
+		}
 		s.enqueue(now, o)
 	}
 }
