Take a found run for no proof where it may be a second one, and a begun step for proof

Cause: a new owner starts the next step of a job before all workers have answered, if it finds a run of a step before it: its predecessor can't have started the next step then. The run may be a second one. An owner that was cut off had begun the following steps on ends that it could not store; its successor, which did not reach the worker of the first run, ran that task again after the leases had run out, beside the following steps, whose ends it had read. The third owner found this second run, took all steps after it for not begun, and started one again before it had read the worker that listed its end.

TestSecondRunOfAnEarlierStepProvesNothing (the last step started 2 times) and TestStepBeforeABegunOneIsDone fail without the change and pass with it.

Now a run that a worker reports, or stored progress, of a task that an earlier owner has started proves that the steps before it are done: they are not run again. And a step that an earlier owner has begun is never taken for not begun.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -30,6 +30,7 @@
 	s.logEnd(w, t, e)
 	if t != nil && !t.step.occ.job.finished() {
 		t.run = max(t.run, e.Run)
+		s.noteRun(now, t, e.Run)
 		s.recordTaskEnd(now, w, t, a, e)
 		if t.done && t.attempt != nil && t.attempt != a {
 			s.orderStop(now, t.attempt) // a copy that is no longer needed
@@ -136,6 +137,31 @@
 	s.taskComplete(now, t)
 }
 
+// noteRun learns from a run that a worker reports: if an earlier owner started it, the steps before its step are done, even if
+// the ends of their tasks can't be read yet.
+func (s *Service) noteRun(now time.Time, t *task, run int64) {
+	if run < s.Token*runsPerToken {
+		s.stepBegun(now, t.step)
+	}
+}
+
+// stepBegun marks a step as begun by an earlier owner, and the steps before it as done.
+func (s *Service) stepBegun(now time.Time, st *step) {
+	if st.begun {
+		return
+	}
+	st.begun = true
+	for _, i := range st.After {
+		before := st.occ.steps[i]
+		s.stepBegun(now, before)
+		for _, t := range before.tasks {
+			if !t.done {
+				s.taskDone(now, t, nil)
+			}
+		}
+	}
+}
+
 // taskComplete completes the step, occurrence and job of a task if none of their tasks is left.
 func (s *Service) taskComplete(now time.Time, t *task) {
 	st := t.step
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -51,6 +51,7 @@
 	tasks       []*task
 	tasksLeft   int           // tasks that are not done
 	started     bool          // a task has started
+	begun       bool          // an earlier owner has started a task of it
 	pathAfter   time.Duration // longest dependency path after this step
 	queued      bool          // listed in Service.ready
 	latestStart time.Time     // latest start of its tasks for the job to be in time
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -502,3 +502,77 @@
 	}
 	p.is.Equal(starts, 1)
 }
+
+// rerunPool returns a pool in which an earlier owner has started the first step of job A again, although a step after it was
+// done, since it had not read that the first step was done too. The last step has ended as done on a worker that does not
+// answer the new owner.
+func rerunPool(t *testing.T) *pool {
+	t.Helper()
+	p := newPool(t, 4)
+	p.run(200 * time.Millisecond)
+	steps := []cuminstair.JobStep{step(1, 20000), step(1, 20000), step(1, 20000)}
+	steps[1].After, steps[2].After = []int{0}, []int{1}
+	p.submit(jobA, steps...)
+	last := cuminstair.TaskID{Job: jobA, Step: 2}
+	for end := p.now.Add(10 * time.Second); p.starts[last] == 0 && p.now.Before(end); {
+		p.run(tick)
+	}
+	p.run(200 * time.Millisecond)
+	for key := range p.store {
+		if key.Table == dispatch.RunTable {
+			p.store[key] = []byte(`{"state":2,"next":1,"runs":[{"done":["","*",""]}]}`)
+		}
+	}
+	var again *fakeWorker
+	for _, w := range p.workers {
+		w.partitioned = len(w.runs) > 0
+		if !w.partitioned {
+			again = w
+		}
+	}
+	again.runs[cuminstair.TaskID{Job: jobA}] = &fakeRun{run: 100*1024 + 9, started: p.now, cpu: 20000}
+	p.storeDown = true
+	p.run(500 * time.Millisecond) // the last step ends
+	p.storeDown = false
+	p.takeOver(200, 6*time.Second)
+	return p
+}
+
+// Guards against starting a step before all workers of the earlier owner have answered, since a task of a step before it
+// still runs: that may be a second run.
+func TestSecondRunOfAnEarlierStepProvesNothing(t *testing.T) {
+	p := rerunPool(t)
+	p.run(3 * time.Second)
+	for _, w := range p.workers {
+		w.partitioned = false
+	}
+	p.run(4 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA, Step: 2}], 1)
+}
+
+// Guards against running a step again although a step after it has begun, which proves that it was done.
+func TestStepBeforeABegunOneIsDone(t *testing.T) {
+	p := newPool(t, 2)
+	p.list[0].Labels, p.list[1].Labels = []string{"x"}, []string{"y"}
+	p.s.SetWorkers(p.now, p.list)
+	p.duration = func(id cuminstair.TaskID) time.Duration { return time.Duration(1+id.Step) * time.Second }
+	p.run(200 * time.Millisecond)
+	first, second := step(1, 2000), step(1, 2000)
+	first.Label, second.Label, second.After = "x", "y", []int{0}
+	p.submit(jobA, first, second)
+	p.run(500 * time.Millisecond)
+	p.storeDown = true // the end of the first step is not stored
+	p.run(time.Second)
+	p.is.Equal(len(p.workers[1].runs), 1)
+	p.storeDown = false
+	p.workers[0].partitioned = true
+	p.takeOver(200, 6*time.Second)
+	p.run(3 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.workers[0].partitioned = false
+	p.run(6 * time.Second)
+	for _, n := range p.starts {
+		p.is.Equal(n, 1)
+	}
+}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -149,8 +149,11 @@
 // followsAdopted reports whether the earlier owner can't have started the step: a task of a step on which it depends
 // still ran when this owner first read the lists of its worker, which have been closed to the earlier owner since. Steps
 // that allow copies prove nothing, since their tasks may be done while another copy runs; nor do gangs, which any of their
-// members ends.
+// members ends, and steps before one that has begun, whose run must be a second one.
 func (st *step) followsAdopted() bool {
+	if st.begun {
+		return false
+	}
 	for _, i := range st.After {
 		before := st.occ.steps[i]
 		if before.followsAdopted() {
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -177,6 +177,7 @@
 			continue
 		}
 		x := o.steps[t.Step].tasks[t.Index]
+		x.step.started = true
 		x.failed, x.checkpoint, x.crashes = t.Failed, t.Checkpoint, t.Crashes
 		for _, c := range t.Crashes {
 			x.run = max(x.run, c.Run)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -254,6 +254,7 @@
 	}
 	s.createDueOccurrences(now, j)
 	for _, o := range slices.Clone(j.runs) {
+		s.recoverBegun(now, o)
 		if o.openSteps == 0 {
 			s.occurrenceComplete(now, o) // its last task was done while another run of it was being stopped
 			continue
@@ -262,6 +263,15 @@
 	}
 }
 
+// recoverBegun learns from the stored progress of an occurrence which of its steps have begun.
+func (s *Service) recoverBegun(now time.Time, o *occurrence) {
+	for _, st := range o.steps {
+		if st.started {
+			s.stepBegun(now, st)
+		}
+	}
+}
+
 // schedule makes Decide look for occurrences of a job whose start time has come.
 func (s *Service) schedule(j *job) {
 	if !j.scheduled {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -466,6 +466,9 @@
 	}
 	if x != nil {
 		x.run = max(x.run, t.Run)
+		if !j.finished() {
+			s.noteRun(now, x, t.Run)
+		}
 	}
 	if old, ok := w.attempts[t.Task]; ok {
 		if old.run > t.Run {
