--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -175,6 +175,11 @@
 // answered. An adopted task has no other run.
 func (t *task) mayRun() bool { return t.step.mayRun && !t.adopted }
 
+// startable reports whether a task of a ready step may be started now: it has no run, and none that may be active elsewhere.
+func (s *Service) startable(t *task) bool {
+	return !t.done && t.attempt == nil && !t.mayRun() && t.mayStart() && s.lossIsCertain(t)
+}
+
 // lossIsCertain reports whether a lost run of the task may be taken for undone. A new owner could have read the end of the run
 // before its worker was gone, so that there must be none: the store has confirmed this owner since, or this daemon wrote to
 // it a moment ago.
@@ -198,7 +203,7 @@
 	s.preferCentre(st)
 	placed := 0
 	for _, t := range st.tasks {
-		if t.done || t.attempt != nil || t.mayRun() || !t.mayStart() || !s.lossIsCertain(t) {
+		if !s.startable(t) {
 			continue
 		}
 		w := s.choose(st, t, near)
@@ -288,7 +293,7 @@
 		if t.done {
 			continue
 		}
-		if t.attempt != nil || t.mayRun() || !t.mayStart() || !s.lossIsCertain(t) {
+		if !s.startable(t) {
 			return // a task of the previous run has not ended yet
 		}
 		run = max(run, t.run)
