Split the record of workers where it would exceed the size of a row

Cause: the workers that a service may use are one record, about 95 bytes each. The store takes 64 KB a row, so that from about 690 workers on it would refuse the record, and with it every write of the service: no job would be accepted. The aim is 28,000 workers in 45 pools, 622 in the mean, more in a pool at its peak.

Change: records of up to 400 workers; the first one keeps its key and the running averages.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -163,23 +166,55 @@
 	return cuminstair.RecordKey{Table: table, Part: s.Name, Key: key}
 }
 
+// workersPerRecord bounds the size of a record of workers; the platform accepts values of 64 KB.
+const workersPerRecord = 400
+
+// putWorkers adds the records of the workers, and removes those that are no longer needed.
 func (s *Service) putWorkers(b *Batch) {
 	s.workersDirty = false
 	b.workers = map[*worker]workerRecord{}
-	r := workersRecord{Ratio: s.ratio, Objective: s.meanObjective.Milliseconds(), Cores: s.maxCores}
+	var list []workerRecord
 	for _, w := range s.workers {
 		if w.gone && len(w.attempts) == 0 {
 			continue
 		}
 		b.workers[w] = w.identity()
-		r.Workers = append(r.Workers, b.workers[w])
+		list = append(list, b.workers[w])
+	}
+	slices.SortFunc(list, func(x, y workerRecord) int { return strings.Compare(x.ID, y.ID) })
+	r := workersRecord{Ratio: s.ratio, Objective: s.meanObjective.Milliseconds(), Cores: s.maxCores}
+	n := 0
+	for part := range slices.Chunk(list, workersPerRecord) {
+		r.Workers = part
+		s.putWorkerRecord(b, n, r)
+		r = workersRecord{}
+		n++
+	}
+	if n == 0 {
+		s.putWorkerRecord(b, n, r)
+		n++
+	}
+	for ; n < s.workerRecords; n++ {
+		b.Deletes = append(b.Deletes, s.key(WorkerTable, workersRecordKey(n)))
 	}
+}
+
+func (s *Service) putWorkerRecord(b *Batch, n int, r workersRecord) {
 	// Encoding this type never fails.
 	data, _ := json.Marshal(r)
-	b.Puts = append(b.Puts, s.put(WorkerTable, workersKey, data))
+	b.Puts = append(b.Puts, s.put(WorkerTable, workersRecordKey(n), data))
+	s.workerRecords = max(s.workerRecords, n+1)
+}
+
+// workersRecordKey returns the key of a record of workers. The first one also has the running averages.
+func workersRecordKey(n int) string {
+	if n == 0 {
+		return workersKey
+	}
+	return workersKey + strconv.Itoa(n)
 }
 
-// recoverWorkers reads the workers that an earlier owner may have used, and the earlier owner's running averages.
+// recoverWorkers reads a record of the workers that an earlier owner may have used, and the earlier owner's running averages.
 func (s *Service) recoverWorkers(r cuminstair.Record) {
 	var c workersRecord
 	if err := json.Unmarshal(r.Value, &c); err != nil {
@@ -195,7 +230,10 @@
 	for queue, ratio := range c.Ratio {
 		s.ratio[queue] = ratio
 	}
-	s.meanObjective, s.maxCores = time.Duration(c.Objective)*time.Millisecond, c.Cores
+	s.workerRecords++
+	if r.Key == workersKey {
+		s.meanObjective, s.maxCores = time.Duration(c.Objective)*time.Millisecond, c.Cores
+	}
 }
 
 // sweep deletes finished jobs after the retention period, and old entries of refused jobs.
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -15,7 +15,7 @@
 	JobTable = "job"
 	// RunTable has one record per job with its progress.
 	RunTable = "run"
-	// WorkerTable has one record with the workers that may run tasks of the service.
+	// WorkerTable has the workers that may run tasks of the service, in records of up to workersPerRecord workers.
 	WorkerTable = "worker"
 	workersKey  = "worker"
 )
@@ -51,7 +51,7 @@
 	Crashes    []crash `json:"x,omitempty"` // runs whose workers crashed, or may have crashed
 }
 
-// workersRecord is the value of the record of WorkerTable.
+// workersRecord is the value of a record of WorkerTable.
 type workersRecord struct {
 	Workers   []workerRecord     `json:"workers"`
 	Ratio     map[string]float64 `json:"ratio,omitempty"`     // by queue: mean ratio of durations to estimates
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -76,3 +77,42 @@
 	is.NoErr(err)
 	is.Equal(again.queue.TargetFactor, 2.0)
 }
+
+// Guards against a record of workers that the store refuses for its size, with every write of the service, and against
+// workers of which the next owner does not know.
+func TestManyWorkersAreRecorded(t *testing.T) {
+	const maxValue = 64 << 10
+	is := is.New(t)
+	now := time.UnixMilli(1_700_000_000_000)
+	s := New("s", 200, now, hclog.NewNullLogger())
+	var list []cuminstair.WorkerInfo
+	for i := range 1300 {
+		list = append(list, cuminstair.WorkerInfo{
+			ID: fmt.Sprintf("i-%010x", i), Addr: "10.200.100.100:12345", Incarnation: now.UnixMilli(), Host: fmt.Sprintf("host-%010x", i), CPU: 1000,
+		})
+	}
+	stored := map[cuminstair.RecordKey][]byte{}
+	write := func(list []cuminstair.WorkerInfo) {
+		now = now.Add(time.Second)
+		s.SetWorkers(now, list)
+		b := s.Batch(now)
+		for _, put := range b.Puts {
+			is.True(len(put.Value) <= maxValue)
+			stored[put.RecordKey] = put.Value
+		}
+		for _, key := range b.Deletes {
+			delete(stored, key)
+		}
+		s.Stored(now, b)
+	}
+	for _, n := range []int{1300, 500, 0, 900} {
+		write(list[:n])
+		next := New("s", 300, now, hclog.NewNullLogger())
+		var records []cuminstair.Record
+		for key, value := range stored {
+			records = append(records, cuminstair.Record{RecordKey: key, Value: value})
+		}
+		next.Recover(now, nil, nil, records)
+		is.Equal(len(next.inherited), n)
+	}
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -77,6 +77,7 @@
 	ratio           map[string]float64   // by queue: mean ratio of durations to estimates
 	cutOff          map[string]time.Time // by data centre: until when it counts as cut off
 	adviceCallsOpen int                  // open calls to the adviser
+	workerRecords   int                  // records of workers that may be in the store
 	workersDirty    bool                 // the worker record in the store is out of date
 	changed         bool                 // placement has to run again
 	spaced          bool                 // the last placement left a task waiting for startSpacing, avoidTime or the store
