Cancel the drains of a wave in the decision that pauses it

Since a wave takes no hosts in the decision in which it pauses, that decision wrote no host row, and the controller ended its rounds: drains were cancelled one tick later.

Hosts of a wave that is about to stop or pause now go back to work in the same decision. An operator's order that a wave ignores is no such change. TestPauseCancelsDrainsAtOnce fails without the change.

--- a/wave/progress.go
+++ b/wave/progress.go
@@ -95,7 +95,7 @@
 	switch s.row.Goal {
 	case GoalWave:
 		r, ok := p.runs[s.row.Wave]
-		return ok && r.row.State == Running && !s.row.Hold
+		return ok && r.takes() && !s.row.Hold
 	case GoalMove:
 		return s.row.To != s.row.Pool
 	case GoalRemove:
--- a/wave/run.go
+++ b/wave/run.go
@@ -223,7 +223,6 @@
 // applyOrder plans an operator's order. An order that the state does not allow is recorded as seen, with a reason, and
 // does not change the state.
 func (p *Planner) applyOrder(r *run) {
-	r.changing = true
 	row := r.row
 	row.Order, row.Reason = r.orderAt, "ordered by an operator"
 	next, err := waveChart.Next(string(r.row.State), r.order.Event)
@@ -232,6 +231,7 @@
 	} else if row.State = State(next); row.State == Running {
 		row.DoneAtStart, row.LateAtStart = r.done, r.late
 	}
+	r.changing = row.State != r.row.State
 	p.plan.Waves = append(p.plan.Waves, Change{Name: r.wave.Name, Row: row, Reason: ReasonOrder})
 }
 
--- a/wave/shorten_test.go
+++ b/wave/shorten_test.go
@@ -94,3 +94,27 @@
 	}
 	w.Is.Equal(dead, 1)
 }
+
+// Guards against a wave that goes on draining hosts, or drains more, in the second in which it pauses because of a loss.
+func TestPauseCancelsDrainsAtOnce(t *testing.T) {
+	w := fleettest.NewWorld(t, fleettest.SmallFleet(3, 0.5))
+	draining := func() (n int) {
+		for _, m := range w.Hosts {
+			if m.Centre == "c0" && m.Row.Goal == wave.GoalWave && m.Row.State == cuminstair.HostLeaving {
+				n++
+			}
+		}
+		return n
+	}
+	for draining() == 0 || w.Planners["c0"].Waves()[0].Done == 0 {
+		w.Step()
+	}
+	for _, rack := range []string{"c0-r0", "c0-r1", "c0-r2", "c0-r3"} {
+		if len(w.Lose("c0", rack)) > 2 {
+			break
+		}
+	}
+	w.Step()
+	w.Is.Equal(w.Planners["c0"].Waves()[0].State, wave.Paused)
+	w.Is.Equal(draining(), 0)
+}
