Hold back phases of lowered load while instances are out

With a lost rack and demand at 0.9 of the shares, a phase of lowered load (60% of the limit) began 12 s after the loss and the service kept 0.35 of its work in the worst second: the phase added to the capacity that was lost.

While a listed instance is not active, a phase now waits until 96 s (lowPeriodRare) have passed since the load was last low, unless the last phase changed the limits or none has been measured yet.

--- a/route/limit.go
+++ b/route/limit.go
@@ -96,6 +96,7 @@
 	cutFrom     float64 // factor before the last change if that was a cut, else 0
 	ratioAtCut  float64 // ratio before that cut
 	low         lowPhase
+	reduced     bool // some listed instances are not active
 }
 
 // window holds the sums over the samples of one window.
@@ -236,11 +237,15 @@
 }
 
 // startLow starts a phase of lowered load at the start of a period, if the load was last low in an earlier period or the
-// baseline was never measured at low load.
+// baseline was never measured at low load. While instances are out, a phase would add to the loss of capacity: if the last
+// one showed nothing new, the next one waits until lowPeriodRare has passed.
 func (s *scale) startLow(now time.Time) {
 	due := s.low.lastLow.Truncate(s.low.period).Add(s.low.period)
-	if !s.low.baselineKnown {
+	switch rare := s.low.lastLow.Add(lowPeriodRare); {
+	case !s.low.baselineKnown:
 		due = s.low.lastLow
+	case s.reduced && s.low.period > lowPeriod && rare.After(due):
+		due = rare
 	}
 	if !s.low.from.IsZero() || now.Before(due) || now.Sub(now.Truncate(s.low.period)) >= syncTolerance || !s.busy(lowShare) || !s.measured {
 		return
--- a/route/table.go
+++ b/route/table.go
@@ -39,6 +39,7 @@
 	total      int // sum of the limits of the active instances
 	credits    int // sum of the own credits at the active instances
 	remote     int // reported requests in flight at the active instances
+	out        int // listed instances that are not active
 	scale      scale
 	factor     float64 // scale.effectiveFactor when the limits were computed
 }
@@ -56,6 +57,7 @@
 	set      int
 	pos      int // position in the set
 	nameHash int // decides which daemons own the remainder when the limit is divided among them
+	out      int // its part of service.out, 0 or 1
 	counted  int // its part of service.total
 	credits  int // its part of service.credits
 	remote   int // its part of service.remote
@@ -73,7 +75,10 @@
 // updateSet moves the instance to the set that matches its state and load, and updates the sums of the service.
 func (e *entry) updateSet() {
 	set := setNone
-	counted, credits, remote := 0, 0, 0
+	counted, credits, remote, out := 0, 0, 0, 0
+	if !e.removed && e.host.state != cuminstair.HostActive {
+		out = 1
+	}
 	switch {
 	case e.removed:
 	case e.host.state == cuminstair.HostActive:
@@ -87,7 +92,9 @@
 	s.total += counted - e.counted
 	s.credits += credits - e.credits
 	s.remote += remote - e.remote
-	e.counted, e.credits, e.remote = counted, credits, remote
+	s.out += out - e.out
+	s.scale.reduced = s.out > 0
+	e.counted, e.credits, e.remote, e.out = counted, credits, remote, out
 	if set != e.set {
 		e.move(set)
 	}
