Give a host work soon after its drain was cancelled

A host whose drain was cancelled got no work for 10 to 14 s. Each daemon that had received its notice that it is leaving kept the notice for 10 s and reported it to its peers, the daemon that checks the host included, so that a passed check could not bring it back; then came a probation.

A passed check without that notice now drops the notices and the peers' earlier reports. The checking daemon reports its result even while peers still say that the host is leaving, and a peer that said so before and no longer does withdraws the notice at the others, unless the host announced to them within the last second that it is leaving. A host that was active before, and passed all checks and requests while it was leaving, becomes active at once (event "stay" of the upstream chart); any other host goes through probation as before.

--- a/health/evidence.go
+++ b/health/evidence.go
@@ -57,6 +57,7 @@
 func (m *Monitor) recordFailure(now time.Time, u *upstream) {
 	u.failedResults++
 	u.countResult(true)
+	u.wasDown = u.wasDown || u.state == "leaving"
 	mostlyFailing := u.results >= MinResults && float64(u.failures) > FailShare*float64(u.results)
 	if u.failedResults >= FailResults || mostlyFailing || u.state == "probation" {
 		m.event(now, u, eventFail)
@@ -83,9 +84,11 @@
 		u.announced = now
 		m.leave(now, u, SourceHeader)
 	} else if ok {
-		m.withdraw(now, u, SourceHeader)
+		u.staying = now
+		m.withdrawNotices(now, u)
 	}
 	if !ok {
+		u.wasDown = u.wasDown || u.state == "leaving"
 		u.passedProbes = 0
 		u.failedProbes++
 		if u.failedProbes >= FailProbes || u.state == "probation" {
@@ -98,6 +101,18 @@
 	m.recordPass(now, u)
 }
 
+// withdrawNotices drops the notice of the upstream itself and the peers' reports that it is leaving, after evidence that
+// it is not. Reports that it is leaving that arrive later count again.
+func (m *Monitor) withdrawNotices(now time.Time, u *upstream) {
+	for peer, r := range u.reports {
+		if r.state == cuminstair.HostLeaving {
+			delete(u.reports, peer)
+		}
+	}
+	m.withdraw(now, u, SourcePeer)
+	m.withdraw(now, u, SourceHeader)
+}
+
 // recordPass records a passed check of this daemon, or a peer's report that the host is active.
 func (m *Monitor) recordPass(now time.Time, u *upstream) {
 	u.passedProbes++
@@ -122,7 +137,7 @@
 	if u.reports == nil {
 		u.reports = map[string]report{}
 	}
-	u.reports[peer] = report{received: now, state: state}
+	m.recordReport(now, u, peer, state)
 	m.updatePeerReports(now, u)
 	if !u.ownProbe.IsZero() && now.Sub(u.ownProbe) <= ReportTTL {
 		return
@@ -139,6 +154,23 @@
 	}
 }
 
+// recordReport records a peer's report. If a peer that reported the host as leaving reports that it no longer is, all
+// notices are withdrawn, unless the upstream has announced to this daemon since then that it is leaving.
+func (m *Monitor) recordReport(now time.Time, u *upstream, peer string, state cuminstair.HostState) {
+	r := report{received: now, state: state, left: u.reports[peer].left}
+	u.reports[peer] = r
+	switch state {
+	case cuminstair.HostLeaving:
+		r.left = now
+		u.reports[peer] = r
+	case cuminstair.HostActive, cuminstair.HostProbation:
+		if !r.left.IsZero() && now.Sub(r.left) <= ReportTTL && now.Sub(u.announced) >= QuietNotice {
+			m.withdrawNotices(now, u)
+		}
+	default:
+	}
+}
+
 // tickIfDue calls Tick if a second has passed since the last call, for programs that don't call Tick regularly.
 func (m *Monitor) tickIfDue(now time.Time) {
 	if now.Sub(m.lastTick) >= time.Second {
@@ -210,9 +242,15 @@
 // then confirm each other's reports for ever.
 func (m *Monitor) OwnState(now time.Time, host string) (cuminstair.HostState, bool) {
 	u := m.hosts[host]
-	if u == nil || u.failedByPeer || (u.state == "leaving" && u.leaving == SourcePeer) {
+	if u == nil || u.failedByPeer {
 		return "", false
 	}
+	if u.state == "leaving" && u.leaving == SourcePeer {
+		if now.Sub(u.staying) > OwnTTL {
+			return "", false
+		}
+		return cuminstair.HostProbation, true // a check found that the upstream is not leaving
+	}
 	if u.state == "active" && now.Sub(u.ownPass) > OwnTTL {
 		return "", false
 	}
@@ -237,7 +275,12 @@
 		return
 	}
 	u.leaving &^= from
-	if u.leaving == 0 {
-		m.event(now, u, eventReturn)
+	if u.leaving != 0 {
+		return
+	}
+	if !u.wasDown && now.Sub(u.ownProbe) <= OwnTTL && now.Sub(u.ownPass) <= OwnTTL {
+		m.event(now, u, eventStay) // it has passed all checks of this daemon, as after a drain that was cancelled
+		return
 	}
+	m.event(now, u, eventReturn)
 }
--- a/health/health.go
+++ b/health/health.go
@@ -25,6 +25,7 @@
 	eventPass   = "pass"
 	eventLeave  = "leave"
 	eventReturn = "return"
+	eventStay   = "stay"
 )
 
 // Thresholds and times.
@@ -50,6 +51,9 @@
 	ReportTTL = 10 * time.Second
 	// OwnTTL is how long this daemon's own evidence overrides peers' reports of a failure.
 	OwnTTL = 2 * time.Second
+	// QuietNotice is how long an upstream must not have announced to this daemon that it is leaving before a peer may
+	// withdraw that notice; it is at least the period of the checks.
+	QuietNotice = time.Second
 	// MaxOut is the largest share of the instances of a service that may be out of rotation for bad health. With more
 	// out, the others couldn't carry the load; and a larger loss is more likely a fault between this daemon and the
 	// upstreams.
@@ -84,6 +88,7 @@
 	leaving      Source
 	announced    time.Time // when the upstream last announced that it is leaving
 	failedByPeer bool      // failed only because of a peer's report
+	wasDown      bool      // leaving: was not active before, or has failed a check or a request since
 	groups       []*group
 
 	failedProbes  int // in a row
@@ -97,6 +102,7 @@
 	hold      time.Duration // minimum time in the failed state
 	ownPass   time.Time     // time of the last check or request of this daemon that passed
 	ownProbe  time.Time     // time of the last check by this daemon
+	staying   time.Time     // time of the last check by this daemon that passed without notice that it is leaving
 	reports   map[string]report
 	latencies latencyHistogram
 }
@@ -105,6 +111,7 @@
 type report struct {
 	received time.Time
 	state    cuminstair.HostState
+	left     time.Time // when the peer last reported that the host is leaving
 }
 
 // host returns the record of a host, which is active at first.
@@ -173,6 +180,7 @@
 	for _, g := range u.groups {
 		g.staying += stayingCount(next) - stayingCount(u.state)
 	}
+	u.wasDown = event == eventLeave && u.state != "active"
 	u.state, u.failedByPeer = next, false
 	u.passedTrials, u.passedProbes, u.failedProbes = 0, 0, 0
 	u.failedResults, u.results, u.failures = 0, 0, 0
