Plan no starts while the owner may give no orders

Cause: an owner that the store has not confirmed for 6 s went on placing tasks in each decision. The orders were undone before they were sent, but each round used up a run number of its tasks, so that the numbers left the range of the token, and wrote "tasks placed" into the log.

Change: no placement then.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -123,3 +123,45 @@
 	p.run(500 * time.Millisecond)
 	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 0)
 }
+
+// outage runs the pool while the store can't be reached: it confirms no owner, takes no writes and has no list of workers.
+func (p *pool) outage(d time.Duration) {
+	confirmed := p.now.Add(-confirmationAge)
+	p.storeDown = true
+	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(tick) {
+		p.crashWorkers()
+		p.endRuns()
+		for _, o := range append([]dispatch.Order(nil), p.s.Decide(p.now, confirmed)...) {
+			p.execute(o)
+		}
+		p.writeBatch()
+	}
+	p.storeDown = false
+}
+
+// Guards against an owner that waits for the entries of the workers after each short disturbance of the store.
+func TestShortOutageDelaysNoStarts(t *testing.T) {
+	p := capacityPool(t)
+	p.outage(time.Second)
+	p.submit(jobB, step(4, 4000))
+	p.run(300 * time.Millisecond)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobB}], 1)
+}
+
+// Guards against planning starts in each decision of an owner that may give no orders: these are undone, but use up the
+// run numbers of its token and fill the log.
+func TestUnconfirmedOwnerPlansNoStarts(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(2, 1000)}, First: p.now.Add(7 * time.Second).UnixMilli()}
+	p.specs[jobA] = spec
+	p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Attempts: 3}, func(dispatch.Result) {})
+	p.run(400 * time.Millisecond)
+	p.outage(9 * time.Second)
+	p.is.Equal(p.s.Counts().Starts, 0)
+	p.run(500 * time.Millisecond)
+	p.is.Equal(len(p.orders), 2)
+	for _, o := range p.orders {
+		p.is.Equal(o.Run, o.Token<<10+1)
+	}
+}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -73,14 +73,15 @@
 	s.unplacedMoves = 0
 	s.changed = s.changed || s.spaced
 	s.evacuate(now)
-	if !s.stopping {
+	confirmedInTime := s.Grace == 0 || now.Sub(confirmed) < s.Grace
+	if !s.stopping && confirmedInTime {
 		s.placeAll(now)
 	}
 	if scan && !s.stopping {
 		s.paceAll(now)
 	}
 	s.orderRenewals(now)
-	if s.Grace > 0 && now.Sub(confirmed) >= s.Grace {
+	if !confirmedInTime {
 		s.withdrawOrders(now)
 	}
 	// Stops may also have been ordered since the last call.
@@ -93,12 +94,6 @@
 func (s *Service) withdrawOrders(now time.Time) {
 	for _, o := range s.orders {
 		switch o.Kind {
-		case OrderStart:
-			o.attempt.worker.remove(now, o.attempt)
-			if t := o.attempt.task; t != nil && t.attempt == o.attempt {
-				t.attempt = nil
-				s.requeue(t.step)
-			}
 		case OrderStop:
 			o.attempt.stopSentAt = time.Time{}
 		case OrderRenew:
