Test capacities that shrink while the store can't be reached

The test fails: after an outage of 5 s the owner gives orders as soon as a write confirms it, and counts with capacities of before the outage. The workers write their entries again within a heartbeat and the lag of the list.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -139,6 +139,26 @@
 	p.storeDown = false
 }
 
+// Guards against starts by an owner that has its first confirmation after an outage of the store, but still counts with
+// the capacities of before: workers write their entries again within one heartbeat.
+func TestListFromBeforeAnOutageGrantsNoStarts(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	p := capacityPool(t)
+	for _, w := range p.workers {
+		w.info.CPU, w.info.Version = 8000, w.info.Version+1 // the entry in the list stays as it was
+	}
+	p.outage(5 * time.Second)
+	p.s.SetWorkers(p.now, p.list)
+	p.submit(jobB, step(10, 4000))
+	p.run(heartbeat)
+	for _, w := range p.workers {
+		p.relist(w)
+	}
+	p.run(20 * time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+	p.is.Equal(p.overCapacity, 0)
+}
+
 // Guards against an owner that waits for the entries of the workers after each short disturbance of the store.
 func TestShortOutageDelaysNoStarts(t *testing.T) {
 	p := capacityPool(t)
