--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -82,7 +82,7 @@
 	}
 	s.orderRenewals(now)
 	if !confirmedInTime {
-		s.withdrawOrders(now)
+		s.withdrawOrders()
 	}
 	// Stops may also have been ordered since the last call.
 	orders := s.orders
@@ -90,8 +90,8 @@
 	return orders
 }
 
-// withdrawOrders undoes the pending orders, which are not sent.
-func (s *Service) withdrawOrders(now time.Time) {
+// withdrawOrders undoes the pending orders, which are not sent. There are no starts among them.
+func (s *Service) withdrawOrders() {
 	for _, o := range s.orders {
 		switch o.Kind {
 		case OrderStop:
