--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -66,15 +66,16 @@
 	s.unplacedMoves = 0
 	s.changed = s.changed || s.spaced
 	s.evacuate(now)
-	if !s.stopping {
+	confirmedInTime := s.Grace == 0 || now.Sub(confirmed) < s.Grace
+	if !s.stopping && confirmedInTime {
 		s.placeAll(now)
 	}
 	if scan && !s.stopping {
 		s.paceAll(now)
 	}
 	s.orderRenewals(now)
-	if s.Grace > 0 && now.Sub(confirmed) >= s.Grace {
-		s.withdrawOrders(now)
+	if !confirmedInTime {
+		s.withdrawOrders()
 	}
 	// Stops may also have been ordered since the last call.
 	orders := s.orders
@@ -82,15 +83,10 @@
 	return orders
 }
 
-// withdrawOrders undoes the pending orders, which are not sent.
-func (s *Service) withdrawOrders(now time.Time) {
+// withdrawOrders undoes the pending orders, which are not sent. There are no starts among them.
+func (s *Service) withdrawOrders() {
 	for _, o := range s.orders {
 		switch o.Kind {
-		case OrderStart:
-			o.attempt.worker.remove(now, o.attempt)
-			if t := o.attempt.task; t != nil && t.attempt == o.attempt {
-				s.freeTask(now, t)
-			}
 		case OrderStop:
 			o.attempt.stopSentAt = time.Time{}
 		case OrderRenew:
