Start no tasks on capacities of before an outage of the store

Callers saw: nothing; workers that don't guard their capacity got more than they have (rule LIMIT).

Cause: an owner goes on for 6 s without the store, and is confirmed again before it has read the list of workers. It placed tasks on the capacities that it had read before the outage, though workers had shrunk meanwhile.

Now a worker gets no tasks from 2.5 s after the last confirmation until its entry has a new version, at most 2.2 s after the return of the store. TestShortOutageDelaysNoStarts holds.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -51,6 +51,7 @@
 	if s.deposed {
 		return nil
 	}
+	s.outage.observe(now, s.confirmedAt, confirmed)
 	s.now, s.confirmedAt = now, confirmed
 	s.expireLeases(now, confirmed)
 	s.startScheduled(now)
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -55,7 +55,7 @@
 	for _, w := range s.workers {
 		w.vacating = now.Before(w.vacateUntil)
 		was := w.candidate
-		w.candidate = w.usable(now) && !s.isCutOff(now, w)
+		w.candidate = w.usable(now) && !s.isCutOff(now, w) && !s.outage.outdated(now, w)
 		if w.candidate {
 			s.changed = s.changed || !was // tasks may have waited for the end of a block or a cordon
 			s.candidates = append(s.candidates, w)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -53,6 +53,7 @@
 	takenOverAt     time.Time // time of the takeover
 	confirmedAt     time.Time // when the store last confirmed this owner
 	aliveAt         time.Time // see SetAlive
+	outage          outage
 	jobs            map[string]*job
 	active          map[string]*job // stored jobs that have not finished
 	workers         map[string]*worker
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -46,6 +46,7 @@
 	lastRenewal  time.Time // when the last successful renewal was sent
 	answeredAt   time.Time // when it last answered a call
 	knownSince   time.Time // when this owner learned of the present incarnation
+	listedAt     time.Time // when its entry was last seen with a new version
 	nextRenewal  time.Time // when the next renewal may be sent
 	failedCalls  int       // consecutive failed renewals, and starts that did not reach it
 	failingSince time.Time // first of the failedCalls; zero: none
@@ -70,7 +71,7 @@
 }
 
 func newWorker(now time.Time, info cuminstair.WorkerInfo) *worker {
-	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, knownSince: now}
+	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, knownSince: now, listedAt: now}
 	w.setInfo(info)
 	return w
 }
@@ -226,6 +227,9 @@
 		return
 	}
 	before := w.identity()
+	if info.Version > w.info.Version {
+		w.listedAt = now
+	}
 	w.setInfo(info)
 	if w.identity() != before {
 		s.recordAgain(w)
