--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -28,6 +28,8 @@
 			&cli.StringFlag{Name: "against", Usage: "policies to compare it with, separated by commas, or all"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the first day"},
 			&cli.IntFlag{Name: "days", Value: 1, Usage: "days to play with consecutive seeds; the figures are their mean"},
+			&cli.Float64Flag{Name: "rate", Value: 1, Usage: "factor on the rates of all queues"},
+			&cli.Float64Flag{Name: "seconds", Usage: "length of the traffic instead of that in the load"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "fault to add: KIND,AT,SECONDS[,POOL,COUNT | ,CENTRE]"},
 			&cli.BoolFlag{Name: "json", Usage: "print the results of all days as JSON"},
 			&cli.BoolFlag{Name: "windows", Usage: "print what each window of 2 s earns too"},
--- a/cmd/experiment/options.go
+++ b/cmd/experiment/options.go
@@ -58,21 +58,12 @@
 		}
 		o.policies = append(o.policies, p)
 	}
-	var faults []experiment.Fault
-	for _, text := range c.StringSlice("fault") {
-		f, err := parseFault(text)
-		if err != nil {
-			return nil, err
-		}
-		faults = append(faults, f)
-	}
 	for _, file := range c.Args().Slice() {
 		l, err := readLoad(file)
 		if err != nil {
 			return nil, err
 		}
-		l.Faults = append(l.Faults, faults...)
-		if err := l.Validate(); err != nil {
+		if err := changeLoad(c, l); err != nil {
 			return nil, fmt.Errorf("%s: %w", file, err)
 		}
 		o.loads = append(o.loads, l)
@@ -80,6 +71,27 @@
 	return o, nil
 }
 
+// changeLoad applies the options that change a load, and checks it.
+func changeLoad(c *cli.Context, l *experiment.Load) error {
+	for i := range l.Queues {
+		l.Queues[i].Rate *= c.Float64("rate")
+	}
+	if c.IsSet("seconds") {
+		l.Seconds = c.Float64("seconds")
+	}
+	for _, text := range c.StringSlice("fault") {
+		f, err := parseFault(text)
+		if err != nil {
+			return err
+		}
+		l.Faults = append(l.Faults, f)
+	}
+	if err := l.Validate(); err != nil {
+		return fmt.Errorf("with the options given: %w", err)
+	}
+	return nil
+}
+
 // parseFault parses a fault like rack,10,6,POOL,4 or centre,10,6,CENTRE or store,10,4.
 func parseFault(text string) (f experiment.Fault, err error) {
 	fields := strings.Split(text, ",")
--- a/experiment/bound.go
+++ b/experiment/bound.go
@@ -164,6 +164,16 @@
 	return amount{cores, cores * memoryRatio(b.day.load, x.CPU, x.Memory)}
 }
 
+// pinned returns the least number of hosts for the long-running tasks of queue i.
+func (b *bound) pinned(i int) int {
+	x := &b.day.load.Queues[i].Lasting
+	room := int(math.Ceil(b.lasting(i).most() / b.cores))
+	if x.PerWorker == 0 {
+		return room
+	}
+	return max(room, (x.Tasks+x.PerWorker-1)/x.PerWorker)
+}
+
 // room returns what hosts have in one slot beside the long-running tasks.
 func (b *bound) room(hosts float64, lasting amount) amount {
 	r := amount{hosts * b.cores, hosts * b.cores}.plus(lasting, -1)
@@ -184,11 +194,12 @@
 
 // servePooled serves all queues with all hosts, of which as many count as in use as the work fills.
 func (b *bound) servePooled() {
-	hosts, lasting := float64(b.spare), amount{}
+	hosts, lasting, pinned := float64(b.spare), amount{}, 0
 	all := unitHeap{}
 	for i := range b.waiting {
 		hosts += float64(b.hosts[i])
 		lasting = lasting.plus(b.lasting(i), 1)
+		pinned += b.pinned(i)
 		for _, u := range b.waiting[i] {
 			heap.Push(&all, u)
 		}
@@ -198,7 +209,7 @@
 	for _, u := range all {
 		heap.Push(&b.waiting[u.job.index], u)
 	}
-	b.addHosts(math.Ceil(used.most()/b.cores), used.cores)
+	b.addHosts(max(float64(pinned), math.Ceil(used.most()/b.cores)), used.cores)
 }
 
 // addHosts adds hosts in pools and cores in use to the result while the traffic lasts.
@@ -257,13 +268,14 @@
 	for i := range b.hosts {
 		q := &b.day.load.Queues[i]
 		index[q.Name] = i
-		p := pools.Pool{Service: q.Name, Have: b.hosts[i], Cores: b.cores, Active: b.used[i], LongRunning: b.lasting(i).most(), Known: true}
+		p := pools.Pool{Service: q.Name, Have: b.hosts[i], Cores: b.cores, Active: b.used[i], Known: true}
+		p.LongRunning, p.Pinned = b.lasting(i).most(), b.pinned(i)
 		for _, a := range b.arrive {
 			if a.queue == i {
 				p.Incoming++
 			}
 		}
-		busy := int(math.Ceil((b.used[i] + p.LongRunning) / b.cores))
+		busy := max(p.Pinned, int(math.Ceil((b.used[i]+p.LongRunning)/b.cores)))
 		for n := range max(0, b.hosts[i]-busy) {
 			p.Idle = append(p.Idle, fmt.Sprintf("%s-%d", q.Name, n))
 		}
--- a/experiment/client.go
+++ b/experiment/client.go
@@ -24,16 +24,18 @@
 // Shortages.
 const (
 	shortNothing   shortage = iota // it did not wait for room
-	shortRefusal                   // refused although its pool had room for its first step
-	shortPlacement                 // waited although a worker of its pool had room for a task
-	shortPacking                   // waited although the free room of its pool was enough for its tasks, on several workers
+	shortRefusal                   // refused although the usable workers of its pool had room for its first step
+	shortPlacement                 // waited although a usable worker of its pool had room for a task
+	shortContact                   // room was only on workers that have just started or are to be emptied
+	shortPacking                   // the free room of its pool was enough for its tasks, but on several workers
 	shortHosts                     // its pool was full while hosts were elsewhere or moving
 	shortAll                       // all hosts were in use
 	shortStore                     // the store or the owner of the service was away
+	shortRun                       // a task waited after its run was lost
 	shortages
 )
 
-var shortageNames = [shortages]string{"other", "refusal", "placement", "packing", "hosts", "full", "store"}
+var shortageNames = [shortages]string{"other", "refusal", "placement", "contact", "packing", "hosts", "full", "store", "lost run"}
 
 // submit submits a job, and submits it again after a refusal as often as the load says.
 func (s *sim) submit(j *job) {
@@ -69,7 +71,7 @@
 	switch r.Outcome {
 	case dispatch.Accepted, dispatch.Uncertain:
 		if s.active[j.id] == nil && j.completedAt.IsZero() {
-			s.active[j.id] = newProgress(j, s.now)
+			s.active[j.id] = newProgress(j)
 		}
 	case dispatch.Refused, dispatch.Unavailable, dispatch.Impossible:
 		if timedOut {
@@ -109,11 +111,12 @@
 
 // shortageOfJob returns what a job lacks that is refused now.
 func (s *sim) shortageOfJob(j *job) shortage {
-	st := &j.spec.Steps[0]
-	tasks, _ := s.roomIn(j.queue.Name, st)
-	switch {
-	case tasks >= st.Count:
+	tasks, usable, _ := s.roomIn(j, 0)
+	switch n := j.spec.Steps[0].Count; {
+	case usable >= n:
 		return shortRefusal
+	case tasks >= n:
+		return shortContact
 	case s.hostsElsewhere(j.queue.Name):
 		return shortHosts
 	}
@@ -122,11 +125,14 @@
 
 // shortageOfTask returns what the waiting tasks of a job lack now.
 func (s *sim) shortageOfTask(p *progress) shortage {
-	st := &p.job.spec.Steps[p.step]
-	tasks, together := s.roomIn(p.job.queue.Name, st)
+	tasks, usable, together := s.roomIn(p.job, p.step)
 	switch {
-	case tasks > 0:
+	case p.lostRun:
+		return shortRun
+	case usable > 0:
 		return shortPlacement
+	case tasks > 0:
+		return shortContact
 	case together >= p.waiting:
 		return shortPacking
 	case s.hostsElsewhere(p.job.queue.Name):
--- a/experiment/controller.go
+++ b/experiment/controller.go
@@ -75,6 +75,7 @@
 		for _, m := range moves {
 			if w := s.hostByName[m.Host].worker; w != nil {
 				ids = append(ids, w.info.ID)
+				w.drainedAt = s.now
 			}
 		}
 		o := s.owners[from]
--- a/experiment/day.go
+++ b/experiment/day.go
@@ -65,10 +65,11 @@
 	for i := range l.Queues {
 		total += l.Queues[i].Hosts
 	}
-	for range total {
+	for _, n := range r.Perm(total) {
+		less := hostSizeSpread * float64(n) / float64(total)
 		d.hosts = append(d.hosts, hostSize{
 			cpu:      int(float64(l.Host.CPU) * (1 - hostSizeSpread*r.Float64())),
-			memory:   int(float64(l.Host.Memory) * (1 - hostSizeSpread*r.Float64())),
+			memory:   int(float64(l.Host.Memory) * (1 - less)),
 			slowness: math.Exp(l.Host.Spread * r.NormFloat64()),
 		})
 	}
@@ -92,7 +93,7 @@
 	if q.Lasting.Tasks > 0 {
 		d.jobs = append(d.jobs, lastingJob(q, i))
 	}
-	peak := q.Rate * max(1, d.load.Turn.Peak, d.load.Turn.Between)
+	peak := q.Rate * d.greatestFactor(i)
 	if peak <= 0 {
 		return
 	}
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -25,9 +25,18 @@
 	WriteSeconds   float64 `json:"writeSeconds"`  // time of a write to the store
 	LingerSeconds  float64 `json:"lingerSeconds"` // for which the list of workers shows a worker that has ended
 	Retries        int     `json:"retries"`       // of a refused client
+	Bursts         []Burst `json:"bursts"`
 	Faults         []Fault `json:"faults"`
 }
 
+// Burst multiplies the rate of a queue by Factor between At and At + Seconds.
+type Burst struct {
+	Queue   string  `json:"queue"`
+	At      float64 `json:"at"`
+	Seconds float64 `json:"seconds"`
+	Factor  float64 `json:"factor"` // at least 1
+}
+
 // Host describes the hosts, which are all of about the same size.
 type Host struct {
 	CPU    int     `json:"cpu"`
@@ -129,6 +138,11 @@
 			return fmt.Errorf("%s: %w", c.what, ErrLoad)
 		}
 	}
+	for _, b := range l.Bursts {
+		if l.queue(b.Queue) == nil || b.Factor < 1 || b.Seconds <= 0 {
+			return fmt.Errorf("burst at %g s: unknown queue, factor below 1 or no time: %w", b.At, ErrLoad)
+		}
+	}
 	for _, f := range l.Faults {
 		if err := l.validateFault(f); err != nil {
 			return err
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -132,23 +132,23 @@
 type progress struct {
 	job     *job
 	step    int
-	left    int       // tasks of the step that have not ended well
-	waiting int       // tasks of the step that have not started
-	readyAt time.Time // when the step could start
+	left    int // tasks of the step that have not ended well
+	waiting int // tasks of the step that have not started
 	started map[int]bool
+	lostRun bool                     // a run of the step was lost
 	waits   [shortages]time.Duration // time that tasks waited, by what was short
 }
 
-func newProgress(j *job, now time.Time) *progress {
+func newProgress(j *job) *progress {
 	p := &progress{job: j}
-	p.enter(0, now)
+	p.enter(0)
 	return p
 }
 
 // enter begins a step.
-func (p *progress) enter(step int, now time.Time) {
+func (p *progress) enter(step int) {
 	n := p.job.spec.Steps[step].Count
-	p.step, p.left, p.waiting, p.readyAt, p.started = step, n, n, now, map[int]bool{}
+	p.step, p.left, p.waiting, p.started, p.lostRun = step, n, n, map[int]bool{}, false
 }
 
 // taskStarted notes the start of a run.
@@ -182,6 +182,7 @@
 		s.count.wasted += r.coreSeconds(s.now)
 		if p != nil && p.step == r.task.Step && p.started[r.task.Index] {
 			delete(p.started, r.task.Index)
+			p.lostRun = true
 			p.waiting++
 		}
 		return
@@ -193,7 +194,7 @@
 	switch {
 	case p.left > 0:
 	case p.step+1 < len(p.job.spec.Steps):
-		p.enter(p.step+1, s.now)
+		p.enter(p.step + 1)
 	default:
 		p.job.waits = p.waits
 		delete(s.active, p.job.id)
@@ -250,20 +251,29 @@
 	}
 }
 
-// roomIn returns how many tasks of a step the workers of a pool have room for, and how many if their free room were on one
-// worker.
-func (s *sim) roomIn(pool string, st *cuminstair.JobStep) (tasks, together int) {
+// roomIn returns how many tasks of a job's step the workers of its pool have room for, how many of these on workers that
+// the owner may use, and how many if the free room of all were on one worker.
+func (s *sim) roomIn(j *job, step int) (tasks, usable, together int) {
+	st := &j.spec.Steps[step]
 	var all place.Room
 	for _, h := range s.hosts {
 		w := h.worker
-		if h.pool != pool || w == nil || !w.reachable() {
+		if h.pool != j.queue.Name || w == nil || !w.reachable() {
 			continue
 		}
 		free := w.total().Plus(w.used, -1)
-		all = all.Plus(free, 1)
-		tasks += times(free, st)
+		n := times(free, st)
+		if st.PerWorker > 0 {
+			n = min(n, st.PerWorker-w.tasksOf(j, step))
+		} else {
+			all = all.Plus(free, 1)
+		}
+		tasks += max(0, n)
+		if w.usable() {
+			usable += max(0, n)
+		}
 	}
-	return tasks, times(all, st)
+	return tasks, usable, times(all, st)
 }
 
 // times returns how many tasks of a step fit into a room.
--- a/experiment/turn.go
+++ b/experiment/turn.go
@@ -61,6 +61,27 @@
 
 // factor returns the rate of queue i at a time as a multiple of its mean.
 func (d *day) factor(i int, at float64) float64 {
+	burst := 1.0
+	for _, b := range d.load.Bursts {
+		if b.Queue == d.load.Queues[i].Name && at >= b.At && at < b.At+b.Seconds {
+			burst *= b.Factor
+		}
+	}
+	return burst * d.turnFactor(i, at)
+}
+
+// greatestFactor returns a bound of factor for queue i.
+func (d *day) greatestFactor(i int) float64 {
+	most := max(1, d.load.Turn.Peak)
+	for _, b := range d.load.Bursts {
+		if b.Queue == d.load.Queues[i].Name {
+			most *= b.Factor
+		}
+	}
+	return most
+}
+
+func (d *day) turnFactor(i int, at float64) float64 {
 	t := &d.load.Turn
 	if t.Interval <= 0 {
 		return 1
--- a/experiment/worker.go
+++ b/experiment/worker.go
@@ -35,6 +35,7 @@
 	held        func()     // answers the renewal that waits for an end; nil: none waits
 	used        place.Room // what the runs have requested
 	leaseTimer  bool
+	drainedAt   time.Time // when the owner was last asked to empty it; zero: never
 }
 
 // run is a run of a task.
@@ -64,6 +65,31 @@
 	return float64(w.used.CPU) / float64(w.info.CPU), float64(w.used.Memory) / float64(w.info.Memory)
 }
 
+// tasksOf counts the runs of a step.
+func (w *worker) tasksOf(j *job, step int) int {
+	n := 0
+	for id := range w.runs {
+		if id.Job == j.id && id.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// firstContactTime is the time from the start of a worker until its owner has read the list of workers, asked the
+	// worker and stored its name.
+	firstContactTime = 400 * time.Millisecond
+	// drainTime is how long the owner keeps tasks off a worker that it was asked to empty.
+	drainTime = 2100 * time.Millisecond
+)
+
+// usable reports whether the owner of the service may give the worker tasks.
+func (w *worker) usable() bool {
+	now := w.sim.now
+	return now.Sub(w.startedAt) >= firstContactTime && (w.drainedAt.IsZero() || now.Sub(w.drainedAt) >= drainTime)
+}
+
 func (w *worker) reachable() bool { return !w.dead && !w.unreachable }
 
 func (w *worker) clock() time.Duration { return w.sim.now.Sub(w.startedAt) }
