Attribute waiting in the experiment tool by what a whole queue lacks

A single free place counted as lost to placement although all tasks of the queue that waited together needed more than the free room.

--- a/experiment/client.go
+++ b/experiment/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/place"
 )
 
 const (
@@ -25,8 +26,8 @@
 const (
 	shortNothing   shortage = iota // it did not wait for room
 	shortRefusal                   // refused although the usable workers of its pool had room for its first step
-	shortPlacement                 // waited although a usable worker of its pool had room for a task
-	shortContact                   // room was only on workers that have just started or are to be emptied
+	shortPlacement                 // waited although the usable workers of its pool had room for all waiting tasks
+	shortContact                   // there was room only with workers that have just started or are to be emptied
 	shortPacking                   // the free room of its pool was enough for its tasks, but on several workers
 	shortHosts                     // its pool was full while hosts were elsewhere or moving
 	shortAll                       // all hosts were in use
@@ -111,11 +112,11 @@
 
 // shortageOfJob returns what a job lacks that is refused now.
 func (s *sim) shortageOfJob(j *job) shortage {
-	tasks, usable, _ := s.roomIn(j, 0)
+	r := s.roomFor(j, 0)
 	switch n := j.spec.Steps[0].Count; {
-	case usable >= n:
+	case r.places >= n:
 		return shortRefusal
-	case tasks >= n:
+	case r.tasks >= n:
 		return shortContact
 	case s.hostsElsewhere(j.queue.Name):
 		return shortHosts
@@ -123,17 +124,19 @@
 	return shortAll
 }
 
-// shortageOfTask returns what the waiting tasks of a job lack now.
-func (s *sim) shortageOfTask(p *progress) shortage {
-	tasks, usable, together := s.roomIn(p.job, p.step)
+// shortageOfTasks returns what the waiting tasks of a job lack now, where the tasks of its queue that wait request waiting
+// in all.
+func (s *sim) shortageOfTasks(p *progress, waiting place.Room) shortage {
+	r := s.roomFor(p.job, p.step)
+	separate := p.job.spec.Steps[p.step].PerWorker > 0
 	switch {
 	case p.lostRun:
 		return shortRun
-	case usable > 0:
+	case waiting.Fits(r.usable) && r.places >= p.waiting:
 		return shortPlacement
-	case tasks > 0:
+	case waiting.Fits(r.all) && r.tasks >= p.waiting:
 		return shortContact
-	case together >= p.waiting:
+	case waiting.Fits(r.all) && !separate:
 		return shortPacking
 	case s.hostsElsewhere(p.job.queue.Name):
 		return shortHosts
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -206,10 +206,17 @@
 
 // sample adds the state of the hosts and the waiting jobs to the counters while the traffic lasts.
 func (s *sim) sample() {
-	for _, id := range sortedKeys(s.active) {
+	waiting := map[string]place.Room{} // by queue: what its waiting tasks request
+	ids := sortedKeys(s.active)
+	for _, id := range ids {
+		p := s.active[id]
+		q := p.job.queue.Name
+		waiting[q] = waiting[q].Plus(roomOf(&p.job.spec.Steps[p.step]), p.waiting)
+	}
+	for _, id := range ids {
 		p := s.active[id]
 		if p.waiting > 0 && !p.job.lasting {
-			p.waits[s.shortageOfTask(p)] += sampleInterval
+			p.waits[s.shortageOfTasks(p, waiting[p.job.queue.Name])] += sampleInterval
 		}
 	}
 	if s.now.Before(begin) || s.now.After(begin.Add(seconds(s.day.load.Seconds))) {
@@ -251,34 +258,35 @@
 	}
 }
 
-// roomIn returns how many tasks of a job's step the workers of its pool have room for, how many of these on workers that
-// the owner may use, and how many if the free room of all were on one worker.
-func (s *sim) roomIn(j *job, step int) (tasks, usable, together int) {
+// freeRoom is the free room of a pool's workers.
+type freeRoom struct {
+	all    place.Room // on all workers
+	usable place.Room // on those that the owner may use
+	tasks  int        // tasks of a step that all workers have room for
+	places int        // tasks of a step that the usable workers have room for
+}
+
+// roomFor returns the free room of the pool of a job, and how many tasks of one of its steps it is enough for.
+func (s *sim) roomFor(j *job, step int) (r freeRoom) {
 	st := &j.spec.Steps[step]
-	var all place.Room
 	for _, h := range s.hosts {
 		w := h.worker
 		if h.pool != j.queue.Name || w == nil || !w.reachable() {
 			continue
 		}
 		free := w.total().Plus(w.used, -1)
-		n := times(free, st)
+		n := max(0, min(free.CPU/st.CPU, free.Memory/st.Memory))
 		if st.PerWorker > 0 {
-			n = min(n, st.PerWorker-w.tasksOf(j, step))
-		} else {
-			all = all.Plus(free, 1)
+			n = min(n, max(0, st.PerWorker-w.tasksOf(j, step)))
 		}
-		tasks += max(0, n)
+		r.all = r.all.Plus(free, 1)
+		r.tasks += n
 		if w.usable() {
-			usable += max(0, n)
+			r.usable = r.usable.Plus(free, 1)
+			r.places += n
 		}
 	}
-	return tasks, usable, times(all, st)
-}
-
-// times returns how many tasks of a step fit into a room.
-func times(free place.Room, st *cuminstair.JobStep) int {
-	return max(0, min(free.CPU/st.CPU, free.Memory/st.Memory))
+	return r
 }
 
 // hostsElsewhere reports whether hosts are switched off, idle in other pools or moving.
