Lend idle hosts only to pools that lack them for their demand

Two pools whose turns are over each keep hosts for 1.5 s after their last need. When both had given hosts to a third, each lent idle hosts to the other to fill up what it keeps, in one plan; each host then served nobody for 1.5 s.

Hosts that a pool keeps for a coming peak are now lent only to a pool that has fewer than its present and expected demand needs. Hosts that their pool does not need go where they went before. Callers are better off since hosts are in pools instead of on the way.

The test replays two such pools: three hosts went each way before.

--- a/pools/pools.go
+++ b/pools/pools.go
@@ -216,8 +216,8 @@
 	return best
 }
 
-// findHost finds a host for a pool: a spare host, an idle host that its own pool does not need, or an idle host that its
-// own pool keeps only for a peak that is not about to start.
+// findHost finds a host for a pool: a spare host, an idle host that its own pool does not need, or, if the pool lacks hosts
+// for its demand, an idle host that its own pool keeps only for a peak that is not about to start.
 func (d *draft) findHost(x *Pool) (Move, bool) {
 	if len(d.spare) > 0 {
 		return Move{Host: popFirst(&d.spare), From: d.Spare, To: x.Service, Reason: "demand"}, true
@@ -230,6 +230,10 @@
 		o.Have--
 		return Move{Host: popFirst(&o.Idle), From: o.Service, To: x.Service, Reason: "demand"}, true
 	}
+	if d.surplus(x) >= 0 {
+		// Pools that only keep hosts after a peak would otherwise exchange them.
+		return Move{}, false
+	}
 	for i := range d.list {
 		o := &d.list[i]
 		if !canLend(o, x) || o.Have+o.Incoming <= d.retained(d.now, o) {
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -128,6 +128,31 @@
 	is.Equal(n["spare>b"], 0)
 }
 
+// Guards against two pools that exchange idle hosts, each to fill up what it keeps after its last need: in the replayed
+// load the turns of a and b are over, and both have given hosts to c.
+func TestIdlePoolsDoNotExchangeHosts(t *testing.T) {
+	is := is.New(t)
+	p := pools.New("spare")
+	pool := func(service string, have int, rate float64) pools.Pool {
+		x := idlePool(service, have)
+		x.Objective, x.Rate = 6*time.Second, rate
+		return x
+	}
+	busy := func(have int, rate float64) pools.Pool {
+		x := pool("c", have, rate)
+		x.Idle = nil
+		return x
+	}
+	p.Plan(start, []pools.Pool{pool("a", 10, 200), pool("b", 10, 200), busy(10, 200)}, nil)
+	n := countMoves(p.Plan(start.Add(300*time.Millisecond), []pools.Pool{pool("a", 7, 0), pool("b", 7, 0), busy(16, 200)}, nil))
+	is.Equal(n["a>b"], 0)
+	is.Equal(n["b>a"], 0)
+	// A pool that needs hosts now still gets those of both.
+	n = countMoves(p.Plan(start.Add(600*time.Millisecond), []pools.Pool{pool("a", 7, 0), pool("b", 7, 0), busy(16, 600)}, nil))
+	is.True(n["a>c"] > 0)
+	is.True(n["b>c"] > 0)
+}
+
 // Guards against moves of hosts that are running tasks.
 func TestOnlyIdleHostsLeave(t *testing.T) {
 	is := is.New(t)
