Let tests place the hosts and takeovers of a walk themselves

A walk can now be built without random faults, so that a finding becomes a small scene. A worker that ends on a live host resets its waiting calls.

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -92,6 +92,7 @@
 	lives       int
 	begins      []time.Time // times of takeovers
 	healed      bool
+	manual      bool // daemons take over only when a test says so
 	counts      walkCounts
 	trace       []traceRow
 	broken      string
@@ -124,13 +125,23 @@
 func (l walkLog) Warn(msg string, args ...any)  { l.w.note(l.who, msg, args...) }
 func (l walkLog) Error(msg string, args ...any) { l.w.note(l.who, msg, args...) }
 
-func newWalk(seed uint64) *walk {
+// emptyWalk returns a walk without hosts and faults, whose daemons are not started.
+func emptyWalk(seed uint64) *walk {
 	s := &simulation{now: begin, rand: rand.New(rand.NewPCG(seed, 5))}
 	w := &walk{
 		seed: seed, sim: s, store: &modelStore{version: 100, records: map[cuminstair.RecordKey][]byte{}, beats: map[string]heartbeat{}},
 		entries: map[string]cuminstair.WorkerInfo{}, links: map[pair]link{}, cutCentres: make([]time.Time, walkCentres),
 		jobs: map[string]*modelJob{}, runs: map[cuminstair.TaskID][]*modelRun{}, counts: walkCounts{refused: map[string]int{}},
 	}
+	for i := range walkDaemons {
+		w.daemons = append(w.daemons, &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres})
+	}
+	return w
+}
+
+func newWalk(seed uint64) *walk {
+	w := emptyWalk(seed)
+	s := w.sim
 	w.guarded = s.chance(0.4)
 	w.slowAnswers = []float64{0, 0, 0.02, 0.2}[s.rand.IntN(4)]
 	w.longFailure = []float64{0, 0.3}[s.rand.IntN(2)]
@@ -138,16 +149,15 @@
 	w.listAge = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}[s.rand.IntN(3)]
 	w.hostsAge = []time.Duration{0, 0, 300 * time.Millisecond}[s.rand.IntN(3)]
 	w.many = s.chance(0.1)
-	for i := range walkDaemons {
-		d := &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres, offset: s.between(-500*time.Millisecond, 500*time.Millisecond)}
-		w.daemons = append(w.daemons, d)
+	for _, d := range w.daemons {
+		d.offset = s.between(-500*time.Millisecond, 500*time.Millisecond)
 	}
 	hosts := 3 + s.rand.IntN(7)
 	if w.many {
 		hosts = 2
 	}
 	for range hosts {
-		w.addHost()
+		w.addHost(0)
 	}
 	for _, d := range w.daemons {
 		d.boot()
@@ -159,12 +169,14 @@
 
 // Workers.
 
-func (w *walk) addHost() {
+// addHost adds a host with a worker. cpu is the size of its workers; 0: a random one.
+func (w *walk) addHost(cpu int) *modelHost {
 	n := strconv.Itoa(len(w.hosts) + 1)
-	h := &modelHost{name: "h" + n, addr: "h" + n + ":1", centre: len(w.hosts) % walkCentres, phase: cuminstair.PhaseUp, pool: "s"}
+	h := &modelHost{name: "h" + n, addr: "h" + n + ":1", centre: len(w.hosts) % walkCentres, phase: cuminstair.PhaseUp, pool: "s", cpu: cpu}
 	w.hosts = append(w.hosts, h)
 	p := w.startProcess(h, w.newLife(h))
 	p.offset = w.sim.between(0, 200*time.Second) // it has run for some time
+	return h
 }
 
 // newLife returns a new worker id.
@@ -270,7 +282,7 @@
 
 // mayTakeOver reports whether a daemon takes part in takeovers now.
 func (w *walk) mayTakeOver(d *daemon) bool {
-	return !w.sim.now.Before(begin.Add(time.Second)) && d.alive
+	return !w.manual && !w.sim.now.Before(begin.Add(time.Second)) && d.alive
 }
 
 func (w *walk) tookOver(*runner) {
@@ -668,18 +680,22 @@
 
 // finished reports whether the jobs have ended, and names one that has not.
 func (w *walk) finished() (bool, string) {
+	open := ""
 	for _, j := range w.list {
 		if !j.accepted || j.final != cuminstair.JobUnknown {
 			continue
 		}
 		state, err := dispatch.RecordState(orEmpty(w.store.records[cuminstair.RecordKey{Table: dispatch.RunTable, Part: "s", Key: j.id}]))
 		if err != nil || state < cuminstair.JobCompleted {
-			return false, j.id
+			if open == "" {
+				open = j.id
+			}
+			continue // records of the other jobs are deleted some time after their end
 		}
 		j.final = state
 		w.checkFinal(j)
 	}
-	return true, ""
+	return open == "", open
 }
 
 func orEmpty(value []byte) []byte {
--- a/dispatch/walkfaults_test.go
+++ b/dispatch/walkfaults_test.go
@@ -56,7 +56,7 @@
 	s := w.sim
 	list := w.liveProcesses()
 	if len(list) <= walkWorkers {
-		w.addHost()
+		w.addHost(0)
 		return
 	}
 	p := list[s.rand.IntN(len(list))]
@@ -104,7 +104,7 @@
 			w.register(p)
 		})
 	default:
-		w.addHost()
+		w.addHost(0)
 	}
 }
 
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -114,7 +114,7 @@
 
 // waitingHold is a renewal whose answer waits for a run to end.
 type waitingHold struct {
-	answer   func(cuminstair.WorkerReport)
+	answer   func(cuminstair.WorkerReport, error)
 	answered bool
 }
 
@@ -274,7 +274,7 @@
 		return
 	}
 	h.answered = true
-	h.answer(p.report())
+	h.answer(p.report(), nil)
 }
 
 // stop carries out a stop order.
@@ -298,7 +298,7 @@
 }
 
 // hold carries out a renewal; answer is called later if the order waits for an end.
-func (p *process) hold(by string, o dispatch.Order, answer func(cuminstair.WorkerReport)) error {
+func (p *process) hold(by string, o dispatch.Order, answer func(cuminstair.WorkerReport, error)) error {
 	if o.Token < p.token {
 		return cuminstair.ErrFenced
 	}
@@ -354,6 +354,12 @@
 	}
 	p.dead = true
 	p.host.refuses = refuses
+	for _, h := range p.waiting {
+		if refuses && !h.answered { // the host is up and resets the connections
+			h.answered = true
+			h.answer(cuminstair.WorkerReport{}, cuminstair.ErrUncertain)
+		}
+	}
 	if p.host.proc == p {
 		p.host.proc = nil
 	}
@@ -531,7 +537,7 @@
 		err = p.stop(o)
 		w.note(by, "stop carried out", "worker", p.info.ID, "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step, "task", o.Task.Index, "run", o.Run, "error", err)
 	case dispatch.OrderRenew:
-		err = p.hold(by, o, func(rep cuminstair.WorkerReport) { back(rep, nil) })
+		err = p.hold(by, o, back)
 		if err == nil {
 			return
 		}
