Add failing tests for the faults that the walk found

Each test is a scene without random faults, or a pool with one owner, and fails on the present code: ends and runs of occurrences that are not due on the new owner's clock, restarts under the same id, more than 500 unacknowledged ends, leases from old readings of a slow clock or of the earlier incarnation, a third owner that relies on the stop of the second, a renewal that waits while a new owner takes over, workers that came back unrecorded, and two cases in which tasks wait for ever.

--- /dev/null
+++ b/dispatch/owners_test.go
@@ -0,0 +1,349 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+)
+
+// Sizes of the hosts of a scene. Only large hosts have room for a large task.
+const (
+	largeHost = 32000
+	smallHost = 8000
+	largeCPU  = 20000
+)
+
+// newScene returns a walk without random faults, with hosts of the given sizes, one in each data centre in turn. The first
+// daemon owns the service.
+func newScene(t *testing.T, sizes ...int) *walk {
+	t.Helper()
+	w := emptyWalk(1)
+	w.manual = true
+	for _, cpu := range sizes {
+		w.addHost(cpu)
+	}
+	for _, h := range w.hosts {
+		h.proc.rate = 1
+	}
+	for _, d := range w.daemons {
+		d.boot()
+	}
+	w.runFor(time.Second)
+	w.takes(1)
+	w.runFor(time.Second)
+	if w.daemons[0].runner == nil {
+		t.Fatal("the first daemon doesn't own the service")
+	}
+	t.Cleanup(func() {
+		if w.broken != "" {
+			t.Error(w.broken)
+		}
+	})
+	return w
+}
+
+// takes makes daemon n take the service over.
+func (w *walk) takes(n int) { w.daemons[n-1].snatch(5) }
+
+func (w *walk) runFor(d time.Duration) {
+	end := w.sim.now.Add(d)
+	for len(w.sim.queue) > 0 && !w.sim.queue[0].at.After(end) && w.broken == "" {
+		w.sim.step()
+	}
+	w.sim.now = end
+}
+
+// give submits a job whose tasks each work for some time, and waits until it is accepted.
+func (w *walk) give(work time.Duration, spec *cuminstair.JobSpec) *modelJob {
+	j := &modelJob{id: taskName(len(w.list) + 1), spec: spec}
+	for i := range spec.Steps {
+		spec.Steps[i].Estimate = work
+		j.work = append(j.work, work)
+	}
+	w.jobs[j.id] = j
+	w.list = append(w.list, j)
+	w.submit(j)
+	for range 20 {
+		if !j.accepted {
+			w.runFor(10 * time.Millisecond)
+		}
+	}
+	return j
+}
+
+func taskName(n int) string { return "000000000000000" + string(rune('0'+n)) }
+
+func largeTask() cuminstair.JobStep { return cuminstair.JobStep{Count: 1, CPU: largeCPU, Memory: 1000} }
+
+func jobOf(steps ...cuminstair.JobStep) *cuminstair.JobSpec { return &cuminstair.JobSpec{Steps: steps} }
+
+// cutStore keeps a daemon from the store and the other daemons from telling it to stop.
+func (w *walk) cutStore(n int, t time.Duration) {
+	d := w.daemons[n-1]
+	w.disturb(d, "store", linkCut, t)
+	for _, x := range w.daemons {
+		w.disturb(x, d.name, linkCut, t)
+	}
+}
+
+// cutPath cuts the path from a daemon to a host.
+func (w *walk) cutPath(n int, h *modelHost, t time.Duration) {
+	w.disturb(w.daemons[n-1], h.addr, linkCut, t)
+}
+
+// active counts the active runs of a job.
+func (w *walk) activeRuns(j *modelJob) int {
+	n := 0
+	for _, h := range w.hosts {
+		if h.proc == nil {
+			continue
+		}
+		for _, r := range h.proc.runs {
+			if r.task.Job == j.id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// restart crashes the worker of a host and starts it again under its id.
+func (w *walk) restart(h *modelHost, after time.Duration) {
+	id := h.proc.info.ID
+	w.note("platform", "worker crashes", "worker", id)
+	h.proc.die(true)
+	w.setPhase(h, cuminstair.PhaseDown, "s")
+	w.runFor(after)
+	w.startProcess(h, id)
+}
+
+// Guards against dropping the end of a task whose occurrence a new owner has not created, since its clock is behind that
+// of the earlier owner. The end was acknowledged and the task started again.
+func TestEndOfAnOccurrenceThatIsNotDueHere(t *testing.T) {
+	w := newScene(t, largeHost, largeHost)
+	w.daemons[0].offset, w.daemons[1].offset = 500*time.Millisecond, -500*time.Millisecond
+	spec := jobOf(largeTask())
+	spec.First = w.sim.now.Add(1500 * time.Millisecond).UnixMilli()
+	w.give(50*time.Millisecond, spec)
+	w.runFor(500 * time.Millisecond)
+	w.cutStore(1, 3*time.Second) // the end is not stored
+	w.runFor(700 * time.Millisecond)
+	w.takes(2)
+	w.runFor(3 * time.Second)
+}
+
+// Guards against a second run of a task whose occurrence a new owner has not created, beside the first one.
+func TestRunOfAnOccurrenceThatIsNotDueHere(t *testing.T) {
+	w := newScene(t, largeHost, largeHost)
+	w.daemons[0].offset, w.daemons[1].offset = 500*time.Millisecond, -500*time.Millisecond
+	spec := jobOf(cuminstair.JobStep{Count: 8, CPU: 3000, Memory: 1000})
+	spec.First = w.sim.now.Add(1500 * time.Millisecond).UnixMilli()
+	w.give(5*time.Second, spec)
+	w.runFor(1850 * time.Millisecond)
+	w.takes(2) // just before the occurrence is due on its clock
+	w.runFor(3 * time.Second)
+}
+
+// Guards against a second run of a task that was started on a worker which had restarted under its id just before: the
+// list of workers tells of the restart after the start was answered.
+func TestStartOnAWorkerThatHasJustRestarted(t *testing.T) {
+	w := newScene(t, largeHost, largeHost)
+	for _, h := range w.hosts {
+		w.restart(h, 0)
+	}
+	w.give(5*time.Second, jobOf(largeTask()))
+	w.runFor(2 * time.Second)
+}
+
+// Guards against an owner that relies on the stop of its predecessor although the owner before that one, which is cut off,
+// still gives orders.
+func TestThirdOwnerWaitsForTheFirst(t *testing.T) {
+	w := newScene(t, largeHost, smallHost, smallHost)
+	j := w.give(30*time.Second, jobOf(largeTask()))
+	w.runFor(time.Second)
+	if w.activeRuns(j) != 1 {
+		t.Fatal("the task does not run")
+	}
+	w.cutCentres[0] = w.sim.now.Add(30 * time.Second) // with the first daemon and the task
+	w.takes(2)
+	w.runFor(500 * time.Millisecond)
+	w.daemons[1].runner.handOver()
+	w.runFor(100 * time.Millisecond)
+	w.takes(3)
+	w.addHost(smallHost)
+	w.addHost(largeHost) // in another data centre
+	w.runFor(12 * time.Second)
+	if w.activeRuns(j) != 1 {
+		t.Error("the task was not started again")
+	}
+}
+
+// Guards against losing runs whose ends are behind the first 500 ends that a worker reports.
+func TestMoreEndsThanAReportHas(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.give(10*time.Millisecond, jobOf(cuminstair.JobStep{Count: 1500, CPU: 500, Memory: 100}))
+	for _, d := range w.daemons {
+		w.disturb(d, "store", linkRefused, 4*time.Second)
+	}
+	w.runFor(8 * time.Second)
+}
+
+// Guards against taking a worker as having reported all ends by the first 500 of them: a new owner started tasks again
+// that had ended behind these.
+func TestNewOwnerReadsAllEnds(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.give(10*time.Millisecond, jobOf(cuminstair.JobStep{Count: 900, CPU: 500, Memory: 100}))
+	w.cutStore(1, 10*time.Second)
+	w.runFor(2200 * time.Millisecond)
+	w.takes(2)
+	w.runFor(5 * time.Second)
+}
+
+// Guards against counting only the present owner's leases for a worker that has restarted under its id: an order with a
+// lease on the clock of the earlier incarnation gives the new one the longest lease there is.
+func TestLeaseOfTheEarlierIncarnation(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.runFor(60 * time.Second)
+	j := w.give(30*time.Second, jobOf(largeTask()))
+	w.runFor(time.Second)
+	id := w.hosts[0].proc.info.ID
+	w.hosts[0].proc.die(true)
+	w.disturb(w.daemons[0], "store", linkCut, time.Second) // so that a renewal comes before the list of workers
+	w.runFor(400 * time.Millisecond)
+	w.startProcess(w.hosts[0], id)
+	for range 100 {
+		if w.activeRuns(j) == 0 {
+			w.runFor(50 * time.Millisecond)
+		}
+	}
+	if w.activeRuns(j) != 1 {
+		t.Fatal("the task was not started again")
+	}
+	w.cutPath(1, w.hosts[0], 30*time.Second)
+	w.addHost(largeHost)
+	w.runFor(15 * time.Second)
+	if w.activeRuns(j) != 1 {
+		t.Error("the task was not started elsewhere")
+	}
+}
+
+// Guards against a renewal of the earlier owner that waits at a worker while a new owner adopts the run: both learn of its
+// end, and both start the task again.
+func TestWaitingRenewalOfTheEarlierOwner(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.give(20*time.Second, jobOf(largeTask()))
+	first := w.hosts[0]
+	second := w.addHost(largeHost)
+	w.runFor(time.Second)
+	w.cutStore(1, 10*time.Second)
+	w.cutPath(2, second, 10*time.Second)
+	w.addHost(largeHost) // unknown to the first owner
+	w.runFor(550 * time.Millisecond)
+	w.takes(2)
+	w.runFor(150 * time.Millisecond)
+	for len(first.proc.runs) > 0 {
+		first.proc.end(first.proc.runs[0], cuminstair.EndFailed)
+	}
+	w.runFor(3 * time.Second)
+}
+
+// Guards against an earlier owner that goes on with a worker which has restarted and knows no fencing token, while the new
+// owner takes the worker as gone.
+func TestRestartedWorkerIsNotUsedByTheEarlierOwner(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.give(60*time.Second, jobOf(cuminstair.JobStep{Count: 1, CPU: 1000, Memory: 1000})) // makes the first daemon call the worker
+	w.runFor(2 * time.Second)
+	w.addHost(largeHost)
+	w.runFor(time.Second)
+	spec := jobOf(largeTask())
+	spec.First = w.sim.now.Add(4500 * time.Millisecond).UnixMilli()
+	w.give(10*time.Second, spec)
+	w.cutCentres[0] = w.sim.now.Add(30 * time.Second) // with the first daemon and the task
+	w.takes(2)
+	w.restart(w.hosts[0], 2*time.Second)
+	w.runFor(8 * time.Second)
+}
+
+// Guards against a lease that is too long since it was computed from a clock that was read long ago: a clock that is 2%
+// slow lags behind by two seconds after 100 s, and the next owner starts the task again before the lease ends.
+func TestLeaseFromAnOldReadingOfASlowClock(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.hosts[0].proc.rate = 0.98
+	w.runFor(100 * time.Second)
+	j := w.give(30*time.Second, jobOf(largeTask()))
+	w.runFor(20 * time.Millisecond)
+	if w.activeRuns(j) != 1 {
+		t.Fatal("the task does not run")
+	}
+	w.daemons[0].kill()
+	w.addHost(largeHost)
+	w.daemons[0].boot()
+	for n := range w.daemons {
+		w.cutPath(n+1, w.hosts[0], 30*time.Second)
+	}
+	w.runFor(600 * time.Millisecond)
+	w.takes(2)
+	w.runFor(12 * time.Second)
+	if w.activeRuns(j) != 1 {
+		t.Error("the task was not started again")
+	}
+}
+
+// Guards against using a worker that is not in the stored record since it was taken as gone and came back: the next owner
+// does not wait for it.
+func TestWorkerThatCameBackIsRecorded(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.give(600*time.Millisecond, jobOf(largeTask()))
+	w.runFor(100 * time.Millisecond)
+	h := w.hosts[0]
+	id := h.proc.info.ID
+	h.proc.die(false)
+	w.setPhase(h, cuminstair.PhaseDown, "s")
+	w.runFor(3 * time.Second) // the worker is taken as gone
+	w.addHost(smallHost)      // the record is written without it
+	w.runFor(time.Second)
+	w.startProcess(h, id)
+	w.runFor(3 * time.Second)
+	j := w.give(30*time.Second, jobOf(largeTask()))
+	w.runFor(500 * time.Millisecond)
+	if w.activeRuns(j) != 1 {
+		t.Fatal("the task does not run")
+	}
+	w.addHost(largeHost)
+	w.cutPath(2, h, 30*time.Second)
+	w.takes(2)
+	w.runFor(4 * time.Second)
+}
+
+// Guards against tasks that wait for ever since nothing starts them when the time has passed for which all workers were
+// blocked after failed runs.
+func TestTasksStartAgainAfterABlock(t *testing.T) {
+	p := newPool(t, 1)
+	left := 2
+	p.fails = func(cuminstair.TaskID, *fakeWorker) bool {
+		left--
+		return left >= 0
+	}
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 1000))
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
+
+// Guards against tasks that wait for ever since the only worker that has room for them is the one on which they failed.
+func TestTaskReturnsToTheOnlyWorkerWithRoom(t *testing.T) {
+	p := newPool(t, 2)
+	p.workers[1].info.CPU = smallHost
+	p.list[1].CPU = smallHost
+	p.s.SetWorkers(p.now, p.list)
+	left := 1
+	p.fails = func(cuminstair.TaskID, *fakeWorker) bool {
+		left--
+		return left >= 0
+	}
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, largeCPU))
+	p.run(10 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+}
