Add failing tests for takeovers that are not over and for gangs

A daemon that is told to stop while it is still taking the service over says that it has stopped and starts its runner later; a daemon that was frozen during its takeover counts as confirmed from the time at which it goes on; and a step after a gang counts as not started if one task of the gang was found.

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -347,3 +347,87 @@
 	p.run(10 * time.Second)
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 }
+
+// Guards against a second run of a step after a gang: a new owner that found one task of the gang takes the step as not
+// started, but the earlier owner, which is cut off, may have learned of the end of the gang from the worker of another
+// task.
+func TestStepAfterAGangThatIsPartlyAdopted(t *testing.T) {
+	w := newScene(t, largeHost, largeHost)
+	gang := largeTask()
+	gang.Count, gang.Gang = 2, true
+	next := largeTask()
+	next.After = []int{0}
+	j := w.give(4*time.Second, jobOf(gang, next))
+	w.runFor(300 * time.Millisecond)
+	if w.activeRuns(j) != 2 {
+		t.Fatal("the gang does not run")
+	}
+	first, second := w.hosts[0], w.hosts[1]
+	w.cutStore(1, 20*time.Second)
+	w.cutPath(1, first, 20*time.Second)
+	w.cutPath(2, second, 20*time.Second)
+	w.takes(2)
+	w.runFor(10 * time.Second)
+}
+
+// runUntil runs the walk until a condition holds.
+func (w *walk) runUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 3000 {
+		if holds() {
+			return
+		}
+		w.runFor(time.Millisecond)
+	}
+	t.Fatal("not reached: " + what)
+}
+
+// Guards against a daemon that says it gives no orders while it is still taking the service over: it starts to give them
+// once it has read the records.
+func TestStopDuringATakeover(t *testing.T) {
+	w := newScene(t, largeHost, smallHost, smallHost)
+	j := w.give(30*time.Second, jobOf(largeTask()))
+	w.runFor(time.Second)
+	second, third := w.daemons[3], w.daemons[1] // the second owner is in the data centre of the task
+	w.daemons[0].kill()
+	w.takes(4)
+	w.runUntil(t, "the second owner has written the owner record", func() bool { return w.store.owner.name == second.name })
+	w.disturb(second, "store", linkRefused, 400*time.Millisecond)
+	w.cutPath(2, w.hosts[0], 30*time.Second)
+	w.takes(2)
+	w.runUntil(t, "the third owner", func() bool { return third.runner != nil })
+	w.runUntil(t, "the second owner", func() bool { return second.runner != nil })
+	w.cutCentres[0] = w.sim.now.Add(30 * time.Second)
+	w.addHost(smallHost)
+	w.addHost(largeHost) // in another data centre
+	w.runFor(12 * time.Second)
+	if w.activeRuns(j) != 1 {
+		t.Error("the task was not started again")
+	}
+}
+
+// Guards against an owner that counts as confirmed from the time at which it processed the answer to its takeover: if it
+// was frozen meanwhile, another daemon has taken over since.
+func TestFreezeDuringATakeover(t *testing.T) {
+	w := newScene(t, largeHost, smallHost, smallHost)
+	j := w.give(30*time.Second, jobOf(largeTask()))
+	w.runFor(time.Second)
+	second, third := w.daemons[3], w.daemons[1] // the second owner is in the data centre of the task
+	w.daemons[0].kill()
+	w.takes(4)
+	w.runUntil(t, "the second owner has written the owner record", func() bool { return w.store.owner.name == second.name })
+	second.freeze(3 * time.Second)
+	w.disturb(third, second.name, linkCut, 30*time.Second)
+	w.cutPath(2, w.hosts[0], 30*time.Second)
+	w.takes(2)
+	w.runUntil(t, "the third owner", func() bool { return third.runner != nil })
+	w.runFor(2900 * time.Millisecond)
+	w.runUntil(t, "the second owner", func() bool { return second.runner != nil })
+	w.cutCentres[0] = w.sim.now.Add(30 * time.Second)
+	w.addHost(smallHost)
+	w.addHost(largeHost) // in another data centre
+	w.runFor(12 * time.Second)
+	if w.activeRuns(j) != 1 {
+		t.Error("the task was not started again")
+	}
+}
