Add a failing test for runs lost with a worker by an owner that is cut off

An owner that the store no longer confirms takes the runs of a replaced worker as lost and starts them again, although a newer owner has acknowledged their ends.

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -78,9 +78,9 @@
 
 func jobOf(steps ...cuminstair.JobStep) *cuminstair.JobSpec { return &cuminstair.JobSpec{Steps: steps} }
 
-// cutStore keeps a daemon from the store and the other daemons from telling it to stop.
-func (w *walk) cutStore(n int, t time.Duration) {
-	d := w.daemons[n-1]
+// cutFirstOwner keeps the first daemon from the store and the other daemons from telling it to stop.
+func (w *walk) cutFirstOwner(t time.Duration) {
+	d := w.daemons[0]
 	w.disturb(d, "store", linkCut, t)
 	for _, x := range w.daemons {
 		w.disturb(x, d.name, linkCut, t)
@@ -127,7 +127,7 @@
 	spec.First = w.sim.now.Add(1500 * time.Millisecond).UnixMilli()
 	w.give(50*time.Millisecond, spec)
 	w.runFor(500 * time.Millisecond)
-	w.cutStore(1, 3*time.Second) // the end is not stored
+	w.cutFirstOwner(3 * time.Second) // the end is not stored
 	w.runFor(700 * time.Millisecond)
 	w.takes(2)
 	w.runFor(3 * time.Second)
@@ -194,7 +194,7 @@
 func TestNewOwnerReadsAllEnds(t *testing.T) {
 	w := newScene(t, largeHost)
 	w.give(10*time.Millisecond, jobOf(cuminstair.JobStep{Count: 900, CPU: 500, Memory: 100}))
-	w.cutStore(1, 10*time.Second)
+	w.cutFirstOwner(10 * time.Second)
 	w.runFor(2200 * time.Millisecond)
 	w.takes(2)
 	w.runFor(5 * time.Second)
@@ -236,7 +236,7 @@
 	first := w.hosts[0]
 	second := w.addHost(largeHost)
 	w.runFor(time.Second)
-	w.cutStore(1, 10*time.Second)
+	w.cutFirstOwner(10 * time.Second)
 	w.cutPath(2, second, 10*time.Second)
 	w.addHost(largeHost) // unknown to the first owner
 	w.runFor(550 * time.Millisecond)
@@ -363,7 +363,7 @@
 		t.Fatal("the gang does not run")
 	}
 	first, second := w.hosts[0], w.hosts[1]
-	w.cutStore(1, 20*time.Second)
+	w.cutFirstOwner(20 * time.Second)
 	w.cutPath(1, first, 20*time.Second)
 	w.cutPath(2, second, 20*time.Second)
 	w.takes(2)
@@ -431,3 +431,28 @@
 		t.Error("the task was not started again")
 	}
 }
+
+// Guards against an owner that starts the tasks of a worker again which has been replaced, although the store has not
+// confirmed it since: a newer owner may have read and acknowledged their ends before.
+func TestReplacedWorkerOfAnOwnerThatIsNotConfirmed(t *testing.T) {
+	w := newScene(t, largeHost)
+	w.give(20*time.Second, jobOf(largeTask()))
+	w.runFor(200 * time.Millisecond)
+	first := w.hosts[0]
+	second := w.addHost(largeHost)
+	first.proc.leaving = true // so that its end is no crash
+	w.register(first.proc)
+	w.runFor(time.Second)
+	w.cutFirstOwner(20 * time.Second)
+	w.cutPath(1, first, 2500*time.Millisecond)
+	w.cutPath(2, second, 20*time.Second)
+	w.takes(2)
+	w.runFor(500 * time.Millisecond)
+	for len(first.proc.runs) > 0 {
+		first.proc.end(first.proc.runs[0], cuminstair.EndDone)
+	}
+	w.runFor(1500 * time.Millisecond) // the second owner acknowledges the end
+	first.proc.die(true)
+	w.startProcess(first, w.newLife(first))
+	w.runFor(4 * time.Second)
+}
