Cut data centres off for longer in the walk

Cuts were at most 9 s, so that an owner that is cut off seldom passed the time for which it gives orders without the store.

--- a/dispatch/walkfaults_test.go
+++ b/dispatch/walkfaults_test.go
@@ -133,6 +133,9 @@
 	switch n := s.rand.IntN(10); {
 	case n < 4:
 		c := s.rand.IntN(walkCentres)
+		if s.chance(0.3) {
+			t = s.between(8*time.Second, 16*time.Second) // longer than an owner gives orders without the store
+		}
 		w.cutCentres[c] = s.now.Add(t)
 		w.note("network", "data centre cut off", "centre", c, "for", t)
 	case n < 6: // one worker, for all daemons or one
