--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -185,3 +185,25 @@
 		p.is.Equal(o.Run, o.Token<<10+1)
 	}
 }
+
+// Guards against tasks that wait for ever, since nothing happens after workers have become reachable again.
+func TestTasksStartOnWorkersThatAnswerAgain(t *testing.T) {
+	p := newPool(t, 3)
+	p.run(200 * time.Millisecond)
+	st := longRunning(3)
+	st.PerWorker = 1
+	p.submit(jobA, st)
+	p.run(2 * time.Second)
+	p.is.Equal(p.running(), 3)
+	cut := p.workers[1:]
+	for _, w := range cut {
+		w.partitioned = true
+	}
+	p.run(dispatch.Lease + 2*time.Second)
+	p.is.Equal(p.running(), 1)
+	for _, w := range cut {
+		w.partitioned = false
+	}
+	p.run(2 * time.Second)
+	p.is.Equal(p.running(), 3)
+}
