--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -63,9 +63,7 @@
 		s.detachUnreachable(now)
 		s.changed = s.changed || s.waitingTrials > 0 // they wait for a time too
 	}
-	usable := len(s.candidates)
 	s.listCandidates(now)
-	s.changed = s.changed || len(s.candidates) > usable || scan && s.unplaced > 0
 	s.unplacedMoves = 0
 	s.changed = s.changed || s.spaced
 	s.evacuate(now)
