Name the state of owners and reports after what it says

The reviewer stumbled on private or doubled names: newsAreLate, secondLook, begun beside started, settled in three meanings, Leaves. A start that is refused as an old run has a log line of its own. No change of behaviour.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -96,7 +96,7 @@
 // early reports whether a run may have crashed its worker by its start: this was not answered, or hardly before the worker
 // stopped answering, and the failure was noticed soon after it.
 func (a *attempt) early(now time.Time) bool {
-	if a.adopted || a.unsure || !a.mayHaveRun() || !a.stopConfirmedAt.IsZero() || now.Sub(a.beganAt()) > crashNotice {
+	if a.adopted || a.mayHaveEnded || !a.mayHaveRun() || !a.stopConfirmedAt.IsZero() || now.Sub(a.beganAt()) > crashNotice {
 		return false
 	}
 	return a.answeredAt.IsZero() || !a.answeredAt.Before(a.worker.answeredAt.Add(-startWindow))
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -198,7 +198,7 @@
 			}
 		}
 		w.ackSent = o.Seen
-		w.waits = o.Wait > 0
+		w.renewalWaits = o.Wait > 0
 		s.orders = append(s.orders, o)
 	}
 }
@@ -206,7 +206,7 @@
 // toAcknowledge returns the sequence number up to which the worker may forget ends, 0 if it has been told already. A
 // needless acknowledgement could reach a new incarnation of the worker, which would forget ends that no owner has read.
 func (w *worker) toAcknowledge() int64 {
-	if w.stored == w.acknowledged || w.clockBack {
+	if w.stored == w.acknowledged || w.clockWentBack {
 		return 0
 	}
 	return w.stored
@@ -214,7 +214,7 @@
 
 // renewalWait returns how long a worker may delay its answer to a renewal while it waits for a task to end.
 func renewalWait(w *worker) time.Duration {
-	if w.secondLook {
+	if w.askAgain {
 		return 0
 	}
 	if w.processed > w.stored {
@@ -244,7 +244,7 @@
 	switch {
 	case err == nil:
 		if clock > 0 && clock+leaseMargin < w.clockAtLeast(a.sentAt) {
-			w.clockBack, w.nextRenewal = true, now
+			w.clockWentBack, w.nextRenewal = true, now
 		}
 		a.answeredAt, w.answeredAt = now, now
 		if a.progressAt.IsZero() {
@@ -254,8 +254,12 @@
 			a.task.step.markStarted()
 		}
 		return
-	case errors.Is(err, cuminstair.ErrUncertain), errors.Is(err, cuminstair.ErrStaleRun):
-		// A run number is used once, so a run that is not higher than an ended one has been there. The lists of the worker decide.
+	case errors.Is(err, cuminstair.ErrStaleRun):
+		// A run number is used once, so that the run may have been there. The lists of the worker decide.
+		s.Log.Info("dispatch: start was refused as an old run", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+			"run", a.run, "worker", w.info.ID)
+		return
+	case errors.Is(err, cuminstair.ErrUncertain):
 		s.Log.Info("dispatch: start was not answered", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 			"run", a.run, "worker", w.info.ID, "error", err)
 		return
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -30,7 +30,7 @@
 	s.logEnd(w, t, e)
 	if t != nil && !t.step.occ.job.finished() {
 		t.run = max(t.run, e.Run)
-		s.noteRun(now, t, e.Run)
+		s.learnFromRun(now, t, e.Run)
 		s.recordTaskEnd(now, w, t, a, e)
 		if t.done && t.attempt != nil && t.attempt != a {
 			s.orderStop(now, t.attempt) // a copy that is no longer needed
@@ -131,23 +131,23 @@
 	s.taskComplete(now, t)
 }
 
-// noteRun learns from a run that a worker reports: if an earlier owner started it, the steps before its step are done, even if
+// learnFromRun learns from a run that a worker reports: if an earlier owner started it, the steps before its step are done, even if
 // the ends of their tasks can't be read yet.
-func (s *Service) noteRun(now time.Time, t *task, run int64) {
+func (s *Service) learnFromRun(now time.Time, t *task, run int64) {
 	if run < s.Token*runsPerToken && run >= t.step.occ.job.token*runsPerToken {
-		s.stepBegun(now, t.step)
+		s.markStartedEarlier(now, t.step)
 	}
 }
 
-// stepBegun marks a step as begun by an earlier owner, and the steps before it as done.
-func (s *Service) stepBegun(now time.Time, st *step) {
-	if st.begun {
+// markStartedEarlier marks a step as begun by an earlier owner, and the steps before it as done.
+func (s *Service) markStartedEarlier(now time.Time, st *step) {
+	if st.startedEarlier {
 		return
 	}
-	st.begun = true
+	st.startedEarlier = true
 	for _, i := range st.After {
 		before := st.occ.steps[i]
-		s.stepBegun(now, before)
+		s.markStartedEarlier(now, before)
 		for _, t := range before.tasks {
 			if !t.done {
 				s.taskDone(now, t, nil)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -47,18 +47,18 @@
 // step is the owner's state of a step in one occurrence of a job.
 type step struct {
 	cuminstair.JobStep
-	index       int
-	occ         *occurrence
-	tasks       []*task
-	tasksLeft   int           // tasks that are not done
-	started     bool          // a task has started
-	begun       bool          // an earlier owner has started a task of it
-	pathAfter   time.Duration // longest dependency path after this step
-	queued      bool          // listed in Service.ready
-	latestStart time.Time     // latest start of its tasks for the job to be in time
-	rank        int           // see Service.rank
-	mayRun      bool          // an earlier owner may have started its tasks on workers that have not answered
-	advice      advice        // for steps of an advised queue
+	index          int
+	occ            *occurrence
+	tasks          []*task
+	tasksLeft      int           // tasks that are not done
+	started        bool          // a task has started
+	startedEarlier bool          // an earlier owner has started a task of it
+	pathAfter      time.Duration // longest dependency path after this step
+	queued         bool          // listed in Service.ready
+	latestStart    time.Time     // latest start of its tasks for the job to be in time
+	rank           int           // see Service.rank
+	mayRun         bool          // an earlier owner may have started its tasks on workers that have not answered
+	advice         advice        // for steps of an advised queue
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -106,7 +106,7 @@
 	resumed         bool          // started from a checkpoint
 	trial           bool          // its start was a trial, see needsTrial
 	passed          bool          // the trial is over: the worker has not crashed
-	unsure          bool          // it may have ended with an earlier incarnation of the worker
+	mayHaveEnded    bool          // it may have ended with an earlier incarnation of the worker
 	adopted         bool          // it was found on the worker, so that the time of its start is unknown
 }
 
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -151,7 +151,7 @@
 // that allow copies prove nothing, since their tasks may be done while another copy runs; nor do gangs, which any of their
 // members ends, and steps before one that has begun.
 func (st *step) followsAdopted() bool {
-	if st.begun {
+	if st.startedEarlier {
 		return false
 	}
 	for _, i := range st.After {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -267,16 +267,16 @@
 	}
 	s.createDueOccurrences(now, j)
 	for _, o := range slices.Clone(j.runs) {
-		s.recoverBegun(now, o)
+		s.recoverStartedEarlier(now, o)
 		s.enqueue(now, o)
 	}
 }
 
-// recoverBegun learns from the stored progress of an occurrence which of its steps have begun.
-func (s *Service) recoverBegun(now time.Time, o *occurrence) {
+// recoverStartedEarlier learns from the stored progress of an occurrence which of its steps have begun.
+func (s *Service) recoverStartedEarlier(now time.Time, o *occurrence) {
 	for _, st := range o.steps {
 		if st.started {
-			s.stepBegun(now, st)
+			s.markStartedEarlier(now, st)
 		}
 	}
 }
@@ -351,7 +351,7 @@
 }
 
 // toCome reports whether a task is of an occurrence that is not created yet.
-func (s *Service) toCome(id cuminstair.TaskID) bool {
+func (s *Service) notCreatedYet(id cuminstair.TaskID) bool {
 	j := s.jobs[id.Job]
 	return j != nil && !j.finished() && id.Occurrence >= j.next && id.Occurrence < j.occurrences()
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,23 +28,23 @@
 	moreEnds      bool      // its last report lacked ends, so that a missing run may have ended
 	gone          bool      // this incarnation has ended
 
-	clock        time.Duration // lower bound of its clock at clockAt
-	clockAt      time.Time
-	lease        time.Duration // latest lease sent, as a time on its clock
-	heldLease    time.Duration // latest lease that it may have got by an order for its earlier incarnation
-	leaseSentAt  time.Time     // when the last order with a lease was sent
-	longLease    bool          // an earlier owner has seen it restart
-	restarted    bool          // it has restarted since this owner learned of it
-	leaseUnsure  bool          // heldLease is to be set by its next report
-	processed    int64         // sequence number up to which ends are processed
-	stored       int64         // sequence number up to which ends are stored
-	acknowledged int64         // sequence number up to which ends are acknowledged
-	ackSent      int64         // the acknowledgement in the renewal in flight, 0 if none
-	clockBack    bool          // an answer had an earlier clock: a new incarnation that has not been read
+	clock         time.Duration // lower bound of its clock at clockAt
+	clockAt       time.Time
+	lease         time.Duration // latest lease sent, as a time on its clock
+	heldLease     time.Duration // latest lease that it may have got by an order for its earlier incarnation
+	leaseSentAt   time.Time     // when the last order with a lease was sent
+	longLease     bool          // an earlier owner has seen it restart
+	restarted     bool          // it has restarted since this owner learned of it
+	leaseUnsure   bool          // heldLease is to be set by its next report
+	processed     int64         // sequence number up to which ends are processed
+	stored        int64         // sequence number up to which ends are stored
+	acknowledged  int64         // sequence number up to which ends are acknowledged
+	ackSent       int64         // the acknowledgement in the renewal in flight, 0 if none
+	clockWentBack bool          // an answer had an earlier clock: a new incarnation that has not been read
 
 	renewing     bool      // a renewal is in flight
-	waits        bool      // the renewal in flight waits for an end
-	secondLook   bool      // the next renewal does not wait; see newsAreLate
+	renewalWaits bool      // the renewal in flight waits for an end
+	askAgain     bool      // the next renewal does not wait; see reportMayBeStale
 	lastRenewal  time.Time // when the last successful renewal was sent
 	answeredAt   time.Time // when it last answered a call
 	knownSince   time.Time // when this owner learned of the present incarnation
@@ -269,7 +269,7 @@
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for id, a := range w.attempts {
 		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) || a.sentAt.After(w.lastRenewal) {
-			a.unsure = true
+			a.mayHaveEnded = true
 			continue
 		}
 		s.attemptLost(now, a, "the worker restarted")
@@ -278,8 +278,8 @@
 
 // confirmRun withdraws the crash that was counted for a run when its worker restarted, since the new incarnation has it.
 func (s *Service) confirmRun(a *attempt) {
-	if a.unsure {
-		a.unsure = false
+	if a.mayHaveEnded {
+		a.mayHaveEnded = false
 		s.withdrawRun(a)
 	}
 }
@@ -367,15 +367,15 @@
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
-	w.acknowledged, w.clockBack = max(w.acknowledged, w.ackSent), false
+	w.acknowledged, w.clockWentBack = max(w.acknowledged, w.ackSent), false
 	if w.leaseUnsure {
 		w.leaseUnsure, w.heldLease = false, r.Clock+s.Bounds.MaxLease
 	}
-	if s.newsAreLate(now, w, r, running) {
-		w.secondLook, w.nextRenewal = true, now
+	if s.reportMayBeStale(now, w, r, running) {
+		w.askAgain, w.nextRenewal = true, now
 		return
 	}
-	w.secondLook = false
+	w.askAgain = false
 	if w.mayHaveMoved && sent.After(w.cordonedUntil) {
 		w.mayHaveMoved = false
 		s.changed = true
@@ -394,11 +394,11 @@
 	}
 }
 
-// newsAreLate reports whether a report has ends or lacks runs, and may be of a time at which a new owner has read the lists of
+// reportMayBeStale reports whether a report has ends or lacks runs, and may be of a time at which a new owner has read the lists of
 // the worker: a renewal that waits is answered at an end even if the worker has seen a higher token meanwhile. A new owner
 // relies on that this one knows nothing later. The next renewal does not wait, and is refused if there is a new owner.
-func (s *Service) newsAreLate(now time.Time, w *worker, r cuminstair.WorkerReport, running map[cuminstair.TaskID]int64) bool {
-	if !w.waits || now.Sub(s.aliveAt) < AliveTime {
+func (s *Service) reportMayBeStale(now time.Time, w *worker, r cuminstair.WorkerReport, running map[cuminstair.TaskID]int64) bool {
+	if !w.renewalWaits || now.Sub(s.aliveAt) < AliveTime {
 		return false
 	}
 	for _, e := range r.Ended {
@@ -422,7 +422,7 @@
 			continue
 		}
 		t := s.taskOfRun(now, e.Task)
-		if t == nil && s.toCome(e.Task) {
+		if t == nil && s.notCreatedYet(e.Task) {
 			return false
 		}
 		s.handleEnd(now, w, t, e)
@@ -483,7 +483,7 @@
 	if x != nil {
 		x.run = max(x.run, t.Run)
 		if !j.finished() {
-			s.noteRun(now, x, t.Run)
+			s.learnFromRun(now, x, t.Run)
 		}
 	}
 	if old, ok := w.attempts[t.Task]; ok {
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -60,24 +60,24 @@
 	lastStep    time.Time
 	state       *dispatch.Service
 
-	owner        ownership.Owner // as last written, or being written
-	settled      bool            // earlier owners give no more orders
-	version      uint64          // of the owner record
-	confirmedAt  time.Time       // when the store last named this daemon as the owner
-	inflight     *dispatch.Batch
-	sentTx       cuminstair.Tx
-	failingSince time.Time     // when writes began to fail; zero: they succeed
-	latency      time.Duration // moving mean of the store's write latency; a rise takes effect at once
-	hedges       int           // times that inflight was sent again before an answer
-	uncertain    bool          // an attempt to write inflight may have taken effect
-	retryAt      time.Time     // when the next batch may be sent
-	sentAt       time.Time     // when inflight was first sent
-	wroteAt      time.Time     // when the last batch that was stored was sent
-	alive        time.Time     // see aliveAt
-	offered      bool          // another daemon may take the service over since it was offered
-	offeredAt    time.Time     // when the service was last offered to another daemon
-	onRelease    []func()      // called when the runner ends
-	ended        bool
+	owner          ownership.Owner // as last written, or being written
+	earlierStopped bool            // earlier owners give no more orders
+	version        uint64          // of the owner record
+	confirmedAt    time.Time       // when the store last named this daemon as the owner
+	inflight       *dispatch.Batch
+	sentTx         cuminstair.Tx
+	failingSince   time.Time     // when writes began to fail; zero: they succeed
+	latency        time.Duration // moving mean of the store's write latency; a rise takes effect at once
+	hedges         int           // times that inflight was sent again before an answer
+	uncertain      bool          // an attempt to write inflight may have taken effect
+	retryAt        time.Time     // when the next batch may be sent
+	sentAt         time.Time     // when inflight was first sent
+	wroteAt        time.Time     // when the last batch that was stored was sent
+	alive          time.Time     // see aliveAt
+	offered        bool          // another daemon may take the service over since it was offered
+	offeredAt      time.Time     // when the service was last offered to another daemon
+	onRelease      []func()      // called when the runner ends
+	ended          bool
 }
 
 func newRunner(d *Daemon, service string, token uint64, owner ownership.Owner, hadOwner bool) *runner {
@@ -89,7 +89,7 @@
 	}
 	return &runner{
 		d: d, service: service, token: token, takenAt: now, hadOwner: hadOwner, state: s, owner: owner, version: token,
-		settled: !owner.Unsettled, confirmedAt: now, events: make(chan func(time.Time), eventQueueSize), done: make(chan struct{}),
+		earlierStopped: !owner.Unsettled, confirmedAt: now, events: make(chan func(time.Time), eventQueueSize), done: make(chan struct{}),
 	}
 }
 
@@ -279,12 +279,14 @@
 
 // earlierOwnersStopped records that no earlier owner gives orders any more.
 func (r *runner) earlierOwnersStopped(now time.Time) {
-	r.settled = true
+	r.earlierStopped = true
 	r.state.EarlierOwnerStopped(now)
 }
 
 // unsettled reports whether earlier owners may still give orders.
-func (r *runner) unsettled(now time.Time) bool { return !r.settled && now.Sub(r.takenAt) < ownerGrace }
+func (r *runner) unsettled(now time.Time) bool {
+	return !r.earlierStopped && now.Sub(r.takenAt) < ownerGrace
+}
 
 func (r *runner) depose(why string) {
 	go r.post(func(time.Time) { r.state.Depose(why) })
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -30,7 +30,7 @@
 			is := is.New(t)
 			d, _ := peerDaemon()
 			released := ownership.Owner{Seq: 5, Unsettled: unsettled}
-			r := newRunner(d, "s", 9, ownership.Owner{Unsettled: released.Leaves(7)}, true)
+			r := newRunner(d, "s", 9, ownership.Owner{Unsettled: released.SuccessorMustWait(7)}, true)
 			d.stopEarlierOwner(t.Context(), r, released, 7)
 			r.handleEvents(peerTime)
 			is.Equal(r.unsettled(peerTime), unsettled)
@@ -47,8 +47,8 @@
 	store := &conditionalStore{version: 9, rows: map[cuminstair.RecordKey]cuminstair.Record{key: {RecordKey: key, Version: 9}}}
 	d.Store = store
 	former := ownership.Owner{Name: "d2", Run: "run2"}
-	is.True(former.Leaves(7))
-	is.True(!ownership.Owner{}.Leaves(0))
+	is.True(former.SuccessorMustWait(7))
+	is.True(!ownership.Owner{}.SuccessorMustWait(0))
 	r := newRunner(d, "s", 9, ownership.Owner{Name: "d1", Run: "run1", Seq: 1, Unsettled: true}, true)
 	is.True(r.unsettled(peerTime.Add(ownerGrace - 1)))
 	is.True(!r.unsettled(peerTime.Add(ownerGrace)))
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -65,9 +65,11 @@
 	Unsettled bool `json:"unsettled,omitempty"`
 }
 
-// Leaves reports whether a successor of the owner has to expect orders of earlier owners, at the time of its takeover.
+// SuccessorMustWait reports whether a successor of the owner has to expect orders of earlier owners, at the time of its takeover.
 // version is that of the owner record, 0 if there was none.
-func (o Owner) Leaves(version uint64) bool { return version > 0 && (o.Name != "" || o.Unsettled) }
+func (o Owner) SuccessorMustWait(version uint64) bool {
+	return version > 0 && (o.Name != "" || o.Unsettled)
+}
 
 type observedNode struct {
 	Node
