--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -212,10 +212,7 @@
 		t.awaySince = now
 	}
 	t.attempt = nil
-	if t.step.occ.job.finished() {
-		return
-	}
-	if t.done {
+	if t.done || t.step.occ.job.finished() {
 		return
 	}
 	s.requeue(t.step)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -350,7 +350,7 @@
 	return j.task(id)
 }
 
-// toCome reports whether a task is of an occurrence that is not created yet.
+// notCreatedYet reports whether a task is of an occurrence that is not created yet.
 func (s *Service) notCreatedYet(id cuminstair.TaskID) bool {
 	j := s.jobs[id.Job]
 	return j != nil && !j.finished() && id.Occurrence >= j.next && id.Occurrence < j.occurrences()
