Review case 2: a large job blocks all writes of its service

Claimed: Acks is broken. The progress record of a job of 2,000 tasks with checkpoints exceeds the largest value of the store; the owner writes it again for ever, and nothing else of the service is stored. The case submits the job, cancels six others and looks at the acknowledgements.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,8 @@
 type caseFunc func(dir, program string, trouble bool) (f *fleet, rules []string)
 
 var cases = map[string]caseFunc{
-	"gang": playGang,
+	"gang":  playGang,
+	"large": playLarge,
 }
 
 func main() {
