--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -37,10 +36,10 @@
 			o.token, _ = strconv.ParseInt(r.Header.Get("X-Fencing-Token"), 10, 64)
 			p.mu.Lock()
 			f := p.cloud
-			if f.Late > 0 && (f.filter == nil || f.filter(o.Machine)) && rand.Float64() < f.Late {
-				p.rec.add("%s of %s by %s with token %d: not answered, carried out in %v", r.URL.Path, o.Machine, o.holder, o.token, f.Delay)
+			if f.late != nil && f.late(r.URL.Path, o.Machine) {
+				p.rec.add("%s of %s by %s with token %d: not answered, carried out in %v", r.URL.Path, o.Machine, o.holder, o.token, f.delay)
 				p.mu.Unlock()
-				time.AfterFunc(f.Delay, func() {
+				time.AfterFunc(f.delay, func() {
 					p.mu.Lock()
 					defer p.mu.Unlock()
 					p.command(r.URL.Path+" (late)", o, fenced, carryOut)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,8 +14,9 @@
 type caseFunc func(dir, program string, trouble bool) (f *fleet, rules []string)
 
 var cases = map[string]caseFunc{
-	"gang":  playGang,
-	"large": playLarge,
+	"gang":   playGang,
+	"silent": playSilent,
+	"large":  playLarge,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -86,6 +86,7 @@
 	restarted bool // started after an end that had not been taken note of
 	failed    int  // ends failed that were taken note of
 	crashes   int  // minions that crashed under it
+	failures  int  // ends failed, taken note of or not
 	starts    int
 	saved     time.Duration // most work that it, or its gang, has saved
 	last      time.Time     // start of its last run
@@ -163,6 +164,7 @@
 	service string
 	born    time.Time
 	l       net.Listener
+	conns   *mutable
 	srv     *http.Server
 	dead    bool
 	fence   int64
@@ -213,10 +215,10 @@
 	strictGangs bool
 }
 
+// cloudFaults are the disruptions of the orders for machines. p.mu is held during late.
 type cloudFaults struct {
-	Late   float64 // share of the orders that get no answer and are carried out later
-	Delay  time.Duration
-	filter func(name string) bool // nil: all machines
+	late  func(path, name string) bool // the order gets no answer and is carried out after delay; nil: none
+	delay time.Duration
 }
 
 func (m *minion) clock() time.Duration { return time.Since(m.born) }
@@ -246,7 +248,8 @@
 	}
 	m.addr = m.l.Addr().String()
 	m.srv = &http.Server{Handler: http.HandlerFunc(m.serve)}
-	go func() { _ = m.srv.Serve(m.l) }()
+	m.conns = &mutable{Listener: m.l}
+	go func() { _ = m.srv.Serve(m.conns) }()
 	x.m, x.state = m, "up"
 	m.publish()
 	return m
@@ -506,8 +509,11 @@
 			e.saved = r.checkpoint(how == "stopped")
 		}
 		m.ends = append(m.ends, e)
-		if how == "done" {
+		switch how {
+		case "done":
 			t.done, t.doneAt = true, e.at
+		case "failed":
+			t.failures++
 		}
 		close(m.ended)
 		m.ended = make(chan struct{})
@@ -533,9 +539,11 @@
 // step ends the runs whose time has come. p.mu is held.
 func (m *minion) step() {
 	now := time.Now()
-	if len(m.runs) > 0 && m.clock() > m.lease {
-		m.lapsed = now
-		m.p.rec.add("the lease of %s lapses with %d runs", m.id, len(m.runs))
+	if m.lease > 0 && m.clock() > m.lease {
+		if len(m.runs) > 0 {
+			m.p.rec.add("the lease of %s lapses with %d runs", m.id, len(m.runs))
+		}
+		m.lapsed, m.lease = now, 0
 		for _, r := range m.runs {
 			m.finish(r, "lapsed")
 		}
