Review case 4: a start on a restarted minion is taken for lost

A list of machines from before the restart of a minion makes the owner start a task elsewhere, while the minion runs it.

--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -74,7 +74,9 @@
 			"capacity": map[string]int{"cpu": x.cpu, "mem_mb": x.mem, "gpus": 0},
 		})
 	}
+	slow := p.cloud.slow
 	p.mu.Unlock()
+	time.Sleep(slow) // the answer is late, and as the machines were when it was asked for
 	writeJSON(w, http.StatusOK, map[string]any{"machines": rows, "next_page_token": nil})
 }
 
@@ -171,7 +173,8 @@
 			return
 		}
 		if sameID {
-			p.start(x, m.id, m.addr)
+			n := p.start(x, m.id, m.addr)
+			n.faults, n.cold = m.faults, p.cold
 		} else {
 			p.start(x, "", "")
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,9 +14,10 @@
 type caseFunc func(dir, program string, trouble bool) (f *fleet, rules []string)
 
 var cases = map[string]caseFunc{
-	"gang":   playGang,
-	"silent": playSilent,
-	"large":  playLarge,
+	"gang":    playGang,
+	"silent":  playSilent,
+	"restart": playRestart,
+	"large":   playLarge,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -22,6 +22,8 @@
 	maxHold         = 10 * time.Second
 	heartbeat       = 1500 * time.Millisecond
 	startupTime     = 700 * time.Millisecond
+	coldAnswer      = 300 * time.Millisecond // an answer of a minion that has just started takes
+	registerDelay   = 500 * time.Millisecond // from the restart of a minion to its first write to the store
 	maxListedEnds   = 500
 	tick            = 10 * time.Millisecond
 )
@@ -178,7 +180,7 @@
 	beat    int64
 	state   string
 	faults  minionFaults
-	noted   map[int64]bool
+	cold    time.Duration // how long it is slow after its start
 }
 
 // machine is a machine of the platform.
@@ -211,6 +213,7 @@
 	cloud    cloudFaults
 	attempts int // max_attempts of all queues
 	starts   int
+	cold     time.Duration // of minions that start again
 	// strictGangs makes minions refuse a start whose checkpoint differs from that of the members which are there.
 	strictGangs bool
 }
@@ -219,6 +222,14 @@
 type cloudFaults struct {
 	late  func(path, name string) bool // the order gets no answer and is carried out after delay; nil: none
 	delay time.Duration
+	slow  time.Duration // by which answers to the list are late
+}
+
+// answerCold makes the answers of a minion that has just started slow.
+func (m *minion) answerCold() {
+	if m.cold > 0 && time.Since(m.born) < m.cold {
+		time.Sleep(coldAnswer)
+	}
 }
 
 func (m *minion) clock() time.Duration { return time.Since(m.born) }
@@ -234,7 +245,7 @@
 	}
 	m := &minion{
 		p: p, id: id, machine: x, service: x.pool, born: time.Now(), runs: map[string]*run{}, barred: map[string]int64{},
-		ended: make(chan struct{}), state: "ready", noted: map[int64]bool{},
+		ended: make(chan struct{}), state: "ready",
 	}
 	var err error
 	for range 50 {
@@ -251,6 +262,16 @@
 	m.conns = &mutable{Listener: m.l}
 	go func() { _ = m.srv.Serve(m.conns) }()
 	x.m, x.state = m, "up"
+	if len(p.jobs) > 0 && addr != "127.0.0.1:0" {
+		time.AfterFunc(registerDelay, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if !m.dead {
+				m.publish()
+			}
+		})
+		return m
+	}
 	m.publish()
 	return m
 }
@@ -259,7 +280,7 @@
 	m.beat++
 	data, _ := json.Marshal(map[string]any{
 		"service": m.service, "address": m.addr, "zone": m.machine.zone, "version": "v1", "slots": 8, "state": m.state,
-		"cold_remaining_ms": 0, "sequence": m.beat, "machine": m.machine.name, "born": m.born.UnixMilli(), "labels": m.machine.labels,
+		"cold_remaining_ms": max(0, m.cold-m.clock()).Milliseconds(), "sequence": m.beat, "machine": m.machine.name, "born": m.born.UnixMilli(), "labels": m.machine.labels,
 		"capacity": map[string]int{"cpu": m.machine.cpu, "mem_mb": m.machine.mem, "gpus": 0},
 	})
 	m.p.store.put("servers", "", m.id, data)
@@ -298,6 +319,7 @@
 		return
 	}
 	if r.URL.Path == "/api/hold" {
+		m.answerCold()
 		m.hold(w, r, o)
 		return
 	}
@@ -324,6 +346,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	m.answerCold()
 	body := map[string]any{"clock_ms": clock}
 	if reason != "" {
 		body["reason"] = reason
