Review case 5: an acknowledgement of an earlier life makes done tasks run again

A restarted minion forgets ends that no owner has read, and the tasks are started again. The case crashes minions for 0.06 s, with jobs for their racks soon after.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"gang":    playGang,
 	"silent":  playSilent,
 	"restart": playRestart,
+	"ack":     playAck,
 	"large":   playLarge,
 }
 
