--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standin ] || exit 2
-exec review/bin/standin -case large -program target/cuminstairjobs -record review/2/record.txt
+exec review/bin/standin -case restart -program target/cuminstairjobs -record review/2/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,8 +6,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 )
 
 // caseFunc plays a case. trouble is false for the run without the disruption. It returns the rule that it checks.
@@ -18,6 +20,7 @@
 	"silent":  playSilent,
 	"restart": playRestart,
 	"ack":     playAck,
+	"soak":    playSoak,
 	"large":   playLarge,
 }
 
@@ -36,6 +39,13 @@
 	if err != nil {
 		fatal("%v", err)
 	}
+	tempDir = dir
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		fatal("stopped")
+	}()
 	f, rules := play(dir, path, os.Getenv("TROUBLE") != "0")
 	endAll()
 	broken := 0
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -291,6 +291,8 @@
 	m.dead = true
 	for _, r := range m.runs {
 		r.j.task(r.task).crashes++
+	}
+	for _, r := range m.runs {
 		m.finish(r, "")
 	}
 	_ = m.srv.Close()
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -53,9 +53,15 @@
 	_ = f.Close()
 }
 
+// tempDir is the temporary folder of the case.
+var tempDir string
+
 // fatal ends the program because the case can't run.
 func fatal(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", args...)
 	endAll()
+	if tempDir != "" {
+		_ = os.RemoveAll(tempDir)
+	}
 	os.Exit(2)
 }
