--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -19,8 +19,10 @@
 // for their rack comes soon after.
 func playRestart(dir, program string, trouble bool) (*fleet, []string) {
 	racks := []string{"r1-0", "r1-1"}
-	f := newFleet(dir, program, fleetConfig{daemons: 3, pools: map[string]int{"wok": 4, "spare": 1}, cpu: 32000, mem: 131072, fenced: true,
-		labels: func(_ string, n int) []string { return []string{"a", racks[n/2%2]} }})
+	f := newFleet(dir, program, fleetConfig{
+		daemons: 3, pools: map[string]int{"wok": 4, "spare": 1}, cpu: 32000, mem: 131072, fenced: true,
+		labels: func(_ string, n int) []string { return []string{"a", racks[n/2%2]} },
+	})
 	for _, rack := range racks {
 		j := &job{ID: newID(), Service: "wok", Steps: []step{{Count: 2, CPU: 2700, Memory: 1000, Estimate: 900, LongRunning: true, MayMiss: 1, AntiAffinity: 1, Label: rack}}}
 		if !f.submit(j, 20) {
--- a/review/standin/soak.go
+++ b/review/standin/soak.go
@@ -10,10 +10,12 @@
 
 // playSoak plays jobs of all kinds with random disruptions.
 func playSoak(dir, program string, trouble bool) (*fleet, []string) {
-	f := newFleet(dir, program, fleetConfig{daemons: 4, pools: map[string]int{"wok": 5, "pan": 5, "spare": 3}, cpu: 32000, mem: 131072, fenced: true,
+	f := newFleet(dir, program, fleetConfig{
+		daemons: 4, pools: map[string]int{"wok": 5, "pan": 5, "spare": 3}, cpu: 32000, mem: 131072, fenced: true,
 		labels: func(_ string, n int) []string {
 			return []string{"a", "r1-" + string(rune('0'+n/3))}
-		}})
+		},
+	})
 	var mu sync.Mutex
 	var jobs []*job
 	var wg sync.WaitGroup
