Send acknowledgements only on connections on which the incarnation has answered

Cause: a restarted worker numbers its ends anew, and nothing in a call names the incarnation. The check of the clock in answers to starts came too late, since the start had no answer yet.

On a new connection it is withheld and follows with the next renewal.

TestWithheldAcknowledgementsAreRepeated failed before the change of dispatch: one end stayed listed.

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -426,6 +426,18 @@
 	p.is.Equal(len(p.workers[0].ended), 0)
 }
 
+// Guards against ends that stay listed since their acknowledgement was withheld from a new connection.
+func TestWithheldAcknowledgementsAreRepeated(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.withhold = 2
+	p.submit(jobA, step(1, 2000))
+	p.run(3 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.is.Equal(p.withhold, 0)
+	p.is.Equal(len(p.workers[0].ended), 0)
+}
+
 // Guards against a new owner that takes the step after a gang for not started since it has found a member of the gang: any
 // other member may have told the earlier owner of its end.
 func TestFoundGangDoesNotProveThatTheNextStepHasNotBegun(t *testing.T) {
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -80,6 +80,7 @@
 	list           []cuminstair.WorkerInfo
 	store          map[cuminstair.RecordKey][]byte
 	storeDown      bool // the store answers nothing
+	withhold       int  // so many acknowledgements are withheld
 	batch          *dispatch.Batch
 	duration       func(id cuminstair.TaskID) time.Duration
 	fails          func(id cuminstair.TaskID, w *fakeWorker) bool
@@ -410,6 +411,11 @@
 
 func (p *pool) renew(w *fakeWorker, o dispatch.Order) {
 	w.extend(p.now, o.Lease)
+	withheld := o.Seen > 0 && p.withhold > 0
+	if withheld {
+		p.withhold--
+		o.Seen = 0
+	}
 	kept := w.ended[:0]
 	for _, e := range w.ended {
 		if e.Seq > o.Seen {
@@ -417,7 +423,10 @@
 		}
 	}
 	w.ended = kept
-	r := cuminstair.WorkerReport{Clock: w.clock(p.now), Incarnation: w.info.Incarnation, Ended: append([]cuminstair.EndedTask(nil), w.ended...)}
+	r := cuminstair.WorkerReport{
+		Clock: w.clock(p.now), Incarnation: w.info.Incarnation, Ended: append([]cuminstair.EndedTask(nil), w.ended...),
+		AckWithheld: withheld,
+	}
 	if len(r.Ended) >= maxListedEnds {
 		r.Ended, r.More = r.Ended[:maxListedEnds], true
 	}
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -116,6 +116,7 @@
 type waitingHold struct {
 	answer   func(cuminstair.WorkerReport, error)
 	answered bool
+	withheld bool // the acknowledgement was withheld
 }
 
 // modelHost is a host of the platform.
@@ -274,7 +275,9 @@
 		return
 	}
 	h.answered = true
-	h.answer(p.report(), nil)
+	rep := p.report()
+	rep.AckWithheld = h.withheld
+	h.answer(rep, nil)
 }
 
 // stop carries out a stop order.
@@ -297,6 +300,11 @@
 	return nil
 }
 
+// withheld reports whether an acknowledgement is withheld: the connection has ended with an earlier process, or by itself.
+func (p *process) withheld(o dispatch.Order) bool {
+	return o.Seen > 0 && (p.info.Incarnation != o.Worker.Incarnation || p.w.sim.chance(0.05))
+}
+
 // hold carries out a renewal; answer is called later if the order waits for an end.
 func (p *process) hold(by string, o dispatch.Order, answer func(cuminstair.WorkerReport, error)) error {
 	if o.Token < p.token {
@@ -306,9 +314,10 @@
 	if o.Lease > 0 {
 		p.extend(o.Lease)
 	}
+	withheld := p.withheld(o)
 	kept := []*modelRun(nil)
 	for _, r := range p.ends {
-		if r.seq > o.Seen {
+		if withheld || r.seq > o.Seen {
 			kept = append(kept, r)
 			continue
 		}
@@ -318,7 +327,7 @@
 		p.w.checkAcknowledged(r)
 	}
 	p.ends = kept
-	h := &waitingHold{answer: answer}
+	h := &waitingHold{answer: answer, withheld: withheld}
 	if o.Wait == 0 || len(p.ends) > 0 {
 		h.reply(p)
 		return nil
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -260,7 +260,8 @@
 // or ordered after the last report of the earlier incarnation. Its next reports decide on these.
 func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, sent time.Time, running map[cuminstair.TaskID]int64) {
 	s.workerCrashed(now, w, "it has restarted")
-	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts))
+	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts),
+		"acknowledging", w.ackSent)
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.ackSent, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0, 0
 	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
@@ -367,7 +368,12 @@
 	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
-	w.acknowledged, w.clockWentBack = max(w.acknowledged, w.ackSent), false
+	w.clockWentBack = false
+	if r.AckWithheld {
+		s.Log.Info("dispatch: acknowledgement withheld", "service", s.Name, "worker", w.info.ID, "number", w.ackSent, "why", "new connection")
+	} else {
+		w.acknowledged = max(w.acknowledged, w.ackSent)
+	}
 	if w.leaseUnsure {
 		w.leaseUnsure, w.heldLease = false, r.Clock+s.Bounds.MaxLease
 	}
--- a/jobs.go
+++ b/jobs.go
@@ -250,6 +250,7 @@
 	Running     []RunningTask
 	Ended       []EndedTask
 	More        bool // Ended lacks later ends; the worker lists them once these are acknowledged
+	AckWithheld bool // the acknowledgement was not sent, since a later incarnation could have received it
 }
 
 // StartOrder asks a worker to start a task.
--- a/store.go
+++ b/store.go
@@ -100,7 +100,8 @@
 	// Stop stops a run, or prevents it from starting later.
 	Stop(ctx context.Context, w WorkerInfo, task TaskID, run, token int64) error
 	// Hold extends the lease of all running tasks to a time on the worker's clock, acknowledges the ended runs whose Seq
-	// is at most seen, and waits up to wait for a run to end. A zero lease extends nothing.
+	// is at most seen, and waits up to wait for a run to end. A zero lease extends nothing. The acknowledgement is withheld
+	// if it could reach a later incarnation than w.Incarnation.
 	Hold(ctx context.Context, w WorkerInfo, lease time.Duration, token, seen int64, wait time.Duration) (WorkerReport, error)
 	// Pace limits the processor time of a task to a share of 0 to 100 percent.
 	Pace(ctx context.Context, w WorkerInfo, task TaskID, run int64, percent int, token int64) error
