Keep starts that were under way when the hosts were listed

Cause: a list of hosts that was requested before the restart showed the host as down. hostIsDown compared it with the last answer of the worker, not with a start that was under way: the restarted worker ran the task while the owner counted it as lost.

The new line "host of a silent worker is down or replaced" has the age of the list and whether a start was under way.

Fix: a record of a host proves nothing while a start has no answer and its call had not ended when the record was requested. The same guard holds for hosts that are replaced, where no time was looked at.

--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -17,20 +17,45 @@
 		if w.gone || w.info.Host == "" {
 			continue
 		}
-		h, ok := byName[w.info.Host]
-		switch {
-		case !ok:
-		case s.hostIsDown(w, h, sent):
-			const why = "its host is down"
-			s.workerCrashed(now, w, why)
-			s.workerGone(now, w, why)
-		case s.hostIsReplaced(w, h):
-			s.settleSuspects(now, w)
-			s.workerGone(now, w, "its host has another worker, is moving or is in maintenance")
+		if h, ok := byName[w.info.Host]; ok {
+			s.checkHost(now, sent, w, h)
 		}
 	}
 }
 
+// checkHost handles the record of a worker's host that was requested at sent.
+func (s *Service) checkHost(now, sent time.Time, w *worker, h cuminstair.HostRecord) {
+	down, replaced := s.hostIsDown(w, h, sent), s.hostIsReplaced(w, h)
+	if !down && !replaced {
+		return
+	}
+	mayHaveStarted := w.mayHaveStartedSince(sent)
+	s.Log.Info("dispatch: host of a silent worker is down or replaced", "service", s.Name, "worker", w.info.ID, "host", h.Name,
+		"phase", h.Phase, "age", now.Sub(sent).Round(time.Millisecond).String(), "start under way", mayHaveStarted)
+	switch {
+	case mayHaveStarted:
+	case down:
+		const why = "its host is down"
+		s.workerCrashed(now, w, why)
+		s.workerGone(now, w, why)
+	default:
+		s.settleSuspects(now, w)
+		s.workerGone(now, w, "its host has another worker, is moving or is in maintenance")
+	}
+}
+
+// mayHaveStartedSince reports whether a start may have been carried out after sent: it has no answer, and its call had not
+// ended by then. The worker may have restarted since, so that a record of its host which was requested at sent does not show
+// whether the run is lost.
+func (w *worker) mayHaveStartedSince(sent time.Time) bool {
+	for _, a := range w.attempts {
+		if a.answeredAt.IsZero() && (a.unansweredAt.IsZero() || !a.unansweredAt.Before(sent)) {
+			return true
+		}
+	}
+	return false
+}
+
 // hostIsDown reports whether a worker that does not answer has ended since its host is down. The record must be newer
 // than the worker: a host that was down before the worker started proves nothing.
 func (s *Service) hostIsDown(w *worker, h cuminstair.HostRecord, sent time.Time) bool {
--- a/dispatch/hosts_test.go
+++ b/dispatch/hosts_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
 )
 
 // hostedPool returns a pool whose workers run on hosts, with a long-running task on one of them, which is returned.
@@ -100,3 +101,56 @@
 	p.run(6 * time.Second)
 	p.is.Equal(len(w.runs), 1) // it is used
 }
+
+// Guards against taking a start for lost by a record of its host that was requested before the call of the start had ended:
+// the worker may have restarted since, and run the task. A record that was requested later proves the loss.
+func TestRecordOfAHostFromBeforeAStartProvesNothing(t *testing.T) {
+	for name, unanswered := range map[string]bool{"call under way": false, "call without an answer": true} {
+		t.Run(name, func(t *testing.T) {
+			p, w := hostedPool(t)
+			w.restart(p.now)
+			w.partitioned = true
+			for !p.s.NeedsHosts() { // until a renewal has failed
+				p.run(tick)
+			}
+			requested := p.now
+			p.now = p.now.Add(tick)
+			spread := step(len(p.workers), 2000)
+			spread.PerWorker = 1
+			p.submit(jobB, spread)
+			p.writeBatch()
+			var start dispatch.Order
+			for _, o := range p.decide(0) {
+				if o.Kind == dispatch.OrderStart && o.Worker.ID == w.info.ID {
+					start = o
+					continue
+				}
+				p.execute(o)
+			}
+			p.is.Equal(start.Task.Job, jobB)
+			p.duration = func(id cuminstair.TaskID) time.Duration {
+				if id == start.Task {
+					return time.Minute
+				}
+				return 20 * time.Millisecond
+			}
+			p.launch(w, start)
+			if unanswered {
+				p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+			}
+			p.s.SetHosts(p.now, requested, p.hostsIn(w, cuminstair.PhaseDown))
+			p.run(500 * time.Millisecond)
+			p.is.Equal(p.starts[start.Task], 1)
+
+			w.crashed = true
+			if !unanswered {
+				p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+			}
+			p.now = p.now.Add(tick)
+			p.s.SetHosts(p.now, p.now, p.hostsIn(w, cuminstair.PhaseDown))
+			p.run(500 * time.Millisecond)
+			p.is.Equal(p.starts[start.Task], 2)
+			p.is.Equal(p.duplicateRuns, 0)
+		})
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -93,6 +93,7 @@
 	bestEffort      bool
 	sentAt          time.Time     // when the start was ordered, or the run first seen
 	answeredAt      time.Time     // when the start was answered or the run first seen; zero: not yet
+	unansweredAt    time.Time     // when the call of the start ended without telling whether it runs; zero: it has not
 	seen            bool          // the worker has listed it as running
 	missingReports  int           // consecutive reports that lack it although they should list it
 	percent         int           // reported progress
