--- a/entry/peer.go
+++ b/entry/peer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -87,13 +88,31 @@
 }
 
 // peerClient calls other daemons.
-type peerClient struct{ http *http.Client }
+type peerClient struct {
+	dialer *net.Dialer
+
+	mu      sync.Mutex
+	clients map[string]*http.Client // by the address of the daemon
+}
 
 func newPeerClient() *peerClient {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
-	return &peerClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
-	}}}
+	return &peerClient{
+		dialer: &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}, clients: map[string]*http.Client{},
+	}
+}
+
+// to returns the client for calls to a daemon, which has the connections to it.
+func (p *peerClient) to(addr string) *http.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.clients[addr]
+	if !ok {
+		c = &http.Client{Transport: &http.Transport{
+			DialContext: p.dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+		}}
+		p.clients[addr] = c
+	}
+	return c
 }
 
 // post sends body as JSON and decodes the answer into the variable that into points to, unless into is nil. The error
@@ -108,8 +127,12 @@
 		return fmt.Errorf("make call to %s: %w", addr, err)
 	}
 	req.GetBody = nil
-	resp, err := p.http.Do(req)
+	client := p.to(addr)
+	resp, err := client.Do(req)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			client.CloseIdleConnections() // they may all be half-open, and each would cost a timeout
+		}
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
 			return fmt.Errorf("call %s: %w: %w", addr, errNoOwner, err)
