Count all runs on a worker towards the limit of tasks per worker

Cause: the limit counted the tasks of a step by their present attempt. A run that has a copy elsewhere since its worker was silent, or that was found after a takeover and is being stopped, is no task's attempt, though it is on the worker.

Fix: each worker counts its runs by step wherever it counts their room, and the limit looks at that count.

TestRunWithACopyElsewhereCountsTowardsTheLimit and TestFoundRunThatIsStoppedCountsTowardsTheLimit failed before.

--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -104,8 +104,7 @@
 			if !w.leavingSince.IsZero() && plannedStopPending(now, a.task) {
 				continue
 			}
-			near := s.neighbours(a.task.step)
-			to := s.choose(a.task.step, a.task, near)
+			to := s.choose(a.task.step, a.task, s.spreadOf(a.task.step))
 			if to != nil && to.vacating && w.leavingSince.IsZero() && !now.Before(w.cordonedUntil) {
 				continue // the task would have to move again
 			}
@@ -114,7 +113,7 @@
 				continue
 			}
 			if to == nil {
-				s.reserve(now, a.task.step, a.task, near)
+				s.reserve(now, a.task.step, a.task)
 				continue
 			}
 			to.reserve(now, a.task) // holds the room until the task has stopped
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -199,24 +199,24 @@
 		s.placeGang(now, st)
 		return
 	}
-	near := s.neighbours(st)
+	racks := s.spreadOf(st)
 	s.preferCentre(st)
 	placed := 0
 	for _, t := range st.tasks {
 		if !s.startable(t) {
 			continue
 		}
-		w := s.choose(st, t, near)
+		w := s.choose(st, t, racks)
 		if w == nil && st.needsTicket() {
 			s.requestAdvice(now, st)
 			break
 		}
 		if w == nil && t.needsTrial() {
-			s.reserveForTrial(now, st, t, near)
+			s.reserveForTrial(now, st, t)
 			continue
 		}
 		if w == nil && st.LongRunning {
-			s.reserve(now, st, t, near)
+			s.reserve(now, st, t)
 			continue
 		}
 		if w == nil {
@@ -226,7 +226,7 @@
 			break
 		}
 		s.start(now, t, w, max(t.run, s.Token*runsPerToken)+1)
-		near.add(w)
+		racks.add(w)
 		placed++
 	}
 	if placed > 0 {
@@ -260,17 +260,15 @@
 	return "found task"
 }
 
-// neighbours counts the tasks of a step by worker and rack. Both maps are nil for short steps without a limit per worker.
-type neighbours struct {
-	workers map[*worker]int
-	racks   map[string]int
-}
+// spread counts the tasks of a step by rack. It is nil for short steps without a limit of tasks per worker, whose tasks need
+// not be spread.
+type spread map[string]int
 
-func (s *Service) neighbours(st *step) neighbours {
+func (s *Service) spreadOf(st *step) spread {
 	if st.PerWorker == 0 && !st.LongRunning {
-		return neighbours{}
+		return nil
 	}
-	n := neighbours{workers: map[*worker]int{}, racks: map[string]int{}}
+	n := spread{}
 	for _, t := range st.tasks {
 		if t.attempt != nil {
 			n.add(t.attempt.worker)
@@ -279,10 +277,9 @@
 	return n
 }
 
-func (n neighbours) add(w *worker) {
-	if n.workers != nil {
-		n.workers[w]++
-		n.racks[w.info.Rack]++
+func (n spread) add(w *worker) {
+	if n != nil {
+		n[w.info.Rack]++
 	}
 }
 
@@ -298,14 +295,14 @@
 		}
 		run = max(run, t.run)
 	}
-	near := s.neighbours(st)
+	racks := s.spreadOf(st)
 	s.preferCentre(st)
 	mark := len(s.orders)
 	for _, t := range st.tasks {
 		if t.done {
 			continue
 		}
-		w := s.choose(st, t, near)
+		w := s.choose(st, t, racks)
 		if w == nil && st.needsTicket() {
 			defer s.requestAdvice(now, st)
 		}
@@ -319,19 +316,19 @@
 			return
 		}
 		s.start(now, t, w, run+1)
-		near.add(w)
+		racks.add(w)
 	}
 	s.logPlaced(st, len(s.orders)-mark)
 }
 
 // choose returns the candidate with the lowest score that may run the task and has room for it, or nil.
-func (s *Service) choose(st *step, t *task, near neighbours) *worker {
+func (s *Service) choose(st *step, t *task, racks spread) *worker {
 	want := place.Want{Room: st.room(), Spread: st.LongRunning, Quiet: st.LongRunning || st.BestEffort}
 	risky := !st.LongRunning && s.atRisk(s.now, st.occ.job.queue.Name)
 	var best *worker
 	low := 0.0
 	for _, w := range s.candidates {
-		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w, near) {
+		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w) {
 			continue
 		}
 		if risky && !t.needsTrial() && s.now.Sub(w.riskyStart) < startSpacing {
@@ -339,12 +336,15 @@
 			continue
 		}
 		c := place.Candidate{
-			Free: w.free(), Total: w.total, Slowdown: max(1, w.slowdown), LongRunning: w.longRunning, SameStep: near.workers[w],
-			MaintenanceDue: w.vacating, SameRack: near.racks[w.info.Rack],
+			Free: w.free(), Total: w.total, Slowdown: max(1, w.slowdown), LongRunning: w.longRunning,
+			MaintenanceDue: w.vacating, SameRack: racks[w.info.Rack],
 			RemoteData:  st.DataRack != "" && st.DataRack != w.info.Rack,
 			OtherCentre: st.occ.centre != "" && st.occ.centre != w.info.Centre,
 			Endangered:  risky && w.longRunning > 0,
 		}
+		if racks != nil {
+			c.SameStep = w.stepRuns[stepOf(t.id)]
+		}
 		if c.Interfering = w.bestEffort; st.BestEffort {
 			c.Interfering = w.longRunning
 		}
@@ -355,13 +355,14 @@
 	return best
 }
 
-// eligible reports whether a worker may run a task, regardless of its free room.
-func (s *Service) eligible(st *step, t *task, w *worker, near neighbours) bool {
+// eligible reports whether a worker may run a task, regardless of its free room. Runs of the step count until they have ended,
+// also those that have another copy elsewhere or are being stopped.
+func (s *Service) eligible(st *step, t *task, w *worker) bool {
 	switch {
 	case t.avoidWorker == w.info.ID && len(s.candidates) > 1 && s.now.Before(t.avoidUntil):
 		s.spaced = true // it may start there later
 		return false
-	case st.PerWorker > 0 && near.workers[w] >= st.PerWorker:
+	case st.PerWorker > 0 && w.stepRuns[stepOf(t.id)] >= st.PerWorker:
 		return false
 	case !hasLabel(st.Label, w.info.Labels), st.needsTicket() && st.ticketFor(s.now, w) == "":
 		return false
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -93,6 +93,7 @@
 	starts         map[cuminstair.TaskID]int
 	duplicateRuns  int // runs that started while another run of the task was active
 	overCapacity   int // starts that exceeded the capacity of a worker
+	overLimit      int // starts beyond the limit of tasks of their step on a worker
 	specs          map[string]*cuminstair.JobSpec
 	confirmedAt    time.Time
 	gauge          float64 // reported tail latency of tasks with a target, in milliseconds
@@ -390,9 +391,15 @@
 // launch starts a run, and counts violations of capacity and of single execution.
 func (p *pool) launch(w *fakeWorker, o dispatch.Order) {
 	cpu := p.step(o.Task).CPU
-	used := cpu
-	for _, r := range w.runs {
+	used, sameStep := cpu, 0
+	for id, r := range w.runs {
 		used += r.cpu
+		if id.Job == o.Task.Job && id.Occurrence == o.Task.Occurrence && id.Step == o.Task.Step {
+			sameStep++
+		}
+	}
+	if limit := p.step(o.Task).PerWorker; limit > 0 && sameStep >= limit {
+		p.overLimit++
 	}
 	if used > w.info.CPU {
 		p.overCapacity++
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -14,7 +14,7 @@
 
 // reserve reserves a worker for a long-running task, so that its room is not given to short tasks. In a pool full of
 // short tasks, each short task that ends is replaced by another, so a larger task would otherwise never find room.
-func (s *Service) reserve(now time.Time, st *step, t *task, near neighbours) {
+func (s *Service) reserve(now time.Time, st *step, t *task) {
 	if t.attempt == nil {
 		s.unplaced++
 		s.unplacedCores += s.taskCores(&st.JobStep)
@@ -35,7 +35,7 @@
 		if w.vacating {
 			continue
 		}
-		if !s.eligible(st, t, w, near) || !st.room().Fits(w.freeWithoutShort()) {
+		if !s.eligible(st, t, w) || !st.room().Fits(w.freeWithoutShort()) {
 			continue
 		}
 		if share := freeShare(w); best == nil || share > most {
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -228,7 +228,7 @@
 }
 
 // reserveForTrial reserves the worker with the fewest runs for a trial, one without long-running tasks if possible.
-func (s *Service) reserveForTrial(now time.Time, st *step, t *task, near neighbours) {
+func (s *Service) reserveForTrial(now time.Time, st *step, t *task) {
 	if w := t.reserved; w != nil && w.reservedFor == t && w.usable(now) {
 		w.reservedUntil = now.Add(reservationTTL)
 		return
@@ -244,7 +244,7 @@
 	var best *worker
 	for _, w := range s.candidates {
 		suits := w.longRunning+w.bestEffort == 0 || anywhere && w.longRunningSettled()
-		if !suits || w.reservedFor != nil || w.trials > 0 || !s.eligible(st, t, w, near) || !st.room().Fits(w.freeWithoutShort()) {
+		if !suits || w.reservedFor != nil || w.trials > 0 || !s.eligible(st, t, w) || !st.room().Fits(w.freeWithoutShort()) {
 			continue
 		}
 		if best == nil || len(w.attempts) < len(best.attempts) {
--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -96,7 +96,8 @@
 	counts      walkCounts
 	trace       []traceRow
 	broken      string
-	target      *process // that carries out an order now
+	target      *process   // that carries out an order now
+	limits      *rand.Rand // draws labels and limits of tasks per worker
 }
 
 // beliefText marks what an owner knows of its workers.
@@ -132,6 +133,7 @@
 		seed: seed, sim: s, store: &modelStore{version: 100, records: map[cuminstair.RecordKey][]byte{}, beats: map[string]heartbeat{}},
 		entries: map[string]cuminstair.WorkerInfo{}, links: map[pair]link{}, cutCentres: make([]time.Time, walkCentres),
 		jobs: map[string]*modelJob{}, runs: map[cuminstair.TaskID][]*modelRun{}, counts: walkCounts{refused: map[string]int{}},
+		limits: rand.New(rand.NewPCG(seed, 6)),
 	}
 	for i := range walkDaemons {
 		w.daemons = append(w.daemons, &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres})
@@ -179,6 +181,15 @@
 	return h
 }
 
+// walkLabels is the number of labels of hosts, each of which has one.
+const walkLabels = 2
+
+// label returns the label of the workers of a host.
+func (h *modelHost) label() string {
+	n, _ := strconv.Atoi(strings.TrimPrefix(h.name, "h"))
+	return "l" + strconv.Itoa(n%walkLabels)
+}
+
 // newLife returns a new worker id.
 func (w *walk) newLife(h *modelHost) string {
 	w.lives++
@@ -197,7 +208,7 @@
 	}
 	p.info = cuminstair.WorkerInfo{
 		ID: id, Service: "s", Addr: h.addr, Centre: "c" + strconv.Itoa(h.centre), Host: h.name, Incarnation: w.sim.now.UnixMilli(),
-		CPU: cpu, Memory: 4 * cpu, Rack: "r" + strconv.Itoa(h.centre),
+		CPU: cpu, Memory: 4 * cpu, Rack: "r" + strconv.Itoa(h.centre), Labels: []string{h.label()},
 	}
 	h.proc = p
 	w.setPhase(h, cuminstair.PhaseUp, "s")
@@ -417,6 +428,7 @@
 			}
 		}
 	}
+	w.checkPlace(r, step)
 	if failed >= walkAttempts && !step.LongRunning {
 		w.violation("BUDGET", r.task, fmt.Sprintf("run %d starts on %s by %s after %d failures", r.run, r.on.info.ID, r.by, failed))
 	}
@@ -438,6 +450,23 @@
 	}
 }
 
+// checkPlace checks the label of the worker of a start, and the number of tasks of the step there.
+func (w *walk) checkPlace(r *modelRun, step *cuminstair.JobStep) {
+	if step.Label != "" && !slices.Contains(r.on.info.Labels, step.Label) {
+		w.violation("ROUTE", r.task, fmt.Sprintf("run %d starts by %s on %s, which lacks the label %s", r.run, r.by, r.on.info.ID, step.Label))
+	}
+	others := 0
+	for _, x := range r.on.runs {
+		if x.task.Job == r.task.Job && x.task.Occurrence == r.task.Occurrence && x.task.Step == r.task.Step {
+			others++
+		}
+	}
+	if step.PerWorker > 0 && others >= step.PerWorker {
+		w.violation("ROUTE", r.task, fmt.Sprintf("run %d starts by %s on %s beside %d others of its step; %d may be there",
+			r.run, r.by, r.on.info.ID, others, step.PerWorker))
+	}
+}
+
 func (w *walk) recordStart(r *modelRun) {
 	w.numbers++
 	r.startNo = w.numbers
@@ -585,6 +614,7 @@
 			work = s.between(5*time.Millisecond, 20*time.Millisecond)
 			st.Estimate = work
 		}
+		w.limitPlaces(&st)
 		j.spec.Steps = append(j.spec.Steps, st)
 		j.work = append(j.work, work)
 	}
@@ -606,6 +636,20 @@
 	}
 }
 
+// limitPlaces gives some steps a label or a limit of tasks per worker.
+func (w *walk) limitPlaces(st *cuminstair.JobStep) {
+	limited, labelled, most := w.limits.Float64() < 0.3, w.limits.Float64() < 0.1, 1+w.limits.IntN(2)
+	if st.Gang || w.many {
+		return // it may need all workers
+	}
+	if limited {
+		st.PerWorker = most
+	}
+	if labelled {
+		st.Label = "l" + strconv.Itoa(w.limits.IntN(walkLabels))
+	}
+}
+
 // anyRunner returns a runner of a daemon that answers callers, or nil.
 func (w *walk) anyRunner() *runner {
 	var list []*runner
@@ -791,7 +835,8 @@
 
 // TestWalk lets several owners of a service follow each other at random while workers, network, store and daemons fail,
 // and checks the starts and ends that the workers see. It guards against runs of a task beside or after another, starts
-// before their turn or beyond the attempts, starts without room, and jobs that never end. The order of Go's maps varies,
+// before their turn or beyond the attempts, starts without room, without the label or beyond the limit of tasks of a step on a
+// worker, and jobs that never end. The order of Go's maps varies,
 // so that a seed does not always take the same course.
 func TestWalk(t *testing.T) {
 	began := time.Now()
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -9,24 +9,33 @@
 	"cuminstair.org/cuminstair/place"
 )
 
+// stepID names a step of an occurrence of a job.
+type stepID struct {
+	job              string
+	occurrence, step int
+}
+
+func stepOf(t cuminstair.TaskID) stepID { return stepID{t.Job, t.Occurrence, t.Step} }
+
 // worker is the owner's state of a worker.
 type worker struct {
 	info          cuminstair.WorkerInfo
 	total         place.Room
 	used          place.Room // by all attempts, including those being stopped
 	attempts      map[cuminstair.TaskID]*attempt
-	longRunning   int       // number of long-running attempts that are not best-effort
-	bestEffort    int       // number of best-effort attempts
-	listed        bool      // in the platform's list
-	leavingSince  time.Time // when it was first seen leaving; zero: it is not
-	cordonedUntil time.Time // no new tasks until then: its host is due for maintenance or a move
-	mayHaveMoved  bool      // it was reported as idle for a move: no new tasks until it answers after the cordon
-	vacateUntil   time.Time // no new long-running tasks until then: its host is due for maintenance later
-	vacating      bool      // whether vacateUntil was in the future at the last decision
-	recorded      bool      // the stored worker record has its present identity, so that the next owner will contact it
-	synced        bool      // this owner has read the lists of running and ended tasks of the present incarnation
-	moreEnds      bool      // its last report lacked ends, so that a missing run may have ended
-	gone          bool      // this incarnation has ended
+	stepRuns      map[stepID]int // by step: number of attempts
+	longRunning   int            // number of long-running attempts that are not best-effort
+	bestEffort    int            // number of best-effort attempts
+	listed        bool           // in the platform's list
+	leavingSince  time.Time      // when it was first seen leaving; zero: it is not
+	cordonedUntil time.Time      // no new tasks until then: its host is due for maintenance or a move
+	mayHaveMoved  bool           // it was reported as idle for a move: no new tasks until it answers after the cordon
+	vacateUntil   time.Time      // no new long-running tasks until then: its host is due for maintenance later
+	vacating      bool           // whether vacateUntil was in the future at the last decision
+	recorded      bool           // the stored worker record has its present identity, so that the next owner will contact it
+	synced        bool           // this owner has read the lists of running and ended tasks of the present incarnation
+	moreEnds      bool           // its last report lacked ends, so that a missing run may have ended
+	gone          bool           // this incarnation has ended
 
 	clock         time.Duration // lower bound of its clock at clockAt
 	clockAt       time.Time
@@ -73,7 +82,7 @@
 }
 
 func newWorker(now time.Time, info cuminstair.WorkerInfo) *worker {
-	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, knownSince: now}
+	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, stepRuns: map[stepID]int{}, knownSince: now}
 	w.setInfo(info)
 	return w
 }
@@ -161,6 +170,7 @@
 func (w *worker) add(a *attempt) {
 	a.worker = w
 	w.attempts[a.id] = a
+	w.stepRuns[stepOf(a.id)]++
 	w.adjustUsage(a, 1)
 }
 
@@ -180,6 +190,11 @@
 		return
 	}
 	delete(w.attempts, a.id)
+	if id := stepOf(a.id); w.stepRuns[id] > 1 {
+		w.stepRuns[id]--
+	} else {
+		delete(w.stepRuns, id)
+	}
 	w.adjustUsage(a, -1)
 	if a.trial && !a.passed {
 		w.trials--
