Give unanswered starts up only after the longest lease

Cause: the run was given up when the worker's lease had run out by the clock of its earlier incarnation. The later one takes that lease, a time on a clock that is far ahead of its own, for one of the longest length.

Fix: a run whose start had no answer is given up after the longest lease, counted from the end of its call.

TestStartAfterAnUnnoticedRestartKeepsTheLongestLease failed before: a second start within 9 s.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -112,7 +112,9 @@
 			continue
 		}
 		for _, a := range w.attempts {
-			s.attemptLost(now, a, "the worker did not answer before its lease ran out")
+			if s.unansweredStartExpired(a, now) && s.unansweredStartExpired(a, confirmed) {
+				s.attemptLost(now, a, "the worker did not answer before its lease ran out")
+			}
 		}
 	}
 }
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -426,6 +426,40 @@
 	p.is.Equal(len(p.workers[0].ended), 0)
 }
 
+// Guards against giving up a start without an answer when the lease has run out by the clock of the worker's earlier incarnation:
+// the worker has restarted unnoticed, and its lease runs for longer by its new clock.
+func TestStartAfterAnUnnoticedRestartKeepsTheLongestLease(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(20 * time.Second) // the clock is far ahead of that of a later incarnation
+	w := p.workers[0]
+	p.unlist(w.info.ID)
+	p.unlist(p.workers[1].info.ID)
+	p.list = append(p.list, w.info)
+	p.s.SetWorkers(p.now, p.list)
+	w.restart(p.now)
+	w.dropReplies = true
+	p.submit(jobA, step(1, 2000))
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.writeBatch()
+	for _, o := range p.decide(0) {
+		if o.Kind == dispatch.OrderStart {
+			p.execute(o)
+		} else {
+			p.deliver(o, cuminstair.ErrUncertain, nil)
+		}
+	}
+	id := cuminstair.TaskID{Job: jobA}
+	p.is.Equal(p.starts[id], 1)
+	w.partitioned = true
+	p.list = append(p.list, p.workers[1].info)
+	p.s.SetWorkers(p.now, p.list)
+	p.run(9 * time.Second)
+	p.is.Equal(p.starts[id], 1)
+	p.run(4 * time.Second)
+	p.is.Equal(p.starts[id], 2)
+	p.is.Equal(p.duplicateRuns, 0)
+}
+
 // Guards against ends that stay listed since their acknowledgement was withheld from a new connection.
 func TestWithheldAcknowledgementsAreRepeated(t *testing.T) {
 	p := newPool(t, 1)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -113,12 +113,27 @@
 // restarted and has not been read gets no leases, and has the longest one at most.
 func (s *Service) leaseExpired(w *worker, now time.Time) bool {
 	if w.restarted && !w.synced {
-		longest := s.Bounds.MaxLease
-		return now.Sub(w.knownSince) > longest+time.Duration(maxClockSlowdown*float64(longest))+leaseMargin
+		return now.Sub(w.knownSince) > s.longestLease()
 	}
 	return w.synced && w.clockAtLeast(now) > max(w.lease, w.heldLease)+leaseMargin
 }
 
+// unansweredStartExpired reports whether a run whose start had no answer has certainly ended if the lease of its worker has run
+// out. The worker may have restarted unnoticed before the start: the lease, a time on its earlier clock, is one of the
+// longest length to the later incarnation.
+func (s *Service) unansweredStartExpired(a *attempt, now time.Time) bool {
+	if !a.answeredAt.IsZero() {
+		return true
+	}
+	return !a.unansweredAt.IsZero() && now.Sub(a.unansweredAt) > s.longestLease()
+}
+
+// longestLease is how long a worker may run tasks after an order, whatever its lease, on the slowest clock.
+func (s *Service) longestLease() time.Duration {
+	longest := s.Bounds.MaxLease
+	return longest + time.Duration(maxClockSlowdown*float64(longest)) + leaseMargin
+}
+
 // nextLease returns the lease to send now. A worker that does not answer keeps its present lease, so that its tasks end
 // for certain. No lease outlasts the time for which the owner may give orders, and none is longer than Lease on the
 // slowest clock that the worker may have, so that the next owner knows when all leases have run out.
