Start all members of a gang from one checkpoint

Cause: each task kept its own checkpoint, and each start carried that of its task. The member on the crashed worker has an older one than those whose ends brought theirs.

Fix: a gang has one checkpoint, the newest that any member is known to have produced. It is stored once for the gang and read at a takeover.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -105,9 +105,7 @@
 		}
 	default:
 	}
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	t.savedBy(e.Run, endPercent, e.Checkpoint)
 	s.markDirty(j)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -50,15 +50,16 @@
 	index          int
 	occ            *occurrence
 	tasks          []*task
-	tasksLeft      int           // tasks that are not done
-	started        bool          // a task has started
-	startedEarlier bool          // an earlier owner has started a task of it
-	pathAfter      time.Duration // longest dependency path after this step
-	queued         bool          // listed in Service.ready
-	latestStart    time.Time     // latest start of its tasks for the job to be in time
-	rank           int           // see Service.rank
-	mayRun         bool          // an earlier owner may have started its tasks on workers that have not answered
-	advice         advice        // for steps of an advised queue
+	tasksLeft      int            // tasks that are not done
+	started        bool           // a task has started
+	startedEarlier bool           // an earlier owner has started a task of it
+	pathAfter      time.Duration  // longest dependency path after this step
+	queued         bool           // listed in Service.ready
+	latestStart    time.Time      // latest start of its tasks for the job to be in time
+	rank           int            // see Service.rank
+	mayRun         bool           // an earlier owner may have started its tasks on workers that have not answered
+	advice         advice         // for steps of an advised queue
+	saved          gangCheckpoint // of a gang
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -68,7 +69,7 @@
 	done        bool
 	failed      []int64 // failed runs; a list, since workers report ends in any order, and again after a takeover
 	run         int64   // highest run number started or seen
-	checkpoint  string  // newest known checkpoint
+	checkpoint  string  // newest known checkpoint; a gang has one for all, see step.saved
 	attempt     *attempt
 	lostAt      time.Time // when its last run was lost without a report of its end; zero: it was not
 	stuckStops  int       // how often it was stopped for lack of progress
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -375,7 +375,7 @@
 	t.run, t.lostAt = run, time.Time{}
 	a := &attempt{
 		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort,
-		sentAt: now, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.checkpoint != "",
+		sentAt: now, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.startFrom() != "",
 	}
 	t.attempt = a
 	w.add(a)
@@ -391,7 +391,7 @@
 	s.centreFree[w.info.Centre] -= s.taskCores(&st.JobStep)
 	s.counts.Starts++
 	order := cuminstair.StartOrder{
-		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: s.nextLease(now, w), Token: s.Token, Checkpoint: t.checkpoint,
+		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: s.nextLease(now, w), Token: s.Token, Checkpoint: t.startFrom(),
 		Ticket: st.ticketFor(now, w),
 	}
 	s.orders = append(s.orders, Order{Kind: OrderStart, Worker: w.info, Task: t.id, Run: run, Token: s.Token, Start: order, attempt: a})
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -35,6 +35,7 @@
 	started     time.Time
 	stopOrdered time.Time // when its stop was ordered; zero: never
 	cpu         int
+	saved       string // its newest checkpoint
 }
 
 // fakeWorker implements the worker side of the protocol.
@@ -280,7 +281,7 @@
 	delete(w.runs, id)
 	w.seq++
 	w.barred[id] = r.run
-	w.ended = append(w.ended, cuminstair.EndedTask{Seq: w.seq, Task: id, Run: r.run, How: how})
+	w.ended = append(w.ended, cuminstair.EndedTask{Seq: w.seq, Task: id, Run: r.run, How: how, Checkpoint: r.saved})
 }
 
 func (p *pool) worker(id string) *fakeWorker {
@@ -444,7 +445,7 @@
 		} else if p.now.Sub(x.started) < startup {
 			percent = 0
 		}
-		r.Running = append(r.Running, cuminstair.RunningTask{Task: id, Run: x.run, Percent: percent, Gauge: p.gauge})
+		r.Running = append(r.Running, cuminstair.RunningTask{Task: id, Run: x.run, Percent: percent, Gauge: p.gauge, Checkpoint: x.saved})
 	}
 	p.deliver(o, nil, &r)
 }
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -41,6 +41,13 @@
 	Number int          `json:"k,omitempty"`
 	Done   []string     `json:"done"` // by step: a bitmap of tasks in hex, or "*" if all are done
 	Tasks  []taskRecord `json:"tasks,omitempty"`
+	Gangs  []gangRecord `json:"gangs,omitempty"`
+}
+
+// gangRecord is the checkpoint of a gang that is not done.
+type gangRecord struct {
+	Step int `json:"s"`
+	gangCheckpoint
 }
 
 // taskRecord is the stored state of a task that is not done.
@@ -97,6 +104,9 @@
 			r.Done = append(r.Done, allTasksDone)
 			continue
 		}
+		if s.saved.Value != "" {
+			r.Gangs = append(r.Gangs, gangRecord{Step: s.index, gangCheckpoint: s.saved})
+		}
 		bits := make([]byte, (len(s.tasks)+7)/8)
 		any := false
 		for i, t := range s.tasks {
@@ -174,13 +184,19 @@
 			o.openSteps--
 		}
 	}
+	for _, g := range r.Gangs {
+		if g.Step >= 0 && g.Step < len(o.steps) {
+			o.steps[g.Step].saved = g.gangCheckpoint
+		}
+	}
 	for _, t := range r.Tasks {
 		if t.Step < 0 || t.Step >= len(o.steps) || t.Index < 0 || t.Index >= len(o.steps[t.Step].tasks) {
 			continue
 		}
 		x := o.steps[t.Step].tasks[t.Index]
 		x.step.started = true
-		x.failed, x.checkpoint, x.crashes = t.Failed, t.Checkpoint, t.Crashes
+		x.failed, x.crashes = t.Failed, t.Crashes
+		x.savedBy(0, 0, t.Checkpoint)
 		for _, c := range t.Crashes {
 			x.run = max(x.run, c.Run)
 		}
--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -97,7 +97,7 @@
 	trace       []traceRow
 	broken      string
 	target      *process   // that carries out an order now
-	limits      *rand.Rand // draws labels and limits of tasks per worker
+	limits      *rand.Rand // draws checkpoints, labels and limits of tasks per worker
 }
 
 // beliefText marks what an owner knows of its workers.
@@ -429,6 +429,7 @@
 		}
 	}
 	w.checkPlace(r, step)
+	w.checkCheckpoint(r, step)
 	if failed >= walkAttempts && !step.LongRunning {
 		w.violation("BUDGET", r.task, fmt.Sprintf("run %d starts on %s by %s after %d failures", r.run, r.on.info.ID, r.by, failed))
 	}
@@ -450,6 +451,29 @@
 	}
 }
 
+// checkpointOwner names what may start from a checkpoint of a task: the task or its gang.
+func (w *walk) checkpointOwner(t cuminstair.TaskID) string {
+	if w.stepOf(t).Gang {
+		t.Index = -1
+	}
+	return taskText(t)
+}
+
+// checkCheckpoint checks that a run starts from a checkpoint of its task or gang, and the members of a gang from the same.
+func (w *walk) checkCheckpoint(r *modelRun, step *cuminstair.JobStep) {
+	if r.from != "" && !strings.HasPrefix(r.from, w.checkpointOwner(r.task)+"/") {
+		w.violation("UNASKED", r.task, fmt.Sprintf("run %d starts by %s from %s", r.run, r.by, r.from))
+	}
+	if !step.Gang {
+		return
+	}
+	for _, x := range w.gang(r) {
+		if x.from != r.from {
+			w.violation("UNASKED", r.task, fmt.Sprintf("run %d starts by %s from %q, and its member %s from %q", r.run, r.by, r.from, taskText(x.task), x.from))
+		}
+	}
+}
+
 // checkPlace checks the label of the worker of a start, and the number of tasks of the step there.
 func (w *walk) checkPlace(r *modelRun, step *cuminstair.JobStep) {
 	if step.Label != "" && !slices.Contains(r.on.info.Labels, step.Label) {
@@ -614,7 +638,7 @@
 			work = s.between(5*time.Millisecond, 20*time.Millisecond)
 			st.Estimate = work
 		}
-		w.limitPlaces(&st)
+		w.drawLimits(&st)
 		j.spec.Steps = append(j.spec.Steps, st)
 		j.work = append(j.work, work)
 	}
@@ -636,8 +660,9 @@
 	}
 }
 
-// limitPlaces gives some steps a label or a limit of tasks per worker.
-func (w *walk) limitPlaces(st *cuminstair.JobStep) {
+// drawLimits gives some steps checkpoints, a label or a limit of tasks per worker.
+func (w *walk) drawLimits(st *cuminstair.JobStep) {
+	st.Checkpoints = w.limits.Float64() < 0.5
 	limited, labelled, most := w.limits.Float64() < 0.3, w.limits.Float64() < 0.1, 1+w.limits.IntN(2)
 	if st.Gang || w.many {
 		return // it may need all workers
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -83,8 +83,9 @@
 	acked    bool  // its end was acknowledged
 	lapsed   bool  // the lease of its worker lapsed between its end and the acknowledgement
 	stopping bool
-	startNo  int // number of its start among all starts and ends of the walk
-	endNo    int // number of its end
+	from     string // checkpoint from which it started
+	startNo  int    // number of its start among all starts and ends of the walk
+	endNo    int    // number of its end
 }
 
 // active reports whether the run is still active on a live worker.
@@ -206,7 +207,9 @@
 		}
 		p.w.violation("LIMIT", o.Task, "start exceeds the room of "+p.info.ID)
 	}
-	r := &modelRun{task: o.Task, run: o.Run, on: p, by: by, cpu: step.CPU, memory: step.Memory, started: p.w.sim.now}
+	r := &modelRun{
+		task: o.Task, run: o.Run, on: p, by: by, cpu: step.CPU, memory: step.Memory, started: p.w.sim.now, from: o.Start.Checkpoint,
+	}
 	p.w.checkStart(r)
 	p.runs = append(p.runs, r)
 	p.w.recordStart(r)
@@ -219,6 +222,22 @@
 	return nil
 }
 
+// walkCheckpointTime is the work after which a run has a new checkpoint.
+const walkCheckpointTime = 200 * time.Millisecond
+
+// checkpoint returns the newest checkpoint of a run: the one from which it started, or one that names its owner.
+func (r *modelRun) checkpoint() string {
+	end := r.on.w.sim.now
+	if r.ended {
+		end = r.endedAt
+	}
+	n := int64(end.Sub(r.begun) / walkCheckpointTime)
+	if !r.on.w.stepOf(r.task).Checkpoints || r.begun.IsZero() || n == 0 {
+		return r.from
+	}
+	return fmt.Sprintf("%s/%d/%d", r.on.w.checkpointOwner(r.task), r.run, n)
+}
+
 // begin schedules the end of the run's work.
 func (r *modelRun) begin() {
 	w := r.on.w
@@ -348,11 +367,11 @@
 		case !step.LongRunning:
 			percent = min(99, int(100*p.w.sim.now.Sub(r.begun)/max(1, r.work)))
 		}
-		rep.Running = append(rep.Running, cuminstair.RunningTask{Task: r.task, Run: r.run, Percent: percent})
+		rep.Running = append(rep.Running, cuminstair.RunningTask{Task: r.task, Run: r.run, Percent: percent, Checkpoint: r.checkpoint()})
 	}
 	rep.More = len(p.ends) >= walkEndsPage
 	for _, r := range p.ends[:min(len(p.ends), walkEndsPage)] {
-		rep.Ended = append(rep.Ended, cuminstair.EndedTask{Seq: r.seq, Task: r.task, Run: r.run, How: r.how})
+		rep.Ended = append(rep.Ended, cuminstair.EndedTask{Seq: r.seq, Task: r.task, Run: r.run, How: r.how, Checkpoint: r.checkpoint()})
 	}
 	return rep
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -491,9 +491,7 @@
 	if a.task == nil {
 		return
 	}
-	if t.Checkpoint != "" {
-		a.task.checkpoint = t.Checkpoint
-	}
+	a.task.savedBy(t.Run, t.Percent, t.Checkpoint)
 	a.task.step.markStarted()
 	if len(a.task.crashes) > 0 && a.settled() {
 		a.task.crashes = nil
