Split the progress of large jobs over records of the store

Cause: its progress was one record with an entry for each task that has a checkpoint. From about 1,520 tasks on it exceeds a row. The store refuses the whole transaction with 400, and the owner wrote the same again for ever.

The log said only that the writes were lost; a 400 is logged now with the largest record.

Fix: progress of more than 24 KB is split: main record and occurrences are written together, the tasks' records as they change and as batches have room. Values are bounded by 48 KB, stored checkpoints by 256 bytes, and a job whose own record is larger is refused with the size and the limit.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -17,7 +17,8 @@
 
 	created   []*job
 	states    map[*job]cuminstair.JobState // job states that the batch writes
-	changes   map[*job]int                 // by job: job.changes at the time of the batch
+	changes   map[*job]int                 // by job that is written completely: job.changes at the time of the batch
+	parts     map[*job][]string            // by job: keys of the records of split progress that are written or deleted
 	swept     []*job
 	processed map[*worker]endPosition  // the task ends up to this position count as stored once the batch is stored
 	workers   map[*worker]workerRecord // as written; nil if the batch does not write the workers
@@ -54,7 +55,7 @@
 		return nil
 	}
 	s.lastBatch = now
-	b := &Batch{states: map[*job]cuminstair.JobState{}, changes: map[*job]int{}, processed: map[*worker]endPosition{}}
+	b := &Batch{states: map[*job]cuminstair.JobState{}, changes: map[*job]int{}, parts: map[*job][]string{}, processed: map[*worker]endPosition{}}
 	if s.workersDirty {
 		s.putWorkers(b)
 	}
@@ -127,37 +128,46 @@
 	return append(append(awaited, ended...), progress...)
 }
 
-// putSome adds the records of jobs while the batch has fewer than limit records, and returns the other jobs and the size
-// of the batch in bytes.
+// putSome adds the records of jobs while the batch has fewer than limit records, and returns the other jobs, the first of
+// which may be in the batch in part, and the size of the batch in bytes.
 func (s *Service) putSome(b *Batch, list []*job, limit, size int) ([]*job, int) {
 	for i, j := range list {
-		if len(b.Puts) >= limit || size > batchBytes {
+		if _, inBatch := b.states[j]; inBatch || b.entries() >= limit || size > batchBytes {
+			return list[i:], size
+		}
+		added, complete := s.putJob(b, j, size)
+		size += added
+		if !complete {
 			return list[i:], size
 		}
-		size += s.putJob(b, j)
 	}
 	return nil, size
 }
 
-// putJob adds the records of a job to the batch and returns their size in bytes.
-func (s *Service) putJob(b *Batch, j *job) int {
-	j.dirty = false
-	size := 0
+// putJob adds the records of a job to the batch, which has size bytes, and returns their size in bytes and whether all have
+// found room.
+func (s *Service) putJob(b *Batch, j *job, size int) (added int, complete bool) {
+	complete = true
+	if j.stored || j.finished() {
+		added, complete = s.putProgress(b, j, size)
+	}
+	if !complete {
+		return added, false
+	}
 	if !j.stored {
 		value := j.jobValue()
 		b.Puts = append(b.Puts, s.put(JobTable, j.id, value))
 		b.created = append(b.created, j)
-		size += len(value)
-	}
-	if j.stored || j.finished() {
-		value := j.runValue()
-		b.Puts = append(b.Puts, s.put(RunTable, j.id, value))
-		size += len(value)
+		added += len(value)
 	}
+	j.dirty = false
 	b.states[j], b.changes[j] = j.state, j.changes
-	return size
+	return added, true
 }
 
+// entries returns the number of entries of the transaction, without that of the owner.
+func (b *Batch) entries() int { return len(b.Puts) + len(b.Deletes) }
+
 func (s *Service) put(table, key string, value []byte) cuminstair.RecordPut {
 	return cuminstair.RecordPut{RecordKey: s.key(table, key), Value: value}
 }
@@ -273,7 +283,10 @@
 		answerAll(&j.submitWaiters, Result{Outcome: Accepted})
 	}
 	for j, state := range b.states {
-		j.storedState, j.storedChanges = state, b.changes[j]
+		j.storedState = state
+		if n, complete := b.changes[j]; complete {
+			j.storedChanges = n
+		}
 		if j.crashChange > 0 {
 			s.changed = true // tasks may wait for their crashes to be stored
 		}
@@ -304,6 +317,7 @@
 // NotStored is called when a batch was definitely not stored and never will be. Its records are written again.
 func (s *Service) NotStored(b *Batch) {
 	for j := range b.states {
+		j.partsNotStored(b.parts[j])
 		s.markDirty(j)
 	}
 	if b.workers != nil {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -30,6 +30,8 @@
 	cancelWaiters []func(Result)      // callers waiting for its cancellation to be stored
 	token         int64               // fencing token of the owner that accepted the job; 0: not known
 	scheduled     bool                // listed in Service.scheduled
+	split         bool                // its progress is in several records
+	parts         map[string]uint64   // by key: checksum of a record of split progress as last written; 0: to be written again
 	inherited     bool                // accepted by an earlier owner: unknown runs of its tasks may exist
 }
 
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -13,7 +13,7 @@
 const (
 	// JobTable has one record per job, written once.
 	JobTable = "job"
-	// RunTable has one record per job with its progress.
+	// RunTable has a record per job with its progress, and further ones for large jobs.
 	RunTable = "run"
 	// WorkerTable has the workers that may run tasks of the service, in records of up to workersPerRecord workers.
 	WorkerTable = "worker"
@@ -83,18 +83,16 @@
 	return data
 }
 
-func (j *job) runValue() []byte {
+func (j *job) runRecord() runRecord {
 	r := runRecord{State: j.state, Next: j.next}
 	if j.finished() {
 		r.Ended = j.finishedAt.UnixMilli()
-	} else {
-		for _, o := range j.runs {
-			r.Runs = append(r.Runs, o.record())
-		}
+		return r
 	}
-	// Encoding these types never fails.
-	data, _ := json.Marshal(r)
-	return data
+	for _, o := range j.runs {
+		r.Runs = append(r.Runs, o.record())
+	}
+	return r
 }
 
 func (o *occurrence) record() occRecord {
@@ -104,7 +102,7 @@
 			r.Done = append(r.Done, allTasksDone)
 			continue
 		}
-		if s.saved.Value != "" {
+		if savedCheckpoint(s.saved.Value) != "" {
 			r.Gangs = append(r.Gangs, gangRecord{Step: s.index, gangCheckpoint: s.saved})
 		}
 		bits := make([]byte, (len(s.tasks)+7)/8)
@@ -113,8 +111,8 @@
 			if t.done {
 				bits[i/8] |= 1 << (i % 8)
 				any = true
-			} else if len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 {
-				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Checkpoint: t.checkpoint, Crashes: t.crashes})
+			} else if checkpoint := savedCheckpoint(t.checkpoint); len(t.failed) > 0 || checkpoint != "" || len(t.crashes) > 0 {
+				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Checkpoint: checkpoint, Crashes: t.crashes})
 			}
 		}
 		text := ""
@@ -126,9 +124,9 @@
 	return r
 }
 
-// restore rebuilds a job from its records. run is nil if the progress was never written; tailOf returns the result of
-// pathsAfter for the job.
-func restore(id string, data, run []byte, tailOf func(*job) []time.Duration) (*job, error) {
+// restore rebuilds a job from its records. run is nil if the progress was never written, and parts are the further records of
+// a large job; tailOf returns the result of pathsAfter for the job.
+func restore(id string, data, run []byte, parts []cuminstair.Record, tailOf func(*job) []time.Duration) (*job, error) {
 	var jr jobRecord
 	if err := json.Unmarshal(data, &jr); err != nil {
 		return nil, fmt.Errorf("decode job %s: %w", id, err)
@@ -149,6 +147,9 @@
 		j.state, j.finishedAt, j.next = rr.State, time.UnixMilli(rr.Ended), rr.Next
 	}
 	j.storedState = j.state
+	if err := j.mergeParts(&rr, parts); err != nil {
+		return nil, err
+	}
 	if j.finished() {
 		return j, nil
 	}
--- a/dispatch/record_test.go
+++ b/dispatch/record_test.go
@@ -73,7 +73,7 @@
 	}
 	is.NoErr(json.Unmarshal(j.jobValue(), &record))
 	is.Equal(record.Queue.Stretch, 2.0)
-	again, err := restore(j.id, j.jobValue(), nil, func(*job) []time.Duration { return make([]time.Duration, 1) })
+	again, err := restore(j.id, j.jobValue(), nil, nil, func(*job) []time.Duration { return make([]time.Duration, 1) })
 	is.NoErr(err)
 	is.Equal(again.queue.TargetFactor, 2.0)
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -122,12 +122,16 @@
 	for _, r := range workers {
 		s.recoverWorkers(r)
 	}
-	progress := map[string][]byte{}
+	main, parts := map[string][]byte{}, map[string][]cuminstair.Record{}
 	for _, r := range runs {
-		progress[r.Key] = r.Value
+		if id, _, split := strings.Cut(r.Key, partSeparator); split {
+			parts[id] = append(parts[id], r)
+		} else {
+			main[r.Key] = r.Value
+		}
 	}
 	for _, r := range jobs {
-		j, err := restore(r.Key, r.Value, progress[r.Key], s.pathsAfter)
+		j, err := restore(r.Key, r.Value, main[r.Key], parts[r.Key], s.pathsAfter)
 		if err != nil {
 			s.Log.Error("dispatch: can't decode a job record", "service", s.Name, "job", r.Key, "version", r.Version, "error", err)
 			continue
@@ -137,6 +141,8 @@
 		if !j.finished() {
 			s.activate(now, j)
 			s.recoverCrashes(now, j)
+		} else if len(j.parts) > 0 {
+			s.markDirty(j) // to delete these records
 		}
 	}
 	s.Log.Info("dispatch: service taken over", "service", s.Name, "token", s.Token, "jobs", len(s.jobs), "open", len(s.active), "workers", len(s.workers))
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -107,6 +108,9 @@
 	if j.queue.Advised && !s.Adviser {
 		return Result{Outcome: Impossible, Wait: maxWait, Why: "the queue needs advice, and the settings name no adviser"}
 	}
+	if n := len(j.jobValue()); n > maxValue {
+		return Result{Outcome: Impossible, Wait: maxWait, Why: fmt.Sprintf("its record has %d bytes, at most %d can be stored", n, maxValue)}
+	}
 	if why := s.whyImpossible(j); why != "" {
 		return Result{Outcome: Impossible, Wait: maxWait, Why: why}
 	}
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -92,6 +94,9 @@
 	case !errors.Is(err, cuminstair.ErrUncertain) && !r.uncertain && r.hedges == 0:
 		// No attempt took effect, so the jobs of the batch may be refused.
 		r.writeFailed(now, err)
+		if errors.Is(err, cuminstair.ErrMalformed) {
+			r.logRefused(r.sentTx)
+		}
 		r.state.NotStored(b)
 		r.inflight, r.retryAt = nil, now.Add(commitRetry)
 	default:
@@ -102,6 +107,13 @@
 	}
 }
 
+// logRefused logs the largest record of a transaction that the store refuses as malformed: most likely it exceeds a row.
+func (r *runner) logRefused(tx cuminstair.Tx) {
+	largest := slices.MaxFunc(tx.Puts, func(a, b cuminstair.RecordPut) int { return cmp.Compare(len(a.Value), len(b.Value)) })
+	r.d.Log.Error("entry: the store refuses a transaction", "service", r.service, "entries", len(tx.Puts)+len(tx.Deletes),
+		"largest", largest.Table+"/"+largest.Key, "bytes", len(largest.Value))
+}
+
 func (r *runner) batchCommitted(now, sent time.Time, b *dispatch.Batch, version uint64) {
 	r.version = version
 	r.inflight = nil
