Stop unanswered starts of long-running tasks only when a list lacks them

Cause: a start without an answer was stopped after 0.9 s, and the stop was repeated every 0.7 s until it was confirmed. The start had been carried out late, and one of these stops ended the task when it was at work and others of its step were away.

Fix: such a stop, and each repetition, needs a list of the worker that was requested after the call had ended and lacks the run. A listed run is kept unless its stop has been confirmed.

TestLateStartThatIsAtWorkIsKept failed before.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -125,15 +125,15 @@
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
 			switch {
+			case a.longRunning && a.answeredAt.IsZero() && (a.stopSentAt.IsZero() || a.stopUnanswered):
+				// handleMissing stops it: it may be at work by now.
 			case !a.stopSentAt.IsZero():
 				if a.stopConfirmedAt.IsZero() || now.Sub(a.stopConfirmedAt) > stopRetry+s.Bounds.StopGrace {
 					s.orderStop(now, a)
 				}
 			case a.answeredAt.IsZero():
 				if now.Sub(a.sentAt) > unansweredTimeout {
-					s.Log.Info("dispatch: stopping a task whose start was not answered", "service", s.Name, "job", a.id.Job,
-						"step", a.id.Step, "task", a.id.Index, "run", a.run, "worker", w.info.ID)
-					s.orderStop(now, a)
+					s.stopUnanswered(now, a)
 				}
 			case s.stuck(now, a):
 				s.Log.Info("dispatch: stopping a task that makes no progress", "service", s.Name, "job", a.id.Job, "step", a.id.Step,
@@ -146,6 +146,27 @@
 	}
 }
 
+// stopUnanswered stops a run whose start had no answer, or prevents that it starts later.
+func (s *Service) stopUnanswered(now time.Time, a *attempt) {
+	if !a.stopUnanswered {
+		s.Log.Info("dispatch: stopping a task whose start was not answered", "service", s.Name, "job", a.id.Job, "step", a.id.Step,
+			"task", a.id.Index, "run", a.run, "worker", a.worker.info.ID)
+	}
+	a.stopUnanswered = true
+	s.orderStop(now, a)
+}
+
+// keepUnanswered withdraws the stop of a run whose start had no answer, once its worker lists it, unless the stop has been
+// confirmed or the run is not needed any more. The start was carried out late, and the run may be at work by now.
+func (s *Service) keepUnanswered(a *attempt) {
+	if !a.stopUnanswered || !a.stopConfirmedAt.IsZero() || a.task == nil || a.task.done || a.task.step.occ.job.finished() {
+		return
+	}
+	s.Log.Info("dispatch: keeping a task whose start was not answered", "service", s.Name, "job", a.id.Job, "step", a.id.Step,
+		"task", a.id.Index, "run", a.run, "worker", a.worker.info.ID)
+	a.stopUnanswered, a.stopSentAt = false, time.Time{}
+}
+
 // Limits after which a task counts as stuck.
 const (
 	// stuckFactor times its expected duration is how long a short task must have run.
@@ -229,7 +250,7 @@
 			return 0
 		case a.trial && !a.passed:
 			wait = startupRenewalWait
-		case a.longRunning && a.percent < 100 && a.stopSentAt.IsZero():
+		case a.longRunning && a.percent < 100 && (a.stopSentAt.IsZero() || a.stopUnanswered):
 			wait = startupRenewalWait // the next planned move in the step waits until this task has started up
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -567,3 +567,34 @@
 	p.run(time.Second)
 	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
 }
+
+// Guards against ending a long-running task that is at work because its start, which was carried out late, had no answer: the
+// stop is repeated until it is confirmed, while other tasks of the step may be away.
+func TestLateStartThatIsAtWorkIsKept(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	w := p.workers[0]
+	w.startDelay = 1500 * time.Millisecond
+	p.submit(jobA, longRunning(1))
+	id := cuminstair.TaskID{Job: jobA}
+	stops, lateStops := 0, 0
+	for end := p.now.Add(6 * time.Second); p.now.Before(end); p.now = p.now.Add(tick) {
+		p.endRuns()
+		for _, o := range p.decide(0) {
+			if o.Kind != dispatch.OrderStop {
+				p.execute(o)
+				continue
+			}
+			stops++
+			if r := w.runs[id]; r != nil && p.now.Sub(r.started) > startup {
+				lateStops++
+			}
+			p.deliver(o, cuminstair.ErrUncertain, nil) // lost
+		}
+		p.writeBatch()
+	}
+	p.is.True(stops > 0)
+	p.is.Equal(lateStops, 0)
+	p.is.Equal(len(w.runs), 1)
+	p.is.Equal(p.starts[id], 1)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -105,6 +105,7 @@
 	cpuShare        int           // CPU share of a best-effort task in percent
 	pacedAt         time.Time     // when cpuShare was last changed
 	stopSentAt      time.Time     // when its stop was last ordered; zero: never
+	stopUnanswered  bool          // its stop was ordered only since its start had no answer
 	stopConfirmedAt time.Time     // when the worker confirmed the stop; zero: not yet
 	expected        time.Duration // duration expected at its start
 	resumed         bool          // started from a checkpoint
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -481,6 +481,7 @@
 	}
 	a.seen, a.missingReports = true, 0
 	s.confirmRun(a)
+	s.keepUnanswered(a)
 	if t.Percent > a.percent || a.progressAt.IsZero() {
 		a.percent, a.progressAt = t.Percent, now
 	}
@@ -542,7 +543,7 @@
 
 // handleMissing releases attempts that are missing in the list of running tasks: at once after a confirmed stop,
 // otherwise when they are missing for the second time in a row. The list is valid only for attempts whose start or stop
-// was answered before the list was requested.
+// was answered before the list was requested. Long-running attempts whose start had no answer are stopped here.
 func (s *Service) handleMissing(now, sent time.Time, w *worker, running map[cuminstair.TaskID]int64) {
 	for id, a := range w.attempts {
 		if running[id] == a.run {
@@ -551,6 +552,9 @@
 		switch {
 		case !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(sent):
 			s.release(now, a)
+		case a.longRunning && a.answeredAt.IsZero() && !a.unansweredAt.IsZero() && a.unansweredAt.Before(sent) &&
+			a.stopConfirmedAt.IsZero():
+			s.stopUnanswered(now, a) // it is not at work now, but may be started late
 		case !a.answeredAt.IsZero() && a.answeredAt.Before(sent):
 			a.missingReports++
 			if a.missingReports > 1 {
