Add a large job only to a batch that has room for it

A batch of nearly 600 KB took the main record and the occurrences of a large job as well, up to 245 KB, and could exceed the megabyte of a transaction after base64. Found by reading. Such a job waits for the next batch now.

TestLargeJobWaitsForAnEmptyBatch failed before: 183,087 bytes were added to a full batch.

--- a/dispatch/split.go
+++ b/dispatch/split.go
@@ -155,7 +155,11 @@
 			staleTasks = append(staleTasks, key)
 		}
 	}
-	if b.entries()+1+len(p.occurrences)+len(stale) > batchPuts {
+	together := len(p.main)
+	for _, x := range p.occurrences {
+		together += len(x.value)
+	}
+	if b.entries()+1+len(p.occurrences)+len(stale) > batchPuts || size > 0 && size+together > batchBytes {
 		return 0, false
 	}
 	b.states[j] = j.state
--- a/dispatch/split_test.go
+++ b/dispatch/split_test.go
@@ -243,3 +243,18 @@
 	b.ReportMetric(float64(size)/float64(n), "bytes/write")
 	b.ReportMetric(float64(rows)/float64(n), "records/write")
 }
+
+// Guards against a transaction that exceeds the store's limit since a large job is added to a batch that is nearly full.
+func TestLargeJobWaitsForAnEmptyBatch(t *testing.T) {
+	x := newSplitScene(t, 1)
+	for k := range 8000 {
+		x.j.runs = append(x.j.runs, x.j.occurrence(k+1, make([]time.Duration, 1)))
+	}
+	b := &Batch{states: map[*job]cuminstair.JobState{}, parts: map[*job][]string{}}
+	added, complete := x.s.putProgress(b, x.j, batchBytes)
+	x.is.Equal(added, 0)
+	x.is.True(!complete)
+	x.is.Equal(b.entries(), 0)
+	_, complete = x.s.putProgress(b, x.j, 0)
+	x.is.True(complete)
+}
