Give a job up only for crashes under runs that are lost

Callers would see a job as failed after one crash under its task, and its other tasks stopped: a worker had restarted unnoticed before it was given the task, and the restart counted as a second crash when it was noticed.

Cause: the decision to give a job up was taken before the runs that the later incarnation may have started were set apart.

Evidence: the walk's log; "task may have crashed its worker" and "task crashes its workers" come in the same moment, 0.5 s after a start that the restarted worker had carried out.

Fix: the crash still counts, so that the task is not started elsewhere, but its job is given up only when the run is lost.

TestRestartBeforeAStartIsNoCrashOfTheTask failed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -211,14 +211,15 @@
 // its address refused connections.
 func (s *Service) settleSuspects(now time.Time, w *worker) {
 	if w.connRefused {
-		s.workerCrashed(now, w, "it has left the list and its address refuses connections")
+		s.workerCrashed(now, w, "it has left the list and its address refuses connections", nil)
 		return
 	}
 	s.workerAnswers(w)
 }
 
-// workerCrashed records that a worker has ended without notice, and gives up the jobs whose tasks crash their workers.
-func (s *Service) workerCrashed(now time.Time, w *worker, why string) {
+// workerCrashed records that a worker has ended without notice, and gives up the jobs whose tasks crash their workers. kept are
+// the attempts that a later incarnation may have started: it is not certain that the worker has crashed under them.
+func (s *Service) workerCrashed(now time.Time, w *worker, why string, kept map[*attempt]bool) {
 	if !w.leavingSince.IsZero() {
 		s.workerAnswers(w) // it was expected to end
 		return
@@ -250,7 +251,9 @@
 		}
 	}
 	for _, t := range hit {
-		s.giveUpCrashing(now, t)
+		if a := w.attempts[t.id]; a == nil || !kept[a] {
+			s.giveUpCrashing(now, t)
+		}
 	}
 	s.changed = true
 }
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -504,3 +504,25 @@
 		p.is.Equal(p.s.State(id(i, false)), cuminstair.JobCompleted)
 	}
 }
+
+// Guards against giving a job up since a worker had restarted before it was given the task, and the restart is noticed only
+// after the start: the worker has crashed under other tasks, and runs this one.
+func TestRestartBeforeAStartIsNoCrashOfTheTask(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 10 * time.Second }
+	p.run(5 * time.Second)
+	p.submit(jobA, step(1, 2000))
+	p.run(time.Second)
+	p.is.Equal(len(p.busy()), 1)
+	first := p.busy()[0]
+	for _, w := range p.workers {
+		w.restart(p.now) // that of the idle one is not noticed
+	}
+	p.unlist(first.info.ID)
+	p.s.SetWorkers(p.now, p.list)
+	p.run(3 * time.Second)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 2)
+	p.run(12 * time.Second)
+	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 2)
+}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -36,7 +36,7 @@
 	case mayHaveStarted:
 	case down:
 		const why = "its host is down"
-		s.workerCrashed(now, w, why)
+		s.workerCrashed(now, w, why, nil)
 		s.workerGone(now, w, why)
 	default:
 		s.settleSuspects(now, w)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -289,7 +289,13 @@
 // kept, and so are those that may have been started by the new incarnation: their start was answered after sent or not at all,
 // or ordered after the last report of the earlier incarnation. Its next reports decide on these.
 func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, sent time.Time, running map[cuminstair.TaskID]int64) {
-	s.workerCrashed(now, w, "it has restarted")
+	kept := map[*attempt]bool{}
+	for id, a := range w.attempts {
+		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) || a.sentAt.After(w.lastRenewal) {
+			kept[a] = true
+		}
+	}
+	s.workerCrashed(now, w, "it has restarted", kept)
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts),
 		"acknowledging", w.ackSent)
 	w.info.Incarnation, w.knownSince = incarnation, now
@@ -298,8 +304,8 @@
 	w.leaseUnsure, w.restarted = w.leaseSentAt.After(w.lastRenewal), true
 	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
-	for id, a := range w.attempts {
-		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) || a.sentAt.After(w.lastRenewal) {
+	for _, a := range w.attempts {
+		if kept[a] {
 			a.mayHaveEnded = true
 			continue
 		}
@@ -319,7 +325,7 @@
 func (s *Service) workerReplaced(now time.Time, w *worker) {
 	const why = "another worker answers at its address"
 	if !w.gone {
-		s.workerCrashed(now, w, why)
+		s.workerCrashed(now, w, why, nil)
 	}
 	s.workerGone(now, w, why)
 }
@@ -347,6 +353,9 @@
 		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
 	}
 	s.release(now, a)
+	if t := s.taskOf(a); t != nil && a.mayHaveEnded {
+		s.giveUpCrashing(now, t) // the crash under the run is certain now
+	}
 }
 
 // Renewed processes the answer to a renewal that was sent at sent.
