Let the walk check AVAIL

The walk checks that no stop ends a long-running task at work while as many others of its step are away as may be: ended by a stop, or not at work for 4.5 s.

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -42,14 +42,15 @@
 
 // modelJob is a job that a walk submits.
 type modelJob struct {
-	id        string
-	spec      *cuminstair.JobSpec
-	work      []time.Duration // by step: mean duration of its tasks
-	failRate  float64
-	accepted  bool
-	tries     int
-	cancelled time.Time // when its cancellation was acknowledged
-	final     cuminstair.JobState
+	id         string
+	spec       *cuminstair.JobSpec
+	work       []time.Duration // by step: mean duration of its tasks
+	failRate   float64
+	accepted   bool
+	tries      int
+	cancelSent bool
+	cancelled  time.Time // when its cancellation was acknowledged
+	final      cuminstair.JobState
 }
 
 // walkCounts tell what a walk has reached.
@@ -474,6 +475,73 @@
 	}
 }
 
+// walkNotice is how long a task may be down before it counts as away whatever the cause.
+const walkNotice = 4500 * time.Millisecond
+
+// atWork reports whether a run of a long-running task serves.
+func (r *modelRun) atWork() bool { return r.active() && r.on.w.sim.now.Sub(r.begun) >= startup }
+
+// away reports whether a long-running task is away: its last run was ended by a stop, or none has been at work for
+// walkNotice.
+func (w *walk) away(t cuminstair.TaskID) bool {
+	runs := w.runs[t]
+	last := time.Time{}
+	stopped := false
+	for _, r := range runs {
+		if r.atWork() {
+			return false
+		}
+		if r.ended && r.endedAt.After(last) {
+			last, stopped = r.endedAt, r.how == cuminstair.EndStopped
+		}
+		if r.on.dead && !r.ended && r.on.diedAt.After(last) {
+			last, stopped = r.on.diedAt, false
+		}
+	}
+	return len(runs) > 0 && (stopped || w.sim.now.Sub(last) > walkNotice)
+}
+
+// mayBeGivenUp reports whether a job may be shown as failed: two workers have crashed under one of its tasks.
+func (w *walk) mayBeGivenUp(j *modelJob) bool {
+	for k := range max(1, j.spec.Repeats) {
+		for i := range j.spec.Steps {
+			for n := range j.spec.Steps[i].Count {
+				crashes := 0
+				for _, r := range w.runs[cuminstair.TaskID{Job: j.id, Occurrence: k, Step: i, Index: n}] {
+					if r.on.dead && !r.ended {
+						crashes++
+					}
+				}
+				if crashes > 1 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// checkStop checks that a stop does not end a long-running task at work while as many others of its step are away as may
+// be.
+func (w *walk) checkStop(r *modelRun) {
+	step, j := w.stepOf(r.task), w.jobs[r.task.Job]
+	if !step.LongRunning || !r.atWork() || r.on.leaving || r.stopLate || j.cancelSent || w.mayBeGivenUp(j) {
+		return
+	}
+	others := 0
+	for i := range step.Count {
+		t := r.task
+		t.Index = i
+		if t != r.task && w.away(t) {
+			others++
+		}
+	}
+	if others >= step.MaxUnavailable {
+		w.violation("AVAIL", r.task, fmt.Sprintf("run %d of %s on %s is stopped while %d others of its step are away; %d may be",
+			r.run, r.by, r.on.info.ID, others, step.MaxUnavailable))
+	}
+}
+
 // checkPlace checks the label of the worker of a start, and the number of tasks of the step there.
 func (w *walk) checkPlace(r *modelRun, step *cuminstair.JobStep) {
 	if step.Label != "" && !slices.Contains(r.on.info.Labels, step.Label) {
@@ -728,6 +796,7 @@
 		again()
 		return
 	}
+	j.cancelSent = true
 	answered := false
 	w.sim.after(4*time.Second, func() {
 		if !answered {
@@ -861,8 +930,8 @@
 // TestWalk lets several owners of a service follow each other at random while workers, network, store and daemons fail,
 // and checks the starts and ends that the workers see. It guards against runs of a task beside or after another, starts
 // before their turn or beyond the attempts, starts without room, without the label or beyond the limit of tasks of a step on a
-// worker, and jobs that never end. The order of Go's maps varies,
-// so that a seed does not always take the same course.
+// worker, starts from a checkpoint of another task, stops of long-running tasks that their step can't miss, and jobs that never
+// end. The order of Go's maps varies, so that a seed does not always take the same course.
 func TestWalk(t *testing.T) {
 	began := time.Now()
 	total := walkCounts{refused: map[string]int{}}
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -83,6 +83,7 @@
 	acked    bool  // its end was acknowledged
 	lapsed   bool  // the lease of its worker lapsed between its end and the acknowledgement
 	stopping bool
+	stopLate bool   // its stop was held up on its way
 	from     string // checkpoint from which it started
 	startNo  int    // number of its start among all starts and ends of the walk
 	endNo    int    // number of its end
@@ -108,6 +109,7 @@
 	ends      []*modelRun // ended and not acknowledged
 	seq       int64
 	dead      bool
+	diedAt    time.Time
 	leaving   bool
 	unlisted  bool // its entry in the platform's list is missing although it is alive
 	waiting   []*waitingHold
@@ -299,8 +301,8 @@
 	h.answer(rep, nil)
 }
 
-// stop carries out a stop order.
-func (p *process) stop(o dispatch.Order) error {
+// stop carries out a stop order, which may have been held up on its way.
+func (p *process) stop(o dispatch.Order, late bool) error {
 	if o.Token < p.token {
 		return cuminstair.ErrFenced
 	}
@@ -308,9 +310,10 @@
 	p.barred[o.Task] = max(p.barred[o.Task], o.Run)
 	for _, r := range p.runs {
 		if r.task == o.Task && r.run <= o.Run && !r.stopping {
-			r.stopping = true
+			r.stopping, r.stopLate = true, late
 			p.w.sim.after(p.w.sim.between(0, walkStopGrace), func() {
 				if r.active() {
+					p.w.checkStop(r)
 					p.end(r, cuminstair.EndStopped)
 				}
 			})
@@ -381,7 +384,7 @@
 	if p.dead {
 		return
 	}
-	p.dead = true
+	p.dead, p.diedAt = true, p.w.sim.now
 	p.host.refuses = refuses
 	for _, h := range p.waiting {
 		if refuses && !h.answered { // the host is up and resets the connections
@@ -526,7 +529,7 @@
 		}
 		w.sim.after(w.latency(), func() { reply(rep, err) })
 	}
-	delay := w.latency()
+	delay, late := w.latency(), false
 	switch w.mode(d, host.addr, host.centre) {
 	case linkCut:
 		if w.sim.chance(0.3) {
@@ -534,7 +537,7 @@
 		}
 		return
 	case linkHeld:
-		delay = w.sim.between(2*time.Second, 12*time.Second)
+		delay, late = w.sim.between(2*time.Second, 12*time.Second), true
 		w.counts.held++
 	default:
 	}
@@ -543,15 +546,15 @@
 	w.sim.after(delay, func() {
 		switch {
 		case p != nil && !p.dead:
-			w.carryOut(p, by, o, back)
+			w.carryOut(p, by, o, late, back)
 		case p == nil && host.refuses:
 			back(cuminstair.WorkerReport{}, fmt.Errorf("%w: %w", cuminstair.ErrNotDone, cuminstair.ErrConnRefused))
 		}
 	})
 }
 
-// carryOut carries out an order at a process.
-func (w *walk) carryOut(p *process, by string, o dispatch.Order, back func(cuminstair.WorkerReport, error)) {
+// carryOut carries out an order at a process. late tells that it was held up on its way.
+func (w *walk) carryOut(p *process, by string, o dispatch.Order, late bool, back func(cuminstair.WorkerReport, error)) {
 	w.target = p
 	defer func() { w.target = nil }()
 	if p.info.ID != o.Worker.ID {
@@ -564,7 +567,7 @@
 		err = p.start(by, o)
 		w.note(by, "start carried out", "worker", p.info.ID, "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step, "task", o.Task.Index, "run", o.Run, "error", err)
 	case dispatch.OrderStop:
-		err = p.stop(o)
+		err = p.stop(o, late)
 		w.note(by, "stop carried out", "worker", p.info.ID, "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step, "task", o.Task.Index, "run", o.Run, "error", err)
 	case dispatch.OrderRenew:
 		err = p.hold(by, o, back)
