Keep starts that were answered after the last report when a worker restarts

Callers could see two runs of one task at once (TWICE), and more tasks on a worker than its room or the limit of tasks per worker allows.

Cause: workerRestarted took a run for one of the earlier incarnation unless its start had no answer or was sent after the last answered renewal. A start that was sent before that renewal and answered after it may have been carried out by the later incarnation, since the header names the ID only. The run was given up and its task started elsewhere.

Evidence: TestStartAnsweredAfterTheLastReportIsKeptAtARestart failed before (two starts, expected one). Ruled out as enough: comparing the time at which the start was sent with the report, in either direction, since only its answer bounds when it was carried out.

Now a run counts as begun on the earlier incarnation if that one has listed it, or if its start was answered before the last answered renewal was sent.

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -592,3 +592,51 @@
 		p.is.Equal(n, 1)
 	}
 }
+
+// heldStart submits a job of one task and returns its start, which is still on its way to the worker.
+func (p *pool) heldStart(job string) dispatch.Order {
+	p.t.Helper()
+	p.submit(job, step(1, 2000))
+	p.writeBatch()
+	var start dispatch.Order
+	for _, o := range p.decide(0) {
+		if o.Kind == dispatch.OrderStart {
+			start = o
+		} else {
+			p.execute(o)
+		}
+	}
+	p.is.Equal(start.Task.Job, job)
+	return start
+}
+
+// Guards against giving up a start that was sent before a renewal which the earlier incarnation answered, but was carried out
+// by the later one: the list of workers shows the restart before the worker's next report.
+func TestStartAnsweredAfterTheLastReportIsKeptAtARestart(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(200 * time.Millisecond)
+	start := p.heldStart(jobA)
+	w := p.worker(start.Worker.ID)
+	p.now = p.now.Add(10 * tick)
+	for _, o := range p.decide(0) {
+		p.execute(o) // the earlier incarnation answers a renewal
+	}
+	w.restart(p.now)
+	p.now = p.now.Add(tick)
+	p.execute(start)
+	p.is.Equal(len(w.runs), 1)
+
+	w.partitioned = true // answers no renewal yet
+	for i := range p.list {
+		if p.list[i].ID == w.info.ID {
+			p.list[i] = w.info
+		}
+	}
+	p.s.SetWorkers(p.now, p.list)
+	p.run(400 * time.Millisecond)
+	w.partitioned = false
+	p.run(time.Second)
+	p.is.Equal(p.starts[start.Task], 1)
+	p.is.Equal(p.duplicateRuns, 0)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -260,7 +260,7 @@
 	case info.Incarnation < w.info.Incarnation && info.Incarnation != 0:
 		return // the entry is of an earlier incarnation
 	case info.Incarnation > w.info.Incarnation && w.info.Incarnation != 0:
-		s.workerRestarted(now, w, info.Incarnation, now, nil)
+		s.workerRestarted(now, w, info.Incarnation, nil)
 	case info.Incarnation > w.info.Incarnation:
 		w.info.Incarnation, w.knownSince = info.Incarnation, now
 	}
@@ -285,13 +285,17 @@
 	}
 }
 
+// beganBeforeLastReport reports whether a run began on the incarnation that answered the last renewal, or on an earlier one.
+func (a *attempt) beganBeforeLastReport() bool {
+	return a.seen || !a.answeredAt.IsZero() && !a.answeredAt.After(a.worker.lastRenewal)
+}
+
 // workerRestarted handles a restart of a worker, which ended all its earlier runs. Attempts that running lists are
-// kept, and so are those that may have been started by the new incarnation: their start was answered after sent or not at all,
-// or ordered after the last report of the earlier incarnation. Its next reports decide on these.
-func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, sent time.Time, running map[cuminstair.TaskID]int64) {
+// kept, and so are those that the new incarnation may have started. Its next reports decide on these.
+func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, running map[cuminstair.TaskID]int64) {
 	kept := map[*attempt]bool{}
 	for id, a := range w.attempts {
-		if running[id] == a.run || a.answeredAt.IsZero() || a.answeredAt.After(sent) || a.sentAt.After(w.lastRenewal) {
+		if running[id] == a.run || !a.beganBeforeLastReport() {
 			kept[a] = true
 		}
 	}
@@ -306,7 +310,7 @@
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for _, a := range w.attempts {
 		if kept[a] {
-			a.mayHaveEnded = true
+			a.mayHaveEnded, a.seen = true, false
 			continue
 		}
 		s.attemptLost(now, a, "the worker restarted")
@@ -393,7 +397,7 @@
 		if r.Incarnation < w.info.Incarnation {
 			return // a delayed answer of an earlier incarnation
 		}
-		s.workerRestarted(now, w, r.Incarnation, sent, running)
+		s.workerRestarted(now, w, r.Incarnation, running)
 	}
 	if w.suspect() {
 		s.Log.Info("dispatch: worker answers again", "service", s.Name, "worker", w.info.ID)
