Count a worker as read only once its report has been read

Cause: handleReport set synced before reportMayBeStale could leave the report unread. A restarted worker got tasks although its lists were unknown.

Evidence: TestWorkerWithAnUnreadReportGetsNoTasks failed before (starts on the worker in the next decision).

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -640,3 +640,35 @@
 	p.is.Equal(p.starts[start.Task], 1)
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// Guards against placing tasks on a restarted worker whose report was left unread, since it may be stale: the worker may have
+// runs that the owner does not know.
+func TestWorkerWithAnUnreadReportGetsNoTasks(t *testing.T) {
+	p := newPool(t, 1)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 1000))
+	p.run(200 * time.Millisecond)
+	w := p.workers[0]
+	var renewal dispatch.Order
+	for renewal.Wait == 0 {
+		p.now = p.now.Add(tick)
+		for _, o := range p.decide(0) {
+			renewal = o
+		}
+	}
+	p.now = p.now.Add(dispatch.AliveTime)
+	w.restart(p.now)
+	p.submit(jobB, step(2, hostCPU))
+	w.end(cuminstair.TaskID{Job: jobB}, &fakeRun{run: 1}, cuminstair.EndStopped) // of an earlier owner
+	unknown := cuminstair.TaskID{Job: jobB, Index: 1}
+	p.launch(w, dispatch.Order{Task: unknown, Run: 1})
+	p.execute(renewal)
+	p.writeBatch()
+	for range 3 {
+		for _, o := range p.decide(time.Second) {
+			p.is.True(o.Kind != dispatch.OrderStart)
+		}
+		p.writeBatch()
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -405,10 +405,7 @@
 	if w.suspectsKnown {
 		s.workerAnswers(w)
 	}
-	if !w.synced || w.moreEnds {
-		s.changed = true
-	}
-	w.synced, w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = true, 0, false, sent, now
+	w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
 	w.clockWentBack = false
@@ -425,6 +422,10 @@
 		return
 	}
 	w.askAgain = false
+	if !w.synced || w.moreEnds {
+		s.changed = true
+	}
+	w.synced = true
 	if w.mayHaveMoved && sent.After(w.cordonedUntil) {
 		w.mayHaveMoved = false
 		s.changed = true
