Repeat stops at a restart of the worker, which forgets them

Callers could see two runs of one task at once (TWICE).

Cause: a start without an answer may be carried out seconds later. Its stop, once confirmed, bars it, but only at the incarnation that confirmed it. After a restart under the same ID the owner took the confirmation for proof, or had released the run before, and the later incarnation started it.

Evidence: TestStopConfirmedByTheEarlierIncarnationProvesNothing failed before in both cases (two duplicate runs each).

Stops are ordered again at a restart. Runs that were released without an answer to their start are remembered for 12 s, the longest delay of a late start, and stopped by the later incarnation too.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -40,6 +40,8 @@
 	suspectAfter = 2
 	// unansweredTimeout is how long a start order may go unanswered before the run is stopped.
 	unansweredTimeout = 900 * time.Millisecond
+	// lateCallTime is how long after its call ended without an answer a start may still be carried out.
+	lateCallTime = 12 * time.Second
 	// stopRetry is the pause before an ineffective stop is repeated.
 	stopRetry = 700 * time.Millisecond
 	// batchGap is the minimum time between two writes that no caller waits for.
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -672,3 +672,45 @@
 		p.writeBatch()
 	}
 }
+
+// Guards against taking a stop that the earlier incarnation confirmed for proof that the later one will not start the run: it
+// knows nothing of the stop, and the start may still be on its way.
+func TestStopConfirmedByTheEarlierIncarnationProvesNothing(t *testing.T) {
+	for name, released := range map[string]bool{"before the release": false, "after the release": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 2)
+			p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+			p.run(200 * time.Millisecond)
+			for _, w := range p.workers {
+				w.startDelay = 4 * time.Second
+			}
+			start := p.heldStart(jobA)
+			p.execute(start)
+			w := p.worker(start.Worker.ID)
+			for w.barred[start.Task] < start.Run { // until the stop is confirmed
+				p.now = p.now.Add(tick)
+				for _, o := range p.decide(0) {
+					p.execute(o)
+				}
+			}
+			for _, x := range p.workers {
+				x.startDelay = 0
+			}
+			if released {
+				p.run(200 * time.Millisecond)
+				p.is.Equal(p.running(), 1) // it has started again
+			}
+			w.restart(p.now)
+			p.now = p.now.Add(tick)
+			for i := range p.list {
+				if p.list[i].ID == w.info.ID {
+					p.list[i] = w.info
+				}
+			}
+			p.s.SetWorkers(p.now, p.list)
+			p.run(10 * time.Second)
+			p.is.Equal(p.running(), 1)
+			p.is.Equal(p.duplicateRuns, 0)
+		})
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,7 @@
 	used          place.Room // by all attempts, including those being stopped
 	attempts      map[cuminstair.TaskID]*attempt
 	stepRuns      map[stepID]int // by step: number of attempts
+	barred        []*attempt     // released without an answer to their start, which a later incarnation may carry out
 	longRunning   int            // number of long-running attempts that are not best-effort
 	bestEffort    int            // number of best-effort attempts
 	listed        bool           // in the platform's list
@@ -244,7 +246,8 @@
 			continue
 		}
 		w.listed = false
-		if w.idle() && s.inheritedResolved() {
+		w.dropBarred(now)
+		if w.idle() && len(w.barred) == 0 && s.inheritedResolved() {
 			s.settleSuspects(now, w)
 			delete(s.workers, id)
 			s.workersDirty = true
@@ -311,10 +314,50 @@
 	for _, a := range w.attempts {
 		if kept[a] {
 			a.mayHaveEnded, a.seen = true, false
+			s.repeatStop(now, a)
 			continue
 		}
 		s.attemptLost(now, a, "the worker restarted")
 	}
+	s.stopBarred(now, w)
+}
+
+// repeatStop orders the stop of a run again, if it was ordered, since a later incarnation of the worker does not know of it.
+func (s *Service) repeatStop(now time.Time, a *attempt) {
+	if a.stopSentAt.IsZero() {
+		return
+	}
+	a.stopSentAt, a.stopConfirmedAt = time.Time{}, time.Time{}
+	s.orderStop(now, a)
+}
+
+// bar keeps a released run whose start had no answer, so that it can be stopped if the worker restarts.
+func (w *worker) bar(now time.Time, a *attempt) {
+	w.dropBarred(now)
+	if a.unansweredAt.IsZero() {
+		a.unansweredAt = now
+	}
+	w.barred = append(w.barred, a)
+}
+
+// dropBarred removes the runs whose start can't be carried out any more.
+func (w *worker) dropBarred(now time.Time) {
+	w.barred = slices.DeleteFunc(w.barred, func(a *attempt) bool { return now.Sub(a.unansweredAt) > lateCallTime })
+}
+
+// stopBarred takes back the runs that a later incarnation of the worker may still start, and stops them there.
+func (s *Service) stopBarred(now time.Time, w *worker) {
+	w.dropBarred(now)
+	for _, a := range w.barred {
+		if w.attempts[a.id] != nil {
+			continue // a later run of the task
+		}
+		a.task, a.mayHaveEnded, a.trial = nil, true, false
+		w.add(a)
+		a.stopSentAt, a.stopConfirmedAt = time.Time{}, time.Time{}
+		s.orderStop(now, a)
+	}
+	w.barred = nil
 }
 
 // confirmRun withdraws the crash that was counted for a run when its worker restarted, since the new incarnation has it.
@@ -357,6 +400,9 @@
 		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
 	}
 	s.release(now, a)
+	if a.answeredAt.IsZero() {
+		a.worker.bar(now, a)
+	}
 	if t := s.taskOf(a); t != nil && a.mayHaveEnded {
 		s.giveUpCrashing(now, t) // the crash under the run is certain now
 	}
@@ -566,6 +612,9 @@
 		switch {
 		case !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(sent):
 			s.release(now, a)
+			if a.answeredAt.IsZero() {
+				w.bar(now, a)
+			}
 		case a.longRunning && a.answeredAt.IsZero() && !a.unansweredAt.IsZero() && a.unansweredAt.Before(sent) &&
 			a.stopConfirmedAt.IsZero():
 			s.stopUnanswered(now, a) // it is not at work now, but may be started late
