Decide in one function when a run has certainly ended

Nine places let go of a run, and each compared other times: the sending or the answer of its start with the sending or the reading of a report.

A loss is logged with the incarnation and the age of what proved it. Answers that contradict what is known of a worker (an earlier incarnation, a clock that went back) are left unread, counted and logged.

What a run holds is let go at the same moments as before, but for reports with a clock that went back, which were read before.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -107,14 +107,17 @@
 // expireLeases gives up the runs on workers that could not be reached until their lease ran out. Another owner could
 // have extended the lease, so the store must also have confirmed this owner after the lease ran out.
 func (s *Service) expireLeases(now, confirmed time.Time) {
+	at := confirmed
+	if now.Before(at) {
+		at = now
+	}
 	for _, w := range s.workers {
-		if len(w.attempts) == 0 || !w.suspect() || !s.leaseExpired(w, now) || !s.leaseExpired(w, confirmed) {
+		if len(w.attempts) == 0 || !w.suspect() || !s.leaseExpired(w, at) {
 			continue
 		}
+		o := observation{kind: observedLapse, incarnation: w.info.Incarnation, since: at, until: now, longestLease: s.longestLease()}
 		for _, a := range w.attempts {
-			if s.unansweredStartExpired(a, now) && s.unansweredStartExpired(a, confirmed) {
-				s.attemptLost(now, a, "the worker did not answer before its lease ran out")
-			}
+			s.conclude(now, a, o)
 		}
 	}
 }
@@ -292,9 +295,8 @@
 		s.depose("worker has seen a higher token", w.info.ID)
 		return
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
-		s.release(now, a)
-		s.withdrawRun(a)
-		s.workerReplaced(now, w)
+		s.startRefused(now, a)
+		s.workerReplaced(now, a.sentAt, w)
 		return
 	case errors.Is(err, cuminstair.ErrNotDone):
 		w.callFailed(now)
@@ -312,13 +314,18 @@
 	}
 	s.Log.Info("dispatch: start was refused", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 		"run", a.run, "worker", w.info.ID, "error", err)
-	s.release(now, a)
-	s.withdrawRun(a)
+	s.startRefused(now, a)
 	if w.failedCalls > 0 {
 		s.suspectRuns(now, w)
 	}
 }
 
+// startRefused concludes a run whose start was answered without being carried out.
+func (s *Service) startRefused(now time.Time, a *attempt) {
+	s.conclude(now, a, observation{kind: observedRefusal, incarnation: a.worker.info.Incarnation, since: a.sentAt, until: now})
+	s.withdrawRun(a)
+}
+
 // Stopped processes the answer to a stop order.
 func (s *Service) Stopped(now time.Time, o Order, err error) {
 	a := o.attempt
@@ -329,7 +336,7 @@
 	case errors.Is(err, cuminstair.ErrFenced):
 		s.depose("worker has seen a higher token", o.Worker.ID)
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
-		s.workerReplaced(now, a.worker)
+		s.workerReplaced(now, a.stopSentAt, a.worker)
 	default:
 	}
 }
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if a != nil {
-		s.release(now, a)
+		s.conclude(now, a, observation{kind: observedEnd, incarnation: w.info.Incarnation, since: now, until: now})
 	}
 }
 
@@ -198,7 +198,7 @@
 		"after", now.Sub(j.firstSent).Round(time.Millisecond).String(), "late", now.After(j.due))
 }
 
-// release frees the room of an attempt and queues its task again if it is not done.
+// release frees the room of an attempt and queues its task again if it is not done. Only conclude calls it.
 func (s *Service) release(now time.Time, a *attempt) {
 	a.worker.remove(now, a)
 	s.changed = true
--- /dev/null
+++ b/dispatch/ended.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import "time"
+
+// A run holds room on its worker, counts towards the limit of tasks per worker, and keeps its task from starting again. It
+// lets go of these when an observation proves that it has ended or never begins: ended decides, conclude acts on it, and nothing
+// else does either. docs/run-ends.md says what the protocol guarantees for each observation.
+
+// observationKind says what an owner has observed of a worker or a run.
+type observationKind uint8
+
+// Kinds of observations.
+const (
+	observedEnd         observationKind = iota // the worker lists the run as ended
+	observedRefusal                            // the worker answered the start without carrying it out
+	observedLaterRun                           // the worker lists a later run of the task
+	observedStop                               // the lists of the worker lack a run whose stop was ordered
+	observedAbsence                            // the lists of the worker lack the run
+	observedRestart                            // there is a later incarnation of the worker under its ID
+	observedReplacement                        // another worker answers at the address
+	observedHostDown                           // the record of the host says that it is down
+	observedNewHost                            // the record of the host says that the worker has left it
+	observedLapse                              // the lease of a worker that does not answer has run out
+)
+
+// String returns the ground for a loss as it is logged.
+func (k observationKind) String() string {
+	switch k {
+	case observedEnd:
+		return "the worker lists its end"
+	case observedRefusal:
+		return "the worker refused its start"
+	case observedLaterRun:
+		return "the worker lists a later run"
+	case observedStop:
+		return "its stop is confirmed and the worker does not list it"
+	case observedAbsence:
+		return "the worker does not list it"
+	case observedRestart:
+		return "the worker restarted"
+	case observedReplacement:
+		return "another worker answers at its address"
+	case observedHostDown:
+		return "its host is down"
+	case observedNewHost:
+		return "its host has another worker, is moving or is in maintenance"
+	case observedLapse:
+		return "the worker did not answer before its lease ran out"
+	default:
+		return "unknown"
+	}
+}
+
+// reported reports whether a worker has told of the end itself. The other observations are those of a loss.
+func (k observationKind) reported() bool {
+	return k == observedEnd || k == observedRefusal || k == observedLaterRun || k == observedStop
+}
+
+// observation is what an answer, a list or a record shows of one incarnation of a worker. What it shows was true at some time
+// between since and until. Both are on this daemon's clock: when a call was sent, and when its answer was read.
+type observation struct {
+	kind         observationKind
+	incarnation  int64 // of the worker, its start in Unix milliseconds; 0: not known
+	since, until time.Time
+	longestLease time.Duration // observedLapse: how long a run may go on after the call of its start
+}
+
+// runTimes is what an owner knows of a run. A zero time means that it has not happened as far as the owner knows.
+type runTimes struct {
+	sentAt          time.Time // when the start was ordered, or the run first seen
+	answeredAt      time.Time // when the start was answered or the run first seen
+	unansweredAt    time.Time // when the call of the start ended without telling whether it runs
+	stopConfirmedAt time.Time // when the present incarnation of the worker confirmed the stop
+	seen            bool      // the present incarnation of the worker has listed it as running
+	missingReports  int       // consecutive reports that lack it although they should list it
+}
+
+// callEndedBefore reports whether the call of the start had ended by t. A start whose call has ended without an answer may still
+// be carried out later.
+func (r *runTimes) callEndedBefore(t time.Time) bool {
+	if r.answeredAt.IsZero() {
+		return !r.unansweredAt.IsZero() && r.unansweredAt.Before(t)
+	}
+	return r.answeredAt.Before(t)
+}
+
+// ended reports whether an observation proves that a run has ended or never begins. An observation says nothing of a start that
+// may have been carried out after it, or by a later incarnation.
+func (r *runTimes) ended(o observation) bool {
+	switch o.kind {
+	case observedEnd, observedRefusal, observedLaterRun, observedReplacement:
+		return true
+	case observedStop:
+		return !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(o.since)
+	case observedAbsence:
+		return !r.answeredAt.IsZero() && r.answeredAt.Before(o.since) && r.missingReports > 1
+	case observedRestart: // the earlier incarnation was still there at since
+		return r.seen || !r.answeredAt.IsZero() && !r.answeredAt.After(o.since)
+	case observedHostDown, observedNewHost:
+		return r.callEndedBefore(o.since)
+	case observedLapse:
+		return !r.answeredAt.IsZero() || !r.unansweredAt.IsZero() && o.since.Sub(r.unansweredAt) > o.longestLease
+	default:
+		return false
+	}
+}
+
+// mayRunAfter reports whether a run on the worker may go on, or begin, in spite of an observation.
+func (w *worker) mayRunAfter(o observation) bool {
+	for _, a := range w.attempts {
+		if !a.ended(o) {
+			return true
+		}
+	}
+	return false
+}
+
+// conclude lets go of what an attempt holds if an observation proves its end, and reports whether it does.
+func (s *Service) conclude(now time.Time, a *attempt, o observation) bool {
+	if !a.ended(o) {
+		return false
+	}
+	w := a.worker
+	if !o.kind.reported() {
+		s.recordLoss(now, a, o)
+	}
+	s.release(now, a)
+	if a.answeredAt.IsZero() && o.kind != observedEnd && o.kind != observedRefusal {
+		w.bar(now, a)
+	}
+	if t := s.taskOf(a); t != nil && a.mayHaveEnded && !o.kind.reported() {
+		s.giveUpCrashing(now, t) // the crash under the run is certain now
+	}
+	return true
+}
+
+// recordLoss counts and logs that a run has ended without a report of its end.
+func (s *Service) recordLoss(now time.Time, a *attempt, o observation) {
+	s.counts.Lost++
+	s.Log.Info("dispatch: task lost", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index, "run", a.run,
+		"worker", a.worker.info.ID, "why", o.kind.String(), "born", o.incarnation, "age", now.Sub(o.since).Round(time.Millisecond).String())
+	if a.task != nil {
+		a.task.lostAt = now
+		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
+	}
+}
+
+// contradicts counts and logs an answer that can't be true of the worker as it is known. It proves nothing, so that no run is lost.
+func (s *Service) contradicts(w *worker, why string, known, told int64) {
+	s.counts.Contradictions++
+	s.Log.Warn("dispatch: answer contradicts what is known of the worker", "service", s.Name, "worker", w.info.ID, "why", why, "known", known, "told", told)
+}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -23,37 +23,29 @@
 	}
 }
 
-// checkHost handles the record of a worker's host that was requested at sent.
+// checkHost handles the record of a worker's host that was requested at sent. The worker may have restarted since, so that the
+// record proves nothing while a start may have been carried out after that.
 func (s *Service) checkHost(now, sent time.Time, w *worker, h cuminstair.HostRecord) {
-	down, replaced := s.hostIsDown(w, h, sent), s.hostIsReplaced(w, h)
-	if !down && !replaced {
+	o := observation{kind: observedHostDown, incarnation: w.info.Incarnation, since: sent, until: now}
+	down := s.hostIsDown(w, h, sent)
+	if !down && !s.hostIsReplaced(w, h) {
 		return
 	}
-	mayHaveStarted := w.mayHaveStartedSince(sent)
+	if !down {
+		o.kind = observedNewHost
+	}
+	mayHaveStarted := w.mayRunAfter(o)
 	s.Log.Info("dispatch: host of a silent worker is down or replaced", "service", s.Name, "worker", w.info.ID, "host", h.Name,
 		"phase", h.Phase, "age", now.Sub(sent).Round(time.Millisecond).String(), "start under way", mayHaveStarted)
-	switch {
-	case mayHaveStarted:
-	case down:
-		const why = "its host is down"
-		s.workerCrashed(now, w, why, nil)
-		s.workerGone(now, w, why)
-	default:
-		s.settleSuspects(now, w)
-		s.workerGone(now, w, "its host has another worker, is moving or is in maintenance")
+	if mayHaveStarted {
+		return
 	}
-}
-
-// mayHaveStartedSince reports whether a start may have been carried out after sent: it has no answer, and its call had not
-// ended by then. The worker may have restarted since, so that a record of its host which was requested at sent does not show
-// whether the run is lost.
-func (w *worker) mayHaveStartedSince(sent time.Time) bool {
-	for _, a := range w.attempts {
-		if a.answeredAt.IsZero() && (a.unansweredAt.IsZero() || !a.unansweredAt.Before(sent)) {
-			return true
-		}
+	if down {
+		s.workerCrashed(now, w, o.kind.String(), nil)
+	} else {
+		s.settleSuspects(now, w)
 	}
-	return false
+	s.workerGone(now, w, o)
 }
 
 // hostIsDown reports whether a worker that does not answer has ended since its host is down. The record must be newer
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -87,32 +87,27 @@
 
 // attempt is a run of a task on a worker. Its room on the worker stays taken until the run has certainly ended.
 type attempt struct {
-	task            *task // nil for an unexpected or detached run
-	id              cuminstair.TaskID
-	run             int64
-	worker          *worker
-	room            place.Room
-	longRunning     bool
-	bestEffort      bool
-	sentAt          time.Time     // when the start was ordered, or the run first seen
-	answeredAt      time.Time     // when the start was answered or the run first seen; zero: not yet
-	unansweredAt    time.Time     // when the call of the start ended without telling whether it runs; zero: it has not
-	seen            bool          // the worker has listed it as running
-	missingReports  int           // consecutive reports that lack it although they should list it
-	percent         int           // reported progress
-	progressAt      time.Time     // when percent last increased
-	gauge           float64       // as reported, see cuminstair.RunningTask
-	cpuShare        int           // CPU share of a best-effort task in percent
-	pacedAt         time.Time     // when cpuShare was last changed
-	stopSentAt      time.Time     // when its stop was last ordered; zero: never
-	stopUnanswered  bool          // its stop was ordered only since its start had no answer
-	stopConfirmedAt time.Time     // when the worker confirmed the stop; zero: not yet
-	expected        time.Duration // duration expected at its start
-	resumed         bool          // started from a checkpoint
-	trial           bool          // its start was a trial, see needsTrial
-	passed          bool          // the trial is over: the worker has not crashed
-	mayHaveEnded    bool          // it may have ended with an earlier incarnation of the worker
-	adopted         bool          // it was found on the worker, so that the time of its start is unknown
+	task        *task // nil for an unexpected or detached run
+	id          cuminstair.TaskID
+	run         int64
+	worker      *worker
+	room        place.Room
+	longRunning bool
+	bestEffort  bool
+	runTimes
+	percent        int           // reported progress
+	progressAt     time.Time     // when percent last increased
+	gauge          float64       // as reported, see cuminstair.RunningTask
+	cpuShare       int           // CPU share of a best-effort task in percent
+	pacedAt        time.Time     // when cpuShare was last changed
+	stopSentAt     time.Time     // when its stop was last ordered; zero: never
+	stopUnanswered bool          // its stop was ordered only since its start had no answer
+	expected       time.Duration // duration expected at its start
+	resumed        bool          // started from a checkpoint
+	trial          bool          // its start was a trial, see needsTrial
+	passed         bool          // the trial is over: the worker has not crashed
+	mayHaveEnded   bool          // it may have ended with an earlier incarnation of the worker
+	adopted        bool          // it was found on the worker, so that the time of its start is unknown
 }
 
 func newJob(id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue) *job {
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -375,7 +375,7 @@
 	t.run, t.lostAt = run, time.Time{}
 	a := &attempt{
 		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort,
-		sentAt: now, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.startFrom() != "",
+		runTimes: runTimes{sentAt: now}, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.startFrom() != "",
 	}
 	t.attempt = a
 	w.add(a)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -106,6 +106,7 @@
 type Counts struct {
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
 	Crashes                                              int // of workers that ran tasks
+	Contradictions                                       int // answers of workers that could not be true
 }
 
 // New returns the state of a service that was taken over at now.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -120,16 +120,6 @@
 	return w.synced && w.clockAtLeast(now) > max(w.lease, w.heldLease)+leaseMargin
 }
 
-// unansweredStartExpired reports whether a run whose start had no answer has certainly ended if the lease of its worker has run
-// out. The worker may have restarted unnoticed before the start: the lease, a time on its earlier clock, is one of the
-// longest length to the later incarnation.
-func (s *Service) unansweredStartExpired(a *attempt, now time.Time) bool {
-	if !a.answeredAt.IsZero() {
-		return true
-	}
-	return !a.unansweredAt.IsZero() && now.Sub(a.unansweredAt) > s.longestLease()
-}
-
 // longestLease is how long a worker may run tasks after an order, whatever its lease, on the slowest clock.
 func (s *Service) longestLease() time.Duration {
 	longest := s.Bounds.MaxLease
@@ -288,17 +278,13 @@
 	}
 }
 
-// beganBeforeLastReport reports whether a run began on the incarnation that answered the last renewal, or on an earlier one.
-func (a *attempt) beganBeforeLastReport() bool {
-	return a.seen || !a.answeredAt.IsZero() && !a.answeredAt.After(a.worker.lastRenewal)
-}
-
 // workerRestarted handles a restart of a worker, which ended all its earlier runs. Attempts that running lists are
 // kept, and so are those that the new incarnation may have started. Its next reports decide on these.
 func (s *Service) workerRestarted(now time.Time, w *worker, incarnation int64, running map[cuminstair.TaskID]int64) {
+	o := observation{kind: observedRestart, incarnation: incarnation, since: w.lastRenewal, until: now}
 	kept := map[*attempt]bool{}
 	for id, a := range w.attempts {
-		if running[id] == a.run || !a.beganBeforeLastReport() {
+		if running[id] == a.run || !a.ended(o) {
 			kept[a] = true
 		}
 	}
@@ -317,7 +303,7 @@
 			s.repeatStop(now, a)
 			continue
 		}
-		s.attemptLost(now, a, "the worker restarted")
+		s.conclude(now, a, o)
 	}
 	s.stopBarred(now, w)
 }
@@ -368,43 +354,25 @@
 	}
 }
 
-// workerReplaced records that another worker answers at the address of a worker.
-func (s *Service) workerReplaced(now time.Time, w *worker) {
-	const why = "another worker answers at its address"
+// workerReplaced records that another worker answers at the address of a worker, to a call that was sent at sent.
+func (s *Service) workerReplaced(now, sent time.Time, w *worker) {
+	o := observation{kind: observedReplacement, incarnation: w.info.Incarnation, since: sent, until: now}
 	if !w.gone {
-		s.workerCrashed(now, w, why, nil)
+		s.workerCrashed(now, w, o.kind.String(), nil)
 	}
-	s.workerGone(now, w, why)
+	s.workerGone(now, w, o)
 }
 
-// workerGone records that a worker no longer exists; all its runs are lost.
-func (s *Service) workerGone(now time.Time, w *worker, why string) {
+// workerGone records that a worker no longer exists as an observation shows; all its runs are lost.
+func (s *Service) workerGone(now time.Time, w *worker, o observation) {
 	if w.gone {
 		return
 	}
-	s.Log.Info("dispatch: worker is gone", "service", s.Name, "worker", w.info.ID, "why", why, "tasks", len(w.attempts))
+	s.Log.Info("dispatch: worker is gone", "service", s.Name, "worker", w.info.ID, "why", o.kind.String(), "tasks", len(w.attempts))
 	w.gone, w.listed = true, false
 	s.recordAgain(w)
 	for _, a := range w.attempts {
-		s.attemptLost(now, a, why)
-	}
-}
-
-// attemptLost ends an attempt for which the worker will not report an end.
-func (s *Service) attemptLost(now time.Time, a *attempt, why string) {
-	s.counts.Lost++
-	s.Log.Info("dispatch: task lost", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
-		"run", a.run, "worker", a.worker.info.ID, "why", why)
-	if a.task != nil {
-		a.task.lostAt = now
-		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
-	}
-	s.release(now, a)
-	if a.answeredAt.IsZero() {
-		a.worker.bar(now, a)
-	}
-	if t := s.taskOf(a); t != nil && a.mayHaveEnded {
-		s.giveUpCrashing(now, t) // the crash under the run is certain now
+		s.conclude(now, a, o)
 	}
 }
 
@@ -422,7 +390,7 @@
 	case errors.Is(err, cuminstair.ErrFenced):
 		s.depose("worker has seen a higher token", id)
 	case errors.Is(err, cuminstair.ErrOtherIncarnation):
-		s.workerReplaced(now, w)
+		s.workerReplaced(now, sent, w)
 	default:
 		w.callFailed(now)
 		w.connRefused = errors.Is(err, cuminstair.ErrConnRefused)
@@ -441,10 +409,16 @@
 	}
 	if r.Incarnation != 0 && w.info.Incarnation != 0 && r.Incarnation != w.info.Incarnation {
 		if r.Incarnation < w.info.Incarnation {
-			return // a delayed answer of an earlier incarnation
+			s.contradicts(w, "its incarnation has ended", w.info.Incarnation, r.Incarnation)
+			return
 		}
 		s.workerRestarted(now, w, r.Incarnation, running)
 	}
+	if r.Clock+leaseMargin < w.clock {
+		s.contradicts(w, "its clock went back", w.clock.Milliseconds(), r.Clock.Milliseconds())
+		w.nextRenewal = now.Add(renewalBackoff)
+		return
+	}
 	if w.suspect() {
 		s.Log.Info("dispatch: worker answers again", "service", s.Name, "worker", w.info.ID)
 	}
@@ -565,7 +539,7 @@
 // adopt takes over a run that an earlier owner started or that is otherwise unknown. A run that is not wanted is
 // stopped and keeps its room until it has ended.
 func (s *Service) adopt(now time.Time, w *worker, t cuminstair.RunningTask) *attempt {
-	a := &attempt{id: t.Task, run: t.Run, sentAt: now, answeredAt: now, cpuShare: 100, adopted: true}
+	a := &attempt{id: t.Task, run: t.Run, runTimes: runTimes{sentAt: now, answeredAt: now}, cpuShare: 100, adopted: true}
 	j, x := s.jobs[t.Task.Job], s.taskOfRun(now, t.Task)
 	switch {
 	case j != nil && t.Task.Step < len(j.spec.Steps):
@@ -585,7 +559,7 @@
 		if old.run > t.Run {
 			return nil // an earlier run that is being stopped
 		}
-		s.release(now, old)
+		s.conclude(now, old, observation{kind: observedLaterRun, incarnation: w.info.Incarnation, since: now, until: now})
 	}
 	w.add(a)
 	if x != nil && !x.done && !j.finished() && x.attempt == nil {
@@ -601,28 +575,23 @@
 	return a
 }
 
-// handleMissing releases attempts that are missing in the list of running tasks: at once after a confirmed stop,
-// otherwise when they are missing for the second time in a row. The list is valid only for attempts whose start or stop
-// was answered before the list was requested. Long-running attempts whose start had no answer are stopped here.
+// handleMissing concludes attempts that are missing in the list of running tasks of a report that was requested at sent: at once
+// after a confirmed stop, otherwise when they are missing for the second time in a row. Long-running attempts whose start had
+// no answer are stopped here.
 func (s *Service) handleMissing(now, sent time.Time, w *worker, running map[cuminstair.TaskID]int64) {
+	absent := observation{kind: observedAbsence, incarnation: w.info.Incarnation, since: sent, until: now}
+	stopped := absent
+	stopped.kind = observedStop
 	for id, a := range w.attempts {
-		if running[id] == a.run {
+		if running[id] == a.run || s.conclude(now, a, stopped) {
 			continue
 		}
 		switch {
-		case !a.stopConfirmedAt.IsZero() && a.stopConfirmedAt.Before(sent):
-			s.release(now, a)
-			if a.answeredAt.IsZero() {
-				w.bar(now, a)
-			}
-		case a.longRunning && a.answeredAt.IsZero() && !a.unansweredAt.IsZero() && a.unansweredAt.Before(sent) &&
-			a.stopConfirmedAt.IsZero():
+		case a.longRunning && a.answeredAt.IsZero() && a.callEndedBefore(sent) && a.stopConfirmedAt.IsZero():
 			s.stopUnanswered(now, a) // it is not at work now, but may be started late
 		case !a.answeredAt.IsZero() && a.answeredAt.Before(sent):
 			a.missingReports++
-			if a.missingReports > 1 {
-				s.attemptLost(now, a, "the worker does not list it")
-			}
+			s.conclude(now, a, absent)
 		}
 	}
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -74,6 +74,7 @@
 		{"lost", now.Lost - before.Lost},
 		{"stopped", now.Stops - before.Stops},
 		{"crashed", now.Crashes - before.Crashes},
+		{"contradicted", now.Contradictions - before.Contradictions},
 	} {
 		if e.n > 0 {
 			m.Events.WithLabelValues(e.name).Add(float64(e.n))
