Don't take unread reports for progress of tasks

The first report after a freeze that lists an end may be stale and is left unread, but it set the time of the last renewal. stuck took that time for the age of the lists, and the progress that it judged was from before the freeze.

stuck looks at the time of the last report whose lists were read now. Whether a worker answers at all is still seen by any report.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -182,9 +182,10 @@
 	stuckDoublings = 5
 )
 
-// stuck reports whether a task makes no progress.
+// stuck reports whether a task makes no progress by lists of its worker that are current. A report that may be stale is left
+// unread, and shows no progress.
 func (s *Service) stuck(now time.Time, a *attempt) bool {
-	if a.task == nil || a.progressAt.IsZero() || a.worker.suspect() || now.Sub(a.worker.lastRenewal) > renewInterval+maxRenewalWait {
+	if a.task == nil || a.progressAt.IsZero() || a.worker.suspect() || now.Sub(a.worker.listsReadAt) > renewInterval+maxRenewalWait {
 		return false
 	}
 	if a.task.step.LongRunning {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -55,6 +55,7 @@
 	renewalWaits bool      // the renewal in flight waits for an end
 	askAgain     bool      // the next renewal does not wait; see reportMayBeStale
 	lastRenewal  time.Time // when the last successful renewal was sent
+	listsReadAt  time.Time // when the last renewal was sent whose lists were read; see reportMayBeStale
 	answeredAt   time.Time // when it last answered a call
 	knownSince   time.Time // when this owner learned of the present incarnation
 	listedAt     time.Time // when its entry was last seen with a new version
@@ -425,6 +426,7 @@
 		w.mayHaveMoved = false
 		s.changed = true
 	}
+	w.listsReadAt = sent
 	w.moreEnds = !s.handleEnds(now, w, r.Ended) || r.More
 	for _, t := range r.Running {
 		s.handleRunning(now, w, t)
