Count leases of earlier owners on a restarted worker

The worker had restarted under its ID before the takeover. An order of the predecessor, with a lease on the clock of the earlier incarnation, is cut to the longest lease by the later one. The new owner knew of it only until the worker answered; from then on it counted its own leases alone.

The first report of a worker sets heldLease to the longest lease if the record tells of a restart, if another incarnation than the recorded one answers, or if it restarted while earlier owners may give orders. Later orders of theirs are refused by the token. A restart sets heldLease to 0 until the next report: a time on the clock of a long-lived incarnation would hold tasks for as long as that has run.

Failed before, with both kinds of restart:

takeover_test.go:514: 1 != 0 (runs beside another) --- FAIL: TestNewOwnerKeepsTheRunsOfARestartedWorkerThatHasAnswered/recorded=true --- FAIL: TestNewOwnerKeepsTheRunsOfARestartedWorkerThatHasAnswered/recorded=false

Each half of the condition taken out fails one of the two. Without the reset of heldLease:

takeover_test.go:542: 0 != 1 (running) --- FAIL: TestRestartEndsTheLeasesOfTheEarlierClock

--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -481,3 +481,63 @@
 	p.is.Equal(p.running(), 1)
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// Guards against a new owner that gives up runs after its own leases on a worker which had restarted under its id before the
+// takeover: an order of the earlier owner, with a lease on the clock of the incarnation before, holds them for as long as the
+// worker permits. The earlier owner may have recorded the restart, or not have known of it.
+func TestNewOwnerKeepsTheRunsOfARestartedWorkerThatHasAnswered(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		t.Run(fmt.Sprintf("recorded=%v", recorded), func(t *testing.T) {
+			p := newPool(t, 1)
+			p.run(30 * time.Second)
+			w := p.workers[0]
+			if recorded {
+				p.submit(jobA, longRunning(1))
+				p.run(2 * time.Second)
+				w.restart(p.now) // the next renewal has a lease on the earlier clock
+				p.run(400 * time.Millisecond)
+			} else {
+				w.restart(p.now) // and is idle, so that it isn't asked before the start
+				p.submit(jobA, longRunning(1))
+				p.run(tick)
+				p.storeDown = true
+				p.run(tick)
+			}
+			p.is.Equal(p.running(), 1)
+			p.storeDown, p.list[0] = false, w.info
+			p.takeOver(200, 6*time.Second)
+			p.run(200 * time.Millisecond)
+			w.partitioned = true
+			p.addWorker("b", 1)
+			p.s.SetWorkers(p.now, p.list)
+			p.run(15 * time.Second)
+			p.is.Equal(p.duplicateRuns, 0)
+			p.is.Equal(p.running(), 1)
+		})
+	}
+}
+
+// Guards against a lease on the clock of an earlier incarnation that counts for the later one, whose clock begins anew: the
+// tasks of a worker that is cut off would wait for as long as the earlier incarnation had run.
+func TestRestartEndsTheLeasesOfTheEarlierClock(t *testing.T) {
+	p := newPool(t, 1)
+	w := p.workers[0]
+	w.restart(p.now.Add(tick))
+	p.list[0] = w.info
+	p.run(30 * time.Second)
+	p.takeOver(200, 0) // the record tells of the restart
+	p.submit(jobB, step(1, 1000))
+	p.run(20 * time.Second)
+	w.restart(p.now)
+	p.list[0] = w.info
+	p.s.SetWorkers(p.now, p.list)
+	p.run(time.Second)
+	p.submit(jobA, longRunning(1))
+	p.run(time.Second)
+	p.is.Equal(p.running(), 1)
+	w.partitioned = true
+	p.addWorker("b", 1)
+	p.s.SetWorkers(p.now, p.list)
+	p.run(15 * time.Second)
+	p.is.Equal(p.running(), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -40,7 +40,7 @@
 	clock         time.Duration // lower bound of its clock at clockAt
 	clockAt       time.Time
 	lease         time.Duration // latest lease sent, as a time on its clock
-	heldLease     time.Duration // latest lease that it may have got by an order for its earlier incarnation
+	heldLease     time.Duration // latest lease that it may have got by an order, of any owner, for its earlier incarnation
 	leaseSentAt   time.Time     // when the last order with a lease was sent
 	longLease     bool          // an earlier owner has seen it restart
 	restarted     bool          // it has restarted since this owner learned of it
@@ -302,7 +302,8 @@
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.ackSent, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0, 0
 	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
-	w.leaseUnsure, w.restarted = w.leaseSentAt.After(w.lastRenewal), true
+	w.leaseUnsure = w.leaseSentAt.After(w.lastRenewal) || s.earlierOwnerMayReach(w)
+	w.heldLease, w.restarted = 0, true
 	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for _, a := range w.attempts {
@@ -314,6 +315,13 @@
 	}
 }
 
+// earlierOwnerMayReach reports whether an order of an earlier owner may reach the later incarnation of a worker that has
+// restarted: the earlier incarnation is not known to have been there after the earlier owners stopped giving orders. The later
+// one has seen no token, and a lease on the clock of the earlier one is of the longest length to it.
+func (s *Service) earlierOwnerMayReach(w *worker) bool {
+	return s.inherited[w.info.ID] && !w.lastRenewal.After(s.takenOverAt.Add(s.EarlierOwnerGrace))
+}
+
 // confirmRun withdraws the crash that was counted for a run when its worker restarted, since the new incarnation has it.
 func (s *Service) confirmRun(a *attempt) {
 	if a.mayHaveEnded {
