Check dispatch against every order of events in a small world

Walks are random and find a fault in one of thousands of runs. Package dispatch/exhaust runs every order of up to a number of events (calls without answers or carried out late, crashes, restarts, lists delivered late, frozen owners, successors) against dispatch.Service, knows which runs are alive, and prints the shortest order that breaks a rule, which can be replayed.

--- /dev/null
+++ b/dispatch/exhaust/options.go
@@ -0,0 +1,103 @@
+package exhaust
+
+import (
+	"time"
+
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// Calls selects kinds of calls to workers.
+type Calls struct{ Starts, Stops, Renewals bool }
+
+func (c Calls) has(kind dispatch.OrderKind) bool {
+	switch kind {
+	case dispatch.OrderStart:
+		return c.Starts
+	case dispatch.OrderStop:
+		return c.Stops
+	case dispatch.OrderRenew:
+		return c.Renewals
+	default:
+		return false
+	}
+}
+
+// Options describe the world and the events that are choices. They are set before Run.
+type Options struct {
+	Name        string
+	Depth       int             // number of events in an order
+	Tasks       int             // tasks of the step
+	LongRunning bool            // the tasks run until the job is cancelled; otherwise they end only by the event OpFinish
+	PerWorker   int             // limit of tasks of the step on a worker; 0: none
+	Running     bool            // the first choice is when all tasks run; otherwise when their starts are sent
+	Passes      []time.Duration // lengths of the event OpPass
+
+	Hold  Calls // a call is not carried out until its caller gives up or another event
+	Break Calls // the connection of a call breaks before it is carried out
+	Mute  Calls // a call is carried out, and its answer is lost
+	Keep  Calls // a call is carried out, and its answer waits
+	Late  Calls // a call that has no answer and was not carried out is carried out 2 to 12 s after it was sent
+
+	// LateAcross lets a call that its caller has given up be carried out by a later incarnation of its worker than the one that
+	// was up then. Otherwise such a call ends with the connection.
+	LateAcross bool
+
+	Crashes   int  // most crashes in an order
+	Bounce    bool // a worker crashes and restarts under the same ID at once
+	Crash     bool // a worker crashes and stays down
+	Restart   bool // a worker that is down restarts under the same ID
+	Replace   bool // a worker with another ID starts in the place of one that is down
+	Refuse    bool // workers that are down refuse connections; otherwise they are silent
+	Cut       bool // a worker is cut off, and reached again
+	Lists     bool // the list of workers is read now and delivered later
+	Hosts     bool // the list of hosts is read now and delivered later
+	Freeze    bool // the owner is frozen, and goes on
+	CutStore  bool // the owner does not reach the store
+	Kill      bool // the owner is killed
+	Successor bool // another owner takes over from an owner that is frozen, killed or does not reach the store
+	Cordon    bool // a worker's host is due for maintenance, so that its tasks are moved
+	Finish    bool // a run ends as done
+
+	Parallel int // goroutines; 0: 1
+	// MaxViolations ends the search; 0: 1. Violations of the same rule by the same kinds of events count once.
+	MaxViolations int
+	// MaxStates ends the search; 0: no limit.
+	MaxStates int
+}
+
+// Configurations returns the configurations that the test runs. Their depths are those of a short run.
+func Configurations() []Options {
+	passes := []time.Duration{100 * time.Millisecond, time.Second, 11 * time.Second}
+	return []Options{
+		{
+			Name: "restarts", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Hold: Calls{Starts: true},
+			Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2, Bounce: true, Lists: true, Cut: true,
+		},
+		{
+			Name: "hosts", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Break: Calls{Starts: true},
+			Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2, Crash: true, Restart: true, Replace: true, Refuse: true, Lists: true,
+			Hosts: true,
+		},
+		{
+			Name: "across", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Break: Calls{Starts: true}, Late: Calls{Starts: true},
+			LateAcross: true, Crashes: 2, Bounce: true, Crash: true, Restart: true,
+		},
+		{
+			Name: "takeover", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Hold: Calls{Starts: true}, Mute: Calls{Starts: true},
+			Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Cut: true, Freeze: true, CutStore: true, Kill: true, Successor: true,
+		},
+		{
+			Name: "frozen", Depth: 4, Tasks: 1, LongRunning: true, PerWorker: 1, Passes: passes, Hold: Calls{Starts: true}, Keep: Calls{Starts: true, Renewals: true},
+			Break: Calls{Starts: true}, Crashes: 2, Bounce: true, Cut: true, Freeze: true, Lists: true, Successor: true,
+		},
+		{
+			Name: "stops", Depth: 4, Tasks: 1, LongRunning: true, PerWorker: 1, Passes: passes, Break: Calls{Starts: true, Stops: true},
+			Mute: Calls{Starts: true, Stops: true}, Keep: Calls{Starts: true, Stops: true, Renewals: true}, Late: Calls{Starts: true, Stops: true},
+			Crashes: 1, Bounce: true, Cordon: true, Cut: true,
+		},
+		{
+			Name: "ends", Depth: 4, Tasks: 2, PerWorker: 1, Passes: passes, Break: Calls{Starts: true}, Mute: Calls{Starts: true, Renewals: true},
+			Keep: Calls{Renewals: true}, Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Finish: true, Cut: true,
+		},
+	}
+}
--- /dev/null
+++ b/dispatch/exhaust/search.go
@@ -0,0 +1,164 @@
+package exhaust
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// search is a search for violations.
+type search struct {
+	opts   *Options
+	limit  int // events in an order
+	mu     sync.Mutex
+	seen   map[state]int // by state: most events that were left when it was explored
+	result *Result
+	kinds  map[string]bool // kinds of violations that were found
+	over   bool            // the search ends before all orders are checked
+}
+
+// Run checks every order of up to Depth events. The orders are checked by their length, so that the violations found are the
+// shortest.
+func Run(opts Options) *Result {
+	began := time.Now()
+	s := &search{opts: &opts, result: &Result{Name: opts.Name}, kinds: map[string]bool{}}
+	for s.limit = 1; s.limit <= opts.Depth && !s.over; s.limit++ {
+		s.seen = map[state]int{}
+		s.result.States, s.result.Orders = 0, 0
+		s.exploreAll()
+		if !s.over {
+			s.result.Depth = s.limit
+		}
+	}
+	s.result.Took = time.Since(began)
+	return s.result
+}
+
+// exploreAll checks all orders of the present length, by their first event in Parallel goroutines.
+func (s *search) exploreAll() {
+	first := make(chan Event)
+	var wg sync.WaitGroup
+	for range max(1, s.opts.Parallel) {
+		wg.Go(func() {
+			for e := range first {
+				s.exploreNext(nil, e, s.replay(nil))
+			}
+		})
+	}
+	for _, e := range newWorld(s.opts, nil).choices() {
+		first <- e
+	}
+	close(first)
+	wg.Wait()
+}
+
+// explore checks all orders that begin with the events in prefix, which have led to x.
+func (s *search) explore(prefix []Event, x *world) {
+	if len(prefix) == s.limit {
+		s.settle(prefix, x)
+		return
+	}
+	for i, e := range x.choices() {
+		next := x
+		if i > 0 { // the first event goes on with x
+			next = s.replay(prefix)
+		}
+		s.exploreNext(prefix, e, next)
+	}
+}
+
+// exploreNext checks all orders that begin with the events in prefix, which have led to x, and e. x is nil if the events could
+// not be repeated.
+func (s *search) exploreNext(prefix []Event, e Event, x *world) {
+	last := len(prefix)+1 == s.limit
+	if s.stopped() || last && e.Op.preparesOnly() {
+		return
+	}
+	if x == nil || !x.apply(e) {
+		s.count(func(r *Result) { r.Diverged++ })
+		return
+	}
+	events := append(slices.Clone(prefix), e)
+	if x.violation != nil {
+		s.found(events, x, false)
+		return
+	}
+	if !s.known(x, s.limit-len(events)) {
+		s.explore(events, x)
+	}
+}
+
+func (s *search) stopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
+
+func (s *search) count(fn func(r *Result)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn(s.result)
+}
+
+// known reports whether the orders that continue a state have been checked. States after the last event aren't compared.
+func (s *search) known(x *world, left int) bool {
+	var h state
+	if left > 0 {
+		h = hash(x)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if most, ok := s.seen[h]; left > 0 && ok && most >= left {
+		s.result.Merged++
+		return true
+	}
+	s.seen[h] = left
+	s.result.States++
+	s.over = s.over || s.opts.MaxStates > 0 && s.result.States >= s.opts.MaxStates
+	return false
+}
+
+// replay returns the world after some events, or nil if one was not possible.
+func (s *search) replay(events []Event) *world {
+	x := newWorld(s.opts, nil)
+	for _, e := range events {
+		if !x.apply(e) {
+			return nil
+		}
+	}
+	return x
+}
+
+// settle checks what follows after the last event of an order.
+func (s *search) settle(events []Event, x *world) {
+	s.count(func(r *Result) { r.Orders++ })
+	x.settle()
+	if x.violation != nil {
+		s.found(events, x, true)
+	}
+}
+
+// found records a violation unless one of its kind is known.
+func (s *search) found(events []Event, x *world, settle bool) {
+	v := *x.violation
+	v.Events, v.Settle = events, settle
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kind := v.kind()
+	if s.kinds[kind] || s.over {
+		return
+	}
+	s.kinds[kind] = true
+	s.result.Violations = append(s.result.Violations, v)
+	s.over = len(s.result.Violations) >= max(1, s.opts.MaxViolations)
+}
+
+// kind returns the rule and the kinds of the events in their order.
+func (v *Violation) kind() string {
+	list := []string{v.Rule}
+	for _, e := range v.Events {
+		list = append(list, string(e.Op))
+	}
+	return strings.Join(list, " ")
+}
