--- a/dispatch/scene_test.go
+++ b/dispatch/scene_test.go
@@ -118,8 +118,6 @@
 	w.startProcess(h, id)
 }
 
-// Guards against dropping the end of a task whose occurrence a new owner has not created, since its clock is behind that
-// Guards against a second run of a task that was started on a worker which had restarted under its id just before: the
 // Guards against an owner that relies on the stop of its predecessor although the owner before that one, which is cut off,
 // still gives orders.
 func TestThirdOwnerWaitsForTheFirst(t *testing.T) {
@@ -143,7 +141,6 @@
 	}
 }
 
-// Guards against taking a worker as having reported all ends by the first 500 of them: a new owner started tasks again
 // Guards against counting only the present owner's leases for a worker that has restarted under its id: an order with a
 // lease on the clock of the earlier incarnation gives the new one the longest lease there is.
 func TestLeaseOfTheEarlierIncarnation(t *testing.T) {
@@ -209,9 +206,6 @@
 	w.runFor(8 * time.Second)
 }
 
-// Guards against a lease that is too long since it was computed from a clock that was read long ago: a clock that is 2%
-// Guards against using a worker that is not in the stored record since it was taken as gone and came back: the next owner
-// Guards against tasks that wait for ever since nothing starts them when the time has passed for which all workers were
 // Guards against a second run of a step after a gang: a new owner that found one task of the gang takes the step as not
 // started, but the earlier owner, which is cut off, may have learned of the end of the gang from the worker of another
 // task.
