Ask idle workers before a start that may come from a former owner

The new owner had found the worker's host down, had taken it for gone, and had started the task elsewhere.

Only the former owner's knowledge of the restart protects the tasks then: a restarted worker gets none until the store has its new identity, which it refuses to a former owner. But idle workers were asked every 30 s. The same happens without a freeze to an owner that is cut off from the store.

An owner whose last stored write is older than AliveTime gives a worker tasks only if it has answered a renewal that was sent within the last 2.1 s. Workers at work are asked that often in any case; idle ones are asked while tasks wait, up to 500 in one decision. A store that is away delays a start on an idle worker by one call.

Failed before:

TWICE: run 104449 starts on h1-1 by d1/102 while run 110593 is active on h2-2 --- FAIL: TestIdleWorkerThatHasRestartedIsNotUsedByTheEarlierOwner/0s --- FAIL: TestIdleWorkerThatHasRestartedIsNotUsedByTheEarlierOwner/3.6s

TestIdleWorkersAreUsedWhileTheStoreIsAway held before, and fails if idle workers are not asked.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -200,6 +200,10 @@
 
 // orderRenewals orders the renewals that are due: they extend leases, read the workers' lists and acknowledge ends.
 func (s *Service) orderRenewals(now time.Time) {
+	mayAsk := 0 // number of idle workers that may be asked whether they have restarted
+	if len(s.ready) > 0 || s.unplacedMoves > 0 {
+		mayAsk = maxAsked
+	}
 	for _, w := range s.workers {
 		if w.gone || w.renewing || now.Before(w.nextRenewal) || w.info.Addr == "" {
 			continue
@@ -208,18 +212,18 @@
 		case !w.synced, w.moreEnds, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
 		case w.failedCalls > 0 && w.listed: // retry until the worker answers or is no longer listed
 		case w.listed && now.Sub(w.clockAt) > maxClockAge:
+		case w.askFirst && mayAsk > 0:
+			mayAsk--
 		default:
 			continue
 		}
 		w.renewing = true
 		o := Order{Kind: OrderRenew, Worker: w.info, Token: s.Token, Seen: w.toAcknowledge()}
-		if w.synced {
-			if len(w.attempts) > 0 && w.failedCalls == 0 {
+		if w.synced && len(w.attempts) > 0 {
+			if w.failedCalls == 0 {
 				o.Lease = s.nextLease(now, w) // a worker that does not answer keeps the lease that it has
 			}
-			if len(w.attempts) > 0 {
-				o.Wait = renewalWait(w)
-			}
+			o.Wait = renewalWait(w)
 		}
 		w.ackSent = o.Seen
 		w.renewalWaits = o.Wait > 0
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -29,6 +29,8 @@
 	renewalGap = 30 * time.Millisecond
 	// maxRenewalRate bounds the renewals of a service per second: with many workers the pause between renewals is longer.
 	maxRenewalRate = 900
+	// maxAsked bounds the idle workers that are asked in one decision whether they have restarted.
+	maxAsked = 500
 	// unstoredEndsGap is the pause between two renewals while ends wait to be stored.
 	unstoredEndsGap = 250 * time.Millisecond
 	// AliveTime is how long after a write of this daemon to the store there can't be a new owner that has read the workers: other
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -55,7 +55,9 @@
 	for _, w := range s.workers {
 		w.vacating = now.Before(w.vacateUntil)
 		was := w.candidate
-		w.candidate = w.usable(now) && !s.isCutOff(now, w) && !s.outage.outdated(now, w)
+		usable := w.usable(now) && !s.isCutOff(now, w) && !s.outage.outdated(now, w)
+		w.askFirst = usable && s.restartMayBeMissed(now, w)
+		w.candidate = usable && !w.askFirst
 		if w.candidate {
 			s.changed = s.changed || !was // tasks may have waited for the end of a block or a cordon
 			s.candidates = append(s.candidates, w)
--- a/dispatch/scene_test.go
+++ b/dispatch/scene_test.go
@@ -209,6 +209,50 @@
 	w.runFor(8 * time.Second)
 }
 
+// newSceneWithTimedJob returns a scene with one host, which is idle and has just answered the first owner, and a job that is due
+// after a time. The first owner is kept from the store and the other daemons.
+func newSceneWithTimedJob(t *testing.T, due time.Duration) (*walk, *modelJob) {
+	w := newScene(t, largeHost)
+	w.runFor(2 * time.Second)
+	w.give(50*time.Millisecond, jobOf(largeTask()))
+	w.runFor(200 * time.Millisecond)
+	spec := jobOf(largeTask())
+	spec.First = w.sim.now.Add(due).UnixMilli()
+	j := w.give(30*time.Second, spec)
+	w.cutFirstOwner(20 * time.Second)
+	return w, j
+}
+
+// Guards against an earlier owner that starts a task on an idle worker which has restarted and knows no fencing token, while the
+// new owner takes the worker as gone and has started the task elsewhere. The earlier owner was cut off, or frozen for a time.
+func TestIdleWorkerThatHasRestartedIsNotUsedByTheEarlierOwner(t *testing.T) {
+	const due = 3500 * time.Millisecond
+	for _, frozen := range []time.Duration{0, due + 100*time.Millisecond} {
+		t.Run(frozen.String(), func(t *testing.T) {
+			w, j := newSceneWithTimedJob(t, due)
+			w.daemons[0].freeze(frozen)
+			w.addHost(largeHost) // unknown to the first owner
+			w.runFor(500 * time.Millisecond)
+			w.takes(2)
+			w.restart(w.hosts[0], due-600*time.Millisecond)
+			w.runFor(6 * time.Second)
+			if w.activeRuns(j) != 1 {
+				t.Error("the task does not run")
+			}
+		})
+	}
+}
+
+// Guards against an owner that places no tasks while the store is away, since it has not asked its idle workers lately.
+func TestIdleWorkersAreUsedWhileTheStoreIsAway(t *testing.T) {
+	const due = 3500 * time.Millisecond
+	w, j := newSceneWithTimedJob(t, due)
+	w.runFor(due + 50*time.Millisecond)
+	if w.activeRuns(j) != 1 {
+		t.Error("the task was not started in time")
+	}
+}
+
 // Guards against a lease that is too long since it was computed from a clock that was read long ago: a clock that is 2%
 // Guards against using a worker that is not in the stored record since it was taken as gone and came back: the next owner
 // Guards against tasks that wait for ever since nothing starts them when the time has passed for which all workers were
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -66,6 +66,7 @@
 	blockedUntil time.Time // no new tasks until then, after refusals or failures
 	failedRuns   int       // consecutive failed runs
 	candidate    bool      // it might be given tasks at the last decision
+	askFirst     bool      // it would be a candidate if it had answered lately; see restartMayBeMissed
 	idleSince    time.Time // since when it has no tasks
 
 	reservedFor   *task     // only this task may be placed on it; nil: any
@@ -172,6 +173,13 @@
 		now.After(w.blockedUntil) && now.After(w.cordonedUntil) && !w.mayHaveMoved
 }
 
+// restartMayBeMissed reports whether a worker may have restarted lately without this owner knowing. It matters only if other
+// daemons may take this one for dead: a new owner may have found the host of the worker down and have started its tasks
+// elsewhere, and the worker, which has seen no token since, would carry out a start of this owner.
+func (s *Service) restartMayBeMissed(now time.Time, w *worker) bool {
+	return s.Grace > 0 && now.Sub(s.aliveAt) >= AliveTime && now.Sub(w.lastRenewal) > silentTimeout
+}
+
 func (w *worker) free() place.Room { return w.total.Plus(w.used, -1) }
 
 // freeCores returns the free cores, limited by the free share of memory.
