Count a run as one crash at most

A run that may have been started by the later incarnation of a worker is kept when a restart is noticed, and its crash is counted. When the later incarnation was found to have crashed before its first report, the same run was counted again. With two crashes the task got trials, so that its next crash counted as its own.

A run has at most one crash now. Giving the job up is still looked at again at the second crash of the worker, when the run is lost for certain.

Failed before:

crash_test.go:554: failed != completed --- FAIL: TestRunCountsAsOneCrash

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -83,6 +83,11 @@
 	return n >= maxCrashes || t.step.Gang || t.aloneOnce()
 }
 
+// hasCrash reports whether a run of the task is recorded as a crash.
+func (t *task) hasCrash(run int64) bool {
+	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Run == run })
+}
+
 // aloneOnce reports whether only this task can have caused one of its crashes.
 func (t *task) aloneOnce() bool {
 	return slices.ContainsFunc(t.crashes, func(c crash) bool { return c.Alone })
@@ -243,12 +248,16 @@
 	}
 	unsettled := w.unsettledRuns()
 	for _, a := range w.attempts {
-		if t := s.taskOf(a); t != nil && !a.settled() && a.mayHaveRun() && !slices.Contains(hit, t) {
+		t := s.taskOf(a)
+		if t == nil || a.settled() || !a.mayHaveRun() || slices.Contains(hit, t) {
+			continue
+		}
+		if !t.hasCrash(a.run) { // it has one if it was kept at a restart
 			s.addCrash(t, crash{
 				Run: a.run, Worker: w.info.ID, Confirmed: true, Started: !a.answeredAt.IsZero(), Late: true, Alone: a.trial && unsettled == 1,
 			})
-			hit = append(hit, t)
 		}
+		hit = append(hit, t)
 	}
 	for _, t := range hit {
 		if a := w.attempts[t.id]; a == nil || !kept[a] {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -526,3 +527,29 @@
 	p.is.Equal(p.s.State(jobA), cuminstair.JobCompleted)
 	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 2)
 }
+
+// Guards against counting one run as two crashes, once when the restart of its worker is noticed, and again when the host is
+// found down: its job is given up after one crash.
+func TestRunCountsAsOneCrash(t *testing.T) {
+	p := newPool(t, 4)
+	p.duration = func(cuminstair.TaskID) time.Duration { return 10 * time.Second }
+	p.startOnHosts()
+	s := step(2, 2000)
+	s.Gang = true
+	p.submit(jobB, s)
+	id := cuminstair.TaskID{Job: jobB}
+	for range 10 {
+		if p.starts[id] == 0 {
+			p.run(tick)
+		}
+	}
+	w := p.workers[slices.IndexFunc(p.workers, func(w *fakeWorker) bool { return w.runs[id] != nil })]
+	w.restart(p.now)
+	w.crashed = true
+	w.info.Version++
+	p.relist(w) // before a report of the earlier incarnation lists the run
+	p.run(time.Second)
+	p.s.SetHosts(p.now, p.now, p.hostsIn(w, cuminstair.PhaseDown))
+	p.run(15 * time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+}
