--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -276,6 +276,8 @@
 	case err == nil:
 		if clock > 0 && clock+leaseMargin < w.clockAtLeast(a.sentAt) {
 			w.clockWentBack, w.nextRenewal = true, now
+			// A later incarnation has cut the lease of the start to the longest one, from its own clock.
+			w.heldLease = max(w.heldLease, w.clockAtLeast(now)+s.Bounds.MaxLease)
 		}
 		a.answeredAt, w.answeredAt = now, now
 		if a.progressAt.IsZero() {
--- /dev/null
+++ b/dispatch/restart_test.go
@@ -0,0 +1,75 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// showRestart puts the present incarnation of a worker into the list of workers.
+func (p *pool) showRestart(w *fakeWorker) {
+	for i := range p.list {
+		if p.list[i].ID == w.info.ID {
+			p.list[i] = w.info
+		}
+	}
+	p.s.SetWorkers(p.now, p.list)
+}
+
+// Guards against giving a run up under the short lease of its owner although the start, which the later incarnation of its
+// worker carried out after a renewal had overtaken it, carries a lease on the clock of the earlier incarnation.
+func TestLeaseOfAStartThatARenewalHasOvertaken(t *testing.T) {
+	for name, listed := range map[string]bool{"restart shown by the list": true, "restart shown by the report": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 2)
+			p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+			p.run(20 * time.Second)
+			start := p.heldStart(jobA)
+			w := p.worker(start.Worker.ID)
+			p.now = p.now.Add(10 * tick)
+			orders := p.decide(0)
+			p.now = p.now.Add(5 * time.Millisecond) // the calls are sent after the decision
+			for _, o := range orders {
+				p.execute(o) // the earlier incarnation answers a renewal
+			}
+			w.restart(p.now)
+			p.now = p.now.Add(tick)
+			p.execute(start)
+			p.is.Equal(len(w.runs), 1)
+			if listed {
+				p.showRestart(w)
+			}
+			p.run(400 * time.Millisecond) // the later incarnation is read
+			w.partitioned = true
+			p.run(12 * time.Second)
+			p.is.Equal(p.duplicateRuns, 0)
+		})
+	}
+}
+
+// Guards against giving a run up under its owner's short lease although the answer to its start has shown that a later
+// incarnation carried it out, with a lease on the clock of the earlier one.
+func TestLeaseOfAnAnsweredStartOnAnUnnoticedIncarnation(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(20 * time.Second)
+	p.submit(jobA, step(1, 2000))
+	p.writeBatch()
+	var w *fakeWorker
+	for _, o := range p.decide(0) {
+		if o.Kind != dispatch.OrderStart {
+			p.deliver(o, cuminstair.ErrUncertain, nil)
+			continue
+		}
+		w = p.worker(o.Worker.ID)
+		w.restart(p.now)
+		p.now = p.now.Add(tick)
+		p.execute(o) // and answered
+	}
+	p.is.Equal(len(w.runs), 1)
+	w.partitioned = true
+	p.run(12 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+}
