Ignore confirmations of stops that were sent to the earlier incarnation

Cause: the answer to a stop, sent before a restart was known and read after it, counted as a confirmation by the later incarnation, which does not bar the run.

Evidence: TestStopAnsweredByTheEarlierIncarnationIsReadAfterTheRestart, by the reviewer, failed before and holds now. The order has the incarnation that it was sent to; a confirmation counts only if that is the present one, and the stop is repeated otherwise.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -337,6 +337,7 @@
 func (s *Service) Stopped(now time.Time, o Order, err error) {
 	a := o.attempt
 	switch {
+	case err == nil && o.Worker.Incarnation != a.worker.info.Incarnation: // it may be of the earlier incarnation
 	case err == nil:
 		a.stopConfirmedAt, a.worker.answeredAt = now, now
 		a.worker.nextRenewal = now
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -73,3 +73,47 @@
 	p.run(12 * time.Second)
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// Guards against taking the confirmation of a stop by the earlier incarnation, which is read after the restart is known, for
+// one by the later incarnation. The stop that is repeated at the restart is lost.
+func TestStopAnsweredByTheEarlierIncarnationIsReadAfterTheRestart(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(200 * time.Millisecond)
+	for _, w := range p.workers {
+		w.startDelay = 4 * time.Second
+	}
+	start := p.heldStart(jobA)
+	p.execute(start)
+	w := p.worker(start.Worker.ID)
+	var stop dispatch.Order
+	for stop.Kind != dispatch.OrderStop {
+		p.now = p.now.Add(tick)
+		for _, o := range p.decide(0) {
+			if o.Kind == dispatch.OrderStop {
+				stop = o
+			} else {
+				p.execute(o)
+			}
+		}
+	}
+	for _, x := range p.workers {
+		x.startDelay = 0
+	}
+	w.barred[stop.Task] = stop.Run // the earlier incarnation confirms the stop
+	w.restart(p.now)
+	p.showRestart(w)
+	p.now = p.now.Add(tick)
+	for _, o := range p.decide(0) {
+		if o.Kind == dispatch.OrderStop {
+			p.s.Stopped(p.now, o, cuminstair.ErrUncertain) // the repeated stop is lost
+		} else {
+			p.execute(o)
+		}
+	}
+	p.s.Stopped(p.now, stop, nil)          // the answer to the first one
+	p.s.Cordon(p.now, []string{w.info.ID}) // so that the task starts elsewhere
+	p.run(10 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+	p.is.Equal(p.running(), 1)
+}
