Stop the latest of several remembered runs of a task at a restart

Callers could see two runs of one task at once (TWICE).

Cause: of several runs of a task that were released without an answer to their starts, only the earliest was stopped after a restart. A stop bars runs up to its number, so that the later one could still be carried out.

--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -117,3 +117,30 @@
 	p.is.Equal(p.duplicateRuns, 0)
 	p.is.Equal(p.running(), 1)
 }
+
+// Guards against a restart after which only the older one of two runs of a task is stopped that were released without an answer
+// to their starts.
+func TestTwoBarredRunsOfOneTask(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(200 * time.Millisecond)
+	w, other := p.workers[0], p.workers[1]
+	p.s.Cordon(p.now, []string{other.info.ID}) // the first two runs are on w
+	w.startDelay = 4 * time.Second
+	p.submit(jobA, step(1, 2000))
+	p.run(1300 * time.Millisecond)
+	p.s.Cordon(p.now, []string{other.info.ID})
+	p.is.Equal(len(w.delayed), 2)
+	p.s.Cordon(p.now, []string{w.info.ID}) // the third one is elsewhere
+	p.run(1900 * time.Millisecond)
+	p.s.Cordon(p.now, []string{w.info.ID})
+	p.run(300 * time.Millisecond)
+	p.is.Equal(len(w.delayed), 2)
+	p.is.Equal(len(other.runs), 1)
+	w.startDelay = 0
+	w.restart(p.now)
+	p.showRestart(w)
+	p.run(5 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+	p.is.Equal(p.running(), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -341,16 +342,17 @@
 	w.barred = slices.DeleteFunc(w.barred, func(a *attempt) bool { return now.Sub(a.unansweredAt) > lateCallTime })
 }
 
-// stopBarred takes back the runs that a later incarnation of the worker may still start, and stops them there.
+// stopBarred takes back the runs that a later incarnation of the worker may still start, and stops them there. The stop of a run
+// bars the earlier runs of its task as well, so that the latest run comes first.
 func (s *Service) stopBarred(now time.Time, w *worker) {
 	w.dropBarred(now)
+	slices.SortFunc(w.barred, func(a, b *attempt) int { return cmp.Compare(b.run, a.run) })
 	for _, a := range w.barred {
-		if w.attempts[a.id] != nil {
-			continue // a later run of the task
-		}
 		a.task, a.mayHaveEnded, a.trial = nil, true, false
-		w.add(a)
 		a.stopSentAt, a.stopConfirmedAt = time.Time{}, time.Time{}
+		if w.attempts[a.id] == nil {
+			w.add(a)
+		}
 		s.orderStop(now, a)
 	}
 	w.barred = nil
