Don't stop runs at a restart that only lacked the answer to their start

Cause: a stop that was ordered only since the start had no answer was repeated at the restart, and a run that had been released was stopped there, although the later incarnation may have the run at work and the task has no other.

Such a run goes on as one whose start had no answer, and the next report decides.

--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -593,10 +593,10 @@
 	}
 }
 
-// heldStart submits a job of one task and returns its start, which is still on its way to the worker.
-func (p *pool) heldStart(job string) dispatch.Order {
+// heldStart submits job A with one task and returns its start, which is still on its way to the worker.
+func (p *pool) heldStart() dispatch.Order {
 	p.t.Helper()
-	p.submit(job, step(1, 2000))
+	p.submit(jobA, step(1, 2000))
 	p.writeBatch()
 	var start dispatch.Order
 	for _, o := range p.decide(0) {
@@ -606,7 +606,7 @@
 			p.execute(o)
 		}
 	}
-	p.is.Equal(start.Task.Job, job)
+	p.is.Equal(start.Task.Job, jobA)
 	return start
 }
 
@@ -616,7 +616,7 @@
 	p := newPool(t, 2)
 	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
 	p.run(200 * time.Millisecond)
-	start := p.heldStart(jobA)
+	start := p.heldStart()
 	w := p.worker(start.Worker.ID)
 	p.now = p.now.Add(10 * tick)
 	for _, o := range p.decide(0) {
@@ -684,7 +684,7 @@
 			for _, w := range p.workers {
 				w.startDelay = 4 * time.Second
 			}
-			start := p.heldStart(jobA)
+			start := p.heldStart()
 			p.execute(start)
 			w := p.worker(start.Worker.ID)
 			for w.barred[start.Task] < start.Run { // until the stop is confirmed
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -26,7 +26,7 @@
 			p := newPool(t, 2)
 			p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
 			p.run(20 * time.Second)
-			start := p.heldStart(jobA)
+			start := p.heldStart()
 			w := p.worker(start.Worker.ID)
 			p.now = p.now.Add(10 * tick)
 			orders := p.decide(0)
@@ -83,7 +83,7 @@
 	for _, w := range p.workers {
 		w.startDelay = 4 * time.Second
 	}
-	start := p.heldStart(jobA)
+	start := p.heldStart()
 	p.execute(start)
 	w := p.worker(start.Worker.ID)
 	var stop dispatch.Order
@@ -144,3 +144,75 @@
 	p.is.Equal(p.duplicateRuns, 0)
 	p.is.Equal(p.running(), 1)
 }
+
+// unansweredLongRunning starts a long-running task on the only worker of a pool. The start has no answer, and is returned.
+func unansweredLongRunning(t *testing.T) (*pool, dispatch.Order) {
+	t.Helper()
+	p := newPool(t, 1)
+	p.workers[0].info.Host, p.list[0].Host = "h", "h"
+	p.s.SetWorkers(p.now, p.list)
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, longRunning(1))
+	p.writeBatch()
+	var start dispatch.Order
+	for _, o := range p.decide(0) {
+		if o.Kind == dispatch.OrderStart {
+			start = o
+			p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
+		} else {
+			p.execute(o)
+		}
+	}
+	p.is.Equal(start.Task.Job, jobA)
+	return p, start
+}
+
+// Guards against stopping a task at work that was started late by a later incarnation, since its run was released before the
+// restart: the task has no other run, and could be kept.
+func TestReleasedRunAtWorkIsNotStoppedAtARestart(t *testing.T) {
+	p, start := unansweredLongRunning(t)
+	w := p.workers[0]
+	w.partitioned = true
+	p.run(500 * time.Millisecond)
+	p.s.SetHosts(p.now, p.now.Add(-10*time.Millisecond), []cuminstair.HostRecord{{Name: "h", Pool: "s", Phase: cuminstair.PhaseDown}})
+	w.restart(p.now)
+	p.launch(w, start)
+	w.lease = maxLease
+	p.run(1500 * time.Millisecond)
+	w.partitioned = false
+	p.is.Equal(p.ready(), 1)
+	p.showRestart(w)
+	stops := p.s.Counts().Stops
+	p.run(2 * time.Second)
+	p.is.Equal(p.s.Counts().Stops, stops)
+	p.is.Equal(p.starts[start.Task], 1)
+}
+
+// Guards against stopping a task at work that is kept at the same time: its start had no answer, and the report that shows the
+// restart lists it.
+func TestKeptRunAtWorkIsNotStoppedAtARestart(t *testing.T) {
+	p, start := unansweredLongRunning(t)
+	w := p.workers[0]
+	stops := 0
+	for end := p.now.Add(time.Second); stops == 0 && p.now.Before(end); p.now = p.now.Add(tick) {
+		for _, o := range p.decide(0) {
+			if o.Kind == dispatch.OrderStop {
+				stops++
+				p.s.Stopped(p.now, o, cuminstair.ErrUncertain) // it is lost
+				continue
+			}
+			p.execute(o)
+		}
+	}
+	p.is.Equal(stops, 1)
+	w.partitioned = true
+	w.restart(p.now)
+	p.launch(w, start)
+	w.lease = maxLease
+	p.run(1500 * time.Millisecond)
+	w.partitioned = false
+	p.is.Equal(p.ready(), 1)
+	p.run(2 * time.Second)
+	p.is.Equal(p.starts[start.Task], 1)
+	p.is.Equal(p.ready(), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -319,12 +319,17 @@
 	s.stopBarred(now, w)
 }
 
-// repeatStop orders the stop of a run again, if it was ordered, since a later incarnation of the worker does not know of it.
+// repeatStop orders the stop of a run again, if it was ordered, since a later incarnation of the worker does not know of it. One
+// that was ordered only since the start had no answer is withdrawn: the later incarnation may have the run at work.
 func (s *Service) repeatStop(now time.Time, a *attempt) {
 	if a.stopSentAt.IsZero() {
 		return
 	}
 	a.stopSentAt, a.stopConfirmedAt = time.Time{}, time.Time{}
+	if a.stopUnanswered {
+		a.stopUnanswered = false
+		return
+	}
 	s.orderStop(now, a)
 }
 
@@ -342,16 +347,20 @@
 	w.barred = slices.DeleteFunc(w.barred, func(a *attempt) bool { return now.Sub(a.unansweredAt) > lateCallTime })
 }
 
-// stopBarred takes back the runs that a later incarnation of the worker may still start, and stops them there. The stop of a run
-// bars the earlier runs of its task as well, so that the latest run comes first.
+// stopBarred takes back the runs that a later incarnation of the worker may still start, and stops them there unless their task
+// has no other run. The stop of a run bars the earlier runs of its task as well, so that the latest run comes first.
 func (s *Service) stopBarred(now time.Time, w *worker) {
 	w.dropBarred(now)
 	slices.SortFunc(w.barred, func(a, b *attempt) int { return cmp.Compare(b.run, a.run) })
 	for _, a := range w.barred {
 		a.task, a.mayHaveEnded, a.trial = nil, true, false
-		a.stopSentAt, a.stopConfirmedAt = time.Time{}, time.Time{}
+		a.stopSentAt, a.stopConfirmedAt, a.stopUnanswered = time.Time{}, time.Time{}, false
 		if w.attempts[a.id] == nil {
 			w.add(a)
+			if t := s.taskOf(a); t != nil && t.attempt == nil {
+				a.task, t.attempt = t, a
+				continue // its start counts as one without an answer
+			}
 		}
 		s.orderStop(now, a)
 	}
