Handle only events that were queued before the time was read

Callers could see two runs of one task at once (TWICE) after a freeze: an answer that came after it counted as from before it, so that observations compared wrongly, and leases on the worker's clock were reckoned too short.

Cause: the loop of a service read the time, handled one event, and then handled all events queued by then with the same time.

Evidence: TestEventsAreNotHandledWithATimeBeforeThem, by the reviewer, failed before and holds now.

--- a/entry/runner.go
+++ b/entry/runner.go
@@ -126,9 +126,10 @@
 			r.end("the daemon stops")
 			return
 		case fn := <-r.events:
+			n := len(r.events) // those that are queued by now
 			now := r.d.Timer.Now()
 			fn(now)
-			for n := len(r.events); n > 0; n-- {
+			for ; n > 0; n-- {
 				(<-r.events)(now)
 			}
 			gap := max(stepInterval, time.Duration(r.state.Workers())*stepIntervalPerWorker)
