Count a repeated write from its first attempt

Cause: a conflict that shows that an earlier attempt of a write was stored counted as a write at the time of the last attempt. Other daemons count from the first.

--- a/entry/commit.go
+++ b/entry/commit.go
@@ -83,11 +83,11 @@
 	var conflict *cuminstair.Conflict
 	switch {
 	case err == nil:
-		r.batchCommitted(now, sent, b, version)
+		r.batchCommitted(now, sent, sent, b, version)
 	case errors.As(err, &conflict):
 		o, v := conflictOwner(conflict)
 		if o == r.owner {
-			r.batchCommitted(now, sent, b, v)
+			r.batchCommitted(now, sent, r.sentAt, b, v) // an earlier attempt was stored
 			return
 		}
 		r.state.Depose("the store has another owner record: " + o.Name)
@@ -114,14 +114,18 @@
 		"largest", largest.Table+"/"+largest.Key, "bytes", len(largest.Value))
 }
 
-func (r *runner) batchCommitted(now, sent time.Time, b *dispatch.Batch, version uint64) {
+// batchCommitted handles a batch that has been stored. sent is when the call was sent that showed it, and wroteAt the earliest time at
+// which it may have been stored: other daemons take this one for alive from then on.
+func (r *runner) batchCommitted(now, sent, wroteAt time.Time, b *dispatch.Batch, version uint64) {
 	r.version = version
 	r.inflight = nil
 	took := now.Sub(sent)
 	r.latency = max(took, r.latency+(took-r.latency)/8)
 	r.setConfirmed(sent)
-	r.wroteAt = sent
-	r.d.wroteAt.Store(&sent)
+	r.wroteAt = wroteAt
+	if at := r.d.wroteAt.Load(); at == nil || wroteAt.After(*at) {
+		r.d.wroteAt.Store(&wroteAt)
+	}
 	if !r.failingSince.IsZero() {
 		r.d.Log.Info("entry: dependency regained", "dependency", "writes of "+r.service, "after", now.Sub(r.failingSince).Round(time.Millisecond).String())
 		r.failingSince = time.Time{}
