Pause before a worker is asked again whose answers contradict its entry

Operators could see a line in the log for each of some ten renewals a second, if the list of workers shows a later incarnation than the worker reports.

Cause: the early return set no time for the next renewal. A report that was requested before a restart was known is usual, and counted as a contradiction too.

--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -145,8 +145,17 @@
 	}
 }
 
+// earlierIncarnation handles a report of an incarnation that is known to have ended. It is a contradiction only if it was requested after
+// that was known.
+func (s *Service) earlierIncarnation(now, sent time.Time, w *worker, incarnation int64) {
+	if sent.After(w.knownSince) {
+		s.contradicts(w, "its incarnation has ended", w.info.Incarnation, incarnation)
+		w.nextRenewal = now.Add(renewalBackoff)
+	}
+}
+
 // contradicts counts and logs an answer that can't be true of the worker as it is known. It proves nothing, so that no run is lost.
-func (s *Service) contradicts(w *worker, why string, known, told int64) {
+func (s *Service) contradicts(w *worker, why string, known, reported int64) {
 	s.counts.Contradictions++
-	s.Log.Warn("dispatch: answer contradicts what is known of the worker", "service", s.Name, "worker", w.info.ID, "why", why, "known", known, "told", told)
+	s.Log.Warn("dispatch: answer contradicts what is known of the worker", "service", s.Name, "worker", w.info.ID, "why", why, "known", known, "reported", reported)
 }
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -216,3 +216,13 @@
 	p.is.Equal(p.starts[start.Task], 1)
 	p.is.Equal(p.ready(), 1)
 }
+
+// Guards against asking a worker without pause while its answers contradict what is known of it.
+func TestContradictionsAreNotRepeatedWithoutPause(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.list[0].Incarnation += 5000
+	p.s.SetWorkers(p.now, p.list)
+	p.run(3 * time.Second)
+	p.is.True(p.s.Counts().Contradictions <= 10)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -437,7 +437,7 @@
 	}
 	if r.Incarnation != 0 && w.info.Incarnation != 0 && r.Incarnation != w.info.Incarnation {
 		if r.Incarnation < w.info.Incarnation {
-			s.contradicts(w, "its incarnation has ended", w.info.Incarnation, r.Incarnation)
+			s.earlierIncarnation(now, sent, w, r.Incarnation)
 			return
 		}
 		s.workerRestarted(now, w, r.Incarnation, running)
