Count the lease that a late start extends on a restarted worker

Callers could see two runs of one task at once (TWICE), if a worker is cut off soon after a restart.

Cause: a start that was sent before a restart was known may be carried out, or refused, seconds later. Either takes its lease, which the later incarnation cuts to the longest one. The owner expected that until the first report of that incarnation only.

--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -226,3 +226,28 @@
 	p.run(3 * time.Second)
 	p.is.True(p.s.Counts().Contradictions <= 10)
 }
+
+// Guards against giving up the runs of a restarted worker under a lease that a start has extended meanwhile: it was sent before
+// the restart was known, is carried out seconds later, and is refused as an old run, but its lease is taken.
+func TestRefusedLateStartExtendsTheLease(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(20 * time.Second)
+	start := p.heldStart()
+	w := p.worker(start.Worker.ID)
+	for _, x := range p.workers {
+		if x != w {
+			p.s.Cordon(p.now, []string{x.info.ID}) // the next run is on w, too
+		}
+	}
+	w.restart(p.now)
+	p.now = p.now.Add(tick)
+	p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+	p.run(1800 * time.Millisecond)
+	p.is.Equal(len(w.runs), 1)
+	p.is.Equal(w.barred[start.Task], start.Run)
+	w.extend(p.now, start.Start.Lease) // the first start is refused
+	w.partitioned = true
+	p.run(13 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -48,6 +48,7 @@
 	longLease     bool          // an earlier owner has seen it restart
 	restarted     bool          // it has restarted since this owner learned of it
 	leaseUnsure   bool          // heldLease is to be set by its next report
+	lateUntil     time.Time     // until when a start that was sent before its restart was known may extend its lease
 	processed     int64         // sequence number up to which ends are processed
 	stored        int64         // sequence number up to which ends are stored
 	acknowledged  int64         // sequence number up to which ends are acknowledged
@@ -117,6 +118,9 @@
 // leaseExpired reports whether all runs on the worker under this owner's token have certainly ended. A worker that has
 // restarted and has not been read gets no leases, and has the longest one at most.
 func (s *Service) leaseExpired(w *worker, now time.Time) bool {
+	if now.Sub(w.lateUntil) <= s.longestLease() {
+		return false
+	}
 	if w.restarted && !w.synced {
 		return now.Sub(w.knownSince) > s.longestLease()
 	}
@@ -311,6 +315,9 @@
 	for _, a := range w.attempts {
 		if kept[a] {
 			a.mayHaveEnded, a.seen = true, false
+			if a.answeredAt.IsZero() {
+				w.expectLateStart(now, a)
+			}
 			s.repeatStop(now, a)
 			continue
 		}
@@ -319,6 +326,18 @@
 	s.stopBarred(now, w)
 }
 
+// expectLateStart records that a start without an answer, which was sent before a restart of the worker was known, may still be carried out
+// or refused there. Its lease is one of the longest length to the later incarnation, and is taken in either case.
+func (w *worker) expectLateStart(now time.Time, a *attempt) {
+	ended := a.unansweredAt
+	if ended.IsZero() {
+		ended = now
+	}
+	if until := ended.Add(lateCallTime); until.After(w.lateUntil) {
+		w.lateUntil = until
+	}
+}
+
 // repeatStop orders the stop of a run again, if it was ordered, since a later incarnation of the worker does not know of it. One
 // that was ordered only since the start had no answer is withdrawn: the later incarnation may have the run at work.
 func (s *Service) repeatStop(now time.Time, a *attempt) {
@@ -353,6 +372,7 @@
 	w.dropBarred(now)
 	slices.SortFunc(w.barred, func(a, b *attempt) int { return cmp.Compare(b.run, a.run) })
 	for _, a := range w.barred {
+		w.expectLateStart(now, a)
 		a.task, a.mayHaveEnded, a.trial = nil, true, false
 		a.stopSentAt, a.stopConfirmedAt, a.stopUnanswered = time.Time{}, time.Time{}, false
 		if w.attempts[a.id] == nil {
