Keep a planned leave in force after checks that pass

Cause: only the holder of the lease reads the platform's list and the orders; the other daemons learn by gossip that a host leaves. The daemon that checks the host dropped its peers' reports after each check that passed without the header Leaving. A host on the list may well answer its checks, so it was active until the reports were applied again, up to 0.2 s in each second. This happens whenever the holder does not check the host.

Fix: a daemon's note counts the hosts at the end of its list that leave by the platform's list or by an order, and a report of such a host is not refuted by a check. It ends with the peer's list or after 10 s. The note has no new names, and earlier daemons read it as before.

--- a/health/evidence.go
+++ b/health/evidence.go
@@ -101,15 +101,19 @@
 	m.recordPass(now, u)
 }
 
-// withdrawNotices drops the notice of the upstream itself and the peers' reports that it is leaving, after evidence that
-// it is not. Reports that it is leaving that arrive later count again.
+// withdrawNotices drops the notice of the upstream itself and the peers' reports that rest on such a notice, after
+// evidence that it is not leaving. Reports that it is leaving that arrive later count again.
 func (m *Monitor) withdrawNotices(now time.Time, u *upstream) {
+	planned := false
 	for peer, r := range u.reports {
 		if r.state == cuminstair.HostLeaving {
 			delete(u.reports, peer)
 		}
+		planned = planned || r.state == ReportPlanned
+	}
+	if !planned {
+		m.withdraw(now, u, SourcePeer)
 	}
-	m.withdraw(now, u, SourcePeer)
 	m.withdraw(now, u, SourceHeader)
 }
 
@@ -160,7 +164,7 @@
 	r := report{received: now, state: state, left: u.reports[peer].left}
 	u.reports[peer] = r
 	switch state {
-	case cuminstair.HostLeaving:
+	case cuminstair.HostLeaving, ReportPlanned:
 		r.left = now
 		u.reports[peer] = r
 	case cuminstair.HostActive, cuminstair.HostProbation:
@@ -218,7 +222,7 @@
 			delete(u.reports, peer)
 			continue
 		}
-		leaving = leaving || r.state == cuminstair.HostLeaving
+		leaving = leaving || isLeavingReport(r.state)
 	}
 	if leaving {
 		m.leave(now, u, SourcePeer)
@@ -237,14 +241,17 @@
 	m.withdraw(now, m.host(host), from)
 }
 
-// OwnState returns the state of a host to report to peers. It returns false without evidence of this daemon itself, which
-// must be recent for an active host. States that rest only on peers' reports are not passed on, since two daemons could
+// OwnState returns the state of a host to report to peers, which may be ReportPlanned. It returns false without evidence
+// of this daemon itself, which must be recent for an active host. States that rest only on peers' reports are not passed on, since two daemons could
 // then confirm each other's reports for ever.
 func (m *Monitor) OwnState(now time.Time, host string) (cuminstair.HostState, bool) {
 	u := m.hosts[host]
 	if u == nil || u.failedByPeer {
 		return "", false
 	}
+	if u.leaving&(SourceList|SourceOperator) != 0 {
+		return ReportPlanned, true
+	}
 	if u.state == "leaving" && u.leaving == SourcePeer {
 		if now.Sub(u.staying) > OwnTTL {
 			return "", false
--- a/health/health.go
+++ b/health/health.go
@@ -71,6 +71,16 @@
 	SourcePeer                        // a peer's report
 )
 
+// ReportPlanned is the state in the report of a peer for which the platform's list or an order says that a host is
+// leaving. Unlike a report of cuminstair.HostLeaving, it does not rest on the upstream, so that a check that passes does
+// not refute it.
+const ReportPlanned cuminstair.HostState = "planned"
+
+// isLeavingReport reports whether a peer that reports this state says that the host is leaving.
+func isLeavingReport(state cuminstair.HostState) bool {
+	return state == cuminstair.HostLeaving || state == ReportPlanned
+}
+
 // Monitor implements cuminstair.Health. Its zero value is ready to use.
 type Monitor struct {
 	hosts    map[string]*upstream
--- a/member/members.go
+++ b/member/members.go
@@ -59,6 +59,8 @@
 	smallFleet = 16
 	// maxNoteSize bounds the encoded note of one daemon, so that it fits into a digest beside the heartbeats.
 	maxNoteSize = 500
+	// noteFieldsSize bounds the encoded keys and sizes of the two lists of a note, and the number of planned hosts.
+	noteFieldsSize = 2*3 + 4
 )
 
 // Send is a digest to be sent to one daemon. It may be lost.
@@ -221,7 +223,7 @@
 		}
 		out = append(out, Member{
 			Record: n.rec, Health: h, Generation: n.gen,
-			Leaving: n.note.Leaving, Suspect: n.note.Suspect, Loads: n.loads.Loads,
+			Leaving: n.note.Leaving, Planned: n.note.PlannedHosts(), Suspect: n.note.Suspect, Loads: n.loads.Loads,
 		})
 	}
 	slices.SortFunc(out, func(a, b Member) int {
@@ -263,19 +265,22 @@
 	return m.urgent(now, []*node{m.self}, nil, urgentOverdraft*float64(m.rate(now)))
 }
 
-// SetUpstreams sets the hosts that this daemon saw leaving or suspects. A change of the leaving hosts is sent at once.
-// dropped lists the hosts that did not fit into the note; leaving hosts are added before suspected ones.
-func (m *Members) SetUpstreams(now time.Time, leaving, suspect []string) (sends []Send, dropped []string) {
+// SetUpstreams sets the hosts that this daemon saw leaving, those that leave by the platform's list or an order, and those
+// that it suspects. A change of the hosts that leave is sent at once. dropped lists the hosts that did not fit into the
+// note; they are added in this order, since most planned hosts are also known from their rows.
+func (m *Members) SetUpstreams(now time.Time, leaving, planned, suspect []string) (sends []Send, dropped []string) {
 	m.start(now)
 	old := m.self.note
 	next := Note{ID: old.ID, Version: old.Version + 1}
-	room := maxNoteSize - sizeOf(&next) - 6
+	room := maxNoteSize - sizeOf(&next) - noteFieldsSize
 	next.Leaving, dropped = fitHosts(&room, leaving, dropped)
+	fit, dropped := fitHosts(&room, planned, dropped)
+	next.Leaving, next.Planned = append(next.Leaving, fit...), uint16(len(fit))
 	next.Suspect, dropped = fitHosts(&room, suspect, dropped)
-	if slices.Equal(old.Leaving, next.Leaving) && slices.Equal(old.Suspect, next.Suspect) {
+	leavingChanged := !slices.Equal(old.Leaving, next.Leaving) || old.Planned != next.Planned
+	if !leavingChanged && slices.Equal(old.Suspect, next.Suspect) {
 		return nil, dropped
 	}
-	leavingChanged := !slices.Equal(old.Leaving, next.Leaving)
 	m.self.note = next
 	m.self.noteSends = noteRepeats
 	m.version++
--- a/member/members_test.go
+++ b/member/members_test.go
@@ -72,7 +72,7 @@
 	n := newNetwork(t, 9, 9, 3, 0)
 	n.run(15 * time.Second)
 	d := n.daemons[0]
-	sends, _ := d.SetUpstreams(n.now, []string{"host-17"}, nil)
+	sends, _ := d.SetUpstreams(n.now, []string{"host-17"}, nil, nil)
 	is.True(len(sends) > 0)
 	n.send(d, sends)
 	n.send(d, d.SetGeneration(n.now, 5))
@@ -111,7 +111,7 @@
 		n := newNetwork(t, seed, 50, 4, 0.2)
 		n.run(40 * time.Second)
 		from := n.daemons[int(seed)]
-		sends, dropped := from.SetUpstreams(n.now, []string{"host-17"}, nil)
+		sends, dropped := from.SetUpstreams(n.now, []string{"host-17"}, nil, nil)
 		if len(dropped) > 0 {
 			t.Fatal("one host did not fit into the note")
 		}
@@ -125,6 +125,63 @@
 	}
 }
 
+// Guards against a planned host that arrives as one that announces that it leaves, and against a peer's note that names
+// more planned hosts than it has.
+func TestPlannedHostsAreKnown(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 9, 2, 1, 0)
+	n.run(15 * time.Second)
+	from, to := n.daemons[0], n.daemons[1]
+	received := func() member.Member {
+		for _, m := range to.List(n.now) {
+			if m.Name == from.Self.Name {
+				return m
+			}
+		}
+		return member.Member{}
+	}
+	for _, planned := range [][]string{{"h2", "h3"}, {"h3"}, nil} {
+		leaving := []string{"h1", "h2", "h3"}[:3-len(planned)]
+		sends, dropped := from.SetUpstreams(n.now, leaving, planned, nil)
+		is.Equal(len(dropped), 0)
+		is.True(len(sends) > 0) // also if only the reason changed
+		n.send(from, sends)
+		n.run(10 * time.Millisecond)
+		is.Equal(received().Leaving, []string{"h1", "h2", "h3"})
+		is.Equal(len(received().Planned), len(planned))
+		for i, host := range planned {
+			is.Equal(received().Planned[i], host)
+		}
+	}
+	is.Equal((&member.Note{Leaving: []string{"h1"}, Planned: 3}).PlannedHosts(), []string{"h1"})
+}
+
+// Guards against a note that does not fit into a digest, or that lists planned hosts, which all daemons read from their
+// rows, in place of hosts that announced that they leave.
+func TestNoteOfManyHostsFits(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 9, 2, 1, 0)
+	n.run(15 * time.Second)
+	var leaving, planned, suspect []string
+	for i := range 300 {
+		leaving, planned = append(leaving, fmt.Sprint("l", i)), append(planned, fmt.Sprint("p", i))
+		suspect = append(suspect, fmt.Sprint("s", i))
+	}
+	from, to := n.daemons[0], n.daemons[1]
+	for _, count := range []int{10, 40, 300} {
+		sends, dropped := from.SetUpstreams(n.now, leaving[:count], planned, suspect)
+		n.send(from, sends)
+		n.run(10 * time.Millisecond)
+		for _, m := range to.List(n.now) {
+			if m.Name == from.Self.Name {
+				is.Equal(len(m.Leaving)+len(m.Suspect)+len(dropped), count+600)
+				is.Equal(m.Leaving[:min(count, 40)], leaving[:min(count, 40)])
+			}
+		}
+	}
+	is.True(n.largest <= member.MaxDigest)
+}
+
 func knowsLeaving(n *network, d *daemon, host string) bool {
 	for _, m := range d.List(n.now) {
 		for _, h := range m.Leaving {
--- a/member/record.go
+++ b/member/record.go
@@ -54,8 +54,14 @@
 	Version uint64   `cbor:"2,keyasint"` // raised with each change
 	Leaving []string `cbor:"3,keyasint,omitempty"`
 	Suspect []string `cbor:"4,keyasint,omitempty"`
+	// Planned is the number of hosts at the end of Leaving that leave by the platform's list or an order. A daemon that
+	// does not know this field takes them for hosts that have announced that they leave.
+	Planned uint16 `cbor:"5,keyasint,omitempty"`
 }
 
+// PlannedHosts returns the hosts of Leaving that leave by the platform's list or an order.
+func (n *Note) PlannedHosts() []string { return n.Leaving[max(0, len(n.Leaving)-int(n.Planned)):] }
+
 // loads is how many requests a daemon has in flight at the hosts of its data centre.
 type loads struct {
 	ID    uint32            `cbor:"1,keyasint"`
@@ -71,6 +77,7 @@
 	// more than 254 behind the highest known one is not reported.
 	Generation uint64
 	Leaving    []string
+	Planned    []string // the last hosts of Leaving, which leave by the platform's list or an order
 	Suspect    []string
 	Loads      []cuminstair.Load
 }
--- a/node/network.go
+++ b/node/network.go
@@ -220,9 +220,9 @@
 	})
 }
 
-func (w *network) setUpstreams(leaving, suspect []string) {
+func (w *network) setUpstreams(leaving, planned, suspect []string) {
 	w.updateMembers(func() []member.Send {
-		sends, dropped := w.members.SetUpstreams(w.timer.Now(), leaving, suspect)
+		sends, dropped := w.members.SetUpstreams(w.timer.Now(), leaving, planned, suspect)
 		if len(dropped) > 0 {
 			w.log.Warn("hosts omitted from the gossip digest", "count", len(dropped))
 		}
--- a/node/share.go
+++ b/node/share.go
@@ -51,7 +51,7 @@
 func (n *Node) publishLocal() {
 	d := n.daemon.Decisions()
 	n.network.setLoads(d.Loads())
-	var leaving, suspect []string
+	var leaving, planned, suspect []string
 	now := n.Timer.Now()
 	// Read before the decisions are locked, to avoid a deadlock: hostView.publish locks the view first and the decisions
 	// after it.
@@ -64,13 +64,15 @@
 			case !ok:
 			case state == cuminstair.HostLeaving:
 				leaving = append(leaving, host)
+			case state == health.ReportPlanned:
+				planned = append(planned, host)
 			case state == cuminstair.HostFailed:
 				// A host in probation is not reported, because peers would treat it as failed.
 				suspect = append(suspect, host)
 			}
 		}
 	})
-	n.network.setUpstreams(leaving, suspect)
+	n.network.setUpstreams(leaving, planned, suspect)
 	n.updateControlHealth()
 }
 
@@ -131,7 +133,11 @@
 	}
 	s.leaving[m.Name] = m.Leaving
 	for _, host := range m.Leaving {
-		d.Report(m.Name, host, cuminstair.HostLeaving)
+		state := cuminstair.HostLeaving
+		if slices.Contains(m.Planned, host) {
+			state = health.ReportPlanned
+		}
+		d.Report(m.Name, host, state)
 	}
 	for _, host := range m.Suspect {
 		d.Report(m.Name, host, cuminstair.HostFailed)
