Check each run that an owner gives up against the true state

The limit of tasks per worker often hides a run that is given up too early, since its task has no other place. The log line of each loss is checked: the run must have ended, and no start on its way may begin it. Late starts carried out up to 12 s after they were sent have a configuration of their own, those of up to 4 s are in the others.

--- a/dispatch/exhaust/call.go
+++ b/dispatch/exhaust/call.go
@@ -13,7 +13,6 @@
 const (
 	callTimeout = 800 * time.Millisecond // of the caller, plus the time for which a renewal waits
 	lateFrom    = 2 * time.Second        // after it was sent, a call without an answer may be carried out
-	lateUntil   = 12 * time.Second
 )
 
 type callState uint8
@@ -89,7 +88,7 @@
 // mayBeLate reports whether a call may still be carried out although its caller has given up.
 func (x *world) mayBeLate(c *call) bool {
 	w := x.find(c.order.Worker.Addr)
-	return x.opts.Late.has(c.order.Kind) && x.now.Before(c.sent.Add(lateUntil)) && w.id == c.order.Worker.ID &&
+	return x.opts.Late.has(c.order.Kind) && x.now.Before(c.sent.Add(x.opts.LateUntil)) && w.id == c.order.Worker.ID &&
 		(x.opts.LateAcross || w.up && w.incarnation == c.incarnation)
 }
 
--- a/dispatch/exhaust/check.go
+++ b/dispatch/exhaust/check.go
@@ -12,6 +12,7 @@
 	RuleTwice = "TWICE" // two runs of a task at once, or one after an acknowledged end as done
 	RuleRoute = "ROUTE" // more runs of the step on a worker than its limit
 	RuleLimit = "LIMIT" // more runs on a worker than it has room for
+	RuleEnded = "ENDED" // an owner gives up a run that is alive or may still begin
 	RuleAlive = "ALIVE" // a task does not run in time after all faults have ended
 )
 
--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -36,12 +36,15 @@
 	Break Calls // the connection of a call breaks before it is carried out
 	Mute  Calls // a call is carried out, and its answer is lost
 	Keep  Calls // a call is carried out, and its answer waits
-	Late  Calls // a call that has no answer and was not carried out is carried out 2 to 12 s after it was sent
+	Late  Calls // a call that has no answer and was not carried out is carried out lateFrom after it was sent or later
 
 	// LateAcross lets a call that its caller has given up be carried out by a later incarnation of its worker than the one that
 	// was up then. Otherwise such a call ends with the connection.
 	LateAcross bool
 
+	// LateUntil is how long after it was sent such a call may be carried out.
+	LateUntil time.Duration
+
 	Crashes   int  // most crashes in an order
 	Bounce    bool // a worker crashes and restarts under the same ID at once
 	Crash     bool // a worker crashes and stays down
@@ -59,45 +62,58 @@
 	Finish    bool // a run ends as done
 
 	Parallel int // goroutines; 0: 1
-	// MaxViolations ends the search; 0: 1. Violations of the same rule by the same kinds of events count once.
+	// MaxViolations ends the search; 0: 1. Violations of the same rule by the same kinds of events, or more, count once.
 	MaxViolations int
 	// MaxStates ends the search; 0: no limit.
 	MaxStates int
 }
 
+// Values of LateUntil. With the long one, a start that is carried out last can begin after the longest lease of its order.
+const (
+	shortDelay = 4 * time.Second
+	longDelay  = 12 * time.Second
+)
+
 // Configurations returns the configurations that the test runs. Their depths are those of a short run.
 func Configurations() []Options {
-	passes := []time.Duration{100 * time.Millisecond, time.Second, 11 * time.Second}
-	return []Options{
+	list := []Options{
 		{
-			Name: "restarts", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Hold: Calls{Starts: true},
-			Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2, Bounce: true, Lists: true, Cut: true,
+			Name: "restarts", Tasks: 2, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true},
+			Crashes: 2, Bounce: true, Lists: true, Cut: true,
 		},
 		{
-			Name: "hosts", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Break: Calls{Starts: true},
-			Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2, Crash: true, Restart: true, Replace: true, Refuse: true, Lists: true,
-			Hosts: true,
+			Name: "late", Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateUntil: longDelay, Crashes: 1, Bounce: true, Cut: true, Lists: true,
 		},
 		{
-			Name: "across", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Break: Calls{Starts: true}, Late: Calls{Starts: true},
-			LateAcross: true, Crashes: 2, Bounce: true, Crash: true, Restart: true,
+			Name: "hosts", Tasks: 1, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2,
+			Crash: true, Restart: true, Replace: true, Refuse: true, Lists: true, Hosts: true,
 		},
 		{
-			Name: "takeover", Depth: 4, Tasks: 2, LongRunning: true, PerWorker: 1, Passes: passes, Hold: Calls{Starts: true}, Mute: Calls{Starts: true},
-			Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Cut: true, Freeze: true, CutStore: true, Kill: true, Successor: true,
+			Name: "across", Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateAcross: true, Crashes: 2, Bounce: true, Crash: true,
+			Restart: true,
 		},
 		{
-			Name: "frozen", Depth: 4, Tasks: 1, LongRunning: true, PerWorker: 1, Passes: passes, Hold: Calls{Starts: true}, Keep: Calls{Starts: true, Renewals: true},
-			Break: Calls{Starts: true}, Crashes: 2, Bounce: true, Cut: true, Freeze: true, Lists: true, Successor: true,
+			Name: "takeover", Tasks: 1, Hold: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Cut: true,
+			Freeze: true, CutStore: true, Kill: true, Successor: true,
 		},
 		{
-			Name: "stops", Depth: 4, Tasks: 1, LongRunning: true, PerWorker: 1, Passes: passes, Break: Calls{Starts: true, Stops: true},
-			Mute: Calls{Starts: true, Stops: true}, Keep: Calls{Starts: true, Stops: true, Renewals: true}, Late: Calls{Starts: true, Stops: true},
-			Crashes: 1, Bounce: true, Cordon: true, Cut: true,
+			Name: "frozen", Tasks: 1, Hold: Calls{Starts: true}, Keep: Calls{Starts: true, Renewals: true}, Break: Calls{Starts: true}, Crashes: 2, Bounce: true,
+			Cut: true, Freeze: true, Lists: true, Successor: true,
 		},
 		{
-			Name: "ends", Depth: 4, Tasks: 2, PerWorker: 1, Passes: passes, Break: Calls{Starts: true}, Mute: Calls{Starts: true, Renewals: true},
-			Keep: Calls{Renewals: true}, Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Finish: true, Cut: true,
+			Name: "stops", Tasks: 1, Break: Calls{Starts: true, Stops: true}, Mute: Calls{Starts: true, Stops: true},
+			Keep: Calls{Starts: true, Stops: true, Renewals: true}, Late: Calls{Starts: true, Stops: true}, Crashes: 1, Bounce: true, Cordon: true, Cut: true,
 		},
+		{
+			Name: "ends", Tasks: 2, Break: Calls{Starts: true}, Mute: Calls{Starts: true, Renewals: true}, Keep: Calls{Renewals: true},
+			Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Finish: true, Cut: true,
+		},
+	}
+	for i := range list {
+		o := &list[i]
+		o.Depth, o.PerWorker, o.LongRunning = 4, 1, !o.Finish
+		o.Passes = []time.Duration{200 * time.Millisecond, time.Second, 11 * time.Second}
+		o.LateUntil = max(o.LateUntil, shortDelay)
 	}
+	return list
 }
--- a/dispatch/exhaust/owner.go
+++ b/dispatch/exhaust/owner.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
 )
@@ -50,11 +48,7 @@
 func (x *world) takeOver() {
 	n := len(x.owners)
 	o := &owner{x: x, confirmedAt: x.now, aliveAt: x.now, listAt: x.now}
-	log := hclog.NewNullLogger()
-	if x.trace != nil {
-		log = x.trace.logger(x, n)
-	}
-	s := dispatch.New(service, int64(tokenStep*(n+1)), x.now, log)
+	s := dispatch.New(service, int64(tokenStep*(n+1)), x.now, newLossLog(x, n))
 	s.Bounds = cuminstair.Bounds{MaxLease: maxLease, StopGrace: stopGrace, StateRetention: time.Hour}
 	s.Grace = ownerGrace
 	if n > 0 {
--- a/dispatch/exhaust/report.go
+++ b/dispatch/exhaust/report.go
@@ -14,6 +14,7 @@
 	Depth      int           // events in the longest orders that were all checked
 	States     int           // states after an event in the longest orders
 	Merged     int           // states that were the same as one that was explored
+	Losses     int           // runs that owners gave up in these orders
 	Orders     int           // orders of events that were checked to their end
 	Diverged   int           // events that were not possible when their order was repeated; 0 unless the service is not deterministic
 	Took       time.Duration // real time
@@ -23,7 +24,7 @@
 // String returns the figures of a search and its violations.
 func (r *Result) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s: depth %d, %d states (%d merged), %d orders, %s, %.0f states/s, %d violations", r.Name, r.Depth, r.States, r.Merged, r.Orders,
+	fmt.Fprintf(&b, "%s: depth %d, %d states (%d merged), %d orders, %d losses, %s, %.0f states/s, %d violations", r.Name, r.Depth, r.States, r.Merged, r.Orders, r.Losses,
 		r.Took.Round(time.Millisecond), float64(r.States)/max(r.Took.Seconds(), 1e-9), len(r.Violations))
 	if r.Diverged > 0 {
 		fmt.Fprintf(&b, ", %d events diverged", r.Diverged)
--- a/dispatch/exhaust/search.go
+++ b/dispatch/exhaust/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -14,18 +13,17 @@
 	mu     sync.Mutex
 	seen   map[state]int // by state: most events that were left when it was explored
 	result *Result
-	kinds  map[string]bool // kinds of violations that were found
-	over   bool            // the search ends before all orders are checked
+	over   bool // the search ends before all orders are checked
 }
 
 // Run checks every order of up to Depth events. The orders are checked by their length, so that the violations found are the
 // shortest.
 func Run(opts Options) *Result {
 	began := time.Now()
-	s := &search{opts: &opts, result: &Result{Name: opts.Name}, kinds: map[string]bool{}}
+	s := &search{opts: &opts, result: &Result{Name: opts.Name}}
 	for s.limit = 1; s.limit <= opts.Depth && !s.over; s.limit++ {
 		s.seen = map[state]int{}
-		s.result.States, s.result.Orders = 0, 0
+		s.result.States, s.result.Merged, s.result.Orders, s.result.Losses = 0, 0, 0, 0
 		s.exploreAll()
 		if !s.over {
 			s.result.Depth = s.limit
@@ -132,33 +130,36 @@
 
 // settle checks what follows after the last event of an order.
 func (s *search) settle(events []Event, x *world) {
-	s.count(func(r *Result) { r.Orders++ })
 	x.settle()
+	s.count(func(r *Result) {
+		r.Orders++
+		r.Losses += x.losses
+	})
 	if x.violation != nil {
 		s.found(events, x, true)
 	}
 }
 
-// found records a violation unless one of its kind is known.
+// found records a violation unless one of the same rule by fewer events of the same kinds is known.
 func (s *search) found(events []Event, x *world, settle bool) {
 	v := *x.violation
 	v.Events, v.Settle = events, settle
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	kind := v.kind()
-	if s.kinds[kind] || s.over {
+	if s.over || slices.ContainsFunc(s.result.Violations, func(o Violation) bool { return o.Rule == v.Rule && o.within(&v) }) {
 		return
 	}
-	s.kinds[kind] = true
 	s.result.Violations = append(s.result.Violations, v)
 	s.over = len(s.result.Violations) >= max(1, s.opts.MaxViolations)
 }
 
-// kind returns the rule and the kinds of the events in their order.
-func (v *Violation) kind() string {
-	list := []string{v.Rule}
-	for _, e := range v.Events {
-		list = append(list, string(e.Op))
+// within reports whether the kinds of the events are among those of another violation, in this order.
+func (v *Violation) within(o *Violation) bool {
+	n := 0
+	for _, e := range o.Events {
+		if n < len(v.Events) && v.Events[n].Op == e.Op {
+			n++
+		}
 	}
-	return strings.Join(list, " ")
+	return n == len(v.Events)
 }
--- a/dispatch/exhaust/world.go
+++ b/dispatch/exhaust/world.go
@@ -21,6 +21,7 @@
 	settleTick   = 100 * time.Millisecond
 	settledTime  = 1500 * time.Millisecond // for which all tasks have to run at the end
 	startTime    = 4 * time.Second         // from the moment when a task may start until it runs, with a trial
+	firstAge     = 100 * time.Second       // of the workers at the beginning: a lease on their clocks is long on the clock of a later incarnation
 	eventTime    = time.Millisecond        // that an event takes
 	beatInterval = 1500 * time.Millisecond // between two writes of an entry in the list of workers
 	entryTime    = 3 * beatInterval        // for which the entry of a silent worker stays
@@ -45,6 +46,7 @@
 	reported  map[cuminstair.TaskID]bool // an owner has got a report of an end as done
 	lastStart map[cuminstair.TaskID]int
 	crashes   int
+	losses    int        // runs that owners have given up
 	lists     *heldList  // read and not delivered
 	hosts     *heldHosts // read and not delivered
 	newOrders bool       // starts or stops were ordered in the last tick
@@ -76,7 +78,8 @@
 		w := &worker{
 			addr: fmt.Sprintf("addr%d", i), host: fmt.Sprintf("host%d", i), id: string(rune('a' + i)), cpu: 32000 - i*1000, rate: rate,
 		}
-		w.boot(x.now)
+		w.boot(x.now.Add(-firstAge))
+		w.beat(x.now)
 		x.workers = append(x.workers, w)
 	}
 	x.takeOver()
