--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -30,6 +30,7 @@
 	LongRunning bool            // the tasks run until the job is cancelled; otherwise they end only by the event OpFinish
 	PerWorker   int             // limit of tasks of the step on a worker; 0: none
 	Running     bool            // the first choice is when all tasks run; otherwise when their starts are sent
+	First       []Event         // events before the first choice
 	Passes      []time.Duration // lengths of the event OpPass
 
 	Hold  Calls // a call is not carried out until its caller gives up or another event
@@ -100,6 +101,14 @@
 			Name: "frozen", Tasks: 1, Hold: Calls{Starts: true}, Keep: Calls{Starts: true, Renewals: true}, Break: Calls{Starts: true}, Crashes: 2, Bounce: true,
 			Cut: true, Freeze: true, Lists: true, Successor: true,
 		},
+		{
+			Name: "successor", Tasks: 1, First: []Event{{Op: OpFreeze}, {Op: OpBounce, N: 1}, {Op: OpTakeOver}}, Break: Calls{Starts: true},
+			Keep: Calls{Renewals: true}, Late: Calls{Starts: true, Renewals: true}, Crashes: 2, Bounce: true, Cut: true, Freeze: true, Lists: true,
+		},
+		{
+			Name: "running", Tasks: 1, Running: true, Keep: Calls{Renewals: true}, Late: Calls{Renewals: true}, Break: Calls{Renewals: true}, Crashes: 2,
+			Bounce: true, Cut: true, Freeze: true, CutStore: true, Successor: true, Lists: true,
+		},
 		{
 			Name: "stops", Tasks: 1, Break: Calls{Starts: true, Stops: true}, Mute: Calls{Starts: true, Stops: true},
 			Keep: Calls{Starts: true, Stops: true, Renewals: true}, Late: Calls{Starts: true, Stops: true}, Crashes: 1, Bounce: true, Cordon: true, Cut: true,
--- a/dispatch/exhaust/world.go
+++ b/dispatch/exhaust/world.go
@@ -89,6 +89,11 @@
 	if opts.Running {
 		x.pass(2*time.Second, false)
 	}
+	for _, e := range opts.First {
+		if !x.apply(e) {
+			x.notef("event %s is not possible", e)
+		}
+	}
 	return x
 }
 
