--- a/dispatch/exhaust/exhaust_test.go
+++ b/dispatch/exhaust/exhaust_test.go
@@ -30,7 +30,10 @@
 				replayEvents(t, opts)
 				return
 			}
-			r := exhaust.Run(opts)
+			r, err := exhaust.Run(opts)
+			if err != nil {
+				t.Fatal(err)
+			}
 			t.Log(r)
 			for _, v := range r.Violations {
 				text, _ := exhaust.Replay(opts, v.Events)
--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -104,6 +104,7 @@
 		{
 			Name: "successor", Tasks: 1, First: []Event{{Op: OpFreeze}, {Op: OpBounce, N: 1}, {Op: OpTakeOver}}, Break: Calls{Starts: true},
 			Keep: Calls{Renewals: true}, Late: Calls{Starts: true, Renewals: true}, Crashes: 2, Bounce: true, Cut: true, Freeze: true, Lists: true,
+			Successor: true,
 		},
 		{
 			Name: "running", Tasks: 1, Running: true, Keep: Calls{Renewals: true}, Late: Calls{Renewals: true}, Break: Calls{Renewals: true}, Crashes: 2,
--- a/dispatch/exhaust/search.go
+++ b/dispatch/exhaust/search.go
@@ -1,9 +1,12 @@
 package exhaust
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
+
+	"cuminstair.org/cuminstair"
 )
 
 // search is a search for violations.
@@ -17,9 +20,12 @@
 }
 
 // Run checks every order of up to Depth events. The orders are checked by their length, so that the violations found are the
-// shortest.
-func Run(opts Options) *Result {
+// shortest. Errors: ErrMalformed if an event in First is not possible.
+func Run(opts Options) (*Result, error) {
 	began := time.Now()
+	if x := newWorld(&opts, nil); x.violation != nil || x.impossible != nil {
+		return nil, fmt.Errorf("event %v in First of %s: %w", x.impossible, opts.Name, cuminstair.ErrMalformed)
+	}
 	s := &search{opts: &opts, result: &Result{Name: opts.Name}}
 	for s.limit = 1; s.limit <= opts.Depth && !s.over; s.limit++ {
 		s.seen = map[state]int{}
@@ -30,7 +36,7 @@
 		}
 	}
 	s.result.Took = time.Since(began)
-	return s.result
+	return s.result, nil
 }
 
 // exploreAll checks all orders of the present length, by their first event in Parallel goroutines.
--- a/dispatch/exhaust/world.go
+++ b/dispatch/exhaust/world.go
@@ -51,8 +51,9 @@
 	hosts     *heldHosts // read and not delivered
 	newOrders bool       // starts or stops were ordered in the last tick
 
-	violation *Violation
-	trace     *trace
+	violation  *Violation
+	impossible *Event // of opts.First
+	trace      *trace
 }
 
 // heldList is a list of workers that is delivered late.
@@ -91,7 +92,8 @@
 	}
 	for _, e := range opts.First {
 		if !x.apply(e) {
-			x.notef("event %s is not possible", e)
+			x.impossible = &e
+			break
 		}
 	}
 	return x
