--- a/dispatch/exhaust/event.go
+++ b/dispatch/exhaust/event.go
@@ -222,12 +222,12 @@
 }
 
 // preparesOnly reports whether an event has no effect if it is the last one, since all faults end after it.
-func (op Op) preparesOnly() bool {
+func (op Op) preparesOnly(away bool) bool {
 	switch op {
-	case OpHold, OpCut, OpReach, OpFreeze, OpReadList, OpReadHosts, OpCutStore, OpReachStore:
+	case OpHold, OpFreeze, OpReadList, OpReadHosts, OpCutStore, OpReachStore:
 		return true
 	default:
-		return false
+		return (op == OpCut || op == OpReach) && !away
 	}
 }
 
--- a/dispatch/exhaust/hash.go
+++ b/dispatch/exhaust/hash.go
@@ -65,7 +65,7 @@
 // ignored reports whether fields of a name have no effect on what follows.
 func ignored(field string) bool {
 	switch field {
-	case "Log", "trace", "opts", "loc", "counts", "submitWaiters", "cancelWaiters":
+	case "Log", "trace", "opts", "loc", "counts", "submitWaiters", "cancelWaiters", "candidates":
 		return true
 	}
 	return false
--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -63,6 +63,8 @@
 	Finish    bool // a run ends as done
 
 	Parallel int // goroutines; 0: 1
+	// Away lets workers that are down or cut off at the end of the events stay so, unless both are.
+	Away bool
 	// MaxViolations ends the search; 0: 1. Violations of the same rule by the same kinds of events, or more, count once.
 	MaxViolations int
 	// MaxStates ends the search; 0: no limit.
@@ -75,26 +77,32 @@
 	longDelay  = 12 * time.Second
 )
 
-// Configurations returns the configurations that the test runs. Their depths are those of a short run.
+// Depths in the test, which takes less than 15 s on one core with them.
+const (
+	shortDepth = 3
+	longDepth  = 4
+)
+
+// Configurations returns the configurations that the test runs.
 func Configurations() []Options {
 	list := []Options{
 		{
-			Name: "restarts", Tasks: 2, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true},
+			Name: "restarts", Depth: longDepth, Tasks: 2, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true},
 			Crashes: 2, Bounce: true, Lists: true, Cut: true,
 		},
 		{
-			Name: "late", Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateUntil: longDelay, Crashes: 1, Bounce: true, Cut: true, Lists: true,
+			Name: "late", Depth: longDepth, Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateUntil: longDelay, Crashes: 1, Bounce: true, Cut: true, Lists: true,
 		},
 		{
-			Name: "hosts", Tasks: 1, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2,
+			Name: "hosts", Depth: longDepth, Tasks: 1, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2,
 			Crash: true, Restart: true, Replace: true, Refuse: true, Lists: true, Hosts: true,
 		},
 		{
-			Name: "across", Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateAcross: true, Crashes: 2, Bounce: true, Crash: true,
+			Name: "across", Depth: longDepth, Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateAcross: true, Crashes: 2, Bounce: true, Crash: true,
 			Restart: true,
 		},
 		{
-			Name: "takeover", Tasks: 1, Hold: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Cut: true,
+			Name: "takeover", Depth: longDepth, Tasks: 1, Hold: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 1, Bounce: true, Cut: true,
 			Freeze: true, CutStore: true, Kill: true, Successor: true,
 		},
 		{
@@ -102,7 +110,7 @@
 			Cut: true, Freeze: true, Lists: true, Successor: true,
 		},
 		{
-			Name: "successor", Tasks: 1, First: []Event{{Op: OpFreeze}, {Op: OpBounce, N: 1}, {Op: OpTakeOver}}, Break: Calls{Starts: true},
+			Name: "successor", Depth: longDepth, Tasks: 1, First: []Event{{Op: OpFreeze}, {Op: OpBounce, N: 1}, {Op: OpTakeOver}}, Break: Calls{Starts: true},
 			Keep: Calls{Renewals: true}, Late: Calls{Starts: true, Renewals: true}, Crashes: 2, Bounce: true, Cut: true, Freeze: true, Lists: true,
 			Successor: true,
 		},
@@ -110,6 +118,10 @@
 			Name: "running", Tasks: 1, Running: true, Keep: Calls{Renewals: true}, Late: Calls{Renewals: true}, Break: Calls{Renewals: true}, Crashes: 2,
 			Bounce: true, Cut: true, Freeze: true, CutStore: true, Successor: true, Lists: true,
 		},
+		{
+			Name: "away", Tasks: 1, Away: true, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Crashes: 2, Bounce: true, Crash: true, Cut: true,
+			Hosts: true, Freeze: true, Successor: true,
+		},
 		{
 			Name: "stops", Tasks: 1, Break: Calls{Starts: true, Stops: true}, Mute: Calls{Starts: true, Stops: true},
 			Keep: Calls{Starts: true, Stops: true, Renewals: true}, Late: Calls{Starts: true, Stops: true}, Crashes: 1, Bounce: true, Cordon: true, Cut: true,
@@ -121,7 +133,7 @@
 	}
 	for i := range list {
 		o := &list[i]
-		o.Depth, o.PerWorker, o.LongRunning = 4, 1, !o.Finish
+		o.Depth, o.PerWorker, o.LongRunning = max(o.Depth, shortDepth), 1, !o.Finish
 		o.Passes = []time.Duration{200 * time.Millisecond, time.Second, 11 * time.Second}
 		o.LateUntil = max(o.LateUntil, shortDelay)
 	}
--- a/dispatch/exhaust/search.go
+++ b/dispatch/exhaust/search.go
@@ -76,7 +76,7 @@
 // not be repeated.
 func (s *search) exploreNext(prefix []Event, e Event, x *world) {
 	last := len(prefix)+1 == s.limit
-	if s.stopped() || last && e.Op.preparesOnly() {
+	if s.stopped() || last && e.Op.preparesOnly(s.opts.Away) {
 		return
 	}
 	if x == nil || !x.apply(e) {
