Count the longest lease from the first failed call after a late start

A start that extends the lease comes through the same network as other calls, so that it came before the first call that failed, or is not covered. TestRefusedLateStartExtendsTheLease still holds, and configuration away holds again.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -118,7 +118,7 @@
 // leaseExpired reports whether all runs on the worker under this owner's token have certainly ended. A worker that has
 // restarted and has not been read gets no leases, and has the longest one at most.
 func (s *Service) leaseExpired(w *worker, now time.Time) bool {
-	if now.Sub(w.lateUntil) <= s.longestLease() {
+	if w.failingSince.Before(w.lateUntil) && now.Sub(w.failingSince) <= s.longestLease() {
 		return false
 	}
 	if w.restarted && !w.synced {
