--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -42,7 +42,8 @@
 	suspectAfter = 2
 	// unansweredTimeout is how long a start order may go unanswered before the run is stopped.
 	unansweredTimeout = 900 * time.Millisecond
-	// lateCallTime is how long after its call ended without an answer a start may still be carried out.
+	// lateCallTime is how long after its call ended without an answer a start may still be carried out. The protocol says
+	// "seconds"; the walk and package exhaust delay calls by up to this time.
 	lateCallTime = 12 * time.Second
 	// stopRetry is the pause before an ineffective stop is repeated.
 	stopRetry = 700 * time.Millisecond
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if a != nil {
-		s.conclude(now, a, observation{kind: observedEnd, incarnation: w.info.Incarnation, since: now, until: now})
+		s.conclude(now, a, observation{kind: observedEnd, incarnation: w.info.Incarnation, since: w.lastRenewal, until: now})
 	}
 }
 
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// A run holds room on its worker, counts towards the limit of tasks per worker, and keeps its task from starting again. It
-// lets go of these when an observation proves that it has ended or never begins: ended decides, conclude acts on it, and nothing
-// else does either. docs/run-ends.md says what the protocol guarantees for each observation.
+// A run holds room on its worker, counts towards the limit of tasks per worker, and keeps its task from starting again. It is
+// released when an observation proves that it has ended or never begins: ended decides, and conclude, which is the only caller
+// of release, acts on it. docs/run-ends.md says what the protocol guarantees for each observation.
 
 // observationKind says what an owner has observed of a worker or a run.
 type observationKind uint8
@@ -23,7 +23,7 @@
 	observedLapse                              // the lease of a worker that does not answer has run out
 )
 
-// String returns the ground for a loss as it is logged.
+// String returns the reason for a release as it is logged.
 func (k observationKind) String() string {
 	switch k {
 	case observedEnd:
@@ -51,21 +51,26 @@
 	}
 }
 
-// reported reports whether a worker has told of the end itself. The other observations are those of a loss.
-func (k observationKind) reported() bool {
-	return k == observedEnd || k == observedRefusal || k == observedLaterRun || k == observedStop
+// isLoss reports whether an observation shows that a run is lost, without a report of its end or an order to stop it.
+func (k observationKind) isLoss() bool {
+	switch k {
+	case observedEnd, observedRefusal, observedLaterRun, observedStop:
+		return false
+	default:
+		return true
+	}
 }
 
 // observation is what an answer, a list or a record shows of one incarnation of a worker. What it shows was true at some time
 // between since and until. Both are on this daemon's clock: when a call was sent, and when its answer was read.
 type observation struct {
 	kind         observationKind
-	incarnation  int64 // of the worker, its start in Unix milliseconds; 0: not known
+	incarnation  int64 // of the worker that showed it, as its start in Unix milliseconds; 0: not known
 	since, until time.Time
 	longestLease time.Duration // observedLapse: how long a run may go on after the call of its start
 }
 
-// runTimes is what an owner knows of a run. A zero time means that it has not happened as far as the owner knows.
+// runTimes is what an owner knows of when a run began and ended. A zero time means that it has not happened as far as the owner knows.
 type runTimes struct {
 	sentAt          time.Time // when the start was ordered, or the run first seen
 	answeredAt      time.Time // when the start was answered or the run first seen
@@ -115,30 +120,40 @@
 	return false
 }
 
-// conclude lets go of what an attempt holds if an observation proves its end, and reports whether it does.
+// conclude releases an attempt if an observation proves its end, and reports whether it does.
 func (s *Service) conclude(now time.Time, a *attempt, o observation) bool {
 	if !a.ended(o) {
 		return false
 	}
 	w := a.worker
-	if !o.kind.reported() {
+	if o.kind.isLoss() {
 		s.recordLoss(now, a, o)
+	} else if s.Log.IsDebug() {
+		s.Log.Debug("dispatch: run released", s.describe(now, a, o)...)
 	}
 	s.release(now, a)
 	if a.answeredAt.IsZero() && o.kind != observedEnd && o.kind != observedRefusal {
-		w.bar(now, a)
+		w.keepLateStart(now, a)
 	}
-	if t := s.taskOf(a); t != nil && a.mayHaveEnded && !o.kind.reported() {
+	if t := s.taskOf(a); t != nil && a.mayHaveEnded && o.kind.isLoss() {
 		s.giveUpCrashing(now, t) // the crash under the run is certain now
 	}
 	return true
 }
 
+// describe returns the fields of a log line on the release of a run: the observation, the incarnation that it is of, how old it is
+// at most, and how long the call took that brought it.
+func (s *Service) describe(now time.Time, a *attempt, o observation) []any {
+	return []any{
+		"service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index, "run", a.run, "worker", a.worker.info.ID, "why", o.kind.String(),
+		"born", o.incarnation, "age", now.Sub(o.since).Round(time.Millisecond).String(), "took", o.until.Sub(o.since).Round(time.Millisecond).String(),
+	}
+}
+
 // recordLoss counts and logs that a run has ended without a report of its end.
 func (s *Service) recordLoss(now time.Time, a *attempt, o observation) {
 	s.counts.Lost++
-	s.Log.Info("dispatch: task lost", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index, "run", a.run,
-		"worker", a.worker.info.ID, "why", o.kind.String(), "born", o.incarnation, "age", now.Sub(o.since).Round(time.Millisecond).String())
+	s.Log.Info("dispatch: task lost", s.describe(now, a, o)...)
 	if a.task != nil {
 		a.task.lostAt = now
 		a.task.adopted = false // an earlier owner may have noticed the loss too, and have started the task again
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -26,7 +26,7 @@
 	used          place.Room // by all attempts, including those being stopped
 	attempts      map[cuminstair.TaskID]*attempt
 	stepRuns      map[stepID]int // by step: number of attempts
-	barred        []*attempt     // released without an answer to their start, which a later incarnation may carry out
+	lateStarts    []*attempt     // released without an answer to their start, which a later incarnation may carry out
 	longRunning   int            // number of long-running attempts that are not best-effort
 	bestEffort    int            // number of best-effort attempts
 	listed        bool           // in the platform's list
@@ -250,8 +250,8 @@
 			continue
 		}
 		w.listed = false
-		w.dropBarred(now)
-		if w.idle() && len(w.barred) == 0 && s.inheritedResolved() {
+		w.dropLateStarts(now)
+		if w.idle() && len(w.lateStarts) == 0 && s.inheritedResolved() {
 			s.settleSuspects(now, w)
 			delete(s.workers, id)
 			s.workersDirty = true
@@ -308,7 +308,7 @@
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.ackSent, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0, 0
 	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
-	w.leaseUnsure = len(kept) > 0 || len(w.barred) > 0 || w.leaseSentAt.After(w.lastRenewal) || s.earlierOwnerMayReach(w)
+	w.leaseUnsure = len(kept) > 0 || len(w.lateStarts) > 0 || w.leaseSentAt.After(w.lastRenewal) || s.earlierOwnerMayReach(w)
 	w.heldLease, w.restarted = 0, true
 	s.recordAgain(w)
 	w.blockedUntil, w.nextRenewal = time.Time{}, now
@@ -323,7 +323,7 @@
 		}
 		s.conclude(now, a, o)
 	}
-	s.stopBarred(now, w)
+	s.stopLateStarts(now, w)
 }
 
 // expectLateStart records that a start without an answer, which was sent before a restart of the worker was known, may still be carried out
@@ -352,26 +352,26 @@
 	s.orderStop(now, a)
 }
 
-// bar keeps a released run whose start had no answer, so that it can be stopped if the worker restarts.
-func (w *worker) bar(now time.Time, a *attempt) {
-	w.dropBarred(now)
+// keepLateStart keeps a released run whose start had no answer, so that it can be stopped if the worker restarts.
+func (w *worker) keepLateStart(now time.Time, a *attempt) {
+	w.dropLateStarts(now)
 	if a.unansweredAt.IsZero() {
 		a.unansweredAt = now
 	}
-	w.barred = append(w.barred, a)
+	w.lateStarts = append(w.lateStarts, a)
 }
 
-// dropBarred removes the runs whose start can't be carried out any more.
-func (w *worker) dropBarred(now time.Time) {
-	w.barred = slices.DeleteFunc(w.barred, func(a *attempt) bool { return now.Sub(a.unansweredAt) > lateCallTime })
+// dropLateStarts removes the runs whose start can't be carried out any more.
+func (w *worker) dropLateStarts(now time.Time) {
+	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(a *attempt) bool { return now.Sub(a.unansweredAt) > lateCallTime })
 }
 
-// stopBarred takes back the runs that a later incarnation of the worker may still start, and stops them there unless their task
+// stopLateStarts re-adds the runs that a later incarnation of the worker may still start, and stops them there unless their task
 // has no other run. The stop of a run bars the earlier runs of its task as well, so that the latest run comes first.
-func (s *Service) stopBarred(now time.Time, w *worker) {
-	w.dropBarred(now)
-	slices.SortFunc(w.barred, func(a, b *attempt) int { return cmp.Compare(b.run, a.run) })
-	for _, a := range w.barred {
+func (s *Service) stopLateStarts(now time.Time, w *worker) {
+	w.dropLateStarts(now)
+	slices.SortFunc(w.lateStarts, func(a, b *attempt) int { return cmp.Compare(b.run, a.run) })
+	for _, a := range w.lateStarts {
 		w.expectLateStart(now, a)
 		a.task, a.mayHaveEnded, a.trial = nil, true, false
 		a.stopSentAt, a.stopConfirmedAt, a.stopUnanswered = time.Time{}, time.Time{}, false
@@ -384,7 +384,7 @@
 		}
 		s.orderStop(now, a)
 	}
-	w.barred = nil
+	w.lateStarts = nil
 }
 
 // earlierOwnerMayReach reports whether an order of an earlier owner may reach the later incarnation of a worker that has
@@ -608,7 +608,7 @@
 		if old.run > t.Run {
 			return nil // an earlier run that is being stopped
 		}
-		s.conclude(now, old, observation{kind: observedLaterRun, incarnation: w.info.Incarnation, since: now, until: now})
+		s.conclude(now, old, observation{kind: observedLaterRun, incarnation: w.info.Incarnation, since: w.lastRenewal, until: now})
 	}
 	w.add(a)
 	if x != nil && !x.done && !j.finished() && x.attempt == nil {
