--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -251,3 +251,46 @@
 	p.run(13 * time.Second)
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// Guards against giving up a run whose start is carried out seconds late by an incarnation that the owner doesn't know of.
+func TestLateStartOnAnUnnoticedIncarnationThatIsSilent(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(20 * time.Second)
+	start := p.heldStart()
+	w := p.worker(start.Worker.ID)
+	p.now = p.now.Add(tick)
+	p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+	w.restart(p.now)
+	w.partitioned = true
+	w.delayed = append(w.delayed, delayedStart{at: p.now.Add(4 * time.Second), order: start})
+	w.lease = maxLease + 4*time.Second // the lease of the start, which is cut when it is carried out
+	p.run(16 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+}
+
+// Guards against a new owner that takes the runs of a silent worker for ended after the leases of the earlier owner, which did
+// not know that the worker had restarted: its start carries a lease on the clock of the earlier incarnation.
+func TestNewOwnerKeepsTheRunsOfAnUnnoticedIncarnation(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(20 * time.Second)
+	p.submit(jobA, step(1, 2000))
+	p.writeBatch()
+	var w *fakeWorker
+	for _, o := range p.decide(0) {
+		if o.Kind == dispatch.OrderStart {
+			w = p.worker(o.Worker.ID)
+			w.restart(p.now)
+			p.now = p.now.Add(tick)
+			p.execute(o)
+		}
+	}
+	p.is.Equal(len(w.runs), 1)
+	w.partitioned = true // and the owner ends
+	p.unlist(w.info.ID)
+	p.now = p.now.Add(time.Second)
+	p.takeOver(200, 0)
+	p.run(12 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+}
