Check old records of hosts from a start of their own

With the list read before a crash and the records of the hosts read after it, four events less are needed.

--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -97,6 +97,11 @@
 			Name: "hosts", Depth: longDepth, Tasks: 1, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true}, Crashes: 2,
 			Crash: true, Restart: true, Replace: true, Refuse: true, Lists: true, Hosts: true,
 		},
+		{
+			Name: "old-hosts", Depth: longDepth, Tasks: 1, First: []Event{{Op: OpReadList}, {Op: OpCrash, N: 1}, {Op: OpReadHosts}, {Op: OpRestart, N: 1}},
+			Break: Calls{Starts: true, Renewals: true}, Mute: Calls{Starts: true, Renewals: true}, Late: Calls{Starts: true}, Crashes: 1, Crash: true, Restart: true, Lists: true,
+			Hosts: true,
+		},
 		{
 			Name: "across", Depth: longDepth, Tasks: 1, Break: Calls{Starts: true}, Late: Calls{Starts: true}, LateAcross: true, Crashes: 2, Bounce: true, Crash: true,
 			Restart: true,
--- a/dispatch/exhaust/owner.go
+++ b/dispatch/exhaust/owner.go
@@ -60,12 +60,9 @@
 		x.owners[n-1].learn()
 	}
 	s.Recover(x.now, x.records(dispatch.JobTable), x.records(dispatch.RunTable), x.records(dispatch.WorkerTable))
-	list, read := x.workerList(), x.now
-	if x.lists != nil {
-		list, read = x.lists.list, x.lists.readAt
-	}
-	s.SetWorkers(x.now, list)
-	s.SetListRead(read)
+	x.lists, x.hosts = nil, nil // they were read by the owner before
+	s.SetWorkers(x.now, x.workerList())
+	s.SetListRead(x.now)
 	s.SetHosts(x.now, x.now.Add(-eventTime), x.hostRecords())
 	o.step()
 }
