Subscribe to periodic steps in one place

Five loops (two of package control, the checks of package daemon, share and register of package node) wrote the same subscription: a channel of one, a tick of the timer that is dropped while one is pending. It is timer.Ticks now.

register reads the registrations before its first wait instead of filling the channel itself; if its context has already ended it reads them once, where before either branch could be taken.

Tests: timer.TestTicksAreDroppedWhileOneIsPending (virtual time).

--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/lease"
+	"cuminstair.org/cuminstair/timer"
 	"cuminstair.org/cuminstair/wave"
 )
 
@@ -112,13 +113,7 @@
 
 // Run calls Step periodically until ctx ends, then gives up the lease.
 func (c *Control) Run(ctx context.Context) error {
-	wake := make(chan struct{}, 1)
-	stop := c.Timer.Every(Tick, func(time.Time) {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
-	})
+	wake, stop := timer.Ticks(c.Timer, Tick)
 	defer stop()
 	jobs := c.runJobs(ctx)
 	defer func() { <-jobs }()
--- a/control/jobs.go
+++ b/control/jobs.go
@@ -12,6 +12,7 @@
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/job"
 	"cuminstair.org/cuminstair/lease"
+	"cuminstair.org/cuminstair/timer"
 	"cuminstair.org/cuminstair/wave"
 )
 
@@ -42,13 +43,7 @@
 		close(done)
 		return done
 	}
-	wake := make(chan struct{}, 1)
-	stop := c.Timer.Every(JobTick, func(time.Time) {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
-	})
+	wake, stop := timer.Ticks(c.Timer, JobTick)
 	go func() {
 		defer close(done)
 		defer stop()
--- a/daemon/check.go
+++ b/daemon/check.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/timer"
 )
 
 // Active checks of upstreams.
@@ -31,13 +32,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	due := make(chan struct{}, 1)
-	stop := d.Timer.Every(checkInterval, func(time.Time) {
-		select {
-		case due <- struct{}{}:
-		default:
-		}
-	})
+	due, stop := timer.Ticks(d.Timer, checkInterval)
 	defer stop()
 	var rotation rotation
 	for {
--- a/node/register.go
+++ b/node/register.go
@@ -13,6 +13,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/member"
+	"cuminstair.org/cuminstair/timer"
 )
 
 // registerInterval is the time between reads of the registrations and between attempts to register. It also bounds
@@ -32,24 +33,17 @@
 
 // register writes the row of this daemon, reads those of the others to find peers, and deletes its row at the stop.
 func (n *Node) register(ctx context.Context) error {
-	due := make(chan struct{}, 1)
-	due <- struct{}{}
-	stop := n.Timer.Every(registerInterval, func(time.Time) {
-		select {
-		case due <- struct{}{}:
-		default:
-		}
-	})
+	due, stop := timer.Ticks(n.Timer, registerInterval)
 	defer stop()
 	log := n.Log.Named("register")
 	for {
+		if err := n.refreshRegistrations(ctx); err != nil {
+			log.Debug("registration failed, will retry", "error", err)
+		}
 		select {
 		case <-ctx.Done():
 			return n.deregister(context.WithoutCancel(ctx))
 		case <-due:
-			if err := n.refreshRegistrations(ctx); err != nil {
-				log.Debug("registration failed, will retry", "error", err)
-			}
 		}
 	}
 }
--- a/node/share.go
+++ b/node/share.go
@@ -10,6 +10,7 @@
 	"cuminstair.org/cuminstair/health"
 	"cuminstair.org/cuminstair/member"
 	"cuminstair.org/cuminstair/rollout"
+	"cuminstair.org/cuminstair/timer"
 )
 
 // shareInterval is the interval at which the daemon publishes its loads and health reports through gossip and passes
@@ -18,13 +19,7 @@
 
 // share exchanges loads and health reports with the peers until ctx ends.
 func (n *Node) share(ctx context.Context) error {
-	due := make(chan struct{}, 1)
-	stop := n.Timer.Every(shareInterval, func(time.Time) {
-		select {
-		case due <- struct{}{}:
-		default:
-		}
-	})
+	due, stop := timer.Ticks(n.Timer, shareInterval)
 	defer stop()
 	var s sharedState
 	for {
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// Ticks returns a channel that receives a value every d until stop is called. A tick is dropped while the previous one
+// has not been received, so that a receiver that was busy or paused for several periods catches up with one step.
+func Ticks(t cuminstair.Timer, d time.Duration) (due <-chan struct{}, stop func() bool) {
+	ticks := make(chan struct{}, 1)
+	stop = t.Every(d, func(time.Time) {
+		select {
+		case ticks <- struct{}{}:
+		default:
+		}
+	})
+	return ticks, stop
+}
+
 // Run calls the subscribers until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	for {
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -38,6 +38,34 @@
 	is.Equal(ticks, 50)
 }
 
+// Guards against a tick that is lost while the receiver waits, against a receiver that gets one tick for each period in
+// which it was busy, and against a subscriber that blocks the clock.
+func TestTicksAreDroppedWhileOneIsPending(t *testing.T) {
+	is := is.New(t)
+	v := timer.NewVirtual(start)
+	due, stop := timer.Ticks(v, 20*time.Millisecond)
+	received := func() (count int) {
+		for {
+			select {
+			case <-due:
+				count++
+			default:
+				return count
+			}
+		}
+	}
+	is.Equal(received(), 0)
+	for range 3 {
+		v.Advance(20 * time.Millisecond)
+		is.Equal(received(), 1)
+	}
+	v.Advance(time.Second)
+	is.Equal(received(), 1)
+	is.True(stop())
+	v.Advance(time.Second)
+	is.Equal(received(), 0)
+}
+
 // Guards against a subscriber that is never called because another subscriber added it during Advance.
 func TestVirtualNested(t *testing.T) {
 	is := is.New(t)
