Check that a forwarded call is still open before a refused job is accepted

Cause: a daemon forwards a call again that the owner does not answer. A copy that it has given up may be delivered when TCP sends the packets again after a cut, and the owner took it for a new attempt of the caller.

A forwarded call now has a number, and the forwarding daemon keeps the numbers of the calls for whose answer it waits. An owner that has refused the job asks it (/open) before the job is submitted, and again after each further refusal. The number leaves the set before the caller is answered, so that no copy of a call whose refusal was told is accepted. A refusal is remembered for 20 s after the latest one, and a job whose write was never sent counts as refused.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -252,8 +252,8 @@
 		return
 	}
 	s.lastSweep = now
-	for id, first := range s.refused {
-		if now.Sub(first) > refusedTTL {
+	for id, r := range s.refused {
+		if now.Sub(r.latest) > refusedTTL {
 			delete(s.refused, id)
 		}
 	}
@@ -363,6 +363,7 @@
 			continue
 		}
 		delete(s.jobs, j.id)
+		s.recordRefusal(now, j.id, j.firstSent)
 		s.Log.Info("dispatch: job refused", "service", s.Name, "job", j.id, "why", "the store did not answer in time")
 		answerAll(&j.submitWaiters, Result{Outcome: Unavailable, Wait: storeRetryWait, Why: "the store did not answer in time"})
 		answerAll(&j.cancelWaiters, Result{Outcome: NotFound})
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -53,7 +53,7 @@
 	// batchBytes bounds the total size of the values of one write; the platform accepts 1 MB after base64.
 	batchBytes = 600 << 10
 	// refusedTTL is how long the first submission of a refused job is remembered, since its objective is measured
-	// from that time.
+	// from that time, and how long its latest refusal is, since copies of earlier calls may arrive later.
 	refusedTTL = 20 * time.Second
 	// keepMargin is added to the retention period of finished jobs.
 	keepMargin = 30 * time.Second
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -50,8 +50,8 @@
 	}
 	j := newJob(id, spec, queue)
 	j.firstSent, j.receivedAt, j.token = now, now, s.Token
-	if first, ok := s.refused[id]; ok {
-		j.firstSent = first
+	if r, ok := s.refused[id]; ok && now.Sub(r.first) <= refusedTTL {
+		j.firstSent = r.first
 	}
 	j.due = s.objective(j, j.firstSent)
 	s.observeOffer(now, j)
@@ -95,14 +95,34 @@
 
 func (s *Service) refuse(now time.Time, id string, r Result, reply func(Result)) {
 	s.counts.Refused++
-	if _, ok := s.refused[id]; !ok {
-		s.refused[id] = now
-	}
+	s.recordRefusal(now, id, now)
 	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait.Round(time.Millisecond).String(), "open", len(s.active),
 		"used", s.usedShare())
 	reply(r)
 }
 
+// refusal is what is kept of a refused job.
+type refusal struct {
+	first  time.Time // first submission
+	latest time.Time // latest refusal
+	number uint64    // of the latest refusal, counted over all jobs of the service
+}
+
+// recordRefusal records that a job first submitted at first was refused.
+func (s *Service) recordRefusal(now time.Time, id string, first time.Time) {
+	r, ok := s.refused[id]
+	if !ok || now.Sub(r.first) > refusedTTL {
+		r.first = first
+	}
+	s.refusals++
+	r.latest, r.number = now, s.refusals
+	s.refused[id] = r
+}
+
+// LatestRefusal returns the number of the latest refusal of a job, or 0 if the job was not refused or was accepted since.
+// A later refusal has a higher number.
+func (s *Service) LatestRefusal(id string) uint64 { return s.refused[id].number }
+
 // admit decides whether a job is accepted.
 func (s *Service) admit(now time.Time, j *job) Result {
 	if j.queue.Advised && !s.Adviser {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -72,6 +72,7 @@
 	readFailed  atomic.Bool               // the last read of the owner records failed
 	openCalls   atomic.Int64              // callers' requests in progress
 	peers       *peerClient
+	forwarded   forwardedCalls // calls that other daemons have not answered yet
 
 	mu            sync.Mutex
 	view          *ownership.View
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -17,7 +17,7 @@
 // FuzzPeerCalls sends any bytes as calls of another daemon to the owner of a service. Guards against a malformed call
 // that ends the process.
 func FuzzPeerCalls(f *testing.F) {
-	paths := []string{callPath, cordonPath, demandPath, stopPath, offerPath, notifyPath}
+	paths := []string{callPath, cordonPath, demandPath, stopPath, offerPath, notifyPath, openPath}
 	for i, seed := range []string{
 		`{"method":"POST","id":"00000000000000aa","queue":{"Name":"q","Service":"s"},"job":{"steps":[{"n":2,"cpu":100,"after":[3]}]}}`,
 		`{"service":"s","workers":["a"],"due":["b"],"yield":-1}`,
@@ -58,7 +58,7 @@
 	d := &Daemon{Timer: fixedTimer{now: peerTime}, Log: hclog.NewNullLogger(), Settings: &platform.Settings{}}
 	d.view = ownership.NewView("d1", "run1")
 	d.ownerHints, d.taking, d.newerOwners = map[string]ownerHint{}, map[string]bool{}, map[string]int64{}
-	d.readOwnersNow = make(chan struct{}, 1)
+	d.readOwnersNow, d.peers = make(chan struct{}, 1), newPeerClient()
 	r := newRunner(d, "s", 7, ownership.Owner{}, false)
 	d.runners = map[string]*runner{"s": r}
 	close(r.done) // a caller whose job is not answered is not kept waiting
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -84,6 +84,8 @@
 	configVersion int64
 	method        string
 	arrived       time.Time
+	forwarded     bool   // by a daemon that can tell whether it waits for the answer
+	openAfter     uint64 // if forwarded: latest refusal of the job after which the daemon still waited
 }
 
 func (d *Daemon) serveCaller(c echo.Context) error {
@@ -292,5 +294,9 @@
 		}()
 	})
 	defer stop()
-	return d.peers.callOwner(ctx, addr, x, spec)
+	number := d.forwarded.begin()
+	defer d.forwarded.end(number)
+	return d.peers.callOwner(ctx, addr, callRequest{
+		Method: x.method, ID: x.id, Queue: x.queue, Job: spec, From: d.addr, Run: d.runID, Number: number,
+	})
 }
--- /dev/null
+++ b/entry/open.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// forwardedCalls is the set of forwarded calls that wait for an answer.
+type forwardedCalls struct {
+	mu   sync.Mutex
+	last uint64
+	open map[uint64]bool
+}
+
+// begin adds a call and returns its number.
+func (o *forwardedCalls) begin() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.open == nil {
+		o.open = map[uint64]bool{}
+	}
+	o.last++
+	o.open[o.last] = true
+	return o.last
+}
+
+func (o *forwardedCalls) end(number uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, number)
+}
+
+func (o *forwardedCalls) has(number uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.open[number]
+}
+
+// openRequest asks a daemon whether it still waits for the answer to a call that it forwarded.
+type openRequest struct {
+	Run    string `json:"run"` // Node.Run of the daemon
+	Number uint64 `json:"n"`
+}
+
+type openReply struct {
+	Open bool `json:"open"`
+}
+
+func (d *Daemon) serveOpen(c echo.Context) error {
+	var q openRequest
+	if err := decodeBody(c, &q); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	return c.JSON(http.StatusOK, openReply{Open: q.Run == d.runID && d.forwarded.has(q.Number)})
+}
+
+// isOpen asks a daemon whether it still waits for the answer to a call.
+func (p *peerClient) isOpen(ctx context.Context, addr string, q openRequest) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var a openReply
+	err := p.post(ctx, addr, openPath, q, &a)
+	return a.Open, err
+}
+
+// callForwarded passes a call of another daemon to the runner of a service that this daemon owns. A job that was refused
+// is submitted only if the other daemon still waits for the answer to this call: TCP may deliver a copy of the call after
+// the caller was told of the refusal. The question is repeated if the job is refused again meanwhile.
+func (d *Daemon) callForwarded(ctx context.Context, r *runner, x call, q callRequest) (callReply, error) {
+	for {
+		a, err := d.callLocal(ctx, r, x, q.Job)
+		if err != nil || a.unconfirmed == 0 {
+			return a, err
+		}
+		open, err := d.peers.isOpen(ctx, q.From, openRequest{Run: q.Run, Number: q.Number})
+		switch {
+		case err != nil:
+			d.Log.Info("entry: late copy of a call dropped", "job", x.id, "from", q.From, "why", err)
+			// The call has not been acted on, so the other daemon may send it again if it still waits.
+			return callReply{}, fmt.Errorf("ask %s for its call: %w: %w", q.From, errNoOwner, err)
+		case !open:
+			d.Log.Info("entry: late copy of a call dropped", "job", x.id, "from", q.From, "why", "nobody waits for its answer")
+			return callReply{Outcome: dispatch.Uncertain, Why: "the call was given up"}, nil
+		}
+		x.openAfter = a.unconfirmed
+	}
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -25,6 +25,7 @@
 	cordonPath      = "/cordon"
 	stopPath        = "/stop"
 	offerPath       = "/offer"
+	openPath        = "/open"
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdleTimeout = 30 * time.Second
 	peerMaxBody     = 1 << 20
@@ -37,6 +38,9 @@
 	ID     string               `json:"id"`
 	Queue  cuminstair.WorkQueue `json:"queue"`
 	Job    *cuminstair.JobSpec  `json:"job,omitempty"`
+	From   string               `json:"from,omitempty"` // address of the daemon that forwards the call
+	Run    string               `json:"run,omitempty"`  // its Node.Run
+	Number uint64               `json:"n,omitempty"`    // unique in that run; 0: the daemon is of an earlier version
 }
 
 // callReply is the owner's answer to a callRequest.
@@ -48,6 +52,9 @@
 	Why      string              `json:"why,omitempty"`
 	State    cuminstair.JobState `json:"state,omitempty"`
 	Waiting  int                 `json:"waiting,omitempty"`
+	// unconfirmed is set if the call was not carried out, since the job was refused and the call may be a late copy: the
+	// number of the refusal.
+	unconfirmed uint64
 }
 
 // cordonRequest asks an owner to drain workers.
@@ -156,9 +163,9 @@
 	return nil
 }
 
-func (p *peerClient) callOwner(ctx context.Context, addr string, x call, spec *cuminstair.JobSpec) (callReply, error) {
+func (p *peerClient) callOwner(ctx context.Context, addr string, q callRequest) (callReply, error) {
 	var a callReply
-	err := p.post(ctx, addr, callPath, callRequest{Method: x.method, ID: x.id, Queue: x.queue, Job: spec}, &a)
+	err := p.post(ctx, addr, callPath, q, &a)
 	return a, err
 }
 
@@ -227,6 +234,7 @@
 	e.POST(demandPath, d.serveDemand)
 	e.POST(stopPath, d.serveStop)
 	e.POST(offerPath, d.serveOffer)
+	e.POST(openPath, d.serveOpen)
 	e.POST(notifyPath, func(c echo.Context) error {
 		signal(d.readOwnersNow)
 		return c.NoContent(http.StatusOK)
@@ -249,8 +257,8 @@
 	if r == nil {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true, Owner: addr})
 	}
-	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now()}
-	a, err := d.callLocal(c.Request().Context(), r, x, q.Job)
+	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now(), forwarded: q.Number != 0}
+	a, err := d.callForwarded(c.Request().Context(), r, x, q)
 	if errors.Is(err, errNoOwner) {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true})
 	}
@@ -282,6 +290,10 @@
 		case r.state.Deposed() || r.ended:
 			answers <- callReply{NotOwner: true}
 		case x.method == http.MethodPost && spec != nil:
+			if n := r.state.LatestRefusal(x.id); x.forwarded && n > x.openAfter {
+				answers <- callReply{unconfirmed: n}
+				return
+			}
 			r.state.Submit(now, x.id, spec, x.queue, result)
 		case x.method == http.MethodDelete:
 			r.state.Cancel(now, x.id, result)
