--- /dev/null
+++ b/dispatch/lease.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// clockAtLeast returns a lower bound of the worker's clock at now.
+func (w *worker) clockAtLeast(now time.Time) time.Duration {
+	since := now.Sub(w.clockAt)
+	return w.clock + since - time.Duration(maxClockSlowdown*float64(since))
+}
+
+// leaseExpired reports whether all runs on the worker under this owner's token have certainly ended. A worker that has
+// restarted and has not been read gets no leases, and has the longest one at most.
+func (s *Service) leaseExpired(w *worker, now time.Time) bool {
+	if w.failingSince.Before(w.lateUntil) && now.Sub(w.failingSince) <= s.longestLease() {
+		return false
+	}
+	if w.restarted && !w.synced {
+		return now.Sub(w.knownSince) > s.longestLease()
+	}
+	return w.synced && w.clockAtLeast(now) > max(w.lease, w.heldLease)+leaseMargin
+}
+
+// longestLease is how long a worker may run tasks after an order, whatever its lease, on the slowest clock.
+func (s *Service) longestLease() time.Duration {
+	longest := s.Bounds.MaxLease
+	return longest + time.Duration(maxClockSlowdown*float64(longest)) + leaseMargin
+}
+
+// nextLease returns the lease to send now. A worker that does not answer keeps its present lease, so that its tasks end
+// for certain. No lease outlasts the time for which the owner may give orders, and none is longer than Lease on the
+// slowest clock that the worker may have, so that the next owner knows when all leases have run out.
+func (s *Service) nextLease(now time.Time, w *worker) time.Duration {
+	if w.failedCalls > 0 {
+		return w.lease
+	}
+	length := Lease
+	if s.Grace > 0 {
+		length = max(0, min(Lease, s.confirmedAt.Add(s.Grace).Sub(now)))
+	}
+	w.lease, w.leaseSentAt = max(w.lease, w.clockAtLeast(now)+length), now
+	return w.lease
+}
