--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -114,7 +114,7 @@
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
-		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]refusal{},
+		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]refusal{}, refusals: earlierRefusal,
 		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -119,9 +119,24 @@
 	s.refused[id] = r
 }
 
+// earlierRefusal is the number that stands for refusals by earlier owners. Those of this owner have higher numbers.
+const earlierRefusal = 1
+
 // LatestRefusal returns the number of the latest refusal of a job, or 0 if the job was not refused or was accepted since.
-// A later refusal has a higher number.
-func (s *Service) LatestRefusal(id string) uint64 { return s.refused[id].number }
+// A later refusal has a higher number. Refusals by earlier owners are not known, so that for refusedTTL after the takeover
+// each unknown job counts as refused before it.
+func (s *Service) LatestRefusal(now time.Time, id string) uint64 {
+	if _, known := s.jobs[id]; known {
+		return 0
+	}
+	if r, ok := s.refused[id]; ok {
+		return r.number
+	}
+	if now.Sub(s.takenOverAt) < refusedTTL {
+		return earlierRefusal
+	}
+	return 0
+}
 
 // admit decides whether a job is accepted.
 func (s *Service) admit(now time.Time, j *job) Result {
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -138,3 +138,26 @@
 	copyOf.Number = 0
 	is.Equal(send().Outcome, dispatch.Accepted) // a daemon of an earlier version
 }
+
+// Guards against a new owner that accepts a late copy of a call whose job an earlier owner has refused.
+func TestLateCopyIsNotAcceptedAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	owner, _ := ownerDaemon(t) // took the service over just now
+	forwarder := &Daemon{Timer: waitingTimer{}, runID: "run2", peers: newPeerClient()}
+	peer := httptest.NewServer(forwarder.peerServer().Handler)
+	defer peer.Close()
+	x, spec := lateCall()
+	number := forwarder.forwarded.begin()
+	send := func() (a callReply) {
+		body, err := json.Marshal(callRequest{
+			Method: x.method, ID: x.id, Queue: x.queue, Job: spec, From: peer.Listener.Addr().String(), Run: "run2", Number: number,
+		})
+		is.NoErr(err)
+		is.NoErr(json.Unmarshal([]byte(post(owner, callPath, string(body))), &a))
+		return a
+	}
+	forwarder.forwarded.end(number)
+	is.Equal(send().Outcome, dispatch.Uncertain) // the forwarding daemon has given it up
+	number = forwarder.forwarded.begin()
+	is.Equal(send().Outcome, dispatch.Accepted)
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -290,7 +290,7 @@
 		case r.state.Deposed() || r.ended:
 			answers <- callReply{NotOwner: true}
 		case x.method == http.MethodPost && spec != nil:
-			if n := r.state.LatestRefusal(x.id); x.forwarded && n > x.openAfter {
+			if n := r.state.LatestRefusal(now, x.id); x.forwarded && n > x.openAfter {
 				answers <- callReply{unconfirmed: n}
 				return
 			}
