--- a/dispatch/exhaust/exhaust_test.go
+++ b/dispatch/exhaust/exhaust_test.go
@@ -12,6 +12,7 @@
 	name   = flag.String("exhaust.name", "", "configuration to run; empty: all")
 	most   = flag.Int("exhaust.violations", 1, "kinds of violations to find")
 	cores  = flag.Int("exhaust.parallel", 1, "goroutines")
+	late   = flag.Bool("exhaust.late", true, "calls without an answer may be carried out late")
 	replay = flag.String("exhaust.replay", "", "events to replay in the configuration, separated by commas")
 )
 
@@ -24,6 +25,9 @@
 		if *depth > 0 {
 			opts.Depth = *depth
 		}
+		if !*late {
+			opts.Late = exhaust.Calls{}
+		}
 		opts.MaxViolations, opts.Parallel = *most, *cores
 		t.Run(opts.Name, func(t *testing.T) {
 			if *replay != "" {
--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -123,6 +123,10 @@
 			Name: "running", Tasks: 1, Running: true, Keep: Calls{Renewals: true}, Late: Calls{Renewals: true}, Break: Calls{Renewals: true}, Crashes: 2,
 			Bounce: true, Cut: true, Freeze: true, CutStore: true, Successor: true, Lists: true,
 		},
+		{
+			Name: "handover", Tasks: 1, Running: true, Mute: Calls{Renewals: true}, Keep: Calls{Renewals: true}, Crashes: 1, Bounce: true, Finish: true, Cut: true,
+			Freeze: true, CutStore: true, Successor: true,
+		},
 		{
 			Name: "away", Tasks: 1, Away: true, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Crashes: 2, Bounce: true, Crash: true, Cut: true,
 			Hosts: true, Freeze: true, Successor: true,
