Check two owners of which one reaches a worker, and runs that fail

A worker may be cut off from the newest owner only, and a run may fail, so that its task starts again.

--- a/dispatch/exhaust/call.go
+++ b/dispatch/exhaust/call.go
@@ -52,18 +52,21 @@
 // limit returns when the caller gives up.
 func (c *call) limit() time.Time { return c.sent.Add(callTimeout + c.order.Wait) }
 
+// reachedBy reports whether calls of an owner reach a worker's address.
+func (w *worker) reachedBy(o *owner) bool { return !w.cut && (!w.parted || !o.holds()) }
+
 // progressCalls carries out and answers the calls that no event keeps from it.
 func (x *world) progressCalls() {
 	for _, c := range slices.Clone(x.calls) {
 		w := x.find(c.order.Worker.Addr)
 		switch {
-		case c.state == callSent && !c.held && !w.cut:
+		case c.state == callSent && !c.held && w.reachedBy(c.owner):
 			x.progressSent(w, c)
 		case c.state == callWaiting && w.up && w.incarnation == c.incarnation && (len(w.ends) > 0 || !x.now.Before(c.answerAt)):
 			withheld := c.answer.AckWithheld
 			c.answer, c.state = x.report(w), callKept
 			c.answer.AckWithheld = withheld
-			if !w.cut && !c.held {
+			if w.reachedBy(c.owner) && !c.held {
 				x.answerCall(c)
 			}
 		}
--- a/dispatch/exhaust/event.go
+++ b/dispatch/exhaust/event.go
@@ -27,9 +27,11 @@
 	OpRestart      Op = "restart"       // a worker that is down restarts under the same ID
 	OpReplace      Op = "replace"       // a worker with another ID starts in the place of one that is down
 	OpCut          Op = "cut"           // a worker is cut off
+	OpPart         Op = "part"          // a worker is cut off from the newest owner only
 	OpReach        Op = "reach"         // a worker that was cut off is reached again
 	OpCordon       Op = "cordon"        // a worker's host is due for maintenance
 	OpFinish       Op = "finish"        // a run ends as done
+	OpFail         Op = "fail"          // a run fails
 	OpReadList     Op = "read-list"     // the list of workers is read, and delivered later
 	OpDeliverList  Op = "deliver-list"  // it is delivered
 	OpReadHosts    Op = "read-hosts"    // the records of the hosts are read, and delivered later
@@ -111,7 +113,7 @@
 
 func (x *world) callChoices(c *call, add func(bool, Op, int)) {
 	w, kind, o := x.find(c.order.Worker.Addr), c.order.Kind, x.opts
-	reached := w.up && !w.cut
+	reached := w.up && w.reachedBy(c.owner)
 	switch c.state {
 	case callSent:
 		add(o.Hold.has(kind) && !c.held, OpHold, c.number)
@@ -139,9 +141,11 @@
 		add(o.Restart && !w.up, OpRestart, i)
 		add(o.Replace && !w.up, OpReplace, i)
 		add(o.Cut && !w.cut, OpCut, i)
-		add(o.Cut && w.cut, OpReach, i)
+		add(o.Part && !w.cut && !w.parted && len(x.owners) > 1, OpPart, i)
+		add(w.cut || w.parted, OpReach, i)
 		add(o.Cordon, OpCordon, i)
 		add(o.Finish && len(w.runs) > 0, OpFinish, i)
+		add(o.Fail && len(w.runs) > 0, OpFail, i)
 	}
 }
 
@@ -204,7 +208,7 @@
 // order has no effect.
 func (op Op) takesTime() bool {
 	switch op {
-	case OpHold, OpKeep, OpCrash, OpCut, OpReach, OpFreeze, OpKill, OpCutStore:
+	case OpHold, OpKeep, OpCrash, OpCut, OpPart, OpReach, OpFreeze, OpKill, OpCutStore:
 		return false
 	default:
 		return true
@@ -214,7 +218,7 @@
 // reachesOwner reports whether an owner notices an event at once.
 func (op Op) reachesOwner() bool {
 	switch op {
-	case OpBounce, OpRestart, OpReplace, OpFinish, OpReadList, OpReadHosts, OpLate:
+	case OpBounce, OpRestart, OpReplace, OpFinish, OpFail, OpReadList, OpReadHosts, OpLate:
 		return false
 	default:
 		return op.takesTime()
@@ -227,7 +231,7 @@
 	case OpHold, OpFreeze, OpReadList, OpReadHosts, OpCutStore, OpReachStore:
 		return true
 	default:
-		return (op == OpCut || op == OpReach) && !away
+		return (op == OpCut || op == OpPart || op == OpReach) && !away
 	}
 }
 
@@ -296,12 +300,16 @@
 		w.boot(x.now)
 	case OpCut:
 		w.cut = true
+	case OpPart:
+		w.parted = true
 	case OpReach:
-		w.cut = false
+		w.cut, w.parted = false, false
 	case OpCordon:
 		x.owners[len(x.owners)-1].state.Cordon(x.now, []string{w.id})
 	case OpFinish:
 		x.endRun(w, w.runs[0], cuminstair.EndDone)
+	case OpFail:
+		x.endRun(w, w.runs[0], cuminstair.EndFailed)
 	default:
 	}
 }
--- a/dispatch/exhaust/options.go
+++ b/dispatch/exhaust/options.go
@@ -53,6 +53,7 @@
 	Replace   bool // a worker with another ID starts in the place of one that is down
 	Refuse    bool // workers that are down refuse connections; otherwise they are silent
 	Cut       bool // a worker is cut off, and reached again
+	Part      bool // a worker is cut off from the newest owner while the one before reaches it
 	Lists     bool // the list of workers is read now and delivered later
 	Hosts     bool // the list of hosts is read now and delivered later
 	Freeze    bool // the owner is frozen, and goes on
@@ -61,6 +62,7 @@
 	Successor bool // another owner takes over from an owner that is frozen, killed or does not reach the store
 	Cordon    bool // a worker's host is due for maintenance, so that its tasks are moved
 	Finish    bool // a run ends as done
+	Fail      bool // a run fails
 
 	Parallel int // goroutines; 0: 1
 	// Away lets workers that are down or cut off at the end of the events stay so, unless both are.
@@ -87,7 +89,7 @@
 func Configurations() []Options {
 	list := []Options{
 		{
-			Name: "restarts", Depth: longDepth, Tasks: 2, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true},
+			Name: "restarts", Tasks: 2, Hold: Calls{Starts: true}, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Late: Calls{Starts: true},
 			Crashes: 2, Bounce: true, Lists: true, Cut: true,
 		},
 		{
@@ -115,7 +117,7 @@
 			Cut: true, Freeze: true, Lists: true, Successor: true,
 		},
 		{
-			Name: "successor", Depth: longDepth, Tasks: 1, First: []Event{{Op: OpFreeze}, {Op: OpBounce, N: 1}, {Op: OpTakeOver}}, Break: Calls{Starts: true},
+			Name: "successor", Tasks: 1, First: []Event{{Op: OpFreeze}, {Op: OpBounce, N: 1}, {Op: OpTakeOver}}, Break: Calls{Starts: true},
 			Keep: Calls{Renewals: true}, Late: Calls{Starts: true, Renewals: true}, Crashes: 2, Bounce: true, Cut: true, Freeze: true, Lists: true,
 			Successor: true,
 		},
@@ -127,6 +129,10 @@
 			Name: "handover", Tasks: 1, Running: true, Mute: Calls{Renewals: true}, Keep: Calls{Renewals: true}, Crashes: 1, Bounce: true, Finish: true, Cut: true,
 			Freeze: true, CutStore: true, Successor: true,
 		},
+		{
+			Name: "two-owners", Depth: longDepth, Tasks: 1, Running: true, First: []Event{{Op: OpCutStore}}, Keep: Calls{Renewals: true},
+			Break: Calls{Renewals: true}, Crashes: 1, Bounce: true, CutStore: true, Successor: true, Part: true, Cut: true, Fail: true,
+		},
 		{
 			Name: "away", Tasks: 1, Away: true, Break: Calls{Starts: true}, Mute: Calls{Starts: true}, Crashes: 2, Bounce: true, Crash: true, Cut: true,
 			Hosts: true, Freeze: true, Successor: true,
--- a/dispatch/exhaust/worker.go
+++ b/dispatch/exhaust/worker.go
@@ -50,6 +50,7 @@
 	ends        []end
 	seq         int64
 	cut         bool // calls do not reach it
+	parted      bool // calls of the newest owner do not reach it
 	entry       cuminstair.WorkerInfo
 	listed      bool
 	beatAt      time.Time // when it last wrote its entry
