--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -8,14 +8,116 @@
 	"cuminstair.org/cuminstair/dispatch"
 )
 
-// showRestart puts the present incarnation of a worker into the list of workers.
-func (p *pool) showRestart(w *fakeWorker) {
-	for i := range p.list {
-		if p.list[i].ID == w.info.ID {
-			p.list[i] = w.info
+// heldStart submits job A with one task and returns its start, which is still on its way to the worker.
+func (p *pool) heldStart() dispatch.Order {
+	p.t.Helper()
+	p.submit(jobA, step(1, 2000))
+	p.writeBatch()
+	var start dispatch.Order
+	for _, o := range p.decide(0) {
+		if o.Kind == dispatch.OrderStart {
+			start = o
+		} else {
+			p.execute(o)
 		}
 	}
-	p.s.SetWorkers(p.now, p.list)
+	p.is.Equal(start.Task.Job, jobA)
+	return start
+}
+
+// Guards against giving up a start that was sent before a renewal which the earlier incarnation answered, but was carried out
+// by the later one: the list of workers shows the restart before the worker's next report.
+func TestStartAnsweredAfterTheLastReportIsKeptAtARestart(t *testing.T) {
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(200 * time.Millisecond)
+	start := p.heldStart()
+	w := p.worker(start.Worker.ID)
+	p.now = p.now.Add(10 * tick)
+	for _, o := range p.decide(0) {
+		p.execute(o) // the earlier incarnation answers a renewal
+	}
+	w.restart(p.now)
+	p.now = p.now.Add(tick)
+	p.execute(start)
+	p.is.Equal(len(w.runs), 1)
+
+	w.partitioned = true // answers no renewal yet
+	p.relist(w)
+	p.run(400 * time.Millisecond)
+	w.partitioned = false
+	p.run(time.Second)
+	p.is.Equal(p.starts[start.Task], 1)
+	p.is.Equal(p.duplicateRuns, 0)
+}
+
+// Guards against placing tasks on a restarted worker whose report was left unread, since it may be stale: the worker may have
+// runs that the owner does not know.
+func TestWorkerWithAnUnreadReportGetsNoTasks(t *testing.T) {
+	p := newPool(t, 1)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(200 * time.Millisecond)
+	p.submit(jobA, step(1, 1000))
+	p.run(200 * time.Millisecond)
+	w := p.workers[0]
+	var renewal dispatch.Order
+	for renewal.Wait == 0 {
+		p.now = p.now.Add(tick)
+		for _, o := range p.decide(0) {
+			renewal = o
+		}
+	}
+	p.now = p.now.Add(dispatch.AliveTime)
+	w.restart(p.now)
+	p.submit(jobB, step(2, hostCPU))
+	w.end(cuminstair.TaskID{Job: jobB}, &fakeRun{run: 1}, cuminstair.EndStopped) // of an earlier owner
+	unknown := cuminstair.TaskID{Job: jobB, Index: 1}
+	p.launch(w, dispatch.Order{Task: unknown, Run: 1})
+	p.execute(renewal)
+	p.writeBatch()
+	for range 3 {
+		for _, o := range p.decide(time.Second) {
+			p.is.True(o.Kind != dispatch.OrderStart)
+		}
+		p.writeBatch()
+	}
+}
+
+// Guards against taking a stop that the earlier incarnation confirmed for proof that the later one will not start the run: it
+// knows nothing of the stop, and the start may still be on its way.
+func TestStopConfirmedByTheEarlierIncarnationProvesNothing(t *testing.T) {
+	for name, released := range map[string]bool{"before the release": false, "after the release": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 2)
+			p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+			p.run(200 * time.Millisecond)
+			for _, w := range p.workers {
+				w.startDelay = 4 * time.Second
+			}
+			start := p.heldStart()
+			p.execute(start)
+			w := p.worker(start.Worker.ID)
+			for w.barred[start.Task] < start.Run { // until the stop is confirmed
+				p.now = p.now.Add(tick)
+				for _, o := range p.decide(0) {
+					p.execute(o)
+				}
+			}
+			for _, x := range p.workers {
+				x.startDelay = 0
+			}
+			if released {
+				p.run(200 * time.Millisecond)
+				p.is.Equal(p.running(), 1) // it has started again
+			}
+			w.restart(p.now)
+			p.now = p.now.Add(tick)
+			p.relist(w)
+			p.run(10 * time.Second)
+			p.is.Equal(p.running(), 1)
+			p.is.Equal(p.duplicateRuns, 0)
+		})
+	}
 }
 
 // Guards against giving a run up under the short lease of its owner although the start, which the later incarnation of its
@@ -39,7 +141,7 @@
 			p.execute(start)
 			p.is.Equal(len(w.runs), 1)
 			if listed {
-				p.showRestart(w)
+				p.relist(w)
 			}
 			p.run(400 * time.Millisecond) // the later incarnation is read
 			w.partitioned = true
@@ -102,7 +204,7 @@
 	}
 	w.barred[stop.Task] = stop.Run // the earlier incarnation confirms the stop
 	w.restart(p.now)
-	p.showRestart(w)
+	p.relist(w)
 	p.now = p.now.Add(tick)
 	for _, o := range p.decide(0) {
 		if o.Kind == dispatch.OrderStop {
@@ -139,7 +241,7 @@
 	p.is.Equal(len(other.runs), 1)
 	w.startDelay = 0
 	w.restart(p.now)
-	p.showRestart(w)
+	p.relist(w)
 	p.run(5 * time.Second)
 	p.is.Equal(p.duplicateRuns, 0)
 	p.is.Equal(p.running(), 1)
@@ -181,7 +283,7 @@
 	p.run(1500 * time.Millisecond)
 	w.partitioned = false
 	p.is.Equal(p.ready(), 1)
-	p.showRestart(w)
+	p.relist(w)
 	stops := p.s.Counts().Stops
 	p.run(2 * time.Second)
 	p.is.Equal(p.s.Counts().Stops, stops)
