--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -8,6 +8,15 @@
 	"cuminstair.org/cuminstair/dispatch"
 )
 
+// newAgedPool returns a pool of two workers of an age, on which a task works for a minute.
+func newAgedPool(t *testing.T, age time.Duration) *pool {
+	t.Helper()
+	p := newPool(t, 2)
+	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
+	p.run(age)
+	return p
+}
+
 // heldStart submits job A with one task and returns its start, which is still on its way to the worker.
 func (p *pool) heldStart() dispatch.Order {
 	p.t.Helper()
@@ -28,9 +37,7 @@
 // Guards against giving up a start that was sent before a renewal which the earlier incarnation answered, but was carried out
 // by the later one: the list of workers shows the restart before the worker's next report.
 func TestStartAnsweredAfterTheLastReportIsKeptAtARestart(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(200 * time.Millisecond)
+	p := newAgedPool(t, 200*time.Millisecond)
 	start := p.heldStart()
 	w := p.worker(start.Worker.ID)
 	p.now = p.now.Add(10 * tick)
@@ -88,9 +95,7 @@
 func TestStopConfirmedByTheEarlierIncarnationProvesNothing(t *testing.T) {
 	for name, released := range map[string]bool{"before the release": false, "after the release": true} {
 		t.Run(name, func(t *testing.T) {
-			p := newPool(t, 2)
-			p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-			p.run(200 * time.Millisecond)
+			p := newAgedPool(t, 200*time.Millisecond)
 			for _, w := range p.workers {
 				w.startDelay = 4 * time.Second
 			}
@@ -125,9 +130,7 @@
 func TestLeaseOfAStartThatARenewalHasOvertaken(t *testing.T) {
 	for name, listed := range map[string]bool{"restart shown by the list": true, "restart shown by the report": false} {
 		t.Run(name, func(t *testing.T) {
-			p := newPool(t, 2)
-			p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-			p.run(20 * time.Second)
+			p := newAgedPool(t, 20*time.Second)
 			start := p.heldStart()
 			w := p.worker(start.Worker.ID)
 			p.now = p.now.Add(10 * tick)
@@ -154,9 +157,7 @@
 // Guards against giving a run up under its owner's short lease although the answer to its start has shown that a later
 // incarnation carried it out, with a lease on the clock of the earlier one.
 func TestLeaseOfAnAnsweredStartOnAnUnnoticedIncarnation(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(20 * time.Second)
+	p := newAgedPool(t, 20*time.Second)
 	p.submit(jobA, step(1, 2000))
 	p.writeBatch()
 	var w *fakeWorker
@@ -179,9 +180,7 @@
 // Guards against taking the confirmation of a stop by the earlier incarnation, which is read after the restart is known, for
 // one by the later incarnation. The stop that is repeated at the restart is lost.
 func TestStopAnsweredByTheEarlierIncarnationIsReadAfterTheRestart(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(200 * time.Millisecond)
+	p := newAgedPool(t, 200*time.Millisecond)
 	for _, w := range p.workers {
 		w.startDelay = 4 * time.Second
 	}
@@ -223,9 +222,7 @@
 // Guards against a restart after which only the older one of two runs of a task is stopped that were released without an answer
 // to their starts.
 func TestTwoBarredRunsOfOneTask(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(200 * time.Millisecond)
+	p := newAgedPool(t, 200*time.Millisecond)
 	w, other := p.workers[0], p.workers[1]
 	p.s.Cordon(p.now, []string{other.info.ID}) // the first two runs are on w
 	w.startDelay = 4 * time.Second
@@ -332,9 +329,7 @@
 // Guards against giving up the runs of a restarted worker under a lease that a start has extended meanwhile: it was sent before
 // the restart was known, is carried out seconds later, and is refused as an old run, but its lease is taken.
 func TestRefusedLateStartExtendsTheLease(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(20 * time.Second)
+	p := newAgedPool(t, 20*time.Second)
 	start := p.heldStart()
 	w := p.worker(start.Worker.ID)
 	for _, x := range p.workers {
@@ -356,9 +351,7 @@
 
 // Guards against giving up a run whose start is carried out seconds late by an incarnation that the owner doesn't know of.
 func TestLateStartOnAnUnnoticedIncarnationThatIsSilent(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(20 * time.Second)
+	p := newAgedPool(t, 20*time.Second)
 	start := p.heldStart()
 	w := p.worker(start.Worker.ID)
 	p.now = p.now.Add(tick)
@@ -374,9 +367,7 @@
 // Guards against a new owner that takes the runs of a silent worker for ended after the leases of the earlier owner, which did
 // not know that the worker had restarted: its start carries a lease on the clock of the earlier incarnation.
 func TestNewOwnerKeepsTheRunsOfAnUnnoticedIncarnation(t *testing.T) {
-	p := newPool(t, 2)
-	p.duration = func(cuminstair.TaskID) time.Duration { return time.Minute }
-	p.run(20 * time.Second)
+	p := newAgedPool(t, 20*time.Second)
 	p.submit(jobA, step(1, 2000))
 	p.writeBatch()
 	var w *fakeWorker
