Check by a timestamp that a forwarded call is newer than the owner's memory of refusals

Cause: an owner forgot a refusal 20 s after it, while nothing bounded the age of the calls that it may still receive. TCP delivered a copy of the first attempt 25.5 s after it had been sent behind a cut, and the owner took it for a new job. In the first 20 s of an owner each unknown job was asked about, which a copy could outlive as well.

Change: each answer of an owner carries a stamp that only this runner issues (its ID, its fencing token, its own time), and daemons echo the latest one in their calls. A stamp shows that the call was sent after it was issued. An owner acts without a question only on a call whose stamp is its own, younger than the memory of refusals, and not followed by a refusal of the job; it asks the daemon about any other. So a copy of any age is asked about, also after the records of a finished job have been deleted and after takeovers, whose rule of 20 s goes. No clocks are compared between hosts, and a daemon that has had an answer within the last 20 s costs no round trip.

TestLateCopyIsCheckedAfterEachRefusal had a call without a number accepted; such a daemon can't be asked, so its call is now refused as unavailable. That is stricter.

Logs: a forwarded call that has no answer, and the daemon, number and proof with which a forwarded job was accepted. Metric: cuminstair_call_questions_total.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -246,15 +246,15 @@
 	}
 }
 
-// sweep deletes finished jobs after the retention period, and old entries of refused jobs.
+// sweep deletes finished jobs after the retention period, and old entries of denied jobs.
 func (s *Service) sweep(now time.Time, b *Batch) {
 	if now.Sub(s.lastSweep) < sweepInterval {
 		return
 	}
 	s.lastSweep = now
-	for id, r := range s.refused {
-		if now.Sub(r.latest) > refusedTTL {
-			delete(s.refused, id)
+	for id, r := range s.denied {
+		if now.Sub(r.latest) > deniedTTL {
+			delete(s.denied, id)
 		}
 	}
 	for _, j := range s.jobs {
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -53,9 +53,10 @@
 	batchPuts = 90
 	// batchBytes bounds the total size of the values of one write; the platform accepts 1 MB after base64.
 	batchBytes = 600 << 10
-	// refusedTTL is how long the first submission of a refused job is remembered, since its objective is measured
-	// from that time, and how long its latest refusal is, since copies of earlier calls may arrive later.
-	refusedTTL = 20 * time.Second
+	// deniedTTL is how long the first submission of a refused job is remembered, since its objective is measured from that
+	// time, and how long the latest denial of a job is. A call is known to be older than no denial only if it was sent at
+	// most this long ago; others cost a question to their sender.
+	deniedTTL = 20 * time.Second
 	// keepMargin is added to the retention period of finished jobs.
 	keepMargin = 30 * time.Second
 	// maxOpenTasks limits the tasks of a repeated job whose occurrences are due. It is the most that one occurrence may have.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -58,9 +58,8 @@
 	jobs            map[string]*job
 	active          map[string]*job // stored jobs that have not finished
 	workers         map[string]*worker
-	inherited       map[string]bool    // workers that an earlier owner may have used
-	refused         map[string]refusal // by job
-	refusals        uint64             // number of the latest refusal
+	inherited       map[string]bool   // workers that an earlier owner may have used
+	denied          map[string]denial // by job
 	ready           []*step
 	candidates      []*worker          // workers that may be given tasks in the current decision
 	maxFree         place.Room         // per resource, the largest free amount on any candidate
@@ -114,7 +113,7 @@
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
-		workers: map[string]*worker{}, inherited: map[string]bool{}, refused: map[string]refusal{}, refusals: earlierRefusal,
+		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{},
 		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -50,7 +50,7 @@
 	}
 	j := newJob(id, spec, queue)
 	j.firstSent, j.receivedAt, j.token = now, now, s.Token
-	if r, ok := s.refused[id]; ok && now.Sub(r.first) <= refusedTTL {
+	if r, ok := s.denied[id]; ok && now.Sub(r.first) <= deniedTTL {
 		j.firstSent = r.first
 	}
 	j.due = s.objective(j, j.firstSent)
@@ -68,7 +68,7 @@
 		s.refuse(now, id, r, reply)
 		return
 	}
-	delete(s.refused, id)
+	delete(s.denied, id)
 	s.jobs[id] = j
 	s.counts.Accepted++
 	j.submitWaiters = append(j.submitWaiters, reply)
@@ -78,7 +78,7 @@
 // observeOffer adds a job that is submitted for the first time to the demand. Jobs that are refused because the store is
 // down count too: their callers come again, and hosts for them can be moved meanwhile.
 func (s *Service) observeOffer(now time.Time, j *job) {
-	if _, again := s.refused[j.id]; again || j.longRunning() {
+	if r := s.denied[j.id]; !r.first.IsZero() || j.longRunning() {
 		return
 	}
 	s.recordOffered(now, s.totalWork(j))
@@ -101,41 +101,34 @@
 	reply(r)
 }
 
-// refusal is what is kept of a refused job.
-type refusal struct {
+// denial is what is kept of a job that was refused.
+type denial struct {
 	first  time.Time // first submission
 	latest time.Time // latest refusal
-	number uint64    // of the latest refusal, counted over all jobs of the service
 }
 
 // recordRefusal records that a job first submitted at first was refused.
 func (s *Service) recordRefusal(now time.Time, id string, first time.Time) {
-	r, ok := s.refused[id]
-	if !ok || now.Sub(r.first) > refusedTTL {
+	r := s.denied[id]
+	if now.Sub(r.first) > deniedTTL {
 		r.first = first
 	}
-	s.refusals++
-	r.latest, r.number = now, s.refusals
-	s.refused[id] = r
+	r.latest = now
+	s.denied[id] = r
 }
 
-// earlierRefusal is the number that stands for refusals by earlier owners. Those of this owner have higher numbers.
-const earlierRefusal = 1
-
-// LatestRefusal returns the number of the latest refusal of a job, or 0 if the job was not refused or was accepted since.
-// A later refusal has a higher number. Refusals by earlier owners are not known, so that for refusedTTL after the takeover
-// each unknown job counts as refused before it.
-func (s *Service) LatestRefusal(now time.Time, id string) uint64 {
+// MayBeLate reports whether the submission of a job may be a late copy of a call that was answered otherwise. openAt is a time
+// at which, or after which, its sender was waiting for the answer; zero if none is known. Denials are kept for deniedTTL only,
+// so that an older openAt proves nothing. A submission of a known job changes nothing.
+func (s *Service) MayBeLate(now time.Time, id string, openAt time.Time) bool {
 	if _, known := s.jobs[id]; known {
-		return 0
+		return false
 	}
-	if r, ok := s.refused[id]; ok {
-		return r.number
-	}
-	if now.Sub(s.takenOverAt) < refusedTTL {
-		return earlierRefusal
+	if now.Sub(openAt) >= deniedTTL {
+		return true
 	}
-	return 0
+	r, ok := s.denied[id]
+	return ok && !r.latest.Before(openAt)
 }
 
 // admit decides whether a job is accepted.
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -84,8 +84,8 @@
 	configVersion int64
 	method        string
 	arrived       time.Time
-	forwarded     bool   // by a daemon that can tell whether it waits for the answer
-	openAfter     uint64 // if forwarded: latest refusal of the job after which the daemon still waited
+	forwarded     bool      // by another daemon
+	openAt        time.Time // if forwarded: the daemon was waiting for the answer then or later; zero: not known
 }
 
 func (d *Daemon) serveCaller(c echo.Context) error {
@@ -257,7 +257,10 @@
 		case addr != "" && !d.cutOff.Load():
 			a, err = d.callPeer(ctx, addr, x, spec)
 		}
-		if err == nil && !a.NotOwner {
+		switch {
+		case err != nil || a.NotOwner:
+		default:
+			d.stamps.observe(x.queue.Service, a.Stamp)
 			return a, nil
 		}
 		if err == nil {
@@ -296,7 +299,15 @@
 	defer stop()
 	number := d.forwarded.begin()
 	defer d.forwarded.end(number)
-	return d.peers.callOwner(ctx, addr, callRequest{
+	q := callRequest{
 		Method: x.method, ID: x.id, Queue: x.queue, Job: spec, From: d.addr, Run: d.runID, Number: number,
-	})
+		Stamp: d.stamps.latest(x.queue.Service),
+	}
+	begin := d.Timer.Now()
+	a, err := d.peers.callOwner(ctx, addr, q)
+	if err != nil {
+		d.Log.Info("entry: forwarded call not answered", "job", x.id, "method", x.method, "owner", addr, "number", number,
+			"stamp", q.Stamp.String(), "after", d.Timer.Now().Sub(begin).Round(time.Millisecond).String(), "error", err)
+	}
+	return a, err
 }
--- a/entry/open.go
+++ b/entry/open.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -69,25 +70,44 @@
 	return a.Open, err
 }
 
-// callForwarded passes a call of another daemon to the runner of a service that this daemon owns. A job that was refused
-// is submitted only if the other daemon still waits for the answer to this call: TCP may deliver a copy of the call after
-// the caller was told of the refusal. The question is repeated if the job is refused again meanwhile.
+// callForwarded passes a call of another daemon to the runner of a service that this daemon owns. A call that may be a late
+// copy is acted on only if the other daemon says that it still waits for the answer. The question is repeated if the
+// job is denied meanwhile.
 func (d *Daemon) callForwarded(ctx context.Context, r *runner, x call, q callRequest) (callReply, error) {
+	x.forwarded, x.openAt = true, r.issuedAt(d.Timer.Now(), q.Stamp)
+	proof := "stamp"
 	for {
 		a, err := d.callLocal(ctx, r, x, q.Job)
-		if err != nil || a.unconfirmed == 0 {
+		if err != nil || !a.late {
+			if x.method == http.MethodPost && err == nil && a.Outcome == dispatch.Accepted && !a.NotOwner {
+				d.Log.Info("entry: forwarded job accepted", "job", x.id, "from", q.From, "number", q.Number, "proof", proof,
+					"age", d.Timer.Now().Sub(x.openAt).Round(time.Millisecond).String())
+			}
 			return a, err
 		}
+		if q.Number == 0 {
+			d.logLate(x, q, "a daemon of an earlier version can't be asked for it")
+			return callReply{Outcome: dispatch.Unavailable, Wait: defaultRetry.Milliseconds(), Why: "the daemon is of an earlier version"}, nil
+		}
+		asked := d.Timer.Now()
 		open, err := d.peers.isOpen(ctx, q.From, openRequest{Run: q.Run, Number: q.Number})
 		switch {
 		case err != nil:
-			d.Log.Info("entry: late copy of a call dropped", "job", x.id, "from", q.From, "why", err)
+			d.Metrics.Questions.WithLabelValues("unanswered").Inc()
+			d.logLate(x, q, err.Error())
 			// The call has not been acted on, so the other daemon may send it again if it still waits.
 			return callReply{}, fmt.Errorf("ask %s for its call: %w: %w", q.From, errNoOwner, err)
 		case !open:
-			d.Log.Info("entry: late copy of a call dropped", "job", x.id, "from", q.From, "why", "nobody waits for its answer")
+			d.Metrics.Questions.WithLabelValues("closed").Inc()
+			d.logLate(x, q, "nobody waits for its answer")
 			return callReply{Outcome: dispatch.Uncertain, Why: "the call was given up"}, nil
 		}
-		x.openAfter = a.unconfirmed
+		d.Metrics.Questions.WithLabelValues("open").Inc()
+		x.openAt, proof = asked, "question"
 	}
 }
+
+// logLate logs that a late copy of a call is dropped.
+func (d *Daemon) logLate(x call, q callRequest, why string) {
+	d.Log.Info("entry: late copy of a call dropped", "job", x.id, "method", x.method, "from", q.From, "number", q.Number, "stamp", q.Stamp.String(), "why", why)
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -38,9 +38,10 @@
 	ID     string               `json:"id"`
 	Queue  cuminstair.WorkQueue `json:"queue"`
 	Job    *cuminstair.JobSpec  `json:"job,omitempty"`
-	From   string               `json:"from,omitempty"` // address of the daemon that forwards the call
-	Run    string               `json:"run,omitempty"`  // its Node.Run
-	Number uint64               `json:"n,omitempty"`    // unique in that run; 0: the daemon is of an earlier version
+	From   string               `json:"from,omitempty"`  // address of the daemon that forwards the call
+	Run    string               `json:"run,omitempty"`   // its Node.Run
+	Number uint64               `json:"n,omitempty"`     // unique in that run; 0: the daemon is of an earlier version
+	Stamp  *stamp               `json:"stamp,omitempty"` // latest one of an owner of the service; nil: none is known
 }
 
 // callReply is the owner's answer to a callRequest.
@@ -52,9 +53,8 @@
 	Why      string              `json:"why,omitempty"`
 	State    cuminstair.JobState `json:"state,omitempty"`
 	Waiting  int                 `json:"waiting,omitempty"`
-	// unconfirmed is set if the call was not carried out, since the job was refused and the call may be a late copy: the
-	// number of the refusal.
-	unconfirmed uint64
+	Stamp    *stamp              `json:"stamp,omitempty"` // of the owner that answers; nil: it is of an earlier version
+	late     bool                // the call was not acted on, since it may be a late copy
 }
 
 // cordonRequest asks an owner to drain workers.
@@ -257,7 +257,7 @@
 	if r == nil {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true, Owner: addr})
 	}
-	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now(), forwarded: q.Number != 0}
+	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now()}
 	a, err := d.callForwarded(c.Request().Context(), r, x, q)
 	if errors.Is(err, errNoOwner) {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true})
@@ -279,28 +279,31 @@
 	return nil
 }
 
-// callLocal passes a call to the runner of a service that this daemon owns.
+// callLocal passes a call to the runner of a service that this daemon owns. A forwarded call that may be a late copy is not
+// acted on.
 func (d *Daemon) callLocal(ctx context.Context, r *runner, x call, spec *cuminstair.JobSpec) (callReply, error) {
 	answers := make(chan callReply, 1)
-	result := func(res dispatch.Result) {
-		answers <- callReply{Outcome: res.Outcome, Wait: res.Wait.Milliseconds(), Why: res.Why}
-	}
 	posted := r.post(func(now time.Time) {
+		answer := func(a callReply) {
+			a.Stamp = r.stamp(now)
+			answers <- a
+		}
+		result := func(res dispatch.Result) {
+			answer(callReply{Outcome: res.Outcome, Wait: res.Wait.Milliseconds(), Why: res.Why})
+		}
 		switch {
 		case r.state.Deposed() || r.ended:
 			answers <- callReply{NotOwner: true}
+		case x.forwarded && r.mayBeLate(now, x):
+			answers <- callReply{late: true}
 		case x.method == http.MethodPost && spec != nil:
-			if n := r.state.LatestRefusal(now, x.id); x.forwarded && n > x.openAfter {
-				answers <- callReply{unconfirmed: n}
-				return
-			}
 			r.state.Submit(now, x.id, spec, x.queue, result)
 		case x.method == http.MethodDelete:
 			r.state.Cancel(now, x.id, result)
 		case x.id == "":
-			answers <- callReply{Waiting: r.state.Waiting(x.queue.Name)}
+			answer(callReply{Waiting: r.state.Waiting(x.queue.Name)})
 		default:
-			answers <- callReply{State: r.state.State(x.id)}
+			answer(callReply{State: r.state.State(x.id)})
 		}
 	})
 	if !posted {
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 // below it.
 type runner struct {
 	d           *Daemon
+	id          string // unique among all runners
 	service     string
 	token       uint64 // fencing token: version of the owner record at the takeover
 	takenAt     time.Time
@@ -88,7 +90,7 @@
 		s.EarlierOwnerGrace = ownerGrace
 	}
 	return &runner{
-		d: d, service: service, token: token, takenAt: now, hadOwner: hadOwner, state: s, owner: owner, version: token,
+		d: d, id: d.runID + "." + strconv.FormatUint(d.runnersMade.Add(1), 10), service: service, token: token, takenAt: now, hadOwner: hadOwner, state: s, owner: owner, version: token,
 		earlierStopped: !owner.Unsettled, confirmedAt: now, events: make(chan func(time.Time), eventQueueSize), done: make(chan struct{}),
 	}
 }
