Don't pass on denials of former owners

Callers could be told that a job was refused while the present owner ran it: a daemon sends a call to the present owner, gets no answer, and sends it again to a former one, which doesn't know of its successor and refuses it. No write is needed for a refusal, so the store doesn't stop it.

TestRefusalOfAFormerOwnerIsNotTold failed before (the refusal was returned). Answers carry the owner's fencing token, and so do the questions of owners; a daemon ignores a denial with a lower token than the highest of which it has heard. Each way for a present owner to accept a copy makes its token known to the daemon before that: the copy has its stamp, or the owner has asked.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -259,8 +259,10 @@
 		}
 		switch {
 		case err != nil || a.NotOwner:
+		case !d.stamps.observe(x.queue.Service, a.Stamp) && a.denies():
+			d.Log.Info("entry: denial of a former owner ignored", "job", x.id, "service", x.queue.Service, "owner", addr, "why", a.Why)
+			err = errNoOwner
 		default:
-			d.stamps.observe(x.queue.Service, a.Stamp)
 			return a, nil
 		}
 		if err == nil {
--- a/entry/open.go
+++ b/entry/open.go
@@ -45,8 +45,10 @@
 
 // openRequest asks a daemon whether it still waits for the answer to a call that it forwarded.
 type openRequest struct {
-	Run    string `json:"run"` // Node.Run of the daemon
-	Number uint64 `json:"n"`
+	Run     string `json:"run"` // Node.Run of the daemon
+	Number  uint64 `json:"n"`
+	Service string `json:"service,omitempty"`
+	Token   uint64 `json:"token,omitempty"` // fencing token of the owner that asks
 }
 
 type openReply struct {
@@ -58,6 +60,10 @@
 	if err := decodeBody(c, &q); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
+	// The token is observed first: if the call is given up after this answer, no denial of an earlier owner is passed on.
+	if q.Service != "" {
+		d.stamps.observe(q.Service, &stamp{Token: q.Token})
+	}
 	return c.JSON(http.StatusOK, openReply{Open: q.Run == d.runID && d.forwarded.has(q.Number)})
 }
 
@@ -90,7 +96,7 @@
 			return callReply{Outcome: dispatch.Unavailable, Wait: defaultRetry.Milliseconds(), Why: "the daemon is of an earlier version"}, nil
 		}
 		asked := d.Timer.Now()
-		open, err := d.peers.isOpen(ctx, q.From, openRequest{Run: q.Run, Number: q.Number})
+		open, err := d.peers.isOpen(ctx, q.From, openRequest{Run: q.Run, Number: q.Number, Service: r.service, Token: r.token})
 		switch {
 		case err != nil:
 			d.Metrics.Questions.WithLabelValues("unanswered").Inc()
--- a/entry/stamp.go
+++ b/entry/stamp.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cuminstair.org/cuminstair/dispatch"
 )
 
 // stamp is the timestamp of an owner's answer. A daemon echoes the latest one in its calls, which shows the owner that a
@@ -41,6 +43,11 @@
 	return x.method == http.MethodPost && r.state.MayBeLate(now, x.id, x.openAt)
 }
 
+// denies reports whether the answer says that the call has changed nothing and never will.
+func (a *callReply) denies() bool {
+	return a.Outcome != dispatch.Accepted && a.Outcome != dispatch.Uncertain
+}
+
 // stamps has the latest stamp of each service.
 type stamps struct {
 	mu        sync.Mutex
