Remember that a cancellation found no job

A job could run after its caller was told, in answer to the cancellation, that there is no such job (410): the submission was held up behind a cut, and its copy was accepted later since the cancellation had left no trace. A cancellation that was sent before its job was submitted again could end the new job.

A cancellation without a job is now kept like a refusal, and a cancellation whose stamp is older than the job, or than the memory of denials, is asked about.

--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -101,10 +101,10 @@
 	reply(r)
 }
 
-// denial is what is kept of a job that was refused.
+// denial is what is kept of a job that was refused, or whose cancellation found no job.
 type denial struct {
-	first  time.Time // first submission
-	latest time.Time // latest refusal
+	first  time.Time // first submission; zero: none is known
+	latest time.Time // latest answer that said so
 }
 
 // recordRefusal records that a job first submitted at first was refused.
@@ -117,6 +117,13 @@
 	s.denied[id] = r
 }
 
+// recordNotFound records that a job was not there when it should be cancelled.
+func (s *Service) recordNotFound(now time.Time, id string) {
+	r := s.denied[id]
+	r.latest = now
+	s.denied[id] = r
+}
+
 // MayBeLate reports whether the submission of a job may be a late copy of a call that was answered otherwise. openAt is a time
 // at which, or after which, its sender was waiting for the answer; zero if none is known. Denials are kept for deniedTTL only,
 // so that an older openAt proves nothing. A submission of a known job changes nothing.
@@ -131,6 +138,16 @@
 	return ok && !r.latest.Before(openAt)
 }
 
+// CancelMayBeLate reports whether the cancellation of a job may be a late copy of a call that was sent before the job was
+// submitted here. openAt is as for MayBeLate.
+func (s *Service) CancelMayBeLate(now time.Time, id string, openAt time.Time) bool {
+	if now.Sub(openAt) >= deniedTTL {
+		return true
+	}
+	j, known := s.jobs[id]
+	return known && openAt.Before(j.receivedAt)
+}
+
 // admit decides whether a job is accepted.
 func (s *Service) admit(now time.Time, j *job) Result {
 	if j.queue.Advised && !s.Adviser {
@@ -412,6 +429,7 @@
 	j, ok := s.jobs[id]
 	switch {
 	case !ok:
+		s.recordNotFound(now, id)
 		reply(Result{Outcome: NotFound})
 		return
 	case j.finished() && j.storedState == j.state:
--- a/entry/stamp.go
+++ b/entry/stamp.go
@@ -38,9 +38,16 @@
 	return r.takenAt.Add(t.At)
 }
 
-// mayBeLate reports whether a forwarded call may be a late copy of a call that was answered otherwise.
+// mayBeLate reports whether a forwarded call may be a late copy of a call that was answered otherwise. Readings change
+// nothing.
 func (r *runner) mayBeLate(now time.Time, x call) bool {
-	return x.method == http.MethodPost && r.state.MayBeLate(now, x.id, x.openAt)
+	switch x.method {
+	case http.MethodPost:
+		return r.state.MayBeLate(now, x.id, x.openAt)
+	case http.MethodDelete:
+		return r.state.CancelMayBeLate(now, x.id, x.openAt)
+	}
+	return false
 }
 
 // denies reports whether the answer says that the call has changed nothing and never will.
