Answer the cancellation of an unknown job only once the store has confirmed the owner

A caller could be told that there is no such job (410) while its job ran: a former owner, which doesn't know of its successor, answered from memory although the successor had accepted the job.

TestCancelOfAnUnknownJobWaitsForTheStore failed before (answered at once). Such a cancellation now waits until the store has named this owner in answer to a request that was sent after the call, at most about one read of the owner records (0.5 s); without that its outcome is uncertain.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -379,6 +379,10 @@
 
 // AnswerAll answers all waiting callers with Uncertain, because this daemon no longer owns the service.
 func (s *Service) AnswerAll() {
+	for _, c := range s.unknownCancels {
+		c.reply(Result{Outcome: Uncertain, Why: "the service has another owner"})
+	}
+	s.unknownCancels = nil
 	for _, j := range s.jobs {
 		answerAll(&j.submitWaiters, Result{Outcome: Uncertain, Why: "the service has another owner"})
 		answerAll(&j.cancelWaiters, Result{Outcome: Uncertain, Why: "the service has another owner"})
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -134,6 +134,26 @@
 	p.is.Equal(len(p.starts), 0)
 }
 
+// Guards against the answer that there is no such job by a former owner, whose successor runs the job.
+func TestCancelOfAnUnknownJobWaitsForTheStore(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	former, confirmed := p.now, &reply{}
+	p.s.Cancel(p.now, jobA, confirmed.set)
+	p.s.Decide(p.now.Add(100*time.Millisecond), former)
+	p.is.Equal(confirmed.calls, 0) // the store has not named this owner since
+	p.s.Decide(p.now.Add(200*time.Millisecond), p.now.Add(50*time.Millisecond))
+	p.is.Equal(confirmed.Outcome, dispatch.NotFound)
+	p.is.True(p.s.MayBeLate(p.now.Add(300*time.Millisecond), jobA, p.now.Add(150*time.Millisecond)))
+	silent, deposed := &reply{}, &reply{}
+	p.s.Cancel(p.now, jobA, silent.set)
+	p.s.Decide(p.now.Add(3*time.Second), former)
+	p.is.Equal(silent.Outcome, dispatch.Uncertain)
+	p.s.Cancel(p.now, jobA, deposed.set)
+	p.s.AnswerAll()
+	p.is.Equal(deposed.Outcome, dispatch.Uncertain)
+}
+
 // Guards against losing stops that are ordered between two calls of Decide.
 func TestStopIsOrderedAtOnce(t *testing.T) {
 	p := newPool(t, 2)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -423,25 +423,6 @@
 	s.ratio[name] += ratioWeight * (min(maxRatio, took) - s.ratio[name])
 }
 
-// Cancel stops a job. reply is called once the cancellation is stored, or at once if the job is unknown or its final
-// state is already stored.
-func (s *Service) Cancel(now time.Time, id string, reply func(Result)) {
-	j, ok := s.jobs[id]
-	switch {
-	case !ok:
-		s.recordNotFound(now, id)
-		reply(Result{Outcome: NotFound})
-		return
-	case j.finished() && j.storedState == j.state:
-		reply(Result{Outcome: Accepted, Why: "over already"})
-		return
-	}
-	if !j.finished() {
-		s.finish(now, j, cuminstair.JobCancelled, "cancelled by the caller")
-	}
-	j.cancelWaiters = append(j.cancelWaiters, reply)
-}
-
 // usedShare returns the used fraction of the workers' processors or memory, whichever is larger for each worker.
 func (s *Service) usedShare() float64 {
 	used, total := 0.0, 0.0
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -47,6 +47,7 @@
 			case fn := <-r.events:
 				now := d.Timer.Now()
 				fn(now)
+				r.state.Decide(now, d.Timer.Now())
 				if b := r.state.Batch(now); b != nil {
 					r.state.Stored(now, b)
 				}
