entry: Refuse offers that their owner sent before its last write

An owner that can't reach the store offers its service to other daemons. The offer named the service and the run of the owner only, and the owner counted itself as alive again 2.5 s later. TCP may deliver the offer after a cut, 12 s or more after it was sent, when the owner writes again: the receiver then takes the service over although its owner is healthy, and for up to 0.7 s the owner goes on to trust reports of workers that its successor has read. Callers would see a change of owner without a reason, and in that time a task may be started by both (TWICE).

The offer now has the number of the owner record as last written, or being written. It is accepted only while the record has no higher number, and the write of the takeover is conditional on that record. The owner counts as alive after an offer once a write with a higher number is stored, so that no time is assumed for the delivery. The number rises across owners, so that an offer of an earlier ownership of the same daemon is void too.

TestOffersCountUntilTheLastMayHaveBeenAccepted compared the 2.5 s with the time for which offers are sent. That time bounds the sending, not the delivery; TestOffersCountUntilALaterWrite replaces it.

Offers of daemons of an earlier version have no number and are refused: during a rolling upgrade their services are taken over once their records are stale. A daemon of an earlier version still accepts a late offer.

Before the change:

alive_test.go:38: not true: r.aliveAt().IsZero() --- FAIL: TestOffersCountUntilALaterWrite takeover_test.go:109: {"taken":true} != {"taken":false} --- FAIL: TestLateOffersAreRefused takeover_test.go:127: 1 != 7 --- FAIL: TestNumbersOfOwnerRecordsRiseAcrossOwners

--- a/entry/alive_test.go
+++ b/entry/alive_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"cuminstair.org/cuminstair/dispatch"
 	"cuminstair.org/cuminstair/ownership"
 )
 
@@ -23,9 +24,19 @@
 	is.True(r.aliveAt().Before(after)) // the store has not named this owner since the cut
 }
 
-// Guards against an owner that counts as alive by a heartbeat while its last offer may still be accepted: up to maxOffers daemons
-// are asked one after the other.
-func TestOffersCountUntilTheLastMayHaveBeenAccepted(t *testing.T) {
+// Guards against an owner that counts as alive while an offer of its service may still be accepted: TCP may deliver it at any time,
+// and only a later write of the owner record makes it void.
+func TestOffersCountUntilALaterWrite(t *testing.T) {
 	is := is.New(t)
-	is.True(offerTime >= maxOffers*peerTimeout)
+	d, r := peerDaemon()
+	r.owner, r.inflight, r.failingSince = ownership.Owner{Name: "d1", Run: "run1", Seq: 4}, &dispatch.Batch{}, peerTime.Add(-time.Second)
+	r.step(t.Context(), peerTime) // offers the service, since the store is not read
+	is.True(r.offered)
+	back := peerTime.Add(time.Minute)
+	d.readAt.Store(&back)
+	r.batchCommitted(back, back, back, r.inflight, 8) // the write that was in flight at the offer
+	is.True(r.aliveAt().IsZero())
+	r.owner.Seq++
+	r.batchCommitted(back, back, back, &dispatch.Batch{}, 9)
+	is.Equal(r.aliveAt(), back)
 }
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -123,6 +123,7 @@
 	r.latency = max(took, r.latency+(took-r.latency)/8)
 	r.setConfirmed(sent)
 	r.wroteAt = wroteAt
+	r.offered = r.offered && r.owner.Seq <= r.offeredSeq
 	if at := r.d.wroteAt.Load(); at == nil || wroteAt.After(*at) {
 		r.d.wroteAt.Store(&wroteAt)
 	}
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -257,20 +257,21 @@
 }
 
 // offerService offers a service to other daemons, which accept it if they can reach the store.
-func (d *Daemon) offerService(ctx context.Context, service string) {
+func (d *Daemon) offerService(ctx context.Context, q offerRequest) {
 	d.mu.Lock()
 	nodes := d.view.Peers(d.Timer.Now())
 	d.mu.Unlock()
 	for _, n := range nodes[:min(len(nodes), maxOffers)] {
-		if d.peers.offer(ctx, n.Addr, offerRequest{Service: service, Run: d.runID}) {
-			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", service, "to", n.Addr)
+		if d.peers.offer(ctx, n.Addr, q) {
+			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", q.Service, "to", n.Addr)
 			return
 		}
 	}
 }
 
 // acceptOffer starts to take over a service that its owner offers, if the store answers this daemon. An offer of a former
-// owner, which does not know yet that it has a successor, is refused.
+// owner, which does not know yet that it has a successor, is refused, and so is one that the owner sent before its last write:
+// TCP may deliver it after the owner has reached the store again.
 func (d *Daemon) acceptOffer(q offerRequest) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -278,7 +279,7 @@
 		return false
 	}
 	old, version := d.view.Owner(q.Service)
-	if old.Run != q.Run {
+	if old.Run != q.Run || old.Seq > q.Seq {
 		return false
 	}
 	d.taking[q.Service] = true
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -82,6 +82,7 @@
 type offerRequest struct {
 	Service string `json:"service"`
 	Run     string `json:"run"` // Node.Run of the owner that offers it
+	Seq     int64  `json:"seq"` // Owner.Seq as last written, or being written; 0: the owner is of an earlier version
 }
 
 type offerReply struct {
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -27,9 +27,6 @@
 	// time between offers.
 	offerAfter    = 600 * time.Millisecond
 	offerInterval = 500 * time.Millisecond
-	// offerTime is how long after an offer another daemon may take the service over.
-	// Several daemons are asked one after the other.
-	offerTime = maxOffers*peerTimeout + time.Second
 	// writeSilentAfter is how long a write has no answer before it counts as failing.
 	writeSilentAfter = 1200 * time.Millisecond
 	// stepInterval is the minimum time between two steps; events in between are batched. The cost of a step grows with
@@ -76,6 +73,7 @@
 	alive          time.Time     // see aliveAt
 	offered        bool          // another daemon may take the service over since it was offered
 	offeredAt      time.Time     // when the service was last offered to another daemon
+	offeredSeq     int64         // owner.Seq at that time; a stored write with a higher one makes the offer void
 	onRelease      []func()      // called when the runner ends
 	ended          bool
 }
@@ -179,8 +177,8 @@
 			r.writeFailed(r.sentAt, errNoAnswer)
 		}
 		if !r.failingSince.IsZero() && now.Sub(r.failingSince) > offerAfter && now.Sub(r.offeredAt) > offerInterval && r.d.storeUnavailable() {
-			r.offeredAt, r.offered = now, true
-			go r.d.offerService(ctx, r.service)
+			r.offeredAt, r.offeredSeq, r.offered = now, r.owner.Seq, true
+			go r.d.offerService(ctx, offerRequest{Service: r.service, Run: r.d.runID, Seq: r.owner.Seq})
 		}
 		r.sendBatch(ctx, now)
 	}
@@ -192,14 +190,11 @@
 // aliveAt returns the time of a write of this daemon after which other daemons take it for alive and none can have taken the
 // service over before, or the zero time. A write of the service fails if there is another owner. Another write, such as a
 // heartbeat, counts only without a gap since the last one that counts, or if the store has named this owner after it; after an
-// offer of the service none counts.
+// offer of the service none counts until a write has made the offer void.
 func (r *runner) aliveAt() time.Time {
 	if r.wroteAt.After(r.alive) {
 		r.alive = r.wroteAt
 	}
-	if r.offered && r.wroteAt.After(r.offeredAt.Add(offerTime)) {
-		r.offered = false
-	}
 	if r.offered {
 		return time.Time{}
 	}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -21,7 +21,7 @@
 		d.mu.Unlock()
 	}()
 	begin := d.Timer.Now()
-	mine := ownership.Owner{Name: d.Settings.Name, Run: d.runID, Addr: d.addr, Seq: 1, Unsettled: old.SuccessorMustWait(version)}
+	mine := ownership.Owner{Name: d.Settings.Name, Run: d.runID, Addr: d.addr, Seq: old.Seq + 1, Unsettled: old.SuccessorMustWait(version)}
 	token, sent, err := d.writeOwner(ctx, service, version, mine)
 	if err != nil {
 		d.Log.Info("entry: service was not taken over", "service", service, "version", version, "error", err)
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -94,6 +94,39 @@
 	is.True(!d.taking["s"])
 }
 
+// Guards against an offer that TCP delivers after its sender reaches the store again: two daemons would act as the owner until
+// the sender notices. An offer of an earlier version has no number.
+func TestLateOffersAreRefused(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	d.workCtx = t.Context()
+	d.Store = &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}
+	owner, err := json.Marshal(ownership.Owner{Name: "d3", Run: "run3", Addr: "d3:1", Seq: 6})
+	is.NoErr(err)
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	d.view.Apply(peerTime, []cuminstair.Record{{RecordKey: key, Value: owner, Version: 4}})
+	is.Equal(post(d, offerPath, `{"service":"s","run":"run3","seq":5}`), `{"taken":false}`)
+	is.Equal(post(d, offerPath, `{"service":"s","run":"run3"}`), `{"taken":false}`)
+	is.Equal(post(d, offerPath, `{"service":"s","run":"run3","seq":6}`), `{"taken":true}`)
+}
+
+// Guards against an owner record that makes an offer valid again which the same daemon has sent in an earlier ownership.
+func TestNumbersOfOwnerRecordsRiseAcrossOwners(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	store := &conditionalStore{version: 4, rows: map[cuminstair.RecordKey]cuminstair.Record{key: {RecordKey: key, Version: 4}}}
+	d.Store = store
+	d.stopping.Store(true) // ends the takeover once the record is written
+	d.takeOver(t.Context(), "s", ownership.Owner{Name: "d3", Run: "run3", Seq: 6}, 4)
+	var written ownership.Owner
+	is.NoErr(json.Unmarshal(store.rows[key].Value, &written))
+	is.Equal(written.Name, d.Settings.Name)
+	is.Equal(written.Seq, int64(7))
+}
+
 // slowStore is a store whose answers take a time.
 type slowStore struct {
 	conditionalStore
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -59,7 +59,7 @@
 	Name string `json:"name"` // daemon; empty after a release
 	Run  string `json:"run"`  // Node.Run of the owner
 	Addr string `json:"addr"`
-	Seq  int64  `json:"seq"` // increases with each write of the owner
+	Seq  int64  `json:"seq"` // increases with each write of the record, also by a new owner
 	// Unsettled means that owners before this one may still give orders: they have not confirmed that they stopped, and the
 	// time for which they give orders without the store has not passed.
 	Unsettled bool `json:"unsettled,omitempty"`
