abort: Drop what is not delivered when a call is given up

A call to a daemon, a worker, the store or the controller of hosts that is given up closed its connection in the ordinary way. The kernel goes on to send the request, at 12.6, 25.4 and 51 s after a cut, and the receiver acts on a call that nobody waits for: jobs are offered again, tasks start late.

The connections of these clients now reset if they are closed while a request has no answer (SO_LINGER 0), so that the kernel drops what it has not delivered. Idle and answered connections are closed as before. What the receiver's kernel has received is not taken back, so that nothing is proved by it and no bound changes.

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/abort"
 	"cuminstair.org/cuminstair/dispatch"
 )
 
@@ -116,13 +117,22 @@
 	c, ok := p.clients[addr]
 	if !ok {
 		c = &http.Client{Transport: &http.Transport{
-			DialContext: p.dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+			DialContext: p.dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		}}
 		p.clients[addr] = c
 	}
 	return c
 }
 
+// dial connects to a daemon. Calls that are given up on the connection are not sent any more.
+func (p *peerClient) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := p.dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // post looks for the net.OpError and names the address
+	}
+	return abort.New(c), nil
+}
+
 // post sends body as JSON and decodes the answer into the variable that into points to, unless into is nil. The error
 // wraps errNoOwner if the connection failed, so that nothing was sent.
 func (p *peerClient) post(ctx context.Context, addr, path string, body, into any) error {
--- a/entry/peer_test.go
+++ b/entry/peer_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -40,3 +45,18 @@
 	is.True(!notify())
 	is.True(notify())
 }
+
+// Guards against a call that TCP delivers to a daemon long after its sender has given it up.
+func TestGivenUpCallResetsItsConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	is.True(newPeerClient().post(ctx, l.Addr().String(), stopPath, stopRequest{}, nil) != nil)
+	c, err := l.Accept()
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, c)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
