entry: Ignore the address in an order to stop of a replaced owner

A daemon that can't read the owner records takes the owner's address from the latest order to stop, for 10 s. TCP may deliver such an order after a cut, when the owner that gave it has a successor: calls of callers then go to the former owner, are held until they time out there, and are refused with 503.

The order has the token of the owner that gives it. Its address is used only if no owner with a higher token is known from another order or from the owner record. The stop itself was checked by the token before.

Before the change:

takeover_test.go:98: d3:1 != d2:1 --- FAIL: TestLateStopIsNoHintOfTheOwner

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -212,7 +212,10 @@
 	}
 	d.mu.Lock()
 	r := d.runners[q.Service]
-	d.ownerHints[q.Service] = ownerHint{addr: q.Owner, at: d.Timer.Now()}
+	// An order that TCP delivers late may be of an owner that has a successor.
+	if _, version := d.view.Owner(q.Service); q.Token >= max(d.newerOwners[q.Service], int64(version)) {
+		d.ownerHints[q.Service] = ownerHint{addr: q.Owner, at: d.Timer.Now()}
+	}
 	d.newerOwners[q.Service] = max(d.newerOwners[q.Service], q.Token) // ends a takeover in progress
 	d.mu.Unlock()
 	if r == nil || int64(r.token) >= q.Token {
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,6 +80,33 @@
 	is.True(d.install(newRunner(d, "s", 13, ownership.Owner{}, true)))
 }
 
+// Guards against calls that go to a former owner while the store is not read, because of its order to stop, which TCP delivers late.
+func TestLateStopIsNoHintOfTheOwner(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	stop := func(token int, owner string) {
+		post(d, stopPath, fmt.Sprintf(`{"service":"s","token":%d,"run":"run1","owner":%q}`, token, owner))
+	}
+	hint := func() string {
+		_, addr := d.owner("s")
+		return addr
+	}
+	stop(12, "d2:1")
+	is.Equal(hint(), "d2:1")
+	stop(11, "d3:1")
+	is.Equal(hint(), "d2:1")
+	owner, err := json.Marshal(ownership.Owner{Name: "d4", Run: "run4", Addr: "d4:1"})
+	is.NoErr(err)
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	d.view.Apply(peerTime.Add(-time.Hour), []cuminstair.Record{{RecordKey: key, Value: owner, Version: 20}})
+	d.ownerHints = map[string]ownerHint{}
+	stop(19, "d5:1")
+	is.Equal(hint(), "d4:1")
+	stop(21, "d5:1")
+	is.Equal(hint(), "d5:1")
+}
+
 // Guards against a former owner that was cut off and offers its service, which would take it from the present owner.
 func TestOffersOfFormerOwnersAreRefused(t *testing.T) {
 	is := is.New(t)
