ownership: Ignore heartbeats of earlier runs of a daemon

Heartbeats are written without a condition, and the store may carry one out seconds after its sender was killed. If that daemon has been restarted and owns a service by then, its record names the run before: other daemons take the service over at once instead of after two missed heartbeats, and since the record looks like one of a later run, they neither tell the owner to stop nor allow for its orders. It gives orders for up to 0.5 s more, until it reads the record, and a task may be started by both (TWICE).

The record of a daemon now has a number that rises with each start, above that of the records that the daemon finds; it writes the first one after it has read them. A record with a lower number than one that was read before is ignored. A condition on the version would be an alternative, but while the store loses answers the daemon would not know the version, and would count as gone.

Records of an earlier version have no number and count as before.

--- a/entry/alive_test.go
+++ b/entry/alive_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
 	"cuminstair.org/cuminstair/ownership"
 )
@@ -24,6 +26,26 @@
 	is.True(r.aliveAt().Before(after)) // the store has not named this owner since the cut
 }
 
+// Guards against a restarted daemon whose first record looks older than that of its earlier run, and is ignored.
+func TestRecordHasAGenerationAboveEarlierRuns(t *testing.T) {
+	is := is.New(t)
+	d, _ := peerDaemon()
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.NodePart, Key: "d1"}
+	store := &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}
+	d.Store, d.Settings.Name, d.runID = store, "d1", "run1"
+	d.writeHeartbeat(t.Context())
+	is.Equal(len(store.rows), 0) // the records have not been read
+	earlier, err := json.Marshal(ownership.Node{Run: "run0", Generation: 4})
+	is.NoErr(err)
+	d.view.Apply(peerTime, []cuminstair.Record{{RecordKey: key, Value: earlier, Version: 3}})
+	at := peerTime
+	d.readAt.Store(&at)
+	d.writeHeartbeat(t.Context())
+	var written ownership.Node
+	is.NoErr(json.Unmarshal(store.rows[key].Value, &written))
+	is.Equal(written.Generation, uint64(5))
+}
+
 // Guards against an owner that counts as alive while an offer of its service may still be accepted: TCP may deliver it at any time,
 // and only a later write of the owner record makes it void.
 func TestOffersCountUntilALaterWrite(t *testing.T) {
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -58,8 +58,14 @@
 
 func (d *Daemon) writeHeartbeat(ctx context.Context) {
 	now := d.Timer.Now()
+	if d.readAt.Load() == nil {
+		return // the record's generation is not known yet
+	}
+	d.mu.Lock()
+	generation := d.view.Generation()
+	d.mu.Unlock()
 	n := ownership.Node{
-		Run: d.runID, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(),
+		Run: d.runID, Generation: generation, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(),
 		Sequence: now.UnixMilli(), IntervalMillis: d.heartbeatInterval().Milliseconds(),
 	}
 	// Encoding a Node can't fail.
@@ -89,7 +95,9 @@
 		d.readFailed.Store(err != nil)
 		if err == nil {
 			d.noteOutage(sent)
-			d.readAt.Store(&sent)
+			if d.readAt.Swap(&sent) == nil {
+				signal(d.heartbeatNow)
+			}
 			d.applyOwners(ctx, sent)
 		}
 		d.pause(ctx, d.readOwnersNow, ownerReadInterval)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -52,6 +52,7 @@
 	Ready          bool    `json:"ready"`  // false: is given no services
 	Sequence       int64   `json:"beat"`   // increases with each write
 	IntervalMillis int64   `json:"every"`  // milliseconds between writes
+	Generation     uint64  `json:"gen"`    // rises with each start of the daemon; 0: it is of an earlier version
 }
 
 // Owner is the record of a service's owner.
@@ -98,6 +99,7 @@
 	run       string
 	nodes     map[string]*observedNode
 	owners    map[string]observedOwner
+	earlier   uint64        // highest Generation of this daemon's earlier starts
 	latency   time.Duration // moving mean of the store's latency; a rise takes effect at once
 	lastRead  time.Time     // last successful read
 	firstRead time.Time     // first successful read since the start or since the view was last outdated
@@ -143,6 +145,12 @@
 		if err := json.Unmarshal(r.Value, &n.Node); err != nil {
 			return err
 		}
+		if r.Key == v.self && n.Run != v.run {
+			v.earlier = max(v.earlier, n.Generation)
+		}
+		if old != nil && n.Generation > 0 && n.Generation < old.Generation {
+			return nil // the store carried out a heartbeat of an earlier start late
+		}
 		v.nodes[r.Key] = n
 		return nil
 	}
@@ -178,6 +186,9 @@
 	return staleBase + staleHeartbeats*n.interval() + staleLatencies*v.latency
 }
 
+// Generation returns the Generation of this daemon's record. The records must have been read once.
+func (v *View) Generation() uint64 { return v.earlier + 1 }
+
 // Owner returns the owner record of a service and its version, 0 if there is none.
 func (v *View) Owner(service string) (Owner, uint64) {
 	o := v.owners[service]
