entry: Drop late requests of the controller of hosts

The controller of hosts asks owners to drain workers (/cordon) and for their demand (/demand). TCP may deliver such a request after a cut, 12 s or more after the controller has given it up, when the wave or move is over or another daemon is the controller. The owner then gave the workers no tasks for 2 s, freed further ones for another pool, stopped and moved long-running tasks, and took old figures of incoming and available hosts for its decisions about new jobs.

A request now has the latest stamp of the owner, as forwarded calls do. The owner carries it out only if the stamp is its own and younger than 2 s, the time for which a cordon lasts. Otherwise it answers with a fresh stamp, and the controller repeats the request once, within the same time limit. In steady state, with a request every 0.3 s, that adds no round trip.

The controller also ignores answers of owners with a lower token than a known one: a worker that is idle for a former owner may have tasks of its successor, and its host would be taken down or moved.

Controllers of an earlier version send no stamp, and their requests are carried out as before.

--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -31,6 +31,9 @@
 	// orderMaxAge is how long after the request to drain a worker its host may still be ordered down or moved. The owner
 	// gives the worker tasks again after two seconds.
 	orderMaxAge = 1200 * time.Millisecond
+	// requestMaxAge is the age of the stamp above which a request of the controller to an owner may be a late one. The effect
+	// of a request lasts as long.
+	requestMaxAge = 2 * time.Second
 	// waveTable has a record for each wave, in the part ownership.HostsPart.
 	waveTable = "wave"
 )
@@ -316,11 +319,54 @@
 		return cordonReply{}, false
 	}
 	var a cordonReply
-	if err := d.peers.post(ctx, addr, cordonPath, q, &a); err != nil {
-		d.Log.Debug("entry: owner did not answer", "service", q.Service, "error", err)
+	ok := d.askOwner(q.Service, func(s *stamp) (*stamp, bool, error) {
+		a, q.Stamp = cordonReply{}, s
+		err := d.peers.post(ctx, addr, cordonPath, q, &a)
+		return a.Stamp, a.Late, err
+	})
+	if !ok || a.NotOwner {
 		return cordonReply{}, false
 	}
-	return a, !a.NotOwner
+	return a, true
+}
+
+// askOwner sends a request of the controller of hosts with the latest stamp of the owner, and once more if the owner can't tell
+// by it that the request is recent. It returns false if there is no answer of an owner that is the latest as far as is known.
+func (d *Daemon) askOwner(service string, ask func(*stamp) (issued *stamp, late bool, err error)) bool {
+	for range 2 {
+		issued, late, err := ask(d.requestStamp(service))
+		if err != nil {
+			d.Log.Debug("entry: owner did not answer", "service", service, "error", err)
+			return false
+		}
+		if !d.stamps.observe(service, issued) {
+			d.Log.Info("entry: answer of a former owner ignored", "service", service)
+			return false
+		}
+		if !late {
+			return true
+		}
+	}
+	return false
+}
+
+// requestStamp returns the stamp of a request to the owner of a service: the latest one, or an empty one if none is known. Only
+// controllers of an earlier version send none.
+func (d *Daemon) requestStamp(service string) *stamp {
+	if s := d.stamps.latest(service); s != nil {
+		return s
+	}
+	return &stamp{}
+}
+
+// isRecent reports whether a request of the controller of hosts can be carried out: TCP may deliver one long after the controller
+// has given it up. Those without a stamp are of this daemon, or of an earlier version.
+func (r *runner) isRecent(now time.Time, s *stamp) bool {
+	if s == nil {
+		return true
+	}
+	at := r.issuedAt(now, s)
+	return !at.IsZero() && now.Sub(at) < requestMaxAge
 }
 
 // isSparePool reports whether a service is the pool of the hosts that are switched off.
@@ -332,10 +378,14 @@
 func cordonLocal(ctx context.Context, r *runner, q cordonRequest) (cordonReply, bool) {
 	answers := make(chan cordonReply, 1)
 	if !r.post(func(now time.Time) {
-		if q.Yield > 0 {
-			r.state.Yield(now, q.Yield)
+		a := cordonReply{Late: !r.isRecent(now, q.Stamp), Stamp: r.stamp(now)}
+		if !a.Late {
+			if q.Yield > 0 {
+				r.state.Yield(now, q.Yield)
+			}
+			a.Idle, a.Free = r.state.Cordon(now, q.Workers), r.state.Vacate(now, q.Due)
 		}
-		answers <- cordonReply{Idle: r.state.Cordon(now, q.Workers), Free: r.state.Vacate(now, q.Due)}
+		answers <- a
 	}) {
 		return cordonReply{}, false
 	}
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -27,10 +27,13 @@
 	Service   string `json:"service"`
 	Incoming  int    `json:"incoming"`  // hosts being moved to the service
 	Available int    `json:"available"` // hosts that could be sent to the service
+	Stamp     *stamp `json:"stamp,omitempty"`
 }
 
 type demandReply struct {
 	NotOwner bool            `json:"not,omitempty"`
+	Late     bool            `json:"late,omitempty"`  // there is no demand, since the request may be a late one
+	Stamp    *stamp          `json:"stamp,omitempty"` // nil: the owner is of an earlier version
 	Demand   dispatch.Demand `json:"demand"`
 }
 
@@ -311,29 +314,40 @@
 func (d *Daemon) demand(ctx context.Context, q demandRequest) (dispatch.Demand, bool) {
 	r, addr := d.owner(q.Service)
 	if r != nil {
-		return demandLocal(ctx, r, q)
+		a := demandLocal(ctx, r, q)
+		return a.Demand, !a.NotOwner
 	}
 	if addr == "" {
 		return dispatch.Demand{}, false
 	}
 	var a demandReply
-	if err := d.peers.post(ctx, addr, demandPath, q, &a); err != nil || a.NotOwner {
-		d.Log.Debug("entry: owner did not return its demand", "service", q.Service, "error", err)
+	ok := d.askOwner(q.Service, func(s *stamp) (*stamp, bool, error) {
+		a, q.Stamp = demandReply{}, s
+		err := d.peers.post(ctx, addr, demandPath, q, &a)
+		return a.Stamp, a.Late, err
+	})
+	if !ok || a.NotOwner {
 		return dispatch.Demand{}, false
 	}
 	return a.Demand, true
 }
 
-func demandLocal(ctx context.Context, r *runner, q demandRequest) (dispatch.Demand, bool) {
-	answers := make(chan dispatch.Demand, 1)
-	if r.service == ownership.HostsPart || !r.post(func(now time.Time) { answers <- r.state.Demand(now, q.Incoming, q.Available) }) {
-		return dispatch.Demand{}, false
+func demandLocal(ctx context.Context, r *runner, q demandRequest) demandReply {
+	answers := make(chan demandReply, 1)
+	if r.service == ownership.HostsPart || !r.post(func(now time.Time) {
+		a := demandReply{Late: !r.isRecent(now, q.Stamp), Stamp: r.stamp(now)}
+		if !a.Late {
+			a.Demand = r.state.Demand(now, q.Incoming, q.Available)
+		}
+		answers <- a
+	}) {
+		return demandReply{NotOwner: true}
 	}
 	select {
-	case d := <-answers:
-		return d, true
+	case a := <-answers:
+		return a
 	case <-ctx.Done():
-		return dispatch.Demand{}, false
+		return demandReply{NotOwner: true}
 	}
 }
 
@@ -346,10 +360,5 @@
 	if r == nil {
 		return c.JSON(http.StatusOK, demandReply{NotOwner: true})
 	}
-	a := demandReply{}
-	var ok bool
-	if a.Demand, ok = demandLocal(c.Request().Context(), r, q); !ok {
-		a.NotOwner = true
-	}
-	return c.JSON(http.StatusOK, a)
+	return c.JSON(http.StatusOK, demandLocal(c.Request().Context(), r, q))
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -64,6 +64,7 @@
 	Workers []string `json:"workers,omitempty"` // workers that get no more tasks
 	Due     []string `json:"due,omitempty"`     // workers that get no more long-running tasks
 	Yield   int      `json:"yield,omitempty"`   // number of workers to drain for another pool
+	Stamp   *stamp   `json:"stamp,omitempty"`   // see requestStamp
 }
 
 // stopRequest tells an earlier owner that it no longer owns the service.
@@ -92,8 +93,10 @@
 
 type cordonReply struct {
 	NotOwner bool     `json:"not,omitempty"`
-	Idle     []string `json:"idle,omitempty"` // of Workers: those without tasks
-	Free     []string `json:"free,omitempty"` // of Due: those without long-running tasks
+	Late     bool     `json:"late,omitempty"`  // nothing was done, since the request may be a late one
+	Stamp    *stamp   `json:"stamp,omitempty"` // nil: the owner is of an earlier version
+	Idle     []string `json:"idle,omitempty"`  // of Workers: those without tasks
+	Free     []string `json:"free,omitempty"`  // of Due: those without long-running tasks
 }
 
 // peerClient calls other daemons.
