--- a/entry/owners.go
+++ b/entry/owners.go
@@ -58,8 +58,14 @@
 
 func (d *Daemon) writeHeartbeat(ctx context.Context) {
 	now := d.Timer.Now()
+	if d.readAt.Load() == nil {
+		return // the record's generation is not known yet
+	}
+	d.mu.Lock()
+	generation := d.view.Generation()
+	d.mu.Unlock()
 	n := ownership.Node{
-		Run: d.runID, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(),
+		Run: d.runID, Generation: generation, Addr: d.addr, Centre: d.Settings.Centre, Weight: d.Settings.CPUShare, Ready: !d.stopping.Load(),
 		Sequence: now.UnixMilli(), IntervalMillis: d.heartbeatInterval().Milliseconds(),
 	}
 	// Encoding a Node can't fail.
@@ -89,7 +95,9 @@
 		d.readFailed.Store(err != nil)
 		if err == nil {
 			d.noteOutage(sent)
-			d.readAt.Store(&sent)
+			if d.readAt.Swap(&sent) == nil {
+				signal(d.heartbeatNow)
+			}
 			d.applyOwners(ctx, sent)
 		}
 		d.pause(ctx, d.readOwnersNow, ownerReadInterval)
@@ -257,20 +265,21 @@
 }
 
 // offerService offers a service to other daemons, which accept it if they can reach the store.
-func (d *Daemon) offerService(ctx context.Context, service string) {
+func (d *Daemon) offerService(ctx context.Context, q offerRequest) {
 	d.mu.Lock()
 	nodes := d.view.Peers(d.Timer.Now())
 	d.mu.Unlock()
 	for _, n := range nodes[:min(len(nodes), maxOffers)] {
-		if d.peers.offer(ctx, n.Addr, offerRequest{Service: service, Run: d.runID}) {
-			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", service, "to", n.Addr)
+		if d.peers.offer(ctx, n.Addr, q) {
+			d.Log.Info("entry: service offered to a daemon that reaches the store", "service", q.Service, "to", n.Addr)
 			return
 		}
 	}
 }
 
 // acceptOffer starts to take over a service that its owner offers, if the store answers this daemon. An offer of a former
-// owner, which does not know yet that it has a successor, is refused.
+// owner, which does not know yet that it has a successor, is refused, and so is one that the owner sent before its last write:
+// TCP may deliver it after the owner has reached the store again.
 func (d *Daemon) acceptOffer(q offerRequest) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -278,7 +287,7 @@
 		return false
 	}
 	old, version := d.view.Owner(q.Service)
-	if old.Run != q.Run {
+	if old.Run != q.Run || old.Seq > q.Seq {
 		return false
 	}
 	d.taking[q.Service] = true
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/abort"
 	"cuminstair.org/cuminstair/dispatch"
 )
 
@@ -63,6 +64,7 @@
 	Workers []string `json:"workers,omitempty"` // workers that get no more tasks
 	Due     []string `json:"due,omitempty"`     // workers that get no more long-running tasks
 	Yield   int      `json:"yield,omitempty"`   // number of workers to drain for another pool
+	Stamp   *stamp   `json:"stamp,omitempty"`   // see requestStamp
 }
 
 // stopRequest tells an earlier owner that it no longer owns the service.
@@ -82,6 +84,7 @@
 type offerRequest struct {
 	Service string `json:"service"`
 	Run     string `json:"run"` // Node.Run of the owner that offers it
+	Seq     int64  `json:"seq"` // Owner.Seq as last written, or being written; 0: the owner is of an earlier version
 }
 
 type offerReply struct {
@@ -90,8 +93,10 @@
 
 type cordonReply struct {
 	NotOwner bool     `json:"not,omitempty"`
-	Idle     []string `json:"idle,omitempty"` // of Workers: those without tasks
-	Free     []string `json:"free,omitempty"` // of Due: those without long-running tasks
+	Late     bool     `json:"late,omitempty"`  // nothing was done, since the request may be a late one
+	Stamp    *stamp   `json:"stamp,omitempty"` // nil: the owner is of an earlier version
+	Idle     []string `json:"idle,omitempty"`  // of Workers: those without tasks
+	Free     []string `json:"free,omitempty"`  // of Due: those without long-running tasks
 }
 
 // peerClient calls other daemons.
@@ -115,13 +120,22 @@
 	c, ok := p.clients[addr]
 	if !ok {
 		c = &http.Client{Transport: &http.Transport{
-			DialContext: p.dialer.DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+			DialContext: p.dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		}}
 		p.clients[addr] = c
 	}
 	return c
 }
 
+// dial connects to a daemon. Calls that are given up on the connection are not sent any more.
+func (p *peerClient) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := p.dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // post looks for the net.OpError and names the address
+	}
+	return abort.New(c), nil
+}
+
 // post sends body as JSON and decodes the answer into the variable that into points to, unless into is nil. The error
 // wraps errNoOwner if the connection failed, so that nothing was sent.
 func (p *peerClient) post(ctx context.Context, addr, path string, body, into any) error {
@@ -201,7 +215,10 @@
 	}
 	d.mu.Lock()
 	r := d.runners[q.Service]
-	d.ownerHints[q.Service] = ownerHint{addr: q.Owner, at: d.Timer.Now()}
+	// An order that TCP delivers late may be of an owner that has a successor.
+	if _, version := d.view.Owner(q.Service); q.Token >= max(d.newerOwners[q.Service], int64(version)) {
+		d.ownerHints[q.Service] = ownerHint{addr: q.Owner, at: d.Timer.Now()}
+	}
 	d.newerOwners[q.Service] = max(d.newerOwners[q.Service], q.Token) // ends a takeover in progress
 	d.mu.Unlock()
 	if r == nil || int64(r.token) >= q.Token {
--- a/entry/takeover_test.go
+++ b/entry/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,6 +80,33 @@
 	is.True(d.install(newRunner(d, "s", 13, ownership.Owner{}, true)))
 }
 
+// Guards against calls that go to a former owner while the store is not read, because of its order to stop, which TCP delivers late.
+func TestLateStopIsNoHintOfTheOwner(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	stop := func(token int, owner string) {
+		post(d, stopPath, fmt.Sprintf(`{"service":"s","token":%d,"run":"run1","owner":%q}`, token, owner))
+	}
+	hint := func() string {
+		_, addr := d.owner("s")
+		return addr
+	}
+	stop(12, "d2:1")
+	is.Equal(hint(), "d2:1")
+	stop(11, "d3:1")
+	is.Equal(hint(), "d2:1")
+	owner, err := json.Marshal(ownership.Owner{Name: "d4", Run: "run4", Addr: "d4:1"})
+	is.NoErr(err)
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	d.view.Apply(peerTime.Add(-time.Hour), []cuminstair.Record{{RecordKey: key, Value: owner, Version: 20}})
+	d.ownerHints = map[string]ownerHint{}
+	stop(19, "d5:1")
+	is.Equal(hint(), "d4:1")
+	stop(21, "d5:1")
+	is.Equal(hint(), "d5:1")
+}
+
 // Guards against a former owner that was cut off and offers its service, which would take it from the present owner.
 func TestOffersOfFormerOwnersAreRefused(t *testing.T) {
 	is := is.New(t)
@@ -94,6 +122,39 @@
 	is.True(!d.taking["s"])
 }
 
+// Guards against an offer that TCP delivers after its sender reaches the store again: two daemons would act as the owner until
+// the sender notices. An offer of an earlier version has no number.
+func TestLateOffersAreRefused(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	d.workCtx = t.Context()
+	d.Store = &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}
+	owner, err := json.Marshal(ownership.Owner{Name: "d3", Run: "run3", Addr: "d3:1", Seq: 6})
+	is.NoErr(err)
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	d.view.Apply(peerTime, []cuminstair.Record{{RecordKey: key, Value: owner, Version: 4}})
+	is.Equal(post(d, offerPath, `{"service":"s","run":"run3","seq":5}`), `{"taken":false}`)
+	is.Equal(post(d, offerPath, `{"service":"s","run":"run3"}`), `{"taken":false}`)
+	is.Equal(post(d, offerPath, `{"service":"s","run":"run3","seq":6}`), `{"taken":true}`)
+}
+
+// Guards against an owner record that makes an offer valid again which the same daemon has sent in an earlier ownership.
+func TestNumbersOfOwnerRecordsRiseAcrossOwners(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	key := cuminstair.RecordKey{Table: ownership.Table, Part: "s", Key: ownership.OwnerKey}
+	store := &conditionalStore{version: 4, rows: map[cuminstair.RecordKey]cuminstair.Record{key: {RecordKey: key, Version: 4}}}
+	d.Store = store
+	d.stopping.Store(true) // ends the takeover once the record is written
+	d.takeOver(t.Context(), "s", ownership.Owner{Name: "d3", Run: "run3", Seq: 6}, 4)
+	var written ownership.Owner
+	is.NoErr(json.Unmarshal(store.rows[key].Value, &written))
+	is.Equal(written.Name, d.Settings.Name)
+	is.Equal(written.Seq, int64(7))
+}
+
 // slowStore is a store whose answers take a time.
 type slowStore struct {
 	conditionalStore
