Show that a former owner denies a cancellation

A caller whose job was accepted by the present owner cancels it through a former owner that does not know of its successor, for example after a freeze, or through a daemon that forwards to that owner. It gets 410, the definite answer that there is no such job, and the job runs on.

Cause: Cancel answers NotFound from memory. Neither the runner nor the daemon asks the store whether the runner is still the owner. The stamps help only if the forwarding daemon has heard of the successor.

Evidence: the test fails, both daemons answer 410: former_test.go: not true: byFormer != StatusGone && byForwarder != StatusGone

--- /dev/null
+++ b/entry/former_test.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// jobStore is a store that has the records of jobs.
+type jobStore struct {
+	cuminstair.RecordStore
+	jobs []cuminstair.Record
+}
+
+// Read implements cuminstair.RecordStore.
+func (s *jobStore) Read(_ context.Context, table, part, from, _ string) ([]cuminstair.Record, uint64, error) {
+	var list []cuminstair.Record
+	for _, r := range s.jobs {
+		if r.Table == table && r.Part == part && r.Key == from {
+			list = append(list, r)
+		}
+	}
+	return list, 0, nil
+}
+
+// callerStatus returns the status with which a daemon answers a caller's call without a body.
+func callerStatus(t *testing.T, d *Daemon, x call) int {
+	x.queue.Host, x.queue.Prefix = "h", "/"
+	d.config.Store(&cuminstair.JobConfig{Version: 1, Queues: []cuminstair.WorkQueue{x.queue}})
+	w := httptest.NewRecorder()
+	d.callerServer().Handler.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), x.method, "http://h/"+x.id, nil))
+	return w.Code
+}
+
+// acceptedElsewhere returns a former owner, another daemon that takes it for the present owner, and a call about a job that
+// the present owner has accepted.
+func acceptedElsewhere(t *testing.T) (former, forwarder *Daemon, x call) {
+	is := is.New(t)
+	former, _ = ownerDaemon(t)
+	present, r := ownerDaemon(t)
+	r.token = 8
+	x, spec := lateCall()
+	a, err := present.callLocal(t.Context(), r, x, spec)
+	is.NoErr(err)
+	is.Equal(a.Outcome, dispatch.Accepted)
+	store := &jobStore{jobs: []cuminstair.Record{{RecordKey: cuminstair.RecordKey{Table: dispatch.JobTable, Part: "s", Key: x.id}, Version: 9}}}
+	forwarder = newForwarder(t)
+	forwarder.Metrics = former.Metrics
+	former.Store, forwarder.Store = store, store
+	forwarder.setOwnerHint("s", newLossyServer(t, former).addr())
+	return former, forwarder, x
+}
+
+// Guards against a cancellation that is answered with 410 by an owner that has a successor and does not know it, such as
+// after a freeze: the successor runs the job.
+func TestCancellationIsNotDeniedByAFormerOwner(t *testing.T) {
+	is := is.New(t)
+	former, forwarder, x := acceptedElsewhere(t)
+	x.method = http.MethodDelete
+	byFormer, byForwarder := callerStatus(t, former, x), callerStatus(t, forwarder, x)
+	is.True(byFormer != http.StatusGone && byForwarder != http.StatusGone)
+}
