Show that a former owner denies an accepted job

A GET for an accepted job gets 410 through a former owner that does not know of its successor, or through a daemon that forwards to it.

Cause: as for cancellations: the state is read from memory, and the store is asked only if no owner answers.

Evidence: the test fails, both daemons answer 410.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -66,3 +66,12 @@
 	byFormer, byForwarder := callerStatus(t, former, x), callerStatus(t, forwarder, x)
 	is.True(byFormer != http.StatusGone && byForwarder != http.StatusGone)
 }
+
+// Guards against an accepted job that is reported as unknown by an owner that has a successor and does not know it.
+func TestStateIsNotDeniedByAFormerOwner(t *testing.T) {
+	is := is.New(t)
+	former, forwarder, x := acceptedElsewhere(t)
+	x.method = http.MethodGet
+	byFormer, byForwarder := callerStatus(t, former, x), callerStatus(t, forwarder, x)
+	is.True(byFormer != http.StatusGone && byForwarder != http.StatusGone)
+}
