Show that readings of a known former owner are told

A daemon that has heard of a newer owner still tells its callers what a former owner says of the state of a job and of the number of waiting jobs.

Cause: forward ignores an answer of a former owner only if it is a denial, and readings have the outcome Accepted.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"cuminstair.org/cuminstair"
@@ -75,3 +76,16 @@
 	byFormer, byForwarder := callerStatus(t, former, x), callerStatus(t, forwarder, x)
 	is.True(byFormer != http.StatusGone && byForwarder != http.StatusGone)
 }
+
+// Guards against readings of a former owner that are passed on by a daemon that has heard of its successor.
+func TestReadingsOfAKnownFormerOwnerAreNotTold(t *testing.T) {
+	is := is.New(t)
+	_, forwarder, x := acceptedElsewhere(t)
+	forwarder.stamps.observe("s", &stamp{Token: 8})
+	x.method = http.MethodGet
+	_, err := forwarder.forward(t.Context(), x, nil)
+	is.True(errors.Is(err, errNoOwner)) // the state of a job
+	x.id = ""
+	_, err = forwarder.forward(t.Context(), x, nil)
+	is.True(errors.Is(err, errNoOwner)) // the number of waiting jobs
+}
