Show that a daemon that can't be asked submits no job

If the owner can't open connections to a daemon, although that daemon's calls to the owner are answered, each submission through the daemon is answered with 503 until a GET happens to bring a stamp.

Cause: after a takeover or 20 s without an answer each forwarded call needs a question, and the answer to a call whose question failed has no stamp, so that the next attempt needs the question again.

Evidence: the test fails with "the service has no owner".

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/matryer/is"
@@ -89,3 +90,18 @@
 	_, err = forwarder.forward(t.Context(), x, nil)
 	is.True(errors.Is(err, errNoOwner)) // the number of waiting jobs
 }
+
+// Guards against a daemon that can't submit jobs, since the owner can't open connections to it, although the owner's answers
+// reach it.
+func TestJobIsAcceptedIfTheForwarderCannotBeAsked(t *testing.T) {
+	is := is.New(t)
+	owner, _ := ownerDaemon(t)
+	pass(owner, time.Minute)
+	forwarder := newForwarder(t)
+	forwarder.addr = "127.0.0.1:1"
+	forwarder.setOwnerHint("s", newLossyServer(t, owner).addr())
+	x, spec := lateCall()
+	a, err := forwarder.forward(t.Context(), x, spec)
+	is.NoErr(err)
+	is.Equal(a.Outcome, dispatch.Accepted)
+}
