Show that a late copy of an offer is taken

A healthy owner can lose its service by a copy of an offer that TCP delivers after the owner's next write. The owner counts on the end of the offer after offerTime and that write (aliveAt), but nothing bounds the age of what the receiver takes.

Cause: the receiver compares only the run of the owner, which is the same for the whole life of the daemon.

Evidence: the test fails, the offer of record version 4 is taken at version 5: {"taken":true} != {"taken":false}. The field "version" of the offer in the test is the proposed one; the present code ignores it.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -105,3 +105,21 @@
 	is.NoErr(err)
 	is.Equal(a.Outcome, dispatch.Accepted)
 }
+
+// Guards against a late copy of an offer: its sender counts on the end of the offer after offerTime and its next write.
+func TestLateOfferIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	d, old := peerDaemon()
+	delete(d.runners, old.service)
+	d.workCtx = t.Context()
+	store := &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}
+	d.Store = store
+	key := old.ownerKey()
+	record := func(version uint64) cuminstair.Record {
+		return cuminstair.Record{RecordKey: key, Value: []byte(`{"name":"d3","run":"run3","addr":"d3:1"}`), Version: version}
+	}
+	offer := `{"service":"s","run":"run3","version":4}` // of the record when the offer was made
+	d.view.Apply(peerTime, []cuminstair.Record{record(4)})
+	d.view.Apply(peerTime, []cuminstair.Record{record(5)}) // the owner has written since
+	is.Equal(post(d, offerPath, offer), `{"taken":false}`)
+}
