Show that a refusal without a stamp is told during an upgrade

A daemon that has a stamp of the present owner gives a call up, and a former owner of the earlier version, whose answers have no stamp, refuses the next attempt. The caller is told of the refusal. The copy of the first call has a fresh stamp, so the present owner accepts it without a question and the job runs.

Cause: a missing stamp counts as the present owner's, whatever stamps the daemon has.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -123,3 +125,32 @@
 	d.view.Apply(peerTime, []cuminstair.Record{record(5)}) // the owner has written since
 	is.Equal(post(d, offerPath, offer), `{"taken":false}`)
 }
+
+// Guards against a refusal of a former owner of an earlier version, whose answers have no stamp, during a rolling upgrade.
+func TestRefusalWithoutAStampIsNotToldOnceAnOwnerHasStamped(t *testing.T) {
+	is := is.New(t)
+	former, r := ownerDaemon(t)
+	setStoreDown(r, true)
+	present, r := ownerDaemon(t)
+	r.token = 8
+	earlier := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		var a callReply
+		_ = json.Unmarshal([]byte(post(former, q.URL.Path, string(body))), &a)
+		a.Stamp = nil
+		_ = json.NewEncoder(w).Encode(a)
+	}))
+	defer earlier.Close()
+	server, forwarder := newLossyServer(t, present), newForwarder(t)
+	x, spec := lateCall()
+	x.id = "00000000000000bb"
+	forwarder.setOwnerHint("s", server.addr())
+	_, err := forwarder.forward(t.Context(), x, spec) // the forwarder has the present owner's stamp
+	is.NoErr(err)
+	x, _ = lateCall()
+	late := giveUp(t, forwarder, server, x, spec)
+	forwarder.setOwnerHint("s", earlier.Listener.Addr().String())
+	a, err := forwarder.forward(t.Context(), x, spec)
+	told := err == nil && a.denies()
+	is.True(!told || deliver(t, present, late).Outcome != dispatch.Accepted)
+}
