Give the late offer of the test the sequence number of the record

A fix may compare the version or the sequence number; the sequence number is better, since the owner's write in flight may have been stored.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -118,9 +119,10 @@
 	d.Store = store
 	key := old.ownerKey()
 	record := func(version uint64) cuminstair.Record {
-		return cuminstair.Record{RecordKey: key, Value: []byte(`{"name":"d3","run":"run3","addr":"d3:1"}`), Version: version}
+		value := fmt.Sprintf(`{"name":"d3","run":"run3","addr":"d3:1","seq":%d}`, version)
+		return cuminstair.Record{RecordKey: key, Value: []byte(value), Version: version}
 	}
-	offer := `{"service":"s","run":"run3","version":4}` // of the record when the offer was made
+	offer := `{"service":"s","run":"run3","version":4,"seq":4}` // of the record when the offer was made
 	d.view.Apply(peerTime, []cuminstair.Record{record(4)})
 	d.view.Apply(peerTime, []cuminstair.Record{record(5)}) // the owner has written since
 	is.Equal(post(d, offerPath, offer), `{"taken":false}`)
