Have a call that may be late sent again instead of asking its daemon

Callers could be refused (503) for as long as an owner could not open connections to the daemon that forwards their calls, although its answers reached that daemon: the owner could not ask whether the call was open, and its answer brought no stamp.

The owner now answers a call whose stamp is not recent with a new stamp; a daemon that still waits sends the call again with it, in the same number of round trips as the question. Nobody reads the answer to a late copy. So a call is accepted on its stamp alone, and its daemon knows the owner's token before it sends it. The question remains for daemons of earlier versions, which send no stamps.

The line "late copy of a call dropped" is now "call may be a late copy"; metric cuminstair_late_calls_total.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -15,6 +15,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/platform"
 )
 
 // jobStore is a store that has the records of jobs.
@@ -39,7 +40,9 @@
 	x.queue.Host, x.queue.Prefix = "h", "/"
 	d.config.Store(&cuminstair.JobConfig{Version: 1, Queues: []cuminstair.WorkQueue{x.queue}})
 	w := httptest.NewRecorder()
-	d.callerServer().Handler.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), x.method, "http://h/"+x.id, nil))
+	req := httptest.NewRequestWithContext(t.Context(), x.method, "http://h/"+x.id, nil)
+	req.Header.Set(platform.DeadlineHeader, "400")
+	d.callerServer().Handler.ServeHTTP(w, req)
 	return w.Code
 }
 
@@ -48,6 +51,7 @@
 func acceptedElsewhere(t *testing.T) (former, forwarder *Daemon, x call) {
 	is := is.New(t)
 	former, _ = ownerDaemon(t)
+	former.readFailed.Store(true) // the store does not confirm it
 	present, r := ownerDaemon(t)
 	r.token = 8
 	x, spec := lateCall()
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -350,15 +350,6 @@
 	return false
 }
 
-// requestStamp returns the stamp of a request to the owner of a service: the latest one, or an empty one if none is known. Only
-// controllers of an earlier version send none.
-func (d *Daemon) requestStamp(service string) *stamp {
-	if s := d.stamps.latest(service); s != nil {
-		return s
-	}
-	return &stamp{}
-}
-
 // isRecent reports whether a request of the controller of hosts can be carried out: TCP may deliver one long after the controller
 // has given it up. Those without a stamp are of this daemon, or of an earlier version.
 func (r *runner) isRecent(now time.Time, s *stamp) bool {
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -30,6 +30,8 @@
 	ownerWait = 250 * time.Millisecond
 	// peerCheckAfter is how long a call to another daemon may take before a second request checks that it is alive.
 	peerCheckAfter = 400 * time.Millisecond
+	// maxResends bounds how often a call is sent to an owner that asks for it with a newer stamp.
+	maxResends = 4
 	// defaultRetry is the Retry-After of a call that can't be served yet, for example because its service has no owner.
 	defaultRetry = time.Second
 	// defaultMaxBody bounds the body of a call, in bytes, if the configuration does not.
@@ -303,12 +305,26 @@
 	defer d.forwarded.end(number)
 	q := callRequest{
 		Method: x.method, ID: x.id, Queue: x.queue, Job: spec, From: d.addr, Run: d.runID, Number: number,
-		Stamp: d.stamps.latest(x.queue.Service),
 	}
+	for range maxResends {
+		q.Stamp = d.requestStamp(x.queue.Service)
+		a, err := d.callOwner(ctx, addr, q)
+		if err != nil || !a.Late {
+			return a, err
+		}
+		if !d.stamps.observe(x.queue.Service, a.Stamp) {
+			break
+		}
+	}
+	return callReply{NotOwner: true}, nil
+}
+
+// callOwner sends a call to the owner once.
+func (d *Daemon) callOwner(ctx context.Context, addr string, q callRequest) (callReply, error) {
 	begin := d.Timer.Now()
 	a, err := d.peers.callOwner(ctx, addr, q)
 	if err != nil {
-		d.Log.Info("entry: forwarded call not answered", "job", x.id, "method", x.method, "owner", addr, "number", number,
+		d.Log.Info("entry: forwarded call not answered", "job", q.ID, "method", q.Method, "owner", addr, "number", q.Number,
 			"stamp", q.Stamp.String(), "after", d.Timer.Now().Sub(begin).Round(time.Millisecond).String(), "error", err)
 	}
 	return a, err
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -47,7 +47,10 @@
 			case fn := <-r.events:
 				now := d.Timer.Now()
 				fn(now)
-				r.state.Decide(now, d.Timer.Now())
+				if !d.readFailed.Load() {
+					r.confirmedAt = d.Timer.Now()
+				}
+				r.state.Decide(now, r.confirmedAt)
 				if b := r.state.Batch(now); b != nil {
 					r.state.Stored(now, b)
 				}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -21,7 +21,7 @@
 	StoreWrites *prometheus.HistogramVec // seconds, by outcome
 	Events      *prometheus.CounterVec   // events of jobs and tasks, by event
 	Takeover    prometheus.Histogram     // seconds from the decision to take a service to the start of its runner
-	Questions   *prometheus.CounterVec   // to daemons that forwarded a call, whether they still wait for its answer, by answer
+	Late        *prometheus.CounterVec   // forwarded calls that might be late copies, by what came of them
 	Connections prometheus.Counter       // opened to workers, the store and the platform's host control
 }
 
@@ -44,14 +44,14 @@
 		Takeover: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cuminstair_takeover_seconds", Help: "Time from the decision to take a service to its first order.", Buckets: buckets,
 		}),
-		Questions: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cuminstair_call_questions_total", Help: "Questions to daemons whether they still wait for the answer to a forwarded call.",
-		}, []string{"answer"}),
+		Late: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_late_calls_total", Help: "Forwarded calls that might be late copies.",
+		}, []string{"outcome"}),
 		Connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
 		}),
 	}
-	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Questions, m.Connections)
+	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Connections)
 	return m
 }
 
--- a/entry/open.go
+++ b/entry/open.go
@@ -43,12 +43,11 @@
 	return o.open[number]
 }
 
-// openRequest asks a daemon whether it still waits for the answer to a call that it forwarded.
+// openRequest asks a daemon whether it still waits for the answer to a call that it forwarded. Owners of an earlier version send
+// it to this daemon, and this daemon to those.
 type openRequest struct {
-	Run     string `json:"run"` // Node.Run of the daemon
-	Number  uint64 `json:"n"`
-	Service string `json:"service,omitempty"`
-	Token   uint64 `json:"token,omitempty"` // fencing token of the owner that asks
+	Run    string `json:"run"` // Node.Run of the daemon
+	Number uint64 `json:"n"`
 }
 
 type openReply struct {
@@ -60,10 +59,6 @@
 	if err := decodeBody(c, &q); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
-	// The token is observed first: if the call is given up after this answer, no denial of an earlier owner is passed on.
-	if q.Service != "" {
-		d.stamps.observe(q.Service, &stamp{Token: q.Token})
-	}
 	return c.JSON(http.StatusOK, openReply{Open: q.Run == d.runID && d.forwarded.has(q.Number)})
 }
 
@@ -77,43 +72,55 @@
 }
 
 // callForwarded passes a call of another daemon to the runner of a service that this daemon owns. A call that may be a late
-// copy is acted on only if the other daemon says that it still waits for the answer. The question is repeated if the
-// job is denied meanwhile.
+// copy is not acted on: the answer has a stamp, with which the other daemon sends the call again if it still waits. A daemon of an
+// earlier version knows no stamps and is asked whether it waits; the question is repeated if the job is denied meanwhile.
 func (d *Daemon) callForwarded(ctx context.Context, r *runner, x call, q callRequest) (callReply, error) {
 	x.forwarded, x.openAt = true, r.issuedAt(d.Timer.Now(), q.Stamp)
-	proof := "stamp"
 	for {
 		a, err := d.callLocal(ctx, r, x, q.Job)
-		if err != nil || !a.late {
-			if x.method == http.MethodPost && err == nil && a.Outcome == dispatch.Accepted && !a.NotOwner {
-				d.Log.Info("entry: forwarded job accepted", "job", x.id, "from", q.From, "number", q.Number, "proof", proof,
-					"age", d.Timer.Now().Sub(x.openAt).Round(time.Millisecond).String())
-			}
+		switch {
+		case err != nil:
 			return a, err
-		}
-		if q.Number == 0 {
+		case !a.Late:
+			d.logForwarded(x, q, a)
+			return a, nil
+		case q.Stamp != nil:
+			d.Metrics.Late.WithLabelValues("asked for again").Inc()
+			d.logLate(x, q, "its stamp is not recent")
+			return a, nil
+		case q.Number == 0:
 			d.logLate(x, q, "a daemon of an earlier version can't be asked for it")
 			return callReply{Outcome: dispatch.Unavailable, Wait: defaultRetry.Milliseconds(), Why: "the daemon is of an earlier version"}, nil
 		}
 		asked := d.Timer.Now()
-		open, err := d.peers.isOpen(ctx, q.From, openRequest{Run: q.Run, Number: q.Number, Service: r.service, Token: r.token})
+		open, err := d.peers.isOpen(ctx, q.From, openRequest{Run: q.Run, Number: q.Number})
 		switch {
 		case err != nil:
-			d.Metrics.Questions.WithLabelValues("unanswered").Inc()
+			d.Metrics.Late.WithLabelValues("question unanswered").Inc()
 			d.logLate(x, q, err.Error())
 			// The call has not been acted on, so the other daemon may send it again if it still waits.
 			return callReply{}, fmt.Errorf("ask %s for its call: %w: %w", q.From, errNoOwner, err)
 		case !open:
-			d.Metrics.Questions.WithLabelValues("closed").Inc()
+			d.Metrics.Late.WithLabelValues("given up").Inc()
 			d.logLate(x, q, "nobody waits for its answer")
 			return callReply{Outcome: dispatch.Uncertain, Why: "the call was given up"}, nil
 		}
-		d.Metrics.Questions.WithLabelValues("open").Inc()
-		x.openAt, proof = asked, "question"
+		d.Metrics.Late.WithLabelValues("open").Inc()
+		x.openAt = asked
+	}
+}
+
+// logForwarded logs through which daemon a job has come.
+func (d *Daemon) logForwarded(x call, q callRequest, a callReply) {
+	if x.method != http.MethodPost || a.NotOwner || a.Outcome != dispatch.Accepted || a.Why != "" {
+		return
 	}
+	d.Log.Info("entry: forwarded job accepted", "job", x.id, "from", q.From, "number", q.Number, "stamp", q.Stamp.String(),
+		"age", d.Timer.Now().Sub(x.openAt).Round(time.Millisecond).String())
 }
 
-// logLate logs that a late copy of a call is dropped.
+// logLate logs that a call is not acted on, since it may be a late copy.
 func (d *Daemon) logLate(x call, q callRequest, why string) {
-	d.Log.Info("entry: late copy of a call dropped", "job", x.id, "method", x.method, "from", q.From, "number", q.Number, "stamp", q.Stamp.String(), "why", why)
+	d.Log.Info("entry: call may be a late copy", "job", x.id, "method", x.method, "from", q.From, "number", q.Number,
+		"stamp", q.Stamp.String(), "why", why)
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -42,7 +42,7 @@
 	From   string               `json:"from,omitempty"`  // address of the daemon that forwards the call
 	Run    string               `json:"run,omitempty"`   // its Node.Run
 	Number uint64               `json:"n,omitempty"`     // unique in that run; 0: the daemon is of an earlier version
-	Stamp  *stamp               `json:"stamp,omitempty"` // latest one of an owner of the service; nil: none is known
+	Stamp  *stamp               `json:"stamp,omitempty"` // see requestStamp; nil: the daemon is of an earlier version
 }
 
 // callReply is the owner's answer to a callRequest.
@@ -55,7 +55,8 @@
 	State    cuminstair.JobState `json:"state,omitempty"`
 	Waiting  int                 `json:"waiting,omitempty"`
 	Stamp    *stamp              `json:"stamp,omitempty"` // of the owner that answers; nil: it is of an earlier version
-	late     bool                // the call was not acted on, since it may be a late copy
+	// Late means that the call was not acted on, since it may be a late copy. A daemon that still waits sends it again with Stamp.
+	Late bool `json:"late,omitempty"`
 }
 
 // cordonRequest asks an owner to drain workers.
@@ -312,7 +313,7 @@
 		case r.state.Deposed() || r.ended:
 			answers <- callReply{NotOwner: true}
 		case x.forwarded && r.mayBeLate(now, x):
-			answers <- callReply{late: true}
+			answer(callReply{Late: true, Outcome: dispatch.Uncertain})
 		case x.method == http.MethodPost && spec != nil:
 			r.state.Submit(now, x.id, spec, x.queue, result)
 		case x.method == http.MethodDelete:
--- a/entry/stamp.go
+++ b/entry/stamp.go
@@ -12,7 +12,7 @@
 // stamp is the timestamp of an owner's answer. A daemon echoes the latest one in its calls, which shows the owner that a
 // call was sent after the stamp was issued, without a comparison of clocks between hosts.
 type stamp struct {
-	Runner string        `json:"runner,omitempty"` // unique for each runner of a service; empty: only the token is known
+	Runner string        `json:"runner,omitempty"` // unique for each runner of a service
 	Token  uint64        `json:"token"`            // fencing token of the runner
 	At     time.Duration `json:"at,omitempty"`     // since the runner was made, on its daemon's clock, in nanoseconds
 }
@@ -38,6 +38,15 @@
 	return r.takenAt.Add(t.At)
 }
 
+// requestStamp returns the stamp of a request to the owner of a service: the latest one, or an empty one if none is known. Only
+// daemons of an earlier version send none.
+func (d *Daemon) requestStamp(service string) *stamp {
+	if s := d.stamps.latest(service); s != nil {
+		return s
+	}
+	return &stamp{}
+}
+
 // mayBeLate reports whether a forwarded call may be a late copy of a call that was answered otherwise. Readings change
 // nothing.
 func (r *runner) mayBeLate(now time.Time, x call) bool {
@@ -83,8 +92,7 @@
 	if ok && t.Token < last.Token {
 		return false
 	}
-	// A stamp without a runner tells the token only.
-	if !ok || t.Token > last.Token || t.Runner != "" && (t.Runner != last.Runner || t.At > last.At) {
+	if !ok || t.Token > last.Token || t.Runner != last.Runner || t.At > last.At {
 		if s.byService == nil {
 			s.byService = map[string]stamp{}
 		}
