Read the store before a job is reported as unknown

A caller could be told that there is no such job (410) although it was accepted: a former owner, which doesn't know of its successor, doesn't know the successor's jobs. The daemon now reads the job's record before it answers 410; the store's answers are linearizable. That costs one read for each such answer.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -174,7 +174,8 @@
 func (d *Daemon) state(ctx context.Context, c echo.Context, x call) error {
 	a, err := d.forward(ctx, x, nil)
 	state := a.State
-	if err != nil || a.Outcome == dispatch.Unavailable {
+	// A former owner may not know a job that its successor has accepted.
+	if err != nil || a.Outcome == dispatch.Unavailable || state == cuminstair.JobUnknown {
 		state, err = d.storedState(ctx, x)
 	}
 	switch {
@@ -186,7 +187,7 @@
 	return c.JSONBlob(http.StatusOK, platform.EncodeState(state))
 }
 
-// storedState reads the state of a job from the store; it is used while no owner of the service answers.
+// storedState reads the state of a job from the store; it is used if no owner of the service answers or knows the job.
 func (d *Daemon) storedState(ctx context.Context, x call) (cuminstair.JobState, error) {
 	to := x.id + "\x00"
 	jobs, _, err := d.Store.Read(ctx, dispatch.JobTable, x.queue.Service, x.id, to)
