Count owners without stamps as former ones once another has sent a stamp

During a rolling upgrade a caller could be told the refusal of a former owner of the earlier version, while the present owner accepts an earlier copy of the call by its stamp. The token of an owner without stamps is not known, so its denials and readings are ignored once a later version has owned the service. After a return to the earlier version callers get 503 in place of 429 until their daemon is restarted too.

--- a/entry/stamp.go
+++ b/entry/stamp.go
@@ -81,14 +81,15 @@
 }
 
 // observe records a stamp and returns false if it is of a former owner: one with a lower token than an owner that this
-// daemon has heard of. A missing stamp is of an earlier version and counts as the present owner's.
+// daemon has heard of. An owner of an earlier version sends no stamp; its token is not known, so that it counts as a former
+// owner once another one has sent a stamp.
 func (s *stamps) observe(service string, t *stamp) bool {
-	if t == nil {
-		return true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last, ok := s.byService[service]
+	if t == nil {
+		return !ok
+	}
 	if ok && t.Token < last.Token {
 		return false
 	}
