Answer a cancellation that no owner has answered with 504

A caller was told that its cancellation was refused (503) although an owner had received it, or its copy was still on its way, and the job was cancelled all the same. TestUnansweredCancellationIsNotRefused failed before (503). Only a call that was certainly not acted on is refused now; others have an unknown outcome, as submissions do.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -150,9 +150,7 @@
 	case dispatch.Accepted:
 		return c.NoContent(http.StatusOK)
 	case dispatch.Uncertain:
-		d.Metrics.countCall(x.method, "uncertain")
-		d.Log.Info("entry: job outcome unknown", "job", x.id, "queue", x.queue.Name, "why", r.Why, "config", x.configVersion)
-		return c.String(http.StatusGatewayTimeout, r.Why)
+		return d.uncertain(c, x, r.Why)
 	case dispatch.Refused, dispatch.Impossible:
 		return d.refuse(c, x, http.StatusTooManyRequests, r.Wait, r.Why)
 	default:
@@ -160,8 +158,14 @@
 	}
 }
 
-// refuse tells a caller that its request was refused and when to retry. A refused cancellation may have been carried out
-// if an owner received it and did not answer.
+// uncertain tells a caller that its request may have been carried out.
+func (d *Daemon) uncertain(c echo.Context, x call, why string) error {
+	d.Metrics.countCall(x.method, "uncertain")
+	d.Log.Info("entry: job outcome unknown", "job", x.id, "method", x.method, "queue", x.queue.Name, "why", why, "config", x.configVersion)
+	return c.String(http.StatusGatewayTimeout, why)
+}
+
+// refuse tells a caller that its request was refused, and never takes effect, and when to retry.
 func (d *Daemon) refuse(c echo.Context, x call, status int, wait time.Duration, why string) error {
 	d.Metrics.countCall(x.method, "refused")
 	seconds := max(1, int(math.Round(wait.Seconds())))
@@ -207,12 +211,14 @@
 func (d *Daemon) cancel(ctx context.Context, c echo.Context, x call) error {
 	a, err := d.forward(ctx, x, nil)
 	switch {
-	case err != nil || a.Outcome == dispatch.Unavailable:
+	case errors.Is(err, errNoOwner) || err == nil && a.Outcome == dispatch.Unavailable:
 		return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "the service has no owner")
+	case err != nil:
+		return d.uncertain(c, x, "the owner did not answer")
 	case a.Outcome == dispatch.NotFound:
 		return c.NoContent(http.StatusGone)
 	case a.Outcome == dispatch.Uncertain:
-		return c.String(http.StatusGatewayTimeout, a.Why)
+		return d.uncertain(c, x, a.Why)
 	}
 	d.Log.Info("entry: job cancelled", "job", x.id, "queue", x.queue.Name, "config", x.configVersion)
 	return c.NoContent(http.StatusOK)
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -186,6 +186,19 @@
 	is.True(errors.Is(err, errUnanswered))
 }
 
+// Guards against a cancellation that is refused although an owner may have received it and carries it out.
+func TestUnansweredCancellationIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	owner, _ := ownerDaemon(t)
+	server, forwarder := newLossyServer(t, owner), newForwarder(t)
+	server.cut.Store(true)
+	forwarder.setOwnerHint("s", server.addr())
+	forwarder.Metrics = owner.Metrics
+	x, _ := lateCall()
+	x.method = http.MethodDelete
+	is.Equal(callerStatus(t, forwarder, x), http.StatusGatewayTimeout)
+}
+
 // Guards against a job that runs after its caller was told, in answer to the cancellation, that there is no such job.
 func TestLateCopyIsNotAcceptedAfterTheCancellation(t *testing.T) {
 	is := is.New(t)
