Forget old denials also while a write is under way

The memory of denials was cleaned only when a batch was made, so that it grew throughout an outage of the store, now also by each cancellation of an unknown job. TestDenialsAreForgottenDuringAnOutage failed before (a denial was kept for 31 s).

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -246,17 +246,12 @@
 	}
 }
 
-// sweep deletes finished jobs after the retention period, and old entries of denied jobs.
+// sweep deletes finished jobs after the retention period.
 func (s *Service) sweep(now time.Time, b *Batch) {
 	if now.Sub(s.lastSweep) < sweepInterval {
 		return
 	}
 	s.lastSweep = now
-	for id, r := range s.denied {
-		if now.Sub(r.latest) > deniedTTL {
-			delete(s.denied, id)
-		}
-	}
 	for _, j := range s.jobs {
 		if len(b.Puts)+len(b.Deletes) >= batchPuts-2 || len(b.swept) >= sweepLimit {
 			return
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -154,6 +154,20 @@
 	p.is.Equal(deposed.Outcome, dispatch.Uncertain)
 }
 
+// Guards against denials that pile up while a write to the store is under way.
+func TestDenialsAreForgottenDuringAnOutage(t *testing.T) {
+	p := newPool(t, 1)
+	p.run(200 * time.Millisecond)
+	p.storeDown = true
+	p.submit(jobB, step(1, 1000)) // its write is not answered
+	p.run(100 * time.Millisecond)
+	p.s.Cancel(p.now, jobA, func(dispatch.Result) {})
+	p.run(time.Second)
+	p.is.Equal(p.s.Denials(), 1)
+	p.run(30 * time.Second)
+	p.is.Equal(p.s.Denials(), 0)
+}
+
 // Guards against losing stops that are ordered between two calls of Decide.
 func TestStopIsOrderedAtOnce(t *testing.T) {
 	p := newPool(t, 2)
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -19,3 +19,6 @@
 	return fmt.Sprintf("resolved=%v earlier owner grace=%s age=%s confirmed %s ago, deposed=%v, stopping=%v: %s", s.inheritedResolved(), s.EarlierOwnerGrace,
 		now.Sub(s.takenOverAt).Round(time.Millisecond), now.Sub(s.confirmedAt).Round(time.Millisecond), s.deposed, s.stopping, strings.Join(list, " "))
 }
+
+// Denials returns the number of denials that are kept.
+func (s *Service) Denials() int { return len(s.denied) }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -60,6 +60,7 @@
 	workers         map[string]*worker
 	inherited       map[string]bool   // workers that an earlier owner may have used
 	denied          map[string]denial // by job
+	forgotAt        time.Time         // when old denials were last deleted
 	unknownCancels  []unknownCancel
 	ready           []*step
 	candidates      []*worker          // workers that may be given tasks in the current decision
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -124,6 +124,19 @@
 	s.denied[id] = r
 }
 
+// forgetDenials deletes old denials. It does not depend on writes, which may take long.
+func (s *Service) forgetDenials(now time.Time) {
+	if now.Sub(s.forgotAt) < sweepInterval {
+		return
+	}
+	s.forgotAt = now
+	for id, r := range s.denied {
+		if now.Sub(r.latest) > deniedTTL {
+			delete(s.denied, id)
+		}
+	}
+}
+
 // MayBeLate reports whether the submission of a job may be a late copy of a call that was answered otherwise. openAt is a time
 // at which, or after which, its sender was waiting for the answer; zero if none is known. Denials are kept for deniedTTL only,
 // so that an older openAt proves nothing. A submission of a known job changes nothing.
