--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -275,6 +275,15 @@
 	d.ownerHints[service] = ownerHint{addr: addr, at: d.Timer.Now()}
 }
 
+// dropOwnerHint forgets the owner address of a service that turned out to be of a former owner.
+func (d *Daemon) dropOwnerHint(service, addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ownerHints[service].addr == addr {
+		delete(d.ownerHints, service)
+	}
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -270,6 +270,7 @@
 		case err != nil || a.NotOwner:
 		case !d.stamps.observe(x.queue.Service, a.Stamp) && (a.denies() || x.method == http.MethodGet):
 			d.Log.Info("entry: answer of a former owner ignored", "job", x.id, "service", x.queue.Service, "owner", addr, "why", a.Why)
+			d.dropOwnerHint(x.queue.Service, addr)
 			err = errNoOwner
 		default:
 			return a, nil
