Give up a run without an answer to its start only after its late copies

Two runs of one task at once (TWICE): a start gets no answer, its worker restarts unnoticed and is cut off, and the later incarnation carries the start out seconds late, with the longest lease from then on. The owner gave the run up, and started the task elsewhere, when the longest lease had passed since the call ended.

So a lapse proves the end of such a run only when lateCallTime and the longest lease have passed since its call ended. Runs with an answered start, starts that were refused as old, and runs on reached workers keep their bounds.

Checks that state the old bound: - dispatch/exhaust, ALIVE: every task had to run 14.4 s after the last fault. That stays for all tasks but those whose latest start the owner of the service has got no answer to, on a worker that is up and not reached, and that was sent before the worker can be known to be silent; these have longDelay (12 s) more, and all others must run in the old time meanwhile.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -288,7 +288,7 @@
 		}
 		return
 	case errors.Is(err, cuminstair.ErrStaleRun):
-		a.unansweredAt = now
+		a.unansweredAt, a.refusedAsOld = now, true
 		// A run number is used once, so that the run may have been there. The lists of the worker decide.
 		s.Log.Info("dispatch: start was refused as an old run", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 			"run", a.run, "worker", w.info.ID)
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -67,7 +67,7 @@
 	kind         observationKind
 	incarnation  int64 // of the worker that showed it, as its start in Unix milliseconds; 0: not known
 	since, until time.Time
-	longestLease time.Duration // observedLapse: how long a run may go on after the call of its start
+	longestLease time.Duration // observedLapse: how long a run may go on after its start was carried out
 }
 
 // runTimes is what an owner knows of when a run began and ended. A zero time means that it has not happened as far as the owner knows.
@@ -75,6 +75,7 @@
 	sentAt          time.Time // when the start was ordered, or the run first seen
 	answeredAt      time.Time // when the start was answered or the run first seen
 	unansweredAt    time.Time // when the call of the start ended without telling whether it runs
+	refusedAsOld    bool      // it was answered, and refused as an old run
 	stopConfirmedAt time.Time // when the present incarnation of the worker confirmed the stop
 	seen            bool      // the present incarnation of the worker has listed it as running
 	missingReports  int       // consecutive reports that lack it although they should list it
@@ -89,6 +90,14 @@
 	return r.answeredAt.Before(t)
 }
 
+// lateCall returns how long after its call ended the start may be carried out, by an incarnation that the owner does not know.
+func (r *runTimes) lateCall() time.Duration {
+	if r.refusedAsOld {
+		return 0
+	}
+	return lateCallTime
+}
+
 // ended reports whether an observation proves that a run has ended or never begins. An observation says nothing of a start that
 // may have been carried out after it, or by a later incarnation.
 func (r *runTimes) ended(o observation) bool {
@@ -104,7 +113,7 @@
 	case observedHostDown, observedNewHost:
 		return r.callEndedBefore(o.since)
 	case observedLapse:
-		return !r.answeredAt.IsZero() || !r.unansweredAt.IsZero() && o.since.Sub(r.unansweredAt) > o.longestLease
+		return !r.answeredAt.IsZero() || !r.unansweredAt.IsZero() && o.since.Sub(r.unansweredAt) > r.lateCall()+o.longestLease
 	default:
 		return false
 	}
--- a/dispatch/exhaust/call.go
+++ b/dispatch/exhaust/call.go
@@ -42,6 +42,9 @@
 // send puts an order on its way.
 func (x *world) send(o *owner, order dispatch.Order) {
 	x.lastCall++
+	if order.Kind == dispatch.OrderStart {
+		x.starts[order.Task] = sentStart{owner: o, addr: order.Worker.Addr, run: order.Run, sentAt: x.now}
+	}
 	x.newOrders = x.newOrders || order.Kind == dispatch.OrderStart || order.Kind == dispatch.OrderStop
 	x.calls = append(x.calls, &call{number: x.lastCall, owner: o, order: order, sent: x.now})
 	if x.trace != nil {
@@ -123,6 +126,14 @@
 	c.owner.answered(c, c.answer, c.err)
 }
 
+// startAnswered records that the owner of a start knows of its run.
+func (x *world) startAnswered(task cuminstair.TaskID, run int64) {
+	if s := x.starts[task]; s.run == run {
+		s.answered = true
+		x.starts[task] = s
+	}
+}
+
 // giveUp tells the caller that there is no answer.
 func (x *world) giveUp(c *call) {
 	x.notef("call %d has no answer", c.number)
--- a/dispatch/exhaust/check.go
+++ b/dispatch/exhaust/check.go
@@ -61,26 +61,53 @@
 	}
 }
 
-// settle ends all faults and lets time pass until all tasks run, and a little longer.
+// settle ends all faults and lets time pass until all tasks run, and a little longer. Tasks that may wait for a late start have longDelay more.
 func (x *world) settle() {
 	x.notef("all faults end")
 	x.heal()
+	x.healedAt = x.now
 	limit := x.now.Add(x.settleLimit())
+	waited := false
+	mayWait := func(id cuminstair.TaskID) bool {
+		waits := x.mayWait(id)
+		waited = waited || waits
+		return waits
+	}
+	if x.settleBy(limit, mayWait) && waited {
+		x.settleBy(limit.Add(longDelay), func(cuminstair.TaskID) bool { return false })
+	}
+}
+
+// settleBy lets time pass until all tasks that may not wait have run for settledTime, and reports whether that was before limit.
+func (x *world) settleBy(limit time.Time, mayWait func(cuminstair.TaskID) bool) bool {
 	var since time.Time
 	for x.violation == nil && x.now.Before(limit) {
 		x.tick(settleTick)
 		switch {
-		case !x.allRun():
+		case !x.allRun(mayWait):
 			since = time.Time{}
 		case since.IsZero():
 			since = x.now
 		case x.now.Sub(since) >= settledTime:
-			return
+			return true
 		}
 	}
 	if x.violation == nil {
-		x.violatef(RuleAlive, "not all tasks run %s after the last fault", x.settleLimit())
+		x.violatef(RuleAlive, "not all tasks run %s after the last fault", x.now.Sub(x.healedAt))
+	}
+	return false
+}
+
+// mayWait reports whether the latest start of a task has no answer, on a worker that is up and not reached. Such a start may be
+// carried out longDelay after it was sent, and the run goes on for the longest lease from then on. It was sent before the worker
+// is known to be silent.
+func (x *world) mayWait(id cuminstair.TaskID) bool {
+	s, ok := x.starts[id]
+	if !ok || s.answered || !s.owner.holds() || s.sentAt.After(x.healedAt.Add(startTime)) {
+		return false
 	}
+	w := x.find(s.addr)
+	return w.up && !w.reachedBy(s.owner)
 }
 
 // settleLimit is how long after the last fault every task has to run: the longest lease on the slowest clock after that of
@@ -93,8 +120,8 @@
 	return limit
 }
 
-// allRun reports whether each task has a run or was reported as done, or the job has ended.
-func (x *world) allRun() bool {
+// allRun reports whether each task that may not wait has a run or was reported as done, or the job has ended.
+func (x *world) allRun(mayWait func(cuminstair.TaskID) bool) bool {
 	switch x.owners[len(x.owners)-1].state.State(jobID) {
 	case cuminstair.JobFailed, cuminstair.JobCompleted, cuminstair.JobCancelled:
 		return true
@@ -102,7 +129,7 @@
 	}
 	for i := range x.opts.Tasks {
 		id := cuminstair.TaskID{Job: jobID, Index: i}
-		if !x.reported[id] && !x.runs(id) {
+		if !x.reported[id] && !x.runs(id) && !mayWait(id) {
 			return false
 		}
 	}
--- a/dispatch/exhaust/owner.go
+++ b/dispatch/exhaust/owner.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
 )
@@ -224,10 +226,16 @@
 	order := a.call.order
 	switch order.Kind {
 	case dispatch.OrderStart:
+		if !errors.Is(a.err, cuminstair.ErrUncertain) {
+			o.x.startAnswered(order.Task, order.Run)
+		}
 		o.state.Started(o.x.now, order, a.rep.Clock, a.err)
 	case dispatch.OrderStop:
 		o.state.Stopped(o.x.now, order, a.err)
 	case dispatch.OrderRenew:
+		for _, r := range a.rep.Running {
+			o.x.startAnswered(r.Task, r.Run)
+		}
 		for _, e := range a.rep.Ended {
 			o.x.reported[e.Task] = o.x.reported[e.Task] || e.How == cuminstair.EndDone
 		}
--- a/dispatch/exhaust/world.go
+++ b/dispatch/exhaust/world.go
@@ -45,8 +45,10 @@
 	doneAt    map[cuminstair.TaskID]int  // number of the acknowledged end as done
 	reported  map[cuminstair.TaskID]bool // an owner has got a report of an end as done
 	lastStart map[cuminstair.TaskID]int
+	starts    map[cuminstair.TaskID]sentStart
 	crashes   int
 	losses    int        // runs that owners have given up
+	healedAt  time.Time  // when all faults have ended
 	lists     *heldList  // read and not delivered
 	hosts     *heldHosts // read and not delivered
 	newOrders bool       // starts or stops were ordered in the last tick
@@ -56,6 +58,15 @@
 	trace      *trace
 }
 
+// sentStart is the latest start of a task.
+type sentStart struct {
+	owner    *owner
+	addr     string
+	run      int64
+	sentAt   time.Time
+	answered bool // the owner has got an answer, or a report that lists the run
+}
+
 // heldList is a list of workers that is delivered late.
 type heldList struct {
 	readAt time.Time
@@ -72,7 +83,7 @@
 func newWorld(opts *Options, t *trace) *world {
 	x := &world{
 		opts: opts, now: begin, store: map[cuminstair.RecordKey][]byte{}, doneAt: map[cuminstair.TaskID]int{}, reported: map[cuminstair.TaskID]bool{},
-		lastStart: map[cuminstair.TaskID]int{}, trace: t,
+		lastStart: map[cuminstair.TaskID]int{}, starts: map[cuminstair.TaskID]sentStart{}, trace: t,
 	}
 	for i, rate := range []float64{1, slowClock} {
 		// The rooms differ, so that the choice between two idle workers does not depend on the order of a map.
