Record the starts without an answer for the next owner

Two runs of one task at once (TWICE): a start gets no answer, its worker restarts unnoticed and is cut off, and another owner takes over. It knows nothing of the start, takes the worker's runs for ended after the usual lease (4 s), and starts the task elsewhere; the late copy of the start begins it on the worker all the same.

The starts that an owner knows to have no answer are in a record of their own in WorkerTable now. A new owner takes them for starts of its own whose call ended at the takeover, so that the same rules decide (ended). A worker that has answered it refuses them by its token; they are released by the first report that lacks them, and a run that it lists is kept. On a worker that is not reached only these tasks wait for lateCallTime and the longest lease. The takeover itself (inheritedResolved) is as long as before. A record that is out of date is corrected by a later run that is found, or by its end.

Evidence: dispatch.TestNewOwnerKnowsTheStartsWithoutAnAnswer, before: restart_test.go:416: 2 != 1 (starts). It also checks that another task starts within 5 s of the takeover. TestNewOwnerReadsTheStartsWithoutAnAnswer and TestNewOwnerKeepsARunLaterThanARecordedStart fail without the release by token and without the correction in adopt (0 != 1, running tasks).

dispatch/exhaust: with the new bound a start of an earlier owner that knew that there was no answer, on a worker that is not reached, has longDelay more, too.

Not mended: TestNewOwnerKeepsTheRunsOfAnUnnoticedIncarnation, whose owner ends right after the start, before any write could follow. That takes a write before each start.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -22,6 +22,8 @@
 	swept     []*job
 	processed map[*worker]endPosition  // the task ends up to this position count as stored once the batch is stored
 	workers   map[*worker]workerRecord // as written; nil if the batch does not write the workers
+
+	unanswered bool // the batch writes the starts without an answer
 }
 
 // endPosition is a position in the list of task ends of one incarnation of a worker.
@@ -59,6 +61,7 @@
 	if s.workersDirty {
 		s.putWorkers(b)
 	}
+	s.putUnanswered(b)
 	s.dirty = s.putJobs(b, s.dirty)
 	if len(s.dirty) == 0 {
 		for _, w := range s.workers {
@@ -71,13 +74,13 @@
 
 // batchDue reports whether a batch should be written now.
 func (s *Service) batchDue(now time.Time) bool {
-	if len(s.dirty) == 0 && !s.workersDirty && now.Sub(s.lastSweep) < sweepInterval {
+	if len(s.dirty) == 0 && !s.workersDirty && !s.unansweredDirty && !slices.ContainsFunc(s.unanswered, (*attempt).isResolved) && now.Sub(s.lastSweep) < sweepInterval {
 		return false
 	}
 	if now.Sub(s.lastBatch) >= batchGap {
 		return true
 	}
-	if s.workersDirty {
+	if s.workersDirty || s.unansweredDirty {
 		return true
 	}
 	for _, j := range s.dirty {
@@ -323,6 +326,7 @@
 	if b.workers != nil {
 		s.workersDirty = true
 	}
+	s.unansweredDirty = s.unansweredDirty || b.unanswered
 }
 
 // SetWriteLatency records how long a write to the store takes at present.
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -298,6 +298,7 @@
 		if o.Worker.Incarnation != w.info.Incarnation {
 			w.expectLateStart(now, a)
 		}
+		s.recordUnanswered(a)
 		s.Log.Info("dispatch: start was not answered", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
 			"run", a.run, "worker", w.info.ID, "error", err)
 		return
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -30,6 +30,7 @@
 	s.logEnd(w, t, e)
 	if t != nil && !t.step.occ.job.finished() {
 		t.run = max(t.run, e.Run)
+		s.detachUnanswered(now, t, e.Run)
 		s.learnFromRun(now, t, e.Run)
 		s.recordTaskEnd(now, w, t, a, e)
 		if t.done && t.attempt != nil && t.attempt != a {
--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -75,9 +75,10 @@
 	sentAt          time.Time // when the start was ordered, or the run first seen
 	answeredAt      time.Time // when the start was answered or the run first seen
 	unansweredAt    time.Time // when the call of the start ended without telling whether it runs
-	refusedAsOld    bool      // it was answered, and refused as an old run
 	stopConfirmedAt time.Time // when the present incarnation of the worker confirmed the stop
 	seen            bool      // the present incarnation of the worker has listed it as running
+	refusedAsOld    bool      // its start was answered, and refused as an old run
+	ofEarlierOwner  bool      // its start is of an earlier owner: a worker that has answered this one refuses it
 	missingReports  int       // consecutive reports that lack it although they should list it
 }
 
@@ -90,6 +91,9 @@
 	return r.answeredAt.Before(t)
 }
 
+// refusedByToken reports whether a worker that has answered this owner would refuse the start.
+func (r *runTimes) refusedByToken() bool { return r.ofEarlierOwner && r.answeredAt.IsZero() }
+
 // lateCall returns how long after its call ended the start may be carried out, by an incarnation that the owner does not know.
 func (r *runTimes) lateCall() time.Duration {
 	if r.refusedAsOld {
@@ -107,7 +111,7 @@
 	case observedStop:
 		return !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(o.since)
 	case observedAbsence:
-		return !r.answeredAt.IsZero() && r.answeredAt.Before(o.since) && r.missingReports > 1
+		return r.refusedByToken() || !r.answeredAt.IsZero() && r.answeredAt.Before(o.since) && r.missingReports > 1
 	case observedRestart: // the earlier incarnation was still there at since
 		return r.seen || !r.answeredAt.IsZero() && !r.answeredAt.After(o.since)
 	case observedHostDown, observedNewHost:
--- a/dispatch/exhaust/call.go
+++ b/dispatch/exhaust/call.go
@@ -126,10 +126,11 @@
 	c.owner.answered(c, c.answer, c.err)
 }
 
-// startAnswered records that the owner of a start knows of its run.
-func (x *world) startAnswered(task cuminstair.TaskID, run int64) {
-	if s := x.starts[task]; s.run == run {
-		s.answered = true
+// startEnded records that an owner of the service has got the answer to a start or knows of its run, or that it knows that there is
+// no answer.
+func (x *world) startEnded(o *owner, task cuminstair.TaskID, run int64, answered bool) {
+	if s := x.starts[task]; s.run == run && o.holds() {
+		s.answered, s.failed = s.answered || answered, s.failed || !answered
 		x.starts[task] = s
 	}
 }
--- a/dispatch/exhaust/check.go
+++ b/dispatch/exhaust/check.go
@@ -100,14 +100,14 @@
 
 // mayWait reports whether the latest start of a task has no answer, on a worker that is up and not reached. Such a start may be
 // carried out longDelay after it was sent, and the run goes on for the longest lease from then on. It was sent before the worker
-// is known to be silent.
+// is known to be silent. A later owner knows of it if the one that sent it does.
 func (x *world) mayWait(id cuminstair.TaskID) bool {
 	s, ok := x.starts[id]
-	if !ok || s.answered || !s.owner.holds() || s.sentAt.After(x.healedAt.Add(startTime)) {
+	if !ok || s.answered || !s.owner.holds() && !s.failed || s.sentAt.After(x.healedAt.Add(startTime)) {
 		return false
 	}
 	w := x.find(s.addr)
-	return w.up && !w.reachedBy(s.owner)
+	return w.up && !w.reachedBy(x.owners[len(x.owners)-1])
 }
 
 // settleLimit is how long after the last fault every task has to run: the longest lease on the slowest clock after that of
--- a/dispatch/exhaust/owner.go
+++ b/dispatch/exhaust/owner.go
@@ -226,15 +226,13 @@
 	order := a.call.order
 	switch order.Kind {
 	case dispatch.OrderStart:
-		if !errors.Is(a.err, cuminstair.ErrUncertain) {
-			o.x.startAnswered(order.Task, order.Run)
-		}
+		o.x.startEnded(o, order.Task, order.Run, !errors.Is(a.err, cuminstair.ErrUncertain))
 		o.state.Started(o.x.now, order, a.rep.Clock, a.err)
 	case dispatch.OrderStop:
 		o.state.Stopped(o.x.now, order, a.err)
 	case dispatch.OrderRenew:
 		for _, r := range a.rep.Running {
-			o.x.startAnswered(r.Task, r.Run)
+			o.x.startEnded(o, r.Task, r.Run, true)
 		}
 		for _, e := range a.rep.Ended {
 			o.x.reported[e.Task] = o.x.reported[e.Task] || e.How == cuminstair.EndDone
--- a/dispatch/exhaust/world.go
+++ b/dispatch/exhaust/world.go
@@ -65,6 +65,7 @@
 	run      int64
 	sentAt   time.Time
 	answered bool // the owner has got an answer, or a report that lists the run
+	failed   bool // the owner knows that there is no answer, so that a later owner may know it too
 }
 
 // heldList is a list of workers that is delivered late.
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -19,7 +19,10 @@
 	if w.restarted && !w.synced {
 		return now.Sub(w.knownSince) > s.longestLease()
 	}
-	return w.synced && w.clockAtLeast(now) > max(w.lease, w.heldLease)+leaseMargin
+	if !w.synced {
+		return s.inherited[w.info.ID] // its runs have no answer to their starts, so that their own times decide
+	}
+	return w.clockAtLeast(now) > max(w.lease, w.heldLease)+leaseMargin
 }
 
 // longestLease is how long a worker may run tasks after an order, whatever its lease, on the slowest clock.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -194,6 +194,9 @@
 		}
 		s.conclude(now, old, observation{kind: observedLaterRun, incarnation: w.info.Incarnation, since: w.lastRenewal, until: now})
 	}
+	if x != nil {
+		s.detachUnanswered(now, x, t.Run)
+	}
 	w.add(a)
 	if x != nil && !x.done && !j.finished() && x.attempt == nil {
 		a.task, x.attempt, x.adopted = x, a, j.isFirstRun(t.Run)
@@ -220,6 +223,8 @@
 			continue
 		}
 		switch {
+		case a.refusedByToken():
+			s.conclude(now, a, absent)
 		case a.longRunning && a.answeredAt.IsZero() && a.callEndedBefore(sent) && a.stopConfirmedAt.IsZero():
 			s.stopUnanswered(now, a) // it is not at work now, but may be started late
 		case !a.answeredAt.IsZero() && a.answeredAt.Before(sent):
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -387,3 +387,74 @@
 	p.run(12 * time.Second)
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// Guards against a new owner that starts a task again while a late copy of its predecessor's start, which had no answer, may still
+// begin it on a worker that is not reached. The other tasks wait for the usual leases only.
+func TestNewOwnerKnowsTheStartsWithoutAnAnswer(t *testing.T) {
+	p := newAgedPool(t, 20*time.Second)
+	start := p.heldStart()
+	p.duration = func(id cuminstair.TaskID) time.Duration {
+		if id.Job == jobB {
+			return 20 * time.Millisecond // the next start of the other task is a trial, on an idle worker
+		}
+		return time.Minute
+	}
+	w := p.worker(start.Worker.ID)
+	p.now = p.now.Add(tick)
+	p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+	w.restart(p.now)
+	w.partitioned = true
+	w.delayed = append(w.delayed, delayedStart{at: p.now.Add(4 * time.Second), order: start})
+	w.lease = maxLease + 4*time.Second // the lease of the start, which is cut when it is carried out
+	p.run(200 * time.Millisecond)
+	p.submit(jobB, step(1, 2000))
+	p.writeBatch()
+	p.unlist(w.info.ID)
+	p.takeOver(200, 0)
+	p.run(5 * time.Second)
+	p.is.Equal(p.starts[cuminstair.TaskID{Job: jobB}], 1)
+	p.is.Equal(p.starts[start.Task], 1) // the late one
+	p.run(11 * time.Second)
+	p.is.Equal(p.duplicateRuns, 0)
+	p.run(10 * time.Second)
+	p.is.Equal(p.starts[start.Task], 2)
+}
+
+// Guards against a new owner that waits for a run on a reached worker, or stops one at work, since its predecessor's start had no answer.
+func TestNewOwnerReadsTheStartsWithoutAnAnswer(t *testing.T) {
+	for name, begun := range map[string]bool{"the run is there": true, "the run is not there": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newAgedPool(t, 20*time.Second)
+			start := p.heldStart()
+			if begun {
+				p.launch(p.worker(start.Worker.ID), start)
+			}
+			p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+			p.writeBatch()
+			p.takeOver(200, 0)
+			p.run(400 * time.Millisecond)
+			p.is.Equal(p.running(), 1)
+			p.is.Equal(p.starts[start.Task], 1)
+			p.is.Equal(p.s.Counts().Stops, 0)
+		})
+	}
+}
+
+// Guards against stopping a run at work since a record that is out of date names an earlier start of its task without an answer.
+func TestNewOwnerKeepsARunLaterThanARecordedStart(t *testing.T) {
+	p := newAgedPool(t, 20*time.Second)
+	start := p.heldStart()
+	p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
+	p.writeBatch()
+	p.s.Started(p.now, start, 0, cuminstair.ErrNoRoom) // it is refused after all, and starts elsewhere
+	for _, o := range p.decide(tick) {
+		p.execute(o)
+	}
+	p.is.Equal(p.running(), 1)
+	p.worker(start.Worker.ID).partitioned = true
+	p.takeOver(200, 0)
+	p.run(time.Second)
+	p.is.Equal(p.running(), 1)
+	p.is.Equal(p.starts[start.Task], 1)
+	p.is.Equal(p.duplicateRuns, 0)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -82,6 +82,9 @@
 	adviceCallsOpen int                  // open calls to the adviser
 	workerRecords   int                  // records of workers that may be in the store
 	workersDirty    bool                 // the worker record in the store is out of date
+	unanswered      []*attempt           // runs whose start had no answer, and others since resolved; see listUnanswered
+	unansweredPut   []unansweredStart    // as last written
+	unansweredDirty bool                 // their record is to be written at once
 	changed         bool                 // placement has to run again
 	spaced          bool                 // the last placement left a task waiting for startSpacing, avoidTime or the store
 	deposed         bool                 // see Deposed
@@ -121,7 +124,12 @@
 
 // Recover restores the state from the records of the service, read at the takeover.
 func (s *Service) Recover(now time.Time, jobs, runs, workers []cuminstair.Record) {
+	var unanswered []cuminstair.Record
 	for _, r := range workers {
+		if r.Key == unansweredKey {
+			unanswered = append(unanswered, r)
+			continue
+		}
 		s.recoverWorkers(r)
 	}
 	main, parts := map[string][]byte{}, map[string][]cuminstair.Record{}
@@ -147,6 +155,9 @@
 			s.markDirty(j) // to delete these records
 		}
 	}
+	for _, r := range unanswered {
+		s.recoverUnanswered(now, r)
+	}
 	s.Log.Info("dispatch: service taken over", "service", s.Name, "token", s.Token, "jobs", len(s.jobs), "open", len(s.active), "workers", len(s.workers))
 }
 
