Keep the record of starts without an answer below 64 KB

An entry takes about 130 bytes with IDs of workers of 36 characters, so that 500 entries could come close to the largest value that the platform accepts. The limit is 300 entries.

--- a/dispatch/unanswered.go
+++ b/dispatch/unanswered.go
@@ -16,7 +16,7 @@
 const unansweredKey = "unanswered"
 
 // maxUnanswered bounds the size of this record; the platform accepts values of 64 KB.
-const maxUnanswered = 500
+const maxUnanswered = 300
 
 // unansweredRecord is the value of this record.
 type unansweredRecord struct {
