--- a/dispatch/ended.go
+++ b/dispatch/ended.go
@@ -67,7 +67,7 @@
 	kind         observationKind
 	incarnation  int64 // of the worker that showed it, as its start in Unix milliseconds; 0: not known
 	since, until time.Time
-	longestLease time.Duration // observedLapse: how long a run may go on after the call of its start
+	longestLease time.Duration // observedLapse: how long a run may go on after its start was carried out
 }
 
 // runTimes is what an owner knows of when a run began and ended. A zero time means that it has not happened as far as the owner knows.
@@ -77,6 +77,8 @@
 	unansweredAt    time.Time // when the call of the start ended without telling whether it runs
 	stopConfirmedAt time.Time // when the present incarnation of the worker confirmed the stop
 	seen            bool      // the present incarnation of the worker has listed it as running
+	refusedAsOld    bool      // its start was answered, and refused as an old run
+	ofEarlierOwner  bool      // its start is of an earlier owner: a worker that has answered this one refuses it
 	missingReports  int       // consecutive reports that lack it although they should list it
 }
 
@@ -89,6 +91,17 @@
 	return r.answeredAt.Before(t)
 }
 
+// refusedByToken reports whether a worker that has answered this owner would refuse the start.
+func (r *runTimes) refusedByToken() bool { return r.ofEarlierOwner && r.answeredAt.IsZero() }
+
+// lateCall returns how long after its call ended the start may be carried out, by an incarnation that the owner does not know.
+func (r *runTimes) lateCall() time.Duration {
+	if r.refusedAsOld {
+		return 0
+	}
+	return lateCallTime
+}
+
 // ended reports whether an observation proves that a run has ended or never begins. An observation says nothing of a start that
 // may have been carried out after it, or by a later incarnation.
 func (r *runTimes) ended(o observation) bool {
@@ -98,13 +111,13 @@
 	case observedStop:
 		return !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(o.since)
 	case observedAbsence:
-		return !r.answeredAt.IsZero() && r.answeredAt.Before(o.since) && r.missingReports > 1
+		return r.refusedByToken() || !r.answeredAt.IsZero() && r.answeredAt.Before(o.since) && r.missingReports > 1
 	case observedRestart: // the earlier incarnation was still there at since
 		return r.seen || !r.answeredAt.IsZero() && !r.answeredAt.After(o.since)
 	case observedHostDown, observedNewHost:
 		return r.callEndedBefore(o.since)
 	case observedLapse:
-		return !r.answeredAt.IsZero() || !r.unansweredAt.IsZero() && o.since.Sub(r.unansweredAt) > o.longestLease
+		return !r.answeredAt.IsZero() || !r.unansweredAt.IsZero() && o.since.Sub(r.unansweredAt) > r.lateCall()+o.longestLease
 	default:
 		return false
 	}
--- a/dispatch/exhaust/call.go
+++ b/dispatch/exhaust/call.go
@@ -42,6 +42,9 @@
 // send puts an order on its way.
 func (x *world) send(o *owner, order dispatch.Order) {
 	x.lastCall++
+	if order.Kind == dispatch.OrderStart {
+		x.starts[order.Task] = sentStart{owner: o, addr: order.Worker.Addr, run: order.Run, sentAt: x.now}
+	}
 	x.newOrders = x.newOrders || order.Kind == dispatch.OrderStart || order.Kind == dispatch.OrderStop
 	x.calls = append(x.calls, &call{number: x.lastCall, owner: o, order: order, sent: x.now})
 	if x.trace != nil {
@@ -123,6 +126,15 @@
 	c.owner.answered(c, c.answer, c.err)
 }
 
+// startEnded records that an owner of the service has got the answer to a start or knows of its run, or that it knows that there is
+// no answer.
+func (x *world) startEnded(o *owner, task cuminstair.TaskID, run int64, answered bool) {
+	if s := x.starts[task]; s.run == run && o.holds() {
+		s.answered, s.failed = s.answered || answered, s.failed || !answered
+		x.starts[task] = s
+	}
+}
+
 // giveUp tells the caller that there is no answer.
 func (x *world) giveUp(c *call) {
 	x.notef("call %d has no answer", c.number)
