Let walks hold forwarded calls for up to two minutes

TestWalkWithHeldCalls plays the same walks with callers that call entry daemons. Each attempt goes to some daemon, which forwards it to the owner that it knows of, or a former one, gives it up when a check of that daemon has no answer, and sends another copy. Copies that are lost at first arrive at the times at which TCP sends packets again, up to 120 s later. Owners take them as entry.callForwarded does now. Some walks have short objectives, so that jobs are refused, or forget finished jobs after 31 s. The checks are of what callers and workers see: no start of a job whose attempts were all refused (REFUSED), and the checks there are after a cancellation that was answered, with "no such job" too (UNASKED), and after the end of a task (TWICE).

The callers of the walk moved to walkcallers_test.go.

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -51,11 +51,13 @@
 	cancelSent bool
 	cancelled  time.Time // when its cancellation was acknowledged
 	final      cuminstair.JobState
+	attempts   []*attempt // to hand it in
 }
 
 // walkCounts tell what a walk has reached.
 type walkCounts struct {
 	starts, takeovers, chains, lapses, held, restarts, mostEnds, crashes, jobs int
+	calls                                                                      callCounts
 	refused                                                                    map[string]int
 }
 
@@ -63,6 +65,7 @@
 	c.starts, c.takeovers, c.chains, c.lapses = c.starts+o.starts, c.takeovers+o.takeovers, c.chains+o.chains, c.lapses+o.lapses
 	c.held, c.restarts, c.crashes, c.jobs = c.held+o.held, c.restarts+o.restarts, c.crashes+o.crashes, c.jobs+o.jobs
 	c.mostEnds = max(c.mostEnds, o.mostEnds)
+	c.calls.add(&o.calls)
 	for k, n := range o.refused {
 		c.refused[k] += n
 	}
@@ -97,7 +100,11 @@
 	counts      walkCounts
 	trace       []traceRow
 	broken      string
-	target      *process   // that carries out an order now
+	target      *process // that carries out an order now
+	forwarded   bool     // callers' calls go through entry daemons, and the network holds some for a long time
+	tightness   int      // of the objectives; above 0 jobs are refused
+	retention   time.Duration
+	heldUntil   time.Time  // latest arrival of a held call so far
 	limits      *rand.Rand // draws checkpoints, labels and limits of tasks per worker
 }
 
@@ -134,7 +141,7 @@
 		seed: seed, sim: s, store: &modelStore{version: 100, records: map[cuminstair.RecordKey][]byte{}, beats: map[string]heartbeat{}},
 		entries: map[string]cuminstair.WorkerInfo{}, links: map[pair]link{}, cutCentres: make([]time.Time, walkCentres),
 		jobs: map[string]*modelJob{}, runs: map[cuminstair.TaskID][]*modelRun{}, counts: walkCounts{refused: map[string]int{}},
-		limits: rand.New(rand.NewPCG(seed, 6)),
+		limits: rand.New(rand.NewPCG(seed, 6)), retention: 2 * time.Minute,
 	}
 	for i := range walkDaemons {
 		w.daemons = append(w.daemons, &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres})
@@ -411,6 +418,7 @@
 // checkStart checks a start before it is recorded.
 func (w *walk) checkStart(r *modelRun) {
 	j, step := w.jobs[r.task.Job], w.stepOf(r.task)
+	w.checkAsked(j, r.task)
 	failed := 0
 	for _, x := range w.runs[r.task] {
 		if step.Duplicates {
@@ -674,7 +682,14 @@
 const walkAttempts = 3
 
 func (w *walk) queue() cuminstair.WorkQueue {
-	return cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 50, Target: time.Hour, Attempts: walkAttempts}
+	q := cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 50, Target: time.Hour, Attempts: walkAttempts}
+	switch w.tightness {
+	case 1:
+		q.TargetFactor, q.Target = 3, 300*time.Millisecond
+	case 2:
+		q.TargetFactor, q.Target = 1.2, 50*time.Millisecond
+	}
+	return q
 }
 
 func (w *walk) addJob() {
@@ -743,79 +758,6 @@
 	}
 }
 
-// anyRunner returns a runner of a daemon that answers callers, or nil.
-func (w *walk) anyRunner() *runner {
-	var list []*runner
-	for _, d := range w.daemons {
-		if r := d.runner; d.alive && !d.frozen && r != nil && !r.releasing && !r.ended {
-			list = append(list, r)
-		}
-	}
-	if len(list) == 0 {
-		return nil
-	}
-	return list[w.sim.rand.IntN(len(list))]
-}
-
-func (w *walk) submit(j *modelJob) {
-	if j.accepted || j.tries > 40 {
-		return
-	}
-	j.tries++
-	answered := false
-	again := func() {
-		if !answered {
-			answered = true
-			w.sim.after(500*time.Millisecond, func() { w.submit(j) })
-		}
-	}
-	w.sim.after(4*time.Second, again)
-	r := w.anyRunner()
-	if r == nil {
-		again()
-		return
-	}
-	r.post(func(now time.Time) {
-		r.state.Submit(now, j.id, j.spec, w.queue(), func(x dispatch.Result) {
-			if x.Outcome != dispatch.Accepted {
-				again()
-				return
-			}
-			j.accepted, answered = true, true
-		})
-	})
-}
-
-func (w *walk) cancel(j *modelJob) {
-	if !j.cancelled.IsZero() || j.final != cuminstair.JobUnknown {
-		return
-	}
-	again := func() { w.sim.after(time.Second, func() { w.cancel(j) }) }
-	r := w.anyRunner()
-	if r == nil || !j.accepted {
-		again()
-		return
-	}
-	j.cancelSent = true
-	answered := false
-	w.sim.after(4*time.Second, func() {
-		if !answered {
-			again()
-		}
-	})
-	r.post(func(now time.Time) {
-		r.state.Cancel(now, j.id, func(x dispatch.Result) {
-			answered = true
-			switch {
-			case x.Outcome != dispatch.Accepted:
-				again()
-			case j.cancelled.IsZero():
-				j.cancelled = w.sim.now
-			}
-		})
-	})
-}
-
 // finished reports whether the jobs have ended, and names one that has not.
 func (w *walk) finished() (bool, string) {
 	open := ""
@@ -915,9 +857,12 @@
 		}
 		next = next.Add(500 * time.Millisecond)
 		ok, open := w.finished()
-		if ok {
+		if ok && w.sim.now.After(w.heldUntil) {
 			break
 		}
+		if ok {
+			continue
+		}
 		if w.sim.now.After(end) || w.sim.now.Sub(w.activeAt) > idleLimit && w.sim.now.Sub(begin) > walkFaults+idleLimit {
 			t, text := w.openTask(open)
 			w.violation("LOST", t, "its job does not end: "+text+" record "+
@@ -932,7 +877,10 @@
 // before their turn or beyond the attempts, starts without room, without the label or beyond the limit of tasks of a step on a
 // worker, starts from a checkpoint of another task, stops of long-running tasks that their step can't miss, and jobs that never
 // end. The order of Go's maps varies, so that a seed does not always take the same course.
-func TestWalk(t *testing.T) {
+func TestWalk(t *testing.T) { playWalks(t, newWalk) }
+
+// playWalks plays the walks of the seeds that the flags name.
+func playWalks(t *testing.T, create func(seed uint64) *walk) {
 	began := time.Now()
 	total := walkCounts{refused: map[string]int{}}
 	var mu sync.Mutex
@@ -944,7 +892,7 @@
 		go func() {
 			defer wg.Done()
 			for seed := range seeds {
-				w := newWalk(seed)
+				w := create(seed)
 				w.run()
 				mu.Lock()
 				total.add(&w.counts)
--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -53,6 +53,7 @@
 	patience   time.Duration // after which it takes over from a silent owner
 	readMore   bool          // a read in progress is followed by another at once
 	reading    bool
+	calls      openCalls
 }
 
 // do runs fn as an event of the daemon's present run.
@@ -83,7 +84,7 @@
 	d.run++
 	d.alive, d.frozen, d.queued, d.runner, d.taking, d.reading = true, false, nil, nil, false, false
 	d.seen, d.seenAt, d.beats, d.readAt, d.wroteAt = ownerRow{}, 0, map[string]heartbeat{}, time.Time{}, time.Time{}
-	d.newerOwner = 0
+	d.newerOwner, d.calls = 0, openCalls{}
 	d.patience = d.w.sim.between(800*time.Millisecond, 1700*time.Millisecond)
 	d.w.note(d.name, "daemon starts", "number", d.run)
 	d.beat()
@@ -382,7 +383,7 @@
 	now := d.now()
 	r := &runner{d: d, token: token, takenAt: now, hadOwner: hadOwner, settled: !owner.unsettled, owner: owner, version: token, confirmedAt: now}
 	s := dispatch.New("s", int64(token), now, walkLog{Logger: hclog.NewNullLogger(), w: d.w, who: fmt.Sprintf("%s/%d", d.name, token)})
-	s.Bounds = cuminstair.Bounds{MaxLease: walkMaxHold, StopGrace: walkStopGrace, StateRetention: 2 * time.Minute}
+	s.Bounds = cuminstair.Bounds{MaxLease: walkMaxHold, StopGrace: walkStopGrace, StateRetention: d.w.retention}
 	s.Grace, s.Rand = ownerGrace, rand.New(rand.NewPCG(token, 1))
 	if hadOwner {
 		s.EarlierOwnerGrace = ownerGrace
--- a/dispatch/walkfaults_test.go
+++ b/dispatch/walkfaults_test.go
@@ -262,11 +262,17 @@
 	for _, h := range w.hosts {
 		w.sim.after(w.sim.between(0, 6*time.Second), func() { w.startIfFree(h, w.newLife(h)) })
 	}
-	w.sim.after(12*time.Second, func() {
-		for _, j := range w.list {
-			if j.accepted && j.spec.Steps[0].LongRunning {
-				w.cancel(j)
-			}
+	w.sim.after(12*time.Second, w.cancelLasting)
+}
+
+// cancelLasting cancels the jobs with long-running tasks, which would not end otherwise.
+func (w *walk) cancelLasting() {
+	for _, j := range w.list {
+		if j.spec.Steps[0].LongRunning && !j.cancelSent && (j.accepted || w.forwarded && j.mayBeAccepted()) {
+			w.cancel(j)
 		}
-	})
+	}
+	if w.forwarded { // a job may be accepted late
+		w.sim.after(5*time.Second, w.cancelLasting)
+	}
 }
