End the members of a gang in walks when a worker of one dies

Walk 961364 broke LOST in some of its replays: a worker left with two members of a gang, and the third worked on alone at 99% for a minute. The walk's model of a worker that dies left the other members as they were. The users' page on running tasks has the end "broken" for "another member ended", and says that everything that runs on a minion terminates when it leaves: so the others end as broken. They do so 0 to 0.5 s after the death, as the page names no time; the draws have a source of their own, so that walks keep their course until a gang breaks.

No check changes: LOST still asks for an end of every accepted job, with at most 30 s without a start or end of a short task.

go test -count=1 -run 'TestWalk$' ./dispatch \ -args -walk.seeds 1 -walk.first 961364

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -27,17 +27,20 @@
 
 // Times of a walk.
 const (
-	walkFaults   = 24 * time.Second // in which faults are injected and jobs are submitted
-	walkFinish   = 5 * time.Minute  // after the faults, in which all jobs must end
-	idleLimit    = 30 * time.Second // without a start or end of a short task although jobs have not ended
-	walkWorkers  = 2                // fewest workers that a fault leaves
-	cancelDelay  = 8 * time.Second  // after the acknowledgement of a cancellation, in which earlier owners may still start tasks
-	earlyLimit   = 2 * time.Second  // by which the clocks of the daemons may differ
-	walkCentres  = 3
-	walkDaemons  = 4
-	maxTraceRows = 260
-	maxTraceText = 400 // bytes of a row
-	manyJobs     = 3   // jobs of a walk that have many short tasks
+	walkFaults  = 24 * time.Second // in which faults are injected and jobs are submitted
+	walkFinish  = 5 * time.Minute  // after the faults, in which all jobs must end
+	idleLimit   = 30 * time.Second // without a start or end of a short task although jobs have not ended
+	walkWorkers = 2                // fewest workers that a fault leaves
+	cancelDelay = 8 * time.Second  // after the acknowledgement of a cancellation, in which earlier owners may still start tasks
+	earlyLimit  = 2 * time.Second  // by which the clocks of the daemons may differ
+	// maxGangNotice bounds the time after which the other members of a gang end as broken when a worker of one has died. The
+	// users' pages name none.
+	maxGangNotice = 500 * time.Millisecond
+	walkCentres   = 3
+	walkDaemons   = 4
+	maxTraceRows  = 260
+	maxTraceText  = 400 // bytes of a row
+	manyJobs      = 3   // jobs of a walk that have many short tasks
 )
 
 // modelJob is a job that a walk submits.
@@ -105,6 +108,7 @@
 	tightness   int      // of the objectives; above 0 jobs are refused
 	retention   time.Duration
 	heldUntil   time.Time  // latest arrival of a held call so far
+	notices     *rand.Rand // draws when gangs break
 	limits      *rand.Rand // draws checkpoints, labels and limits of tasks per worker
 }
 
@@ -141,7 +145,7 @@
 		seed: seed, sim: s, store: &modelStore{version: 100, records: map[cuminstair.RecordKey][]byte{}, beats: map[string]heartbeat{}},
 		entries: map[string]cuminstair.WorkerInfo{}, links: map[pair]link{}, cutCentres: make([]time.Time, walkCentres),
 		jobs: map[string]*modelJob{}, runs: map[cuminstair.TaskID][]*modelRun{}, counts: walkCounts{refused: map[string]int{}},
-		limits: rand.New(rand.NewPCG(seed, 6)), retention: 2 * time.Minute,
+		limits: rand.New(rand.NewPCG(seed, 6)), notices: rand.New(rand.NewPCG(seed, 8)), retention: 2 * time.Minute,
 	}
 	for i := range walkDaemons {
 		w.daemons = append(w.daemons, &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres})
@@ -387,6 +391,12 @@
 	}
 }
 
+// gangNotice returns how long the other members of a gang work on after the worker of one has died.
+func (w *walk) gangNotice() time.Duration {
+	return time.Duration(w.notices.Int64N(int64(maxGangNotice)))
+}
+
+// breakGang ends the members of a gang that are at work, since one has ended otherwise than done or with its worker.
 func (w *walk) breakGang(r *modelRun) {
 	for _, x := range w.gang(r) {
 		if x.active() && !x.begun.IsZero() {
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -386,6 +386,11 @@
 	}
 	p.dead, p.diedAt = true, p.w.sim.now
 	p.host.refuses = refuses
+	for _, r := range p.runs {
+		if p.w.stepOf(r.task).Gang && !r.begun.IsZero() {
+			p.w.sim.after(p.w.gangNotice(), func() { p.w.breakGang(r) })
+		}
+	}
 	for _, h := range p.waiting {
 		if refuses && !h.answered { // the host is up and resets the connections
 			h.answered = true
