Follow the timestamps of owners in walks with held calls

Owners of the walk check by the timestamp that a copy carries whether it may be late (MayBeLate, CancelMayBeLate), ask as entry.callForwarded does, and forwarding daemons ignore denials of owners with a lower token than the highest that they have heard of. Daemons send 0.3 of their calls to a former owner while there is one that does not know of its successor; a daemon that is told to stop knows the new owner.

--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -663,6 +663,7 @@
 	w.sim.after(w.latency(), func() {
 		to.do(to.run, func() {
 			to.newerOwner = max(to.newerOwner, r.token)
+			to.calls.hint, to.calls.hintAt = from.name, w.sim.now
 			x := to.runner
 			switch {
 			case x == nil || x.token >= r.token:
--- a/dispatch/walkforward_test.go
+++ b/dispatch/walkforward_test.go
@@ -34,6 +34,33 @@
 	open   map[int]bool
 	hint   string // owner that another daemon named
 	hintAt time.Time
+	stamp  stamp // latest one that the daemon has seen
+}
+
+// stamp tells when an owner has answered, as in package entry.
+type stamp struct {
+	runner *runner // nil: only the token is known
+	token  uint64
+	at     time.Time // on the clock of the runner
+}
+
+// observe records a stamp and returns false if it is of a former owner.
+func (o *openCalls) observe(t stamp) bool {
+	if t.token < o.stamp.token {
+		return false
+	}
+	if t.token > o.stamp.token || t.runner != nil && (t.runner != o.stamp.runner || t.at.After(o.stamp.at)) {
+		o.stamp = t
+	}
+	return true
+}
+
+// issuedAt returns when this runner issued a stamp, or the zero time if it did not.
+func (r *runner) issuedAt(t stamp) time.Time {
+	if t.runner != r {
+		return time.Time{}
+	}
+	return t.at
 }
 
 // peerReply is the answer of a daemon to a forwarded call.
@@ -41,6 +68,13 @@
 	result   dispatch.Result
 	notOwner bool
 	owner    string // if notOwner: the owner that it knows of
+	stamp    stamp
+}
+
+// denies reports whether the answer says that the call has changed nothing and never will.
+func (r *peerReply) denies() bool {
+	a := answerOf(r.result.Outcome)
+	return a == callRefused || a == callGone
 }
 
 // peerError tells why a forwarded call has no answer.
@@ -58,6 +92,7 @@
 	from   *daemon
 	run    int // of from
 	number int // counted per run
+	stamp  stamp
 }
 
 // forwarding is a caller's call at a daemon.
@@ -82,7 +117,7 @@
 	to, local := d.knownOwner()
 	switch {
 	case local != nil:
-		local.call(f.a, peerCall{}, 0, f.answered)
+		local.call(f.a, peerCall{}, time.Time{}, f.answered)
 	case to != nil:
 		f.forward(to)
 	default:
@@ -98,6 +133,10 @@
 		f.failed(peerNotSent)
 		return
 	}
+	if !f.d.calls.observe(r.stamp) && r.denies() {
+		f.failed(peerNotSent)
+		return
+	}
 	f.answer(r.result)
 }
 
@@ -122,7 +161,7 @@
 func (f *forwarding) forward(to *daemon) {
 	d, w := f.d, f.d.w
 	d.calls.last++
-	c := peerCall{attempt: f.a, from: d, run: d.run, number: d.calls.last}
+	c := peerCall{attempt: f.a, from: d, run: d.run, number: d.calls.last, stamp: d.calls.stamp}
 	if d.calls.open == nil {
 		d.calls.open = map[int]bool{}
 	}
@@ -149,12 +188,18 @@
 	})
 }
 
+// oldHint is the share of calls that a daemon sends to a former owner, if there is one that does not know of its successor.
+const oldHint = 0.3
+
 // knownOwner returns the owner that a daemon knows of, which may be a former one: its own runner or another daemon.
 func (d *daemon) knownOwner() (*daemon, *runner) {
 	w := d.w
 	if r := d.runner; r != nil && !r.ended && !r.releasing {
 		return nil, r
 	}
+	if former := w.formerOwner(); former != nil && former != d && w.sim.chance(oldHint) {
+		return former, nil
+	}
 	owner := d.seen.name
 	if w.sim.now.Sub(d.readAt) > maxViewAge {
 		switch {
@@ -170,6 +215,24 @@
 	return w.daemonNamed(owner), nil
 }
 
+// formerOwner returns a daemon that owned the service before another and does not know of it, or nil.
+func (w *walk) formerOwner() *daemon {
+	var former, newest *runner
+	for _, d := range w.daemons {
+		switch r := d.runner; {
+		case !d.alive || r == nil || r.ended:
+		case newest == nil || r.token > newest.token:
+			former, newest = newest, r
+		default:
+			former = r
+		}
+	}
+	if former == nil {
+		return nil
+	}
+	return former.d
+}
+
 // hold returns how long the network holds a packet that is lost at first.
 func (w *walk) hold(most int) time.Duration {
 	s := w.sim
@@ -247,24 +310,26 @@
 		answer(peerReply{notOwner: true, owner: owner})
 		return
 	}
-	r.call(c.attempt, c, 0, answer)
+	r.call(c.attempt, c, r.issuedAt(c.stamp), answer)
 }
 
-// call carries out a call of a caller. c is the copy if another daemon has forwarded the call. A copy that may be late is acted
-// on only if its daemon still waits for the answer after the refusal openAfter.
-func (r *runner) call(a *attempt, c peerCall, openAfter uint64, answer func(peerReply)) {
+// call carries out a call of a caller. c is the copy if another daemon has forwarded the call, which was waiting for the answer
+// at openAt or later. A copy that may be late is acted on only if that daemon still waits.
+func (r *runner) call(a *attempt, c peerCall, openAt time.Time, answer func(peerReply)) {
 	if r.ended || r.state.Deposed() {
 		answer(peerReply{notOwner: true})
 		return
 	}
 	w := r.d.w
 	r.post(func(now time.Time) {
-		if n := r.state.LatestRefusal(now, a.job.id); c.from != nil && !a.cancel && n > openAfter {
-			r.askIfOpen(c, n, answer)
+		if c.from != nil && r.mayBeLate(now, a, openAt) {
+			r.askIfOpen(c, answer)
 			return
 		}
 		w.note(r.name(), "call carried out", "job", a.job.id, "attempt", a.number, "cancel", a.cancel, "forwarded", c.from != nil)
-		reply := func(res dispatch.Result) { answer(peerReply{result: res}) }
+		reply := func(res dispatch.Result) {
+			answer(peerReply{result: res, stamp: stamp{runner: r, token: r.token, at: now}})
+		}
 		if a.cancel {
 			r.state.Cancel(now, a.job.id, reply)
 			return
@@ -273,24 +338,33 @@
 	})
 }
 
+// mayBeLate reports whether a copy may be late.
+func (r *runner) mayBeLate(now time.Time, a *attempt, openAt time.Time) bool {
+	if a.cancel {
+		return r.state.CancelMayBeLate(now, a.job.id, openAt)
+	}
+	return r.state.MayBeLate(now, a.job.id, openAt)
+}
+
 // askIfOpen asks the daemon that has forwarded a call whether it still waits for the answer.
-func (r *runner) askIfOpen(c peerCall, refusal uint64, answer func(peerReply)) {
-	w := r.d.w
+func (r *runner) askIfOpen(c peerCall, answer func(peerReply)) {
+	w, asked := r.d.w, r.d.now()
 	w.counts.calls.asked++
-	answered, open := false, false
+	reached, open := false, false
 	w.ask(r.d, c.from, func() bool {
-		answered, open = true, c.from.run == c.run && c.from.calls.open[c.number]
+		c.from.calls.observe(stamp{token: r.token})
+		reached, open = true, c.from.run == c.run && c.from.calls.open[c.number]
 		return true
 	}, func(ok bool) {
 		switch {
-		case !ok || !answered:
+		case !ok || !reached:
 			w.counts.calls.dropped++
 			answer(peerReply{notOwner: true})
 		case !open:
 			w.counts.calls.dropped++
 			answer(peerReply{result: dispatch.Result{Outcome: dispatch.Uncertain, Why: "the call was given up"}})
 		default:
-			r.call(c.attempt, c, refusal, answer)
+			r.call(c.attempt, c, asked, answer)
 		}
 	})
 }
