Show that a job runs after a former owner denied its cancellation

A caller gives a submission up and cancels the job through a former owner that does not know of its successor. The former owner answers 410. The store has no record of the job at that time, so a look for the job's record would not help. A copy of the submission reaches the present owner later, which does not know of the denial; the copy has a fresh stamp, so it is accepted without a question and the job runs.

Cause: a denial counts only if the owner that remembers it is still the owner. The answer 410 has to wait until the store has named this owner after the denial was recorded.

--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -17,17 +17,17 @@
 	"cuminstair.org/cuminstair/dispatch"
 )
 
-// jobStore is a store that has the records of jobs.
-type jobStore struct {
+// recordList is a store that has a few records.
+type recordList struct {
 	cuminstair.RecordStore
-	jobs []cuminstair.Record
+	records []cuminstair.Record
 }
 
 // Read implements cuminstair.RecordStore.
-func (s *jobStore) Read(_ context.Context, table, part, from, _ string) ([]cuminstair.Record, uint64, error) {
+func (s *recordList) Read(_ context.Context, table, part, from, _ string) ([]cuminstair.Record, uint64, error) {
 	var list []cuminstair.Record
-	for _, r := range s.jobs {
-		if r.Table == table && r.Part == part && r.Key == from {
+	for _, r := range s.records {
+		if r.Table == table && r.Part == part && (from == "" || r.Key == from) {
 			list = append(list, r)
 		}
 	}
@@ -43,18 +43,25 @@
 	return w.Code
 }
 
+// presentOwner returns a daemon that has taken the service s over from another, and its owner record.
+func presentOwner(t *testing.T) (*Daemon, *runner, cuminstair.Record) {
+	d, r := ownerDaemon(t)
+	r.token = 8
+	return d, r, cuminstair.Record{RecordKey: r.ownerKey(), Value: []byte(`{"name":"d8","run":"run8","addr":"d8:1"}`), Version: r.token}
+}
+
 // acceptedElsewhere returns a former owner, another daemon that takes it for the present owner, and a call about a job that
 // the present owner has accepted.
 func acceptedElsewhere(t *testing.T) (former, forwarder *Daemon, x call) {
 	is := is.New(t)
 	former, _ = ownerDaemon(t)
-	present, r := ownerDaemon(t)
-	r.token = 8
+	present, r, owner := presentOwner(t)
 	x, spec := lateCall()
 	a, err := present.callLocal(t.Context(), r, x, spec)
 	is.NoErr(err)
 	is.Equal(a.Outcome, dispatch.Accepted)
-	store := &jobStore{jobs: []cuminstair.Record{{RecordKey: cuminstair.RecordKey{Table: dispatch.JobTable, Part: "s", Key: x.id}, Version: 9}}}
+	job := cuminstair.Record{RecordKey: cuminstair.RecordKey{Table: dispatch.JobTable, Part: "s", Key: x.id}, Version: 9}
+	store := &recordList{records: []cuminstair.Record{owner, job}}
 	forwarder = newForwarder(t)
 	forwarder.Metrics = former.Metrics
 	former.Store, forwarder.Store = store, store
@@ -156,3 +163,23 @@
 	told := err == nil && a.denies()
 	is.True(!told || deliver(t, present, late).Outcome != dispatch.Accepted)
 }
+
+// Guards against a job that runs after a former owner has denied its cancellation: the present owner does not know of the
+// denial and accepts a late copy of the submission. The store has no record of the job at the time of the denial.
+func TestLateCopyIsNotAcceptedAfterACancellationAtAFormerOwner(t *testing.T) {
+	is := is.New(t)
+	former, _ := ownerDaemon(t)
+	present, _, owner := presentOwner(t)
+	former.Store = &recordList{records: []cuminstair.Record{owner}}
+	server, forwarder := newLossyServer(t, present), newForwarder(t)
+	x, spec := lateCall()
+	x.id = "00000000000000bb"
+	forwarder.setOwnerHint("s", server.addr())
+	_, err := forwarder.forward(t.Context(), x, spec) // the forwarder has the present owner's stamp
+	is.NoErr(err)
+	x, _ = lateCall()
+	late := giveUp(t, forwarder, server, x, spec)
+	x.method = http.MethodDelete
+	told := callerStatus(t, former, x) == http.StatusGone
+	is.True(!told || deliver(t, present, late).Outcome != dispatch.Accepted)
+}
