--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -137,8 +137,9 @@
 	}
 }
 
-// MayBeLate reports whether the submission of a job may be a late copy of a call that was answered otherwise. openAt is a time
-// at which, or after which, its sender was waiting for the answer; zero if none is known. Denials are kept for deniedTTL only,
+// MayBeLate reports whether the submission of a job may be a late copy of a call that was answered otherwise: it is not if its
+// sender was waiting for the answer after the latest denial of the job. openAt is a time at which, or after which, it was;
+// zero if none is known. Denials are kept for deniedTTL only,
 // so that an older openAt proves nothing. A submission of a known job changes nothing.
 func (s *Service) MayBeLate(now time.Time, id string, openAt time.Time) bool {
 	if _, known := s.jobs[id]; known {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -73,8 +73,8 @@
 	openCalls   atomic.Int64              // callers' requests in progress
 	peers       *peerClient
 	forwarded   forwardedCalls // calls that other daemons have not answered yet
-	runnersMade atomic.Uint64
-	stamps      stamps // of the owners that have answered this daemon
+	runnersMade atomic.Uint64  // for the IDs of runners
+	stamps      stamps         // of the owners that have answered this daemon
 
 	mu            sync.Mutex
 	view          *ownership.View
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -87,8 +87,9 @@
 	if hadOwner {
 		s.EarlierOwnerGrace = ownerGrace
 	}
+	id := d.runID + "." + strconv.FormatUint(d.runnersMade.Add(1), 10)
 	return &runner{
-		d: d, id: d.runID + "." + strconv.FormatUint(d.runnersMade.Add(1), 10), service: service, token: token, takenAt: now, hadOwner: hadOwner, state: s, owner: owner, version: token,
+		d: d, id: id, service: service, token: token, takenAt: now, hadOwner: hadOwner, state: s, owner: owner, version: token,
 		earlierStopped: !owner.Unsettled, confirmedAt: now, events: make(chan func(time.Time), eventQueueSize), done: make(chan struct{}),
 	}
 }
--- a/entry/stamp.go
+++ b/entry/stamp.go
@@ -11,6 +11,12 @@
 
 // stamp is the timestamp of an owner's answer. A daemon echoes the latest one in its calls, which shows the owner that a
 // call was sent after the stamp was issued, without a comparison of clocks between hosts.
+//
+// A denied call must not be carried out by a copy of it that arrives later. Let the owner with token k act on a copy. The
+// daemon that sent it had a stamp of k by then, and was denied the call later, by the owner with token j:
+//   - j < k: the daemon knows k, and ignores denials of owners with lower tokens.
+//   - j = k: the owner denied the call after it issued the stamp. It remembers that, or the stamp is too old (MayBeLate).
+//   - j > k: k's write fails in the store, or j has read the job and does not deny it.
 type stamp struct {
 	Runner string        `json:"runner,omitempty"` // unique for each runner of a service
 	Token  uint64        `json:"token"`            // fencing token of the runner
