--- a/dispatch/ended_test.go
+++ b/dispatch/ended_test.go
@@ -17,6 +17,7 @@
 	stopped := func(ms int) runTimes { return runTimes{sentAt: at(0), stopConfirmedAt: at(ms)} }
 	missing := func(r runTimes, n int) runTimes { r.missingReports = n; return r }
 	listed := func(r runTimes) runTimes { r.seen = true; return r }
+	ofEarlierOwner := func(r runTimes) runTimes { r.ofEarlierOwner = true; return r }
 	cases := []struct {
 		name  string
 		run   runTimes
@@ -31,6 +32,8 @@
 		{"missing once", missing(answered(5), 1), observedAbsence, at(6), false},
 		{"missing, answered at the request", missing(answered(6), 2), observedAbsence, at(6), false},
 		{"missing, not answered", missing(unanswered(5), 2), observedAbsence, at(6), false},
+		{"missing, not answered, of an earlier owner", ofEarlierOwner(unanswered(5)), observedAbsence, at(6), true},
+		{"missing once, answered, of an earlier owner", ofEarlierOwner(missing(answered(5), 1)), observedAbsence, at(6), false},
 		{"restart, answered before", answered(5), observedRestart, at(6), true},
 		{"restart, answered after", answered(7), observedRestart, at(6), false},
 		{"restart, not answered", unanswered(5), observedRestart, at(6), false},
