maintenance: Record hosts before their maintenance is ordered

An order to take a host down that had no answer was known only to the controller that sent it: the record of the wave listed the hosts whose maintenance had begun. The platform may carry such an order out seconds later. If the controller is replaced in between, the next one waits 1.5 s, finds the host up, and takes down as many others as the wave allows.

The record now also lists the hosts whose order may still be carried out, and an order is sent only once the store has confirmed this, under the condition that the controller is still the owner. So the next controller, which reads the record after it has become the owner, counts every host that an earlier one can still take down. It orders these hosts first, with its own token. Once one of its orders is answered, an older one for this host changes nothing: it is rejected by its token, or the maintenance is that of the same wave. The owners are asked to move long-running tasks off these hosts too, which may have got tasks since; else a host might never be idle and count for ever.

This costs one write for each step of a wave with new orders, for all of them together.

Records of earlier versions are read as before, and earlier versions ignore the new field. A controller of an earlier version still forgets such orders.

--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -101,7 +101,7 @@
 	}
 	for key, w := range h.waves {
 		w.Observe(at, list)
-		h.stepWave(ctx, r, w, list)
+		h.stepWave(ctx, r, key, w, list)
 		h.saveWave(ctx, key, w)
 	}
 	if h.mayOrder(r) {
@@ -154,12 +154,13 @@
 }
 
 // stepWave orders maintenance for the next hosts of a wave.
-func (h *hostController) stepWave(ctx context.Context, r *runner, w *maintenance.Wave, list []cuminstair.HostRecord) {
+func (h *hostController) stepWave(ctx context.Context, r *runner, key string, w *maintenance.Wave, list []cuminstair.HostRecord) {
 	byName := map[string]cuminstair.HostRecord{}
 	for _, rec := range list {
 		byName[rec.Name] = rec
 	}
-	h.vacate(ctx, w.Due(), byName)
+	// Hosts that an earlier controller ordered down may have tasks again.
+	h.vacate(ctx, append(w.Due(), w.Pending()...), byName)
 	now := h.d.Timer.Now()
 	candidates := w.Candidates(func(host string) int {
 		rec, ok := byName[host]
@@ -181,7 +182,14 @@
 	if !h.mayOrder(r) || !h.mayTakeDown(r) {
 		return
 	}
-	for _, host := range w.OrderNext(now, idle, orderRetry) {
+	hosts := w.OrderNext(now, idle, orderRetry)
+	// The order of a host that the record lacks could be carried out after the next controller has taken others down.
+	if len(hosts) > 0 && !h.saveRecord(ctx, key, w) {
+		w.Postpone(hosts)
+		h.d.Log.Info("entry: maintenance not ordered", "wave", w.Number, "hosts", hosts, "token", h.token, "why", "the record of the wave is not written yet")
+		return
+	}
+	for _, host := range hosts {
 		h.orderMaintenance(ctx, w, host, cordoned)
 	}
 }
@@ -277,11 +285,15 @@
 	h.d.Log.Info("entry: maintenance ordered", "wave", w.Number, "host", host, "token", h.token, "down", w.Down(), "limit", w.Limit, "error", err)
 }
 
+// saveRecord reports whether the store holds the record of a wave, and writes it if not.
+func (h *hostController) saveRecord(ctx context.Context, key string, w *maintenance.Wave) bool {
+	return h.records.save(ctx, cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: key}, w.EncodeRecord())
+}
+
 // saveWave writes the record and the state of a wave if they have changed. Later steps call it again until both are
 // stored.
 func (h *hostController) saveWave(ctx context.Context, key string, w *maintenance.Wave) {
-	record := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: key}
-	if !h.records.save(ctx, record, w.EncodeRecord()) {
+	if !h.saveRecord(ctx, key, w) {
 		return
 	}
 	completed := w.Completed()
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -68,13 +68,31 @@
 	return list
 }
 
+// Read implements cuminstair.RecordStore.
+func (s *conditionalStore) Read(_ context.Context, table, part, _, _ string) ([]cuminstair.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []cuminstair.Record
+	for _, r := range s.rows {
+		if r.Table == table && r.Part == part {
+			list = append(list, r)
+		}
+	}
+	return list, s.version, nil
+}
+
+// setOwner makes another controller the owner.
+func (s *conditionalStore) setOwner(token uint64) {
+	owner := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.HostsPart, Key: ownership.OwnerKey}
+	s.rows[owner] = cuminstair.Record{RecordKey: owner, Version: token}
+}
+
 const controllerToken = 7
 
 func newRecordStore() *conditionalStore {
-	owner := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.HostsPart, Key: ownership.OwnerKey}
-	return &conditionalStore{version: controllerToken, rows: map[cuminstair.RecordKey]cuminstair.Record{
-		owner: {RecordKey: owner, Version: controllerToken},
-	}}
+	s := &conditionalStore{version: controllerToken, rows: map[cuminstair.RecordKey]cuminstair.Record{}}
+	s.setOwner(controllerToken)
+	return s
 }
 
 var planRecord = cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: planKey}
@@ -115,8 +133,7 @@
 	is.Equal(string(s.rows[planRecord].Value), "c")
 
 	is.True(newRecordWriter(d, controllerToken).save(context.Background(), planRecord, []byte("d"))) // after a restart
-	owner := cuminstair.RecordKey{Table: ownership.Table, Part: ownership.HostsPart, Key: ownership.OwnerKey}
-	s.rows[owner] = cuminstair.Record{RecordKey: owner, Version: controllerToken + 1}
+	s.setOwner(controllerToken + 1)
 	is.Equal(w.save(context.Background(), planRecord, []byte("e")), false)
 	is.Equal(string(s.rows[planRecord].Value), "d")
 }
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -26,8 +26,8 @@
 	Done                 // the host is up again or no longer exists
 )
 
-// Wave is the state of one wave. Its record in the store lists the hosts whose maintenance has begun or is done, so that
-// the next controller can continue the wave.
+// Wave is the state of one wave. Its record in the store lists the hosts whose maintenance may have been ordered, has begun
+// or is done, so that the next controller can continue the wave.
 type Wave struct {
 	cuminstair.MaintenanceWave
 	FirstSeen  time.Time
@@ -52,6 +52,11 @@
 	for _, name := range w.Hosts {
 		s.HostStates[name] = &Host{Name: name}
 	}
+	for _, name := range r.Ordered {
+		if h, ok := s.HostStates[name]; ok {
+			h.Phase = Ordered // due for another order at once: UpdatedAt is zero
+		}
+	}
 	for _, name := range r.Begun {
 		if h, ok := s.HostStates[name]; ok {
 			h.Phase, h.UpdatedAt = Begun, now
@@ -178,6 +183,13 @@
 	return out
 }
 
+// Postpone makes OrderNext return hosts again at once, since their orders were not sent. They still count as down.
+func (w *Wave) Postpone(hosts []string) {
+	for _, name := range hosts {
+		w.HostStates[name].UpdatedAt = time.Time{}
+	}
+}
+
 // Confirm records the answer to an order. Only a definite refusal makes the host due again.
 func (w *Wave) Confirm(now time.Time, host string, begun, refused bool) {
 	h := w.HostStates[host]
@@ -194,19 +206,25 @@
 
 // Record is the stored record of a wave.
 type Record struct {
-	Begun []string `json:"begun"`           // hosts whose maintenance has begun or is done
-	Ended bool     `json:"ended,omitempty"` // the wave is completed
+	Begun   []string `json:"begun"`             // hosts whose maintenance has begun or is done
+	Ordered []string `json:"ordered,omitempty"` // hosts whose order may still be carried out; unknown to earlier versions
+	Ended   bool     `json:"ended,omitempty"`   // the wave is completed
 }
 
-// EncodeRecord returns the encoded record of a wave.
+// EncodeRecord returns the encoded record of a wave. It has to be stored before hosts returned by OrderNext are ordered down.
 func (w *Wave) EncodeRecord() []byte {
 	r := Record{Ended: w.Completed()}
 	for _, h := range w.HostStates {
-		if h.Phase >= Begun {
+		switch h.Phase {
+		case Due:
+		case Ordered:
+			r.Ordered = append(r.Ordered, h.Name)
+		case Begun, Done:
 			r.Begun = append(r.Begun, h.Name)
 		}
 	}
 	sort.Strings(r.Begun)
+	sort.Strings(r.Ordered)
 	// Encoding a Record can't fail.
 	data, _ := json.Marshal(r)
 	return data
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -74,6 +74,16 @@
 	is.True(err != nil)
 }
 
+// Guards against records that can't be read during a rolling upgrade.
+func TestRecordsOfOtherVersions(t *testing.T) {
+	is := is.New(t)
+	for _, data := range []string{`{"begun":["a"]}`, `{"begun":["a"],"fieldOfALaterVersion":["b"]}`} {
+		r, err := maintenance.DecodeRecord([]byte(data))
+		is.NoErr(err)
+		is.Equal(maintenance.New(begin, wave("a", "b"), r).Down(), 1)
+	}
+}
+
 // Guards against more hosts down than the wave allows after a change of the controller: if the store rejects the writes
 // of the earlier controller, hosts that it has ordered are missing from the record.
 func TestHostsThatAreDownCount(t *testing.T) {
