maintenance: Don't take a refused repeat for the end of an unanswered order

If the repeat was refused, for instance since too many orders were sent in that second (429), the host counted as up again and another one was taken down. But the refusal says nothing about the first order, which the platform may carry out later: it has the same token, so it is not rejected. Then one host too many is down (LIMIT). The same holds for the orders of an earlier controller, which the record of the wave lists.

A host with an unanswered order now counts as down, and is ordered again, until an order for it is confirmed or it no longer exists. A host all of whose orders were refused is due again, as before. The price: while such a host is not up, it takes one place of the wave's limit.

TestLimit expected the fault: after the refused repeat it let another host be taken down, "refused: b is up". It now requires that none is, that b is ordered again, and that the place is free once b is done; and a host with only refused orders still has to be due again.

Before the change:

maintenance_test.go:39: 1 != 0 --- FAIL: TestLimit maintenance_test.go:55: 1 != 0 --- FAIL: TestRefusalDoesNotCoverOrdersOfAnEarlierController

--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -39,6 +39,7 @@
 	Name          string
 	Phase         Phase
 	UpdatedAt     time.Time // time of the last order, the answer to it, or the restore by New
+	Unanswered    bool      // an order had no definite answer; unless a later one is confirmed, it may still be carried out
 	InMaintenance bool      // according to the platform; if Phase is Due, the record does not list the host
 }
 
@@ -54,7 +55,7 @@
 	}
 	for _, name := range r.Ordered {
 		if h, ok := s.HostStates[name]; ok {
-			h.Phase = Ordered // due for another order at once: UpdatedAt is zero
+			h.Phase, h.Unanswered = Ordered, true // due for another order at once: UpdatedAt is zero
 		}
 	}
 	for _, name := range r.Begun {
@@ -142,7 +143,7 @@
 	return out
 }
 
-// Pending returns the hosts whose order has no definite answer. They have to be kept idle.
+// Pending returns the hosts with an order that may still be carried out. They have to be kept idle.
 func (w *Wave) Pending() []string {
 	var out []string
 	for _, h := range w.HostStates {
@@ -155,7 +156,7 @@
 }
 
 // OrderNext returns the hosts whose maintenance is to be ordered now and marks them as ordered: first those whose last
-// order has had no definite answer for retryAfter, then due hosts as far as the limit allows. Only idle hosts are
+// order was not confirmed for retryAfter, then due hosts as far as the limit allows. Only idle hosts are
 // returned.
 func (w *Wave) OrderNext(now time.Time, idle []string, retryAfter time.Duration) []string {
 	var out []string
@@ -190,7 +191,8 @@
 	}
 }
 
-// Confirm records the answer to an order. Only a definite refusal makes the host due again.
+// Confirm records the answer to an order. Only a definite refusal makes the host due again, and only if no earlier order
+// may still be carried out.
 func (w *Wave) Confirm(now time.Time, host string, begun, refused bool) {
 	h := w.HostStates[host]
 	if h == nil || h.Phase != Ordered {
@@ -199,8 +201,10 @@
 	switch {
 	case begun:
 		h.Phase, h.UpdatedAt = Begun, now
-	case refused:
+	case refused && !h.Unanswered:
 		h.Phase, h.UpdatedAt = Due, now
+	default:
+		h.Unanswered = true
 	}
 }
 
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -35,8 +35,24 @@
 	is.Equal(w.Pending(), []string{"b"})
 	is.Equal(len(w.OrderNext(begin.Add(2*time.Second), []string{"c", "d"}, time.Second)), 0)             // b is not idle
 	is.Equal(w.OrderNext(begin.Add(2*time.Second), []string{"b", "c", "d"}, time.Second), []string{"b"}) // ordered again
-	w.Confirm(begin.Add(2*time.Second), "b", false, true)                                                // refused: b is up
-	is.Equal(w.OrderNext(begin.Add(2*time.Second), []string{"c"}, time.Second), []string{"c"})
+	w.Confirm(begin.Add(2*time.Second), "b", false, true)                                                // the first order may still be carried out
+	is.Equal(len(w.OrderNext(begin.Add(2*time.Second), []string{"c"}, time.Second)), 0)
+	is.Equal(w.OrderNext(begin.Add(3*time.Second), []string{"b", "c"}, time.Second), []string{"b"})
+	w.Confirm(begin.Add(3*time.Second), "b", true, false)
+	w.Observe(begin.Add(4*time.Second), hostList(cuminstair.PhaseUp, "a", "b", "c", "d"))
+	is.Equal(w.OrderNext(begin.Add(4*time.Second), []string{"c"}, time.Second), []string{"c"})
+	w.Confirm(begin.Add(4*time.Second), "c", false, true) // all orders for c were refused: it stays up
+	is.Equal(w.OrderNext(begin.Add(4*time.Second), []string{"d", "c"}, time.Second), []string{"d", "c"})
+}
+
+// Guards against more hosts down than the wave allows: an order of an earlier controller is carried out after that of the next
+// one was refused.
+func TestRefusalDoesNotCoverOrdersOfAnEarlierController(t *testing.T) {
+	is := is.New(t)
+	w := maintenance.New(begin, wave("a", "b", "c"), maintenance.Record{Ordered: []string{"a", "b"}})
+	is.Equal(len(w.OrderNext(begin, []string{"a", "b", "c"}, time.Second)), 2)
+	w.Confirm(begin, "a", false, true)
+	is.Equal(len(w.OrderNext(begin, []string{"c"}, time.Second)), 0)
 }
 
 // Guards against a wave that is reported completed while a host has not been down, and against a wave that waits for
