--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -26,8 +26,8 @@
 	Done                 // the host is up again or no longer exists
 )
 
-// Wave is the state of one wave. Its record in the store lists the hosts whose maintenance has begun or is done, so that
-// the next controller can continue the wave.
+// Wave is the state of one wave. Its record in the store lists the hosts whose maintenance may have been ordered, has begun
+// or is done, so that the next controller can continue the wave.
 type Wave struct {
 	cuminstair.MaintenanceWave
 	FirstSeen  time.Time
@@ -39,6 +39,7 @@
 	Name          string
 	Phase         Phase
 	UpdatedAt     time.Time // time of the last order, the answer to it, or the restore by New
+	Unanswered    bool      // an order had no definite answer; unless a later one is confirmed, it may still be carried out
 	InMaintenance bool      // according to the platform; if Phase is Due, the record does not list the host
 }
 
@@ -52,6 +53,11 @@
 	for _, name := range w.Hosts {
 		s.HostStates[name] = &Host{Name: name}
 	}
+	for _, name := range r.Ordered {
+		if h, ok := s.HostStates[name]; ok {
+			h.Phase, h.Unanswered = Ordered, true // due for another order at once: UpdatedAt is zero
+		}
+	}
 	for _, name := range r.Begun {
 		if h, ok := s.HostStates[name]; ok {
 			h.Phase, h.UpdatedAt = Begun, now
@@ -137,7 +143,7 @@
 	return out
 }
 
-// Pending returns the hosts whose order has no definite answer. They have to be kept idle.
+// Pending returns the hosts with an order that may still be carried out. They have to be kept idle.
 func (w *Wave) Pending() []string {
 	var out []string
 	for _, h := range w.HostStates {
@@ -150,7 +156,7 @@
 }
 
 // OrderNext returns the hosts whose maintenance is to be ordered now and marks them as ordered: first those whose last
-// order has had no definite answer for retryAfter, then due hosts as far as the limit allows. Only idle hosts are
+// order was not confirmed for retryAfter, then due hosts as far as the limit allows. Only idle hosts are
 // returned.
 func (w *Wave) OrderNext(now time.Time, idle []string, retryAfter time.Duration) []string {
 	var out []string
@@ -178,7 +184,15 @@
 	return out
 }
 
-// Confirm records the answer to an order. Only a definite refusal makes the host due again.
+// Postpone makes OrderNext return hosts again at once, since their orders were not sent. They still count as down.
+func (w *Wave) Postpone(hosts []string) {
+	for _, name := range hosts {
+		w.HostStates[name].UpdatedAt = time.Time{}
+	}
+}
+
+// Confirm records the answer to an order. Only a definite refusal makes the host due again, and only if no earlier order
+// may still be carried out.
 func (w *Wave) Confirm(now time.Time, host string, begun, refused bool) {
 	h := w.HostStates[host]
 	if h == nil || h.Phase != Ordered {
@@ -187,26 +201,34 @@
 	switch {
 	case begun:
 		h.Phase, h.UpdatedAt = Begun, now
-	case refused:
+	case refused && !h.Unanswered:
 		h.Phase, h.UpdatedAt = Due, now
+	default:
+		h.Unanswered = true
 	}
 }
 
 // Record is the stored record of a wave.
 type Record struct {
-	Begun []string `json:"begun"`           // hosts whose maintenance has begun or is done
-	Ended bool     `json:"ended,omitempty"` // the wave is completed
+	Begun   []string `json:"begun"`             // hosts whose maintenance has begun or is done
+	Ordered []string `json:"ordered,omitempty"` // hosts whose order may still be carried out; unknown to earlier versions
+	Ended   bool     `json:"ended,omitempty"`   // the wave is completed
 }
 
-// EncodeRecord returns the encoded record of a wave.
+// EncodeRecord returns the encoded record of a wave. It has to be stored before hosts returned by OrderNext are ordered down.
 func (w *Wave) EncodeRecord() []byte {
 	r := Record{Ended: w.Completed()}
 	for _, h := range w.HostStates {
-		if h.Phase >= Begun {
+		switch h.Phase {
+		case Due:
+		case Ordered:
+			r.Ordered = append(r.Ordered, h.Name)
+		case Begun, Done:
 			r.Begun = append(r.Begun, h.Name)
 		}
 	}
 	sort.Strings(r.Begun)
+	sort.Strings(r.Ordered)
 	// Encoding a Record can't fail.
 	data, _ := json.Marshal(r)
 	return data
