--- a/dispatch/walkforward_test.go
+++ b/dispatch/walkforward_test.go
@@ -398,16 +398,47 @@
 	})
 }
 
-// planPeerFaults plans short cuts between two daemons.
+// planPeerFaults plans short cuts between two daemons, and owners that don't know of their successors.
 func (w *walk) planPeerFaults() {
 	s := w.sim
 	for at := s.between(time.Second, 3*time.Second); at < walkFaults; at += s.between(200*time.Millisecond, 4*time.Second) {
 		s.after(at, func() {
 			from, to := w.daemons[s.rand.IntN(len(w.daemons))], w.daemons[s.rand.IntN(len(w.daemons))]
 			if from != to && !w.healed {
-				w.disturb(from, to.name, linkCut, s.between(200*time.Millisecond, 4*time.Second))
-				w.disturb(to, from.name, linkCut, s.between(200*time.Millisecond, 4*time.Second))
+				w.cutPeers(from, to, s.between(200*time.Millisecond, 4*time.Second))
 			}
 		})
 	}
+	for at := s.between(2*time.Second, 12*time.Second); at < walkFaults; at += s.between(6*time.Second, 12*time.Second) {
+		s.after(at, w.splitOwner)
+	}
+}
+
+func (w *walk) cutPeers(a, b *daemon, t time.Duration) {
+	w.disturb(a, b.name, linkCut, t)
+	w.disturb(b, a.name, linkCut, t)
+}
+
+// splitOwner makes a daemon take the service over from an owner that reaches neither the store nor its successor, but the other
+// daemons. These are cut off from the successor for short times.
+func (w *walk) splitOwner() {
+	s := w.sim
+	owner, next := w.owner(), w.daemons[s.rand.IntN(len(w.daemons))]
+	if owner == nil || owner == next || w.healed {
+		return
+	}
+	const split = 5 * time.Second
+	w.disturb(owner, "store", linkCut, split)
+	w.cutPeers(owner, next, split)
+	w.note("network", "owner cut off from the store and its successor", "owner", owner.name, "successor", next.name)
+	s.after(300*time.Millisecond, func() { next.snatch(5) })
+	for _, x := range w.daemons {
+		if x != owner && x != next {
+			s.after(s.between(time.Second, 3*time.Second), func() {
+				if !w.healed {
+					w.cutPeers(x, next, s.between(300*time.Millisecond, 2*time.Second))
+				}
+			})
+		}
+	}
 }
