Answer the cancellation of an unwritten job only once the store has confirmed the owner

A job whose write was not sent was dropped, and its cancellation answered with 410 from memory, also by a former owner, whose successor may have accepted the job. Found by reading the walks' model. TestCancelOfAnUnwrittenJobWaitsForTheStore failed before (answered at once). The cancellation now waits as those of unknown jobs do.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -365,7 +365,9 @@
 		s.recordRefusal(now, j.id, j.firstSent)
 		s.Log.Info("dispatch: job refused", "service", s.Name, "job", j.id, "why", "the store did not answer in time")
 		answerAll(&j.submitWaiters, Result{Outcome: Unavailable, Wait: storeRetryWait, Why: "the store did not answer in time"})
-		answerAll(&j.cancelWaiters, Result{Outcome: NotFound})
+		for _, reply := range j.cancelWaiters {
+			s.unknownCancels = append(s.unknownCancels, unknownCancel{id: j.id, at: now, reply: reply})
+		}
 	}
 	s.dirty = kept
 	for j := range unknown {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -154,6 +154,25 @@
 	p.is.Equal(deposed.Outcome, dispatch.Uncertain)
 }
 
+// Guards against the answer that there is no such job by a former owner whose job could not be stored.
+func TestCancelOfAnUnwrittenJobWaitsForTheStore(t *testing.T) {
+	p := newPool(t, 2)
+	p.run(200 * time.Millisecond)
+	p.storeDown = true
+	p.submit(jobA, step(1, 1000)) // its write is under way
+	p.run(100 * time.Millisecond)
+	p.submit(jobB, step(1, 1000))
+	a := &reply{}
+	p.s.Cancel(p.now, jobB, a.set)
+	former := p.now
+	p.s.AnswerLate(p.now.Add(2500*time.Millisecond), p.batch)
+	p.is.Equal(a.calls, 0)
+	p.s.Decide(p.now.Add(2600*time.Millisecond), former)
+	p.is.Equal(a.calls, 0) // the store has not named this owner since
+	p.s.Decide(p.now.Add(2700*time.Millisecond), p.now.Add(2650*time.Millisecond))
+	p.is.Equal(a.Outcome, dispatch.NotFound)
+}
+
 // Guards against denials that pile up while a write to the store is under way.
 func TestDenialsAreForgottenDuringAnOutage(t *testing.T) {
 	p := newPool(t, 1)
