--- a/dispatch/walkcallers_test.go
+++ b/dispatch/walkcallers_test.go
@@ -120,13 +120,13 @@
 
 // callCounts tell what the calls of a walk have reached.
 type callCounts struct {
-	attempts, refused, unknown, gone, copies, held, heldLong, asked, dropped int
+	attempts, refused, unknown, gone, copies, held, heldLong, late int
 }
 
 func (c *callCounts) add(o *callCounts) {
 	c.attempts, c.refused, c.unknown, c.gone = c.attempts+o.attempts, c.refused+o.refused, c.unknown+o.unknown, c.gone+o.gone
 	c.copies, c.held, c.heldLong = c.copies+o.copies, c.held+o.held, c.heldLong+o.heldLong
-	c.asked, c.dropped = c.asked+o.asked, c.dropped+o.dropped
+	c.late += o.late
 }
 
 // Parameters of the callers.
--- a/dispatch/walkforward_test.go
+++ b/dispatch/walkforward_test.go
@@ -14,6 +14,7 @@
 	peerDialLimit  = 500 * time.Millisecond
 	maxViewAge     = 1300 * time.Millisecond
 	hintTime       = 10 * time.Second
+	maxResends     = 3
 )
 
 // maxCallAge is how long the network holds a call at most.
@@ -39,7 +40,7 @@
 
 // stamp tells when an owner has answered, as in package entry.
 type stamp struct {
-	runner *runner // nil: only the token is known
+	runner *runner
 	token  uint64
 	at     time.Time // on the clock of the runner
 }
@@ -49,7 +50,7 @@
 	if t.token < o.stamp.token {
 		return false
 	}
-	if t.token > o.stamp.token || t.runner != nil && (t.runner != o.stamp.runner || t.at.After(o.stamp.at)) {
+	if t.token > o.stamp.token || t.runner != o.stamp.runner || t.at.After(o.stamp.at) {
 		o.stamp = t
 	}
 	return true
@@ -67,6 +68,7 @@
 type peerReply struct {
 	result   dispatch.Result
 	notOwner bool
+	late     bool   // not acted on, since it may be a late copy; the sender is asked for it again
 	owner    string // if notOwner: the owner that it knows of
 	stamp    stamp
 }
@@ -102,6 +104,7 @@
 	begin  time.Time
 	end    time.Time // when the daemon gives up
 	sent   bool      // an owner may have acted on it
+	again  int       // times that an owner has asked for it again
 	answer func(dispatch.Result)
 }
 
@@ -175,7 +178,15 @@
 		})
 	}
 	giveUp := func() { done(func() { f.failed(peerUnanswered) }) }
-	w.sendCall(c, to, func(r peerReply) { done(func() { f.answered(r) }) }, func() { done(func() { f.failed(peerNotSent) }) })
+	answered := func(r peerReply) {
+		if r.late && f.again < maxResends && d.calls.observe(r.stamp) {
+			f.again++
+			f.forward(to)
+			return
+		}
+		f.answered(r)
+	}
+	w.sendCall(c, to, func(r peerReply) { done(func() { answered(r) }) }, func() { done(func() { f.failed(peerNotSent) }) })
 	w.sim.after(f.end.Sub(w.sim.now), giveUp)
 	d.after(peerCheckAfter, func() {
 		if d.calls.open[c.number] {
@@ -323,7 +334,8 @@
 	w := r.d.w
 	r.post(func(now time.Time) {
 		if c.from != nil && r.mayBeLate(now, a, openAt) {
-			r.askIfOpen(c, answer)
+			w.counts.calls.late++
+			answer(peerReply{notOwner: true, late: true, stamp: stamp{runner: r, token: r.token, at: now}})
 			return
 		}
 		w.note(r.name(), "call carried out", "job", a.job.id, "attempt", a.number, "cancel", a.cancel, "forwarded", c.from != nil)
@@ -346,29 +358,6 @@
 	return r.state.MayBeLate(now, a.job.id, openAt)
 }
 
-// askIfOpen asks the daemon that has forwarded a call whether it still waits for the answer.
-func (r *runner) askIfOpen(c peerCall, answer func(peerReply)) {
-	w, asked := r.d.w, r.d.now()
-	w.counts.calls.asked++
-	reached, open := false, false
-	w.ask(r.d, c.from, func() bool {
-		c.from.calls.observe(stamp{token: r.token})
-		reached, open = true, c.from.run == c.run && c.from.calls.open[c.number]
-		return true
-	}, func(ok bool) {
-		switch {
-		case !ok || !reached:
-			w.counts.calls.dropped++
-			answer(peerReply{notOwner: true})
-		case !open:
-			w.counts.calls.dropped++
-			answer(peerReply{result: dispatch.Result{Outcome: dispatch.Uncertain, Why: "the call was given up"}})
-		default:
-			r.call(c.attempt, c, asked, answer)
-		}
-	})
-}
-
 // ask sends a question to another daemon, which question answers there, and calls answer once: with the answer, or false if
 // there is none within peerLimit.
 func (w *walk) ask(from, to *daemon, question func() bool, answer func(yes bool)) {
