--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -45,8 +45,7 @@
 	// lateCallTime is how long after its call ended without an answer a start may still be carried out. The protocol says
 	// "seconds"; the walk and package exhaust delay calls by up to this time.
 	lateCallTime = 12 * time.Second
-	// hostListLag is how much older than its request a record of a host may be. Lags of some tenths of a second occur; the walk has up
-	// to 300 ms.
+	// hostListLag is how much older than its request a record of a host may be. The protocol gives no bound.
 	hostListLag = 500 * time.Millisecond
 	// stopRetry is the pause before an ineffective stop is repeated.
 	stopRetry = 700 * time.Millisecond
@@ -57,8 +56,7 @@
 	// batchBytes bounds the total size of the values of one write; the platform accepts 1 MB after base64.
 	batchBytes = 600 << 10
 	// deniedTTL is how long the first submission of a refused job is remembered, since its objective is measured from that
-	// time, and how long the latest denial of a job is. A call is known to be older than no denial only if it was sent at
-	// most this long ago; others cost a question to their sender.
+	// time, and how long the latest denial of a job is. Calls that may have been sent before that are asked for again.
 	deniedTTL = 20 * time.Second
 	// keepMargin is added to the retention period of finished jobs.
 	keepMargin = 30 * time.Second
