--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -31,6 +31,8 @@
 	}
 	f.Add(uint8(0), []byte(`{"method":"POST","id":"x","queue":{"Service":"s"},"job":{"steps":[{"n":-1}]}}`))
 	f.Add(uint8(0), []byte(`{"method":"POST","id":"x","queue":{"Service":"s"},"job":{"steps":[{"n":9}],"times":1000000000}}`))
+	f.Add(uint8(0), []byte(`{"method":"DELETE","id":"00000000000000aa","queue":{"Service":"s"},"n":1,"stamp":{"token":7,"at":-9223372036854775808}}`))
+	f.Add(uint8(1), []byte(`{"service":"s","workers":["a"],"stamp":{"runner":".1","token":7,"at":9223372036854775807}}`))
 	f.Fuzz(func(t *testing.T, path uint8, body []byte) {
 		d, r := peerDaemon()
 		stop := make(chan struct{})
