--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -24,13 +24,10 @@
 }
 
 // checkHost handles the record of a worker's host that was requested at sent. The host was in that state at some time since
-// hostListLag before, or since the last refused connection, when nothing ran at the address. The worker may have restarted since, so
-// that the record proves nothing while a start may have been carried out after that.
+// hostListLag before. The worker may have restarted since, so that the record proves nothing while a start may have been carried out
+// after that.
 func (s *Service) checkHost(now, sent time.Time, w *worker, h cuminstair.HostRecord) {
 	since := sent.Add(-hostListLag)
-	if w.refusedAt.After(since) {
-		since = w.refusedAt
-	}
 	o := observation{kind: observedHostDown, incarnation: w.info.Incarnation, since: since, until: now}
 	down := s.hostIsDown(w, h, since)
 	if !down && !s.hostIsReplaced(w, h) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -26,9 +26,6 @@
 	default:
 		w.callFailed(now)
 		w.connRefused = errors.Is(err, cuminstair.ErrConnRefused)
-		if w.connRefused {
-			w.refusedAt = sent
-		}
 		w.nextRenewal = now.Add(renewalBackoff)
 		s.suspectRuns(now, w)
 		if w.failedCalls == suspectAfter {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -63,7 +63,6 @@
 	failedCalls  int       // consecutive failed renewals, and starts that did not reach it
 	failingSince time.Time // first of the failedCalls; zero: none
 	connRefused  bool      // the last failed renewal was a refused connection, so the host is not cut off
-	refusedAt    time.Time // when the last renewal was sent whose connection was refused
 	blockedUntil time.Time // no new tasks until then, after refusals or failures
 	failedRuns   int       // consecutive failed runs
 	candidate    bool      // it might be given tasks at the last decision
