--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -45,8 +45,6 @@
 	// lateCallTime is how long after its call ended without an answer a start may still be carried out. The protocol says
 	// "seconds"; the walk and package exhaust delay calls by up to this time.
 	lateCallTime = 12 * time.Second
-	// hostListLag is how much older than its request a record of a host may be. The protocol gives no bound.
-	hostListLag = 500 * time.Millisecond
 	// stopRetry is the pause before an ineffective stop is repeated.
 	stopRetry = 700 * time.Millisecond
 	// batchGap is the minimum time between two writes that no caller waits for.
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -23,13 +23,11 @@
 	}
 }
 
-// checkHost handles the record of a worker's host that was requested at sent. The host was in that state at some time since
-// hostListLag before. The worker may have restarted since, so that the record proves nothing while a start may have been carried out
-// after that.
+// checkHost handles the record of a worker's host that was requested at sent. The worker may have restarted since, so that the
+// record proves nothing while a start may have been carried out after that.
 func (s *Service) checkHost(now, sent time.Time, w *worker, h cuminstair.HostRecord) {
-	since := sent.Add(-hostListLag)
-	o := observation{kind: observedHostDown, incarnation: w.info.Incarnation, since: since, until: now}
-	down := s.hostIsDown(w, h, since)
+	o := observation{kind: observedHostDown, incarnation: w.info.Incarnation, since: sent, until: now}
+	down := s.hostIsDown(w, h, sent)
 	if !down && !s.hostIsReplaced(w, h) {
 		return
 	}
@@ -50,10 +48,10 @@
 	s.workerGone(now, w, o)
 }
 
-// hostIsDown reports whether a worker that does not answer has ended since its host is down. The record, which is of a time from since
-// on, must be newer than the worker: a host that was down before the worker started proves nothing.
-func (s *Service) hostIsDown(w *worker, h cuminstair.HostRecord, since time.Time) bool {
-	return h.Phase == cuminstair.PhaseDown && w.failedCalls > 0 && w.knownSince.Before(since) && w.answeredAt.Before(since)
+// hostIsDown reports whether a worker that does not answer has ended since its host is down. The record must be newer
+// than the worker: a host that was down before the worker started proves nothing.
+func (s *Service) hostIsDown(w *worker, h cuminstair.HostRecord, sent time.Time) bool {
+	return h.Phase == cuminstair.PhaseDown && w.failedCalls > 0 && w.knownSince.Before(sent) && w.answeredAt.Before(sent)
 }
 
 // hostIsReplaced reports whether a worker known from an earlier owner is gone since its host has another worker, is
