--- a/review/sim-2/cases.go
+++ b/review/sim-2/cases.go
@@ -78,18 +78,18 @@
 // block: tasks that last fail now and then, as the protocol says that they may.
 func block(w *world, trouble bool) outcome {
 	w.configure(3, []route{{"q1", "/q1/", "s1"}}, "s1")
-	if err := w.fleet(4, "s1"); err != nil {
+	if err := w.fleet(2, "s1"); err != nil {
 		return outcome{err: err}
 	}
 	time.Sleep(3 * time.Second)
 	x := work{Lasts: true}
 	if trouble {
-		x.Fails = 15000
+		x.Fails = 8000
 	}
-	if err := w.submit("/q1/"+jobA, []work{x}, map[string]any{"count": 8, "cpu": 2000, "mem_mb": 4096, "long_running": true}); err != nil {
+	if err := w.submit("/q1/"+jobA, []work{x}, map[string]any{"count": 6, "cpu": 2000, "mem_mb": 4096, "long_running": true}); err != nil {
 		return outcome{err: err}
 	}
-	if err := w.until(8*time.Second, "the job runs", func() bool { return w.atWork(jobA) == 8 }); err != nil {
+	if err := w.until(8*time.Second, "the job runs", func() bool { return w.atWork(jobA) == 6 }); err != nil {
 		return outcome{err: err}
 	}
 	time.Sleep(95 * time.Second)
@@ -192,27 +192,6 @@
 	return w.neverRun("b", 2)
 }
 
-// gangs: the demand of another queue rises for some seconds, while a gang waits for its turn. The step before it takes longer than estimated.
-func gangs(w *world, trouble bool) outcome {
-	w.configure(3, []route{{"q1", "/q1/", "s1"}, {"q2", "/q2/", "s2"}}, "s1", "s2")
-	if err := w.fleet(6, "s1", "s2"); err != nil {
-		return outcome{err: err}
-	}
-	time.Sleep(3 * time.Second)
-	first := map[string]any{"count": 1, "cpu": 2000, "mem_mb": 1024, "estimated_ms": 3000}
-	second := map[string]any{"count": 5, "cpu": 30000, "mem_mb": 4096, "estimated_ms": 400, "after": []int{0}, "gang": true}
-	if err := w.submit("/q1/"+jobA, []work{{Millis: 7000}, {Millis: 400, Gang: 5}}, first, second); err != nil {
-		return outcome{err: err}
-	}
-	if err := w.until(5*time.Second, "the first step runs", func() bool { return w.atWork(jobA) == 1 }); err != nil {
-		return outcome{err: err}
-	}
-	if trouble {
-		w.burst()
-	}
-	return w.neverRun("a", 10)
-}
-
 // burst hands in jobs of the second queue for 4 s.
 func (w *world) burst() {
 	w.say("the demand of q2 rises for 4 s")
@@ -237,7 +216,10 @@
 		idle = max(idle, time.Since(busy))
 	}
 	status, body := w.call(w.daemons[0], http.MethodGet, "/q1/"+jobA, nil)
-	if status == http.StatusOK && strings.Contains(body, "completed") {
+	if status != http.StatusOK {
+		return outcome{err: fmt.Errorf("the job was not shown: %d", status)}
+	}
+	if strings.Contains(body, "completed") {
 		return outcome{}
 	}
 	free := 0
--- a/review/sim-2/main.go
+++ b/review/sim-2/main.go
@@ -8,6 +8,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -30,7 +31,6 @@
 	"block":   block,
 	"rename":  rename,
 	"label":   label,
-	"gangs":   gangs,
 }
 
 func main() {
@@ -60,6 +60,9 @@
 	case s := <-signals:
 		o.err = fmt.Errorf("it was ended by the signal %s", s)
 	}
+	if o.err == nil && w.endedEarly.Load() > 0 {
+		o.err = errors.New("a daemon has ended by itself")
+	}
 	code, verdict := 0, "the rule held"
 	switch {
 	case o.err != nil:
--- a/review/sim-2/server.go
+++ b/review/sim-2/server.go
@@ -22,14 +22,12 @@
 	checkRuns    = 5 * time.Millisecond
 	entryKept    = 3 * heartbeat // an entry is removed after this silence
 	maxEndsShown = 500
-	gangTimeout  = 3 * time.Second
 	serverCPU    = 32000
 	serverMemory = 131072
 )
 
 // work is what the tasks of a step do; a job's specification is the list of them as JSON.
 type work struct {
-	Gang   int  `json:"gang,omitempty"` // members of the gang; 0: it is none
 	Millis int  `json:"ms,omitempty"`   // time at work until the task is done
 	Lasts  bool `json:"last,omitempty"` // until it is stopped
 	Fails  int  `json:"fail,omitempty"` // it fails after about so many milliseconds at work; 0: never
@@ -44,7 +42,6 @@
 	how     string    // the end then
 	stopAt  time.Time // zero: it is not being stopped
 	lasting bool
-	gang    *gang
 	logged  *runLog
 }
 
@@ -259,7 +256,7 @@
 	}
 	now := time.Now()
 	r := &run{task: q.Task, number: q.Run, began: now, lasting: x.Lasts}
-	if !x.Lasts && x.Gang == 0 {
+	if !x.Lasts {
 		r.ends, r.how = now.Add(time.Duration(x.Millis)*time.Millisecond), "done"
 	}
 	if x.Fails > 0 {
@@ -270,9 +267,6 @@
 	}
 	r.logged = v.w.beginRun(v, r)
 	v.runs[q.Task] = r
-	if x.Gang > 0 {
-		r.gang = v.w.joinGang(r, x)
-	}
 	return http.StatusOK, ""
 }
 
@@ -289,48 +283,6 @@
 	return n
 }
 
-// gang is one run of a gang. Its members work from the moment when all are there.
-type gang struct {
-	mu      sync.Mutex
-	present int
-	began   time.Time
-	ends    time.Time // zero: not all are there
-	broken  bool
-}
-
-// joinGang adds a run to its gang.
-func (w *world) joinGang(r *run, x work) *gang {
-	key := r.task[:strings.LastIndex(r.task, ".")] + ":" + strconv.FormatInt(r.number, 10)
-	w.mu.Lock()
-	g := w.gangs[key]
-	if g == nil {
-		g = &gang{began: r.began}
-		w.gangs[key] = g
-	}
-	w.mu.Unlock()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.present++; g.present == x.Gang {
-		g.ends = time.Now().Add(time.Duration(x.Millis) * time.Millisecond)
-	}
-	return g
-}
-
-// over reports how the gang has ended by itself, "" if it has not.
-func (g *gang) over(now time.Time) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case g.broken:
-		return "broken"
-	case !g.ends.IsZero() && now.After(g.ends):
-		return "done"
-	case g.ends.IsZero() && now.Sub(g.began) > gangTimeout:
-		return "alone"
-	}
-	return ""
-}
-
 func (v *server) runStop(q request) (int, string) {
 	if r := v.runs[q.Task]; r != nil && r.number <= q.Run && r.stopAt.IsZero() {
 		r.stopAt = time.Now().Add(stopGrace / 4)
@@ -350,8 +302,6 @@
 			v.end(r, "stopped")
 		case r.stopAt.IsZero() && !r.ends.IsZero() && now.After(r.ends):
 			v.end(r, r.how)
-		case r.gang != nil && r.gang.over(now) != "":
-			v.end(r, r.gang.over(now))
 		}
 	}
 }
@@ -359,11 +309,6 @@
 // end ends a run and lists its end. v.mu is held.
 func (v *server) end(r *run, how string) {
 	delete(v.runs, r.task)
-	if r.gang != nil && how != "done" && how != "alone" {
-		r.gang.mu.Lock()
-		r.gang.broken = true
-		r.gang.mu.Unlock()
-	}
 	v.barred[r.task] = max(v.barred[r.task], r.number)
 	v.seq++
 	v.ended = append(v.ended, []any{v.seq, r.task, r.number, how, ""})
@@ -423,8 +368,5 @@
 		}
 		return 0
 	}
-	if r.gang != nil {
-		return 0 // a rough figure: the gangs of these cases are short
-	}
 	return int(min(99, 100*time.Since(r.began)/max(1, r.ends.Sub(r.began))))
 }
