Show a task that runs twice after an unnoticed restart and a kill

Cause: the lease of a start is a time on the clock of the minion's earlier life; a new owner that does not know of the restart waits for the usual lease only (dispatch/service.go, lastLeaseExpiry).

--- a/review/sim-2/cases.go
+++ b/review/sim-2/cases.go
@@ -234,3 +234,94 @@
 	}
 	return outcome{}
 }
+
+// reborn: a minion crashes and is back at once, the daemon that gives it a task then is killed, and the minion is cut off.
+func reborn(w *world, trouble bool) outcome {
+	w.configure(3, []route{{"q1", "/q1/", "s1"}}, "s1")
+	if err := w.fleet(9, "s1"); err != nil {
+		return outcome{err: err}
+	}
+	time.Sleep(12 * time.Second)
+	for i := range 6 {
+		twice, err := w.rebornOnce(i, trouble)
+		if err != nil {
+			return outcome{err: err}
+		}
+		if twice != "" {
+			return outcome{broken: twice}
+		}
+	}
+	return outcome{}
+}
+
+func (w *world) rebornOnce(i int, trouble bool) (string, error) {
+	filler, job := fmt.Sprintf("%016x", 0xf000+i), fmt.Sprintf("%016x", 0xa000+i)
+	if err := w.submit("/q1/"+filler, []work{{Millis: 3000}}, map[string]any{"count": 8, "cpu": 30000, "mem_mb": 1024, "estimated_ms": 3000, "anti_affinity": 1}); err != nil {
+		return "", err
+	}
+	if err := w.until(3*time.Second, "eight minions are full", func() bool { return w.atWork(filler) == 8 }); err != nil {
+		return "", err
+	}
+	var idle *server
+	for _, v := range w.servers {
+		if v.running() == 0 {
+			idle = v
+		}
+	}
+	owner := w.owner()
+	if idle == nil || owner == nil {
+		return "", fmt.Errorf("no idle minion, or no daemon has started tasks")
+	}
+	var cutAt time.Time
+	if trouble {
+		w.say("%s crashes", idle.id)
+		idle.crash()
+		time.Sleep(150 * time.Millisecond)
+		if err := idle.start(); err != nil {
+			return "", err
+		}
+		w.say("%s is back", idle.id)
+		idle.mu.Lock()
+		idle.onStart = func() {
+			owner.killed.Store(true)
+			_ = owner.cmd.Process.Kill()
+			w.say("%s, which gave the order, is killed", owner.name)
+		}
+		idle.mu.Unlock()
+	}
+	step := map[string]any{"count": 1, "cpu": 20000, "mem_mb": 1024, "estimated_ms": 9000}
+	other := w.daemons[0]
+	if other == owner {
+		other = w.daemons[1]
+	}
+	go w.call(other, http.MethodPost, "/q1/"+job, map[string]any{"specification": `[{"ms":9000}]`, "steps": []map[string]any{step}})
+	if err := w.until(3*time.Second, "the task runs", func() bool { return w.atWork(job) == 1 }); err != nil {
+		return "", err
+	}
+	if trouble {
+		time.Sleep(50 * time.Millisecond)
+		if err := w.startDaemon(owner); err != nil {
+			return "", err
+		}
+		time.Sleep(300 * time.Millisecond)
+		cutAt = time.Now()
+		w.say("%s is cut off", idle.id)
+		idle.setCut(true)
+	}
+	most := 0
+	cutEnds := cutAt.Add(cutTime)
+	for end := time.Now().Add(11 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		most = max(most, w.atWork(job))
+		if idle.isCut() && time.Now().After(cutEnds) {
+			w.say("the cut of %s ends", idle.id)
+			idle.setCut(false)
+		}
+	}
+	if most > 1 {
+		return fmt.Sprintf("task %s.0.0.0 had %d runs at the same time, on minions that are up", job, most), nil
+	}
+	return "", nil
+}
+
+// cutTime is the longest cut of minions of the site (node_cut, how = "servers").
+const cutTime = 5500 * time.Millisecond
--- a/review/sim-2/main.go
+++ b/review/sim-2/main.go
@@ -31,6 +31,7 @@
 	"block":   block,
 	"rename":  rename,
 	"label":   label,
+	"reborn":  reborn,
 }
 
 func main() {
--- a/review/sim-2/server.go
+++ b/review/sim-2/server.go
@@ -22,6 +22,7 @@
 	checkRuns    = 5 * time.Millisecond
 	entryKept    = 3 * heartbeat // an entry is removed after this silence
 	maxEndsShown = 500
+	entryLag     = 800 * time.Millisecond // [discovery] lag_ms of the site file: until the entry of a life that is not the first appears
 	serverCPU    = 32000
 	serverMemory = 131072
 )
@@ -72,6 +73,10 @@
 	sequence int64
 	newEnd   chan struct{}
 	web      *http.Server
+	lives    int
+	written  time.Time // when its entry was last written
+	cut      bool      // it is cut off from all machines: no call gets through, and no entry
+	onStart  func()    // called once, when the next order to start a task has been carried out
 }
 
 // start brings the server up and registers it. Its address stays the same from one life to the next.
@@ -98,7 +103,12 @@
 	web, born := v.web, v.born
 	v.mu.Unlock()
 	go func() { _ = web.Serve(l) }()
-	v.register()
+	v.lives++
+	if v.lives == 1 {
+		v.register()
+	} else {
+		time.AfterFunc(entryLag, v.register)
+	}
 	go v.live(born)
 	return nil
 }
@@ -127,6 +137,11 @@
 // register writes the server's entry.
 func (v *server) register() {
 	v.mu.Lock()
+	if v.cut || !v.up {
+		v.mu.Unlock()
+		return
+	}
+	v.written = time.Now()
 	v.sequence++
 	e := map[string]any{
 		"service": v.service, "address": v.addr, "zone": v.zone, "version": "1.0", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
@@ -141,7 +156,6 @@
 func (v *server) crash() {
 	v.mu.Lock()
 	v.up = false
-	born := v.born
 	for _, r := range v.runs {
 		v.w.endRun(r, "crashed")
 	}
@@ -149,14 +163,32 @@
 	web := v.web
 	v.mu.Unlock()
 	_ = web.Close()
-	time.AfterFunc(entryKept, func() {
-		v.mu.Lock()
-		gone := !v.up && v.born.Equal(born)
-		v.mu.Unlock()
-		if gone {
-			v.w.store.remove("servers", v.id)
-		}
-	})
+}
+
+// lapse removes the entry of a server that has not been written for too long.
+func (v *server) lapse() {
+	v.mu.Lock()
+	gone := time.Since(v.written) > entryKept
+	v.mu.Unlock()
+	if gone {
+		v.w.store.remove("servers", v.id)
+	}
+}
+
+// setCut cuts the server off, or ends that. Calls that came meanwhile are lost.
+func (v *server) setCut(cut bool) {
+	v.mu.Lock()
+	v.cut = cut
+	v.mu.Unlock()
+	if !cut {
+		v.register()
+	}
+}
+
+func (v *server) isCut() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cut
 }
 
 func (v *server) isUp() bool {
@@ -195,6 +227,12 @@
 	mux.HandleFunc("POST /api/hold", v.hold)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v.isCut() {
+			for v.isCut() && r.Context().Err() == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+			panic(http.ErrAbortHandler)
+		}
 		if id := r.Header.Get("X-Expected-Instance"); id != "" && id != v.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -267,6 +305,10 @@
 	}
 	r.logged = v.w.beginRun(v, r)
 	v.runs[q.Task] = r
+	if v.onStart != nil {
+		v.onStart()
+		v.onStart = nil
+	}
 	return http.StatusOK, ""
 }
 
--- a/review/sim-2/world.go
+++ b/review/sim-2/world.go
@@ -58,7 +58,9 @@
 type daemon struct {
 	name, frontend, readiness, settings string
 	cmd                                 *exec.Cmd
+	ip                                  string
 	ended                               chan struct{}
+	killed                              atomic.Bool // by the script
 }
 
 func newWorld() (*world, error) {
@@ -80,6 +82,16 @@
 	mux.HandleFunc("GET /api/machines", w.serveMachines)
 	mux.HandleFunc("POST /api/machine-move", w.order(w.move))
 	mux.HandleFunc("POST /api/machine-upkeep", w.order(w.upkeep))
+	go func() {
+		for range time.Tick(100 * time.Millisecond) {
+			w.mu.Lock()
+			list := append([]*server{}, w.servers...)
+			w.mu.Unlock()
+			for _, v := range list {
+				v.lapse()
+			}
+		}
+	}()
 	w.cloudAt, err = w.serve(mux)
 	return w, err
 }
@@ -312,7 +324,7 @@
 func (w *world) addDaemon() error {
 	i := len(w.daemons) + 1
 	ip := fmt.Sprintf("%s%d", w.net, 10+i)
-	d := &daemon{name: fmt.Sprintf("frontend-z%d-1", i), frontend: w.freeAddr(ip), readiness: w.freeAddr(ip), settings: filepath.Join(w.dir, fmt.Sprintf("local-%d.json", i))}
+	d := &daemon{ip: ip, name: fmt.Sprintf("frontend-z%d-1", i), frontend: w.freeAddr(ip), readiness: w.freeAddr(ip), settings: filepath.Join(w.dir, fmt.Sprintf("local-%d.json", i))}
 	_, port, err := net.SplitHostPort(w.freeAddr(ip))
 	if err != nil {
 		return err
@@ -361,11 +373,14 @@
 		return err
 	}
 	d.cmd, d.ended = cmd, make(chan struct{})
+	d.killed.Store(false)
 	w.say("daemon %s starts", d.name)
 	go func(ended chan struct{}) {
 		_ = cmd.Wait()
 		w.say("daemon %s has ended", d.name)
-		w.endedEarly.Add(1)
+		if !d.killed.Load() {
+			w.endedEarly.Add(1)
+		}
 		close(ended)
 	}(d.ended)
 	return nil
@@ -505,3 +520,22 @@
 	}
 	return os.WriteFile(path, []byte(w.record.String()), 0o644)
 }
+
+// owner returns the daemon that has started tasks, by the metrics that the deploy file names, or nil.
+func (w *world) owner() *daemon {
+	var best *daemon
+	for _, d := range w.daemons {
+		resp, err := w.client.Get("http://" + d.ip + ":9464/metrics")
+		if err != nil {
+			continue
+		}
+		data, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		for _, line := range strings.Split(string(data), "\n") {
+			if strings.HasPrefix(line, "cuminstair_worker_call_seconds_count{") && strings.Contains(line, `order="start"`) {
+				best = d
+			}
+		}
+	}
+	return best
+}
