Send starts and leases only on connections that the incarnation has answered on

A new owner waits for the usual lease of 4 s, while the worker has cut the lease of the start, a time on the clock of its earlier incarnation, to the longest one of 10 s.

Cause: the client opened a new connection for the start, which led to the later incarnation.

A start, and the lease of a renewal, now go only on a connection on which the incarnation that they are meant for has answered a renewal. A connection ends with the process that accepted it, so that a later incarnation can't get them. A new connection carries a renewal without a lease first. All calls to a worker share its connections. A run on a worker that may hold the longest lease since its restart gets that lease, which the next owner waits for in any case; with the usual one it lapsed in the cut.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -214,7 +214,7 @@
 			continue
 		}
 		switch {
-		case !w.synced, w.moreEnds, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
+		case !w.synced, w.unread, w.moreEnds, w.mayHaveMoved && w.listed && now.After(w.cordonedUntil), len(w.attempts) > 0, w.stored > w.acknowledged:
 		case w.failedCalls > 0 && w.listed: // retry until the worker answers or is no longer listed
 		case w.listed && now.Sub(w.clockAt) > maxClockAge:
 		case w.askFirst && mayAsk > 0:
@@ -239,7 +239,7 @@
 // toAcknowledge returns the sequence number up to which the worker may forget ends, 0 if it has been told already. A
 // needless acknowledgement could reach a new incarnation of the worker, which would forget ends that no owner has read.
 func (w *worker) toAcknowledge() int64 {
-	if w.stored == w.acknowledged || w.clockWentBack {
+	if w.stored == w.acknowledged || w.unread {
 		return 0
 	}
 	return w.stored
@@ -277,7 +277,7 @@
 	switch {
 	case err == nil:
 		if clock > 0 && clock+leaseMargin < w.clockAtLeast(a.sentAt) {
-			w.clockWentBack, w.nextRenewal = true, now
+			w.unread, w.nextRenewal = true, now
 			// A later incarnation has cut the lease of the start to the longest one, from its own clock.
 			w.heldLease = max(w.heldLease, w.clockAtLeast(now)+s.Bounds.MaxLease)
 		}
@@ -311,6 +311,8 @@
 		s.startRefused(now, a)
 		s.workerReplaced(now, a.sentAt, w)
 		return
+	case errors.Is(err, cuminstair.ErrRestarted):
+		w.blockedUntil, w.nextRenewal, w.unread = now.Add(refusalBlock), now, true
 	case errors.Is(err, cuminstair.ErrNotDone):
 		w.callFailed(now)
 		w.blockedUntil = now.Add(refusalBlock)
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -42,6 +42,15 @@
 	if s.Grace > 0 {
 		length = max(0, min(Lease, s.confirmedAt.Add(s.Grace).Sub(now)))
 	}
-	w.lease, w.leaseSentAt = max(w.lease, w.clockAtLeast(now)+length), now
+	w.lease, w.leaseSentAt = max(w.lease, w.clockAtLeast(now)+length, s.leaseSinceRestart(w)), now
 	return w.lease
 }
+
+// leaseSinceRestart returns the lease that the worker may hold since its restart, as a time on its clock; 0: none. The next owner
+// knows of the restart, and waits for the longest lease from its takeover on, which is after the last confirmation of this one.
+func (s *Service) leaseSinceRestart(w *worker) time.Duration {
+	if !w.recorded || !w.restarted && !w.longLease {
+		return 0
+	}
+	return min(w.heldLease, w.clockAtLeast(s.confirmedAt)+s.Bounds.MaxLease)
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -60,12 +60,15 @@
 	w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = 0, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
-	w.clockWentBack = false
+	w.unread = false
 	if r.AckWithheld {
 		s.Log.Info("dispatch: acknowledgement withheld", "service", s.Name, "worker", w.info.ID, "number", w.ackSent, "why", "new connection")
 	} else {
 		w.acknowledged = max(w.acknowledged, w.ackSent)
 	}
+	if r.LeaseWithheld {
+		w.nextRenewal = now
+	}
 	if w.leaseUnsure {
 		w.leaseUnsure, w.heldLease = false, r.Clock+s.Bounds.MaxLease
 	}
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -34,6 +34,15 @@
 	return start
 }
 
+// cordonOthers makes the next runs start on one worker.
+func (p *pool) cordonOthers(w *fakeWorker) {
+	for _, x := range p.workers {
+		if x != w {
+			p.s.Cordon(p.now, []string{x.info.ID})
+		}
+	}
+}
+
 // Guards against giving up a start that was sent before a renewal which the earlier incarnation answered, but was carried out
 // by the later one: the list of workers shows the restart before the worker's next report.
 func TestStartAnsweredAfterTheLastReportIsKeptAtARestart(t *testing.T) {
@@ -332,11 +341,7 @@
 	p := newAgedPool(t, 20*time.Second)
 	start := p.heldStart()
 	w := p.worker(start.Worker.ID)
-	for _, x := range p.workers {
-		if x != w {
-			p.s.Cordon(p.now, []string{x.info.ID}) // the next run is on w, too
-		}
-	}
+	p.cordonOthers(w)
 	w.restart(p.now)
 	p.now = p.now.Add(tick)
 	p.s.Started(p.now, start, 0, cuminstair.ErrUncertain)
@@ -364,27 +369,53 @@
 	p.is.Equal(p.duplicateRuns, 0)
 }
 
-// Guards against a new owner that takes the runs of a silent worker for ended after the leases of the earlier owner, which did
-// not know that the worker had restarted: its start carries a lease on the clock of the earlier incarnation.
-func TestNewOwnerKeepsTheRunsOfAnUnnoticedIncarnation(t *testing.T) {
+// Guards against another start at a worker that is known to have restarted before its lists have been read, and against taking
+// the task whose start was not sent for one that crashed the worker.
+func TestWorkerThatHasRestartedIsReadBeforeItsNextStart(t *testing.T) {
 	p := newAgedPool(t, 20*time.Second)
-	p.submit(jobA, step(1, 2000))
-	p.writeBatch()
-	var w *fakeWorker
+	start := p.heldStart()
+	w := p.worker(start.Worker.ID)
+	p.cordonOthers(w)
+	w.restart(p.now)
+	p.now = p.now.Add(tick)
+	p.s.Started(p.now, start, 0, cuminstair.ErrRestarted)
 	for _, o := range p.decide(0) {
-		if o.Kind == dispatch.OrderStart {
-			w = p.worker(o.Worker.ID)
-			w.restart(p.now)
-			p.now = p.now.Add(tick)
+		p.is.True(o.Kind != dispatch.OrderStart)
+		p.execute(o)
+	}
+	for end := p.now.Add(time.Second); p.running() == 0 && p.now.Before(end); p.now = p.now.Add(tick) {
+		p.writeBatch()
+		for _, o := range p.decide(0) {
+			p.is.True(o.Kind != dispatch.OrderStart || o.Worker.Incarnation == w.info.Incarnation)
 			p.execute(o)
 		}
 	}
+	p.is.Equal(p.starts[start.Task], 1)
+	p.is.Equal(p.s.Counts().Crashes, 0)
+	p.is.Equal(p.duplicateRuns, 0)
+}
+
+// Guards against a run that lapses on a worker which is cut off from a new owner for some seconds, although that owner waits for the
+// longest lease, since the worker has restarted: nothing is gained by the shorter one, and the work is lost.
+func TestRunOnARestartedWorkerOutlastsACutAfterATakeover(t *testing.T) {
+	p := newAgedPool(t, 20*time.Second)
+	start := p.heldStart()
+	p.duration = func(cuminstair.TaskID) time.Duration { return 9 * time.Second }
+	w := p.worker(start.Worker.ID)
+	w.restart(p.now)
+	p.now = p.now.Add(tick)
+	p.s.Started(p.now, start, 0, cuminstair.ErrRestarted)
+	p.cordonOthers(w)
+	p.run(600 * time.Millisecond)
 	p.is.Equal(len(w.runs), 1)
-	w.partitioned = true // and the owner ends
+	w.partitioned = true
 	p.unlist(w.info.ID)
 	p.now = p.now.Add(time.Second)
 	p.takeOver(200, 0)
-	p.run(12 * time.Second)
+	p.run(5500 * time.Millisecond)
+	w.partitioned = false
+	p.run(6 * time.Second)
+	p.is.Equal(p.starts[start.Task], 1)
 	p.is.Equal(p.duplicateRuns, 0)
 }
 
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -119,7 +119,8 @@
 type waitingHold struct {
 	answer   func(cuminstair.WorkerReport, error)
 	answered bool
-	withheld bool // the acknowledgement was withheld
+	withheld bool // the acknowledgement and the lease were withheld
+	leased   bool // the call has a lease
 }
 
 // modelHost is a host of the platform.
@@ -297,7 +298,7 @@
 	}
 	h.answered = true
 	rep := p.report()
-	rep.AckWithheld = h.withheld
+	rep.AckWithheld, rep.LeaseWithheld = h.withheld, h.withheld && h.leased
 	h.answer(rep, nil)
 }
 
@@ -322,7 +323,7 @@
 	return nil
 }
 
-// withheld reports whether an acknowledgement is withheld: the connection has ended with an earlier process, or by itself.
+// withheld reports whether an acknowledgement and a lease are withheld: the connection has ended with an earlier process, or by itself.
 func (p *process) withheld(o dispatch.Order) bool {
 	return o.Seen > 0 && (p.info.Incarnation != o.Worker.Incarnation || p.w.sim.chance(0.05))
 }
@@ -333,10 +334,10 @@
 		return cuminstair.ErrFenced
 	}
 	p.token = o.Token
-	if o.Lease > 0 {
+	withheld := p.withheld(o)
+	if o.Lease > 0 && !withheld {
 		p.extend(o.Lease)
 	}
-	withheld := p.withheld(o)
 	kept := []*modelRun(nil)
 	for _, r := range p.ends {
 		if withheld || r.seq > o.Seen {
@@ -349,7 +350,7 @@
 		p.w.checkAcknowledged(r)
 	}
 	p.ends = kept
-	h := &waitingHold{answer: answer, withheld: withheld}
+	h := &waitingHold{answer: answer, withheld: withheld, leased: o.Lease > 0}
 	if o.Wait == 0 || len(p.ends) > 0 {
 		h.reply(p)
 		return nil
@@ -569,6 +570,11 @@
 	var err error
 	switch o.Kind {
 	case dispatch.OrderStart:
+		// The client does not send a start to a later incarnation. Every other one is carried out all the same, as a late copy would be.
+		if p.info.Incarnation != o.Worker.Incarnation && !late && o.Run%2 == 0 {
+			err = cuminstair.ErrRestarted
+			break
+		}
 		err = p.start(by, o)
 		w.note(by, "start carried out", "worker", p.info.ID, "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step, "task", o.Task.Index, "run", o.Run, "error", err)
 	case dispatch.OrderStop:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,20 +36,20 @@
 	moreEnds      bool           // its last report lacked ends, so that a missing run may have ended
 	gone          bool           // this incarnation has ended
 
-	clock         time.Duration // lower bound of its clock at clockAt
-	clockAt       time.Time
-	lease         time.Duration // latest lease sent, as a time on its clock
-	heldLease     time.Duration // latest lease that it may have got by an order, of any owner, for its earlier incarnation
-	leaseSentAt   time.Time     // when the last order with a lease was sent
-	longLease     bool          // an earlier owner has seen it restart
-	restarted     bool          // it has restarted since this owner learned of it
-	leaseUnsure   bool          // heldLease is to be set by its next report
-	lateUntil     time.Time     // until when a start that was sent before its restart was known may extend its lease
-	processed     int64         // sequence number up to which ends are processed
-	stored        int64         // sequence number up to which ends are stored
-	acknowledged  int64         // sequence number up to which ends are acknowledged
-	ackSent       int64         // the acknowledgement in the renewal in flight, 0 if none
-	clockWentBack bool          // an answer had an earlier clock: a new incarnation that has not been read
+	clock        time.Duration // lower bound of its clock at clockAt
+	clockAt      time.Time
+	lease        time.Duration // latest lease sent, as a time on its clock
+	heldLease    time.Duration // latest lease that it may have got by an order, of any owner, for its earlier incarnation
+	leaseSentAt  time.Time     // when the last order with a lease was sent
+	longLease    bool          // an earlier owner has seen it restart
+	restarted    bool          // it has restarted since this owner learned of it
+	leaseUnsure  bool          // heldLease is to be set by its next report
+	lateUntil    time.Time     // until when a start that was sent before its restart was known may extend its lease
+	processed    int64         // sequence number up to which ends are processed
+	stored       int64         // sequence number up to which ends are stored
+	acknowledged int64         // sequence number up to which ends are acknowledged
+	ackSent      int64         // the acknowledgement in the renewal in flight, 0 if none
+	unread       bool          // a later incarnation is known to be there, and has not been read
 
 	renewing     bool      // a renewal is in flight
 	renewalWaits bool      // the renewal in flight waits for an end
@@ -123,7 +123,7 @@
 
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.gone && w.synced && !w.moreEnds && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
+	return w.listed && !w.gone && w.synced && !w.unread && !w.moreEnds && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
 		now.After(w.blockedUntil) && now.After(w.cordonedUntil) && !w.mayHaveMoved
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -108,6 +108,7 @@
 		{cuminstair.ErrConflict, "conflict"},
 		{cuminstair.ErrFenced, "fenced"},
 		{cuminstair.ErrOtherIncarnation, "gone"},
+		{cuminstair.ErrRestarted, "restarted"},
 	} {
 		if errors.Is(err, o.err) {
 			return o.name
--- a/jobs.go
+++ b/jobs.go
@@ -250,7 +250,8 @@
 	Running     []RunningTask
 	Ended       []EndedTask
 	More        bool // Ended lacks later ends; the worker lists them once these are acknowledged
-	AckWithheld bool // the acknowledgement was not sent, since a later incarnation could have received it
+	// The acknowledgement, or the lease, was not sent, since a later incarnation could have received it.
+	AckWithheld, LeaseWithheld bool
 }
 
 // StartOrder asks a worker to start a task.
--- a/store.go
+++ b/store.go
@@ -27,6 +27,8 @@
 	ErrConnRefused = errors.ConstError("connection refused")
 	// ErrOtherIncarnation means that another incarnation of the worker answered, since the worker has restarted.
 	ErrOtherIncarnation = errors.ConstError("another incarnation of the worker answered")
+	// ErrRestarted means that a later incarnation answers under the ID of the worker, and that it was not sent the order.
+	ErrRestarted = errors.ConstError("the worker has restarted")
 	// ErrHostNotUp means that the call is refused because the host is not up or is leaving.
 	ErrHostNotUp = errors.ConstError("the host is not up or is leaving")
 	// ErrMalformed means that the peer rejected the request as invalid; it must not be repeated.
@@ -95,13 +97,14 @@
 // effect), ErrConnRefused, ErrUncertain (the order may take effect, even later).
 type WorkerCalls interface {
 	// Start starts a task and returns the time on the worker's clock. It has no effect on a run that was already
-	// started. Further errors: ErrStaleRun, ErrLeaseExpired, ErrNoRoom, ErrTicketInvalid, ErrMalformed.
+	// started, and is not sent to a later incarnation than w.Incarnation. Further errors: ErrRestarted, ErrStaleRun,
+	// ErrLeaseExpired, ErrNoRoom, ErrTicketInvalid, ErrMalformed.
 	Start(ctx context.Context, w WorkerInfo, order StartOrder) (time.Duration, error)
 	// Stop stops a run, or prevents it from starting later.
 	Stop(ctx context.Context, w WorkerInfo, task TaskID, run, token int64) error
 	// Hold extends the lease of all running tasks to a time on the worker's clock, acknowledges the ended runs whose Seq
-	// is at most seen, and waits up to wait for a run to end. A zero lease extends nothing. The acknowledgement is withheld
-	// if it could reach a later incarnation than w.Incarnation.
+	// is at most seen, and waits up to wait for a run to end. A zero lease extends nothing. The lease and the
+	// acknowledgement are withheld if they could reach a later incarnation than w.Incarnation.
 	Hold(ctx context.Context, w WorkerInfo, lease time.Duration, token, seen int64, wait time.Duration) (WorkerReport, error)
 	// Pace limits the processor time of a task to a share of 0 to 100 percent.
 	Pace(ctx context.Context, w WorkerInfo, task TaskID, run int64, percent int, token int64) error
