--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -311,6 +311,20 @@
 		s.startRefused(now, a)
 		s.workerReplaced(now, a.sentAt, w)
 		return
+	}
+	s.blockAfterRefusal(now, a, err)
+	s.Log.Info("dispatch: start was refused", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
+		"run", a.run, "worker", w.info.ID, "error", err)
+	s.startRefused(now, a)
+	if w.failedCalls > 0 {
+		s.suspectRuns(now, w)
+	}
+}
+
+// blockAfterRefusal keeps other tasks away from a worker that did not carry a start out, as long as the reason may last.
+func (s *Service) blockAfterRefusal(now time.Time, a *attempt, err error) {
+	w := a.worker
+	switch {
 	case errors.Is(err, cuminstair.ErrRestarted):
 		w.blockedUntil, w.nextRenewal, w.unread = now.Add(refusalBlock), now, true
 	case errors.Is(err, cuminstair.ErrNotDone):
@@ -327,12 +341,6 @@
 		delete(a.task.step.advice.tickets, w.info.ID)
 		delete(a.task.step.advice.queried, w.info.ID)
 	}
-	s.Log.Info("dispatch: start was refused", "service", s.Name, "job", a.id.Job, "step", a.id.Step, "task", a.id.Index,
-		"run", a.run, "worker", w.info.ID, "error", err)
-	s.startRefused(now, a)
-	if w.failedCalls > 0 {
-		s.suspectRuns(now, w)
-	}
 }
 
 // startRefused concludes a run whose start was answered without being carried out.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -66,9 +66,6 @@
 	} else {
 		w.acknowledged = max(w.acknowledged, w.ackSent)
 	}
-	if r.LeaseWithheld {
-		w.nextRenewal = now
-	}
 	if w.leaseUnsure {
 		w.leaseUnsure, w.heldLease = false, r.Clock+s.Bounds.MaxLease
 	}
@@ -94,10 +91,18 @@
 	if !w.moreEnds {
 		s.handleMissing(now, sent, w, running)
 	}
-	w.nextRenewal = now.Add(max(renewalGap, time.Duration(len(s.workers))*time.Second/maxRenewalRate))
-	if w.processed > w.stored {
-		w.nextRenewal = now.Add(unstoredEndsGap)
+	w.nextRenewal = now.Add(s.renewalPause(w, r.LeaseWithheld))
+}
+
+// renewalPause returns the pause between an answer of a worker and the next renewal. A lease that was withheld follows soon.
+func (s *Service) renewalPause(w *worker, leaseWithheld bool) time.Duration {
+	switch {
+	case leaseWithheld:
+		return renewalGap
+	case w.processed > w.stored:
+		return unstoredEndsGap
 	}
+	return max(renewalGap, time.Duration(len(s.workers))*time.Second/maxRenewalRate)
 }
 
 // reportMayBeStale reports whether a report has ends or lacks runs, and may be of a time at which a new owner has read the lists of
