Keep to which services the jobs of a queue may have gone

Cause: the service of an ID was looked up by the configuration in force. So any way by which a queue comes to another service broke every call by ID, the reads from the store in place of an owner, and the count of waiting jobs.

A record of each queue, by host and prefix, has its present service and its former ones. Before a service accepts jobs of a queue, the former ones are closed to it: their owners store that they accept no more from earlier versions, and have all that they accepted stored. So the store's records decide whether an ID is known elsewhere, before it is accepted or denied. Owners drop their service from the record once they have no jobs of the queue.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/assignment"
 )
 
 // Batch is a set of record changes that are written in one transaction.
@@ -23,7 +24,8 @@
 	processed map[*worker]endPosition  // the task ends up to this position count as stored once the batch is stored
 	workers   map[*worker]workerRecord // as written; nil if the batch does not write the workers
 
-	unanswered bool // the batch writes the starts without an answer
+	unanswered bool                     // the batch writes the starts without an answer
+	closings   map[assignment.Key]int64 // versions of the closed queues as written; nil if the batch does not write them
 }
 
 // endPosition is a position in the list of task ends of one incarnation of a worker.
@@ -62,6 +64,7 @@
 		s.putWorkers(b)
 	}
 	s.putUnanswered(b)
+	s.putClosings(b)
 	s.dirty = s.putJobs(b, s.dirty)
 	if len(s.dirty) == 0 {
 		for _, w := range s.workers {
@@ -74,13 +77,13 @@
 
 // batchDue reports whether a batch should be written now.
 func (s *Service) batchDue(now time.Time) bool {
-	if len(s.dirty) == 0 && !s.workersDirty && !s.unansweredDirty && !slices.ContainsFunc(s.unanswered, (*attempt).isResolved) && now.Sub(s.lastSweep) < sweepInterval {
+	if len(s.dirty) == 0 && !s.workersDirty && !s.unansweredDirty && !s.closingsDirty && !slices.ContainsFunc(s.unanswered, (*attempt).isResolved) && now.Sub(s.lastSweep) < sweepInterval {
 		return false
 	}
 	if now.Sub(s.lastBatch) >= batchGap {
 		return true
 	}
-	if s.workersDirty || s.unansweredDirty {
+	if s.workersDirty || s.unansweredDirty || s.closingsDirty {
 		return true
 	}
 	for _, j := range s.dirty {
@@ -310,6 +313,7 @@
 	for _, j := range b.swept {
 		delete(s.jobs, j.id)
 	}
+	s.closingsStored(b)
 }
 
 // NotStored is called when a batch was definitely not stored and never will be. Its records are written again.
@@ -322,6 +326,7 @@
 		s.workersDirty = true
 	}
 	s.unansweredDirty = s.unansweredDirty || b.unanswered
+	s.closingsDirty = s.closingsDirty || b.closings != nil
 }
 
 // SetWriteLatency records how long a write to the store takes at present.
@@ -384,6 +389,7 @@
 		c.reply(Result{Outcome: Uncertain, Why: "the service has another owner"})
 	}
 	s.unknownCancels = nil
+	s.giveUpClosings()
 	for _, j := range s.jobs {
 		answerAll(&j.submitWaiters, Result{Outcome: Uncertain, Why: "the service has another owner"})
 		answerAll(&j.cancelWaiters, Result{Outcome: Uncertain, Why: "the service has another owner"})
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -54,6 +54,7 @@
 	s.outage.observe(now, s.listReadAt)
 	s.now, s.confirmedAt = now, confirmed
 	s.answerUnknownCancels(now)
+	s.answerClosings()
 	s.forgetDenials(now)
 	s.expireLeases(now, confirmed)
 	s.startScheduled(now)
--- /dev/null
+++ b/dispatch/queues_test.go
@@ -0,0 +1,75 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/assignment"
+	"cuminstair.org/cuminstair/dispatch"
+)
+
+// Guards against a service that says that it is closed to a queue while it goes on to accept jobs of it: while jobs that it has
+// accepted are not stored, for submissions of earlier versions, and after a takeover. The new service would not find these jobs.
+func TestClosedServiceAcceptsNoMoreJobs(t *testing.T) {
+	p := newPool(t, 4)
+	queue := cuminstair.WorkQueue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Since: 3}
+	key := assignment.KeyOf(&queue)
+	submit := func(id string, since int64) (outcome dispatch.Outcome) {
+		queue.Since = since
+		outcome = dispatch.Uncertain
+		p.s.Submit(p.now, id, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, queue, func(r dispatch.Result) { outcome = r.Outcome })
+		p.writeBatch()
+		return outcome
+	}
+	p.is.Equal(submit(jobA, 3), dispatch.Accepted)
+	p.s.Submit(p.now, jobB, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, queue, func(dispatch.Result) {})
+	inFlight := p.s.Batch(p.now)
+	var got *dispatch.CloseResult
+	p.s.CloseQueue(key, 7, func(r dispatch.CloseResult) { got = &r })
+	p.decide(0)
+	p.is.True(got == nil)
+	p.s.NotStored(inFlight)
+	first := p.s.Batch(p.now)
+	p.decide(0)
+	p.is.True(got == nil)
+	p.s.Stored(p.now, first)
+	p.decide(0)
+	p.is.True(got != nil)
+	p.is.Equal(*got, dispatch.CloseResult{Closed: true, Jobs: 2})
+	for _, c := range []struct {
+		since int64
+		want  dispatch.Outcome
+	}{{0, dispatch.Moved}, {3, dispatch.Moved}, {7, dispatch.Moved}, {8, dispatch.Accepted}} {
+		p.is.Equal(submit("00000000000000c"+string(rune('0'+c.since)), c.since), c.want)
+	}
+	p.is.Equal(submit(jobA, 3), dispatch.Accepted) // it is known
+
+	var rows []cuminstair.Record
+	for _, put := range first.Puts {
+		if put.Table == dispatch.WorkerTable {
+			rows = append(rows, cuminstair.Record{RecordKey: put.RecordKey, Value: put.Value})
+		}
+	}
+	p.s = dispatch.New("s", 200, p.now, hclog.NewNullLogger())
+	p.s.Recover(p.now, nil, nil, rows)
+	p.is.Equal(submit("00000000000000d7", 7), dispatch.Moved)
+	got = nil
+	p.s.CloseQueue(key, 7, func(r dispatch.CloseResult) { got = &r })
+	p.decide(0)
+	p.is.True(got != nil && got.Closed)
+}
+
+// Guards against a queue that shows no waiting jobs under a new name, and against another queue's jobs among them.
+func TestWaitingJobsOfAQueueWithANewName(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 4)
+	for i, q := range []cuminstair.WorkQueue{{Name: "a", Host: "h", Prefix: "/q/"}, {Name: "b", Host: "h", Prefix: "/q/"}, {Name: "a", Host: "h", Prefix: "/r/"}} {
+		p.s.Submit(p.now, jobA[:15]+string(rune('1'+i)), &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, q, func(dispatch.Result) {})
+	}
+	p.writeBatch()
+	is.Equal(p.s.Waiting(assignment.Key{Host: "h", Prefix: "/q/"}), 2)
+	is.Equal(p.s.Waiting(assignment.Key{Host: "h", Prefix: "/r/"}), 1)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -10,6 +10,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/admission"
+	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/place"
 )
 
@@ -31,6 +32,7 @@
 	Impossible                 // not stored and never runs: no worker can run it
 	Uncertain                  // the job may be stored
 	NotFound                   // no such job
+	Moved                      // not stored and never runs: the service is closed to the queue
 )
 
 // Service is the state that the owner of a service keeps. The exported fields are set before the first call.
@@ -86,10 +88,12 @@
 	unanswered      []*attempt           // runs whose start had no answer, and others since resolved; see listUnanswered
 	unansweredPut   []unansweredStart    // as last written
 	unansweredDirty bool                 // their record is to be written at once
-	changed         bool                 // placement has to run again
-	spaced          bool                 // the last placement left a task waiting for startSpacing, avoidTime or the store
-	deposed         bool                 // see Deposed
-	writeLatency    time.Duration        // see SetWriteLatency
+	closings        map[assignment.Key]*closing
+	closingsDirty   bool          // their record is to be written at once
+	changed         bool          // placement has to run again
+	spaced          bool          // the last placement left a task waiting for startSpacing, avoidTime or the store
+	deposed         bool          // see Deposed
+	writeLatency    time.Duration // see SetWriteLatency
 	storeDown       bool
 	lastBatch       time.Time
 	lastSweep       time.Time
@@ -118,7 +122,7 @@
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
-		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{},
+		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, closings: map[assignment.Key]*closing{},
 		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
@@ -127,11 +131,14 @@
 func (s *Service) Recover(now time.Time, jobs, runs, workers []cuminstair.Record) {
 	var unanswered []cuminstair.Record
 	for _, r := range workers {
-		if r.Key == unansweredKey {
+		switch r.Key {
+		case unansweredKey:
 			unanswered = append(unanswered, r)
-			continue
+		case closedKey:
+			s.recoverClosings(r)
+		default:
+			s.recoverWorkers(r)
 		}
-		s.recoverWorkers(r)
 	}
 	main, parts := map[string][]byte{}, map[string][]cuminstair.Record{}
 	for _, r := range runs {
@@ -260,10 +267,10 @@
 }
 
 // Waiting counts the accepted jobs of a queue that have not started, except scheduled and repeated ones.
-func (s *Service) Waiting(queue string) int {
+func (s *Service) Waiting(queue assignment.Key) int {
 	n := 0
 	for _, j := range s.active {
-		if j.queue.Name == queue && j.state == cuminstair.JobQueued && j.spec.Repeats == 0 && j.spec.First == 0 {
+		if assignment.KeyOf(&j.queue) == queue && j.state == cuminstair.JobQueued && j.spec.Repeats == 0 && j.spec.First == 0 {
 			n++
 		}
 	}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -48,6 +48,10 @@
 		j.submitWaiters = append(j.submitWaiters, reply)
 		return
 	}
+	if s.closedTo(&queue) {
+		s.refuse(now, id, Result{Outcome: Moved, Wait: s.spread(minWait), Why: "the queue has gone to another service"}, reply)
+		return
+	}
 	j := newJob(id, spec, queue)
 	j.firstSent, j.receivedAt, j.token = now, now, s.Token
 	if r, ok := s.denied[id]; ok && now.Sub(r.first) <= deniedTTL {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -75,6 +75,7 @@
 	forwarded   forwardedCalls // calls that other daemons have not answered yet
 	runnersMade atomic.Uint64  // for the IDs of runners
 	stamps      stamps         // of the owners that have answered this daemon
+	assignments assignments    // of the queues to services, as last read
 
 	mu            sync.Mutex
 	view          *ownership.View
@@ -136,7 +137,7 @@
 	for i, l := range []net.Listener{callers, internal, ready} {
 		group.Add(func() error { return serve(servers[i], l, stopped) }, func(error) { _ = servers[i].Close() })
 	}
-	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.heartbeatLoop, d.maintenanceLoop, d.findGoneWorkers, d.watchConnectivity} {
+	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.heartbeatLoop, d.maintenanceLoop, d.findGoneWorkers, d.watchConnectivity, d.reviewAssignments} {
 		loopCtx, stop := context.WithCancel(work)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { stop() })
 	}
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/dispatch"
 	"cuminstair.org/cuminstair/platform"
 )
@@ -176,11 +177,9 @@
 }
 
 func (d *Daemon) state(ctx context.Context, c echo.Context, x call) error {
-	a, err := d.forward(ctx, x, nil)
-	state := a.State
-	// A former owner may not know a job that its successor has accepted.
-	if err != nil || a.Outcome == dispatch.Unavailable || state == cuminstair.JobUnknown {
-		state, err = d.storedState(ctx, x)
+	state, err := d.stateAt(ctx, x)
+	if err == nil && state == cuminstair.JobUnknown {
+		state, err = d.stateElsewhere(ctx, x)
 	}
 	switch {
 	case err != nil:
@@ -191,6 +190,26 @@
 	return c.JSONBlob(http.StatusOK, platform.EncodeState(state))
 }
 
+// stateAt returns the state of a job at the service of its queue.
+func (d *Daemon) stateAt(ctx context.Context, x call) (cuminstair.JobState, error) {
+	a, err := d.forward(ctx, x, nil)
+	// A former owner may not know a job that its successor has accepted.
+	if err != nil || a.Outcome == dispatch.Unavailable || a.State == cuminstair.JobUnknown {
+		return d.storedState(ctx, x)
+	}
+	return a.State, nil
+}
+
+// stateElsewhere returns the state of a job that the service of its queue does not know.
+func (d *Daemon) stateElsewhere(ctx context.Context, x call) (cuminstair.JobState, error) {
+	service, err := d.locateElsewhere(ctx, x)
+	if err != nil || service == "" {
+		return cuminstair.JobUnknown, err
+	}
+	x.queue.Service = service
+	return d.stateAt(ctx, x)
+}
+
 // storedState reads the state of a job from the store; it is used if no owner of the service answers or knows the job.
 func (d *Daemon) storedState(ctx context.Context, x call) (cuminstair.JobState, error) {
 	to := x.id + "\x00"
@@ -210,6 +229,16 @@
 
 func (d *Daemon) cancel(ctx context.Context, c echo.Context, x call) error {
 	a, err := d.forward(ctx, x, nil)
+	if err == nil && a.Outcome == dispatch.NotFound {
+		service, lerr := d.locateElsewhere(ctx, x)
+		if lerr != nil {
+			return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "the store does not tell whether another service has the job")
+		}
+		if service != "" {
+			x.queue.Service = service
+			a, err = d.forward(ctx, x, nil)
+		}
+	}
 	switch {
 	case errors.Is(err, errNoOwner) || err == nil && a.Outcome == dispatch.Unavailable:
 		return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "the service has no owner")
@@ -224,16 +253,47 @@
 	return c.NoContent(http.StatusOK)
 }
 
+// waiting answers with the number of the queue's jobs that wait, at all services that may have some.
 func (d *Daemon) waiting(ctx context.Context, c echo.Context, x call) error {
-	a, err := d.forward(ctx, x, nil)
-	if err != nil || a.Outcome == dispatch.Unavailable {
-		return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "the service has no owner")
+	services := []string{x.queue.Service}
+	if a := d.assignments.find(assignment.KeyOf(&x.queue)); a.version > 0 {
+		services = append(services, a.queue.Others(x.queue.Service)...)
 	}
-	return c.JSONBlob(http.StatusOK, platform.EncodeWaiting(a.Waiting))
+	n := 0
+	for _, service := range services {
+		x.queue.Service = service
+		a, err := d.forward(ctx, x, nil)
+		if err != nil || a.Outcome == dispatch.Unavailable {
+			return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "the service has no owner")
+		}
+		n += a.Waiting
+	}
+	return c.JSONBlob(http.StatusOK, platform.EncodeWaiting(n))
 }
 
-// submitToOwner submits a job to the owner of its service.
+// submitToOwner submits a job to the owner of its service, unless a former service of the queue has it.
 func (d *Daemon) submitToOwner(ctx context.Context, x call, spec *cuminstair.JobSpec) dispatch.Result {
+	r := d.submitOnce(ctx, x, spec, false)
+	if r.Outcome == dispatch.Moved {
+		r = d.submitOnce(ctx, x, spec, true)
+	}
+	return r
+}
+
+// submitOnce submits a job. renew is whether the service has refused the assignment of the queue that this daemon knows.
+func (d *Daemon) submitOnce(ctx context.Context, x call, spec *cuminstair.JobSpec, renew bool) dispatch.Result {
+	q, err := d.assignSoon(ctx, x, renew)
+	if err != nil {
+		return dispatch.Result{Outcome: dispatch.Unavailable, Wait: defaultRetry, Why: err.Error()}
+	}
+	x.queue.Since = q.Since
+	switch service, err := d.locate(ctx, x.id, q.Former); {
+	case err != nil:
+		return dispatch.Result{Outcome: dispatch.Unavailable, Wait: defaultRetry, Why: err.Error()}
+	case service != "":
+		d.Log.Info("entry: job is known to a former service of its queue", "job", x.id, "queue", x.queue.Name, "service", service)
+		return dispatch.Result{Outcome: dispatch.Accepted, Why: "known"}
+	}
 	a, err := d.forward(ctx, x, spec)
 	switch {
 	case errors.Is(err, errNoOwner):
@@ -244,6 +304,18 @@
 	return dispatch.Result{Outcome: a.Outcome, Wait: time.Duration(a.Wait) * time.Millisecond, Why: a.Why}
 }
 
+// assignSoon returns the assignment of a call's queue. It tries again for ownerWait, since other daemons may write the assignment too.
+func (d *Daemon) assignSoon(ctx context.Context, x call, renew bool) (assignment.Queue, error) {
+	begin := d.Timer.Now()
+	for {
+		q, err := d.assign(ctx, x.queue, x.configVersion, renew)
+		if err == nil || errors.Is(err, errLagging) || ctx.Err() != nil || d.Timer.Now().Sub(begin) > ownerWait {
+			return q, err
+		}
+		d.sleep(ctx, ownerWait/5)
+	}
+}
+
 // errUnanswered means that no owner has answered, but one may have acted on the call.
 const errUnanswered = errors.ConstError("no owner has answered")
 
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -165,7 +167,8 @@
 	return records, first, nil
 }
 
-// services returns the pools that run tasks, and ownership.HostsPart if this daemon can control hosts.
+// services returns the pools that run tasks or may have jobs of queues that have gone to others, and ownership.HostsPart if this
+// daemon can control hosts.
 func (d *Daemon) services() []string {
 	c := d.config.Load()
 	if c == nil {
@@ -176,11 +179,18 @@
 	for _, q := range c.Queues {
 		used[q.Service] = true
 	}
+	for _, a := range d.assignments.list() {
+		for _, service := range a.queue.Others("") {
+			used[service] = true
+		}
+	}
 	for _, p := range c.Pools {
 		if !p.Spare || used[p.Name] {
 			list = append(list, p.Name)
 		}
+		delete(used, p.Name)
 	}
+	list = append(list, slices.Sorted(maps.Keys(used))...) // no pools of the configuration, but they may have jobs
 	if d.Hosts != nil {
 		list = append(list, ownership.HostsPart)
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -16,6 +16,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/abort"
+	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/dispatch"
 )
 
@@ -27,6 +28,7 @@
 	stopPath        = "/stop"
 	offerPath       = "/offer"
 	openPath        = "/open"
+	closePath       = "/close"
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdleTimeout = 30 * time.Second
 	peerMaxBody     = 1 << 20
@@ -253,6 +255,7 @@
 	e.POST(stopPath, d.serveStop)
 	e.POST(offerPath, d.serveOffer)
 	e.POST(openPath, d.serveOpen)
+	e.POST(closePath, d.serveClose)
 	e.POST(notifyPath, func(c echo.Context) error {
 		signal(d.readOwnersNow)
 		return c.NoContent(http.StatusOK)
@@ -319,7 +322,7 @@
 		case x.method == http.MethodDelete:
 			r.state.Cancel(now, x.id, result)
 		case x.id == "":
-			answer(callReply{Waiting: r.state.Waiting(x.queue.Name)})
+			answer(callReply{Waiting: r.state.Waiting(assignment.KeyOf(&x.queue))})
 		default:
 			answer(callReply{State: r.state.State(x.id)})
 		}
--- a/entry/records_test.go
+++ b/entry/records_test.go
@@ -55,30 +55,33 @@
 	for _, p := range tx.Puts {
 		s.rows[p.RecordKey] = cuminstair.Record{RecordKey: p.RecordKey, Value: p.Value, Version: s.version}
 	}
+	for _, key := range tx.Deletes {
+		delete(s.rows, key)
+	}
 	return s.version, nil
 }
 
-func (s *conditionalStore) checked(tx cuminstair.Tx) []cuminstair.Record {
+// Read implements cuminstair.RecordStore.
+func (s *conditionalStore) Read(_ context.Context, table, part, from, to string) ([]cuminstair.Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var list []cuminstair.Record
-	for _, c := range tx.Checks {
-		if r, ok := s.rows[c.RecordKey]; ok {
+	for key, r := range s.rows {
+		if key.Table == table && key.Part == part && key.Key >= from && (to == "" || key.Key < to) {
 			list = append(list, r)
 		}
 	}
-	return list
+	return list, s.version, nil
 }
 
-// Read implements cuminstair.RecordStore.
-func (s *conditionalStore) Read(_ context.Context, table, part, _, _ string) ([]cuminstair.Record, uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *conditionalStore) checked(tx cuminstair.Tx) []cuminstair.Record {
 	var list []cuminstair.Record
-	for _, r := range s.rows {
-		if r.Table == table && r.Part == part {
+	for _, c := range tx.Checks {
+		if r, ok := s.rows[c.RecordKey]; ok {
 			list = append(list, r)
 		}
 	}
-	return list, s.version, nil
+	return list
 }
 
 // setOwner makes another controller the owner.
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -65,18 +65,19 @@
 	confirmedAt    time.Time       // when the store last named this daemon as the owner
 	inflight       *dispatch.Batch
 	sentTx         cuminstair.Tx
-	failingSince   time.Time     // when writes began to fail; zero: they succeed
-	latency        time.Duration // moving mean of the store's write latency; a rise takes effect at once
-	hedges         int           // times that inflight was sent again before an answer
-	uncertain      bool          // an attempt to write inflight may have taken effect
-	retryAt        time.Time     // when the next batch may be sent
-	sentAt         time.Time     // when inflight was first sent
-	wroteAt        time.Time     // when the last batch that was stored was sent
-	alive          time.Time     // see aliveAt
-	offered        bool          // another daemon may take the service over since it was offered
-	offeredAt      time.Time     // when the service was last offered to another daemon
-	offeredSeq     int64         // owner.Seq at that time; a stored write with a higher one makes the offer void
-	onRelease      []func()      // called when the runner ends
+	failingSince   time.Time         // when writes began to fail; zero: they succeed
+	latency        time.Duration     // moving mean of the store's write latency; a rise takes effect at once
+	hedges         int               // times that inflight was sent again before an answer
+	uncertain      bool              // an attempt to write inflight may have taken effect
+	retryAt        time.Time         // when the next batch may be sent
+	sentAt         time.Time         // when inflight was first sent
+	wroteAt        time.Time         // when the last batch that was stored was sent
+	alive          time.Time         // see aliveAt
+	offered        bool              // another daemon may take the service over since it was offered
+	offeredAt      time.Time         // when the service was last offered to another daemon
+	offeredSeq     int64             // owner.Seq at that time; a stored write with a higher one makes the offer void
+	onRelease      []func()          // called when the runner ends
+	checked        map[string]string // by job: present service of its queue that was found not to have the job; used by reviewAssignments only
 	ended          bool
 }
 
--- a/jobs.go
+++ b/jobs.go
@@ -120,6 +120,7 @@
 	Host         string        // Host header of the requests
 	Prefix       string        // path prefix of the requests; ends with a slash
 	Service      string        // service whose workers run the tasks
+	Since        int64         // version of the configuration since which it does; 0: not known
 	Timeout      time.Duration // time limit for an answer to a caller
 	Target       time.Duration // constant part of the latency objective
 	TargetFactor float64       // variable part: multiple, at least 1, of the duration of the job's longest chain of steps
