Let failures of tasks that last close no sound worker

Cause: each failure in a row on a worker doubled the time for which it got no tasks, up to 16 s, and only an end done, which these tasks never have, reset the count.

A run that was at work for 4 s resets the count however it ends, and a failure of a task whose last failure was elsewhere counts against the task.

TestFailuresOfLongRunningTasksCloseNoWorker failed before in both cases.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -13,6 +13,8 @@
 	// failed run in a row, up to maxBlock.
 	minBlock = time.Second
 	maxBlock = 16 * time.Second
+	// servedTime is how long a run of a long-running task must have lasted for its failure not to count against the worker.
+	servedTime = 4 * time.Second
 	// avoidTime is how long a task waits for another worker than the one on which it has failed.
 	avoidTime = 4 * time.Second
 )
@@ -26,7 +28,7 @@
 	if a != nil {
 		s.confirmRun(a)
 	}
-	s.recordWorkerOutcome(now, w, a, e)
+	s.recordWorkerOutcome(now, w, t, a, e)
 	s.logEnd(w, t, e)
 	if t != nil && !t.step.occ.job.finished() {
 		t.run = max(t.run, e.Run)
@@ -52,23 +54,44 @@
 		"run", e.Run, "worker", w.info.ID, "how", e.How.String(), "known", t != nil, "number", e.Seq)
 }
 
-// recordWorkerOutcome updates the failure count of a worker, and blocks it after repeated failures.
-func (s *Service) recordWorkerOutcome(now time.Time, w *worker, a *attempt, e cuminstair.EndedTask) {
-	switch e.How {
-	case cuminstair.EndDone:
+// recordWorkerOutcome updates the failure count of a worker, and blocks it after repeated failures that are not those of a task alone.
+// t and a are the task and the attempt, nil if they are not known.
+func (s *Service) recordWorkerOutcome(now time.Time, w *worker, t *task, a *attempt, e cuminstair.EndedTask) {
+	switch {
+	case e.How == cuminstair.EndDone:
 		w.failedRuns = 0
 		if a != nil && a.task != nil {
 			s.recordDuration(now, a)
 		}
-	case cuminstair.EndFailed:
-		w.failedRuns++
-		if w.failedRuns >= 2 {
-			w.blockedUntil = now.Add(min(maxBlock, minBlock<<min(8, w.failedRuns-2)))
-			s.Log.Info("dispatch: worker blocked after failed runs", "service", s.Name, "worker", w.info.ID,
-				"in a row", w.failedRuns, "blocked until", w.blockedUntil)
-		}
+	case e.How != cuminstair.EndFailed:
+	case a != nil && a.hasServed(now):
+		w.failedRuns = 0 // the worker ran it well for a time
+	case t != nil && t.failedElsewhere(w):
+		s.Log.Debug("dispatch: failure counts against the task only", "service", s.Name, "worker", w.info.ID, "task", taskName(e.Task), "run", e.Run)
 	default:
+		s.blockAfterFailure(now, w)
+	}
+}
+
+// blockAfterFailure counts a failed run against its worker.
+func (s *Service) blockAfterFailure(now time.Time, w *worker) {
+	w.failedRuns++
+	if w.failedRuns < 2 {
+		return
 	}
+	w.blockedUntil = now.Add(min(maxBlock, minBlock<<min(8, w.failedRuns-2)))
+	s.Log.Info("dispatch: worker blocked after failed runs", "service", s.Name, "worker", w.info.ID,
+		"in a row", w.failedRuns, "blocked until", w.blockedUntil)
+}
+
+// hasServed reports whether a run of a long-running task was at work for some time. Such tasks fail now and then.
+func (a *attempt) hasServed(now time.Time) bool {
+	return a.longRunning && a.percent >= 100 && now.Sub(a.beganAt()) >= servedTime
+}
+
+// failedElsewhere reports whether the last failure of the task was on another worker, so that the task is the likely cause of the next one.
+func (t *task) failedElsewhere(w *worker) bool {
+	return t.avoidWorker != "" && t.avoidWorker != w.info.ID
 }
 
 // recordTaskEnd applies an end to its task. a is the attempt that has ended, or nil. The end is stored before it is
