Send pace orders again until they are confirmed

An order is sent again each 0.3 s until the worker has answered the latest one, and a run of an earlier owner is ordered to half its share at once. TestSharesAreOrderedUntilTheyAreConfirmed failed before in both cases. A late copy of an order without an answer may still undo a newer one.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -20,8 +20,7 @@
 	OrderAdvise // a call to the adviser, not to a worker
 )
 
-// Order is a call to a worker or the adviser. Its answer is passed to Started, Stopped, Renewed or Advised; OrderPace has
-// none.
+// Order is a call to a worker or the adviser. Its answer is passed to Started, Stopped, Renewed, Paced or Advised.
 type Order struct {
 	Kind    OrderKind
 	Worker  cuminstair.WorkerInfo
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -592,6 +592,36 @@
 	p.is.Equal(p.cpuShare, 100)
 }
 
+// Guards against a best-effort task that keeps a CPU share which its owner does not know: an order without an answer is not sent
+// again, or a new owner takes the task for one with its full share.
+func TestSharesAreOrderedUntilTheyAreConfirmed(t *testing.T) {
+	for name, disturb := range map[string]func(p *pool){
+		"lost orders": func(p *pool) { p.lostPaceOrders = 3 },
+		"takeover":    func(p *pool) { p.takeOver(200, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t, 1)
+			p.run(200 * time.Millisecond)
+			served, bestEffort := longRunning(1), longRunning(1)
+			served.TailTarget, bestEffort.BestEffort = 100*time.Millisecond, true
+			p.submit(jobA, served, bestEffort)
+			p.run(2 * time.Second)
+			p.gauge = 65 // neither raised nor lowered
+			p.cpuShare = -1
+			disturb(p)
+			if name == "lost orders" {
+				p.gauge = 150
+			}
+			p.run(3 * time.Second)
+			p.is.True(p.cpuShare >= 0)
+			orders := p.paceOrders
+			p.gauge = 65
+			p.run(3 * time.Second)
+			p.is.Equal(p.paceOrders, orders) // confirmed ones are not repeated
+		})
+	}
+}
+
 // Guards against repeatedly stopping a long task as stuck because its progress rises slowly, so that it never ends.
 func TestLongTaskEnds(t *testing.T) {
 	p := newPool(t, 3)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -100,6 +100,8 @@
 	gauge          float64       // as reported, see cuminstair.RunningTask
 	cpuShare       int           // CPU share of a best-effort task in percent
 	pacedAt        time.Time     // when cpuShare was last changed
+	shareUnsure    bool          // the worker has not confirmed cpuShare
+	paceSentAt     time.Time     // when cpuShare was last ordered
 	stopSentAt     time.Time     // when its stop was last ordered; zero: never
 	stopUnanswered bool          // its stop was ordered only since its start had no answer
 	expected       time.Duration // duration expected at its start
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"cuminstair.org/cuminstair"
+)
 
 // Control of the CPU share of best-effort tasks, which use the processor time left over by others. The tail latency of
 // long-running tasks on the same worker rises with this share, by a factor that differs by image and changes within
@@ -13,6 +19,10 @@
 	minShare         = 12 // percent; with less a best-effort task makes no progress
 	paceDownInterval = 300 * time.Millisecond
 	paceUpInterval   = 900 * time.Millisecond
+	// paceRetry is the pause before an order without an answer is sent again.
+	paceRetry = 300 * time.Millisecond
+	// adoptedShare is the share that a run of an earlier owner is given, whose share is not known; in percent.
+	adoptedShare = 50
 )
 
 // paceAll adjusts the CPU share of the best-effort tasks on each worker.
@@ -41,16 +51,31 @@
 			continue
 		}
 		share := nextShare(a.cpuShare, worst, now.Sub(a.pacedAt))
-		if share == a.cpuShare {
+		resend := a.shareUnsure && now.Sub(a.paceSentAt) >= paceRetry
+		if share == a.cpuShare && !resend {
 			continue
 		}
-		a.cpuShare, a.pacedAt = share, now
+		if share != a.cpuShare {
+			a.pacedAt = now
+		}
+		a.cpuShare, a.shareUnsure, a.paceSentAt = share, true, now
 		s.orders = append(s.orders, Order{Kind: OrderPace, Worker: w.info, Task: a.id, Run: a.run, Token: s.Token, Percent: share, attempt: a})
 		s.Log.Debug("dispatch: CPU share of a best-effort task changed", "service", s.Name, "job", a.id.Job, "worker", w.info.ID,
 			"share", share, "tail", worst)
 	}
 }
 
+// Paced processes the answer to an order that sets a CPU share. One without an answer is sent again.
+func (s *Service) Paced(o Order, err error) {
+	switch {
+	case err == nil && o.Percent == o.attempt.cpuShare:
+		o.attempt.shareUnsure = false
+	case errors.Is(err, cuminstair.ErrFenced):
+		s.depose("worker has seen a higher token", o.Worker.ID)
+	default:
+	}
+}
+
 // nextShare returns the new share of a best-effort task, in percent. worst is the highest ratio of tail latency to target
 // on its worker; since is the time since the last change of the share.
 func nextShare(share int, worst float64, since time.Duration) int {
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -99,6 +99,8 @@
 	confirmedAt    time.Time
 	gauge          float64 // reported tail latency of tasks with a target, in milliseconds
 	cpuShare       int     // from the last OrderPace
+	paceOrders     int
+	lostPaceOrders int // orders that do not reach their worker
 	orders         []dispatch.Order
 	approved       map[string]bool      // by worker: whether the adviser approves it; nil: the queue needs no advice
 	workersQueried int                  // workers named in calls to the adviser
@@ -337,7 +339,14 @@
 	case dispatch.OrderRenew:
 		p.renew(w, o)
 	case dispatch.OrderPace:
+		p.paceOrders++
+		if p.lostPaceOrders > 0 {
+			p.lostPaceOrders--
+			p.s.Paced(o, cuminstair.ErrUncertain)
+			return
+		}
 		p.cpuShare = o.Percent
+		p.s.Paced(o, nil)
 	default:
 	}
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -180,7 +180,7 @@
 // adopt takes over a run that an earlier owner started or that is otherwise unknown. A run that is not wanted is
 // stopped and keeps its room until it has ended.
 func (s *Service) adopt(now time.Time, w *worker, t cuminstair.RunningTask) *attempt {
-	a := &attempt{id: t.Task, run: t.Run, runTimes: runTimes{sentAt: now, answeredAt: now}, cpuShare: 100, adopted: true}
+	a := &attempt{id: t.Task, run: t.Run, runTimes: runTimes{sentAt: now, answeredAt: now}, cpuShare: adoptedShare, shareUnsure: true, adopted: true}
 	j, x := s.jobs[t.Task.Job], s.taskOfRun(now, t.Task)
 	switch {
 	case j != nil && t.Task.Step < len(j.spec.Steps):
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -255,6 +255,7 @@
 		if err = w.Pace(ctx, o.Worker, o.Task, o.Run, o.Percent, o.Token); err != nil {
 			r.d.Log.Debug("entry: can't set the CPU share of a best-effort task", "service", r.service, "worker", o.Worker.ID, "error", err)
 		}
+		r.post(func(time.Time) { r.state.Paced(o, err) })
 	}
 	r.d.Metrics.observeWorkerCall(o.Kind, err, r.d.Timer.Now().Sub(begin))
 }
