--- a/entry/assignments.go
+++ b/entry/assignments.go
@@ -19,8 +19,9 @@
 
 // Times of the assignments of queues to services.
 const (
-	// assignRetry is the pause after an assignment could not be brought up to date.
-	assignRetry = 200 * time.Millisecond
+	// assignRetry is the pause after an assignment could not be brought up to date. It doubles up to maxAssignRetry.
+	assignRetry    = 200 * time.Millisecond
+	maxAssignRetry = 2 * time.Second
 	// assignSpread is the longest delay, at random, after which a daemon writes the assignments of a new configuration that no
 	// caller waits for. Another daemon has mostly written them by then.
 	assignSpread = 300 * time.Millisecond
@@ -191,26 +192,24 @@
 
 // assignAll brings the assignments of all queues of a configuration up to date, until there is a later one.
 func (d *Daemon) assignAll(ctx context.Context, c *cuminstair.JobConfig) {
-	for first := true; ctx.Err() == nil && d.config.Load() == c; first = false {
-		if !first {
-			d.sleep(ctx, assignRetry)
-		}
+	if len(d.unassigned(c)) == 0 {
+		return
+	}
+	d.sleep(ctx, rand.N(assignSpread))
+	if err := d.readAssignments(ctx); err != nil {
+		d.Log.Debug("entry: can't read the assignments of queues", "error", err)
+	}
+	for pause := assignRetry; ctx.Err() == nil && d.config.Load() == c; pause = min(2*pause, maxAssignRetry) {
 		missing := d.unassigned(c)
 		if len(missing) == 0 {
 			return
 		}
-		if first {
-			d.sleep(ctx, rand.N(assignSpread))
-			if err := d.readAssignments(ctx); err != nil {
-				continue
-			}
-			missing = d.unassigned(c)
-		}
 		for _, q := range missing {
 			if _, err := d.assign(ctx, q, c.Version, false); err != nil {
 				d.Log.Info("entry: queue is not assigned yet", "host", q.Host, "prefix", q.Prefix, "service", q.Service, "config", c.Version, "error", err)
 			}
 		}
+		d.sleep(ctx, pause)
 	}
 }
 
