Bound the record of closed queues by the size of a value

400 long queues would have made a record that the store refuses, and with it every write of the service. TestRecordOfClosedQueuesIsBounded failed before. The comparison of jobs with assignments is named after what it does.

--- a/dispatch/queues.go
+++ b/dispatch/queues.go
@@ -17,8 +17,8 @@
 // closedKey is the key in WorkerTable of the record of closed queues.
 const closedKey = "closed"
 
-// maxClosed bounds the size of this record; the oldest entries are dropped. They matter only to daemons that have not read the
-// configuration since.
+// maxClosed is the most entries of this record, which is also bounded by maxValue; the oldest are dropped. They matter only to
+// daemons that have not read the configuration since.
 const maxClosed = 300
 
 // closing is the state of a queue that this service is closed to.
@@ -127,9 +127,19 @@
 	}
 	slices.SortFunc(r.Queues, func(a, b closedQueue) int { return cmp.Compare(b.Version, a.Version) })
 	r.Queues = r.Queues[:min(len(r.Queues), maxClosed)]
-	// Encoding this type never fails.
-	data, _ := json.Marshal(r)
-	b.Puts = append(b.Puts, s.put(WorkerTable, closedKey, data))
+	b.Puts = append(b.Puts, s.put(WorkerTable, closedKey, r.encode()))
+}
+
+// encode encodes as many of the entries, the latest first, as a value may have.
+func (r closedRecord) encode() []byte {
+	for {
+		// Encoding this type never fails.
+		data, _ := json.Marshal(r)
+		if len(data) <= maxValue {
+			return data
+		}
+		r.Queues = r.Queues[:len(r.Queues)/2]
+	}
 }
 
 // closingsStored is called when a batch has been written to the store.
--- a/dispatch/queues_test.go
+++ b/dispatch/queues_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -62,6 +64,22 @@
 	p.is.True(got != nil && got.Closed)
 }
 
+// Guards against a record of closed queues that is larger than a value may be, so that no write of the service succeeds any more.
+func TestRecordOfClosedQueuesIsBounded(t *testing.T) {
+	const queues, maxValue = 400, 48 << 10
+	p := newPool(t, 1)
+	for i := range queues {
+		key := assignment.Key{Host: strings.Repeat("h", 200), Prefix: fmt.Sprintf("/%d/", i)}
+		p.s.CloseQueue(key, int64(i+1), func(dispatch.CloseResult) {})
+	}
+	for _, put := range p.s.Batch(p.now).Puts {
+		p.is.True(len(put.Value) <= maxValue)
+		if put.Key == "closed" {
+			p.is.True(strings.Contains(string(put.Value), fmt.Sprintf(`"version":%d`, queues))) // the latest is kept
+		}
+	}
+}
+
 // Guards against a queue that shows no waiting jobs under a new name, and against another queue's jobs among them.
 func TestWaitingJobsOfAQueueWithANewName(t *testing.T) {
 	is := is.New(t)
--- a/entry/assignments.go
+++ b/entry/assignments.go
@@ -25,8 +25,8 @@
 	// assignSpread is the longest delay, at random, after which a daemon writes the assignments of a new configuration that no
 	// caller waits for. Another daemon has mostly written them by then.
 	assignSpread = 300 * time.Millisecond
-	// reviewInterval is the time between two looks of an owner at the queues whose jobs it has.
-	reviewInterval = 10 * time.Second
+	// reconcileInterval is the time between two looks of an owner at the queues whose jobs it has.
+	reconcileInterval = 10 * time.Second
 	// closeTimeout is how long an owner may take to store that it is closed to a queue.
 	closeTimeout = time.Second
 )
--- a/entry/assignments_test.go
+++ b/entry/assignments_test.go
@@ -246,10 +246,10 @@
 	}
 }
 
-// review lets the owner of a service compare its jobs with the assignments of their queues.
-func (m *movers) review() {
+// reconcile lets the owner of a service compare its jobs with the assignments of their queues.
+func (m *movers) reconcile() {
 	service := m.services[m.rng.IntN(len(m.services))]
-	m.notef("review of %s", service)
+	m.notef("reconciliation of %s", service)
 	d := m.owners[service]
 	r := d.runners[service]
 	if err := d.readAssignments(m.t.Context()); err != nil {
@@ -273,7 +273,7 @@
 	case n < 28:
 		m.takeOver(m.services[m.rng.IntN(len(m.services))])
 	case n < 33:
-		m.review()
+		m.reconcile()
 	case n < 55:
 		m.submit(d)
 	case n < 70:
--- a/entry/review.go
+++ b/entry/reconcile.go
@@ -9,10 +9,10 @@
 	"cuminstair.org/cuminstair/ownership"
 )
 
-// reviewAssignments compares, for each service that this daemon owns, the jobs that it has with the assignments of their queues.
-func (d *Daemon) reviewAssignments(ctx context.Context) error {
+// reconcileAssignments compares, for each service that this daemon owns, the jobs that it has with the assignments of their queues.
+func (d *Daemon) reconcileAssignments(ctx context.Context) error {
 	for ctx.Err() == nil {
-		d.sleep(ctx, reviewInterval)
+		d.sleep(ctx, reconcileInterval)
 		c := d.config.Load()
 		if c == nil || d.stopping.Load() {
 			continue
@@ -70,7 +70,7 @@
 		if !a.queue.Lists(r.service) {
 			if _, err := d.writeAssignment(ctx, a, a.queue.WithFormer(r.service)); err != nil {
 				d.Log.Info("entry: assignment does not list a service with jobs", "service", r.service, "host", key.Host, "prefix", key.Prefix, "error", err)
-				_, _ = d.readAssignment(ctx, key) // the next review tries again
+				_, _ = d.readAssignment(ctx, key) // the next pass tries again
 			}
 			continue
 		}
@@ -114,7 +114,7 @@
 			continue
 		}
 		if err := d.removeFormer(ctx, a, r.service); err != nil {
-			_, _ = d.readAssignment(ctx, key) // the next review tries again
+			_, _ = d.readAssignment(ctx, key) // the next pass tries again
 			continue
 		}
 		d.Log.Info("entry: service has no more jobs of a queue", "service", r.service, "host", key.Host, "prefix", key.Prefix, "config", c.Version)
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -77,7 +77,7 @@
 	offeredAt      time.Time         // when the service was last offered to another daemon
 	offeredSeq     int64             // owner.Seq at that time; a stored write with a higher one makes the offer void
 	onRelease      []func()          // called when the runner ends
-	checked        map[string]string // by job: present service of its queue that was found not to have the job; used by reviewAssignments only
+	checked        map[string]string // by job: present service of its queue that was found not to have the job; used by reconcileAssignments only
 	ended          bool
 }
 
