Write the assignment of a queue with its first job

When a configuration was applied, each daemon brought the records of all its queues up to date.

A queue now gets its record when the first job is submitted to it, and a daemon reads it at the first job after a move. One call a queue does that at a time. TestAssignmentsCostNoCallsUntilTheyAreNeeded guards against calls for queues that nobody uses.

--- a/entry/assignments.go
+++ b/entry/assignments.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -19,12 +18,6 @@
 
 // Times of the assignments of queues to services.
 const (
-	// assignRetry is the pause after an assignment could not be brought up to date. It doubles up to maxAssignRetry.
-	assignRetry    = 200 * time.Millisecond
-	maxAssignRetry = 2 * time.Second
-	// assignSpread is the longest delay, at random, after which a daemon writes the assignments of a new configuration that no
-	// caller waits for. Another daemon has mostly written them by then.
-	assignSpread = 300 * time.Millisecond
 	// reconcileInterval is the time between two looks of an owner at the queues whose jobs it has.
 	reconcileInterval = 10 * time.Second
 	// closeTimeout is how long an owner may take to store that it is closed to a queue.
@@ -34,10 +27,11 @@
 // errLagging means that another daemon has applied a later version of the configuration.
 const errLagging = errors.ConstError("the configuration of this daemon is out of date")
 
-// assignments has the assignments that this daemon has read or written.
+// assignments has the assignments that this daemon has read or written. A queue gets one when the first job is submitted to it.
 type assignments struct {
 	mu    sync.Mutex
 	byKey map[assignment.Key]*assigned
+	busy  map[assignment.Key]chan struct{} // has an element while a call brings the assignment up to date
 }
 
 // assigned is the assignment of a queue as last read.
@@ -70,6 +64,26 @@
 	return assigned{}
 }
 
+// lock waits until no other call brings the assignment of a queue up to date.
+func (l *assignments) lock(ctx context.Context, key assignment.Key) (unlock func(), err error) {
+	l.mu.Lock()
+	if l.busy == nil {
+		l.busy = map[assignment.Key]chan struct{}{}
+	}
+	busy := l.busy[key]
+	if busy == nil {
+		busy = make(chan struct{}, 1)
+		l.busy[key] = busy
+	}
+	l.mu.Unlock()
+	select {
+	case busy <- struct{}{}:
+		return func() { <-busy }, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for the assignment of %s%s: %w", key.Host, key.Prefix, ctx.Err())
+	}
+}
+
 // list returns copies of all assignments.
 func (l *assignments) list() []assigned {
 	l.mu.Lock()
@@ -124,6 +138,14 @@
 	if a := d.assignments.find(key); !renew && a.accepts(q.Service) {
 		return a.queue, nil
 	}
+	unlock, err := d.assignments.lock(ctx, key)
+	if err != nil {
+		return assignment.Queue{}, err
+	}
+	defer unlock()
+	if a := d.assignments.find(key); !renew && a.accepts(q.Service) {
+		return a.queue, nil
+	}
 	a, err := d.readAssignment(ctx, key)
 	if err != nil {
 		return assignment.Queue{}, err
@@ -190,40 +212,7 @@
 	return d.assignments.update(next, version), nil
 }
 
-// assignAll brings the assignments of all queues of a configuration up to date, until there is a later one.
-func (d *Daemon) assignAll(ctx context.Context, c *cuminstair.JobConfig) {
-	if len(d.unassigned(c)) == 0 {
-		return
-	}
-	d.sleep(ctx, rand.N(assignSpread))
-	if err := d.readAssignments(ctx); err != nil {
-		d.Log.Debug("entry: can't read the assignments of queues", "error", err)
-	}
-	for pause := assignRetry; ctx.Err() == nil && d.config.Load() == c; pause = min(2*pause, maxAssignRetry) {
-		missing := d.unassigned(c)
-		if len(missing) == 0 {
-			return
-		}
-		for _, q := range missing {
-			if _, err := d.assign(ctx, q, c.Version, false); err != nil {
-				d.Log.Info("entry: queue is not assigned yet", "host", q.Host, "prefix", q.Prefix, "service", q.Service, "config", c.Version, "error", err)
-			}
-		}
-		d.sleep(ctx, pause)
-	}
-}
-
-// unassigned returns the queues of a configuration whose jobs can't be submitted yet.
-func (d *Daemon) unassigned(c *cuminstair.JobConfig) []cuminstair.WorkQueue {
-	var list []cuminstair.WorkQueue
-	for _, q := range c.Queues {
-		if a := d.assignments.find(assignment.KeyOf(&q)); !a.accepts(q.Service) {
-			list = append(list, q)
-		}
-	}
-	return list
-}
-
+// readAssignments reads the assignments of all queues.
 func (d *Daemon) readAssignments(ctx context.Context) error {
 	records, _, err := d.Store.Read(ctx, assignment.Table, "", "", "")
 	if err != nil {
--- a/entry/assignments_test.go
+++ b/entry/assignments_test.go
@@ -309,3 +309,41 @@
 		})
 	}
 }
+
+// countedStore counts the calls of a store.
+type countedStore struct {
+	*conditionalStore
+	calls int
+}
+
+// Commit implements cuminstair.RecordStore.
+func (s *countedStore) Commit(ctx context.Context, tx cuminstair.Tx) (uint64, error) {
+	s.calls++
+	return s.conditionalStore.Commit(ctx, tx)
+}
+
+// Read implements cuminstair.RecordStore.
+func (s *countedStore) Read(ctx context.Context, table, part, from, to string) ([]cuminstair.Record, uint64, error) {
+	s.calls++
+	return s.conditionalStore.Read(ctx, table, part, from, to)
+}
+
+// Guards against calls to the store for queues that nobody uses or that have not moved: a configuration may have thousands.
+func TestAssignmentsCostNoCallsUntilTheyAreNeeded(t *testing.T) {
+	is := is.New(t)
+	d := newForwarder(t)
+	store := &countedStore{conditionalStore: &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}}
+	d.Store = store
+	for version := int64(1); version <= 3; version++ {
+		c := &cuminstair.JobConfig{Version: version}
+		for i := range 2000 {
+			c.Queues = append(c.Queues, cuminstair.WorkQueue{Host: "h", Prefix: fmt.Sprintf("/%d/", i), Service: "s"})
+		}
+		d.applyConfig(c)
+		for range 100 {
+			_, err := d.assign(t.Context(), c.Queues[7], version, false)
+			is.NoErr(err)
+		}
+		is.Equal(store.calls, 2) // reads the record, and writes it
+	}
+}
--- a/entry/reconcile.go
+++ b/entry/reconcile.go
@@ -9,14 +9,21 @@
 	"cuminstair.org/cuminstair/ownership"
 )
 
-// reconcileAssignments compares, for each service that this daemon owns, the jobs that it has with the assignments of their queues.
+// reconcileAssignments compares, for each service that this daemon owns, the jobs that it has with the assignments of their queues. All
+// daemons read these, since former services need owners.
 func (d *Daemon) reconcileAssignments(ctx context.Context) error {
+	readFor := int64(0) // version of the configuration when the assignments were last read
 	for ctx.Err() == nil {
 		d.sleep(ctx, reconcileInterval)
 		c := d.config.Load()
-		if c == nil || d.stopping.Load() {
+		if c == nil || d.stopping.Load() || readFor == c.Version && len(d.owned()) == 0 {
 			continue
 		}
+		if err := d.readAssignments(ctx); err != nil {
+			d.Log.Debug("entry: can't read the assignments of queues", "error", err)
+			continue
+		}
+		readFor = c.Version
 		for _, r := range d.owned() {
 			if r.service == ownership.HostsPart {
 				continue
@@ -64,8 +71,8 @@
 			continue
 		}
 		a := d.assignments.find(key)
-		if a.version == 0 || a.queue.Service != q.Service {
-			continue // assignAll has not brought it up to date
+		if a.version == 0 {
+			a.queue = assignment.New(key, q.Service, c.Version)
 		}
 		if !a.queue.Lists(r.service) {
 			if _, err := d.writeAssignment(ctx, a, a.queue.WithFormer(r.service)); err != nil {
@@ -74,7 +81,9 @@
 			}
 			continue
 		}
-		d.cancelDuplicates(ctx, r, q.Service, open)
+		if a.queue.Service == q.Service {
+			d.cancelDuplicates(ctx, r, q.Service, open)
+		}
 	}
 }
 
