Write the assignments of up to 400 queues ahead

When a configuration is applied, the records are read, and missing ones are written in few transactions by one daemon, unless there are more than 400. A submission waits at most 0.5 s for the record of its queue.

--- a/entry/assignments.go
+++ b/entry/assignments.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,15 @@
 const (
 	// reconcileInterval is the time between two looks of an owner at the queues whose jobs it has.
 	reconcileInterval = 10 * time.Second
+	// assignTimeout bounds how long a submission waits for the assignment of its queue. A daemon that is cut off from the store refuses it
+	// then.
+	assignTimeout = 500 * time.Millisecond
+	// maxAssignedAhead is the most queues whose assignments are written before a job comes; a configuration may have thousands.
+	maxAssignedAhead = 400
+	// assignedPerWrite is the number of assignments in one transaction, which may have 100 checks and writes.
+	assignedPerWrite = 45
+	// assignSpread is the longest delay, at random, of these writes, so that one daemon makes them and the others read them.
+	assignSpread = time.Second
 	// closeTimeout is how long an owner may take to store that it is closed to a queue.
 	closeTimeout = time.Second
 )
@@ -27,7 +38,7 @@
 // errLagging means that another daemon has applied a later version of the configuration.
 const errLagging = errors.ConstError("the configuration of this daemon is out of date")
 
-// assignments has the assignments that this daemon has read or written. A queue gets one when the first job is submitted to it.
+// assignments has the assignments that this daemon has read or written. A queue gets one when its first job is submitted, or before.
 type assignments struct {
 	mu    sync.Mutex
 	byKey map[assignment.Key]*assigned
@@ -212,6 +223,75 @@
 	return d.assignments.update(next, version), nil
 }
 
+// assignAhead reads the assignments when a configuration is applied, and writes missing ones if they are few, so that a daemon that is cut off
+// from the store later knows them.
+func (d *Daemon) assignAhead(ctx context.Context, c *cuminstair.JobConfig) {
+	for _, delay := range []time.Duration{0, rand.N(assignSpread), rand.N(assignSpread), assignSpread} {
+		d.sleep(ctx, delay)
+		if len(d.unassigned(c)) == 0 || d.config.Load() != c {
+			return
+		}
+		if err := d.readAssignments(ctx); err != nil {
+			d.Log.Debug("entry: can't read the assignments of queues", "error", err)
+			continue
+		}
+		if missing := d.unassigned(c); delay > 0 && len(missing) <= maxAssignedAhead {
+			d.assignAll(ctx, c, missing)
+		}
+	}
+}
+
+// unassigned returns the queues of a configuration whose jobs can't be submitted yet.
+func (d *Daemon) unassigned(c *cuminstair.JobConfig) []cuminstair.WorkQueue {
+	var list []cuminstair.WorkQueue
+	for _, q := range c.Queues {
+		if a := d.assignments.find(assignment.KeyOf(&q)); !a.accepts(q.Service) {
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
+// assignAll writes the assignments of queues that have none, and brings those of the others up to date. If another daemon does the same, it
+// leaves the rest to that one.
+func (d *Daemon) assignAll(ctx context.Context, c *cuminstair.JobConfig, queues []cuminstair.WorkQueue) {
+	var created []assignment.Queue
+	for _, q := range queues {
+		key := assignment.KeyOf(&q)
+		if d.assignments.find(key).version > 0 {
+			_, _ = d.assign(ctx, q, c.Version, false) // otherwise the first job of the queue does it
+			continue
+		}
+		created = append(created, assignment.New(key, q.Service, c.Version))
+	}
+	for list := range slices.Chunk(created, assignedPerWrite) {
+		if err := d.createAssignments(ctx, list); err != nil {
+			d.Log.Debug("entry: can't write the assignments of queues", "queues", len(list), "error", err)
+			return
+		}
+	}
+	if len(created) > 0 {
+		d.Log.Info("entry: queues assigned", "queues", len(created), "config", c.Version)
+	}
+}
+
+// createAssignments writes the assignments of queues that have none.
+func (d *Daemon) createAssignments(ctx context.Context, list []assignment.Queue) error {
+	var tx cuminstair.Tx
+	for _, q := range list {
+		tx.Checks = append(tx.Checks, cuminstair.RecordCheck{RecordKey: q.Record()})
+		tx.Puts = append(tx.Puts, cuminstair.RecordPut{RecordKey: q.Record(), Value: q.Encode()})
+	}
+	version, err := d.Store.Commit(ctx, tx)
+	if err != nil {
+		return fmt.Errorf("create assignments: %w", err)
+	}
+	for _, q := range list {
+		d.assignments.update(q, version)
+	}
+	return nil
+}
+
 // readAssignments reads the assignments of all queues.
 func (d *Daemon) readAssignments(ctx context.Context) error {
 	records, _, err := d.Store.Read(ctx, assignment.Table, "", "", "")
--- a/entry/assignments_test.go
+++ b/entry/assignments_test.go
@@ -328,8 +328,9 @@
 	return s.conditionalStore.Read(ctx, table, part, from, to)
 }
 
-// Guards against calls to the store for queues that nobody uses or that have not moved: a configuration may have thousands.
-func TestAssignmentsCostNoCallsUntilTheyAreNeeded(t *testing.T) {
+// Guards against calls to the store for queues that nobody uses, of which a configuration may have thousands, and for queues that have not
+// moved.
+func TestAssignmentsOfManyQueuesAreWrittenOnDemand(t *testing.T) {
 	is := is.New(t)
 	d := newForwarder(t)
 	store := &countedStore{conditionalStore: &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}}
@@ -340,10 +341,38 @@
 			c.Queues = append(c.Queues, cuminstair.WorkQueue{Host: "h", Prefix: fmt.Sprintf("/%d/", i), Service: "s"})
 		}
 		d.applyConfig(c)
+		store.calls = 0
+		d.assignAhead(t.Context(), c)
+		is.Equal(store.calls, 4) // reads all records
 		for range 100 {
 			_, err := d.assign(t.Context(), c.Queues[7], version, false)
 			is.NoErr(err)
 		}
-		is.Equal(store.calls, 2) // reads the record, and writes it
+		is.True(version == 1 || store.calls == 4)
+		is.True(version > 1 || store.calls == 6) // reads the record, and writes it
 	}
 }
+
+// Guards against submissions that a daemon refuses, or keeps waiting, since it is cut off from the store when the first job of a queue
+// comes.
+func TestAssignmentsOfFewQueuesAreWrittenAhead(t *testing.T) {
+	is := is.New(t)
+	store := &countedStore{conditionalStore: &conditionalStore{rows: map[cuminstair.RecordKey]cuminstair.Record{}}}
+	c := &cuminstair.JobConfig{Version: 4}
+	for i := range 120 {
+		c.Queues = append(c.Queues, cuminstair.WorkQueue{Host: "h", Prefix: fmt.Sprintf("/%d/", i), Service: "s"})
+	}
+	for range 2 {
+		d := newForwarder(t)
+		d.Store = store
+		d.applyConfig(c)
+		d.assignAhead(t.Context(), c)
+		calls := store.calls
+		for _, q := range c.Queues {
+			_, err := d.assign(t.Context(), q, c.Version, false)
+			is.NoErr(err)
+		}
+		is.Equal(store.calls, calls)
+	}
+	is.Equal(len(store.rows), len(c.Queues))
+}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -57,9 +57,13 @@
 			d.sleep(ctx, configRetry)
 			continue
 		}
+		before := d.config.Load()
 		for _, r := range records {
 			d.applyOperatorRecord(r)
 		}
+		if c := d.config.Load(); c != before {
+			go d.assignAhead(ctx, c)
+		}
 	}
 	return nil
 }
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -306,6 +306,8 @@
 
 // assignSoon returns the assignment of a call's queue. It tries again for ownerWait, since other daemons may write the assignment too.
 func (d *Daemon) assignSoon(ctx context.Context, x call, renew bool) (assignment.Queue, error) {
+	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
+	defer cancel()
 	begin := d.Timer.Now()
 	for {
 		q, err := d.assign(ctx, x.queue, x.configVersion, renew)
