Test that a service is closed only once its jobs are stored

docs/proofs.md said that TestClosedServiceAcceptsNoMoreJobs shows this. It does not: the mutant that ignores unstored jobs in answerClosings passes it, since one batch holds the record and the job. The new test has 120 jobs, more than a batch holds, and fails on that mutant. The product is unchanged.

--- a/dispatch/queues_test.go
+++ b/dispatch/queues_test.go
@@ -64,6 +64,37 @@
 	p.is.True(got != nil && got.Closed)
 }
 
+// Guards against a service that says that it is closed while jobs that it accepted before are not stored: one batch does not hold them all.
+func TestServiceIsClosedOnceItsJobsAreStored(t *testing.T) {
+	const jobs = 120
+	p := newPool(t, 1)
+	queue := cuminstair.WorkQueue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Since: 3}
+	for i := range jobs {
+		p.s.Submit(p.now, fmt.Sprintf("%016x", i+1), &cuminstair.JobSpec{Steps: []cuminstair.JobStep{longRunning(1)}}, queue, func(dispatch.Result) {})
+	}
+	var got dispatch.CloseResult
+	p.s.CloseQueue(assignment.KeyOf(&queue), 7, func(r dispatch.CloseResult) { got = r })
+	stored := map[string]bool{}
+	for b := p.s.Batch(p.now); b != nil; b = p.s.Batch(p.now) {
+		for _, put := range b.Puts {
+			stored[put.Key] = stored[put.Key] || put.Table == dispatch.JobTable
+		}
+		p.s.Stored(p.now, b)
+		p.decide(0)
+		if got.Closed {
+			break
+		}
+	}
+	n := 0
+	for _, isJob := range stored {
+		if isJob {
+			n++
+		}
+	}
+	p.is.Equal(got, dispatch.CloseResult{Closed: true, Jobs: jobs})
+	p.is.Equal(n, jobs)
+}
+
 // Guards against a record of closed queues that is larger than a value may be, so that no write of the service succeeds any more.
 func TestRecordOfClosedQueuesIsBounded(t *testing.T) {
 	const queues, maxValue = 400, 48 << 10
