--- a/cmd/cuminstairjobs/fleet_test.go
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -264,6 +264,11 @@
 
 // call sends one request to a daemon and returns the status, or 0 if there was no response, and the body.
 func (f *fleet) call(d *daemon, method, path, body string) (int, string) {
+	return f.callWith(d, method, path, body, func(http.Header) {})
+}
+
+// callWith is call with headers that edit adds.
+func (f *fleet) callWith(d *daemon, method, path, body string, edit func(http.Header)) (int, string) {
 	req, err := http.NewRequest(method, "http://"+d.callersAddr+path, strings.NewReader(body))
 	if err != nil {
 		f.t.Error(err)
@@ -271,6 +276,7 @@
 	}
 	req.Host = "q.example"
 	req.Header.Set("X-Deadline-Ms", "3000")
+	edit(req.Header)
 	resp, err := f.client.Do(req)
 	if err != nil {
 		return 0, ""
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -42,7 +42,7 @@
 			for i := range workers * 4 {
 				id := fmt.Sprintf("%016x", i)
 				spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{{Count: 8, CPU: 3000, Memory: 1000, Estimate: time.Hour}}}
-				s.Submit(now, id, spec, cuminstair.WorkQueue{Name: "q", TargetFactor: 1e6}, func(dispatch.Result) {})
+				s.Submit(now, id, spec, cuminstair.WorkQueue{Name: "q", TargetFactor: 1e6}, "", func(dispatch.Result) {})
 				advance()
 			}
 			b.ResetTimer()
--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -175,7 +175,7 @@
 	p.run(200 * time.Millisecond)
 	spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(2, 1000)}, First: p.now.Add(7 * time.Second).UnixMilli()}
 	p.specs[jobA] = spec
-	p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Attempts: 3}, func(dispatch.Result) {})
+	p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Attempts: 3}, "", func(dispatch.Result) {})
 	p.run(400 * time.Millisecond)
 	p.outage(9 * time.Second)
 	p.is.Equal(p.s.Counts().Starts, 0)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -536,7 +536,7 @@
 	}
 	p.specs[jobA] = spec
 	a := &reply{}
-	p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Attempts: 3}, a.set)
+	p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Attempts: 3}, "", a.set)
 	p.run(400 * time.Millisecond)
 	p.is.Equal(a.Outcome, dispatch.Accepted)
 	p.is.Equal(len(p.starts), 0)
--- a/dispatch/exhaust/owner.go
+++ b/dispatch/exhaust/owner.go
@@ -89,7 +89,7 @@
 		step.MaxUnavailable = 1
 	}
 	queue := cuminstair.WorkQueue{Name: "q", Service: service, TargetFactor: 4, Target: time.Hour, Attempts: 3}
-	o.state.Submit(o.x.now, jobID, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step}}, queue, func(dispatch.Result) {})
+	o.state.Submit(o.x.now, jobID, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step}}, queue, "", func(dispatch.Result) {})
 }
 
 // holds reports whether the store names this owner.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -12,6 +12,7 @@
 	id            string
 	spec          *cuminstair.JobSpec
 	queue         cuminstair.WorkQueue
+	account       string // client account that submitted it; empty: none
 	state         cuminstair.JobState
 	storedState   cuminstair.JobState // state according to the store
 	firstSent     time.Time           // time of the first submission, even if it was refused
--- a/dispatch/malformed_test.go
+++ b/dispatch/malformed_test.go
@@ -47,7 +47,7 @@
 	now := time.UnixMilli(1_700_000_000_000)
 	s := New("s", 200, now, hclog.NewNullLogger())
 	spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{{Count: 100, CPU: 10}}, Repeats: 2000, Interval: time.Millisecond}
-	s.Submit(now, "00000000000000aa", spec, cuminstair.WorkQueue{Name: "q"}, func(Result) {})
+	s.Submit(now, "00000000000000aa", spec, cuminstair.WorkQueue{Name: "q"}, "", func(Result) {})
 	s.Stored(now, s.Batch(now))
 	s.Decide(now, now)
 	j := s.jobs["00000000000000aa"]
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -174,7 +174,7 @@
 			}
 			spec.Steps[1].After = []int{0}
 			p.specs[jobA] = spec
-			p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Target: time.Second, Attempts: 3}, func(dispatch.Result) {})
+			p.s.Submit(p.now, jobA, spec, cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 2, Target: time.Second, Attempts: 3}, "", func(dispatch.Result) {})
 			p.run(900 * time.Millisecond)
 			p.storeDown = true // the progress is not stored
 			p.run(500 * time.Millisecond)
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -483,7 +483,7 @@
 	if p.approved != nil {
 		queue.Advised, queue.Decision, queue.Validity = true, 20*time.Millisecond, validity
 	}
-	p.s.Submit(p.now, id, spec, queue, a.set)
+	p.s.Submit(p.now, id, spec, queue, "", a.set)
 	return a
 }
 
--- a/dispatch/queues_test.go
+++ b/dispatch/queues_test.go
@@ -22,12 +22,12 @@
 	submit := func(id string, since int64) (outcome dispatch.Outcome) {
 		queue.Since = since
 		outcome = dispatch.Uncertain
-		p.s.Submit(p.now, id, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, queue, func(r dispatch.Result) { outcome = r.Outcome })
+		p.s.Submit(p.now, id, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, queue, "", func(r dispatch.Result) { outcome = r.Outcome })
 		p.writeBatch()
 		return outcome
 	}
 	p.is.Equal(submit(jobA, 3), dispatch.Accepted)
-	p.s.Submit(p.now, jobB, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, queue, func(dispatch.Result) {})
+	p.s.Submit(p.now, jobB, &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, queue, "", func(dispatch.Result) {})
 	inFlight := p.s.Batch(p.now)
 	var got *dispatch.CloseResult
 	p.s.CloseQueue(key, 7, func(r dispatch.CloseResult) { got = &r })
@@ -70,7 +70,7 @@
 	p := newPool(t, 1)
 	queue := cuminstair.WorkQueue{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Since: 3}
 	for i := range jobs {
-		p.s.Submit(p.now, fmt.Sprintf("%016x", i+1), &cuminstair.JobSpec{Steps: []cuminstair.JobStep{longRunning(1)}}, queue, func(dispatch.Result) {})
+		p.s.Submit(p.now, fmt.Sprintf("%016x", i+1), &cuminstair.JobSpec{Steps: []cuminstair.JobStep{longRunning(1)}}, queue, "", func(dispatch.Result) {})
 	}
 	var got dispatch.CloseResult
 	p.s.CloseQueue(assignment.KeyOf(&queue), 7, func(r dispatch.CloseResult) { got = r })
@@ -116,7 +116,7 @@
 	is := is.New(t)
 	p := newPool(t, 4)
 	for i, q := range []cuminstair.WorkQueue{{Name: "a", Host: "h", Prefix: "/q/"}, {Name: "b", Host: "h", Prefix: "/q/"}, {Name: "a", Host: "h", Prefix: "/r/"}} {
-		p.s.Submit(p.now, jobA[:15]+string(rune('1'+i)), &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, q, func(dispatch.Result) {})
+		p.s.Submit(p.now, jobA[:15]+string(rune('1'+i)), &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 2000)}}, q, "", func(dispatch.Result) {})
 	}
 	p.writeBatch()
 	is.Equal(p.s.Waiting(assignment.Key{Host: "h", Prefix: "/q/"}), 2)
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -26,6 +26,8 @@
 	Spec  *cuminstair.JobSpec  `json:"job"`
 	Sent  int64                `json:"sent"`            // milliseconds since 1970
 	Token int64                `json:"token,omitempty"` // of the owner that accepted the job
+	// Account is the name of the client account that submitted the job; empty: none.
+	Account string `json:"account,omitempty"`
 }
 
 // runRecord is the value of a record of RunTable.
@@ -79,7 +81,7 @@
 
 func (j *job) jobValue() []byte {
 	// Encoding these types never fails.
-	data, _ := json.Marshal(jobRecord{Queue: j.queue, Spec: j.spec, Sent: j.firstSent.UnixMilli(), Token: j.token})
+	data, _ := json.Marshal(jobRecord{Queue: j.queue, Spec: j.spec, Sent: j.firstSent.UnixMilli(), Token: j.token, Account: j.account})
 	return data
 }
 
@@ -138,6 +140,7 @@
 		return nil, fmt.Errorf("job %s: %w", id, err)
 	}
 	j := newJob(id, jr.Spec, jr.Queue)
+	j.account = jr.Account
 	j.firstSent, j.token, j.stored, j.inherited = time.UnixMilli(jr.Sent), jr.Token, true, true
 	var rr runRecord
 	if run != nil {
@@ -208,6 +211,15 @@
 	return nil
 }
 
+// RecordAccount returns the client account of a job from its record in JobTable.
+func RecordAccount(value []byte) (string, error) {
+	var r jobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return "", fmt.Errorf("decode job: %w", err)
+	}
+	return r.Account, nil
+}
+
 // RecordState returns the state of a job from its record in RunTable.
 func RecordState(value []byte) (cuminstair.JobState, error) {
 	var r runRecord
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -33,6 +33,7 @@
 	Uncertain                  // the job may be stored
 	NotFound                   // no such job
 	Moved                      // not stored and never runs: the service is closed to the queue
+	Forbidden                  // nothing was changed: the job belongs to another client account
 )
 
 // Service is the state that the owner of a service keeps. The exported fields are set before the first call.
@@ -109,6 +110,7 @@
 	resolved        bool                 // see inheritedResolved; it stays true
 	settled         bool                 // the runs of earlier owners were settled at the last placement; see inheritedResolved
 	counts          Counts
+	accounts        map[string]cuminstair.ClientAccount // by name; nil: none are configured
 }
 
 // Counts are totals since the service was taken over.
--- a/dispatch/split_test.go
+++ b/dispatch/split_test.go
@@ -211,7 +211,7 @@
 	s := New("s", 200, now, hclog.NewNullLogger())
 	spec := &cuminstair.JobSpec{Payload: strings.Repeat("p", rowBytes), Steps: []cuminstair.JobStep{{Count: 1}}}
 	var got Result
-	s.Submit(now, "00000000000000aa", spec, cuminstair.WorkQueue{Name: "q", TargetFactor: 2}, func(r Result) { got = r })
+	s.Submit(now, "00000000000000aa", spec, cuminstair.WorkQueue{Name: "q", TargetFactor: 2}, "", func(r Result) { got = r })
 	is.Equal(got.Outcome, Impossible)
 	is.True(strings.Contains(got.Why, "at most 49152"))
 	is.Equal(len(s.dirty), 0)
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -38,9 +38,14 @@
 	waveShare = 0.25
 )
 
-// Submit processes the submission of a job. reply is called once the outcome is known, possibly before Submit returns.
-func (s *Service) Submit(now time.Time, id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue, reply func(Result)) {
+// Submit processes the submission of a job by a client account, which may be empty. reply is called once the outcome is known,
+// possibly before Submit returns.
+func (s *Service) Submit(now time.Time, id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue, account string, reply func(Result)) {
 	if j, ok := s.jobs[id]; ok {
+		if !s.MayAccess(id, account) {
+			reply(Result{Outcome: Forbidden, Why: otherAccount})
+			return
+		}
 		if j.stored {
 			reply(Result{Outcome: Accepted, Why: "known"})
 			return
@@ -53,6 +58,7 @@
 		return
 	}
 	j := newJob(id, spec, queue)
+	j.account = account
 	j.firstSent, j.receivedAt, j.token = now, now, s.Token
 	if r, ok := s.denied[id]; ok && now.Sub(r.first) <= deniedTTL {
 		j.firstSent = r.first
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -97,7 +97,8 @@
 	if old != nil {
 		before = old.Version
 	}
-	d.Log.Info("entry: configuration in force", "version", c.Version, "before", before, "queues", len(c.Queues), "pools", len(c.Pools))
+	d.Log.Info("entry: configuration in force", "version", c.Version, "before", before, "queues", len(c.Queues), "pools", len(c.Pools),
+		"accounts", len(c.Accounts))
 }
 
 func (d *Daemon) applyWave(r cuminstair.Record) {
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -84,6 +84,7 @@
 type call struct {
 	queue         cuminstair.WorkQueue
 	id            string // job; empty: the call is about the queue
+	account       string // client account whose key the call has; empty: none
 	configVersion int64
 	method        string
 	arrived       time.Time
@@ -104,15 +105,18 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
-	if err != nil {
-		return c.String(http.StatusBadRequest, "the body could not be read")
-	}
 	queue, idPart, ok := findQueue(config, req.Host, req.URL.Path)
 	if !ok {
 		return c.String(http.StatusNotFound, "no such queue")
 	}
 	x := call{queue: queue, configVersion: config.Version, method: req.Method, arrived: now}
+	if !d.authorize(config, &x, req.Header) {
+		return c.String(http.StatusUnauthorized, "no key of a client account, or an unknown one")
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
+	if err != nil {
+		return c.String(http.StatusBadRequest, "the body could not be read")
+	}
 	x.id, ok = platform.JobID(idPart)
 	if !ok {
 		return c.String(http.StatusNotFound, "no such job: an id has 16 hexadecimal digits")
@@ -152,6 +156,8 @@
 		return c.NoContent(http.StatusOK)
 	case dispatch.Uncertain:
 		return d.uncertain(c, x, r.Why)
+	case dispatch.Forbidden:
+		return d.forbid(c, x)
 	case dispatch.Refused, dispatch.Impossible:
 		return d.refuse(c, x, http.StatusTooManyRequests, r.Wait, r.Why)
 	default:
@@ -182,6 +188,8 @@
 		state, err = d.stateElsewhere(ctx, x)
 	}
 	switch {
+	case errors.Is(err, errForbidden):
+		return d.forbid(c, x)
 	case err != nil:
 		return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "no owner and no store")
 	case state == cuminstair.JobUnknown:
@@ -193,6 +201,9 @@
 // stateAt returns the state of a job at the service of its queue.
 func (d *Daemon) stateAt(ctx context.Context, x call) (cuminstair.JobState, error) {
 	a, err := d.forward(ctx, x, nil)
+	if err == nil && a.Outcome == dispatch.Forbidden {
+		return cuminstair.JobUnknown, errForbidden
+	}
 	// A former owner may not know a job that its successor has accepted.
 	if err != nil || a.Outcome == dispatch.Unavailable || a.State == cuminstair.JobUnknown {
 		return d.storedState(ctx, x)
@@ -217,6 +228,13 @@
 	if err != nil || len(jobs) == 0 {
 		return cuminstair.JobUnknown, err
 	}
+	account, err := dispatch.RecordAccount(jobs[0].Value)
+	if err != nil {
+		return cuminstair.JobUnknown, err
+	}
+	if account != "" && x.account != "" && account != x.account {
+		return cuminstair.JobUnknown, errForbidden
+	}
 	runs, _, err := d.Store.Read(ctx, dispatch.RunTable, x.queue.Service, x.id, to)
 	if err != nil {
 		return cuminstair.JobUnknown, err
@@ -244,6 +262,8 @@
 		return d.refuse(c, x, http.StatusServiceUnavailable, defaultRetry, "the service has no owner")
 	case err != nil:
 		return d.uncertain(c, x, "the owner did not answer")
+	case a.Outcome == dispatch.Forbidden:
+		return d.forbid(c, x)
 	case a.Outcome == dispatch.NotFound:
 		return c.NoContent(http.StatusGone)
 	case a.Outcome == dispatch.Uncertain:
@@ -386,7 +406,7 @@
 	number := d.forwarded.begin()
 	defer d.forwarded.end(number)
 	q := callRequest{
-		Method: x.method, ID: x.id, Queue: x.queue, Job: spec, From: d.addr, Run: d.runID, Number: number,
+		Method: x.method, ID: x.id, Queue: x.queue, Job: spec, Account: x.account, From: d.addr, Run: d.runID, Number: number,
 	}
 	for range maxResends {
 		q.Stamp = d.requestStamp(x.queue.Service)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -41,10 +41,12 @@
 	ID     string               `json:"id"`
 	Queue  cuminstair.WorkQueue `json:"queue"`
 	Job    *cuminstair.JobSpec  `json:"job,omitempty"`
-	From   string               `json:"from,omitempty"`  // address of the daemon that forwards the call
-	Run    string               `json:"run,omitempty"`   // its Node.Run
-	Number uint64               `json:"n,omitempty"`     // unique in that run; 0: the daemon is of an earlier version
-	Stamp  *stamp               `json:"stamp,omitempty"` // see requestStamp; nil: the daemon is of an earlier version
+	// Account is the client account whose key the call had; empty: none.
+	Account string `json:"account,omitempty"`
+	From    string `json:"from,omitempty"`  // address of the daemon that forwards the call
+	Run     string `json:"run,omitempty"`   // its Node.Run
+	Number  uint64 `json:"n,omitempty"`     // unique in that run; 0: the daemon is of an earlier version
+	Stamp   *stamp `json:"stamp,omitempty"` // see requestStamp; nil: the daemon is of an earlier version
 }
 
 // callReply is the owner's answer to a callRequest.
@@ -278,7 +280,7 @@
 	if r == nil {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true, Owner: addr})
 	}
-	x := call{queue: q.Queue, id: q.ID, method: q.Method, arrived: d.Timer.Now()}
+	x := call{queue: q.Queue, id: q.ID, method: q.Method, account: q.Account, arrived: d.Timer.Now()}
 	a, err := d.callForwarded(c.Request().Context(), r, x, q)
 	if errors.Is(err, errNoOwner) {
 		return c.JSON(http.StatusOK, callReply{NotOwner: true})
@@ -317,8 +319,10 @@
 			answers <- callReply{NotOwner: true}
 		case x.forwarded && r.mayBeLate(now, x):
 			answer(callReply{Late: true, Outcome: dispatch.Uncertain})
+		case !r.state.MayAccess(x.id, x.account):
+			answer(callReply{Outcome: dispatch.Forbidden})
 		case x.method == http.MethodPost && spec != nil:
-			r.state.Submit(now, x.id, spec, x.queue, result)
+			r.state.Submit(now, x.id, spec, x.queue, x.account, result)
 		case x.method == http.MethodDelete:
 			r.state.Cancel(now, x.id, result)
 		case x.id == "":
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -58,6 +58,7 @@
 	counted     dispatch.Counts // counters already added to the metrics
 	lastStep    time.Time
 	state       *dispatch.Service
+	config      *cuminstair.JobConfig // whose client accounts state has
 
 	owner          ownership.Owner // as last written, or being written
 	earlierStopped bool            // earlier owners give no more orders
@@ -171,6 +172,7 @@
 		r.d.Metrics.countEvents(r.counted, counts)
 		r.counted = counts
 		r.state.SetAlive(r.aliveAt())
+		r.followConfig()
 		for _, o := range r.state.Decide(now, r.confirmedAt) {
 			go r.execute(ctx, o)
 		}
@@ -191,6 +193,14 @@
 	}
 }
 
+// followConfig passes the client accounts of the configuration in force to the service state.
+func (r *runner) followConfig() {
+	if c := r.d.config.Load(); c != r.config {
+		r.config = c
+		r.state.SetAccounts(c.Accounts)
+	}
+}
+
 // aliveAt returns the time of a write of this daemon after which other daemons take it for alive and none can have taken the
 // service over before, or the zero time. A write of the service fails if there is another owner. Another write, such as a
 // heartbeat, counts only without a gap since the last one that counts, or if the store has named this owner after it; after an
--- a/experiment/client.go
+++ b/experiment/client.go
@@ -58,7 +58,7 @@
 		}
 		o.event(func() {
 			spec, queue := s.policy.submission(s.now, j)
-			o.service.Submit(s.now, j.id, spec, queue, func(r dispatch.Result) {
+			o.service.Submit(s.now, j.id, spec, queue, "", func(r dispatch.Result) {
 				s.noteOutcome(j, r, answered)
 				answer(r)
 			})
--- a/jobs.go
+++ b/jobs.go
@@ -1,6 +1,7 @@
 package cuminstair
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -126,6 +127,7 @@
 	TargetFactor float64       // variable part: multiple, at least 1, of the duration of the job's longest chain of steps
 	Priority     int           // 0 is the highest
 	Attempts     int           // failed runs of one task after which the job fails
+	Anonymous    bool          `json:",omitempty"` // calls need no key of a client account
 	Advised      bool          // the adviser must approve the workers of a step
 	// To answer, the adviser takes Decision plus PerWorker for each worker. Its tickets are valid for Validity.
 	Decision, PerWorker, Validity time.Duration
@@ -169,15 +171,35 @@
 	Guarded bool // its workers refuse tasks that exceed their free resources
 }
 
+// KeySum is the SHA-256 sum of a key of a client account.
+type KeySum [sha256.Size]byte
+
+// Resources is an amount of each resource.
+type Resources struct {
+	CPU    int // thousandths of a core
+	Memory int // MB
+	Accel  int // accelerators
+}
+
+// ClientAccount is the configuration of a client account.
+type ClientAccount struct {
+	Name     string
+	Priority int
+	Weight   float64   // relative share of the room when all of it is in use
+	Limit    Resources // of its running tasks on the workers of all services; 0: no limit
+}
+
 // JobConfig is one version of the configuration of the job path.
 type JobConfig struct {
 	Version  int64
 	Queues   []WorkQueue
 	Pools    []WorkPool
-	MaxBody  int64         // bytes of a request body
-	MaxHead  int           // bytes of a request header
-	HeadWait time.Duration // time limit for receiving a request header
-	IdleWait time.Duration // time limit for an idle connection
+	Accounts []ClientAccount   // sorted by name; nil: calls are not checked for a key
+	Keys     map[KeySum]string // by sum of a key: name of its account
+	MaxBody  int64             // bytes of a request body
+	MaxHead  int               // bytes of a request header
+	HeadWait time.Duration     // time limit for receiving a request header
+	IdleWait time.Duration     // time limit for an idle connection
 }
 
 // WorkerState tells whether a worker takes new tasks.
@@ -310,4 +332,5 @@
 	HandoverDelay  time.Duration // minimum time between orders of two controllers for one host
 	StateRetention time.Duration // how long the state of a finished job can be queried
 	Fenced         bool          // HostControl checks fencing tokens
+	RemoteFactor   float64       // how many times as long a task takes away from the rack of its data or its step; 0: not known
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -150,6 +150,19 @@
 // Configure writes the operator's configuration, with one queue for each service at the host name q.example, and
 // returns its version.
 func (s *Site) Configure(services []string, timeout time.Duration) int {
+	return s.ConfigureAccounts(services, timeout, nil)
+}
+
+// Account is a client account of the operator's configuration.
+type Account struct {
+	Name   string         `json:"name"`
+	Keys   []string       `json:"api_keys"`
+	Weight float64        `json:"weight"`
+	Limit  map[string]int `json:"max_count,omitempty"`
+}
+
+// ConfigureAccounts is Configure with client accounts; nil: none.
+func (s *Site) ConfigureAccounts(services []string, timeout time.Duration, accounts []Account) int {
 	s.mu.Lock()
 	s.configVersion += 3 // versions need not be consecutive
 	version := s.configVersion
@@ -163,9 +176,13 @@
 		pools = append(pools, map[string]any{"name": name, "admission_check": false, "spare": false})
 	}
 	pools = append(pools, map[string]any{"name": SparePool, "spare": true})
-	data, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": version, "routes": routes, "services": pools, "limits": map[string]int{"max_body_bytes": 262144},
-	})
+	}
+	if accounts != nil {
+		config["tenants"] = accounts
+	}
+	data, err := json.Marshal(config)
 	if err != nil {
 		panic(err)
 	}
