Read the owner records from a version before the list of parts

Cause: the whole read listed the parts, then took the version to continue from; an owner record that was created in between was never read, and its successor wrote with version 0 again and again. Change: the version is read before the list.

--- a/entry/owners.go
+++ b/entry/owners.go
@@ -144,13 +144,14 @@
 }
 
 // readOwnersWhole reads all records. It returns the version of the first read, so that the next call of Changes repeats
-// any change made during the later reads.
+// any change made during the later reads. The parts are listed after that read: a part that is created between a list and the
+// first read would be in neither.
 func (d *Daemon) readOwnersWhole(ctx context.Context) ([]cuminstair.Record, uint64, error) {
-	parts, err := d.Store.Parts(ctx, ownership.Table)
+	records, first, err := d.Store.Read(ctx, ownership.Table, ownership.NodePart, "", "")
 	if err != nil {
 		return nil, 0, err
 	}
-	records, first, err := d.Store.Read(ctx, ownership.Table, ownership.NodePart, "", "")
+	parts, err := d.Store.Parts(ctx, ownership.Table)
 	if err != nil {
 		return nil, 0, err
 	}
