Keep the hosts of a pool whose service has a new owner

Cause: a new owner has counted submitted work for some tenths of a second only; the planner took that for the end of the peak and moved 53 of 114 hosts away. Change: owners say that they are new for 1.5 s; such a pool does not shrink, and its demand does not enter the forecast.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -13,6 +13,9 @@
 	rateWindow = time.Second
 	// rateBucket is the length of the time buckets in which submitted work is summed.
 	rateBucket = 100 * time.Millisecond
+	// newOwnerTime is how long after a takeover the demand may be reported too low: work is counted over rateWindow, and callers
+	// that a takeover has kept waiting come again meanwhile.
+	newOwnerTime = rateWindow + 500*time.Millisecond
 	// minBacklogTime is the shortest time in which demand aims to finish accepted work.
 	minBacklogTime = 1200 * time.Millisecond
 	// staleBacklogTime is the time in which demand aims to finish work whose result is no longer useful.
@@ -46,6 +49,9 @@
 	Idle        []string `json:"idle,omitempty"`   // workers without tasks, the longest idle first
 	// Objective is the mean objective of jobs in milliseconds, 0 before the first job.
 	Objective int64 `json:"objective,omitempty"`
+	// Young means that the owner has had the service for less than newOwnerTime, so that Rate, Active and Idle may not show the
+	// demand.
+	Young bool `json:"young,omitempty"`
 }
 
 // recordOffered adds work that a caller submits for the first time to the current time bucket.
@@ -72,7 +78,7 @@
 // available how many more could be.
 func (s *Service) Demand(now time.Time, incoming, available int) Demand {
 	s.incoming, s.available = incoming, available
-	d := Demand{Rate: s.rate(now), Objective: s.meanObjective.Milliseconds(), CutOff: s.cutOffCentres(now)}
+	d := Demand{Rate: s.rate(now), Objective: s.meanObjective.Milliseconds(), CutOff: s.cutOffCentres(now), Young: now.Sub(s.takenOverAt) < newOwnerTime}
 	d.Backlog, d.Late = backlogs(now, s.load(now))
 	d.Active, d.Spread = s.activeDemand()
 	var idle []*worker
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -78,7 +78,7 @@
 		}
 		h.d.Log.Log(level, "entry: demand", "service", p.Service, "rate", math.Round(p.Rate), "backlog", math.Round(p.Backlog),
 			"late", math.Round(p.Late), "active", math.Round(p.Active), "longRunning", math.Round(p.LongRunning), "pinned", p.Pinned,
-			"objective", p.Objective.Milliseconds(), "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known,
+			"objective", p.Objective.Milliseconds(), "have", p.Have, "incoming", p.Incoming, "idle", len(p.Idle), "known", p.Known, "young", p.Young,
 			"moves", changed[p.Service])
 	}
 }
@@ -203,7 +203,7 @@
 				return
 			}
 			p.Known, p.Rate, p.Backlog, p.LongRunning = true, d.Rate, d.Backlog, d.LongRunning
-			p.Active, p.Spread, p.Late = d.Active, d.Spread, d.Late
+			p.Active, p.Spread, p.Late, p.Young = d.Active, d.Spread, d.Late, d.Young
 			p.Pinned, p.Cores, p.Objective = d.Pinned, d.Cores, time.Duration(d.Objective)*time.Millisecond
 			for _, id := range d.Silent {
 				if _, ok := v.hosts[id]; ok {
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -45,6 +45,7 @@
 	Incoming    int           // hosts being moved to it
 	Idle        []string      // hosts without tasks, the longest idle first
 	Objective   time.Duration // mean latency objective of its work; 0: unknown
+	Young       bool          // that daemon has counted the demand for a short time only, so that it may be too low
 	Known       bool          // the daemon that owns the service has reported the demand; if not, the pool stays unchanged
 }
 
@@ -92,7 +93,7 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Service < list[j].Service })
 	for i := range list {
 		x := &list[i]
-		if x.Known && x.Cores > 0 {
+		if x.Known && x.Cores > 0 && !x.Young {
 			p.forecast.Observe(now, x.Service, x.Rate, float64(p.historyOf(now, x).initial)*x.Cores)
 		}
 	}
@@ -149,7 +150,7 @@
 		d.moves = append(d.moves, Move{Host: popFirst(&d.spare), From: d.Spare, To: x.Service, Reason: "late work"})
 		x.Incoming++
 	}
-	for d.Spare != "" && x.Known && x.Have+x.Incoming > late && len(x.Idle) > 0 && !d.full() {
+	for d.Spare != "" && x.Known && !x.Young && x.Have+x.Incoming > late && len(x.Idle) > 0 && !d.full() {
 		d.moves = append(d.moves, Move{Host: popFirst(&x.Idle), From: x.Service, To: d.Spare, Reason: "idle"})
 		x.Have--
 	}
@@ -190,7 +191,11 @@
 	if !x.Known || x.Cores <= 0 {
 		return 0
 	}
-	return x.Have + x.Incoming - d.demandedHosts(d.now, x)
+	surplus := x.Have + x.Incoming - d.demandedHosts(d.now, x)
+	if x.Young {
+		return min(0, surplus)
+	}
+	return surplus
 }
 
 // shortage is the number of hosts that a pool lacks; negative if it has more than it should.
@@ -248,7 +253,7 @@
 
 // canLend reports whether a pool has an idle host for another pool.
 func canLend(from, to *Pool) bool {
-	return from.Service != to.Service && from.Known && len(from.Idle) > 0
+	return from.Service != to.Service && from.Known && !from.Young && len(from.Idle) > 0
 }
 
 // retained is the number of hosts that a pool keeps while another pool lacks hosts: all of them if its peak is about to
@@ -267,7 +272,7 @@
 }
 
 // wantedHosts is the number of hosts that a pool should have for work that can be on time. A pool whose demand is unknown
-// is left unchanged.
+// is left unchanged, and one whose owner is new does not shrink.
 func (p *Planner) wantedHosts(now time.Time, x *Pool) int {
 	if !x.Known || x.Cores <= 0 {
 		return x.Have + x.Incoming
@@ -279,6 +284,9 @@
 		// have been lent meanwhile.
 		hosts = max(hosts, min(h.initial, x.Have+x.Incoming))
 	}
+	if x.Young {
+		hosts = max(hosts, x.Have+x.Incoming)
+	}
 	if hosts >= h.needed || now.Sub(h.neededAt) > retentionTime {
 		h.needed, h.neededAt = hosts, now
 	}
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -269,3 +269,27 @@
 func TestBrokenMemory(t *testing.T) {
 	is.New(t).True(pools.New("").Restore(start, []byte("[")) != nil)
 }
+
+// Guards against a pool that loses its hosts at the height of its peak because its service has got another owner, which has
+// counted the work that callers submit for some tenths of a second only.
+func TestPoolWithANewOwnerKeepsItsHosts(t *testing.T) {
+	for name, young := range map[string]bool{"new owner": true, "same owner": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := pools.New("spare")
+			peak, other := idlePool("a", 60), idlePool("b", 10)
+			peak.Idle, peak.Rate, peak.Active, peak.Objective = nil, 1500, 1400, 3*time.Second
+			p.Plan(start, []pools.Pool{peak, other}, nil)
+			after := peak
+			after.Idle, after.Rate, after.Active, after.Young = hostNames("a", 30), 200, 300, young
+			short := other
+			short.Idle, short.Rate, short.Active, short.Objective = nil, 900, 900, 3*time.Second
+			moves, yields := p.Plan(start.Add(3*time.Second), []pools.Pool{after, short}, nil)
+			is.Equal(len(moves) == 0, young)
+			is.True(!young || len(yields) == 0)
+			peak.Idle = hostNames("a", 1)
+			n := countMoves(p.Plan(start.Add(4*time.Second), []pools.Pool{peak, short}, nil))
+			is.Equal(n["a>b"], 0) // the peak goes on
+		})
+	}
+}
