Start second copies of slow tasks that allow copies

Change: checkRuns lists late runs; after the placement, copies of those for which it pays are started on other workers with free room, if nothing that can be in time waits. The slow run is detached. Detached runs are known to their task: they are stopped when the other copy has ended done or the job has ended, instead of at the next report of their worker, and become the run of their task again when the other copy ends otherwise, instead of a further start. A silent worker's run is not copied again while a copy goes on elsewhere. A beaten run counts for the slowdown of its worker, and the ratio of the queue is given one duration for each task. cuminstair_copies_total and cuminstair_copies_wasted_core_seconds_total count the copies and the work of the beaten ones.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -72,6 +72,9 @@
 	confirmedInTime := s.Grace == 0 || now.Sub(confirmed) < s.Grace
 	if !s.stopping && confirmedInTime {
 		s.placeAll(now)
+		if scan {
+			s.copyLate(now)
+		}
 	}
 	if scan && !s.stopping {
 		s.paceAll(now)
@@ -125,8 +128,10 @@
 }
 
 // checkRuns stops runs whose start was not answered, repeats stops that are unconfirmed or have had no effect, and
-// stops runs that make no progress.
+// stops runs that make no progress. It lists the runs of which a second copy may pay.
 func (s *Service) checkRuns(now time.Time) {
+	clear(s.lateRuns)
+	s.lateRuns = s.lateRuns[:0]
 	for _, w := range s.workers {
 		for _, a := range w.attempts {
 			switch {
@@ -146,6 +151,8 @@
 				w.blockedUntil = now.Add(minBlock * 4)
 				a.task.stuckStops++
 				s.orderStop(now, a)
+			default:
+				s.listLate(now, a)
 			}
 		}
 	}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -60,8 +60,9 @@
 	switch {
 	case e.How == cuminstair.EndDone:
 		w.failedRuns = 0
-		if a != nil && a.task != nil {
-			s.recordDuration(now, a)
+		if t := a.timedTask(); t != nil {
+			s.recordDuration(now, t, a)
+			s.learnDuration(now, t, a)
 		}
 	case e.How != cuminstair.EndFailed:
 	case a != nil && a.hasServed(now):
@@ -73,6 +74,18 @@
 	}
 }
 
+// timedTask returns the task of a run whose time until its end is reported tells how long the task takes, or nil. The end of a run
+// that was detached since its worker did not answer is reported late; that of a slow run with a second copy is not.
+func (a *attempt) timedTask() *task {
+	switch {
+	case a == nil:
+		return nil
+	case a.copyOf != nil && a.copyOf.pair != nil && a.copyOf.pair.first == a:
+		return a.copyOf
+	}
+	return a.task
+}
+
 // blockAfterFailure counts a failed run against its worker.
 func (s *Service) blockAfterFailure(now time.Time, w *worker) {
 	w.failedRuns++
@@ -142,7 +155,7 @@
 	}
 }
 
-// taskDone marks a task as done by the attempt a, which may be nil, and stops another run of it.
+// taskDone marks a task as done by the attempt a, which may be nil, and stops its other runs.
 func (s *Service) taskDone(now time.Time, t *task, a *attempt) {
 	t.done = true
 	s.counts.Done++
@@ -150,6 +163,8 @@
 	if t.attempt != nil && t.attempt != a {
 		s.orderStop(now, t.attempt)
 	}
+	s.stopCopies(now, t, a)
+	s.copyDone(now, t, a)
 	s.taskComplete(now, t)
 }
 
@@ -214,6 +229,7 @@
 				if t.attempt != nil {
 					s.orderStop(now, t.attempt)
 				}
+				s.stopCopies(now, t, nil)
 			}
 		}
 	}
@@ -222,9 +238,10 @@
 		"after", now.Sub(j.firstSent).Round(time.Millisecond).String(), "late", now.After(j.due))
 }
 
-// release frees the room of an attempt and queues its task again if it is not done. Only conclude calls it.
+// release frees the room of an attempt and queues its task again if it is not done and no copy of it goes on. Only conclude calls it.
 func (s *Service) release(now time.Time, a *attempt) {
 	a.worker.remove(now, a)
+	s.releaseCopy(now, a)
 	s.changed = true
 	t := a.task
 	if t == nil || t.attempt != a {
@@ -237,6 +254,10 @@
 	if t.done || t.step.occ.job.finished() {
 		return
 	}
+	if c := s.liveCopy(t); c != nil {
+		t.reattach(c)
+		return
+	}
 	s.requeue(t.step)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/place"
+	"cuminstair.org/cuminstair/straggler"
 )
 
 // job is a job that is stored or is waiting to be stored.
@@ -52,16 +53,17 @@
 	index          int
 	occ            *occurrence
 	tasks          []*task
-	tasksLeft      int            // tasks that are not done
-	started        bool           // a task has started
-	startedEarlier bool           // an earlier owner has started a task of it
-	pathAfter      time.Duration  // longest dependency path after this step
-	queued         bool           // listed in Service.ready
-	latestStart    time.Time      // latest start of its tasks for the job to be in time
-	rank           int            // see Service.rank
-	mayRun         bool           // an earlier owner may have started its tasks on workers that have not answered
-	advice         advice         // for steps of an advised queue
-	saved          gangCheckpoint // of a gang
+	tasksLeft      int             // tasks that are not done
+	started        bool            // a task has started
+	startedEarlier bool            // an earlier owner has started a task of it
+	pathAfter      time.Duration   // longest dependency path after this step
+	queued         bool            // listed in Service.ready
+	latestStart    time.Time       // latest start of its tasks for the job to be in time
+	rank           int             // see Service.rank
+	mayRun         bool            // an earlier owner may have started its tasks on workers that have not answered
+	advice         advice          // for steps of an advised queue
+	saved          gangCheckpoint  // of a gang
+	peers          straggler.Peers // of its tasks, if they allow copies: runs that have ended done
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -73,21 +75,25 @@
 	run         int64   // highest run number started or seen
 	checkpoint  string  // newest known checkpoint; a gang has one for all, see step.saved
 	attempt     *attempt
-	lostAt      time.Time // when its last run was lost without a report of its end; zero: it was not
-	stuckStops  int       // how often it was stopped for lack of progress
-	avoidWorker string    // worker on which the last run failed
-	avoidUntil  time.Time // until when the next run has to be on another worker
-	awaySince   time.Time // of a long-running task: since when it is down; zero: it is serving
-	plannedMove bool      // it is down because the owner moved it
-	reserved    *worker   // worker last reserved for it
-	crashes     []crash   // runs whose workers crashed, or may have crashed, the latest last
-	trialSince  time.Time // since when a trial finds no worker without long-running tasks; zero: it does not
-	adopted     bool      // this owner found its first run, by the owner that accepted the job, on a worker that answered
+	lostAt      time.Time  // when its last run was lost without a report of its end; zero: it was not
+	stuckStops  int        // how often it was stopped for lack of progress
+	avoidWorker string     // worker on which the last run failed
+	avoidUntil  time.Time  // until when the next run has to be on another worker
+	awaySince   time.Time  // of a long-running task: since when it is down; zero: it is serving
+	plannedMove bool       // it is down because the owner moved it
+	reserved    *worker    // worker last reserved for it
+	crashes     []crash    // runs whose workers crashed, or may have crashed, the latest last
+	trialSince  time.Time  // since when a trial finds no worker without long-running tasks; zero: it does not
+	copies      []*attempt // detached runs that have not been released
+	pair        *copyPair  // a slow run and its second copy, as long as both may run; nil: there is none
+	copied      int        // number of second copies that were started since a run was slow
+	adopted     bool       // this owner found its first run, by the owner that accepted the job, on a worker that answered
 }
 
 // attempt is a run of a task on a worker. Its room on the worker stays taken until the run has certainly ended.
 type attempt struct {
 	task        *task // nil for an unexpected or detached run
+	copyOf      *task // of a detached run: its task
 	id          cuminstair.TaskID
 	run         int64
 	worker      *worker
@@ -97,6 +103,7 @@
 	runTimes
 	percent        int           // reported progress
 	progressAt     time.Time     // when percent last increased
+	readAt         time.Time     // when percent was last read
 	gauge          float64       // as reported, see cuminstair.RunningTask
 	cpuShare       int           // CPU share of a best-effort task in percent
 	pacedAt        time.Time     // when cpuShare was last changed
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -392,6 +392,9 @@
 	}
 	s.centreFree[w.info.Centre] -= s.taskCores(&st.JobStep)
 	s.counts.Starts++
+	if !st.LongRunning && !st.BestEffort {
+		s.stragglers.Started(now, s.taskCores(&st.JobStep)*a.expected.Seconds())
+	}
 	order := cuminstair.StartOrder{
 		Task: t.id, Run: run, Payload: j.spec.Payload, Lease: s.nextLease(now, w), Token: s.Token, Checkpoint: t.startFrom(),
 		Ticket: st.ticketFor(now, w),
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -84,6 +84,7 @@
 	withhold       int  // so many acknowledgements are withheld
 	batch          *dispatch.Batch
 	duration       func(id cuminstair.TaskID) time.Duration
+	slowOn         func(id cuminstair.TaskID, w *fakeWorker) bool // whether a task takes 7 times as long on a worker
 	fails          func(id cuminstair.TaskID, w *fakeWorker) bool
 	crashes        func(id cuminstair.TaskID) bool // whether a task crashes the worker that starts it
 	lostStarts     int                             // so many starts are lost, each with its worker, which crashes
@@ -113,6 +114,7 @@
 		t: t, is: is.New(t), now: begin, store: map[cuminstair.RecordKey][]byte{}, starts: map[cuminstair.TaskID]int{},
 		specs: map[string]*cuminstair.JobSpec{}, issued: map[string]time.Time{},
 		duration: func(cuminstair.TaskID) time.Duration { return 600 * time.Millisecond },
+		slowOn:   func(cuminstair.TaskID, *fakeWorker) bool { return false },
 		fails:    func(cuminstair.TaskID, *fakeWorker) bool { return false },
 		crashes:  func(cuminstair.TaskID) bool { return false }, crashCount: map[cuminstair.TaskID]int{},
 		crashDelay: 10 * time.Millisecond,
@@ -254,7 +256,7 @@
 				w.end(id, r, cuminstair.EndLeaseExpired)
 			case !r.stopOrdered.IsZero() && p.now.Sub(r.stopOrdered) >= w.stopDuration:
 				w.end(id, r, cuminstair.EndStopped)
-			case !p.step(id).LongRunning && p.now.Sub(r.started) >= p.duration(id):
+			case !p.step(id).LongRunning && p.now.Sub(r.started) >= p.durationOn(id, w):
 				how := cuminstair.EndDone
 				if p.fails(id, w) {
 					how = cuminstair.EndFailed
@@ -286,6 +288,13 @@
 	w.ended = append(w.ended, cuminstair.EndedTask{Seq: w.seq, Task: id, Run: r.run, How: how, Checkpoint: r.saved})
 }
 
+func (p *pool) durationOn(id cuminstair.TaskID, w *fakeWorker) time.Duration {
+	if p.slowOn(id, w) {
+		return 7 * p.duration(id)
+	}
+	return p.duration(id)
+}
+
 func (p *pool) worker(id string) *fakeWorker {
 	for _, w := range p.workers {
 		if w.info.ID == id {
@@ -450,7 +459,7 @@
 	for id, x := range w.runs {
 		percent := 100
 		if !p.step(id).LongRunning {
-			percent = min(99, int(100*p.now.Sub(x.started)/p.duration(id)))
+			percent = min(99, int(100*p.now.Sub(x.started)/p.durationOn(id, w)))
 		} else if p.now.Sub(x.started) < startup {
 			percent = 0
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -160,7 +160,7 @@
 	if t.Percent > a.percent || a.progressAt.IsZero() {
 		a.percent, a.progressAt = t.Percent, now
 	}
-	a.percent, a.gauge = t.Percent, t.Gauge
+	a.percent, a.gauge, a.readAt = t.Percent, t.Gauge, now
 	if s.obsolete(a) {
 		s.orderStop(now, a)
 	}
@@ -215,6 +215,9 @@
 	}
 	s.Log.Warn("dispatch: stopping an unexpected run", "service", s.Name, "job", t.Task.Job,
 		"step", t.Task.Step, "task", t.Task.Index, "run", t.Run, "worker", w.info.ID)
+	if x != nil && x.step.copyable() {
+		x.addCopy(a)
+	}
 	s.orderStop(now, a)
 	return a
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -12,6 +12,7 @@
 	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/place"
+	"cuminstair.org/cuminstair/straggler"
 )
 
 // Result is the answer to a caller.
@@ -108,6 +109,8 @@
 	stopping        bool                 // see Stopping
 	resolved        bool                 // see inheritedResolved; it stays true
 	settled         bool                 // the runs of earlier owners were settled at the last placement; see inheritedResolved
+	stragglers      *straggler.Model
+	lateRuns        []lateRun // see listLate; only used within a decision
 	counts          Counts
 }
 
@@ -116,6 +119,9 @@
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
 	Crashes                                              int // of workers that ran tasks
 	Contradictions                                       int // answers of workers that could not be true
+	// Second copies of slow tasks: started, those that completed their task or replaced the first run, and the others.
+	Copies, CopiesWon, CopiesWasted int
+	WastedCoreSeconds               float64 // of the work of copies that did not complete their task, while two copies ran
 }
 
 // New returns the state of a service that was taken over at now.
@@ -123,7 +129,7 @@
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, closings: map[assignment.Key]*closing{},
-		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
+		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, stragglers: straggler.New(), Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -421,9 +421,9 @@
 // usefulUntil returns when the result of a job submitted at sent with due time due stops being useful.
 func usefulUntil(sent, due time.Time) time.Time { return sent.Add(usefulFactor * due.Sub(sent)) }
 
-// recordDuration updates the duration ratio of the queue and the slowdown of the worker from a finished task.
-func (s *Service) recordDuration(now time.Time, a *attempt) {
-	t := a.task
+// recordDuration updates the duration ratio of the queue and the slowdown of the worker from a finished task t, whose run a has
+// ended. The queue is given one duration for each task: that of the copy which completed it.
+func (s *Service) recordDuration(now time.Time, t *task, a *attempt) {
 	if a.answeredAt.IsZero() || t.step.LongRunning || t.step.Estimate <= 0 || a.resumed {
 		return
 	}
@@ -432,13 +432,17 @@
 		s.ratio[name] = 1
 	}
 	took := now.Sub(a.sentAt).Seconds() / t.step.Estimate.Seconds()
-	w := a.worker
+	// The worker is compared with the mean of the queue, the queue with the declared estimates.
+	a.worker.recordSlowdown(took / s.ratio[name])
+	s.ratio[name] += ratioWeight * (min(maxRatio, took) - s.ratio[name])
+}
+
+// recordSlowdown updates the slowdown of a worker from the ratio of a run's actual to expected duration.
+func (w *worker) recordSlowdown(ratio float64) {
 	if w.slowdown == 0 {
 		w.slowdown = 1
 	}
-	// The worker is compared with the mean of the queue, the queue with the declared estimates.
-	w.slowdown += slowdownWeight * (min(maxRatio, took/s.ratio[name]) - w.slowdown)
-	s.ratio[name] += ratioWeight * (min(maxRatio, took) - s.ratio[name])
+	w.slowdown += slowdownWeight * (min(maxRatio, ratio) - w.slowdown)
 }
 
 // usedShare returns the used fraction of the workers' processors or memory, whichever is larger for each worker.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,6 +22,8 @@
 	Events      *prometheus.CounterVec   // events of jobs and tasks, by event
 	Takeover    prometheus.Histogram     // seconds from the decision to take a service to the start of its runner
 	Late        *prometheus.CounterVec   // forwarded calls that might be late copies, by what came of them
+	Copies      *prometheus.CounterVec   // second copies of slow tasks, by outcome
+	Wasted      prometheus.Counter       // core-seconds of the copies that did not complete their task
 	Connections prometheus.Counter       // opened to workers, the store and the platform's host control
 }
 
@@ -47,11 +49,18 @@
 		Late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminstair_late_calls_total", Help: "Forwarded calls that might be late copies.",
 		}, []string{"outcome"}),
+		Copies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_copies_total", Help: "Second copies of slow tasks that were started, that won and that were wasted.",
+		}, []string{"outcome"}),
+		Wasted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cuminstair_copies_wasted_core_seconds_total",
+			Help: "Core-seconds of runs that did not complete their task, while a second copy of a slow task ran.",
+		}),
 		Connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
 		}),
 	}
-	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Connections)
+	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Copies, m.Wasted, m.Connections)
 	return m
 }
 
@@ -84,6 +93,15 @@
 			m.Events.WithLabelValues(e.name).Add(float64(e.n))
 		}
 	}
+	m.countCopies(before, now)
+}
+
+// countCopies adds the second copies of a service between two readings of its counters.
+func (m *Metrics) countCopies(before, now dispatch.Counts) {
+	m.Copies.WithLabelValues("started").Add(float64(now.Copies - before.Copies))
+	m.Copies.WithLabelValues("won").Add(float64(now.CopiesWon - before.CopiesWon))
+	m.Copies.WithLabelValues("wasted").Add(float64(now.CopiesWasted - before.CopiesWasted))
+	m.Wasted.Add(now.WastedCoreSeconds - before.WastedCoreSeconds)
 }
 
 var orderNames = [...]string{"start", "stop", "hold", "pace", "advise"}
