Walk with slow runs, and check copies of steps that don't allow them

Cause: walks drew few steps that allow copies, no slow runs, and never the flag on a gang or a long-running step. Change: one seed of 5 has many steps with the flag, also gangs and long-running ones, and every tenth run takes 7 times as long. The checker allows copies only where the flag and the kind of step do, and never beside a run of the task on the same worker. Other seeds draw as before.

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -40,6 +40,8 @@
 	walkDaemons   = 4
 	maxTraceRows  = 260
 	maxTraceText  = 400 // bytes of a row
+	walkSlow      = 7   // times as long as others a slow run takes
+	copyingSeeds  = 5   // one of so many seeds has many steps that allow copies, some of whose runs are slow
 	manyJobs      = 3   // jobs of a walk that have many short tasks
 )
 
@@ -59,14 +61,14 @@
 
 // walkCounts tell what a walk has reached.
 type walkCounts struct {
-	starts, takeovers, chains, lapses, held, restarts, mostEnds, crashes, jobs int
-	calls                                                                      callCounts
-	refused                                                                    map[string]int
+	starts, takeovers, chains, lapses, held, restarts, mostEnds, crashes, jobs, copies int
+	calls                                                                              callCounts
+	refused                                                                            map[string]int
 }
 
 func (c *walkCounts) add(o *walkCounts) {
 	c.starts, c.takeovers, c.chains, c.lapses = c.starts+o.starts, c.takeovers+o.takeovers, c.chains+o.chains, c.lapses+o.lapses
-	c.held, c.restarts, c.crashes, c.jobs = c.held+o.held, c.restarts+o.restarts, c.crashes+o.crashes, c.jobs+o.jobs
+	c.held, c.restarts, c.crashes, c.jobs, c.copies = c.held+o.held, c.restarts+o.restarts, c.crashes+o.crashes, c.jobs+o.jobs, c.copies+o.copies
 	c.mostEnds = max(c.mostEnds, o.mostEnds)
 	c.calls.add(&o.calls)
 	for k, n := range o.refused {
@@ -91,6 +93,7 @@
 	listAge     time.Duration
 	hostsAge    time.Duration
 	many        bool // jobs with many short tasks
+	copying     bool // many steps allow copies, and some of their runs are slow
 	jobs        map[string]*modelJob
 	list        []*modelJob
 	runs        map[cuminstair.TaskID][]*modelRun
@@ -109,6 +112,7 @@
 	retention   time.Duration
 	heldUntil   time.Time  // latest arrival of a held call so far
 	notices     *rand.Rand // draws when gangs break
+	slow        *rand.Rand // draws steps that allow copies and slow runs
 	limits      *rand.Rand // draws checkpoints, labels and limits of tasks per worker
 }
 
@@ -134,7 +138,12 @@
 	who string
 }
 
-func (l walkLog) Info(msg string, args ...any)  { l.w.note(l.who, msg, args...) }
+func (l walkLog) Info(msg string, args ...any) {
+	if msg == "dispatch: starting a second copy of a slow task" {
+		l.w.counts.copies++
+	}
+	l.w.note(l.who, msg, args...)
+}
 func (l walkLog) Warn(msg string, args ...any)  { l.w.note(l.who, msg, args...) }
 func (l walkLog) Error(msg string, args ...any) { l.w.note(l.who, msg, args...) }
 
@@ -145,7 +154,7 @@
 		seed: seed, sim: s, store: &modelStore{version: 100, records: map[cuminstair.RecordKey][]byte{}, beats: map[string]heartbeat{}},
 		entries: map[string]cuminstair.WorkerInfo{}, links: map[pair]link{}, cutCentres: make([]time.Time, walkCentres),
 		jobs: map[string]*modelJob{}, runs: map[cuminstair.TaskID][]*modelRun{}, counts: walkCounts{refused: map[string]int{}},
-		limits: rand.New(rand.NewPCG(seed, 6)), notices: rand.New(rand.NewPCG(seed, 8)), retention: 2 * time.Minute,
+		limits: rand.New(rand.NewPCG(seed, 6)), notices: rand.New(rand.NewPCG(seed, 8)), slow: rand.New(rand.NewPCG(seed, 9)), retention: 2 * time.Minute,
 	}
 	for i := range walkDaemons {
 		w.daemons = append(w.daemons, &daemon{w: w, name: "d" + strconv.Itoa(i+1), centre: i % walkCentres})
@@ -162,7 +171,7 @@
 	w.storeTime = []time.Duration{2 * time.Millisecond, 15 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond}[s.rand.IntN(4)]
 	w.listAge = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}[s.rand.IntN(3)]
 	w.hostsAge = []time.Duration{0, 0, 300 * time.Millisecond}[s.rand.IntN(3)]
-	w.many = s.chance(0.1)
+	w.many, w.copying = s.chance(0.1), seed%copyingSeeds == 0
 	for _, d := range w.daemons {
 		d.offset = s.between(-500*time.Millisecond, 500*time.Millisecond)
 	}
@@ -326,7 +335,16 @@
 
 func (w *walk) workOf(t cuminstair.TaskID) time.Duration {
 	mean := w.jobs[t.Job].work[t.Step]
-	return w.sim.between(mean/2, mean*3/2)
+	work := w.sim.between(mean/2, mean*3/2)
+	if w.copying && w.slow.Float64() < 0.1 && walkSlow*work < idleLimit {
+		work *= walkSlow
+	}
+	return work
+}
+
+// allowsCopies reports whether copies of the tasks of a step may run at the same time.
+func allowsCopies(st *cuminstair.JobStep) bool {
+	return st.Duplicates && !st.Gang && !st.LongRunning && !st.BestEffort
 }
 
 func (w *walk) fails(t cuminstair.TaskID) bool { return w.sim.chance(w.jobs[t.Job].failRate) }
@@ -429,24 +447,7 @@
 func (w *walk) checkStart(r *modelRun) {
 	j, step := w.jobs[r.task.Job], w.stepOf(r.task)
 	w.checkAsked(j, r.task)
-	failed := 0
-	for _, x := range w.runs[r.task] {
-		if step.Duplicates {
-			continue
-		}
-		if x.active() {
-			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s while run %d is active on %s", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
-		}
-		if x.ended && x.acked && !x.lapsed {
-			switch x.how {
-			case cuminstair.EndDone:
-				w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s after run %d ended done on %s and was acknowledged", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
-			case cuminstair.EndFailed:
-				failed++
-			default:
-			}
-		}
-	}
+	failed := w.checkOtherRuns(r, step)
 	w.checkPlace(r, step)
 	w.checkCheckpoint(r, step)
 	if failed >= walkAttempts && !step.LongRunning {
@@ -470,6 +471,33 @@
 	}
 }
 
+// checkOtherRuns checks that no other run of the task of a start is active or has ended done, and returns how many have failed. Copies
+// that are allowed must run on different workers.
+func (w *walk) checkOtherRuns(r *modelRun, step *cuminstair.JobStep) int {
+	failed := 0
+	for _, x := range w.runs[r.task] {
+		if x.active() && x.on == r.on {
+			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s beside run %d", r.run, r.on.info.ID, r.by, x.run))
+		}
+		if allowsCopies(step) {
+			continue
+		}
+		if x.active() {
+			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s while run %d is active on %s", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
+		}
+		if x.ended && x.acked && !x.lapsed {
+			switch x.how {
+			case cuminstair.EndDone:
+				w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s after run %d ended done on %s and was acknowledged", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
+			case cuminstair.EndFailed:
+				failed++
+			default:
+			}
+		}
+	}
+	return failed
+}
+
 // checkpointOwner names what may start from a checkpoint of a task: the task or its gang.
 func (w *walk) checkpointOwner(t cuminstair.TaskID) string {
 	if w.stepOf(t).Gang {
@@ -602,7 +630,7 @@
 // checkAcknowledged checks an end that was acknowledged: starts after it may have been wrong.
 func (w *walk) checkAcknowledged(r *modelRun) {
 	step := w.stepOf(r.task)
-	if r.lapsed || step.Duplicates || step.LongRunning {
+	if r.lapsed || allowsCopies(step) || step.LongRunning {
 		return
 	}
 	runs := w.runs[r.task]
@@ -731,6 +759,7 @@
 			work = s.between(5*time.Millisecond, 20*time.Millisecond)
 			st.Estimate = work
 		}
+		w.drawCopies(&st)
 		w.drawLimits(&st)
 		j.spec.Steps = append(j.spec.Steps, st)
 		j.work = append(j.work, work)
@@ -753,6 +782,17 @@
 	}
 }
 
+// drawCopies lets the tasks of many steps have copies, and marks other steps as if they could, whose kind does not allow any.
+func (w *walk) drawCopies(st *cuminstair.JobStep) {
+	if !w.copying {
+		return
+	}
+	st.Duplicates = w.slow.Float64() < 0.8
+	if !st.Gang && !st.LongRunning && !w.many {
+		st.Count += w.slow.IntN(8)
+	}
+}
+
 // drawLimits gives some steps checkpoints, a label or a limit of tasks per worker.
 func (w *walk) drawLimits(st *cuminstair.JobStep) {
 	st.Checkpoints = w.limits.Float64() < 0.5
