--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -11,6 +11,10 @@
 // maxCopies bounds the second copies that are started of a task, for instance since workers refuse them.
 const maxCopies = 2
 
+// maxReadAge is the longest time since the worker of a run has listed it in normal operation: a renewal waits for maxRenewalWait
+// unless a run ends, and the next one follows.
+const maxReadAge = maxRenewalWait + 200*time.Millisecond
+
 // copyPair is a slow run of a task and its second copy, as long as both may run.
 type copyPair struct {
 	first, second *attempt
@@ -37,14 +41,15 @@
 }
 
 // mayCopy reports whether a second copy of a run may be started at all. A task of an inherited job may have another run that
-// an earlier owner started, and one more failure of either copy must not end the job.
+// an earlier owner started, one more failure of either copy must not end the job, and the run
+// may have ended since its worker has last listed it, for instance while this daemon stood still.
 func (s *Service) mayCopy(a *attempt) bool {
 	t := a.task
 	if t == nil || !t.step.copyable() || t.done || t.copied >= maxCopies || t.pair != nil || len(t.copies) > 0 {
 		return false
 	}
 	j := t.step.occ.job
-	return !j.finished() && a.stopSentAt.IsZero() && !a.answeredAt.IsZero() && !a.worker.suspect() && len(t.crashes) == 0 &&
+	return !j.finished() && a.stopSentAt.IsZero() && !a.answeredAt.IsZero() && !a.worker.suspect() && s.now.Sub(a.readAt) <= maxReadAge && len(t.crashes) == 0 &&
 		len(t.failed)+1 < j.queue.Attempts && (!j.inherited || s.settled)
 }
 
