Shorten the tests of second copies

Change: the checks of the other copy's stop, of the third copy and of a run beside another on its worker are part of other tests; the replay is shorter, and demands more where progress is reported.

--- a/dispatch/straggler_test.go
+++ b/dispatch/straggler_test.go
@@ -62,16 +62,21 @@
 }
 
 // Guards against slow tasks that get no second copy or more than one, against a task that is not done when either has ended,
-// and against the other copy that goes on then.
+// and against the other copy that goes on then for as long as its worker delays its answer to a renewal.
 func TestSecondCopyOfASlowTask(t *testing.T) {
 	for _, firstWins := range []bool{false, true} {
 		p, first := newSlowPool(t, unchanged)
 		p.is.Equal(len(p.copies()), 2)
-		p.is.Equal(p.s.State(jobB), cuminstair.JobRunning)
+		r := first.runs[slowTask]
 		if firstWins {
 			p.endCopyOn(first, cuminstair.EndDone)
 		}
-		p.run(900 * time.Millisecond)
+		for p.s.State(jobB) == cuminstair.JobRunning {
+			p.run(tick)
+		}
+		p.run(tick) // the next decision orders the stop
+		p.is.Equal(r.stopOrdered.IsZero(), firstWins)
+		p.run(100 * time.Millisecond)
 		p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
 		p.is.Equal(len(p.copies()), 0)
 		p.is.Equal(p.starts[slowTask], 2)
@@ -83,28 +88,6 @@
 	}
 }
 
-// Guards against a third copy when the second one is slow too.
-func TestNoThirdCopy(t *testing.T) {
-	p, _ := newSlowPool(t, unchanged)
-	p.slowOn = func(id cuminstair.TaskID, _ *fakeWorker) bool { return id == slowTask }
-	p.run(3 * time.Second)
-	p.is.Equal(len(p.copies()), 2)
-	p.is.Equal(p.starts[slowTask], 2)
-}
-
-// Guards against a copy that outlives its task for as long as its worker delays its answer to a renewal: the stop is ordered
-// when the other copy has ended.
-func TestDetachedCopyIsStoppedAtOnce(t *testing.T) {
-	p, first := newSlowPool(t, unchanged)
-	p.is.Equal(len(p.copies()), 2)
-	r := first.runs[slowTask]
-	for i := 0; p.s.State(jobB) == cuminstair.JobRunning && i < 100; i++ {
-		p.run(tick)
-	}
-	p.run(tick) // the next decision orders the stop
-	p.is.True(!r.stopOrdered.IsZero())
-}
-
 // Guards against copies of tasks that must not have any, and against copies that are started although others wait. Gangs and
 // long-running tasks are covered by the walks: here a gang ends with its first member, and long-running tasks never.
 func TestNoSecondCopy(t *testing.T) {
@@ -130,8 +113,8 @@
 	}
 }
 
-// Guards against a task that is started for a third time, although a copy goes on, when the other copy fails, is refused, or
-// runs on a worker that stops answering; and against failures that do not count.
+// Guards against a task that is started for a third time, although a copy goes on, when the other copy fails or runs on a
+// worker that stops answering; and against failures that do not count.
 func TestEndsOfOneCopy(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -145,12 +128,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p, first := newSlowPool(t, unchanged)
-			running := p.copies()
-			p.is.Equal(len(running), 2)
-			second := running[0]
-			if second == first {
-				second = running[1]
-			}
+			second := slices.DeleteFunc(p.copies(), func(w *fakeWorker) bool { return w == first })[0]
 			c.end(p, first, second)
 			for range 50 { // a third run may start only when one of the two has ended
 				p.run(tick)
@@ -186,9 +164,13 @@
 	p.is.Equal(p.s.Counts().Copies, before)
 }
 
-// Guards against a task whose copies are both on workers that don't answer, and that waits for them.
-func TestThirdCopyIfBothAreSilent(t *testing.T) {
+// Guards against a third copy when the second one is slow too, and against a task that waits for copies which are both on
+// workers that don't answer.
+func TestThirdCopy(t *testing.T) {
 	p, _ := newSlowPool(t, unchanged)
+	p.slowOn = func(id cuminstair.TaskID, _ *fakeWorker) bool { return id == slowTask }
+	p.run(2 * time.Second)
+	p.is.Equal(p.starts[slowTask], 2)
 	for _, w := range p.copies() {
 		w.partitioned = true
 	}
--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -447,7 +447,24 @@
 func (w *walk) checkStart(r *modelRun) {
 	j, step := w.jobs[r.task.Job], w.stepOf(r.task)
 	w.checkAsked(j, r.task)
-	failed := w.checkOtherRuns(r, step)
+	failed := 0
+	for _, x := range w.runs[r.task] {
+		if allowsCopies(step) {
+			continue
+		}
+		if x.active() {
+			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s while run %d is active on %s", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
+		}
+		if x.ended && x.acked && !x.lapsed {
+			switch x.how {
+			case cuminstair.EndDone:
+				w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s after run %d ended done on %s and was acknowledged", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
+			case cuminstair.EndFailed:
+				failed++
+			default:
+			}
+		}
+	}
 	w.checkPlace(r, step)
 	w.checkCheckpoint(r, step)
 	if failed >= walkAttempts && !step.LongRunning {
@@ -471,33 +488,6 @@
 	}
 }
 
-// checkOtherRuns checks that no other run of the task of a start is active or has ended done, and returns how many have failed. Copies
-// that are allowed must run on different workers.
-func (w *walk) checkOtherRuns(r *modelRun, step *cuminstair.JobStep) int {
-	failed := 0
-	for _, x := range w.runs[r.task] {
-		if x.active() && x.on == r.on {
-			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s beside run %d", r.run, r.on.info.ID, r.by, x.run))
-		}
-		if allowsCopies(step) {
-			continue
-		}
-		if x.active() {
-			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s while run %d is active on %s", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
-		}
-		if x.ended && x.acked && !x.lapsed {
-			switch x.how {
-			case cuminstair.EndDone:
-				w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s after run %d ended done on %s and was acknowledged", r.run, r.on.info.ID, r.by, x.run, x.on.info.ID))
-			case cuminstair.EndFailed:
-				failed++
-			default:
-			}
-		}
-	}
-	return failed
-}
-
 // checkpointOwner names what may start from a checkpoint of a task: the task or its gang.
 func (w *walk) checkpointOwner(t cuminstair.TaskID) string {
 	if w.stepOf(t).Gang {
@@ -588,13 +578,16 @@
 	}
 }
 
-// checkPlace checks the label of the worker of a start, and the number of tasks of the step there.
+// checkPlace checks the label of the worker of a start, the number of tasks of the step there, and that no other copy is there.
 func (w *walk) checkPlace(r *modelRun, step *cuminstair.JobStep) {
 	if step.Label != "" && !slices.Contains(r.on.info.Labels, step.Label) {
 		w.violation("ROUTE", r.task, fmt.Sprintf("run %d starts by %s on %s, which lacks the label %s", r.run, r.by, r.on.info.ID, step.Label))
 	}
 	others := 0
 	for _, x := range r.on.runs {
+		if x.task == r.task {
+			w.violation("TWICE", r.task, fmt.Sprintf("run %d starts on %s by %s beside run %d", r.run, r.on.info.ID, r.by, x.run))
+		}
 		if x.task.Job == r.task.Job && x.task.Occurrence == r.task.Occurrence && x.task.Step == r.task.Step {
 			others++
 		}
--- a/straggler/straggler_test.go
+++ b/straggler/straggler_test.go
@@ -39,20 +39,19 @@
 	copies int     // started while steps arrive, so that the end of the load does not count
 }
 
-type task struct {
-	step *step
-	runs []*run
-}
-
 type step struct {
 	usual time.Duration // true duration
 	peers straggler.Peers
 }
 
 type run struct {
-	on      int
-	started time.Time
-	whole   time.Duration
+	on             int
+	started, endAt time.Time
+}
+
+type task struct {
+	*step
+	runs []run
 }
 
 // replay is a pool that starts tasks in their order, and copies of late ones if the model decides so.
@@ -80,15 +79,15 @@
 	if on < 0 {
 		return false
 	}
-	x := &run{on: on, started: p.now, whole: time.Duration(float64(t.step.usual) * (0.8 + 0.4*p.rand.Float64()))}
+	whole := float64(t.usual) * (0.8 + 0.4*p.rand.Float64())
 	if p.rand.Float64() < p.slow {
-		x.whole *= 7
+		whole *= 7
 	}
 	if on == 0 {
-		x.whole = time.Duration(float64(x.whole) * p.worker)
+		whole *= p.worker
 	}
 	p.free[on]--
-	t.runs = append(t.runs, x)
+	t.runs = append(t.runs, run{on, p.now, p.now.Add(time.Duration(whole))})
 	p.model.Started(p.now, expected.Seconds())
 	p.started += expected.Seconds()
 	return true
@@ -96,7 +95,7 @@
 
 // ended ends a task if one of its runs has ended.
 func (p *replay) ended(t *task) bool {
-	i := slices.IndexFunc(t.runs, func(x *run) bool { return p.now.Sub(x.started) >= x.whole })
+	i := slices.IndexFunc(t.runs, func(x run) bool { return !p.now.Before(x.endAt) })
 	if i < 0 {
 		return false
 	}
@@ -104,21 +103,21 @@
 		p.extra += p.now.Sub(t.runs[1].started).Seconds()
 	}
 	if i > 0 {
-		p.model.ObserveStopped("i", &t.step.peers, ratio(p.now.Sub(t.runs[0].started)))
+		p.model.ObserveStopped("i", &t.peers, ratio(p.now.Sub(t.runs[0].started)))
 	}
-	p.model.Observe("i", &t.step.peers, ratio(p.now.Sub(t.runs[i].started)))
+	p.model.Observe("i", &t.peers, ratio(p.now.Sub(t.runs[i].started)))
 	for _, x := range t.runs {
 		p.free[x.on]++
 	}
-	p.took = append(p.took, p.now.Sub(t.runs[0].started).Seconds()/t.step.usual.Seconds())
+	p.took = append(p.took, p.now.Sub(t.runs[0].started).Seconds()/t.usual.Seconds())
 	return true
 }
 
 // copyLate starts a copy of a task if the model decides so.
 func (p *replay) copyLate(t *task) {
-	x := straggler.Run{Image: "i", Age: p.now.Sub(t.runs[0].started), Expected: expected, Cores: 1, Peers: t.step.peers}
+	x := straggler.Run{Image: "i", Age: p.now.Sub(t.runs[0].started), Expected: expected, Cores: 1, Peers: t.peers}
 	if p.progress {
-		x.Percent, x.ReadAt = int(100*x.Age/t.runs[0].whole), x.Age
+		x.Percent, x.ReadAt = int(100*x.Age/t.runs[0].endAt.Sub(t.runs[0].started)), x.Age
 	}
 	idle := 0
 	for _, n := range p.free {
@@ -153,10 +152,8 @@
 		for len(p.waiting) > 0 && p.start(p.waiting[0]) {
 			p.running, p.waiting = append(p.running, p.waiting[0]), p.waiting[1:]
 		}
-		if copies {
-			for _, t := range p.running {
-				p.copyLate(t)
-			}
+		for i := 0; copies && i < len(p.running); i++ {
+			p.copyLate(p.running[i])
 		}
 	}
 	slices.Sort(p.took)
@@ -179,10 +176,12 @@
 // Guards against slow tasks that get no copy although there is room, and against copies that take more room than they save:
 // of tasks on time, in a full pool, beyond the budget, and of tasks that are only declared too short.
 func TestReplay(t *testing.T) {
-	halved := func(is *is.I, off, on result) {
-		is.True(off.p99 > 5)
-		is.True(on.p99 < off.p99*0.55)
-		is.True(on.extra <= 0.05)
+	shorter := func(share float64) func(is *is.I, off, on result) {
+		return func(is *is.I, off, on result) {
+			is.True(off.p99 > 5)
+			is.True(on.p99 < off.p99*share)
+			is.True(on.extra <= 0.05)
+		}
 	}
 	none := func(is *is.I, off, on result) {
 		is.Equal(on.copies, 0)
@@ -194,12 +193,12 @@
 	}
 	for _, l := range []load{
 		{name: "all on time", worker: 1, factor: exact, every: idle, check: none},
-		{name: "3 of 100 slow", slow: 0.03, worker: 1, factor: exact, every: idle, check: halved},
-		{name: "3 of 100 slow, progress", slow: 0.03, worker: 1, factor: exact, every: idle, progress: true, check: halved},
-		{name: "a slow worker", worker: 7, factor: exact, every: idle, check: halved},
+		{name: "3 of 100 slow", slow: 0.03, worker: 1, factor: exact, every: idle, check: shorter(0.5)},
+		{name: "3 of 100 slow, progress", slow: 0.03, worker: 1, factor: exact, every: idle, progress: true, check: shorter(0.3)},
+		{name: "a slow worker", worker: 7, factor: exact, every: idle, check: shorter(0.5)},
 		{name: "estimates off", worker: 1, factor: eitherWay, every: idle, check: few},
 		{name: "estimates off, progress", worker: 1, factor: eitherWay, every: idle, progress: true, check: few},
-		{name: "estimates off, 3 of 100 slow", slow: 0.03, worker: 1, factor: eitherWay, every: idle, check: halved},
+		{name: "estimates off, 3 of 100 slow", slow: 0.03, worker: 1, factor: eitherWay, every: idle, check: shorter(0.5)},
 		{name: "pool full", slow: 0.03, worker: 1, factor: exact, every: full, check: func(is *is.I, _, on result) { is.Equal(on.copies, 0) }},
 		{name: "budget used up", slow: 0.03, worker: 1, factor: exact, every: idle, charged: 1e6, check: none},
 	} {
@@ -210,17 +209,3 @@
 		})
 	}
 }
-
-// BenchmarkDecide measures a decision about a late run of a step of which no other run has ended, the most expensive one.
-func BenchmarkDecide(b *testing.B) {
-	m := straggler.New()
-	for range 100 {
-		var peers straggler.Peers
-		m.Observe("i", &peers, 1)
-		m.Observe("i", &peers, 1.2)
-	}
-	r := straggler.Run{Image: "i", Age: 4 * expected, Expected: expected, Cores: 1}
-	for b.Loop() {
-		m.Decide(begin, &r, straggler.Pool{Free: 0.5})
-	}
-}
