--- a/cmd/cuminstairjobs/fleet_test.go
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -71,7 +71,9 @@
 	name          string
 	callersAddr   string
 	readinessAddr string
+	internalAddr  string
 	settingsFile  string
+	args          []string
 	storeProxy    *proxy
 	log           *logBuffer
 	mu            sync.Mutex
@@ -140,6 +142,7 @@
 	internal := freePort(f.t)
 	d := &daemon{
 		name: fmt.Sprintf("d%d", i), callersAddr: local(), readinessAddr: local(), storeProxy: p, log: &logBuffer{},
+		internalAddr: "127.0.0.1:" + strconv.Itoa(internal),
 		settingsFile: filepath.Join(f.t.TempDir(), fmt.Sprintf("d%d.json", i)),
 	}
 	data, err := json.Marshal(map[string]any{
@@ -167,7 +170,7 @@
 	f.t.Helper()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	cmd := exec.Command(program)
+	cmd := exec.Command(program, d.args...)
 	cmd.Env = append(os.Environ(), "CUMINSTAIR_CONFIG="+d.settingsFile)
 	cmd.Stdout, cmd.Stderr = d.log, d.log
 	if err := cmd.Start(); err != nil {
