--- a/jobs.go
+++ b/jobs.go
@@ -45,9 +45,11 @@
 	First    int64         `json:"first,omitempty"` // due time of the first occurrence, milliseconds since 1970
 }
 
-// Limits of a job.
+// MaxSteps is the number of steps that a job may have.
+const MaxSteps = 64
+
+// Other limits of a job.
 const (
-	maxSteps     = 64
 	maxStepTasks = 4096                 // in one step
 	maxJobTasks  = 8192                 // in all steps together
 	maxResource  = 1_000_000_000        // of each resource that a task requests
@@ -56,8 +58,8 @@
 
 // Validate checks a job from outside: a caller, another daemon or a record. Error: ErrMalformed, with the invalid field.
 func (j *JobSpec) Validate() error {
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("steps: %d, at least 1 and at most %d: %w", len(j.Steps), maxSteps, ErrMalformed)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("steps: %d, at least 1 and at most %d: %w", len(j.Steps), MaxSteps, ErrMalformed)
 	}
 	if j.Repeats < 0 || j.Interval < 0 || j.Interval > maxDuration {
 		return fmt.Errorf("repetitions or interval out of range: %w", ErrMalformed)
