Bound the memory and connections that clients can make a daemon hold

Cause: bodies of legal size that stop short of their end, chunks and heads without an end, and many connections ended a process (out of memory). Limits for heads and idle connections of the configuration were not applied. Change: package intake, on all four listeners: a budget of memory for heads and bodies with a reserve for small bodies, at which the request that has taken longest gives way; a time limit for bodies; a bound on connections below the descriptors; limits of heads as configured, also on open connections; a bounded receive buffer. The queue is looked up before the body is read.

--- a/cmd/cuminstairjobs/crowd_test.go
+++ b/cmd/cuminstairjobs/crowd_test.go
@@ -191,13 +191,18 @@
 	return sendPieces(c, data, len(data))
 }
 
-// sendEndlessHead sends header lines with different names until the daemon closes the connection, up to crowdHead bytes.
-func sendEndlessHead(c net.Conn, _ int) error {
+// endlessHead returns the begin of a head with header lines of different names.
+var endlessHead = sync.OnceValue(func() []byte {
 	head := []byte("GET /s1/ HTTP/1.1\r\nHost: q.example\r\n")
 	for n := 0; len(head) < crowdHead; n++ {
 		head = fmt.Appendf(head, "X-%d: %d\r\n", n, n)
 	}
-	return sendPieces(c, head, 4<<10)
+	return head
+})
+
+// sendEndlessHead sends header lines until the daemon closes the connection, up to crowdHead bytes.
+func sendEndlessHead(c net.Conn, _ int) error {
+	return sendPieces(c, endlessHead(), 4<<10)
 }
 
 // Guards against memory that runs out because of bodies of legal size whose last byte never arrives.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/intake"
 	"cuminstair.org/cuminstair/ownership"
 	"cuminstair.org/cuminstair/platform"
 )
@@ -71,6 +72,7 @@
 	storeBackAt atomic.Pointer[time.Time] // when the owner records were read again after an outage; nil: there was none
 	readFailed  atomic.Bool               // the last read of the owner records failed
 	openCalls   atomic.Int64              // callers' requests in progress
+	gate        *intake.Gate              // of all listeners; nil before Run
 	peers       *peerClient
 	forwarded   forwardedCalls // calls that other daemons have not answered yet
 	runnersMade atomic.Uint64  // for the IDs of runners
@@ -111,18 +113,18 @@
 	d.readOwnersNow, d.listNow, d.heartbeatNow = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	d.ownerHints, d.newerOwners = map[string]ownerHint{}, map[string]int64{}
 	d.peers = newPeerClient()
+	d.gate = d.newGate()
 	internal, err := d.listenInternal(ctx)
 	if err != nil {
 		return err
 	}
-	var listen net.ListenConfig
-	callers, err := listen.Listen(ctx, "tcp", d.Settings.Callers)
+	callers, err := d.gate.Listen(ctx, intake.Callers, d.Settings.Callers)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err //nolint:wrapcheck // names the listener
 	}
-	ready, err := listen.Listen(ctx, "tcp", d.Settings.Readiness)
+	ready, err := d.gate.Listen(ctx, intake.Readiness, d.Settings.Readiness)
 	if err != nil {
-		return fmt.Errorf("listen for the load balancer: %w", err)
+		return err //nolint:wrapcheck // names the listener
 	}
 	d.Log.Info("entry: started", "name", d.Settings.Name, "run", d.runID, "callers", d.Settings.Callers, "internal", d.addr, "store", d.Settings.Store)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -132,6 +134,9 @@
 	d.mu.Unlock()
 	d.serveMetrics(work)
 	servers := []*http.Server{d.callerServer(), d.peerServer(), d.readyServer()}
+	for _, s := range servers {
+		d.gate.Guard(s)
+	}
 	var group run.Group
 	stopped := make(chan struct{})
 	for i, l := range []net.Listener{callers, internal, ready} {
@@ -169,8 +174,7 @@
 	var last error
 	for port := d.Settings.Internal[0]; port <= d.Settings.Internal[1]; port++ {
 		addr := net.JoinHostPort(d.Settings.Address, strconv.Itoa(port))
-		var listen net.ListenConfig
-		l, err := listen.Listen(ctx, "tcp", addr)
+		l, err := d.gate.Listen(ctx, intake.Peers, addr)
 		if err == nil {
 			d.addr = l.Addr().String()
 			return l, nil
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -90,6 +90,7 @@
 		return
 	}
 	d.config.Store(c)
+	d.limitClients(c)
 	if old == nil {
 		signal(d.heartbeatNow)
 	}
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -16,13 +15,12 @@
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/intake"
 	"cuminstair.org/cuminstair/platform"
 )
 
 // Limits for callers.
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// defaultCallTimeout bounds a call without a deadline.
 	defaultCallTimeout = 3 * time.Second
 	// answerReserve is the part of the caller's deadline that is kept for sending the answer.
@@ -35,15 +33,13 @@
 	maxResends = 4
 	// defaultRetry is the Retry-After of a call that can't be served yet, for example because its service has no owner.
 	defaultRetry = time.Second
-	// defaultMaxBody bounds the body of a call, in bytes, if the configuration does not.
-	defaultMaxBody = 256 << 10
 )
 
 func (d *Daemon) callerServer() *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.Any("/*", d.serveCaller)
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: e}
 }
 
 func (d *Daemon) readyServer() *http.Server {
@@ -55,7 +51,7 @@
 		}
 		return c.NoContent(http.StatusOK)
 	})
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: e}
 }
 
 // findQueue returns, among the queues of an HTTP host name, the queue with the longest prefix of the path, and the path
@@ -100,14 +96,6 @@
 	if config == nil {
 		return d.refuse(c, call{arrived: now}, http.StatusServiceUnavailable, defaultRetry, "no configuration yet")
 	}
-	limit := config.MaxBody
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
-	if err != nil {
-		return c.String(http.StatusBadRequest, "the body could not be read")
-	}
 	queue, idPart, ok := findQueue(config, req.Host, req.URL.Path)
 	if !ok {
 		return c.String(http.StatusNotFound, "no such queue")
@@ -117,8 +105,10 @@
 	if !ok {
 		return c.String(http.StatusNotFound, "no such job: an id has 16 hexadecimal digits")
 	}
-	if int64(len(body)) > limit {
-		return c.String(http.StatusRequestEntityTooLarge, "the body is too large")
+	// A check of the caller's key belongs here, before the body takes memory.
+	body, err := intake.ReadBody(req, intake.BodyLimit(config))
+	if err != nil {
+		return d.refuseBody(c, x, err)
 	}
 	wait := platform.CallerWait(req.Header.Get(platform.DeadlineHeader))
 	if wait <= 0 {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/intake"
 )
 
 // Metrics has the counters and histograms of a daemon. It must be made with NewMetrics.
@@ -23,6 +23,7 @@
 	Takeover    prometheus.Histogram     // seconds from the decision to take a service to the start of its runner
 	Late        *prometheus.CounterVec   // forwarded calls that might be late copies, by what came of them
 	Connections prometheus.Counter       // opened to workers, the store and the platform's host control
+	Limited     *prometheus.CounterVec   // connections closed and requests refused at a limit, by limit and listener
 }
 
 // NewMetrics returns metrics that are registered in reg.
@@ -50,8 +51,11 @@
 		Connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
 		}),
+		Limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_client_limits_total", Help: "Connections closed and requests refused at a limit for clients.",
+		}, []string{"limit", "listener"}),
 	}
-	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Connections)
+	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Connections, m.Limited)
 	return m
 }
 
@@ -126,15 +130,15 @@
 	if d.MetricsAddr == "" {
 		return
 	}
-	var listen net.ListenConfig
-	l, err := listen.Listen(ctx, "tcp", d.MetricsAddr)
+	l, err := d.gate.Listen(ctx, intake.Metrics, d.MetricsAddr)
 	if err != nil {
 		d.Log.Warn("entry: metrics are not served", "address", d.MetricsAddr, "error", err)
 		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux}
+	d.gate.Guard(server)
 	go func() { _ = server.Serve(l) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -18,6 +18,7 @@
 	"cuminstair.org/cuminstair/abort"
 	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/dispatch"
+	"cuminstair.org/cuminstair/intake"
 )
 
 // Paths and limits of calls between daemons. A daemon forwards the calls of its callers to the owner of their service.
@@ -31,7 +32,6 @@
 	closePath       = "/close"
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdleTimeout = 30 * time.Second
-	peerMaxBody     = 1 << 20
 	peerTimeout     = 500 * time.Millisecond
 )
 
@@ -164,7 +164,7 @@
 		return fmt.Errorf("call %s: %w", addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, peerMaxBody))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, intake.PeerBody))
 	if err != nil {
 		return fmt.Errorf("read answer of %s: %w", addr, err)
 	}
@@ -260,7 +260,7 @@
 		signal(d.readOwnersNow)
 		return c.NoContent(http.StatusOK)
 	})
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: e}
 }
 
 func (d *Daemon) servePeer(c echo.Context) error {
@@ -290,8 +290,9 @@
 }
 
 func decodeBody(c echo.Context, into any) error {
-	data, err := io.ReadAll(io.LimitReader(c.Request().Body, peerMaxBody))
+	data, err := intake.ReadBody(c.Request(), intake.PeerBody)
 	if err != nil {
+		intake.Refuse(c.Response(), c.Request())
 		return fmt.Errorf("read call: %w", err)
 	}
 	if err := json.Unmarshal(data, into); err != nil {
