Count an idle connection as measured, and keep those between daemons longer

Cause: 3,300 idle connections took 19.5 KB each (peak 87 MB of 184), counted as 16. With an idle_timeout_ms below 30 s, a daemon would close a connection that another daemon still uses, and a call on it would have an unknown outcome. Change: 20 KB for each connection, at most 40% of the memory; connections between daemons may be idle for 60 s at least.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -173,7 +173,7 @@
 	if c.inHead {
 		return c.since.Add(l.HeadWait)
 	}
-	return c.since.Add(l.IdleWait)
+	return c.since.Add(l.idleWait(c.client.group))
 }
 
 // rearm sets the deadline of the head or of the wait for one. Limits may have changed since it was set.
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -35,6 +35,9 @@
 	defaultMemory   = 256 << 20
 	// BodyWait is the time limit for the arrival of a body. It lets a body of 256 KB arrive at 5 KB/s.
 	BodyWait = 60 * time.Second
+	// peerIdleWait is above the 30 s after which a daemon closes its idle connections to another one. If that one closed them
+	// first, a call could meet a closed connection, and its outcome would be unknown.
+	peerIdleWait = 60 * time.Second
 	// PeerBody is the limit of the body of a call between daemons, in bytes. A forwarded job is encoded again and may grow.
 	PeerBody = 1 << 20
 )
@@ -43,13 +46,14 @@
 const (
 	reservedFiles = 200 // descriptors that the platform reserves for files
 	ownConnsShare = 8   // one in ownConnsShare of the other descriptors is for connections that the daemon opens
-	// connMemoryShare: one in connMemoryShare of the memory may be taken by connections without a request, at connBytes each.
-	connMemoryShare = 3
-	connBytes       = 16 << 10 // goroutine and buffers of net/http, rounded up
-	peerConnsShare  = 4        // of the connections, at most one in peerConnsShare are of other daemons
-	otherConnsShare = 16       // the same for readiness and for metrics
-	callerMemory    = 8        // one in callerMemory of the memory is for requests of callers
-	peerMemory      = 16       // one in peerMemory of the memory is for requests to the other listeners
+	// connMemory of 100 parts of the memory may be taken by connections without a request, at connBytes each: 3,300 of them
+	// took 19.5 KB each, with the goroutine and the buffers of net/http.
+	connMemory      = 40
+	connBytes       = 20 << 10
+	peerConnsShare  = 4  // of the connections, at most one in peerConnsShare are of other daemons
+	otherConnsShare = 16 // the same for readiness and for metrics
+	callerMemory    = 8  // one in callerMemory of the memory is for requests of callers
+	peerMemory      = 16 // one in peerMemory of the memory is for requests to the other listeners
 	// minRequests is how many of the largest requests find room at once, however small the memory is.
 	minRequests = 3
 	// smallShare: one in smallShare of the memory for requests is reserved for those with a small body.
@@ -86,7 +90,7 @@
 		l.HeadWait, l.IdleWait = positive(c.HeadWait, l.HeadWait), positive(c.IdleWait, l.IdleWait)
 	}
 	memory = positive(memory, defaultMemory)
-	l.Conns = int(memory / connMemoryShare / connBytes)
+	l.Conns = int(memory / 100 * connMemory / connBytes)
 	if descriptors > 0 {
 		usable := max(descriptors-reservedFiles, descriptors/2)
 		l.Conns = min(l.Conns, usable-usable/ownConnsShare)
@@ -103,6 +107,14 @@
 // BodyLimit returns the limit of the body of a caller's request.
 func BodyLimit(c *cuminstair.JobConfig) int64 { return positive(c.MaxBody, defaultBody) }
 
+// idleWait returns how long a connection of a group may wait for a request.
+func (l *Limits) idleWait(g Group) time.Duration {
+	if g == Peers {
+		return max(l.IdleWait, peerIdleWait)
+	}
+	return l.IdleWait
+}
+
 // largest returns the memory that the largest request takes at most, with a head of very short lines.
 func (l *Limits) largest(body int64) int64 {
 	return decodeBytes*body + headBytes(l.Head, l.Head/4)
