Start and accept tasks within the share of their account's limit

What an account uses is kept as running sums where runs are added to and removed from workers, so that a pass costs nothing for each run. A step is held back before its first task when the share is used up; a gang needs room for all of it. After a takeover, inherited tasks that an earlier owner may run count until the runs are settled. The processors that a best-effort task requests count too.

Admission decides a second time for limited accounts, in parts of what the service can expect of the limit. A task or gang larger than the whole limit is refused as impossible. Objectives take the limit into account like a small pool.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -239,6 +239,7 @@
 	}
 	for _, x := range c.Workers {
 		w := newWorker(s.takenOverAt, cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Incarnation: x.Born, Host: x.Host})
+		w.shares = s.shares
 		w.recorded, w.longLease, w.leaseUnsure = true, x.Long, x.Long
 		s.workers[x.ID] = w
 		s.inherited[x.ID] = true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/place"
+	"cuminstair.org/cuminstair/quota"
 )
 
 // job is a job that is stored or is waiting to be stored.
@@ -63,6 +64,7 @@
 	mayRun         bool           // an earlier owner may have started its tasks on workers that have not answered
 	advice         advice         // for steps of an advised queue
 	saved          gangCheckpoint // of a gang
+	heldBack       bool           // the limit of its account has kept tasks of it from starting
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -93,6 +95,8 @@
 	run         int64
 	worker      *worker
 	room        place.Room
+	account     string       // client account of its job; empty: none, or the job is not known
+	charge      quota.Amount // what it takes of the limit of the account
 	longRunning bool
 	bestEffort  bool
 	runTimes
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -15,7 +15,7 @@
 	if !s.changed {
 		return
 	}
-	s.changed, s.spaced = false, false
+	s.changed, s.spaced, s.limitWaits = false, false, false
 	s.unplaced, s.unplacedCores, s.waitingTrials = 0, 0, 0
 	settled := s.inheritedResolved()
 	if !settled {
@@ -41,6 +41,7 @@
 	sort.SliceStable(s.ready, func(i, j int) bool { return moreUrgent(s.ready[i], s.ready[j]) })
 	s.listCandidates(now)
 	s.countTrials()
+	s.countUnsure()
 	for _, st := range s.ready {
 		st.mayRun = st.occ.job.inherited && !settled && !st.followsAdopted() &&
 			(!st.copyable() || now.Sub(s.takenOverAt) < copyDelay)
@@ -208,6 +209,9 @@
 		if !s.startable(t) {
 			continue
 		}
+		if !s.withinLimit(t) {
+			break
+		}
 		w := s.choose(st, t, racks)
 		if w == nil && st.needsTicket() {
 			s.requestAdvice(now, st)
@@ -297,6 +301,9 @@
 		}
 		run = max(run, t.run)
 	}
+	if !s.gangWithinLimit(st) {
+		return
+	}
 	racks := s.spreadOf(st)
 	s.preferCentre(st)
 	mark := len(s.orders)
@@ -376,7 +383,7 @@
 	j, st := t.step.occ.job, t.step
 	t.run, t.lostAt = run, time.Time{}
 	a := &attempt{
-		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort,
+		task: t, id: t.id, run: run, room: st.room(), account: j.account, charge: chargeOf(&st.JobStep), longRunning: st.LongRunning, bestEffort: st.BestEffort,
 		runTimes: runTimes{sentAt: now}, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.startFrom() != "",
 	}
 	t.attempt = a
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -12,6 +12,7 @@
 	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/place"
+	"cuminstair.org/cuminstair/quota"
 )
 
 // Result is the answer to a caller.
@@ -19,6 +20,7 @@
 	Outcome Outcome
 	Wait    time.Duration // if refused: time until the next try
 	Why     string
+	account string // whose limit is the reason of a refusal
 }
 
 // Outcome is the result of a call.
@@ -111,6 +113,10 @@
 	settled         bool                 // the runs of earlier owners were settled at the last placement; see inheritedResolved
 	counts          Counts
 	accounts        map[string]cuminstair.ClientAccount // by name; nil: none are configured
+	shares          *quota.Share                        // in the limits of the accounts
+	limitLoads      map[string]*limitLoad               // by account with a limit; see recentLoad
+	limitWaits      bool                                // the last placement left a task waiting for a limit
+	limitBlocked    map[string]time.Time                // by account: when its limit last kept a task from starting
 }
 
 // Counts are totals since the service was taken over.
@@ -118,6 +124,9 @@
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
 	Crashes                                              int // of workers that ran tasks
 	Contradictions                                       int // answers of workers that could not be true
+	Grants                                               int // grants of shares in limits that were accepted
+	LimitBlocks                                          int // times at which the limit of an account began to keep tasks from starting
+	LimitTasks                                           int // tasks that the limit of an account kept from starting
 }
 
 // New returns the state of a service that was taken over at now.
@@ -125,7 +134,8 @@
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, closings: map[assignment.Key]*closing{},
-		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
+		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{},
+		shares: quota.NewShare(), limitBlocked: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -106,8 +106,9 @@
 func (s *Service) refuse(now time.Time, id string, r Result, reply func(Result)) {
 	s.counts.Refused++
 	s.recordRefusal(now, id, now)
-	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait.Round(time.Millisecond).String(), "open", len(s.active),
-		"used", s.usedShare())
+	s.Log.Info("dispatch: job refused", append([]any{
+		"service", s.Name, "job", id, "why", r.Why, "wait", r.Wait.Round(time.Millisecond).String(), "open", len(s.active), "used", s.usedShare(),
+	}, s.limitFields(now, r.account)...)...)
 	reply(r)
 }
 
@@ -183,6 +184,9 @@
 	if why := s.whyImpossible(j); why != "" {
 		return Result{Outcome: Impossible, Wait: maxWait, Why: why}
 	}
+	if s.exceedsLimit(j) {
+		return Result{Outcome: Impossible, Wait: maxWait, Why: "a task or a gang needs more than the limit of the account", account: j.account}
+	}
 	if j.longRunning() || j.spec.Repeats > 0 || j.spec.First > 0 {
 		return Result{Outcome: Accepted}
 	}
@@ -193,6 +197,9 @@
 	v := admission.Decide(now, s.pool(now), s.recentLoad(now), request)
 	if v.Accept {
 		j.late = v.Late
+		if r := s.admitWithinLimit(now, j, request); r.Outcome != Accepted {
+			return r
+		}
 		s.loads = append(s.loads, admission.Load{
 			Due: request.Due, Expiry: request.Expiry, Work: request.Work, Ready: request.Width * s.expectedDuration(j, 0).Seconds(), Late: v.Late,
 		})
@@ -283,6 +290,7 @@
 func (s *Service) recentLoad(now time.Time) []admission.Load {
 	if now.Sub(s.loadsAt) > maxLoadAge {
 		s.loads, s.loadsAt = s.load(now), now
+		s.listLimitLoads(now)
 	}
 	return s.loads
 }
@@ -291,28 +299,33 @@
 func (s *Service) load(now time.Time) []admission.Load {
 	var list []admission.Load
 	for _, j := range s.jobs {
-		if j.finished() || (j.stored && s.active[j.id] == nil) {
-			continue
+		if l := s.jobLoad(now, j); l.Work > 0 {
+			list = append(list, l)
 		}
-		work := 0.0
-		if len(j.runs) == 0 {
-			for i := range j.spec.Steps {
-				if !j.spec.Steps[i].LongRunning {
-					work += s.taskWork(j, i) * float64(j.spec.Steps[i].Count)
-				}
+	}
+	return list
+}
+
+// jobLoad returns the work of an accepted job that is not done, without its long-running tasks.
+func (s *Service) jobLoad(now time.Time, j *job) admission.Load {
+	if j.finished() || (j.stored && s.active[j.id] == nil) {
+		return admission.Load{}
+	}
+	work := 0.0
+	if len(j.runs) == 0 {
+		for i := range j.spec.Steps {
+			if !j.spec.Steps[i].LongRunning {
+				work += s.taskWork(j, i) * float64(j.spec.Steps[i].Count)
 			}
 		}
-		ready, late := 0.0, j.late || j.due.Before(now)
-		for _, o := range j.runs {
-			work += s.remainingWork(now, o)
-			ready += s.runnableWork(o)
-			late = late || s.late(now, o)
-		}
-		if work > 0 {
-			list = append(list, admission.Load{Due: j.due, Expiry: usefulUntil(j.firstSent, j.due), Work: work, Ready: ready, Late: late})
-		}
 	}
-	return list
+	ready, late := 0.0, j.late || j.due.Before(now)
+	for _, o := range j.runs {
+		work += s.remainingWork(now, o)
+		ready += s.runnableWork(o)
+		late = late || s.late(now, o)
+	}
+	return admission.Load{Due: j.due, Expiry: usefulUntil(j.firstSent, j.due), Work: work, Ready: ready, Late: late}
 }
 
 // firstWidth returns the cores that the first steps of a job, which depend on no other step, can use together.
@@ -412,12 +425,12 @@
 
 // objective returns when a job submitted at from should be done.
 func (s *Service) objective(j *job, from time.Time) time.Time {
-	cores := s.maxCores
+	width := s.stepWidth(j)
 	longest := criticalPath(j.spec.Steps, func(i int) time.Duration {
 		st := &j.spec.Steps[i]
 		waves := 1.0
-		if cores > 0 {
-			waves = max(1, math.Ceil(float64(st.Count*st.CPU)/1000/(cores*waveShare)))
+		if width > 0 {
+			waves = max(1, math.Ceil(float64(st.Count*st.CPU)/1000/width))
 		}
 		return time.Duration(float64(s.expectedDuration(j, i))*waves) + adviceDuration(&j.queue, maxAdviceWorkers)
 	})
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -5,6 +5,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/place"
+	"cuminstair.org/cuminstair/quota"
 )
 
 // stepID names a step of an occurrence of a job.
@@ -80,7 +81,8 @@
 	suspects      []*task   // tasks that may have crashed it
 	suspectsKnown bool      // suspects has been set since it last answered
 
-	slowdown float64 // moving mean of actual to expected durations; 0: unknown
+	shares   *quota.Share // of the service; nil in tests without accounts
+	slowdown float64      // moving mean of actual to expected durations; 0: unknown
 }
 
 func newWorker(now time.Time, info cuminstair.WorkerInfo) *worker {
@@ -155,6 +157,9 @@
 // adjustUsage adds n times the room of an attempt to the usage of the worker.
 func (w *worker) adjustUsage(a *attempt, n int) {
 	w.used = w.used.Plus(a.room, n)
+	if a.account != "" {
+		w.shares.Charge(a.account, a.charge, n)
+	}
 	switch {
 	case a.bestEffort:
 		w.bestEffort += n
@@ -188,6 +193,7 @@
 		w, ok := s.workers[info.ID]
 		if !ok {
 			w = newWorker(now, info)
+			w.shares = s.shares
 			if !s.now.IsZero() {
 				w.listedAt = now // it is new; at a takeover the age of the entry is not known
 			}
