Divide a short limit in whole tasks

What a share has beyond whole tasks now goes to a service that can start one more with it, the one that had it before first.

TestSharesAreOfWholeTasks uses over 0.95 of the limit.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -194,9 +194,3 @@
 	}
 	return g
 }
-
-// MustRepeat reports whether the owner of a service has answered this controller without a grant of it, so that it waits for one.
-func (l *Ledger) MustRepeat(service string) bool {
-	h := l.services[service]
-	return h != nil && h.heard && !h.exempt && h.lastSeq == 0
-}
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -18,12 +18,16 @@
 // duePart is the part of a limit by which a share has to change to be sent before the next round.
 const duePart = 0.02
 
-// Due reports whether a service should get its shares at once, since they have changed much since its last grant.
+// Due reports whether a service should get its shares at once, since its owner has had no grant of this controller, or they have
+// changed much since the last one.
 func (l *Ledger) Due(service string) bool {
 	h := l.services[service]
 	if h == nil || !h.heard || !h.answered || h.exempt {
 		return false
 	}
+	if h.lastSeq == 0 {
+		return true
+	}
 	for name, e := range h.entries {
 		if a := l.accounts[name]; a != nil && differs(e.share, e.sent, a.limit, duePart) {
 			return true
@@ -151,15 +155,86 @@
 	for i := range rows {
 		left, missing = left.Plus(rows[i].floor, -1), missing.Plus(rows[i].demand, -1)
 	}
-	for i := range limit {
-		if limit[i] > 0 && missing[i] < 0 {
-			left = addUnits(rows, limit, left)
-			break
-		}
+	short := !fits(missing, limit)
+	if short {
+		left = addUnits(rows, limit, left)
 	}
 	for i := range limit {
 		if limit[i] > 0 && left[i] > 0 {
-			fill(rows, i, left[i], quiet)
+			left[i] = fill(rows, i, left[i])
+		}
+	}
+	if short {
+		left = toWholeTasks(rows, limit, left)
+	}
+	if !quiet {
+		spreadRest(rows, left)
+	}
+}
+
+// toWholeTasks takes from each row what is less than another task, and gives it to rows that can start one with it, those that had it
+// before first. Otherwise each service would leave the room of half a task unused.
+func toWholeTasks(rows []row, limit, left Amount) Amount {
+	list := byUse(rows, limit)
+	for _, r := range list {
+		if !r.h.unsettled {
+			rest := r.target.Plus(r.wholeTasks(limit), -1)
+			r.target, left = r.target.Plus(rest, -1), left.Plus(rest, 1)
+		}
+	}
+	for _, had := range [...]bool{true, false} {
+		for _, r := range list {
+			more := r.target.Plus(r.e.unit, 1)
+			after := left.Plus(r.e.unit, -1)
+			if r.e.unit.IsZero() || had != fits(r.e.sent.Plus(more, -1), limit) || !fits(after, limit) || !fits(r.demand.Plus(more, -1), limit) {
+				continue
+			}
+			left, r.target = after, more
+		}
+	}
+	return left
+}
+
+// wholeTasks returns the part of the target of a row that whole tasks can use: its runs and waiting ones of the largest size.
+func (r *row) wholeTasks(limit Amount) Amount {
+	base := r.e.used
+	if !fits(r.target.Plus(base, -1), limit) {
+		base = Amount{}
+	}
+	tasks := -1
+	for i, unit := range r.e.unit {
+		if limit[i] == 0 || unit == 0 {
+			continue
+		}
+		if n := (r.target[i] - base[i]) / unit; tasks < 0 || n < tasks {
+			tasks = n
+		}
+	}
+	if tasks < 0 {
+		return r.target
+	}
+	whole := base.Plus(r.e.unit, tasks)
+	for i, unit := range r.e.unit {
+		if limit[i] == 0 || unit == 0 {
+			whole[i] = r.target[i]
+		}
+	}
+	return whole.Min(r.target)
+}
+
+// spreadRest divides what nobody wants evenly among the services that answer.
+func spreadRest(rows []row, left Amount) {
+	answering := 0
+	for n := range rows {
+		if r := &rows[n]; r.e != nil && r.h.answered {
+			answering++
+		}
+	}
+	for n := range rows {
+		if r := &rows[n]; r.e != nil && r.h.answered {
+			for i := range left {
+				r.target[i] += max(0, left[i]) / answering
+			}
 		}
 	}
 }
@@ -176,8 +251,8 @@
 	return left
 }
 
-// fill divides left of resource i: up to the demand of each row by max-min fairness, the rest evenly.
-func fill(rows []row, i, left int, quiet bool) {
+// fill gives each row resource i up to its demand, by max-min fairness, and returns what nobody wants of left.
+func fill(rows []row, i, left int) int {
 	lacking, highest := 0, 0
 	for n := range rows {
 		lacking += max(0, rows[n].demand[i]-rows[n].target[i])
@@ -199,25 +274,14 @@
 		}
 		level = low
 	}
-	answering := 0
 	for n := range rows {
 		r := &rows[n]
 		if more := min(r.demand[i], level) - r.target[i]; more > 0 {
 			r.target[i] += more
 			left -= more
 		}
-		if r.e != nil && r.h.answered {
-			answering++
-		}
-	}
-	if quiet || answering == 0 {
-		return
-	}
-	for n := range rows {
-		if r := &rows[n]; r.e != nil && r.h.answered {
-			r.target[i] += left / answering
-		}
 	}
+	return left
 }
 
 // setShares sets the shares of the rows: their targets, or less if the bounds of all rows leave too little room of the limit. Room
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -87,21 +87,13 @@
 }
 
 func (f *field) exchange(name string) {
-	o := f.owners[name]
-	for range 2 {
-		g := f.ledger.Grant(name)
-		if o.cut {
-			return
-		}
-		o.share.Accept(f.now, g)
-		if f.lose(name) {
-			return
-		}
+	o, g := f.owners[name], f.ledger.Grant(name)
+	if o.cut {
+		return
+	}
+	o.share.Accept(f.now, g)
+	if !f.lose(name) {
 		f.ledger.Report(f.now, name, o.report())
-		if !f.ledger.MustRepeat(name) {
-			return
-		}
-		f.ledger.Plan(f.now)
 	}
 }
 
@@ -203,6 +195,19 @@
 	}
 }
 
+// Guards against shares that end in half a task each, so that these parts of the limit are not used.
+func TestSharesAreOfWholeTasks(t *testing.T) {
+	f := newField(t, 12, 2)
+	for _, o := range f.owners {
+		o.size, o.waiting = 4, 1000
+	}
+	f.run(time.Second, nil)
+	f.True(f.run(20*time.Second, nil) > 0.95)
+	for _, o := range f.owners {
+		f.True(o.started >= 20)
+	}
+}
+
 // Guards against room that is given away before its holder has confirmed that it has less, after answers and grants were lost.
 func TestShareThatIsNotConfirmedStays(t *testing.T) {
 	for _, c := range []struct {
