Exchange the shares of limits between controller and owners

The daemon with the duty of the hosts divides the limits of accounts every 0.3 s over /demand, in a loop of its own, since the controller of hosts waits for the platform. Without control of hosts some daemon takes the duty as soon as an account has a limit. A new controller keeps nothing of the earlier one and learns from the owners what they have.

A round has up to three passes, so that a shift of demand, or a new owner, has its share within it: the second takes what others do not want, the third gives it.

An owner takes grants over only after it has read the owner records since its takeover, and only of the controller named there or a later one. A controller asks owners only by records that it has read since its own takeover. Otherwise a former owner could answer the new controller while the present one still holds a grant of the earlier controller (found by TestLimitHoldsInAnyOrder).

Mutants that the tests in limits_test.go fail for: grants of any controller are taken; before the owner has read the records; from requests with an old stamp; one pass only; no duty without hosts.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -137,7 +137,7 @@
 	for i, l := range []net.Listener{callers, internal, ready} {
 		group.Add(func() error { return serve(servers[i], l, stopped) }, func(error) { _ = servers[i].Close() })
 	}
-	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.heartbeatLoop, d.maintenanceLoop, d.findGoneWorkers, d.watchConnectivity, d.reconcileAssignments} {
+	for _, loop := range []func(context.Context) error{d.followConfig, d.followOwners, d.followWorkers, d.heartbeatLoop, d.maintenanceLoop, d.limitLoop, d.findGoneWorkers, d.watchConnectivity, d.reconcileAssignments} {
 		loopCtx, stop := context.WithCancel(work)
 		group.Add(func() error { return loop(loopCtx) }, func(error) { stop() })
 	}
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -46,7 +46,7 @@
 		d.mu.Lock()
 		r := d.runners[ownership.HostsPart]
 		d.mu.Unlock()
-		if r == nil || r.closed.Load() {
+		if r == nil || r.closed.Load() || d.Hosts == nil {
 			controller.waves = nil
 			continue
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -39,7 +39,7 @@
 			Name: "cuminstair_store_write_seconds", Help: "Transactions of services.", Buckets: buckets,
 		}, []string{"outcome"}),
 		Events: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped, workers that crashed.",
+			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped, workers that crashed, shares of limits granted, accounts and tasks that limits kept waiting.",
 		}, []string{"event"}),
 		Takeover: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cuminstair_takeover_seconds", Help: "Time from the decision to take a service to its first order.", Buckets: buckets,
@@ -79,6 +79,9 @@
 		{"stopped", now.Stops - before.Stops},
 		{"crashed", now.Crashes - before.Crashes},
 		{"contradicted", now.Contradictions - before.Contradictions},
+		{"shares granted", now.Grants - before.Grants},
+		{"account blocked by its limit", now.LimitBlocks - before.LimitBlocks},
+		{"task held back by a limit", now.LimitTasks - before.LimitTasks},
 	} {
 		if e.n > 0 {
 			m.Events.WithLabelValues(e.name).Add(float64(e.n))
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -15,6 +15,7 @@
 	"cuminstair.org/cuminstair/dispatch"
 	"cuminstair.org/cuminstair/ownership"
 	"cuminstair.org/cuminstair/pools"
+	"cuminstair.org/cuminstair/quota"
 )
 
 // demandPath is the path of requests for the demand of a service.
@@ -28,6 +29,11 @@
 	Incoming  int    `json:"incoming"`  // hosts being moved to the service
 	Available int    `json:"available"` // hosts that could be sent to the service
 	Stamp     *stamp `json:"stamp,omitempty"`
+	// Grant has the shares of the service in the limits of accounts; nil: the request is for the demand.
+	Grant *quota.Grant `json:"grant,omitempty"`
+	Run   string       `json:"run,omitempty"` // of the daemon that sends the grant
+
+	sentAt time.Time // of a request without a stamp, to a service of this daemon
 }
 
 type demandReply struct {
@@ -35,6 +41,7 @@
 	Late     bool            `json:"late,omitempty"`  // there is no demand, since the request may be a late one
 	Stamp    *stamp          `json:"stamp,omitempty"` // nil: the owner is of an earlier version
 	Demand   dispatch.Demand `json:"demand"`
+	Limits   *quota.Report   `json:"limits,omitempty"` // answer to a grant; nil: there was none, or the owner is of an earlier version
 }
 
 // stepMoves plans the moves of hosts between pools and orders them.
@@ -313,12 +320,20 @@
 // demand asks the owner of a service for its demand.
 func (d *Daemon) demand(ctx context.Context, q demandRequest) (dispatch.Demand, bool) {
 	r, addr := d.owner(q.Service)
+	a, ok := d.askDemand(ctx, q, r, addr)
+	return a.Demand, ok
+}
+
+// askDemand sends a request to the owner of a service, which is a runner of this daemon or has an address, and returns whether it has
+// answered.
+func (d *Daemon) askDemand(ctx context.Context, q demandRequest, r *runner, addr string) (demandReply, bool) {
 	if r != nil {
+		q.sentAt = d.Timer.Now()
 		a := demandLocal(ctx, r, q)
-		return a.Demand, !a.NotOwner
+		return a, !a.NotOwner
 	}
 	if addr == "" {
-		return dispatch.Demand{}, false
+		return demandReply{}, false
 	}
 	var a demandReply
 	ok := d.askOwner(q.Service, func(s *stamp) (*stamp, bool, error) {
@@ -327,16 +342,20 @@
 		return a.Stamp, a.Late, err
 	})
 	if !ok || a.NotOwner {
-		return dispatch.Demand{}, false
+		return demandReply{}, false
 	}
-	return a.Demand, true
+	return a, true
 }
 
 func demandLocal(ctx context.Context, r *runner, q demandRequest) demandReply {
 	answers := make(chan demandReply, 1)
 	if r.service == ownership.HostsPart || !r.post(func(now time.Time) {
 		a := demandReply{Late: !r.isRecent(now, q.Stamp), Stamp: r.stamp(now)}
-		if !a.Late {
+		switch {
+		case a.Late:
+		case q.Grant != nil:
+			a.Limits = r.limitReport(now, q)
+		default:
 			a.Demand = r.state.Demand(now, q.Incoming, q.Available)
 		}
 		answers <- a
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -168,7 +168,7 @@
 }
 
 // services returns the pools that run tasks or may have jobs of queues that have gone to others, and ownership.HostsPart if this
-// daemon can control hosts.
+// daemon can control hosts or accounts have limits, which its owner divides.
 func (d *Daemon) services() []string {
 	c := d.config.Load()
 	if c == nil {
@@ -191,7 +191,7 @@
 		delete(used, p.Name)
 	}
 	list = append(list, slices.Sorted(maps.Keys(used))...) // no pools of the configuration, but they may have jobs
-	if d.Hosts != nil {
+	if d.Hosts != nil || anyLimit(c) {
 		list = append(list, ownership.HostsPart)
 	}
 	return list
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -44,6 +44,7 @@
 	r.start(ctx)
 	signal(d.listNow)
 	signal(d.heartbeatNow)
+	signal(d.readOwnersNow) // an owner takes shares of limits over only after a read
 	if r.hadOwner {
 		d.stopEarlierOwner(ctx, r, old, version)
 	}
@@ -203,6 +204,7 @@
 	if err != nil {
 		return err
 	}
+	r.followConfig() // the objectives of the jobs depend on the limits of accounts
 	now := d.Timer.Now()
 	r.state.Recover(now, jobs, runs, workers)
 	if back := d.storeBackAt.Load(); back != nil {
