Play limits of accounts in the walk

The walk checks what the workers run against the highest limit that may be in force, plus one task.

It found a controller that gave the whole limit to one service while another one had no owner for a moment, since it had never heard of it. A new controller now knows all services of the configuration, and raises no share before each has answered or has been without an owner for 12 s.

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -47,6 +47,7 @@
 type modelJob struct {
 	id         string
 	spec       *cuminstair.JobSpec
+	account    string
 	work       []time.Duration // by step: mean duration of its tasks
 	failRate   float64
 	accepted   bool
@@ -62,6 +63,7 @@
 	starts, takeovers, chains, lapses, held, restarts, mostEnds, crashes, jobs int
 	calls                                                                      callCounts
 	refused                                                                    map[string]int
+	limits                                                                     limitCounts
 }
 
 func (c *walkCounts) add(o *walkCounts) {
@@ -69,6 +71,7 @@
 	c.held, c.restarts, c.crashes, c.jobs = c.held+o.held, c.restarts+o.restarts, c.crashes+o.crashes, c.jobs+o.jobs
 	c.mostEnds = max(c.mostEnds, o.mostEnds)
 	c.calls.add(&o.calls)
+	c.limits.add(&o.limits)
 	for k, n := range o.refused {
 		c.refused[k] += n
 	}
@@ -107,9 +110,10 @@
 	forwarded   bool     // callers' calls go through entry daemons, and the network holds some for a long time
 	tightness   int      // of the objectives; above 0 jobs are refused
 	retention   time.Duration
-	heldUntil   time.Time  // latest arrival of a held call so far
-	notices     *rand.Rand // draws when gangs break
-	limits      *rand.Rand // draws checkpoints, labels and limits of tasks per worker
+	heldUntil   time.Time   // latest arrival of a held call so far
+	notices     *rand.Rand  // draws when gangs break
+	quotas      *walkLimits // nil: no account has a limit
+	limits      *rand.Rand  // draws checkpoints, labels and limits of tasks per worker
 }
 
 // beliefText marks what an owner knows of its workers.
@@ -173,6 +177,9 @@
 	for range hosts {
 		w.addHost(0)
 	}
+	if r := rand.New(rand.NewPCG(seed, 9)); r.Float64() < walkLimited {
+		w.quotas = newWalkLimits(w, r)
+	}
 	for _, d := range w.daemons {
 		d.boot()
 	}
@@ -583,6 +590,7 @@
 	w.active(r)
 	w.counts.starts++
 	w.runs[r.task] = append(w.runs[r.task], r)
+	w.quotas.checkRun(r)
 	w.note(r.by, "run started", "worker", r.on.info.ID, "job", r.task.Job, "occurrence", r.task.Occurrence, "step", r.task.Step, "task", r.task.Index, "run", r.run)
 }
 
@@ -704,7 +712,7 @@
 
 func (w *walk) addJob() {
 	s := w.sim
-	j := &modelJob{id: fmt.Sprintf("%016x", len(w.list)+1), spec: &cuminstair.JobSpec{}}
+	j := &modelJob{id: fmt.Sprintf("%016x", len(w.list)+1), spec: &cuminstair.JobSpec{}, account: w.quotas.account()}
 	long := s.chance(0.06)
 	for i := range 1 + s.rand.IntN(3) {
 		st := cuminstair.JobStep{Count: 1 + s.rand.IntN(6), CPU: 500 * (1 + s.rand.IntN(12)), Memory: 500 * (1 + s.rand.IntN(12))}
@@ -880,12 +888,15 @@
 		}
 	}
 	w.counts.jobs = len(w.list)
+	if w.quotas != nil {
+		w.counts.limits = w.quotas.counts
+	}
 }
 
 // TestWalk lets several owners of a service follow each other at random while workers, network, store and daemons fail,
 // and checks the starts and ends that the workers see. It guards against runs of a task beside or after another, starts
 // before their turn or beyond the attempts, starts without room, without the label or beyond the limit of tasks of a step on a
-// worker, starts from a checkpoint of another task, stops of long-running tasks that their step can't miss, and jobs that never
+// worker, starts from a checkpoint of another task, tasks of an account beyond its limit, stops of long-running tasks that their step can't miss, and jobs that never
 // end. The order of Go's maps varies, so that a seed does not always take the same course.
 func TestWalk(t *testing.T) { playWalks(t, newWalk) }
 
--- a/dispatch/walkcallers_test.go
+++ b/dispatch/walkcallers_test.go
@@ -50,7 +50,7 @@
 		return
 	}
 	r.post(func(now time.Time) {
-		r.state.Submit(now, j.id, j.spec, w.queue(), "", func(x dispatch.Result) {
+		r.state.Submit(now, j.id, j.spec, w.queue(), j.account, func(x dispatch.Result) {
 			if x.Outcome != dispatch.Accepted {
 				again()
 				return
--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -48,6 +48,7 @@
 	wroteAt    time.Time // start of the last write that was stored, on the daemon's clock
 	seen       ownerRow  // owner record as last read
 	seenAt     uint64    // its version
+	controller uint64    // token of the controller of limits, as read with it
 	beats      map[string]heartbeat
 	readAt     time.Time     // when the last successful read was sent; true time
 	patience   time.Duration // after which it takes over from a silent owner
@@ -84,7 +85,7 @@
 	d.run++
 	d.alive, d.frozen, d.queued, d.runner, d.taking, d.reading = true, false, nil, nil, false, false
 	d.seen, d.seenAt, d.beats, d.readAt, d.wroteAt = ownerRow{}, 0, map[string]heartbeat{}, time.Time{}, time.Time{}
-	d.newerOwner, d.calls = 0, openCalls{}
+	d.newerOwner, d.calls, d.controller = 0, openCalls{}, 0
 	d.patience = d.w.sim.between(800*time.Millisecond, 1700*time.Millisecond)
 	d.w.note(d.name, "daemon starts", "number", d.run)
 	d.beat()
@@ -190,15 +191,19 @@
 	sent, sentTrue := d.now(), d.w.sim.now
 	var o ownerRow
 	var version uint64
+	controller := uint64(0)
 	beats := map[string]heartbeat{}
 	d.storeCall(storeTimeout, func() {
 		o, version = d.w.store.owner, d.w.store.ownerVersion
+		if q := d.w.quotas; q != nil {
+			controller = q.token
+		}
 		for k, v := range d.w.store.beats {
 			beats[k] = v
 		}
 	}, func(err error) {
 		if err == nil {
-			d.seen, d.seenAt, d.beats, d.readAt = o, version, beats, sentTrue
+			d.seen, d.seenAt, d.beats, d.readAt, d.controller = o, version, beats, sentTrue, controller
 			d.apply(sent)
 		}
 		then()
@@ -388,6 +393,9 @@
 	if hadOwner {
 		s.EarlierOwnerGrace = ownerGrace
 	}
+	if d.w.quotas != nil {
+		s.SetAccounts(d.w.quotas.accounts(d))
+	}
 	r.state = s
 	return r
 }
--- a/dispatch/walkforward_test.go
+++ b/dispatch/walkforward_test.go
@@ -346,7 +346,7 @@
 			r.state.Cancel(now, a.job.id, reply)
 			return
 		}
-		r.state.Submit(now, a.job.id, a.job.spec, w.queue(), "", reply)
+		r.state.Submit(now, a.job.id, a.job.spec, w.queue(), a.job.account, reply)
 	})
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -33,6 +33,7 @@
 	exempt    bool      // its owner keeps no limits, see Unlimited
 	lastSeq   uint64    // of the last grant sent; 0: none
 	absent    time.Time // since when it has had no owner; zero: it has one
+	gone      bool      // it has had none for absentTime
 	entries   map[string]*entry
 }
 
@@ -76,34 +77,37 @@
 	}
 }
 
-// SetServices sets the services that have an owner. Others are forgotten after absentTime, during which this has to be called often:
-// a controller that was paused does not know whether they had an owner meanwhile.
-func (l *Ledger) SetServices(now time.Time, present []string) {
-	for _, name := range present {
-		h := l.services[name]
-		if h == nil {
-			h = &holder{name: name, entries: map[string]*entry{}}
-			l.services[name] = h
-			l.order = append(l.order, h)
-		}
-	}
+// SetServices sets the services, and those of them that have an owner. One without an owner is left out after absentTime, during
+// which this has to be called often: a controller that was paused does not know whether it had an owner meanwhile.
+func (l *Ledger) SetServices(now time.Time, list, present []string) {
 	paused := now.Sub(l.servicesAt) > maxPause
 	l.servicesAt = now
-	l.order = slices.DeleteFunc(l.order, func(h *holder) bool {
+	for _, name := range list {
+		if l.services[name] == nil {
+			l.services[name] = &holder{name: name, absent: now, entries: map[string]*entry{}}
+		}
+	}
+	l.order = l.order[:0]
+	for name, h := range l.services {
 		switch {
-		case slices.Contains(present, h.name):
-			h.absent = time.Time{}
-			return false
-		case h.absent.IsZero() || paused:
+		case slices.Contains(present, name):
+			h.absent, h.gone = time.Time{}, false
+		case h.absent.IsZero() || paused && !h.gone:
 			h.absent = now
 		}
-		h.answered = false
-		gone := now.Sub(h.absent) > absentTime
-		if gone {
-			delete(l.services, h.name)
+		if !h.absent.IsZero() {
+			h.answered = false
+			if h.gone = now.Sub(h.absent) > absentTime; h.gone {
+				h.heard, h.lastSeq, h.entries = false, 0, map[string]*entry{}
+			}
 		}
-		return gone
-	})
+		if h.gone && !slices.Contains(list, name) {
+			delete(l.services, name)
+		}
+		if !h.gone {
+			l.order = append(l.order, h)
+		}
+	}
 	slices.SortFunc(l.order, func(a, b *holder) int { return strings.Compare(a.name, b.name) })
 }
 
--- a/quota/property_test.go
+++ b/quota/property_test.go
@@ -135,7 +135,7 @@
 
 // poll sends a grant to an owner. It may be lost, and so may the answer.
 func (p *play) poll(c *playController, s *playService) {
-	c.ledger.SetServices(p.now, p.names())
+	c.ledger.SetServices(p.now, p.names(), p.names())
 	c.ledger.Plan(p.now)
 	o := p.drawOwner(s)
 	if s.present().at.Before(c.begin) || c.asked[s.name] == s.present() {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -75,7 +75,7 @@
 
 // round plays one round of the controller, as package entry does.
 func (f *field) round() {
-	f.ledger.SetServices(f.now, f.names)
+	f.ledger.SetServices(f.now, f.names, f.names)
 	for pass := range 3 {
 		f.ledger.Plan(f.now)
 		for _, name := range f.names {
@@ -338,7 +338,7 @@
 	for i := range 45 {
 		names = append(names, fmt.Sprint("s", i))
 	}
-	l.SetServices(now, names)
+	l.SetServices(now, names, names)
 	draw := rand.New(rand.NewPCG(1, 2))
 	for i, name := range names {
 		r := quota.Report{Token: uint64(i + 1), Controller: 1, Accounts: map[string]quota.Use{}}
