--- a/entry/limits.go
+++ b/entry/limits.go
@@ -19,7 +19,7 @@
 // get more than one.
 const maxPasses = 3
 
-// maxLoggedShares is the most changed shares that one division logs.
+// maxLoggedShares is the most changed shares that are logged in a second.
 const maxLoggedShares = 20
 
 // limitLoop divides the limits of accounts among the services while this daemon owns ownership.HostsPart. It has a loop of its own,
@@ -45,6 +45,9 @@
 	token  uint64
 	mu     sync.Mutex
 	ledger *quota.Ledger // guarded by mu
+	logged int           // changed shares logged since loggedAt
+
+	loggedAt time.Time
 }
 
 // step asks the owners what they use and want, and grants them new shares.
@@ -64,10 +67,11 @@
 	if !l.d.hasReadOwnersSince(now.Add(-ownerGrace)) {
 		return // there may be a new controller
 	}
-	services := l.present()
+	all := slices.DeleteFunc(l.d.services(), func(s string) bool { return s == ownership.HostsPart })
+	services := l.present(all)
 	l.mu.Lock()
 	l.ledger.SetLimits(now, limits)
-	l.ledger.SetServices(now, services)
+	l.ledger.SetServices(now, all, services)
 	l.mu.Unlock()
 	for pass := range maxPasses {
 		l.mu.Lock()
@@ -95,11 +99,11 @@
 	wg.Wait()
 }
 
-// present returns the services that have an owner.
-func (l *limitController) present() []string {
-	return slices.DeleteFunc(l.d.services(), func(service string) bool {
+// present returns the services of a list that have an owner.
+func (l *limitController) present(list []string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(service string) bool {
 		r, addr := l.d.recordedOwner(service)
-		return service == ownership.HostsPart || r == nil && addr == ""
+		return r == nil && addr == ""
 	})
 }
 
@@ -146,7 +150,12 @@
 // plan plans new shares and logs those that change much. Callers hold mu.
 func (l *limitController) plan(now time.Time) {
 	changes := l.ledger.Plan(now)
-	for _, c := range changes[:min(len(changes), maxLoggedShares)] {
+	if now.Sub(l.loggedAt) >= time.Second {
+		l.loggedAt, l.logged = now, 0
+	}
+	logged := changes[:min(len(changes), maxLoggedShares-l.logged)]
+	l.logged += len(logged)
+	for _, c := range logged {
 		l.d.Log.Info("entry: share of a limit changes", "service", c.Service, "account", c.Account, "before", c.Before, "share", c.Share,
 			"used", c.Used, "wanted", c.Wanted, "limit", c.Limit, "bound", c.Bounded, "changes", len(changes), "token", l.token)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -79,9 +79,9 @@
 		{"stopped", now.Stops - before.Stops},
 		{"crashed", now.Crashes - before.Crashes},
 		{"contradicted", now.Contradictions - before.Contradictions},
-		{"shares granted", now.Grants - before.Grants},
-		{"account blocked by its limit", now.LimitBlocks - before.LimitBlocks},
-		{"task held back by a limit", now.LimitTasks - before.LimitTasks},
+		{"granted", now.Grants - before.Grants},
+		{"blocked", now.LimitBlocks - before.LimitBlocks},
+		{"held back", now.LimitTasks - before.LimitTasks},
 	} {
 		if e.n > 0 {
 			m.Events.WithLabelValues(e.name).Add(float64(e.n))
