Bound what a new owner counts for runs that it does not know

A new owner counted all inherited tasks that its predecessor might run, also a queue of several times the limit, so that its account started nothing there until the last silent worker's lease had run out. The controller knows what the grants of earlier owners allowed, and tells it to the new owner (for its token only); less what of it has been found, it bounds the count.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -97,6 +97,7 @@
 	room        place.Room
 	account     string       // client account of its job; empty: none, or the job is not known
 	charge      quota.Amount // what it takes of the limit of the account
+	found       bool         // an earlier owner started it
 	longRunning bool
 	bestEffort  bool
 	runTimes
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -45,7 +45,7 @@
 func (s *Service) LimitReport() quota.Report {
 	unsettled := !s.inheritedResolved()
 	s.countUnsure()
-	return s.shares.Report(uint64(s.Token), unsettled, s.waitingByAccount())
+	return s.shares.Report(unsettled, s.waitingByAccount())
 }
 
 // countUnsure counts for each account the tasks that earlier owners may run or start, as long as their runs are not settled.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -187,7 +187,7 @@
 		// Finished jobs have no tasks, but their remaining runs still take room.
 		st := step{JobStep: j.spec.Steps[t.Task.Step]}
 		a.room, a.longRunning, a.bestEffort = st.room(), st.LongRunning, st.BestEffort
-		a.account, a.charge = j.account, chargeOf(&st.JobStep)
+		a.account, a.charge, a.found = j.account, chargeOf(&st.JobStep), t.Run < s.Token*runsPerToken
 	default:
 		a.room = w.free() // its size is unknown: the worker gets no tasks until it has ended
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -135,7 +135,7 @@
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, closings: map[assignment.Key]*closing{},
 		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{},
-		shares: quota.NewShare(), limitBlocked: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
+		shares: quota.NewShare(uint64(token)), limitBlocked: map[string]time.Time{}, Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
 
--- a/dispatch/unanswered.go
+++ b/dispatch/unanswered.go
@@ -83,7 +83,7 @@
 	}
 	a := &attempt{
 		task: t, id: t.id, run: x.Run, room: t.step.room(), longRunning: t.step.LongRunning, bestEffort: t.step.BestEffort,
-		account: t.step.occ.job.account, charge: chargeOf(&t.step.JobStep),
+		account: t.step.occ.job.account, charge: chargeOf(&t.step.JobStep), found: true,
 		runTimes: runTimes{sentAt: now, unansweredAt: now, ofEarlierOwner: true}, cpuShare: 100, shareUnsure: true, adopted: true,
 	}
 	t.run, t.attempt = max(t.run, x.Run), a
--- a/dispatch/walklimits_test.go
+++ b/dispatch/walklimits_test.go
@@ -47,7 +47,6 @@
 	on         *daemon        // daemon of the present controller
 	onRun      int
 	other      *quota.Share
-	otherToken uint64
 	otherUsed  quota.Amount
 	otherWants int // tasks that the other service has waiting
 	cutUntil   time.Time
@@ -65,7 +64,7 @@
 }
 
 func newWalkLimits(w *walk, r *rand.Rand) *walkLimits {
-	q := &walkLimits{w: w, rand: r, known: map[string]int{}, other: quota.NewShare(), otherToken: 1}
+	q := &walkLimits{w: w, rand: r, known: map[string]int{}, other: quota.NewShare(1)}
 	q.counts.walks = 1
 	q.versions = []limitVersion{{limit: q.drawLimit(), at: begin}}
 	q.other.SetLimits(q.limits("other"), q.always)
@@ -302,7 +301,7 @@
 	c.d.after(q.between(0, 20*time.Millisecond), func() {
 		q.other.Accept(issued, g)
 		task := quota.Amount{otherTaskCPU, 1000}
-		r := q.other.Report(q.otherToken, false, map[string]quota.Waiting{walkAccount: {Total: quota.Amount{}.Plus(task, q.otherWants), Unit: task}})
+		r := q.other.Report(false, map[string]quota.Waiting{walkAccount: {Total: quota.Amount{}.Plus(task, q.otherWants), Unit: task}})
 		c.d.after(q.between(0, 20*time.Millisecond), func() {
 			c.ledger.Report(c.d.now(), "t", r)
 			q.w.note("other", "grant answered", "controller", g.Token, "seq", g.Seq, "share", g.Shares[walkAccount].Share, "last", r.Seq, "use", r.Accounts[walkAccount])
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -159,6 +159,9 @@
 	w.used = w.used.Plus(a.room, n)
 	if a.account != "" {
 		w.shares.Charge(a.account, a.charge, n)
+		if a.found {
+			w.shares.ChargeFound(a.account, a.charge, n)
+		}
 	}
 	switch {
 	case a.bestEffort:
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -30,6 +30,7 @@
 	heard     bool      // an owner has answered this controller
 	answered  bool      // the owner has answered the last grant
 	unsettled bool      // see Report.Unsettled
+	handed    bool      // an owner has answered this controller before the present one
 	exempt    bool      // its owner keeps no limits, see Unlimited
 	lastSeq   uint64    // of the last grant sent; 0: none
 	absent    time.Time // since when it has had no owner; zero: it has one
@@ -44,6 +45,7 @@
 	used, wanted, unit   Amount    // as last reported; used includes unsure
 	share, reach, before Amount    // as planned; before: as last listed as changed
 	sent                 Amount    // share of the last grant
+	prior, earlier       Amount    // bound before the last grant; that of the owners before the present one
 	servedAt             time.Time // when it was last known to use something
 }
 
@@ -98,7 +100,7 @@
 		if !h.absent.IsZero() {
 			h.answered = false
 			if h.gone = now.Sub(h.absent) > absentTime; h.gone {
-				h.heard, h.lastSeq, h.entries = false, 0, map[string]*entry{}
+				h.heard, h.handed, h.lastSeq, h.entries = false, false, 0, map[string]*entry{}
 			}
 		}
 		if h.gone && !slices.Contains(list, name) {
@@ -120,6 +122,9 @@
 	}
 	first := !h.heard
 	confirmed := h.lastSeq > 0 && r.Seq == h.lastSeq
+	if r.Token > h.token && h.heard {
+		h.takenOver(confirmed)
+	}
 	h.token, h.heard, h.answered, h.unsettled, h.exempt = r.Token, true, true, r.Unsettled, false
 	l.seq = max(l.seq, r.Seq)
 	for name, u := range r.Accounts {
@@ -154,6 +159,16 @@
 	return true
 }
 
+// takenOver keeps what the owners before a new one may have running: the bounds without the last grant, if the new owner has it.
+func (h *holder) takenOver(confirmed bool) {
+	h.handed = true
+	for _, e := range h.entries {
+		if e.earlier = e.bound; confirmed {
+			e.earlier = e.prior
+		}
+	}
+}
+
 // observe learns of an account from what a service reports: its owner may have a later configuration.
 func (l *Ledger) observe(now time.Time, name string, u Use) {
 	a := l.accounts[name]
@@ -186,15 +201,20 @@
 	}
 	l.seq++
 	h.lastSeq, h.answered = l.seq, false
-	g.Seq, g.Shares = l.seq, map[string]Allowance{}
+	g.Seq, g.Owner, g.Shares = l.seq, h.token, map[string]Allowance{}
 	for name, e := range h.entries {
 		a := l.accounts[name]
-		e.sent = e.share
+		e.sent, e.prior = e.share, e.bound
 		if a == nil || e.share.IsZero() {
 			continue
 		}
 		e.bound, e.granted = e.bound.Max(e.share), e.granted.Max(e.share)
-		g.Shares[name] = Allowance{Share: e.share, Limit: a.limit, Reach: e.reach}
+		x := Allowance{Share: e.share, Limit: a.limit, Reach: e.reach}
+		if h.handed && h.unsettled {
+			earlier := e.earlier
+			x.Earlier = &earlier
+		}
+		g.Shares[name] = x
 	}
 	return g
 }
--- a/quota/property_test.go
+++ b/quota/property_test.go
@@ -72,7 +72,7 @@
 
 func (p *play) newOwner(s *playService) {
 	p.next++
-	o := &playOwner{Share: quota.NewShare(), token: p.next, at: p.tick(), unsettled: len(s.owners) > 0, known: map[*playTask]bool{}}
+	o := &playOwner{Share: quota.NewShare(p.next), token: p.next, at: p.tick(), unsettled: len(s.owners) > 0, known: map[*playTask]bool{}}
 	o.SetLimits(p.limits(), nil)
 	s.owners = append(s.owners, o)
 	for _, t := range s.tasks {
@@ -154,7 +154,7 @@
 	}
 	if fate != "answer lost" {
 		p.countUnsure(s, o)
-		r := o.Report(o.token, o.unsettled, map[string]quota.Waiting{account: p.waiting(s, o)})
+		r := o.Report(o.unsettled, map[string]quota.Waiting{account: p.waiting(s, o)})
 		p.Logf("%s answers %d/%d: %v", s.name, r.Controller, r.Seq, r.Accounts)
 		c.heard[s.name] = c.ledger.Report(p.now, s.name, r) || c.heard[s.name]
 	}
@@ -226,6 +226,9 @@
 		if o == t.by || o.known[t] {
 			o.Charge(account, quota.Amount{t.size}, -1)
 		}
+		if o.known[t] {
+			o.ChargeFound(account, quota.Amount{t.size}, -1)
+		}
 	}
 }
 
@@ -236,6 +239,7 @@
 		if o.unsettled && !t.done && t.by != nil && t.by != o && !o.known[t] && (all || rapid.Bool().Draw(p.T, "found")) {
 			o.known[t] = true
 			o.Charge(account, quota.Amount{t.size}, 1)
+			o.ChargeFound(account, quota.Amount{t.size}, 1)
 		}
 	}
 	o.unsettled = o.unsettled && !all
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -75,8 +75,9 @@
 
 // Grant is what the controller sends to the owner of a service.
 type Grant struct {
-	Token  uint64               `json:"token"`         // of the controller
-	Seq    uint64               `json:"seq,omitempty"` // number of the grant; 0: only announces the controller
+	Token  uint64               `json:"token"`           // of the controller
+	Seq    uint64               `json:"seq,omitempty"`   // number of the grant; 0: only announces the controller
+	Owner  uint64               `json:"owner,omitempty"` // token of the owner to which Allowance.Earlier applies; 0: none
 	Shares map[string]Allowance `json:"shares,omitempty"`
 }
 
@@ -84,7 +85,9 @@
 type Allowance struct {
 	Share Amount `json:"s"`
 	Limit Amount `json:"l"` // of which it is a share
-	Reach Amount `json:"r"` // largest share that the service can expect with the present demand of the others
+	// Earlier is the most that the owners before this one may have running, until it has settled their runs; nil: not known.
+	Earlier *Amount `json:"e,omitempty"`
+	Reach   Amount  `json:"r"` // largest share that the service can expect with the present demand of the others
 }
 
 // Report is the answer of an owner.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -59,7 +59,7 @@
 func (f *field) limits() map[string]quota.Amount { return map[string]quota.Amount{account: {f.limit}} }
 
 func (f *field) newOwner(token uint64) *owner {
-	o := &owner{share: quota.NewShare(), token: token, size: 1}
+	o := &owner{share: quota.NewShare(token), token: token, size: 1}
 	o.share.SetLimits(f.limits(), func(string) bool { return true })
 	return o
 }
@@ -70,7 +70,7 @@
 }
 
 func (o *owner) report() quota.Report {
-	return o.share.Report(o.token, o.unsettled, map[string]quota.Waiting{account: {Total: quota.Amount{o.waiting * o.size}, Unit: quota.Amount{o.size}}})
+	return o.share.Report(o.unsettled, map[string]quota.Waiting{account: {Total: quota.Amount{o.waiting * o.size}, Unit: quota.Amount{o.size}}})
 }
 
 // round plays one round of the controller, as package entry does.
@@ -235,7 +235,7 @@
 // Guards against grants that come late or twice, or are of an earlier controller, and against an expired one.
 func TestOwnerIgnoresOldGrants(t *testing.T) {
 	is := is.New(t)
-	s, now := quota.NewShare(), time.Unix(1000, 0)
+	s, now := quota.NewShare(1), time.Unix(1000, 0)
 	limit := quota.Amount{100}
 	s.SetLimits(map[string]quota.Amount{account: limit}, nil)
 	grant := func(token, seq uint64, share int) quota.Grant {
@@ -284,6 +284,19 @@
 	f.True(f.total > 95)
 }
 
+// Guards against a new owner that starts nothing beside a long queue of inherited tasks, of which its predecessor could run few.
+func TestNewOwnerStartsBesideAnInheritedQueue(t *testing.T) {
+	f := newField(t, 100, 3)
+	f.run(2*time.Second, nil)
+	next := f.newOwner(50)
+	next.unsettled = true
+	next.share.SetUnsure(map[string]quota.Amount{account: {1000}})
+	f.owners["s0"] = next
+	next.waiting = 200
+	f.run(2*time.Second, nil)
+	f.True(len(next.running) > 50) // the even share of the earlier owner was 33
+}
+
 // Guards against starts above a limit that was cut, and against an account that stays without a share once it is added, or with the
 // limit that it had before it was removed.
 func TestLimitsOfNewVersions(t *testing.T) {
--- a/quota/share.go
+++ b/quota/share.go
@@ -4,6 +4,7 @@
 
 // Share is the owner's side: the shares of a service in the limits of accounts, and what is used of them.
 type Share struct {
+	token           uint64 // of the owner
 	controller, seq uint64
 	until           time.Time // when the grant expires
 	parts           map[string]Allowance
@@ -11,11 +12,13 @@
 	limits          map[string]Amount // by account with a limit, also those that were removed while in use
 	used            map[string]Amount
 	unsure          map[string]Amount
+	found           map[string]Amount // part of used: runs of earlier owners
+	earlier         map[string]Amount // see Allowance.Earlier
 }
 
-// NewShare returns the side of an owner that has no grant yet.
-func NewShare() *Share {
-	return &Share{parts: map[string]Allowance{}, limits: map[string]Amount{}, used: map[string]Amount{}, unsure: map[string]Amount{}}
+// NewShare returns the side of an owner with a token that has no grant yet.
+func NewShare(token uint64) *Share {
+	return &Share{token: token, parts: map[string]Allowance{}, limits: map[string]Amount{}, used: map[string]Amount{}, unsure: map[string]Amount{}, found: map[string]Amount{}, earlier: map[string]Amount{}}
 }
 
 // SetLimits sets the limits of the accounts of the configuration; the limit of an account without one is zero. An account that is
@@ -56,6 +59,9 @@
 	}
 	s.seq, s.until, s.parts = g.Seq, issued.Add(GrantTTL), g.Shares
 	for name, p := range g.Shares {
+		if _, ok := s.earlier[name]; !ok && p.Earlier != nil && g.Owner == s.token {
+			s.earlier[name] = *p.Earlier
+		}
 		if _, ok := s.configured[name]; !ok {
 			s.limits[name] = p.Limit // of an account that was removed, or is to come
 		}
@@ -72,11 +78,26 @@
 	}
 }
 
+// ChargeFound adds n times an amount to the part of what an account uses that runs of earlier owners take.
+func (s *Share) ChargeFound(account string, amount Amount, n int) {
+	s.found[account] = s.found[account].Plus(amount, n)
+}
+
 // SetUnsure sets what runs of earlier owners may use that the owner does not know.
 func (s *Share) SetUnsure(unsure map[string]Amount) { s.unsure = unsure }
 
 // Used returns what an account uses, with the runs that earlier owners may have started.
-func (s *Share) Used(account string) Amount { return s.used[account].Plus(s.unsure[account], 1) }
+func (s *Share) Used(account string) Amount { return s.used[account].Plus(s.maybe(account), 1) }
+
+// maybe returns what runs of earlier owners may use that the owner does not know. With those that it has found, they are within what
+// these owners could start.
+func (s *Share) maybe(account string) Amount {
+	unsure := s.unsure[account]
+	if earlier, ok := s.earlier[account]; ok {
+		unsure = unsure.Min(earlier.Plus(s.found[account], -1).Max(Amount{}))
+	}
+	return unsure
+}
 
 // Allowed returns what an account may use at now. A share of a limit that has been cut since is cut in proportion.
 func (s *Share) Allowed(now time.Time, account string) Amount {
@@ -139,11 +160,11 @@
 	Unit  Amount // of the largest task
 }
 
-// Report returns the answer of the owner with a token.
-func (s *Share) Report(token uint64, unsettled bool, waiting map[string]Waiting) Report {
-	r := Report{Token: token, Controller: s.controller, Seq: s.seq, Unsettled: unsettled, Accounts: map[string]Use{}}
+// Report returns the answer of the owner.
+func (s *Share) Report(unsettled bool, waiting map[string]Waiting) Report {
+	r := Report{Token: s.token, Controller: s.controller, Seq: s.seq, Unsettled: unsettled, Accounts: map[string]Use{}}
 	for name, limit := range s.limits {
-		u := Use{Limit: limit, Held: s.parts[name].Share, Used: s.used[name], Unsure: s.unsure[name], Unit: waiting[name].Unit}
+		u := Use{Limit: limit, Held: s.parts[name].Share, Used: s.used[name], Unsure: s.maybe(name), Unit: waiting[name].Unit}
 		u.Wanted = s.Used(name).Plus(waiting[name].Total, 1)
 		if !u.Held.IsZero() || !u.Wanted.IsZero() {
 			r.Accounts[name] = u
