--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/place"
+	"cuminstair.org/cuminstair/quota"
 	"cuminstair.org/cuminstair/straggler"
 )
 
@@ -65,6 +66,7 @@
 	advice         advice          // for steps of an advised queue
 	saved          gangCheckpoint  // of a gang
 	peers          straggler.Peers // of its tasks, if they allow copies: runs that have ended done
+	heldBack       bool            // the limit of its account has kept tasks of it from starting
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -99,6 +101,9 @@
 	run         int64
 	worker      *worker
 	room        place.Room
+	account     string       // client account of its job; empty: none, or the job is not known
+	charge      quota.Amount // what it takes of the limit of the account
+	found       bool         // an earlier owner started it
 	longRunning bool
 	bestEffort  bool
 	runTimes
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -99,7 +99,7 @@
 func (s *Service) startCopy(now time.Time, l *lateRun, free float64) {
 	a := l.attempt
 	t := a.task
-	if !l.decision.Copy || !t.step.room().Fits(s.maxFree) {
+	if !l.decision.Copy || !t.step.room().Fits(s.maxFree) || !s.copyWithinLimit(t) {
 		return
 	}
 	w := s.choose(t.step, t, s.spreadOf(t.step))
