--- a/admission/admission.go
+++ b/admission/admission.go
@@ -18,6 +18,12 @@
 	// do not compete for cores until the ready part is done.
 	Ready float64
 	Late  bool // the job can no longer finish on time; work that can still be on time runs first
+	// Class orders work before its due time: work of a lower class runs first.
+	Class int
+	// Yields means that the work was accepted beyond the share of its account: the part of it that has not begun is no reason
+	// to refuse a job of a lower class. Begun is the other part of Work, which runs on.
+	Yields bool
+	Begun  float64
 }
 
 // Job is a new job to be decided about.
@@ -27,6 +33,8 @@
 	Work         float64       // core-seconds
 	CriticalPath time.Duration // duration of its longest chain of dependent steps if no step has to wait
 	Width        float64       // cores that its first steps can use
+	Class        int           // see Load
+	Reserve      float64       // core-seconds that are expected to be accepted after it and to run before it
 }
 
 // Pool is the capacity of the workers.
@@ -83,22 +91,42 @@
 	Late   bool          // if accepted: the job can't finish on time; work that can still be on time runs first
 	Finish time.Time     // when the job is expected to finish
 	Wait   time.Duration // if refused: time until a retry, equal to the greatest lateness that would result
+	// LateFinish is when a job that can't be on time is expected to finish as late.
+	LateFinish time.Time
+}
+
+// runsBefore reports whether work runs before a job.
+func (l *Load) runsBefore(job *Job) bool {
+	if l.Class != job.Class {
+		return l.Class < job.Class
+	}
+	return !l.Due.After(job.Due)
 }
 
 // Decide accepts the job as on time if its longest chain can finish before its due time and, with all work done in the
-// order of due times (earliest deadline first), no accepted job becomes late because of it. Any other job is accepted
-// as late if the pool can finish all accepted work and the job itself while the result of the job is still useful. Decide
-// sorts load by due time.
+// order of classes and due times (earliest deadline first), no accepted job becomes late because of it, except for work that
+// yields. Any other job is accepted as late if the pool can finish all accepted work and the job itself while the result of
+// the job is still useful. Decide sorts load.
 func Decide(now time.Time, pool Pool, load []Load, job Job) Verdict {
-	sort.Slice(load, func(i, j int) bool { return load[i].Due.Before(load[j].Due) })
-	workBefore, readyBefore, onTime, allWork, lateness := 0.0, 0.0, 0.0, 0.0, time.Duration(0)
-	for _, l := range load {
+	sort.Slice(load, func(i, j int) bool {
+		if load[i].Class != load[j].Class {
+			return load[i].Class < load[j].Class
+		}
+		return load[i].Due.Before(load[j].Due)
+	})
+	workBefore, readyBefore, onTime, allWork, lateness := job.Reserve, 0.0, job.Reserve, job.Reserve, time.Duration(0)
+	for i := range load {
+		l := &load[i]
+		if l.Yields && job.Class < l.Class {
+			workBefore, onTime, allWork = workBefore+l.Begun, onTime+l.Begun, allWork+l.Begun
+			continue
+		}
 		allWork += l.Work
 		if l.Late {
 			continue
 		}
 		onTime += l.Work
-		if !l.Due.After(job.Due) {
+		if l.runsBefore(&job) {
 			workBefore += l.Work
 			readyBefore += l.Ready
 			continue
@@ -121,9 +149,9 @@
 	basePool.ExtraCores = 0 // after a peak, the hosts added for it are moved to the pool with the next peak
 	lateFinish := now.Add(max(wait+job.CriticalPath, basePool.workTime(lateWorkFactor*(allWork+job.Work))))
 	if !lateFinish.After(job.Expiry) {
-		return Verdict{Accept: true, Late: true, Finish: lateFinish}
+		return Verdict{Accept: true, Late: true, Finish: lateFinish, LateFinish: lateFinish}
 	}
-	return Verdict{Finish: finish, Wait: lateness}
+	return Verdict{Finish: finish, Wait: lateness, LateFinish: lateFinish}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
