Share the capacity of a service fairly among client accounts

Cause: with plain admission, an account at seven times its usual load makes the jobs of the others late. Change: a job of an account above its share is accepted only if it can be in time beside the work that the others are expected to offer; until the account is below its share again, it yields to their jobs in admission and placement. Other jobs of the account are refused, with a Retry-After at which its share has room, which is kept for the caller. The priority of a queue orders steps of one rank before shares do. All of this only with accounts configured.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -53,3 +53,42 @@
 		})
 	}
 }
+
+// BenchmarkAdmit measures one admission at 70 jobs a second on 100 workers with 100 accepted jobs, without client accounts and
+// with 1,000 that offer more than the capacity.
+func BenchmarkAdmit(b *testing.B) {
+	for _, accounts := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			const workers, jobs = 100, 100
+			s := dispatch.New("s", 1, begin, hclog.NewNullLogger())
+			var list []cuminstair.WorkerInfo
+			for i := range workers {
+				id := fmt.Sprintf("w%d", i)
+				list = append(list, cuminstair.WorkerInfo{ID: id, Addr: id, CPU: hostCPU, Memory: hostMemory, Incarnation: 1})
+			}
+			s.SetWorkers(begin, list)
+			names := []string{""}
+			if accounts > 0 {
+				names = nil
+				var list []cuminstair.ClientAccount
+				for i := range accounts {
+					names = append(names, fmt.Sprintf("a%d", i))
+					list = append(list, cuminstair.ClientAccount{Name: names[i], Weight: 1})
+				}
+				s.SetAccounts(list)
+			}
+			spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{{Count: 32, CPU: 3000, Memory: 1000, Estimate: time.Second}}}
+			queue := cuminstair.WorkQueue{Name: "q", Service: "s", TargetFactor: 10, Target: time.Minute}
+			for i := range jobs {
+				s.Submit(begin, fmt.Sprintf("%016x", i), spec, queue, names[i%len(names)], func(dispatch.Result) {})
+			}
+			now := begin
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Second / 70)
+				s.Admit(now, "ffffffffffffffff", spec, queue, names[i%len(names)])
+			}
+		})
+	}
+}
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"cuminstair.org/cuminstair"
 )
 
 // Belief returns what an owner knows of its workers, for the reports of tests.
@@ -22,3 +24,11 @@
 
 // Denials returns the number of denials that are kept.
 func (s *Service) Denials() int { return len(s.denied) }
+
+// Admit decides on a job as Submit does, without keeping it.
+func (s *Service) Admit(now time.Time, id string, spec *cuminstair.JobSpec, queue cuminstair.WorkQueue, account string) Result {
+	j := newJob(id, spec, queue)
+	j.account, j.firstSent, j.due = account, now, now.Add(time.Minute)
+	s.observeOffer(now, j)
+	return s.admit(now, j)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -19,6 +19,7 @@
 	receivedAt    time.Time           // time of the submission that was accepted
 	due           time.Time           // end of its objective; unused for long-running jobs
 	late          bool                // accepted although it can't finish by due
+	surplus       bool                // accepted while its account was above its share
 	runs          []*occurrence       // occurrences that have begun and are not done, by number
 	next          int                 // number of the next occurrence to create
 	stored        bool                // the job is in the store
@@ -60,6 +61,7 @@
 	queued         bool           // listed in Service.ready
 	latestStart    time.Time      // latest start of its tasks for the job to be in time
 	rank           int            // see Service.rank
+	class          int            // see Service.class
 	mayRun         bool           // an earlier owner may have started its tasks on workers that have not answered
 	advice         advice         // for steps of an advised queue
 	saved          gangCheckpoint // of a gang
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -37,6 +37,7 @@
 	for _, st := range s.ready {
 		st.latestStart = s.latestStart(st)
 		st.rank = s.rank(now, st)
+		st.class = s.stepClass(now, st)
 	}
 	sort.SliceStable(s.ready, func(i, j int) bool { return moreUrgent(s.ready[i], s.ready[j]) })
 	s.listCandidates(now)
@@ -113,7 +114,7 @@
 }
 
 // moreUrgent reports whether step a is placed before step b: long-running steps come first, then steps that are not
-// best-effort, then those with the lower rank, then those with the earlier latest start.
+// best-effort, then those with the lower rank, then those of the lower class, then those with the earlier latest start.
 func moreUrgent(a, b *step) bool {
 	if a.LongRunning != b.LongRunning {
 		return a.LongRunning
@@ -124,6 +125,9 @@
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
+	if a.class != b.class {
+		return a.class < b.class
+	}
 	return a.latestStart.Before(b.latestStart)
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -11,6 +11,7 @@
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/assignment"
+	"cuminstair.org/cuminstair/fair"
 	"cuminstair.org/cuminstair/place"
 )
 
@@ -19,6 +20,7 @@
 	Outcome Outcome
 	Wait    time.Duration // if refused: time until the next try
 	Why     string
+	inputs  []any // of a refusal, for the log
 }
 
 // Outcome is the result of a call.
@@ -111,11 +113,13 @@
 	settled         bool                 // the runs of earlier owners were settled at the last placement; see inheritedResolved
 	counts          Counts
 	accounts        map[string]cuminstair.ClientAccount // by name; nil: none are configured
+	shares          fair.Tracker                        // of the accounts
 }
 
 // Counts are totals since the service was taken over.
 type Counts struct {
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
+	AboveShare                                           int // refusals of jobs of accounts above their share
 	Crashes                                              int // of workers that ran tasks
 	Contradictions                                       int // answers of workers that could not be true
 }
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -19,6 +19,8 @@
 	// added at random.
 	minWait = time.Second
 	maxWait = 8 * time.Second
+	// spreadShare is the largest part of a wait that is added at random.
+	spreadShare = 0.5
 	// remainingShare is the mean remaining time of a running task, as a part of the objective of its job. It assumes a
 	// job of two equal steps with about as much slack as running time, and half a step remaining.
 	remainingShare = 1.0 / 8
@@ -92,22 +94,25 @@
 		return
 	}
 	s.recordOffered(now, s.totalWork(j))
+	s.recordOfferOf(now, j)
 	if s.meanObjective == 0 {
 		s.meanObjective = j.due.Sub(now)
 	}
 	s.meanObjective += time.Duration(objectiveWeight * float64(j.due.Sub(now)-s.meanObjective))
 }
 
-// spread adds up to half of a wait at random, so that refused callers do not return together.
+// spread adds up to spreadShare of a wait at random, so that refused callers do not return together.
 func (s *Service) spread(wait time.Duration) time.Duration {
-	return wait + time.Duration(s.Rand.Float64()*float64(wait)/2)
+	return wait + time.Duration(s.Rand.Float64()*spreadShare*float64(wait))
 }
 
 func (s *Service) refuse(now time.Time, id string, r Result, reply func(Result)) {
 	s.counts.Refused++
 	s.recordRefusal(now, id, now)
-	s.Log.Info("dispatch: job refused", "service", s.Name, "job", id, "why", r.Why, "wait", r.Wait.Round(time.Millisecond).String(), "open", len(s.active),
-		"used", s.usedShare())
+	fields := []any{
+		"service", s.Name, "job", id, "why", r.Why, "wait", r.Wait.Round(time.Millisecond).String(), "open", len(s.active), "used", s.usedShare(),
+	}
+	s.Log.Info("dispatch: job refused", append(fields, r.inputs...)...)
 	reply(r)
 }
 
@@ -115,6 +120,7 @@
 type denial struct {
 	first  time.Time // first submission; zero: none is known
 	latest time.Time // latest answer that said so
+	roomAt time.Time // from when its account has room for it, as promised to the caller; zero: not promised
 }
 
 // recordRefusal records that a job first submitted at first was refused.
@@ -190,16 +196,26 @@
 		return s.expectedDuration(j, i) + stepOverhead + adviceDuration(&j.queue, maxAdviceWorkers)
 	})}
 	request.Work, request.Width = s.totalWork(j), s.firstWidth(j)
-	v := admission.Decide(now, s.pool(now), s.recentLoad(now), request)
+	pool := s.pool(now)
+	above := s.applyShare(now, j, pool, &request)
+	v := admission.Decide(now, pool, s.recentLoad(now), request)
+	if above && (!v.Accept || v.Late) {
+		return s.refuseAboveShare(now, j, &request, v.LateFinish)
+	}
 	if v.Accept {
 		j.late = v.Late
 		s.loads = append(s.loads, admission.Load{
 			Due: request.Due, Expiry: request.Expiry, Work: request.Work, Ready: request.Width * s.expectedDuration(j, 0).Seconds(), Late: v.Late,
+			Class: request.Class, Yields: above,
 		})
+		s.recordAccepted(now, j, request.Work)
 		return Result{Outcome: Accepted}
 	}
-	wait := s.spread(min(max(v.Wait, minWait), maxWait))
-	return Result{Outcome: Refused, Wait: wait, Why: "no room in time"}
+	wait := min(max(v.Wait, minWait), maxWait)
+	if s.hasShare(j) && s.shares.Short() {
+		wait = max(wait, s.waitForShare(now, j, &request, v.LateFinish))
+	}
+	return Result{Outcome: Refused, Wait: s.spread(wait), Why: "no room in time"}
 }
 
 // totalWork returns the work of one occurrence of a job in core-seconds.
@@ -294,7 +310,7 @@
 		if j.finished() || (j.stored && s.active[j.id] == nil) {
 			continue
 		}
-		work := 0.0
+		work, begun := 0.0, 0.0
 		if len(j.runs) == 0 {
 			for i := range j.spec.Steps {
 				if !j.spec.Steps[i].LongRunning {
@@ -304,12 +320,16 @@
 		}
 		ready, late := 0.0, j.late || j.due.Before(now)
 		for _, o := range j.runs {
-			work += s.remainingWork(now, o)
+			all, running := s.remainingWork(now, o)
+			work, begun = work+all, begun+running
 			ready += s.runnableWork(o)
 			late = late || s.late(now, o)
 		}
 		if work > 0 {
-			list = append(list, admission.Load{Due: j.due, Expiry: usefulUntil(j.firstSent, j.due), Work: work, Ready: ready, Late: late})
+			list = append(list, admission.Load{
+				Due: j.due, Expiry: usefulUntil(j.firstSent, j.due), Work: work, Ready: ready, Late: late,
+				Class: s.class(now, j), Yields: s.yields(now, j), Begun: begun,
+			})
 		}
 	}
 	return list
@@ -354,9 +374,8 @@
 	return false
 }
 
-// remainingWork returns the remaining work of an occurrence in core-seconds.
-func (s *Service) remainingWork(now time.Time, o *occurrence) float64 {
-	work := 0.0
+// remainingWork returns the remaining work of an occurrence in core-seconds, and the part of it in tasks that run.
+func (s *Service) remainingWork(now time.Time, o *occurrence) (work, running float64) {
 	for _, st := range o.steps {
 		if st.LongRunning || st.tasksLeft == 0 {
 			continue
@@ -367,12 +386,18 @@
 			continue
 		}
 		for _, t := range st.tasks {
-			if t.attempt != nil && !t.attempt.answeredAt.IsZero() && t.attempt.expected > 0 {
-				work -= each * min(0.95, now.Sub(t.attempt.answeredAt).Seconds()/t.attempt.expected.Seconds())
+			if t.attempt == nil {
+				continue
+			}
+			running += each
+			if !t.attempt.answeredAt.IsZero() && t.attempt.expected > 0 {
+				done := each * min(0.95, now.Sub(t.attempt.answeredAt).Seconds()/t.attempt.expected.Seconds())
+				work -= done
+				running -= done
 			}
 		}
 	}
-	return work
+	return work, running
 }
 
 // expectedDuration returns the estimate of step i, or defaultEstimate, multiplied by the ratio of the job's queue.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -72,6 +72,7 @@
 	}{
 		{"accepted", now.Accepted - before.Accepted},
 		{"refused", now.Refused - before.Refused},
+		{"above_share", now.AboveShare - before.AboveShare},
 		{"started", now.Starts - before.Starts},
 		{"done", now.Done - before.Done},
 		{"failed", now.Failed - before.Failed},
