--- a/dispatch/fair_test.go
+++ b/dispatch/fair_test.go
@@ -292,3 +292,29 @@
 		is.Equal(p.starts[first], 1)
 	}
 }
+
+// Guards against an account below its share whose job waits for all that an account above its share was given of idle room.
+func TestWorkBeyondAShareYields(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 1)
+	p.s.SetAccounts(replayAccountList())
+	p.run(200 * time.Millisecond)
+	queue := replayQueue
+	queue.Target = 30 * time.Second
+	submit := func(id, account string) {
+		p.specs[id] = &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, 10000)}}
+		p.s.Submit(p.now, id, p.specs[id], queue, account, func(dispatch.Result) {})
+	}
+	const jobs = 90 // 18 s of work, of which 3 s are within the share
+	for i := range jobs {
+		submit(fmt.Sprintf("%016x", i), "0")
+		if i%3 == 0 {
+			p.run(tick)
+		}
+	}
+	is.Equal(p.s.Counts().Accepted, jobs)
+	queue.Target *= 2 // so that its latest start is after all others
+	submit(jobA, "1")
+	p.run(4 * time.Second)
+	is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
+}
