Refuse only bursts of an account for its share

Cause: an account was above its share as soon as the pool of the moment was short, and refused callers in a short pool were told the end of use.

--- a/fair/fair.go
+++ b/fair/fair.go
@@ -28,6 +28,11 @@
 	// a few in a window. In the replay of a pool that loses a rack, in which all accounts offer the same, 1 refused three
 	// times as many jobs as 1.5.
 	fluctuation = 1.5
+	// burstFactor and burstShare tell an account that sends many times its usual load from one whose jobs happen to come
+	// together: it asks for burstFactor times as much for its weight as the other accounts, and for more than that by
+	// burstShare of the capacity. In a peak of all accounts none is refused for its share.
+	burstFactor = 2.0
+	burstShare  = 0.1
 	// MaxWait is the longest time for which a caller is told to wait. Work that is refused for longer is not promised room.
 	MaxWait = 30 * time.Second
 )
@@ -48,6 +53,7 @@
 	offered     sum
 	accepted    sum
 	demand      float64   // cores, at the last fill
+	bursts      bool      // it sends much more than the other accounts for their weights, at the last fill
 	bookedUntil time.Time // the room for callers that come again is promised until then
 }
 
@@ -111,9 +117,27 @@
 		weight += a.weight
 		t.order = append(t.order, a)
 	}
+	t.markBursts(cores, weight)
 	t.fill(max(0, cores), weight)
 }
 
+// markBursts marks the accounts that ask for much more than the other accounts ask for, for their weights.
+func (t *Tracker) markBursts(cores, weight float64) {
+	demand := 0.0
+	for _, a := range t.order {
+		demand += a.demand
+	}
+	for _, a := range t.order {
+		others := weight - a.weight
+		if others <= 0 {
+			a.bursts = false // there is no other account to be compared with
+			continue
+		}
+		usual := a.weight * (demand - a.demand) / others
+		a.bursts = a.demand > burstFactor*usual && a.demand-usual > burstShare*cores
+	}
+}
+
 // fill raises the level until the capacity is used up. Accounts whose demand lies below the level get what they ask for, and
 // the others divide the remainder by their weights.
 func (t *Tracker) fill(cores, weight float64) {
@@ -132,9 +156,6 @@
 	clear(t.order)
 }
 
-// Short reports whether the accounts asked for more than the capacity at the last Fill.
-func (t *Tracker) Short() bool { return len(t.accounts) > 0 && !math.IsInf(t.level, 1) }
-
 // Standing is what the shares say about one account.
 type Standing struct {
 	Share    float64 // cores of its share; infinite if there is room for the demand of all accounts
@@ -143,11 +164,11 @@
 	Others   float64 // cores that the other accounts are expected to ask for within their shares
 }
 
-// Above reports whether an account is above its share: more of its work was accepted lately, even when fluctuations are allowed
-// for.
+// Above reports whether an account is above its share: it sends much more than others for its weight, and more of its work was
+// accepted lately, even when fluctuations are allowed for.
 func (t *Tracker) Above(now time.Time, name string) bool {
 	a := t.accounts[name]
-	return a != nil && a.accepted.now(now) > fluctuation*t.level*a.weight*Window.Seconds()
+	return a != nil && a.bursts && a.accepted.now(now) > fluctuation*t.level*a.weight*Window.Seconds()
 }
 
 // Standing returns the standing of an account according to the last Fill. An unknown account is below its share.
