--- a/dispatch/accounts.go
+++ b/dispatch/accounts.go
@@ -22,7 +22,7 @@
 		s.accounts[a.Name] = a
 		limits[a.Name] = quota.AmountOf(a.Limit)
 	}
-	s.shares.SetLimits(limits, s.hasJobsOf)
+	s.limitShares.SetLimits(limits, s.hasJobsOf)
 	s.changed = true
 }
 
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -28,8 +28,8 @@
 
 // Grant takes a grant of shares over, which was sent after issued, and reports whether it is new.
 func (s *Service) Grant(now, issued time.Time, g quota.Grant) bool {
-	before := s.shares.Seq()
-	if !s.shares.Accept(issued, g) {
+	before := s.limitShares.Seq()
+	if !s.limitShares.Accept(issued, g) {
 		if g.Seq > 0 {
 			s.Log.Info("dispatch: grant of shares ignored", "service", s.Name, "token", g.Token, "seq", g.Seq, "last", before,
 				"age", now.Sub(issued).Round(time.Millisecond).String())
@@ -45,13 +45,13 @@
 func (s *Service) LimitReport() quota.Report {
 	unsettled := !s.inheritedResolved()
 	s.countUnsure()
-	return s.shares.Report(unsettled, s.waitingByAccount())
+	return s.limitShares.Report(unsettled, s.waitingByAccount())
 }
 
 // countUnsure counts for each account the tasks that earlier owners may run or start, as long as their runs are not settled.
 func (s *Service) countUnsure() {
-	if s.inheritedResolved() || !s.shares.AnyLimit() {
-		s.shares.SetUnsure(nil)
+	if s.inheritedResolved() || !s.limitShares.AnyLimit() {
+		s.limitShares.SetUnsure(nil)
 		return
 	}
 	unsure := map[string]quota.Amount{}
@@ -67,7 +67,7 @@
 			}
 		}
 	}
-	s.shares.SetUnsure(unsure)
+	s.limitShares.SetUnsure(unsure)
 }
 
 // unsureTasks counts the tasks of an inherited step of which an earlier owner may have a run that this one does not know, also
@@ -87,12 +87,12 @@
 
 // waitingByAccount returns what the waiting tasks of ready steps and of accepted jobs could use, at most what the pool may hold soon.
 func (s *Service) waitingByAccount() map[string]quota.Waiting {
-	if !s.shares.AnyLimit() {
+	if !s.limitShares.AnyLimit() {
 		return nil
 	}
 	waiting := map[string]quota.Waiting{}
 	add := func(j *job, st *cuminstair.JobStep, n int) {
-		if n == 0 || s.shares.Limit(j.account).IsZero() {
+		if n == 0 || s.limitShares.Limit(j.account).IsZero() {
 			return
 		}
 		w, unit := waiting[j.account], chargeOf(st)
@@ -159,7 +159,7 @@
 // copyWithinLimit reports whether the limit of its account allows a second copy of a running task. The task does not wait for it.
 func (s *Service) copyWithinLimit(t *task) bool {
 	st := t.step
-	return st.occ.job.account == "" || s.shares.Fits(s.now, st.occ.job.account, chargeOf(&st.JobStep), 1)
+	return st.occ.job.account == "" || s.limitShares.Fits(s.now, st.occ.job.account, chargeOf(&st.JobStep), 1)
 }
 
 // gangWithinLimit reports whether the limit of its account allows all tasks of a gang to start.
@@ -167,7 +167,7 @@
 
 func (s *Service) tasksWithinLimit(st *step, n int) bool {
 	account := st.occ.job.account
-	if account == "" || s.shares.Fits(s.now, account, chargeOf(&st.JobStep), n) {
+	if account == "" || s.limitShares.Fits(s.now, account, chargeOf(&st.JobStep), n) {
 		return true
 	}
 	s.limitWaits = true
@@ -191,8 +191,8 @@
 		return nil
 	}
 	return []any{
-		"account", account, "limit", s.shares.Limit(account), "share", s.shares.Allowed(now, account), "reach", s.shares.Reach(account),
-		"taken", s.shares.Used(account), "seq", s.shares.Seq(),
+		"account", account, "limit", s.limitShares.Limit(account), "share", s.limitShares.Allowed(now, account), "reach", s.limitShares.Reach(account),
+		"taken", s.limitShares.Used(account), "seq", s.limitShares.Seq(),
 	}
 }
 
@@ -206,19 +206,20 @@
 // listLimitLoads computes the accepted work of each account with a limit.
 func (s *Service) listLimitLoads(now time.Time) {
 	s.limitLoads = nil
-	if !s.shares.AnyLimit() {
+	if !s.limitShares.AnyLimit() {
 		return
 	}
 	s.limitLoads = map[string]*limitLoad{}
 	for _, j := range s.jobs {
-		if j.account == "" || j.finished() || s.shares.Limit(j.account).IsZero() {
+		if j.account == "" || j.finished() || s.limitShares.Limit(j.account).IsZero() {
 			continue
 		}
 		x := s.limitLoadOf(j.account)
-		reach := s.shares.Reach(j.account)
+		reach := s.limitShares.Reach(j.account)
 		if l := s.jobLoad(now, j); l.Work > 0 {
 			ratio := s.partOfWork(j, reach)
 			l.Work, l.Ready = l.Work*ratio, l.Ready*ratio
+			l.Class, l.Yields = 0, false // shares among accounts do not matter within one
 			x.loads = append(x.loads, l)
 		}
 		for _, o := range j.runs {
@@ -261,7 +262,7 @@
 
 // exceedsLimit reports whether a task or a gang of a job can never run within the limit of the account.
 func (s *Service) exceedsLimit(j *job) bool {
-	limit := s.shares.Limit(j.account)
+	limit := s.limitShares.Limit(j.account)
 	if j.account == "" || limit.IsZero() {
 		return false
 	}
@@ -279,18 +280,18 @@
 
 // admitWithinLimit decides whether the account of a job that the pool can run in time can run it within its limit too.
 func (s *Service) admitWithinLimit(now time.Time, j *job, request admission.Job) Result {
-	if j.account == "" || s.shares.Limit(j.account).IsZero() {
+	if j.account == "" || s.limitShares.Limit(j.account).IsZero() {
 		return Result{Outcome: Accepted}
 	}
 	if s.limitLoads == nil {
 		s.listLimitLoads(now)
 	}
-	reach, load := s.shares.Reach(j.account), s.limitLoadOf(j.account)
+	reach, load := s.limitShares.Reach(j.account), s.limitLoadOf(j.account)
 	pool := admission.Pool{
-		Cores: max(0, 1-load.longRunning), Free: max(0, 1-s.shares.Used(j.account).Part(reach)), Utilization: limitUtilization,
+		Cores: max(0, 1-load.longRunning), Free: max(0, 1-s.limitShares.Used(j.account).Part(reach)), Utilization: limitUtilization,
 		MeanRemaining: time.Duration(remainingShare * float64(s.meanObjective)),
 	}
-	request.Work, request.Width = s.limitWork(j, reach), 0
+	request.Work, request.Width, request.Class, request.Reserve = s.limitWork(j, reach), 0, 0, 0
 	for i := range j.spec.Steps {
 		if st := &j.spec.Steps[i]; len(st.After) == 0 {
 			request.Width += float64(st.Count) * chargeOf(st).Part(reach)
@@ -303,7 +304,7 @@
 			drained += l.Work
 		}
 		wait := time.Duration(drained / max(pool.Cores*limitUtilization, 1/maxWait.Seconds()) * float64(time.Second))
-		return Result{Outcome: Refused, Wait: s.spread(min(max(wait, minWait), maxWait)), Why: noRoomInLimit, account: j.account}
+		return Result{Outcome: Refused, Wait: s.spread(min(max(wait, minWait), maxWait)), Why: noRoomInLimit, inputs: s.limitFields(now, j.account)}
 	}
 	j.late = j.late || v.Late
 	load.loads = append(load.loads, admission.Load{
@@ -316,7 +317,7 @@
 // 0: not known.
 func (s *Service) stepWidth(j *job) float64 {
 	width := s.maxCores * waveShare
-	if limit := float64(s.shares.Limit(j.account)[0]) / 1000; limit > 0 && (width <= 0 || limit < width) {
+	if limit := float64(s.limitShares.Limit(j.account)[0]) / 1000; limit > 0 && (width <= 0 || limit < width) {
 		width = limit
 	}
 	return width
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -11,6 +11,7 @@
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/assignment"
+	"cuminstair.org/cuminstair/fair"
 	"cuminstair.org/cuminstair/place"
 	"cuminstair.org/cuminstair/quota"
 	"cuminstair.org/cuminstair/straggler"
@@ -21,7 +22,7 @@
 	Outcome Outcome
 	Wait    time.Duration // if refused: time until the next try
 	Why     string
-	account string // whose limit is the reason of a refusal
+	inputs  []any // of a refusal, for the log
 }
 
 // Outcome is the result of a call.
@@ -116,15 +117,17 @@
 	lateRuns        []lateRun // see listLate; only used within a decision
 	counts          Counts
 	accounts        map[string]cuminstair.ClientAccount // by name; nil: none are configured
-	shares          *quota.Share                        // in the limits of the accounts
+	limitShares     *quota.Share                        // in the limits of the accounts
 	limitLoads      map[string]*limitLoad               // by account with a limit; see recentLoad
 	limitWaits      bool                                // the last placement left a task waiting for a limit
 	limitBlocked    map[string]time.Time                // by account: when its limit last kept a task from starting
+	fairShares      fair.Tracker                        // of the accounts in the pool
 }
 
 // Counts are totals since the service was taken over.
 type Counts struct {
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
+	AboveShare                                           int // refusals of jobs of accounts above their share
 	Crashes                                              int // of workers that ran tasks
 	Contradictions                                       int // answers of workers that could not be true
 	// Second copies of slow tasks: started, those that completed their task or replaced the first run, and the others.
@@ -141,7 +144,7 @@
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
 		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, closings: map[assignment.Key]*closing{},
 		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{},
-		shares: quota.NewShare(uint64(token)), limitBlocked: map[string]time.Time{}, stragglers: straggler.New(),
+		limitShares: quota.NewShare(uint64(token)), limitBlocked: map[string]time.Time{}, stragglers: straggler.New(),
 		Rand: rand.New(rand.NewPCG(uint64(token), 1)),
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -196,7 +196,7 @@
 		w, ok := s.workers[info.ID]
 		if !ok {
 			w = newWorker(now, info)
-			w.shares = s.shares
+			w.shares = s.limitShares
 			if !s.now.IsZero() {
 				w.listedAt = now // it is new; at a takeover the age of the entry is not known
 			}
