Let tasks wait for room on the rack that they want

Cause: placement gave a task whose rack had no room to another rack at once, and did not look at OneRack at all.

Change: tasks of steps with DataRack or OneRack wait for room as package locality decides (dispatch/locality.go). Placement runs again when the first wait ends, not before. Durations on another rack are divided by the factor before the queue and the worker learn from them; the expected duration of such runs is multiplied. Metric cuminstair_locality_total. Steps that want no rack, and a factor of 0 or 1: as before.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -11,15 +11,34 @@
 	"cuminstair.org/cuminstair/dispatch"
 )
 
+// benchRacks is the number of racks of a benchmark.
+const benchRacks = 5
+
 // BenchmarkDecideOverload measures one decision of a service with full workers and waiting steps.
 func BenchmarkDecideOverload(b *testing.B) {
+	benchmarkDecide(b, cuminstair.Bounds{}, func() cuminstair.JobStep {
+		return cuminstair.JobStep{Count: 8, CPU: 3000, Memory: 1000, Estimate: time.Hour}
+	})
+}
+
+// BenchmarkDecideWaiting measures one decision of a service in which the tasks of many steps wait for a full rack while others
+// have room.
+func BenchmarkDecideWaiting(b *testing.B) {
+	benchmarkDecide(b, cuminstair.Bounds{RemoteFactor: 2}, func() cuminstair.JobStep {
+		return cuminstair.JobStep{Count: 8, CPU: 3000, Memory: 1000, Estimate: time.Hour, DataRack: "r0"}
+	})
+}
+
+func benchmarkDecide(b *testing.B, bounds cuminstair.Bounds, step func() cuminstair.JobStep) {
+	b.Helper()
 	for _, workers := range []int{50, 200, 800} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			s := dispatch.New("s", 1, begin, hclog.NewNullLogger())
+			s.Bounds = bounds
 			var list []cuminstair.WorkerInfo
 			for i := range workers {
 				id := fmt.Sprintf("w%d", i)
-				list = append(list, cuminstair.WorkerInfo{ID: id, Addr: id, CPU: hostCPU, Memory: hostMemory, Incarnation: 1})
+				list = append(list, cuminstair.WorkerInfo{ID: id, Addr: id, CPU: hostCPU, Memory: hostMemory, Incarnation: 1, Rack: fmt.Sprintf("r%d", i%benchRacks)})
 			}
 			s.SetWorkers(begin, list)
 			now := begin
@@ -41,7 +60,7 @@
 			advance()
 			for i := range workers * 4 {
 				id := fmt.Sprintf("%016x", i)
-				spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{{Count: 8, CPU: 3000, Memory: 1000, Estimate: time.Hour}}}
+				spec := &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step()}}
 				s.Submit(now, id, spec, cuminstair.WorkQueue{Name: "q", TargetFactor: 1e6}, "", func(dispatch.Result) {})
 				advance()
 			}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -67,7 +67,7 @@
 	}
 	s.listCandidates(now)
 	s.unplacedMoves = 0
-	s.changed = s.changed || s.spaced
+	s.changed = s.changed || s.spaced || s.rackWaitOver(now)
 	s.evacuate(now)
 	confirmedInTime := s.Grace == 0 || now.Sub(confirmed) < s.Grace
 	if !s.stopping && confirmedInTime {
@@ -287,6 +287,7 @@
 		}
 		if w.attempts[a.id] == a && a.task != nil {
 			a.task.step.markStarted()
+			s.countLocality(a)
 		}
 		return
 	case errors.Is(err, cuminstair.ErrStaleRun):
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -27,6 +27,7 @@
 	}
 	if a != nil {
 		s.confirmRun(a)
+		s.freed(now, a)
 	}
 	s.recordWorkerOutcome(now, w, t, a, e)
 	s.logEnd(w, t, e)
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -22,3 +22,12 @@
 
 // Denials returns the number of denials that are kept.
 func (s *Service) Denials() int { return len(s.denied) }
+
+// PlacementDue reports whether the next decision runs the placement again.
+func (s *Service) PlacementDue() bool { return s.changed || s.spaced }
+
+// Ratio returns the learned ratio of durations to estimates of a queue.
+func (s *Service) Ratio(queue string) float64 { return s.ratio[queue] }
+
+// Slowdown returns the learned slowdown of a worker.
+func (s *Service) Slowdown(id string) float64 { return s.workers[id].slowdown }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cuminstair.org/cuminstair"
+	"cuminstair.org/cuminstair/locality"
 	"cuminstair.org/cuminstair/place"
 )
 
@@ -63,6 +64,7 @@
 	mayRun         bool           // an earlier owner may have started its tasks on workers that have not answered
 	advice         advice         // for steps of an advised queue
 	saved          gangCheckpoint // of a gang
+	rack           rackWait       // of a step that wants a rack
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -84,6 +86,7 @@
 	crashes     []crash   // runs whose workers crashed, or may have crashed, the latest last
 	trialSince  time.Time // since when a trial finds no worker without long-running tasks; zero: it does not
 	adopted     bool      // this owner found its first run, by the owner that accepted the job, on a worker that answered
+	rackWait    locality.Waiting
 }
 
 // attempt is a run of a task on a worker. Its room on the worker stays taken until the run has certainly ended.
--- /dev/null
+++ b/dispatch/locality.go
@@ -0,0 +1,286 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"cuminstair.org/cuminstair/locality"
+	"cuminstair.org/cuminstair/place"
+)
+
+// Short tasks of a step with DataRack or OneRack wait for room on their rack as long as package locality expects a gain. Tasks
+// of advised queues and tasks in trials don't wait, since they may have no other worker soon. The state is that of the owner; a
+// new owner decides again.
+
+// rackPass is what one placement pass knows about locality.
+type rackPass struct {
+	active bool      // a ready step wants a rack, and the factor is known
+	until  time.Time // when the first wait for a rack ends that the pass has left; zero: there is none
+	// Of the step that is being placed, since its last start:
+	there   *worker       // on another rack, declined by a task
+	usable  bool          // a worker of the wanted rack may run its tasks once it has room
+	floated bool          // float is known
+	float   time.Duration // see floatOf
+}
+
+// rackRoom is the room of the workers of a rack that take tasks: the largest amount of each resource on any of them.
+type rackRoom struct {
+	free place.Room // upper bound, since tasks may have started in this pass
+	hold place.Room // free once the short tasks have ended
+}
+
+// rackWait is the state of a step that wants a rack.
+type rackWait struct {
+	counted bool             // its tasks are counted as wanting their rack
+	logged  bool             // its first wait is logged
+	wait    locality.Waiting // of the tasks of a group
+	first   string           // rack of its first run; empty: it has not started
+	split   bool             // it has run on several racks
+	only    string           // rack to which the present placement is restricted; empty: any
+	waits   bool             // tasks that find no room there wait for it
+}
+
+// wantsRack reports whether the duration of the tasks of a step depends on the rack, so that they may wait for one.
+func (st *step) wantsRack() bool {
+	return (st.DataRack != "" || st.OneRack) && !st.LongRunning && !st.BestEffort && !st.needsTicket()
+}
+
+// grouped reports whether the tasks of a step get one rack together.
+func (st *step) grouped() bool { return st.OneRack || st.Gang }
+
+// observeRacks prepares a placement pass.
+func (s *Service) observeRacks(now time.Time) {
+	s.rackPass = rackPass{}
+	if s.Bounds.RemoteFactor <= 1 {
+		return
+	}
+	s.racks.Begin(now)
+	s.rackPass.active = slices.ContainsFunc(s.ready, (*step).wantsRack)
+	if !s.rackPass.active {
+		return
+	}
+	if s.rackRooms == nil {
+		s.rackRooms = map[string]rackRoom{}
+	}
+	clear(s.rackRooms)
+	for _, w := range s.candidates {
+		s.racks.Add(w.info.Rack, w.coresOf(w.total), w.coresOf(w.short))
+		room := s.rackRooms[w.info.Rack]
+		room.free = room.free.Max(w.free())
+		room.hold = room.hold.Max(w.free().Plus(w.short, 1))
+		s.rackRooms[w.info.Rack] = room
+	}
+}
+
+// rackWaitOver reports whether a wait for a rack has ended since the last placement, so that placement has to run again.
+func (s *Service) rackWaitOver(now time.Time) bool {
+	return !s.rackPass.until.IsZero() && !now.Before(s.rackPass.until)
+}
+
+// queueWaiting tells the estimates that the given tasks of a step, as far as they have no run, stay waiting.
+func (s *Service) queueWaiting(st *step, tasks []*task) {
+	if !s.rackPass.active || st.BestEffort || st.LongRunning {
+		return
+	}
+	n := 0
+	for _, t := range tasks {
+		if !t.done && t.attempt == nil {
+			n++
+		}
+	}
+	rack := ""
+	if st.wantsRack() {
+		rack = st.wanted()
+	}
+	s.racks.Queue(rack, float64(n)*s.taskCores(&st.JobStep))
+}
+
+// beginStep prepares the placement of a step. The first time it counts its tasks as wanting the rack of their data.
+func (s *Service) beginStep(now time.Time, st *step) {
+	s.rackPass.started()
+	if !s.rackPass.active || !st.wantsRack() || st.rack.counted || st.DataRack == "" {
+		return
+	}
+	st.rack.counted = true
+	s.racks.Wanted(now, st.DataRack, float64(st.tasksLeft)*s.taskWork(st.occ.job, st.index))
+}
+
+// started forgets what was found out before the last start of a task.
+func (p *rackPass) started() { p.there, p.floated = nil, false }
+
+// chooseOrWait returns the worker for a task, nil if there is none, or that the task waits for the rack of its data.
+func (s *Service) chooseOrWait(now time.Time, st *step, t *task, racks spread) (w *worker, waits bool) {
+	if !s.rackPass.active || !st.wantsRack() || t.needsTrial() {
+		return s.choose(st, t, racks), false
+	}
+	if st.OneRack {
+		return s.chooseOfGroup(st, t, racks)
+	}
+	p := &s.rackPass
+	if !p.floated {
+		p.floated, p.float = true, s.floatOf(now, st)
+	}
+	ordinary := len(t.crashes) == 0 && t.avoidWorker == ""
+	if ordinary && s.waitsAnywhere(now, st, t) {
+		return nil, true
+	}
+	w = p.there
+	if w == nil || !ordinary || w.attempts[t.id] != nil {
+		w = s.choose(st, t, racks)
+		if w == nil || w.info.Rack == st.DataRack {
+			p.started()
+			return w, false
+		}
+		p.usable = s.rackUsable(st, t)
+	}
+	if p.usable && s.waitsForData(now, st, t, s.racks.Price(w.info.Rack, s.Bounds.RemoteFactor)) {
+		p.there = nil
+		if ordinary {
+			p.there = w
+		}
+		return nil, true
+	}
+	p.started()
+	return w, false
+}
+
+// waitsAnywhere decides that a task waits if it would whichever worker on another rack it could have. It spares the search for
+// one, which is as long as the list of workers. It is false if a worker on the rack may have room.
+func (s *Service) waitsAnywhere(now time.Time, st *step, t *task) bool {
+	room, here := st.room(), s.rackRooms[st.DataRack]
+	if st.Label != "" || st.PerWorker > 0 || room.Fits(here.free) || !room.Fits(here.hold) {
+		return false
+	}
+	return s.waitsForData(now, st, t, s.racks.Price("", s.Bounds.RemoteFactor))
+}
+
+// waitsForData decides whether a task waits for the rack of its data, given the price of the room that it could have.
+func (s *Service) waitsForData(now time.Time, st *step, t *task, there float64) bool {
+	c := s.rackChoice(st, st.DataRack, 1, s.rackPass.float, there)
+	if !s.waits(now, st, &t.rackWait, &c, st.DataRack) {
+		return false
+	}
+	s.racks.Queue(st.DataRack, s.taskCores(&st.JobStep))
+	return true
+}
+
+// rackChoice returns the choice of n tasks of a step between a rack and room elsewhere at a price.
+func (s *Service) rackChoice(st *step, here string, n int, float time.Duration, there float64) locality.Choice {
+	f, d := s.Bounds.RemoteFactor, s.expectedDuration(st.occ.job, st.index)
+	return locality.Choice{
+		Factor: f, Duration: d, Wait: s.racks.Wait(here, float64(n)*s.taskCores(&st.JobStep), d), Slack: st.latestStart.Sub(s.now),
+		Float: float, Here: s.racks.Price(here, f), There: there,
+	}
+}
+
+// waits decides whether tasks wait for a rack, and sees to it that they are looked at again.
+func (s *Service) waits(now time.Time, st *step, wait *locality.Waiting, c *locality.Choice, rack string) bool {
+	v := wait.Decide(now, c)
+	if !v.Wait {
+		return false
+	}
+	if p := &s.rackPass; p.until.IsZero() || wait.Until.Before(p.until) {
+		p.until = wait.Until
+	}
+	if !st.rack.logged {
+		st.rack.logged = true
+		s.Log.Info("dispatch: tasks wait for a rack", "service", s.Name, "job", st.occ.job.id, "step", st.index, "rack", rack,
+			"gain", v.Gain.Round(time.Millisecond).String(), "expected wait", c.Wait.Round(time.Millisecond).String(),
+			"at most", v.Bound.Round(time.Millisecond).String(), "slack", c.Slack.Round(time.Millisecond).String())
+	}
+	return true
+}
+
+// rackUsable reports whether a worker of the rack of the data may run a task once its short tasks have ended. It is false also
+// if one could run the task now: that worker was not chosen for another reason, such as its slowness.
+func (s *Service) rackUsable(st *step, t *task) bool {
+	usable := false
+	for _, w := range s.candidates {
+		if w.info.Rack != st.DataRack || !s.mayHold(st, w) {
+			continue
+		}
+		if st.room().Fits(w.free()) && s.admits(w, t) {
+			return false
+		}
+		usable = usable || t.avoidWorker != w.info.ID
+	}
+	return usable
+}
+
+// mayHold reports whether a worker may run a task of a step once its short tasks have ended.
+func (s *Service) mayHold(st *step, w *worker) bool {
+	return w.reservedFor == nil && hasLabel(st.Label, w.info.Labels) && st.room().Fits(w.free().Plus(w.short, 1)) &&
+		(st.PerWorker == 0 || w.stepRuns[stepID{st.occ.job.id, st.occ.number, st.index}] < st.PerWorker)
+}
+
+// floatOf returns by how much a task of a step may end later without its occurrence ending later: another chain of steps, or
+// another run of the step, takes that much longer.
+func (s *Service) floatOf(now time.Time, st *step) time.Duration {
+	longest := time.Duration(0)
+	for _, x := range st.occ.steps {
+		if x.tasksLeft == 0 || x.LongRunning {
+			continue
+		}
+		if x != st && !x.started {
+			longest = max(longest, x.pathAfter+s.expectedDuration(st.occ.job, x.index))
+			continue
+		}
+		for _, t := range x.tasks {
+			switch {
+			case t.done:
+			case t.attempt != nil:
+				longest = max(longest, x.pathAfter+t.attempt.sentAt.Add(t.attempt.expected).Sub(now))
+			case x != st:
+				longest = max(longest, x.pathAfter+s.expectedDuration(st.occ.job, x.index))
+			}
+		}
+	}
+	return max(0, longest-st.pathAfter-s.expectedDuration(st.occ.job, st.index))
+}
+
+// runsRemote reports whether a run of a step on a worker takes longer for its rack.
+func (s *Service) runsRemote(st *step, w *worker) bool {
+	if s.Bounds.RemoteFactor <= 1 || st.LongRunning {
+		return false
+	}
+	return st.DataRack != "" && st.DataRack != w.info.Rack || st.OneRack && st.rack.split
+}
+
+// noteRack records that a run of a step is on a worker.
+func (st *step) noteRack(w *worker) {
+	switch {
+	case !st.OneRack:
+	case st.rack.first == "":
+		st.rack.first = w.info.Rack
+	case st.rack.first != w.info.Rack:
+		st.rack.split = true
+	}
+}
+
+// countLocality counts a run that a worker has started.
+func (s *Service) countLocality(a *attempt) {
+	st := a.task.step
+	if s.Bounds.RemoteFactor <= 1 || !st.wantsRack() {
+		return
+	}
+	waited := a.task.rackWait.Began() || st.rack.wait.Began()
+	c := &s.counts.Locality
+	switch remote := s.runsRemote(st, a.worker); {
+	case remote && waited:
+		c.WaitedRemote++
+	case remote:
+		c.Remote++
+	case waited:
+		c.WaitedNear++
+	default:
+		c.Near++
+	}
+}
+
+// freed records for the estimates that a run has ended.
+func (s *Service) freed(now time.Time, a *attempt) {
+	if s.Bounds.RemoteFactor <= 1 || a.longRunning || a.bestEffort || a.adopted {
+		return
+	}
+	s.racks.Freed(now, a.worker.info.Rack, a.worker.coresOf(a.room), now.Sub(a.sentAt))
+}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -40,6 +40,7 @@
 	}
 	sort.SliceStable(s.ready, func(i, j int) bool { return moreUrgent(s.ready[i], s.ready[j]) })
 	s.listCandidates(now)
+	s.observeRacks(now)
 	s.countTrials()
 	for _, st := range s.ready {
 		st.mayRun = st.occ.job.inherited && !settled && !st.followsAdopted() &&
@@ -195,8 +196,11 @@
 
 func (s *Service) placeStep(now time.Time, st *step) {
 	if !st.room().Fits(s.maxFree) && !st.LongRunning {
+		s.queueWaiting(st, st.tasks)
 		return
 	}
+	s.beginStep(now, st)
+	s.placeGroup(now, st)
 	if st.Gang {
 		s.placeGang(now, st)
 		return
@@ -204,11 +208,14 @@
 	racks := s.spreadOf(st)
 	s.preferCentre(st)
 	placed := 0
-	for _, t := range st.tasks {
+	for i, t := range st.tasks {
 		if !s.startable(t) {
 			continue
 		}
-		w := s.choose(st, t, racks)
+		w, waits := s.chooseOrWait(now, st, t, racks)
+		if waits {
+			continue
+		}
 		if w == nil && st.needsTicket() {
 			s.requestAdvice(now, st)
 			break
@@ -225,6 +232,7 @@
 			if len(t.avoidWorker) == 0 && st.PerWorker == 0 && st.Label == "" {
 				s.maxFree = maxFreeOf(s.candidates)
 			}
+			s.queueWaiting(st, st.tasks[i:])
 			break
 		}
 		s.start(now, t, w, max(t.run, s.Token*runsPerToken)+1)
@@ -297,8 +305,19 @@
 		}
 		run = max(run, t.run)
 	}
-	racks := s.spreadOf(st)
+	if st.rack.waits {
+		return
+	}
 	s.preferCentre(st)
+	if !s.startGang(now, st, run+1) && st.rack.only != "" {
+		st.rack.only, st.rack.first, st.rack.split = "", "", false // the rack has less room than it seemed
+		s.startGang(now, st, run+1)
+	}
+}
+
+// startGang starts the tasks of a gang as a run, and reports whether there is room for all.
+func (s *Service) startGang(now time.Time, st *step, run int64) bool {
+	racks := s.spreadOf(st)
 	mark := len(s.orders)
 	for _, t := range st.tasks {
 		if t.done {
@@ -315,12 +334,13 @@
 				o.attempt.task.run--
 			}
 			s.orders = s.orders[:mark]
-			return
+			return false
 		}
-		s.start(now, t, w, run+1)
+		s.start(now, t, w, run)
 		racks.add(w)
 	}
 	s.logPlaced(st, len(s.orders)-mark)
+	return true
 }
 
 // choose returns the candidate with the lowest score that may run the task and has room for it, or nil.
@@ -330,7 +350,7 @@
 	var best *worker
 	low := 0.0
 	for _, w := range s.candidates {
-		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w) {
+		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w) || (st.rack.only != "" && st.rack.only != w.info.Rack) {
 			continue
 		}
 		if risky && !t.needsTrial() && s.now.Sub(w.riskyStart) < startSpacing {
@@ -379,6 +399,9 @@
 		task: t, id: t.id, run: run, room: st.room(), longRunning: st.LongRunning, bestEffort: st.BestEffort,
 		runTimes: runTimes{sentAt: now}, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.startFrom() != "",
 	}
+	if st.noteRack(w); s.runsRemote(st, w) {
+		a.expected = time.Duration(s.Bounds.RemoteFactor * float64(a.expected))
+	}
 	t.attempt = a
 	w.add(a)
 	if s.atRisk(now, j.queue.Name) {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -11,6 +11,7 @@
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/assignment"
+	"cuminstair.org/cuminstair/locality"
 	"cuminstair.org/cuminstair/place"
 )
 
@@ -111,6 +112,10 @@
 	settled         bool                 // the runs of earlier owners were settled at the last placement; see inheritedResolved
 	counts          Counts
 	accounts        map[string]cuminstair.ClientAccount // by name; nil: none are configured
+	racks           locality.Racks
+	rackPass        rackPass
+	rackRooms       map[string]rackRoom // by rack; of the present placement
+	rackFits        map[string]rackFit  // by rack: see findRackFits
 }
 
 // Counts are totals since the service was taken over.
@@ -118,8 +123,13 @@
 	Accepted, Refused, Starts, Done, Failed, Lost, Stops int
 	Crashes                                              int // of workers that ran tasks
 	Contradictions                                       int // answers of workers that could not be true
+	Locality                                             LocalityCounts
 }
 
+// LocalityCounts are runs of tasks whose duration depends on the rack, by whether they started on a rack where they are fast, and
+// whether they had waited for one.
+type LocalityCounts struct{ Near, WaitedNear, WaitedRemote, Remote int }
+
 // New returns the state of a service that was taken over at now.
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -438,6 +438,9 @@
 		s.ratio[name] = 1
 	}
 	took := now.Sub(a.sentAt).Seconds() / t.step.Estimate.Seconds()
+	if s.runsRemote(t.step, a.worker) {
+		took /= s.Bounds.RemoteFactor // estimates are of runs on the rack that the task wants
+	}
 	w := a.worker
 	if w.slowdown == 0 {
 		w.slowdown = 1
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -20,6 +20,7 @@
 	info          cuminstair.WorkerInfo
 	total         place.Room
 	used          place.Room // by all attempts, including those being stopped
+	short         place.Room // the part of used that is of short tasks
 	attempts      map[cuminstair.TaskID]*attempt
 	stepRuns      map[stepID]int // by step: number of attempts
 	lateStarts    []*attempt     // released without an answer to their start, which a later incarnation may carry out
@@ -145,6 +146,15 @@
 	return min(float64(free.CPU), float64(free.Memory)*float64(w.total.CPU)/float64(w.total.Memory)) / 1000
 }
 
+// coresOf returns the cores that room on the worker takes, also those that its share of the memory makes unusable.
+func (w *worker) coresOf(room place.Room) float64 {
+	cores := float64(room.CPU)
+	if w.total.Memory > 0 {
+		cores = max(cores, float64(room.Memory)*float64(w.total.CPU)/float64(w.total.Memory))
+	}
+	return cores / 1000
+}
+
 func (w *worker) add(a *attempt) {
 	a.worker = w
 	w.attempts[a.id] = a
@@ -160,6 +170,8 @@
 		w.bestEffort += n
 	case a.longRunning:
 		w.longRunning += n
+	default:
+		w.short = w.short.Plus(a.room, n)
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,6 +22,7 @@
 	Events      *prometheus.CounterVec   // events of jobs and tasks, by event
 	Takeover    prometheus.Histogram     // seconds from the decision to take a service to the start of its runner
 	Late        *prometheus.CounterVec   // forwarded calls that might be late copies, by what came of them
+	Locality    *prometheus.CounterVec   // runs of tasks that want a rack, by outcome
 	Connections prometheus.Counter       // opened to workers, the store and the platform's host control
 }
 
@@ -47,11 +48,14 @@
 		Late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cuminstair_late_calls_total", Help: "Forwarded calls that might be late copies.",
 		}, []string{"outcome"}),
+		Locality: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_locality_total", Help: "Runs started of tasks that take longer away from a rack.",
+		}, []string{"outcome"}),
 		Connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
 		}),
 	}
-	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Connections)
+	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Locality, m.Connections)
 	return m
 }
 
@@ -84,6 +88,23 @@
 			m.Events.WithLabelValues(e.name).Add(float64(e.n))
 		}
 	}
+	m.countLocality(&before.Locality, &now.Locality)
+}
+
+func (m *Metrics) countLocality(before, now *dispatch.LocalityCounts) {
+	for _, e := range []struct {
+		name string
+		n    int
+	}{
+		{"near", now.Near - before.Near},
+		{"waited then near", now.WaitedNear - before.WaitedNear},
+		{"waited then remote", now.WaitedRemote - before.WaitedRemote},
+		{"remote", now.Remote - before.Remote},
+	} {
+		if e.n > 0 {
+			m.Locality.WithLabelValues(e.name).Add(float64(e.n))
+		}
+	}
 }
 
 var orderNames = [...]string{"start", "stop", "hold", "pace", "advise"}
--- a/place/place.go
+++ b/place/place.go
@@ -19,6 +19,11 @@
 	return Room{CPU: r.CPU + n*o.CPU, Memory: r.Memory + n*o.Memory, Accel: r.Accel + n*o.Accel}
 }
 
+// Max returns the larger amount of each resource.
+func (r Room) Max(o Room) Room {
+	return Room{CPU: max(r.CPU, o.CPU), Memory: max(r.Memory, o.Memory), Accel: max(r.Accel, o.Accel)}
+}
+
 // Candidate is a worker on which the task may be placed.
 type Candidate struct {
 	Free           Room
