--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -32,3 +32,12 @@
 	s.observeOffer(now, j)
 	return s.admit(now, j)
 }
+
+// PlacementDue reports whether the next decision runs the placement again.
+func (s *Service) PlacementDue() bool { return s.changed || s.spaced }
+
+// Ratio returns the learned ratio of durations to estimates of a queue.
+func (s *Service) Ratio(queue string) float64 { return s.ratio[queue] }
+
+// Slowdown returns the learned slowdown of a worker.
+func (s *Service) Slowdown(id string) float64 { return s.workers[id].slowdown }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -12,6 +12,7 @@
 	"cuminstair.org/cuminstair/admission"
 	"cuminstair.org/cuminstair/assignment"
 	"cuminstair.org/cuminstair/fair"
+	"cuminstair.org/cuminstair/locality"
 	"cuminstair.org/cuminstair/place"
 	"cuminstair.org/cuminstair/quota"
 	"cuminstair.org/cuminstair/straggler"
@@ -122,6 +123,10 @@
 	limitWaits      bool                                // the last placement left a task waiting for a limit
 	limitBlocked    map[string]time.Time                // by account: when its limit last kept a task from starting
 	fairShares      fair.Tracker                        // of the accounts in the pool
+	racks           locality.Racks
+	rackPass        rackPass
+	rackRooms       map[string]rackRoom // by rack; of the present placement
+	rackFits        map[string]rackFit  // by rack: see findRackFits
 }
 
 // Counts are totals since the service was taken over.
@@ -136,8 +141,13 @@
 	Grants                          int     // grants of shares in limits that were accepted
 	LimitBlocks                     int     // times at which the limit of an account began to keep tasks from starting
 	LimitTasks                      int     // tasks that the limit of an account kept from starting
+	Locality                        LocalityCounts
 }
 
+// LocalityCounts are runs of tasks whose duration depends on the rack, by whether they started on a rack where they are fast, and
+// whether they had waited for one.
+type LocalityCounts struct{ Near, WaitedNear, WaitedRemote, Remote int }
+
 // New returns the state of a service that was taken over at now.
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -471,6 +471,9 @@
 		s.ratio[name] = 1
 	}
 	took := now.Sub(a.sentAt).Seconds() / t.step.Estimate.Seconds()
+	if s.runsRemote(t.step, a.worker) {
+		took /= s.Bounds.RemoteFactor // estimates are of runs on the rack that the task wants
+	}
 	// The worker is compared with the mean of the queue, the queue with the declared estimates.
 	a.worker.recordSlowdown(took / s.ratio[name])
 	s.ratio[name] += ratioWeight * (min(maxRatio, took) - s.ratio[name])
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,7 @@
 	Late        *prometheus.CounterVec   // forwarded calls that might be late copies, by what came of them
 	Copies      *prometheus.CounterVec   // second copies of slow tasks, by outcome
 	Wasted      prometheus.Counter       // core-seconds of the copies that did not complete their task
+	Locality    *prometheus.CounterVec   // runs of tasks that want a rack, by outcome
 	Connections prometheus.Counter       // opened to workers, the store and the platform's host control
 	Limited     *prometheus.CounterVec   // connections closed and requests refused at a limit, by limit and listener
 }
@@ -57,6 +58,9 @@
 			Name: "cuminstair_copies_wasted_core_seconds_total",
 			Help: "Core-seconds of runs that did not complete their task, while a second copy of a slow task ran.",
 		}),
+		Locality: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cuminstair_locality_total", Help: "Runs started of tasks that take longer away from a rack.",
+		}, []string{"outcome"}),
 		Connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cuminstair_connections_total", Help: "Connections opened to the platform.",
 		}),
@@ -64,7 +68,7 @@
 			Name: "cuminstair_client_limits_total", Help: "Connections closed and requests refused at a limit for clients.",
 		}, []string{"limit", "listener"}),
 	}
-	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Copies, m.Wasted, m.Connections, m.Limited)
+	reg.MustRegister(m.Calls, m.Events, m.WorkerCalls, m.StoreWrites, m.Takeover, m.Late, m.Copies, m.Wasted, m.Locality, m.Connections, m.Limited)
 	return m
 }
 
@@ -102,6 +106,7 @@
 		}
 	}
 	m.countCopies(before, now)
+	m.countLocality(&before.Locality, &now.Locality)
 }
 
 // countCopies adds the second copies of a service between two readings of its counters.
@@ -112,6 +117,22 @@
 	m.Wasted.Add(now.WastedCoreSeconds - before.WastedCoreSeconds)
 }
 
+func (m *Metrics) countLocality(before, now *dispatch.LocalityCounts) {
+	for _, e := range []struct {
+		name string
+		n    int
+	}{
+		{"near", now.Near - before.Near},
+		{"waited then near", now.WaitedNear - before.WaitedNear},
+		{"waited then remote", now.WaitedRemote - before.WaitedRemote},
+		{"remote", now.Remote - before.Remote},
+	} {
+		if e.n > 0 {
+			m.Locality.WithLabelValues(e.name).Add(float64(e.n))
+		}
+	}
+}
+
 var orderNames = [...]string{"start", "stop", "hold", "pace", "advise"}
 
 func (m *Metrics) observeWorkerCall(kind dispatch.OrderKind, err error, took time.Duration) {
