Lend hosts of new owners' pools outside of their peaks

Cause: each pool with a new owner kept its hosts, also after its peak. Change: only the pool whose service had the most recent peak keeps them, for the usual time between two peaks.

--- a/pools/forecast.go
+++ b/pools/forecast.go
@@ -107,6 +107,11 @@
 	return s == nil || !s.inPeak || now.Sub(s.inPeakSince) <= maxRiseTime
 }
 
+// Peaking reports whether the most recent peak is that of a service and should not be over yet.
+func (f *Forecast) Peaking(now time.Time, service string) bool {
+	return f.lastService == service && (f.interval == 0 || now.Sub(f.lastStart) < f.interval)
+}
+
 // RisingDemand returns the expected highest demand of a service whose peak has just started, in cores.
 func (f *Forecast) RisingDemand(now time.Time, service string) (float64, bool) {
 	s := f.services[service]
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -93,7 +93,7 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Service < list[j].Service })
 	for i := range list {
 		x := &list[i]
-		if x.Known && x.Cores > 0 && !x.Young {
+		if x.Known && x.Cores > 0 && !p.keepsHosts(now, x) {
 			p.forecast.Observe(now, x.Service, x.Rate, float64(p.historyOf(now, x).initial)*x.Cores)
 		}
 	}
@@ -150,7 +150,7 @@
 		d.moves = append(d.moves, Move{Host: popFirst(&d.spare), From: d.Spare, To: x.Service, Reason: "late work"})
 		x.Incoming++
 	}
-	for d.Spare != "" && x.Known && !x.Young && x.Have+x.Incoming > late && len(x.Idle) > 0 && !d.full() {
+	for d.Spare != "" && x.Known && !d.keepsHosts(d.now, x) && x.Have+x.Incoming > late && len(x.Idle) > 0 && !d.full() {
 		d.moves = append(d.moves, Move{Host: popFirst(&x.Idle), From: x.Service, To: d.Spare, Reason: "idle"})
 		x.Have--
 	}
@@ -192,7 +192,7 @@
 		return 0
 	}
 	surplus := x.Have + x.Incoming - d.demandedHosts(d.now, x)
-	if x.Young {
+	if d.keepsHosts(d.now, x) {
 		return min(0, surplus)
 	}
 	return surplus
@@ -229,7 +229,7 @@
 	}
 	for i := range d.list {
 		o := &d.list[i]
-		if !canLend(o, x) || o.Have+o.Incoming <= d.want[o.Service] {
+		if !d.canLend(o, x) || o.Have+o.Incoming <= d.want[o.Service] {
 			continue
 		}
 		o.Have--
@@ -241,7 +241,7 @@
 	}
 	for i := range d.list {
 		o := &d.list[i]
-		if !canLend(o, x) || o.Have+o.Incoming <= d.retained(d.now, o) {
+		if !d.canLend(o, x) || o.Have+o.Incoming <= d.retained(d.now, o) {
 			continue
 		}
 		o.Have--
@@ -252,8 +252,14 @@
 }
 
 // canLend reports whether a pool has an idle host for another pool.
-func canLend(from, to *Pool) bool {
-	return from.Service != to.Service && from.Known && !from.Young && len(from.Idle) > 0
+func (d *draft) canLend(from, to *Pool) bool {
+	return from.Service != to.Service && from.Known && !d.keepsHosts(d.now, from) && len(from.Idle) > 0
+}
+
+// keepsHosts reports whether a pool keeps all its hosts since its owner is new and the peak of the service should go on. After a
+// restart of all daemons all owners are new; the other pools lend hosts as usual then.
+func (p *Planner) keepsHosts(now time.Time, x *Pool) bool {
+	return x.Young && p.forecast.Peaking(now, x.Service)
 }
 
 // retained is the number of hosts that a pool keeps while another pool lacks hosts: all of them if its peak is about to
@@ -272,7 +278,7 @@
 }
 
 // wantedHosts is the number of hosts that a pool should have for work that can be on time. A pool whose demand is unknown
-// is left unchanged, and one whose owner is new does not shrink.
+// is left unchanged, and one whose owner is new does not shrink during its peak.
 func (p *Planner) wantedHosts(now time.Time, x *Pool) int {
 	if !x.Known || x.Cores <= 0 {
 		return x.Have + x.Incoming
@@ -284,7 +290,7 @@
 		// have been lent meanwhile.
 		hosts = max(hosts, min(h.initial, x.Have+x.Incoming))
 	}
-	if x.Young {
+	if p.keepsHosts(now, x) {
 		hosts = max(hosts, x.Have+x.Incoming)
 	}
 	if hosts >= h.needed || now.Sub(h.neededAt) > retentionTime {
