Count no crash when the host of a worker is moved or maintained

Cause: workerCrashed took each unannounced end of a worker for a crash of the tasks on it. Moves to another pool and maintenance show in the records of the hosts, which were used only to release runs of earlier owners. Two moves under runs of one task made its job fail.

Change: a record that shows the host of a silent worker in another pool or in maintenance explains the end of the worker, and withdraws the suspicion against its runs. It releases no run. TestWorkerOfAHostThatIsTakenHasNotCrashed failed before in 9 of 12 cases; the other three are real crashes.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -147,7 +147,7 @@
 
 // suspectRuns records that a worker which does not answer may have crashed by the runs that it started last.
 func (s *Service) suspectRuns(now time.Time, w *worker) {
-	if w.suspectsKnown {
+	if w.suspectsKnown || w.hostTaken {
 		return
 	}
 	w.suspectsKnown = true
@@ -201,8 +201,8 @@
 	return false
 }
 
-// workerAnswers withdraws the suspicion against runs on a worker that answers again.
-func (s *Service) workerAnswers(w *worker) {
+// withdrawSuspicion withdraws the suspicion against runs on a worker that answers again, or that has not crashed.
+func (s *Service) withdrawSuspicion(w *worker) {
 	w.suspectsKnown, w.trialFailed = false, false
 	for _, t := range w.suspects {
 		t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return !c.Confirmed && c.Worker == w.info.ID })
@@ -219,14 +219,14 @@
 		s.workerCrashed(now, w, "it has left the list and its address refuses connections", nil)
 		return
 	}
-	s.workerAnswers(w)
+	s.withdrawSuspicion(w)
 }
 
 // workerCrashed records that a worker has ended without notice, and gives up the jobs whose tasks crash their workers. kept are
 // the attempts that a later incarnation may have started: it is not certain that the worker has crashed under them.
 func (s *Service) workerCrashed(now time.Time, w *worker, why string, kept map[*attempt]bool) {
-	if !w.leavingSince.IsZero() {
-		s.workerAnswers(w) // it was expected to end
+	if !w.leavingSince.IsZero() || w.hostTaken {
+		s.withdrawSuspicion(w) // it was expected to end, or its host was taken
 		return
 	}
 	if len(w.attempts) == 0 && len(w.suspects) == 0 {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -553,3 +553,87 @@
 	p.run(15 * time.Second)
 	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
 }
+
+// taken returns the records of the hosts after that of a worker has been given a phase and a pool.
+func (p *pool) taken(w *fakeWorker, phase cuminstair.HostPhase, pool string) []cuminstair.HostRecord {
+	hosts := p.hostsIn(w, phase)
+	for i := range hosts {
+		if hosts[i].Name == w.info.Host {
+			hosts[i].Pool, hosts[i].Worker = pool, ""
+		}
+	}
+	return hosts
+}
+
+// Guards against giving a job up since the hosts of its workers were moved to another pool or taken for maintenance under it, as
+// if the workers had crashed. A worker whose host stays in the pool has crashed if another one answers there.
+func TestWorkerOfAHostThatIsTakenHasNotCrashed(t *testing.T) {
+	ends := map[string]func(p *pool, w *fakeWorker, hosts []cuminstair.HostRecord){
+		"another worker answers": func(p *pool, w *fakeWorker, _ []cuminstair.HostRecord) {
+			w.replaced = true
+			p.unlist(w.info.ID)
+			p.s.SetWorkers(p.now, p.list)
+		},
+		"it starts again under its ID": func(p *pool, w *fakeWorker, _ []cuminstair.HostRecord) {
+			w.restart(p.now)
+			w.crashed = false
+		},
+		"it leaves the list after a takeover": func(p *pool, w *fakeWorker, hosts []cuminstair.HostRecord) {
+			w.connRefused, w.crashed = true, false
+			p.run(300 * time.Millisecond)
+			p.takeOver(100+int64(len(p.orders)), 0)
+			p.run(200 * time.Millisecond)
+			p.s.SetHosts(p.now, p.now, hosts)
+			p.unlist(w.info.ID)
+			p.s.SetWorkers(p.now, p.list)
+			for n, end := len(p.orders), p.now.Add(8*time.Second); len(p.orders) == n && p.now.Before(end); {
+				p.run(tick)
+			}
+			p.s.SetWorkers(p.now, p.list)
+		},
+	}
+	for _, c := range []struct {
+		name   string
+		phase  cuminstair.HostPhase
+		pool   string
+		failed bool
+	}{
+		{"moving to another pool", cuminstair.PhaseMoving, "other", false},
+		{"up in another pool", cuminstair.PhaseUp, "other", false},
+		{"maintenance", cuminstair.PhaseMaintenance, "s", false},
+		{"up in its pool", cuminstair.PhaseUp, "s", true},
+	} {
+		for how, end := range ends {
+			t.Run(c.name+"/"+how, func(t *testing.T) {
+				p := newPool(t, 8)
+				p.duration = func(cuminstair.TaskID) time.Duration { return 10 * time.Second }
+				for i, w := range p.workers {
+					w.info.Host = "h" + w.info.ID
+					p.list[i] = w.info
+				}
+				p.s.SetWorkers(p.now, p.list)
+				p.run(200 * time.Millisecond)
+				p.submit(jobA, step(1, 2000))
+				var w *fakeWorker
+				for range 2 {
+					if w == nil {
+						w = p.nextStart()
+					}
+					w.crashed = true
+					p.run(400 * time.Millisecond)
+					p.is.True(p.s.NeedsHosts())
+					hosts := p.taken(w, c.phase, c.pool)
+					p.s.SetHosts(p.now, p.now, hosts)
+					p.run(800 * time.Millisecond)
+					before := len(p.orders)
+					end(p, w, hosts)
+					if w = nil; len(p.orders) > before { // the task has started again
+						w = p.worker(p.orders[before].Worker.ID)
+					}
+				}
+				p.run(20 * time.Second)
+				p.is.Equal(p.s.State(jobA) == cuminstair.JobFailed, c.failed)
+			})
+		}
+	}
+}
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -27,6 +27,7 @@
 // record proves nothing while a start may have been carried out after that.
 func (s *Service) checkHost(now, sent time.Time, w *worker, h cuminstair.HostRecord) {
 	o := observation{kind: observedHostDown, incarnation: w.info.Incarnation, since: sent, until: now}
+	s.noteTaken(sent, w, h)
 	down := s.hostIsDown(w, h, sent)
 	if !down && !s.hostIsReplaced(w, h) {
 		return
@@ -48,6 +49,23 @@
 	s.workerGone(now, w, o)
 }
 
+// noteTaken records that the host of a worker that does not answer was taken for another pool or for maintenance, which is why the
+// worker ends: it has not crashed under its tasks. As with hosts that are down, the record must be newer than the worker and its last
+// answer. It doesn't prove that the worker has ended.
+func (s *Service) noteTaken(sent time.Time, w *worker, h cuminstair.HostRecord) {
+	if w.hostTaken || w.failedCalls == 0 || !w.knownSince.Before(sent) || !w.answeredAt.Before(sent) {
+		return
+	}
+	otherPool := h.Pool != "" && h.Pool != s.Name && h.Phase != cuminstair.PhaseDown
+	if !otherPool && h.Phase != cuminstair.PhaseMaintenance {
+		return
+	}
+	s.Log.Info("dispatch: host of a silent worker was taken", "service", s.Name, "worker", w.info.ID, "host", h.Name, "phase", h.Phase, "pool", h.Pool,
+		"suspects", len(w.suspects))
+	w.hostTaken = true
+	s.withdrawSuspicion(w)
+}
+
 // hostIsDown reports whether a worker that does not answer has ended since its host is down. The record must be newer
 // than the worker: a host that was down before the worker started proves nothing.
 func (s *Service) hostIsDown(w *worker, h cuminstair.HostRecord, sent time.Time) bool {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -55,9 +55,9 @@
 		s.Log.Info("dispatch: worker answers again", "service", s.Name, "worker", w.info.ID)
 	}
 	if w.suspectsKnown {
-		s.workerAnswers(w)
+		s.withdrawSuspicion(w)
 	}
-	w.failedCalls, w.connRefused, w.lastRenewal, w.answeredAt = 0, false, sent, now
+	w.failedCalls, w.connRefused, w.hostTaken, w.lastRenewal, w.answeredAt = 0, false, false, sent, now
 	w.failingSince = time.Time{}
 	w.clock, w.clockAt = r.Clock, now
 	w.unread = false
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -23,7 +23,7 @@
 		"acknowledging", w.ackSent)
 	w.info.Incarnation, w.knownSince = incarnation, now
 	w.processed, w.stored, w.acknowledged, w.ackSent, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0, 0
-	w.synced, w.moreEnds, w.gone, w.clock, w.lease, w.failingSince = false, false, false, 0, 0, time.Time{}
+	w.synced, w.moreEnds, w.gone, w.hostTaken, w.clock, w.lease, w.failingSince = false, false, false, false, 0, 0, time.Time{}
 	w.leaseUnsure = len(kept) > 0 || len(w.lateStarts) > 0 || w.leaseSentAt.After(w.lastRenewal) || s.earlierOwnerMayReach(w)
 	w.heldLease, w.restarted = 0, true
 	s.recordAgain(w)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,6 +29,7 @@
 	bestEffort    int            // number of best-effort attempts
 	listed        bool           // in the platform's list
 	leavingSince  time.Time      // when it was first seen leaving; zero: it is not
+	hostTaken     bool           // its host was taken for another pool or for maintenance, and it has not answered since
 	cordonedUntil time.Time      // no new tasks until then: its host is due for maintenance or a move
 	mayHaveMoved  bool           // it was reported as idle for a move: no new tasks until it answers after the cordon
 	vacateUntil   time.Time      // no new long-running tasks until then: its host is due for maintenance later
