Draw racks in the walks

Change: seeds with the remainder 3 by 5 let steps want a rack, with a RemoteFactor of 0, 1.5 or 3; -walk.racks does so in all seeds. The draws have a source of their own, so that all other seeds draw as before.

--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -22,6 +22,7 @@
 var (
 	walkSeeds   = flag.Int("walk.seeds", 60, "number of seeds of TestWalk")
 	walkFirst   = flag.Uint64("walk.first", 1, "first seed of TestWalk")
+	walkRacks   = flag.Bool("walk.racks", false, "let steps want a rack in all seeds")
 	walkVerbose = flag.Bool("walk.all", false, "print the whole trace of a violation")
 )
 
@@ -42,6 +43,7 @@
 	maxTraceText  = 400 // bytes of a row
 	walkSlow      = 7   // times as long as others a slow run takes
 	copyingSeeds  = 5   // one of so many seeds has many steps that allow copies, some of whose runs are slow
+	rackSeeds     = 3   // seeds with this remainder by copyingSeeds have steps that want a rack
 	manyJobs      = 3   // jobs of a walk that have many short tasks
 )
 
@@ -117,6 +119,8 @@
 	notices     *rand.Rand  // draws when gangs break
 	slow        *rand.Rand  // draws steps that allow copies and slow runs
 	limits      *rand.Rand  // draws checkpoints, labels and limits of tasks per worker
+	racks       *rand.Rand  // draws which steps want a rack; nil: none does
+	remote      float64     // Bounds.RemoteFactor
 	quotas      *walkLimits // nil: no account has a limit
 }
 
@@ -176,6 +180,10 @@
 	w.listAge = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}[s.rand.IntN(3)]
 	w.hostsAge = []time.Duration{0, 0, 300 * time.Millisecond}[s.rand.IntN(3)]
 	w.many, w.copying = s.chance(0.1), seed%copyingSeeds == 0
+	if *walkRacks || seed%copyingSeeds == rackSeeds {
+		w.racks = rand.New(rand.NewPCG(seed, 10))
+		w.remote = []float64{0, 1.5, 3}[w.racks.IntN(3)]
+	}
 	for _, d := range w.daemons {
 		d.offset = s.between(-500*time.Millisecond, 500*time.Millisecond)
 	}
@@ -762,6 +770,7 @@
 		}
 		w.drawCopies(&st)
 		w.drawLimits(&st)
+		w.drawRack(&st)
 		j.spec.Steps = append(j.spec.Steps, st)
 		j.work = append(j.work, work)
 	}
@@ -809,6 +818,18 @@
 	}
 }
 
+// drawRack makes some steps of some walks want a rack, which may have no worker.
+func (w *walk) drawRack(st *cuminstair.JobStep) {
+	if w.racks == nil {
+		return
+	}
+	data, rack, together := w.racks.Float64() < 0.4, w.racks.IntN(walkCentres+1), w.racks.Float64() < 0.2
+	if data {
+		st.DataRack = "r" + strconv.Itoa(rack)
+	}
+	st.OneRack = together
+}
+
 // finished reports whether the jobs have ended, and names one that has not.
 func (w *walk) finished() (bool, string) {
 	open := ""
--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -388,7 +388,7 @@
 	now := d.now()
 	r := &runner{d: d, token: token, takenAt: now, hadOwner: hadOwner, settled: !owner.unsettled, owner: owner, version: token, confirmedAt: now}
 	s := dispatch.New("s", int64(token), now, walkLog{Logger: hclog.NewNullLogger(), w: d.w, who: fmt.Sprintf("%s/%d", d.name, token)})
-	s.Bounds = cuminstair.Bounds{MaxLease: walkMaxHold, StopGrace: walkStopGrace, StateRetention: d.w.retention}
+	s.Bounds = cuminstair.Bounds{MaxLease: walkMaxHold, StopGrace: walkStopGrace, StateRetention: d.w.retention, RemoteFactor: d.w.remote}
 	s.Grace, s.Rand = ownerGrace, rand.New(rand.NewPCG(token, 1))
 	if hadOwner {
 		s.EarlierOwnerGrace = ownerGrace
