Let the fault soak change client accounts

Keys and limits of client accounts changed in no soak, so that a key that stays valid, a valid key that is refused and a limit that is exceeded were seen only in tests of one fault at a time.

In the seeds with seed%3 == 1, without the regression seeds, the site has accounts with keys and limits. Callers submit, query and cancel with keys; series of versions add and remove keys, add accounts, cut limits to a half or a tenth and restore them, beside all other faults. Answers are checked against the versions that may be in force on the daemon asked; starts are checked in the stand-in against the highest limit of the versions of the last 3 s. Other seeds draw as before.

--- a/cmd/cuminstairjobs/fleet_test.go
+++ b/cmd/cuminstairjobs/fleet_test.go
@@ -87,6 +87,7 @@
 	site    *site.Site
 	daemons []*daemon
 	client  *http.Client
+	answer  func(d *daemon, method, path, body string) (int, string) // of call; nil: calls have no key
 }
 
 func newFleet(t *testing.T, daemons int, services map[string]int) *fleet {
@@ -267,6 +268,9 @@
 
 // call sends one request to a daemon and returns the status, or 0 if there was no response, and the body.
 func (f *fleet) call(d *daemon, method, path, body string) (int, string) {
+	if f.answer != nil {
+		return f.answer(d, method, path, body)
+	}
 	return f.callWith(d, method, path, body, func(http.Header) {})
 }
 
--- a/cmd/cuminstairjobs/soak_test.go
+++ b/cmd/cuminstairjobs/soak_test.go
@@ -24,11 +24,12 @@
 const (
 	soakDuration   = 12 * time.Second // in which faults are injected
 	submitInterval = 120 * time.Millisecond
-	maxAttempts    = 6    // to submit one job
-	mayGiveUpAfter = 2    // crashes under a task, after which its job may be reported as failed
-	resizePeriod   = 6    // one in so many faults comes with a change of a worker's capacity
-	minCPU         = 4000 // smallest capacity of a worker, in thousandths of a core
-	crashingJobs   = 25   // one in so many jobs has a task that crashes its workers
+	clearTime      = 4 * time.Second // the timers of injectFault fire within 3.5 s
+	maxAttempts    = 6               // to submit one job
+	mayGiveUpAfter = 2               // crashes under a task, after which its job may be reported as failed
+	resizePeriod   = 6               // one in so many faults comes with a change of a worker's capacity
+	minCPU         = 4000            // smallest capacity of a worker, in thousandths of a core
+	crashingJobs   = 25              // one in so many jobs has a task that crashes its workers
 )
 
 // regressionSeeds are seeds with which a fault was found, with the events that lead to it. Each run includes them.
@@ -60,6 +61,7 @@
 // soak is one run of TestSoak with one seed.
 type soak struct {
 	*fleet
+	*soakAccounts
 	rand      *rand.Rand
 	resizes   *rand.Rand // of its own, so that the other faults of a seed stay the same
 	services  []string
@@ -73,7 +75,7 @@
 // Guards against a violated guarantee when faults follow each other and overlap: daemons that are killed, stopped,
 // paused and cut off from the store, a store that is unavailable, loses answers and compacts its history, workers that
 // crash, stop answering, shrink and grow, and tasks that crash their workers, all of this during configuration changes,
-// waves and moves.
+// waves and moves. In a part of the seeds, client accounts get and lose keys, and their limits change.
 func TestSoak(t *testing.T) {
 	seeds := map[uint64]bool{}
 	for seed := range regressionSeeds {
@@ -93,22 +95,30 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		fleet: newFleet(t, 3, map[string]int{"s1": 4, "s2": 4, "spare": 2}), rand: rand.New(rand.NewPCG(seed, 1)),
-		resizes:  rand.New(rand.NewPCG(seed, 3)),
+		resizes: rand.New(rand.NewPCG(seed, 3)), soakAccounts: newSoakAccounts(seed),
 		services: []string{"s1", "s2"}, outcomes: map[string]outcome{}, serviceOf: map[string]string{}, crashing: map[string]bool{},
 	}
-	s.site.Configure(s.services, 3*time.Second)
+	if s.accounts != nil {
+		s.answer = s.callWithKey
+	}
+	s.configure(func() { s.timeout = 3 * time.Second })
 	s.startAll()
 	longRunning := []string{jobID(1), jobID(2)}
 	for i, id := range longRunning {
+		s.assignJob(id, 0)
 		s.submit(s.daemons[0], s.services[i], id, 3, 0)
 	}
 	end := time.Now().Add(soakDuration)
-	var callers sync.WaitGroup
+	var callers, probes sync.WaitGroup
 	callers.Add(1)
 	go func() {
 		defer callers.Done()
 		s.submitJobs(seed, end, &callers)
 	}()
+	if s.accounts != nil {
+		callers.Go(func() { s.changeAccounts(end) })
+		probes.Go(func() { s.probe(seed, end.Add(clearTime), &probes) })
+	}
 	for time.Now().Before(end) {
 		s.injectFault()
 		s.resizeWorker()
@@ -116,7 +126,9 @@
 	}
 	callers.Wait()
 	s.clearFaults()
+	probes.Wait()
 	s.checkGuarantees(longRunning)
+	t.Logf("%d versions, answers by whether the key may and must be valid: %v", len(s.versions), s.answers)
 }
 
 // submitJobs submits jobs until the end of the soak.
@@ -127,6 +139,7 @@
 		tasks, length := 1+r.IntN(4), time.Duration(50+r.IntN(500))*time.Millisecond
 		crashes := crashing.IntN(crashingJobs) == 0
 		s.crashing[id] = crashes
+		tasks = s.assignJob(id, tasks)
 		s.site.DeclareJob(id, site.Task{CPU: 4000, Length: length, Crashes: crashes})
 		callers.Add(1)
 		go func() {
@@ -134,6 +147,9 @@
 			o := s.submitWithRetries(id, service, firstDaemon, tasks)
 			s.mu.Lock()
 			s.outcomes[id], s.serviceOf[id] = o, service
+			if o == accepted {
+				s.accepted = append(s.accepted, "/"+service+"/"+id)
+			}
 			s.mu.Unlock()
 		}()
 		time.Sleep(submitInterval)
@@ -149,7 +165,7 @@
 		switch status {
 		case http.StatusOK:
 			return accepted
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusUnauthorized:
 			time.Sleep(300 * time.Millisecond)
 		default:
 			o = unknown
@@ -172,14 +188,12 @@
 		d.signal(syscall.SIGTERM)
 		s.restart(d, 0)
 	case 2:
-		d.signal(syscall.SIGSTOP)
-		time.AfterFunc(length, func() { d.signal(syscall.SIGCONT) })
+		s.outage(d, "stopped", length, func() { d.signal(syscall.SIGSTOP) }, func() { d.signal(syscall.SIGCONT) })
 	case 3, 4:
-		d.storeProxy.setMode([]mode{silent, reset, slow}[s.rand.IntN(3)])
-		time.AfterFunc(length, func() { d.storeProxy.setMode(passing) })
+		m := []mode{silent, reset, slow}[s.rand.IntN(3)]
+		s.outage(d, "cut off", length, func() { d.storeProxy.setMode(m) }, func() { d.storeProxy.setMode(passing) })
 	case 5:
-		s.site.Store.SetDown(true)
-		time.AfterFunc(length, func() { s.site.Store.SetDown(false) })
+		s.outage(nil, "store down", length, func() { s.site.Store.SetDown(true) }, func() { s.site.Store.SetDown(false) })
 	case 6:
 		s.site.Store.LoseAnswers(1 + s.rand.IntN(4))
 	case 7:
@@ -199,7 +213,7 @@
 	case 10:
 		s.waves++
 		s.site.Wave(s.waves, s.services[s.rand.IntN(2)], 1)
-		s.site.Configure(s.services, time.Duration(2000+s.rand.IntN(2000))*time.Millisecond)
+		s.configure(func() { s.timeout = time.Duration(2000+s.rand.IntN(2000)) * time.Millisecond })
 	}
 }
 
@@ -240,7 +254,7 @@
 func (s *soak) clearFaults() {
 	s.site.Store.SetDown(false)
 	s.site.Store.LoseAnswers(0)
-	time.Sleep(4 * time.Second) // the timers of injectFault fire within 3.5 s
+	time.Sleep(clearTime)
 	for _, d := range s.daemons {
 		d.signal(syscall.SIGCONT)
 		d.storeProxy.setMode(passing)
@@ -253,6 +267,22 @@
 // mayBeGivenUp reports whether enough workers crashed under a task of a job for it to be reported as failed.
 func (s *soak) mayBeGivenUp(id string) bool { return s.site.CrashedUnder(id) >= mayGiveUpAfter }
 
+// hasEnded reports whether an accepted job has ended, and ends the test if it ended in a way that it must not.
+func (s *soak) hasEnded(id string) bool {
+	s.t.Helper()
+	state := s.state(s.daemons[0], s.serviceOf[id], id)
+	if state == "failed" && s.mayBeGivenUp(id) || state == "cancelled" && s.cancelled[id] {
+		return true
+	}
+	if state == "completed" && s.crashing[id] {
+		s.t.Fatalf("job %s of %s crashes its workers and is reported as completed", id, s.serviceOf[id])
+	}
+	if state == strconv.Itoa(http.StatusGone) || state == "failed" || state == "cancelled" {
+		s.t.Fatalf("job %s of %s, which was accepted, is reported as %s", id, s.serviceOf[id], state)
+	}
+	return state == "completed"
+}
+
 // checkGuarantees checks that accepted jobs are completed, or given up if workers crashed under a task, that refused jobs have not run, that the long-running jobs
 // run with all their tasks and that all waves are completed.
 func (s *soak) checkGuarantees(longRunning []string) {
@@ -262,19 +292,7 @@
 		count[o]++
 		switch o {
 		case accepted:
-			s.until(settleTimeout, fmt.Sprintf("job %s of %s, which was accepted, is completed", id, s.serviceOf[id]), func() bool {
-				state := s.state(s.daemons[0], s.serviceOf[id], id)
-				if state == "failed" && s.mayBeGivenUp(id) {
-					return true
-				}
-				if state == "completed" && s.crashing[id] {
-					s.t.Fatalf("job %s of %s crashes its workers and is reported as completed", id, s.serviceOf[id])
-				}
-				if state == strconv.Itoa(http.StatusGone) || state == "failed" || state == "cancelled" {
-					s.t.Fatalf("job %s of %s, which was accepted, is reported as %s", id, s.serviceOf[id], state)
-				}
-				return state == "completed"
-			})
+			s.until(settleTimeout, fmt.Sprintf("job %s of %s, which was accepted, is completed", id, s.serviceOf[id]), func() bool { return s.hasEnded(id) })
 		case refused:
 			if n := s.site.Starts(id); len(n) > 0 {
 				s.t.Errorf("job %s was refused and has run: %v", id, n)
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	crashTime   = 1500 * time.Millisecond // how long a host is down after such a crash
 	// resizeGrace is how long starts may exceed a capacity that has shrunk.
 	resizeGrace = 4500 * time.Millisecond
+	applyTime   = 3 * time.Second // from the acknowledgement of a configuration until it is in force everywhere
 	// Limits of tasks that crash their workers: after crashLimit crashes, startLimit further starts are too many.
 	crashLimit = 3
 	startLimit = 3
@@ -65,6 +67,8 @@
 	violations    []string
 	workerCount   int // workers started so far; part of their ids
 	configVersion int
+	limits        []limitVersion    // of all configurations
+	accountOf     map[string]string // by job, set by AssignJob
 }
 
 // New starts a site with the given number of hosts for each service. It stops when ctx is done.
@@ -72,7 +76,7 @@
 	s := &Site{
 		Store: newStore(), ctx: ctx, hosts: map[string]*host{}, jobs: map[string]Task{}, running: map[string]int{},
 		done: map[string]bool{}, starts: map[string]int{}, lastStart: map[string]time.Time{},
-		crashes: map[string]int{}, crashStarts: map[string]int{},
+		crashes: map[string]int{}, crashStarts: map[string]int{}, accountOf: map[string]string{},
 	}
 	var err error
 	if s.StoreAddr, err = s.listen(s.Store.handler()); err != nil {
@@ -186,10 +190,46 @@
 	if err != nil {
 		panic(err)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock() // no task starts between the write and the record of its limits
 	s.Store.Put("op", "", "config", data)
+	s.limits = append(s.limits, limitVersion{acked: time.Now(), accounts: slices.Clone(accounts)})
 	return version
 }
 
+// limitVersion has the limits of accounts in a version of the configuration.
+type limitVersion struct {
+	acked    time.Time
+	accounts []Account
+}
+
+// checkLimit records a violation if after the start of a task, the running tasks of its account exceed the highest limit of the
+// versions that may be in force by more than a tenth and one task. s.mu is held.
+func (s *Site) checkLimit(name string, t Task) {
+	account, used, most, limited := s.accountOf[jobOf(name)], 0, 0, true
+	if account == "" {
+		return
+	}
+	for i, v := range s.limits {
+		if i+1 < len(s.limits) && time.Since(s.limits[i+1].acked) > applyTime {
+			continue
+		}
+		for _, a := range v.accounts {
+			if a.Name == account {
+				most, limited = max(most, a.Limit["cpu"]), limited && a.Limit["cpu"] > 0
+			}
+		}
+	}
+	for other, n := range s.running {
+		if job := jobOf(other); s.accountOf[job] == account {
+			used += n * s.jobs[job].CPU
+		}
+	}
+	if limited && float64(used) > 1.1*float64(most)+float64(t.CPU) {
+		s.violations = append(s.violations, fmt.Sprintf("%s exceeds the limit of account %s: %d of %d", name, account, used, most))
+	}
+}
+
 // Wave writes a wave that requests the upkeep of all hosts of a service, at most limit of them at once.
 func (s *Site) Wave(number int, service string, limit int) {
 	s.mu.Lock()
@@ -214,6 +254,13 @@
 	s.jobs[job] = t
 }
 
+// AssignJob tells whose limit the tasks of a job count against.
+func (s *Site) AssignJob(job, account string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accountOf[job] = account
+}
+
 // Violations returns the violations so far: events that must never happen, such as two runs of a task at the same time.
 func (s *Site) Violations() []string {
 	s.mu.Lock()
@@ -279,6 +326,7 @@
 	s.lastStart[name] = time.Now()
 	s.starts[name]++
 	s.checkCrashes(name, t)
+	s.checkLimit(name, t)
 	return t.CPU
 }
 
