--- a/cmd/cuminstairjobs/soak_test.go
+++ b/cmd/cuminstairjobs/soak_test.go
@@ -275,7 +275,8 @@
 		return true
 	}
 	if state == "completed" && s.crashing[id] {
-		s.t.Fatalf("job %s of %s crashes its workers and is reported as completed", id, s.serviceOf[id])
+		s.t.Fatalf("job %s of %s crashes its workers and is reported as completed, workers crashed: %d, starts: %v",
+			id, s.serviceOf[id], s.site.CrashedUnder(id), s.site.Starts(id))
 	}
 	if state == strconv.Itoa(http.StatusGone) || state == "failed" || state == "cancelled" {
 		s.t.Fatalf("job %s of %s, which was accepted, is reported as %s", id, s.serviceOf[id], state)
