Use eviction as the term in package intake

Cause: a request that loses its memory to others was called dropped, gave way or let go in turn, and Conn.take, head.take, growth and connMemory did not tell what they do or hold. Change: unexported identifiers and comments say evict, released and received; fractions of the limits are named share or percent. No behaviour changes.

--- a/intake/body.go
+++ b/intake/body.go
@@ -17,11 +17,11 @@
 	ErrTooSlow  = errors.ConstError("the body did not arrive in time")
 )
 
-// firstPiece is the buffer for a body at first, in bytes: most jobs fit. It then grows by growth, so that a body that is
-// announced and not sent takes little.
+// initialBuffer is the size in bytes of the first buffer for a body: most jobs fit. A full buffer is replaced by one that is
+// bufferGrowth times as large, so that a body that is announced and not sent takes little memory.
 const (
-	firstPiece = 4 << 10
-	growth     = 4
+	initialBuffer = 4 << 10
+	bufferGrowth  = 4
 )
 
 // ReadBody reads the body of a request, of at most limit bytes. Errors: ErrTooLarge, ErrNoMemory, ErrTooSlow, or what
@@ -59,8 +59,8 @@
 	var body []byte
 	for int64(len(body)) < size {
 		if len(body) == cap(body) {
-			next := min(size, max(firstPiece, growth*int64(cap(body))))
-			if !c.hold(next + int64(cap(body))) { // both buffers for a moment
+			next := min(size, max(initialBuffer, bufferGrowth*int64(cap(body))))
+			if !c.hold(next + int64(cap(body))) { // both buffers exist while the content is copied
 				return nil, ErrNoMemory
 			}
 			body = append(make([]byte, 0, next), body...)
@@ -77,14 +77,14 @@
 	return body, nil
 }
 
-// readError tells apart why a body could not be read.
+// readError returns the error of ReadBody for a body that could not be read.
 func readError(c *Conn, err error) error {
 	var timeout net.Error
 	switch {
 	case c == nil || errors.Is(err, ErrNoMemory):
 		return err
-	case c.gaveWay():
-		return ErrNoMemory // it gave way to others, which have been reported
+	case c.wasEvicted():
+		return ErrNoMemory // its eviction, or the closing of its connection, has been reported
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return refusal(c, BodyTooSlow, ErrTooSlow)
 	}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -40,9 +40,9 @@
 	inHead  bool
 
 	// Used only by the goroutine that serves the connection.
-	head  head
-	taken int   // bytes since the begin of the wait
-	held  int64 // bytes of memory that the head holds
+	head     head
+	received int   // bytes since the begin of the wait
+	held     int64 // bytes of memory that the head holds
 }
 
 // Read implements net.Conn.
@@ -54,7 +54,7 @@
 		c.rearm()
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			if refusal := c.take(p[:n]); refusal != "" {
+			if refusal := c.countHead(p[:n]); refusal != "" {
 				c.refuseHead(refusal, p)
 				return 0, io.EOF
 			}
@@ -64,7 +64,7 @@
 			if time.Now().Before(c.due()) {
 				continue // the limit was raised meanwhile
 			}
-			if c.taken > 0 {
+			if c.received > 0 {
 				c.report(HeadTooSlow)
 			}
 		}
@@ -94,16 +94,16 @@
 	return nil
 }
 
-// take counts a piece of a head. It returns the answer to a head that is over a limit, and otherwise nothing.
-func (c *Conn) take(p []byte) (refusal string) {
-	if c.taken == 0 {
+// countHead counts a piece of a head. It returns the answer to a head that is over a limit, and otherwise nothing.
+func (c *Conn) countHead(p []byte) (refusal string) {
+	if c.received == 0 {
 		c.mu.Lock()
 		c.since, c.inHead = time.Now(), true
 		c.mu.Unlock()
 	}
-	c.taken += len(p)
+	c.received += len(p)
 	c.head.add(p)
-	if limit := c.gate.limits.Load().Head; c.head.size > limit || c.taken > limit+readAhead {
+	if limit := c.gate.limits.Load().Head; c.head.size > limit || c.received > limit+readAhead {
 		c.report(HeadTooLarge)
 		return headRefusal
 	}
@@ -116,7 +116,7 @@
 	return ""
 }
 
-// hold makes the request hold memory for its body. It reports false if the request has given way to others.
+// hold makes the request hold memory for its body. It reports false if the request has been evicted.
 func (c *Conn) hold(bytes int64) bool { return c == nil || c.gate.hold(c, c.held+bytes) }
 
 // release frees the memory of the body of a request that is not served.
@@ -126,11 +126,11 @@
 	}
 }
 
-// gaveWay returns whether the request has given way to others.
-func (c *Conn) gaveWay() bool {
+// wasEvicted reports whether the request has been evicted or its connection closed.
+func (c *Conn) wasEvicted() bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	return c.client.dropped || !c.client.open
+	return c.client.evicted || !c.client.open
 }
 
 // complete notes that the request has arrived whole, with a body of that size. Error: ErrNoMemory.
@@ -195,7 +195,7 @@
 
 // wait notes that the connection waits for the next request.
 func (c *Conn) wait() {
-	c.head, c.taken, c.held = head{}, 0, 0
+	c.head, c.received, c.held = head{}, 0, 0
 	if !c.gate.wait(c) {
 		c.abort()
 	}
@@ -205,8 +205,8 @@
 	c.serving.Store(false)
 }
 
-// drop makes a request that gives way to others fail: its body can't be read any more, or its head is not awaited.
-func (c *Conn) drop() {
+// evict makes an evicted request fail: its body can't be read any more, or, before the end of its head, its connection is closed.
+func (c *Conn) evict() {
 	c.mu.Lock()
 	serving := c.serving.Load()
 	if serving {
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -15,7 +15,7 @@
 // fits, and a body of 256 KB takes 16 round trips. The memory of the kernel for 4,000 connections is at most 128 MB.
 const receiveBuffer = 16 << 10
 
-// memoryWait is how long a request waits for memory that others have to let go of. They do so as soon as they run.
+// memoryWait is how long a request waits for memory that evicted requests still hold. They release it as soon as their goroutines run.
 const memoryWait = time.Second
 
 // Gate applies the limits to the listeners of a daemon. It must be made with New.
@@ -143,35 +143,35 @@
 	g.table.Begin(&c.client, size)
 }
 
-// complete notes that a request has arrived whole. It reports false if the request has given way to others.
+// complete notes that a request has arrived whole. It reports false if the request has been evicted.
 func (g *Gate) complete(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.table.Complete(&c.client)
 }
 
-// hold makes a request hold that many bytes in all. If that needs memory of other requests, it waits until they have let
-// go of it. It reports false if the request has given way to others.
+// hold makes a request hold that many bytes in all. If that needs memory of other requests, they are evicted, and it waits until
+// they have released it. It reports false if the request has itself been evicted.
 func (g *Gate) hold(c *Conn, bytes int64) bool {
 	g.mu.Lock()
-	known := c.client.dropped || !c.client.open // has been reported
+	reported := c.client.evicted || !c.client.open
 	victims, ok, done := g.table.Hold(&c.client, bytes)
 	g.mu.Unlock()
 	for _, v := range victims {
 		v.conn.report(NoMemory)
-		v.conn.drop()
+		v.conn.evict()
 	}
 	if !done {
-		ok, known = g.await(c)
+		ok, reported = g.await(c)
 	}
-	if !ok && !known {
+	if !ok && !reported {
 		c.report(NoMemory)
 	}
 	return ok
 }
 
-// await waits for the memory that a request has asked for. known is whether its refusal has been reported.
-func (g *Gate) await(c *Conn) (ok, known bool) {
+// await waits for the memory that a request has asked for. reported is whether its refusal has been reported.
+func (g *Gate) await(c *Conn) (ok, reported bool) {
 	limit := time.NewTimer(memoryWait)
 	defer limit.Stop()
 	select {
--- a/intake/head.go
+++ b/intake/head.go
@@ -17,10 +17,10 @@
 	for len(p) > 0 && !h.ended {
 		i := bytes.IndexByte(p, '\n')
 		if i < 0 {
-			h.take(p)
+			h.addToLine(p)
 			return
 		}
-		h.take(p[:i])
+		h.addToLine(p[:i])
 		h.size++
 		h.lines++
 		empty := h.line == 0 || h.line == 1 && h.cr
@@ -31,8 +31,8 @@
 	}
 }
 
-// take takes a piece of a line.
-func (h *head) take(p []byte) {
+// addToLine adds a piece of a line, without its newline.
+func (h *head) addToLine(p []byte) {
 	if len(p) > 0 {
 		h.size += len(p)
 		h.line += len(p)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -3,7 +3,8 @@
 //
 // It is built for floods of many connections at once: bodies of legal size that stop just short of their end, chunked
 // bodies without an end, heads over the limit or without an end, and connections that send nothing. Table decides, without
-// I/O and without a clock, whose request or connection gives way. Gate applies the decisions to the listeners of a daemon.
+// I/O and without a clock, which request is evicted and which connection is closed when a limit is reached. Gate applies the decisions to the
+// listeners of a daemon.
 package intake
 
 import (
@@ -46,14 +47,14 @@
 const (
 	reservedFiles = 200 // descriptors that the platform reserves for files
 	ownConnsShare = 8   // one in ownConnsShare of the other descriptors is for connections that the daemon opens
-	// connMemory of 100 parts of the memory may be taken by connections without a request, at connBytes each: 3,300 of them
+	// connMemoryPercent is the part of the memory, in percent, for connections without a request, at connBytes each: 3,300 of them
 	// took 19.5 KB each, with the goroutine and the buffers of net/http.
-	connMemory      = 40
-	connBytes       = 20 << 10
-	peerConnsShare  = 4  // of the connections, at most one in peerConnsShare are of other daemons
-	otherConnsShare = 16 // the same for readiness and for metrics
-	callerMemory    = 8  // one in callerMemory of the memory is for requests of callers
-	peerMemory      = 16 // one in peerMemory of the memory is for requests to the other listeners
+	connMemoryPercent = 40
+	connBytes         = 20 << 10
+	peerConnsShare    = 4  // of the connections, at most one in peerConnsShare are of other daemons
+	otherConnsShare   = 16 // the same for readiness and for metrics
+	callerMemoryShare = 8  // one in callerMemoryShare of the memory is for requests of callers
+	peerMemoryShare   = 16 // one in peerMemoryShare of the memory is for requests to the other listeners
 	// minRequests is how many of the largest requests find room at once, however small the memory is.
 	minRequests = 3
 	// smallShare: one in smallShare of the memory for requests is reserved for those with a small body.
@@ -90,7 +91,7 @@
 		l.HeadWait, l.IdleWait = positive(c.HeadWait, l.HeadWait), positive(c.IdleWait, l.IdleWait)
 	}
 	memory = positive(memory, defaultMemory)
-	l.Conns = int(memory / 100 * connMemory / connBytes)
+	l.Conns = int(memory / 100 * connMemoryPercent / connBytes)
 	if descriptors > 0 {
 		usable := max(descriptors-reservedFiles, descriptors/2)
 		l.Conns = min(l.Conns, usable-usable/ownConnsShare)
@@ -99,8 +100,8 @@
 		Callers: l.Conns, Peers: max(1, l.Conns/peerConnsShare),
 		Readiness: max(1, l.Conns/otherConnsShare), Metrics: max(1, l.Conns/otherConnsShare),
 	}
-	l.Memory[Callers] = max(memory/callerMemory, minRequests*l.largest(l.Body))
-	l.Memory[Peers] = max(memory/peerMemory, minRequests*l.largest(PeerBody))
+	l.Memory[Callers] = max(memory/callerMemoryShare, minRequests*l.largest(l.Body))
+	l.Memory[Peers] = max(memory/peerMemoryShare, minRequests*l.largest(PeerBody))
 	return l
 }
 
--- a/intake/table.go
+++ b/intake/table.go
@@ -23,10 +23,10 @@
 
 func (r *ring) oldest() *Client { return r.root.next.client }
 
-func (l *link) in() bool { return l.next != nil }
+func (l *link) linked() bool { return l.next != nil }
 
 func (l *link) remove() {
-	if l.in() {
+	if l.linked() {
 		l.prev.next, l.next.prev = l.next, l.prev
 		l.prev, l.next = nil, nil
 	}
@@ -37,7 +37,7 @@
 	conn     *Conn // for Gate
 	group    Group
 	open     bool
-	dropped  bool   // its request gave way
+	evicted  bool   // its request was evicted: others need its memory
 	size     int    // of its request; small ones may use the reserve
 	held     int64  // bytes
 	asked    int64  // bytes that it waits for
@@ -59,7 +59,7 @@
 type pool struct {
 	limit    int64
 	used     [sizes]int64
-	leaving  [sizes]int64 // part of used by requests that gave way and still hold their memory
+	leaving  [sizes]int64 // part of used by evicted requests that still hold their memory
 	asked    [sizes]int64 // by the queued requests
 	arriving [sizes]ring  // requests that have not arrived whole and hold memory, by begin
 	queued   [sizes]ring  // those of them that wait for memory, in order
@@ -72,11 +72,11 @@
 
 func (p *pool) largeLimit() int64 { return p.limit - p.limit/smallShare }
 
-// claimed returns what requests of a size will hold once those that give way have left and the queued ones are served.
+// claimed returns what requests of a size will hold once the evicted ones have released their memory and the queued ones are served.
 func (p *pool) claimed(size int) int64 { return p.used[size] - p.leaving[size] + p.asked[size] }
 
-// victim returns nil if there will be room for the queued requests, and otherwise the request that gives way for one of a
-// size: the one whose end has been awaited longest, among the large ones if the share of large ones is used up.
+// victim returns nil if there will be room for the queued requests, and otherwise the request to evict for one of a
+// size: the one that began to hold memory first, among the large ones if the share of large ones is used up.
 func (p *pool) victim(size int) *Client {
 	oldest, other := p.arriving[large].oldest(), p.arriving[small].oldest()
 	switch {
@@ -90,7 +90,7 @@
 	return oldest
 }
 
-// Table holds the connections of a daemon and the memory of their requests, and decides which one gives way. It has no
+// Table holds the connections of a daemon and the memory of their requests, and decides which ones are evicted or closed. It has no
 // clock: what has waited longest is what began to wait first. It is not safe for concurrent use.
 type Table struct {
 	limits  Limits
@@ -117,7 +117,7 @@
 	return t
 }
 
-// SetLimits changes the limits. What is over them stays until it ends or gives way to others.
+// SetLimits changes the limits. What is over them stays until it ends or is evicted.
 func (t *Table) SetLimits(l Limits) {
 	t.limits = l
 	t.pools[0].limit, t.pools[1].limit = l.Memory[Callers], l.Memory[Peers]
@@ -178,7 +178,7 @@
 // closed instead.
 func (t *Table) Wait(c *Client) bool {
 	t.Release(c, 0)
-	if c.dropped || !c.open {
+	if c.evicted || !c.open {
 		return false
 	}
 	c.size = large
@@ -196,13 +196,13 @@
 }
 
 // Hold makes a request that has not arrived whole hold that many bytes in all. If done is false, the request must wait
-// for c.answer, which is answered when memory is released. The requests in victims must let go of their memory.
+// for c.answer, which is answered when memory is released. The requests in victims are evicted and must release their memory.
 func (t *Table) Hold(c *Client, bytes int64) (victims []*Client, ok, done bool) {
-	if c.dropped || !c.open {
+	if c.evicted || !c.open {
 		return nil, false, true
 	}
 	p := t.pool(c)
-	if !c.arriving.in() {
+	if !c.arriving.linked() {
 		t.begun++
 		c.since = t.begun
 		p.arriving[c.size].push(&c.arriving)
@@ -220,7 +220,7 @@
 			t.GiveUp(c)
 			return victims, false, true
 		}
-		t.drop(victim)
+		t.evict(victim)
 		victims = append(victims, victim)
 	}
 	if c.answer == nil {
@@ -229,9 +229,9 @@
 	return victims, false, false
 }
 
-// drop makes a request give way. Its memory counts until it is released.
-func (t *Table) drop(c *Client) {
-	c.dropped = true
+// evict marks a request as evicted. Its memory counts until it is released.
+func (t *Table) evict(c *Client) {
+	c.evicted = true
 	c.arriving.remove()
 	t.pool(c).leaving[c.size] += c.held
 	if t.unqueue(c) {
@@ -241,7 +241,7 @@
 
 // unqueue ends the wait of a request for memory. It reports false if the request does not wait.
 func (t *Table) unqueue(c *Client) bool {
-	if !c.queued.in() {
+	if !c.queued.linked() {
 		return false
 	}
 	c.queued.remove()
@@ -249,19 +249,19 @@
 	return true
 }
 
-// GiveUp ends the wait of a request for memory, which then gives way. It reports false if the request has been answered.
+// GiveUp ends the wait of a request for memory, which is then evicted. It reports false if the request has been answered.
 func (t *Table) GiveUp(c *Client) bool {
 	if !t.unqueue(c) {
 		return false
 	}
-	t.drop(c)
+	t.evict(c)
 	t.grant(t.pool(c))
 	return true
 }
 
-// Complete notes that a request has arrived whole: it no longer gives way. It reports false if it has given way before.
+// Complete notes that a request has arrived whole: it can no longer be evicted. It reports false if it has been before.
 func (t *Table) Complete(c *Client) bool {
-	if c.dropped || !c.open {
+	if c.evicted || !c.open {
 		return false
 	}
 	c.arriving.remove()
@@ -275,7 +275,7 @@
 	c.arriving.remove()
 	t.unqueue(c)
 	if c.held > bytes {
-		if c.dropped {
+		if c.evicted {
 			p.leaving[c.size] -= c.held - bytes
 		}
 		t.add(c, bytes-c.held)
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -40,7 +40,7 @@
 	is.Equal(len(victims), 0)
 }
 
-// Guards against memory that is given to a new body before the body that gives way has let go of it.
+// Guards against memory that is given to a new body before the evicted body has released it.
 func TestOldestGivesWayAndCountsUntilReleased(t *testing.T) {
 	is := is.New(t)
 	table, open := newTestTable(t, 100)
@@ -57,7 +57,7 @@
 	is.True(<-third.answer)
 	is.Equal(table.pools[0].used[large], int64(450<<10))
 	_, ok, done := table.Hold(first, 1)
-	is.True(!ok && done)            // what gave way gets no more
+	is.True(!ok && done)            // an evicted request gets no more
 	is.True(!table.Complete(first)) // and is not served
 }
 
@@ -70,7 +70,7 @@
 	is.True(table.Complete(whole))
 	late := open()
 	victims, ok, done := table.Hold(late, 100<<10)
-	is.True(!ok && done) // refused at once: nothing can give way
+	is.True(!ok && done) // refused at once: nothing can be evicted
 	is.Equal(len(victims), 0)
 	is.True(!table.Wait(late)) // its connection is closed
 	is.True(table.Wait(whole))
@@ -121,7 +121,7 @@
 		}
 		switch {
 		case waits[c]:
-		case c.dropped:
+		case c.evicted:
 			table.Close(c)
 			*c = Client{}
 			table.Open(c, Callers)
@@ -129,7 +129,7 @@
 			table.Begin(c, rng.Int64N(2*smallBody))
 			_, _, done := table.Hold(c, 1+rng.Int64N(100<<10))
 			waits[c] = !done
-		case !c.arriving.in():
+		case !c.arriving.linked():
 			table.Wait(c) // served
 		case rng.IntN(10) == 0:
 			if table.Complete(c) {
