Name the state in package quota after what it holds

Cause: holder, entry, parts and maybe were private terms, a sum that is negative when the limit is short was called missing, and one line of comment stood for three fields at a time. No behaviour changes.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -17,36 +17,38 @@
 	seq        uint64
 	startsAt   time.Time
 	servicesAt time.Time // last call of SetServices
-	services   map[string]*holder
-	order      []*holder // by name
+	services   map[string]*serviceState
+	order      []*serviceState // by name
 	accounts   map[string]*account
 	rows       []row // reused by planAccount
 }
 
-// holder is the controller's state of a service.
-type holder struct {
+// serviceState is the controller's state of a service.
+type serviceState struct {
 	name      string
 	token     uint64    // of its owner
 	heard     bool      // an owner has answered this controller
 	answered  bool      // the owner has answered the last grant
 	unsettled bool      // see Report.Unsettled
-	handed    bool      // an owner has answered this controller before the present one
+	replaced  bool      // another owner has answered this controller before the present one
 	exempt    bool      // its owner keeps no limits, see Unlimited
 	lastSeq   uint64    // of the last grant sent; 0: none
 	absent    time.Time // since when it has had no owner; zero: it has one
 	gone      bool      // it has had none for absentTime
-	entries   map[string]*entry
+	entries   map[string]*accountState
 }
 
-// entry is the controller's state of an account at a service.
-type entry struct {
-	bound                Amount    // see Ledger
-	granted              Amount    // most that the service may hold by grants; below bound if earlier owners may have more runs
-	used, wanted, unit   Amount    // as last reported; used includes unsure
-	share, reach, before Amount    // as planned; before: as last listed as changed
-	sent                 Amount    // share of the last grant
-	prior, earlier       Amount    // bound before the last grant; that of the owners before the present one
-	servedAt             time.Time // when it was last known to use something
+// accountState is the controller's state of an account at a service.
+type accountState struct {
+	bound              Amount    // see Ledger
+	granted            Amount    // most that the service may hold by grants; below bound if earlier owners may have more runs
+	used, wanted, unit Amount    // as last reported; used includes unsure
+	share, reach       Amount    // as planned
+	before             Amount    // share when it was last listed as changed
+	sent               Amount    // share of the last grant
+	prior              Amount    // bound before the last grant
+	earlier            Amount    // bound of the owners before the present one
+	servedAt           time.Time // when it was last known to use something
 }
 
 type account struct {
@@ -57,7 +59,7 @@
 
 // NewLedger returns the ledger of a controller with a token that has taken over at now.
 func NewLedger(token uint64, now time.Time) *Ledger {
-	return &Ledger{token: token, startsAt: now, services: map[string]*holder{}, accounts: map[string]*account{}}
+	return &Ledger{token: token, startsAt: now, services: map[string]*serviceState{}, accounts: map[string]*account{}}
 }
 
 // SetLimits sets the limits of the accounts of the configuration; zero: none. An account that is no longer there keeps its last
@@ -86,7 +88,7 @@
 	l.servicesAt = now
 	for _, name := range list {
 		if l.services[name] == nil {
-			l.services[name] = &holder{name: name, absent: now, entries: map[string]*entry{}}
+			l.services[name] = &serviceState{name: name, absent: now, entries: map[string]*accountState{}}
 		}
 	}
 	l.order = l.order[:0]
@@ -100,7 +102,7 @@
 		if !h.absent.IsZero() {
 			h.answered = false
 			if h.gone = now.Sub(h.absent) > absentTime; h.gone {
-				h.heard, h.handed, h.lastSeq, h.entries = false, false, 0, map[string]*entry{}
+				h.heard, h.replaced, h.lastSeq, h.entries = false, false, 0, map[string]*accountState{}
 			}
 		}
 		if h.gone && !slices.Contains(list, name) {
@@ -110,7 +112,7 @@
 			l.order = append(l.order, h)
 		}
 	}
-	slices.SortFunc(l.order, func(a, b *holder) int { return strings.Compare(a.name, b.name) })
+	slices.SortFunc(l.order, func(a, b *serviceState) int { return strings.Compare(a.name, b.name) })
 }
 
 // Report enters the answer of an owner, which is that of the last grant to its service or of an announcement. It returns false if
@@ -123,7 +125,7 @@
 	first := !h.heard
 	confirmed := h.lastSeq > 0 && r.Seq == h.lastSeq
 	if r.Token > h.token && h.heard {
-		h.takenOver(confirmed)
+		h.ownerReplaced(confirmed)
 	}
 	h.token, h.heard, h.answered, h.unsettled, h.exempt = r.Token, true, true, r.Unsettled, false
 	l.seq = max(l.seq, r.Seq)
@@ -131,7 +133,7 @@
 		l.observe(now, name, u)
 		e := h.entries[name]
 		if e == nil {
-			e = &entry{}
+			e = &accountState{}
 			h.entries[name] = e
 		}
 		e.used, e.wanted, e.unit = u.Used.Plus(u.Unsure, 1), u.Wanted, u.Unit
@@ -159,9 +161,9 @@
 	return true
 }
 
-// takenOver keeps what the owners before a new one may have running: the bounds without the last grant, if the new owner has it.
-func (h *holder) takenOver(confirmed bool) {
-	h.handed = true
+// ownerReplaced keeps what the owners before a new one may have running: the bounds without the last grant, if the new owner has it.
+func (h *serviceState) ownerReplaced(confirmed bool) {
+	h.replaced = true
 	for _, e := range h.entries {
 		if e.earlier = e.bound; confirmed {
 			e.earlier = e.prior
@@ -169,7 +171,7 @@
 	}
 }
 
-// observe learns of an account from what a service reports: its owner may have a later configuration.
+// observe updates an account from the report of a service, whose owner may have a later configuration.
 func (l *Ledger) observe(now time.Time, name string, u Use) {
 	a := l.accounts[name]
 	if a == nil {
@@ -184,7 +186,7 @@
 	}
 }
 
-// Unlimited enters that the owner of a service keeps no limits, since it is of an earlier version.
+// Unlimited enters that the owner of a service keeps no limits because it is of an earlier version.
 func (l *Ledger) Unlimited(service string) {
 	if h := l.services[service]; h != nil {
 		h.heard, h.answered, h.exempt = true, true, true
@@ -210,7 +212,7 @@
 		}
 		e.bound, e.granted = e.bound.Max(e.share), e.granted.Max(e.share)
 		x := Allowance{Share: e.share, Limit: a.limit, Reach: e.reach}
-		if h.handed && h.unsettled {
+		if h.replaced && h.unsettled {
 			earlier := e.earlier
 			x.Earlier = &earlier
 		}
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -43,15 +43,15 @@
 
 // row is an account at a service while its limit is divided.
 type row struct {
-	h             *holder
-	e             *entry
+	h             *serviceState
+	e             *accountState
 	bound         Amount // most that it may have running
 	floor, demand Amount // least that it keeps, and most that it should get
 	target, share Amount
 }
 
 // Plan computes new shares of all limits and returns those that have changed much. If a limit is too small for all, each service
-// first gets room for one task, the one that uses least, or has waited longest, first; the rest is divided by max-min fairness, and what nobody wants evenly.
+// first gets room for one task, in the order of byUse. The rest is divided by max-min fairness, and what nobody wants evenly.
 // A share may be below what the service uses: its running tasks stay in its bound, and it starts no others until some have ended.
 // Otherwise a service that replaces each task that ends would keep the whole limit.
 func (l *Ledger) Plan(now time.Time) []Change {
@@ -119,7 +119,7 @@
 
 // rowOf returns the row of a service. The share of one that has not answered can't shrink; of one that never answered this
 // controller, nothing is known, so that it counts with an even part.
-func (l *Ledger) rowOf(h *holder, name string, a *account, quiet bool) row {
+func (l *Ledger) rowOf(h *serviceState, name string, a *account, quiet bool) row {
 	if !h.heard {
 		even := Amount{}
 		for i := range even {
@@ -135,7 +135,7 @@
 		if quiet {
 			return row{h: h}
 		}
-		e = &entry{}
+		e = &accountState{}
 		h.entries[name] = e
 	}
 	r := row{h: h, e: e, bound: e.bound, demand: e.used.Max(e.wanted)}
@@ -151,11 +151,11 @@
 
 // divide sets the targets of the rows.
 func divide(rows []row, limit Amount, quiet bool) {
-	left, missing := limit, limit
+	left, surplus := limit, limit
 	for i := range rows {
-		left, missing = left.Plus(rows[i].floor, -1), missing.Plus(rows[i].demand, -1)
+		left, surplus = left.Plus(rows[i].floor, -1), surplus.Plus(rows[i].demand, -1)
 	}
-	short := !fits(missing, limit)
+	short := !fits(surplus, limit)
 	if short {
 		left = addUnits(rows, limit, left)
 	}
@@ -165,16 +165,16 @@
 		}
 	}
 	if short {
-		left = toWholeTasks(rows, limit, left)
+		left = roundToWholeTasks(rows, limit, left)
 	}
 	if !quiet {
 		spreadRest(rows, left)
 	}
 }
 
-// toWholeTasks takes from each row what is less than another task, and gives it to rows that can start one with it, those that had it
-// before first. Otherwise each service would leave the room of half a task unused.
-func toWholeTasks(rows []row, limit, left Amount) Amount {
+// roundToWholeTasks takes from each row the remainder that is too small for a task, and gives it to rows that can start a task with
+// it, first to those whose last grant had room for that task. Otherwise each service would leave the room of half a task unused.
+func roundToWholeTasks(rows []row, limit, left Amount) Amount {
 	list := byUse(rows, limit)
 	for _, r := range list {
 		if !r.h.unsettled {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,5 +1,5 @@
 // Package quota keeps the running tasks of a client account within its limit, although its jobs run on the workers of several
-// services with different owners. Each owner holds a leased share of the limit, from which it starts tasks without asking anyone;
+// services with different owners. Each owner holds a leased share of the limit, from which it starts tasks without a call;
 // one controller divides the limit by what the services use and want. It is made for demand that rotates among the services, each
 // of which asks at its peak for more than the whole limit, and for owners that die, are cut off or are replaced with a share.
 package quota
@@ -18,12 +18,14 @@
 	maxClockSlowdown = 0.02
 	// controllerGrace is how long an earlier controller may still send grants.
 	controllerGrace = 6 * time.Second
-	// unheardTime is how long after the start of a controller a grant of an earlier one may be valid.
+	// unheardTime is how long after the start of a controller a grant of an earlier one may be valid. Until then, no share is raised
+	// unless the owners of all services have answered.
 	unheardTime = controllerGrace + GrantTTL + time.Duration(maxClockSlowdown*float64(GrantTTL))
 	// absentTime is how long a service has to be without an owner for its share to be free: its last owner gives no orders after
 	// 6 s without the store, and the leases of its tasks run out 4 s later.
 	absentTime = 12 * time.Second
-	// maxPause is the longest time between two rounds after which the services may still be taken for absent in between.
+	// maxPause is the longest time between two rounds after which a service that had no owner before and after
+	// counts as without an owner in between.
 	maxPause = 2 * time.Second
 	// quietTime is how long an account without work keeps its shares, so that messages list only accounts with work.
 	quietTime = time.Minute
--- a/quota/share.go
+++ b/quota/share.go
@@ -7,7 +7,7 @@
 	token           uint64 // of the owner
 	controller, seq uint64
 	until           time.Time // when the grant expires
-	parts           map[string]Allowance
+	allowances      map[string]Allowance
 	configured      map[string]Amount // limits of the configuration
 	limits          map[string]Amount // by account with a limit, also those that were removed while in use
 	used            map[string]Amount
@@ -18,7 +18,7 @@
 
 // NewShare returns the side of an owner with a token that has no grant yet.
 func NewShare(token uint64) *Share {
-	return &Share{token: token, parts: map[string]Allowance{}, limits: map[string]Amount{}, used: map[string]Amount{}, unsure: map[string]Amount{}, found: map[string]Amount{}, earlier: map[string]Amount{}}
+	return &Share{token: token, allowances: map[string]Allowance{}, limits: map[string]Amount{}, used: map[string]Amount{}, unsure: map[string]Amount{}, found: map[string]Amount{}, earlier: map[string]Amount{}}
 }
 
 // SetLimits sets the limits of the accounts of the configuration; the limit of an account without one is zero. An account that is
@@ -45,8 +45,8 @@
 // AnyLimit reports whether some account has a limit.
 func (s *Share) AnyLimit() bool { return len(s.limits) > 0 }
 
-// Accept takes a grant over that was sent after issued, a time on the owner's clock. It refuses those of earlier controllers, and
-// those that it has or that are older than the one that it has.
+// Accept replaces the shares by those of a grant that was sent after issued, a time on the owner's clock. It refuses a grant of an
+// earlier controller, and one that is not newer than the last one accepted.
 func (s *Share) Accept(issued time.Time, g Grant) bool {
 	if g.Token < s.controller {
 		return false
@@ -57,7 +57,7 @@
 	if g.Seq <= s.seq {
 		return false
 	}
-	s.seq, s.until, s.parts = g.Seq, issued.Add(GrantTTL), g.Shares
+	s.seq, s.until, s.allowances = g.Seq, issued.Add(GrantTTL), g.Shares
 	for name, p := range g.Shares {
 		if _, ok := s.earlier[name]; !ok && p.Earlier != nil && g.Owner == s.token {
 			s.earlier[name] = *p.Earlier
@@ -87,11 +87,11 @@
 func (s *Share) SetUnsure(unsure map[string]Amount) { s.unsure = unsure }
 
 // Used returns what an account uses, with the runs that earlier owners may have started.
-func (s *Share) Used(account string) Amount { return s.used[account].Plus(s.maybe(account), 1) }
+func (s *Share) Used(account string) Amount { return s.used[account].Plus(s.unsureUse(account), 1) }
 
-// maybe returns what runs of earlier owners may use that the owner does not know. With those that it has found, they are within what
-// these owners could start.
-func (s *Share) maybe(account string) Amount {
+// unsureUse returns what runs of earlier owners may use that the owner does not know. Together with the runs that it has found, they
+// use no more than those owners could start.
+func (s *Share) unsureUse(account string) Amount {
 	unsure := s.unsure[account]
 	if earlier, ok := s.earlier[account]; ok {
 		unsure = unsure.Min(earlier.Plus(s.found[account], -1).Max(Amount{}))
@@ -101,7 +101,7 @@
 
 // Allowed returns what an account may use at now. A share of a limit that has been cut since is cut in proportion.
 func (s *Share) Allowed(now time.Time, account string) Amount {
-	p, ok := s.parts[account]
+	p, ok := s.allowances[account]
 	if !ok || !now.Before(s.until) {
 		return Amount{}
 	}
@@ -125,7 +125,7 @@
 	if !ok {
 		return true
 	}
-	p, ok := s.parts[account]
+	p, ok := s.allowances[account]
 	if !ok || !now.Before(s.until) {
 		return false
 	}
@@ -141,7 +141,7 @@
 // Reach returns the largest share of an account that the service can expect: all of its limit if there is no grant.
 func (s *Share) Reach(account string) Amount {
 	limit := s.limits[account]
-	p, ok := s.parts[account]
+	p, ok := s.allowances[account]
 	if !ok {
 		return limit
 	}
@@ -164,7 +164,7 @@
 func (s *Share) Report(unsettled bool, waiting map[string]Waiting) Report {
 	r := Report{Token: s.token, Controller: s.controller, Seq: s.seq, Unsettled: unsettled, Accounts: map[string]Use{}}
 	for name, limit := range s.limits {
-		u := Use{Limit: limit, Held: s.parts[name].Share, Used: s.used[name], Unsure: s.maybe(name), Unit: waiting[name].Unit}
+		u := Use{Limit: limit, Held: s.allowances[name].Share, Used: s.used[name], Unsure: s.unsureUse(name), Unit: waiting[name].Unit}
 		u.Wanted = s.Used(name).Plus(waiting[name].Total, 1)
 		if !u.Held.IsZero() || !u.Wanted.IsZero() {
 			r.Accounts[name] = u
