Clarify names and comments of rack waits and account limits

Cause: a method and a function of package dispatch were both named waitingTasks and count different tasks, rackWait was a type and a field of another type, and there, hold, ever and memory did not tell what they hold. Comments used "since" for a reason next to "since" for a time. No behaviour changes.

--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -76,7 +76,7 @@
 }
 
 // timedTask returns the task of a run whose time until its end is reported tells how long the task takes, or nil. The end of a run
-// that was detached since its worker did not answer is reported late; that of a slow run with a second copy is not.
+// that was detached because its worker did not answer is reported late; that of a slow run with a second copy is not.
 func (a *attempt) timedTask() *task {
 	switch {
 	case a == nil:
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -61,8 +61,8 @@
 	return ok
 }
 
-// recordOfferOf adds a job that is submitted for the first time to the work that its account has offered.
-func (s *Service) recordOfferOf(now time.Time, j *job) {
+// recordAccountOffer adds a job that is submitted for the first time to the work that its account has offered.
+func (s *Service) recordAccountOffer(now time.Time, j *job) {
 	if s.hasShare(j) {
 		s.fairShares.Offered(now, j.account, s.accounts[j.account].Weight, s.totalWork(j))
 	}
@@ -111,7 +111,7 @@
 }
 
 // waitForShare returns how long the caller of a refused job should wait until the share of its account has room for it. A
-// caller that can be served then is promised the room; any other is told when its result is of no use any more.
+// caller that can be served then is promised the room; any other is told to wait until its result is of no use any more.
 func (s *Service) waitForShare(now time.Time, j *job, request *admission.Job, lateFinish time.Time) time.Duration {
 	wait, promised := s.fairShares.Book(now, j.account, request.Work, s.promiseLimit(lateFinish, request.Expiry))
 	if wait = max(wait, minWait); !promised {
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -9,7 +9,7 @@
 // rackFit is what a rack offers the waiting tasks of a group.
 type rackFit struct {
 	now   int     // tasks for which it has room
-	ever  int     // tasks for which it has room once its short tasks have ended
+	later int     // tasks for which it has room once its short tasks have ended
 	cores float64 // free cores
 }
 
@@ -23,7 +23,7 @@
 	if st.Gang {
 		st.rack.first, st.rack.split = "", false // all its tasks start anew
 	}
-	n, t := waitingTasks(st)
+	n, t := tasksWithoutRun(st)
 	if n == 0 || st.rack.split || t.needsTrial() {
 		return
 	}
@@ -43,8 +43,8 @@
 	st.rack.only, st.rack.waits = rack, true
 }
 
-// waitingTasks counts the tasks of a step without a run, and returns one of them.
-func waitingTasks(st *step) (n int, one *task) {
+// tasksWithoutRun counts the tasks of a step without a run, and returns one of them.
+func tasksWithoutRun(st *step) (n int, one *task) {
 	for _, t := range st.tasks {
 		if !t.done && t.attempt == nil {
 			n, one = n+1, t
@@ -70,7 +70,7 @@
 	clear(fits)
 	risky := s.atRisk(s.now, st.occ.job.queue.Name)
 	for _, w := range s.candidates {
-		if !s.mayHold(st, w) {
+		if !s.fitsLater(st, w) {
 			continue
 		}
 		most := st.tasksLeft
@@ -78,7 +78,7 @@
 			most = st.PerWorker - w.stepRuns[stepOf(t.id)]
 		}
 		f := fits[w.info.Rack]
-		f.ever += min(most, timesIn(st, w.free().Plus(w.short, 1)))
+		f.later += min(most, tasksFitting(st, w.free().Plus(w.short, 1)))
 		if risky { // one start at a time
 			most = min(most, 1)
 			if s.now.Sub(w.riskyStart) < startSpacing {
@@ -86,7 +86,7 @@
 			}
 		}
 		if s.admits(w, t) && t.avoidWorker != w.info.ID {
-			f.now += min(most, timesIn(st, w.free()))
+			f.now += min(most, tasksFitting(st, w.free()))
 			f.cores += w.freeCores()
 		}
 		fits[w.info.Rack] = f
@@ -94,8 +94,8 @@
 	return fits
 }
 
-// timesIn returns how many tasks of a step fit into some room.
-func timesIn(st *step, free place.Room) int {
+// tasksFitting returns how many tasks of a step fit into some room.
+func tasksFitting(st *step, free place.Room) int {
 	room, n := st.room(), st.tasksLeft
 	if room.CPU > 0 {
 		n = min(n, free.CPU/room.CPU)
@@ -113,7 +113,7 @@
 // with the fewest free cores. It is empty if there is none, or if the wanted rack could take them later.
 func fittingRack(st *step, fits map[string]rackFit, n int) string {
 	wanted := st.wanted()
-	if f := fits[wanted]; wanted != "" && (f.now >= n || f.ever >= n || st.rack.first != "") {
+	if f := fits[wanted]; wanted != "" && (f.now >= n || f.later >= n || st.rack.first != "") {
 		if f.now >= n {
 			return wanted
 		}
@@ -134,7 +134,12 @@
 	wanted := st.wanted()
 	shortest := time.Duration(0)
 	for name, f := range fits {
-		if f.ever < n || wanted != "" && fits[wanted].ever >= n && name != wanted || st.rack.first != "" && name != st.rack.first {
+		switch {
+		case f.later < n:
+			continue
+		case st.rack.first != "" && name != st.rack.first: // other tasks of the group run there
+			continue
+		case wanted != "" && name != wanted && fits[wanted].later >= n: // the wanted rack can take them
 			continue
 		}
 		lacks := max(1, n-f.now)
@@ -146,7 +151,8 @@
 	return rack, missing
 }
 
-// chooseOfGroup returns the worker for a task of a group, nil if there is none, or that the task waits.
+// chooseOfGroup returns the worker for a task of a group, nil if there is none. waits means that the task waits for the
+// rack of its group.
 func (s *Service) chooseOfGroup(st *step, t *task, racks spread) (w *worker, waits bool) {
 	w = s.choose(st, t, racks)
 	if w != nil || st.rack.only == "" {
@@ -155,6 +161,6 @@
 	if st.rack.waits {
 		return nil, true
 	}
-	st.rack.only = "" // the rack has less room than it seemed
+	st.rack.only = "" // findRackFits does not check all conditions of choose
 	return s.choose(st, t, racks), false
 }
--- a/dispatch/hosts.go
+++ b/dispatch/hosts.go
@@ -27,7 +27,7 @@
 // record proves nothing while a start may have been carried out after that.
 func (s *Service) checkHost(now, sent time.Time, w *worker, h cuminstair.HostRecord) {
 	o := observation{kind: observedHostDown, incarnation: w.info.Incarnation, since: sent, until: now}
-	s.noteTaken(sent, w, h)
+	s.recordHostTaken(sent, w, h)
 	down := s.hostIsDown(w, h, sent)
 	if !down && !s.hostIsReplaced(w, h) {
 		return
@@ -49,10 +49,10 @@
 	s.workerGone(now, w, o)
 }
 
-// noteTaken records that the host of a worker that does not answer was taken for another pool or for maintenance, which is why the
+// recordHostTaken records that the host of a worker that does not answer was taken for another pool or for maintenance, which is why the
 // worker ends: it has not crashed under its tasks. As with hosts that are down, the record must be newer than the worker and its last
 // answer. It doesn't prove that the worker has ended.
-func (s *Service) noteTaken(sent time.Time, w *worker, h cuminstair.HostRecord) {
+func (s *Service) recordHostTaken(sent time.Time, w *worker, h cuminstair.HostRecord) {
 	if w.hostTaken || w.failedCalls == 0 || !w.knownSince.Before(sent) || !w.answeredAt.Before(sent) {
 		return
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -70,7 +70,7 @@
 	saved          gangCheckpoint  // of a gang
 	peers          straggler.Peers // of its tasks, if they allow copies: runs that have ended done
 	heldBack       bool            // the limit of its account has kept tasks of it from starting
-	rack           rackWait        // of a step that wants a rack
+	rack           stepRack        // of a step that wants a rack
 }
 
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
@@ -93,7 +93,7 @@
 	trialSince  time.Time  // since when a trial finds no worker without long-running tasks; zero: it does not
 	copies      []*attempt // detached runs that have not been released
 	pair        *copyPair  // a slow run and its second copy, as long as both may run; nil: there is none
-	copied      int        // number of second copies that were started since a run was slow
+	copied      int        // number of second copies that were started because a run was slow
 	adopted     bool       // this owner found its first run, by the owner that accepted the job, on a worker that answered
 	rackWait    locality.Waiting
 }
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -8,8 +8,8 @@
 	"cuminstair.org/cuminstair/quota"
 )
 
-// The tasks of a client account start within the share of the service in the limit of the account. What the account uses is kept
-// where runs are added to workers and removed from them, so that it is not counted by run.
+// The tasks of a client account start within the share of the service in the limit of the account. The amount that an account uses
+// is updated by worker.adjustUsage, so that no check has to add up the runs.
 
 const (
 	// noRoomInLimit is the reason of a refusal because of a limit.
@@ -26,7 +26,7 @@
 // although none are reserved for it.
 func chargeOf(st *cuminstair.JobStep) quota.Amount { return quota.Amount{st.CPU, st.Memory, st.Accel} }
 
-// Grant takes a grant of shares over, which was sent after issued, and reports whether it is new.
+// Grant applies a grant of shares that was sent after issued, and reports whether it was accepted.
 func (s *Service) Grant(now, issued time.Time, g quota.Grant) bool {
 	before := s.limitShares.Seq()
 	if !s.limitShares.Accept(issued, g) {
@@ -70,8 +70,8 @@
 	s.limitShares.SetUnsure(unsure)
 }
 
-// unsureTasks counts the tasks of an inherited step of which an earlier owner may have a run that this one does not know, also
-// beside a copy.
+// unsureTasks counts the tasks of an inherited step of which an earlier owner may have a run that this one does not know, even
+// if this one has started another run of the task.
 func (st *step) unsureTasks() int {
 	if st.tasksLeft == 0 || st.followsAdopted() {
 		return 0
@@ -196,8 +196,8 @@
 	}
 }
 
-// limitLoad is the accepted work of an account, in parts of what the service can expect of the limit, so that one figure stands for
-// all resources.
+// limitLoad is the accepted work of an account. Its unit is not the core but the largest share of the limit that the service can
+// expect (quota.Share.Reach), so that one number covers all resources.
 type limitLoad struct {
 	loads       []admission.Load
 	longRunning float64 // part that long-running tasks take
@@ -217,7 +217,7 @@
 		x := s.limitLoadOf(j.account)
 		reach := s.limitShares.Reach(j.account)
 		if l := s.jobLoad(now, j); l.Work > 0 {
-			ratio := s.partOfWork(j, reach)
+			ratio := s.reachPerCore(j, reach)
 			l.Work, l.Ready = l.Work*ratio, l.Ready*ratio
 			l.Class, l.Yields = 0, false // shares among accounts do not matter within one
 			x.loads = append(x.loads, l)
@@ -241,8 +241,8 @@
 	return x
 }
 
-// partOfWork returns how much of what an account may use at once a core of the work of a job takes.
-func (s *Service) partOfWork(j *job, reach quota.Amount) float64 {
+// reachPerCore returns the fraction of reach that a core of the work of a job takes on average.
+func (s *Service) reachPerCore(j *job, reach quota.Amount) float64 {
 	work := s.totalWork(j)
 	if work <= 0 {
 		return 0
@@ -250,7 +250,7 @@
 	return s.limitWork(j, reach) / work
 }
 
-// limitWork returns the work of one occurrence of a job in seconds of what its account may use at once.
+// limitWork returns the work of one occurrence of a job in seconds of the use of all of reach.
 func (s *Service) limitWork(j *job, reach quota.Amount) float64 {
 	work := 0.0
 	for i := range j.spec.Steps {
--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -16,21 +16,21 @@
 type rackPass struct {
 	active bool      // a ready step wants a rack, and the factor is known
 	until  time.Time // when the first wait for a rack ends that the pass has left; zero: there is none
-	// Of the step that is being placed, since its last start:
-	there   *worker       // on another rack, declined by a task
-	usable  bool          // a worker of the wanted rack may run its tasks once it has room
-	floated bool          // float is known
-	float   time.Duration // see floatOf
+	// About the step that is being placed; reset after each start of one of its tasks:
+	remote     *worker       // on another rack, declined by a task: the next tasks have the same choice
+	usable     bool          // a worker of the wanted rack may run its tasks once it has room
+	floatKnown bool          // float is known
+	float      time.Duration // see floatOf
 }
 
 // rackRoom is the room of the workers of a rack that take tasks: the largest amount of each resource on any of them.
 type rackRoom struct {
-	free place.Room // upper bound, since tasks may have started in this pass
-	hold place.Room // free once the short tasks have ended
+	free  place.Room // upper bound, since tasks may have started in this pass
+	later place.Room // free once the short tasks have ended
 }
 
-// rackWait is the state of a step that wants a rack.
-type rackWait struct {
+// stepRack is the state of a step that wants a rack.
+type stepRack struct {
 	counted bool             // its tasks are counted as wanting their rack
 	logged  bool             // its first wait is logged
 	wait    locality.Waiting // of the tasks of a group
@@ -67,7 +67,7 @@
 		s.racks.Add(w.info.Rack, w.coresOf(w.total), w.coresOf(w.short))
 		room := s.rackRooms[w.info.Rack]
 		room.free = room.free.Max(w.free())
-		room.hold = room.hold.Max(w.free().Plus(w.short, 1))
+		room.later = room.later.Max(w.free().Plus(w.short, 1))
 		s.rackRooms[w.info.Rack] = room
 	}
 }
@@ -77,7 +77,7 @@
 	return !s.rackPass.until.IsZero() && !now.Before(s.rackPass.until)
 }
 
-// queueWaiting tells the estimates that the given tasks of a step, as far as they have no run, stay waiting.
+// queueWaiting adds those of the given tasks of a step that have no run to the queue from which waits are estimated.
 func (s *Service) queueWaiting(st *step, tasks []*task) {
 	if !s.rackPass.active || st.BestEffort || st.LongRunning {
 		return
@@ -97,7 +97,7 @@
 
 // beginStep prepares the placement of a step. The first time it counts its tasks as wanting the rack of their data.
 func (s *Service) beginStep(now time.Time, st *step) {
-	s.rackPass.started()
+	s.rackPass.reset()
 	if !s.rackPass.active || !st.wantsRack() || st.rack.counted || st.DataRack == "" {
 		return
 	}
@@ -105,10 +105,10 @@
 	s.racks.Wanted(now, st.DataRack, float64(st.tasksLeft)*s.taskWork(st.occ.job, st.index))
 }
 
-// started forgets what was found out before the last start of a task.
-func (p *rackPass) started() { p.there, p.floated = nil, false }
+// reset discards what holds only until the next start of a task, since a start changes the free room and the float.
+func (p *rackPass) reset() { p.remote, p.floatKnown = nil, false }
 
-// chooseOrWait returns the worker for a task, nil if there is none, or that the task waits for the rack of its data.
+// chooseOrWait returns the worker for a task, nil if there is none. waits means that the task waits for its rack.
 func (s *Service) chooseOrWait(now time.Time, st *step, t *task, racks spread) (w *worker, waits bool) {
 	if !s.rackPass.active || !st.wantsRack() || t.needsTrial() {
 		return s.choose(st, t, racks), false
@@ -117,38 +117,38 @@
 		return s.chooseOfGroup(st, t, racks)
 	}
 	p := &s.rackPass
-	if !p.floated {
-		p.floated, p.float = true, s.floatOf(now, st)
+	if !p.floatKnown {
+		p.floatKnown, p.float = true, s.floatOf(now, st)
 	}
 	ordinary := len(t.crashes) == 0 && t.avoidWorker == ""
-	if ordinary && s.waitsAnywhere(now, st, t) {
+	if ordinary && s.waitsRegardless(now, st, t) {
 		return nil, true
 	}
-	w = p.there
+	w = p.remote
 	if w == nil || !ordinary || w.attempts[t.id] != nil {
 		w = s.choose(st, t, racks)
 		if w == nil || w.info.Rack == st.DataRack {
-			p.started()
+			p.reset()
 			return w, false
 		}
 		p.usable = s.rackUsable(st, t)
 	}
 	if p.usable && s.waitsForData(now, st, t, s.racks.Price(w.info.Rack, s.Bounds.RemoteFactor)) {
-		p.there = nil
+		p.remote = nil
 		if ordinary {
-			p.there = w
+			p.remote = w
 		}
 		return nil, true
 	}
-	p.started()
+	p.reset()
 	return w, false
 }
 
-// waitsAnywhere decides that a task waits if it would whichever worker on another rack it could have. It spares the search for
-// one, which is as long as the list of workers. It is false if a worker on the rack may have room.
-func (s *Service) waitsAnywhere(now time.Time, st *step, t *task) bool {
+// waitsRegardless reports whether a task waits for its rack even if room elsewhere costs least. It saves the search for a worker
+// elsewhere, which visits all workers. It is false if a worker on the rack may have room.
+func (s *Service) waitsRegardless(now time.Time, st *step, t *task) bool {
 	room, here := st.room(), s.rackRooms[st.DataRack]
-	if st.Label != "" || st.PerWorker > 0 || room.Fits(here.free) || !room.Fits(here.hold) {
+	if st.Label != "" || st.PerWorker > 0 || room.Fits(here.free) || !room.Fits(here.later) {
 		return false
 	}
 	return s.waitsForData(now, st, t, s.racks.Price("", s.Bounds.RemoteFactor))
@@ -173,7 +173,7 @@
 	}
 }
 
-// waits decides whether tasks wait for a rack, and sees to it that they are looked at again.
+// waits decides whether tasks wait for a rack, and schedules the placement at the end of the wait.
 func (s *Service) waits(now time.Time, st *step, wait *locality.Waiting, c *locality.Choice, rack string) bool {
 	v := wait.Decide(now, c)
 	if !v.Wait {
@@ -196,7 +196,7 @@
 func (s *Service) rackUsable(st *step, t *task) bool {
 	usable := false
 	for _, w := range s.candidates {
-		if w.info.Rack != st.DataRack || !s.mayHold(st, w) {
+		if w.info.Rack != st.DataRack || !s.fitsLater(st, w) {
 			continue
 		}
 		if st.room().Fits(w.free()) && s.admits(w, t) {
@@ -207,8 +207,8 @@
 	return usable
 }
 
-// mayHold reports whether a worker may run a task of a step once its short tasks have ended.
-func (s *Service) mayHold(st *step, w *worker) bool {
+// fitsLater reports whether a worker may run a task of a step once its short tasks have ended.
+func (s *Service) fitsLater(st *step, w *worker) bool {
 	return w.reservedFor == nil && hasLabel(st.Label, w.info.Labels) && st.room().Fits(w.free().Plus(w.short, 1)) &&
 		(st.PerWorker == 0 || w.stepRuns[stepID{st.occ.job.id, st.occ.number, st.index}] < st.PerWorker)
 }
@@ -246,8 +246,8 @@
 	return st.DataRack != "" && st.DataRack != w.info.Rack || st.OneRack && st.rack.split
 }
 
-// noteRack records that a run of a step is on a worker.
-func (st *step) noteRack(w *worker) {
+// recordRack records that a run of a step is on a worker.
+func (st *step) recordRack(w *worker) {
 	switch {
 	case !st.OneRack:
 	case st.rack.first == "":
@@ -277,7 +277,7 @@
 	}
 }
 
-// freed records for the estimates that a run has ended.
+// freed adds the end of a run to the estimates of waits.
 func (s *Service) freed(now time.Time, a *attempt) {
 	if s.Bounds.RemoteFactor <= 1 || a.longRunning || a.bestEffort || a.adopted {
 		return
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -318,7 +318,7 @@
 	}
 	s.preferCentre(st)
 	if !s.startGang(now, st, run+1) && st.rack.only != "" {
-		st.rack.only, st.rack.first, st.rack.split = "", "", false // the rack has less room than it seemed
+		st.rack.only, st.rack.first, st.rack.split = "", "", false // findRackFits does not check all conditions of choose
 		s.startGang(now, st, run+1)
 	}
 }
@@ -407,7 +407,7 @@
 		task: t, id: t.id, run: run, room: st.room(), account: j.account, charge: chargeOf(&st.JobStep), longRunning: st.LongRunning, bestEffort: st.BestEffort,
 		runTimes: runTimes{sentAt: now}, cpuShare: 100, expected: s.expectedDuration(j, st.index), resumed: t.startFrom() != "",
 	}
-	if st.noteRack(w); s.runsRemote(st, w) {
+	if st.recordRack(w); s.runsRemote(st, w) {
 		a.expected = time.Duration(s.Bounds.RemoteFactor * float64(a.expected))
 	}
 	t.attempt = a
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -209,7 +209,7 @@
 	w.add(a)
 	if x != nil && !x.done && !j.finished() && x.attempt == nil {
 		a.task, x.attempt, x.adopted = x, a, j.isFirstRun(t.Run)
-		x.step.noteRack(w)
+		x.step.recordRack(w)
 		if x.needsTrial() {
 			s.startTrial(time.Time{}, a)
 		}
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -8,7 +8,7 @@
 	"cuminstair.org/cuminstair/straggler"
 )
 
-// maxCopies bounds the second copies that are started of a task, for instance since workers refuse them.
+// maxCopies bounds the second copies that are started of a task, for instance because workers refuse them.
 const maxCopies = 2
 
 // maxReadAge is the longest time since the worker of a run has listed it in normal operation: a renewal waits for maxRenewalWait
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -94,7 +94,7 @@
 		return
 	}
 	s.recordOffered(now, s.totalWork(j))
-	s.recordOfferOf(now, j)
+	s.recordAccountOffer(now, j)
 	if s.meanObjective == 0 {
 		s.meanObjective = j.due.Sub(now)
 	}
--- a/locality/locality.go
+++ b/locality/locality.go
@@ -11,7 +11,7 @@
 	Duration time.Duration // expected on the rack that it wants
 	Wait     time.Duration // expected until there is room on that rack
 	Slack    time.Duration // until its latest start
-	Float    time.Duration // by which it may end later without its job ending later, for it is not on the longest chain
+	Float    time.Duration // by which it may end later without its job ending later (total float in the critical-path method)
 	Here     float64       // price of room on the rack that it wants
 	There    float64       // price of room on the rack where it would run otherwise
 }
--- a/locality/locality_test.go
+++ b/locality/locality_test.go
@@ -101,7 +101,7 @@
 	is := is.New(t)
 	var r Racks
 	now := time.Unix(1e9, 0)
-	r.Wanted(now, "a", 100*memory.Seconds())
+	r.Wanted(now, "a", 100*decayTime.Seconds())
 	r.Begin(now)
 	r.Add("a", 100, 100)
 	r.Add("b", 100, 0)
@@ -109,7 +109,7 @@
 	is.Equal(r.Price("b", 2.5), 0.0)
 	r.Queue("a", 60)
 	r.Queue("", 40)
-	now = now.Add(20 * memory)
+	now = now.Add(20 * decayTime)
 	r.Begin(now)
 	r.Add("a", 100, 100)
 	r.Add("b", 100, 0)
--- a/locality/racks.go
+++ b/locality/racks.go
@@ -6,22 +6,22 @@
 )
 
 const (
-	// memory is the time constant with which observations decay. A peak lasts about 4 s, so that the estimates have to
+	// decayTime is the time constant with which observations decay. A peak lasts about 4 s, so that the estimates have to
 	// follow within a part of it.
-	memory = 1500 * time.Millisecond
-	// priorWeight is the time of observation that the prior of a release rate counts for. The prior follows from what runs on
-	// the rack, and stands in for the ends that a rack which has just filled up does not have yet.
+	decayTime = 1500 * time.Millisecond
+	// priorWeight is the time of observation that the prior of a release rate counts for. The prior is computed from the tasks
+	// that run on the rack; a rack that has just filled up has had no task ends to observe.
 	priorWeight = 500 * time.Millisecond
 	// maxWait is the expected wait for a rack on which no room comes free.
 	maxWait = time.Hour
-	// minHeld bounds the mean time of use of freed cores, so that the prior stays finite.
+	// minHeld is a lower bound of the mean time for which freed cores had been in use, so that the prior stays finite.
 	minHeld = time.Millisecond
 	// forgetAfter is the time without observations after which a rack without workers is forgotten. They count for less than
 	// a thousandth by then.
-	forgetAfter = 7 * memory
+	forgetAfter = 7 * decayTime
 )
 
-// average is a sum of observations that decays with memory.
+// average is a sum of observations that decays with decayTime.
 type average struct {
 	sum float64
 	at  time.Time
@@ -33,7 +33,7 @@
 	if !now.After(a.at) {
 		return a.sum
 	}
-	return a.sum * math.Exp(-now.Sub(a.at).Seconds()/memory.Seconds())
+	return a.sum * math.Exp(-now.Sub(a.at).Seconds()/decayTime.Seconds())
 }
 
 // rack is what is known of a rack.
@@ -134,7 +134,7 @@
 		held = r.held.value(r.now) / freed
 	}
 	prior := k.running / max(held, minHeld.Seconds())
-	observed := memory.Seconds() * (1 - math.Exp(-r.now.Sub(r.since).Seconds()/memory.Seconds()))
+	observed := decayTime.Seconds() * (1 - math.Exp(-r.now.Sub(r.since).Seconds()/decayTime.Seconds()))
 	return (k.freed.value(r.now) + prior*priorWeight.Seconds()) / (observed + priorWeight.Seconds())
 }
 
@@ -150,6 +150,6 @@
 	if k == nil || k.cores <= 0 {
 		return delay
 	}
-	load := k.wanted.value(r.now) / memory.Seconds() / k.cores
+	load := k.wanted.value(r.now) / decayTime.Seconds() / k.cores
 	return (factor-1)*min(1, load) + delay
 }
