--- a/entry/authorize.go
+++ b/entry/authorize.go
@@ -13,7 +13,7 @@
 // errForbidden means that a job belongs to another client account than the one whose key the call has.
 const errForbidden = errors.ConstError("the job belongs to another client account")
 
-// authorize enters the client account of a call by its key, and returns false if the call has no valid key but needs one. A key
+// authorize sets the client account of a call from its key, and reports false if the call has no valid key but needs one. A key
 // that is given has to be valid on an anonymous queue too.
 func (d *Daemon) authorize(config *cuminstair.JobConfig, x *call, h http.Header) bool {
 	if config.Accounts == nil {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -38,16 +38,16 @@
 	return nil
 }
 
-// limitController divides the limits of accounts while this daemon owns ownership.HostsPart. It keeps nothing: a new one learns
+// limitController divides the limits of accounts while this daemon owns ownership.HostsPart. It persists nothing: a new one learns
 // from the owners what they have.
 type limitController struct {
 	d      *Daemon
 	token  uint64
 	mu     sync.Mutex
 	ledger *quota.Ledger // guarded by mu
-	logged int           // changed shares logged since loggedAt
 
-	loggedAt time.Time
+	logged   int       // changed shares logged since loggedAt
+	loggedAt time.Time // start of the second in which logged counts
 }
 
 // step asks the owners what they use and want, and grants them new shares.
@@ -186,7 +186,7 @@
 	}
 }
 
-// limitReport takes the grant of a request over and returns the answer. Its validity is counted from the stamp that the request
+// limitReport applies the grant of a request and returns the answer. The validity of the grant is counted from the stamp that the request
 // echoes, which was issued before the grant was sent.
 func (r *runner) limitReport(now time.Time, q demandRequest) *quota.Report {
 	issued := q.sentAt
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -44,7 +44,7 @@
 	r.start(ctx)
 	signal(d.listNow)
 	signal(d.heartbeatNow)
-	signal(d.readOwnersNow) // an owner takes shares of limits over only after a read
+	signal(d.readOwnersNow) // isController accepts grants only after a read
 	if r.hadOwner {
 		d.stopEarlierOwner(ctx, r, old, version)
 	}
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -54,7 +54,7 @@
 	accepted    sum
 	demand      float64   // cores, at the last fill
 	bursts      bool      // it sends much more than the other accounts for their weights, at the last fill
-	bookedUntil time.Time // the room for callers that come again is promised until then
+	bookedUntil time.Time // the retryShare of its share is promised to earlier callers until then
 }
 
 // sum is a sum of work that decays with the time constant Window.
@@ -184,8 +184,8 @@
 	return s
 }
 
-// Book returns how long it takes until the account has room for refused work: its accepted work has fallen to its share, and
-// the callers before have had their part of it. The room is promised if it comes before the work loses its use, which is
+// Book returns how long it takes until the account has room for refused work: until its accepted work has decayed to its share,
+// and the room booked by earlier refused callers is used. The room is promised if it comes before the work loses its use, which is
 // reported.
 func (t *Tracker) Book(now time.Time, name string, work float64, useful time.Duration) (wait time.Duration, promised bool) {
 	a := t.accounts[name]
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -256,7 +256,8 @@
 	return from.Service != to.Service && from.Known && !d.keepsHosts(d.now, from) && len(from.Idle) > 0
 }
 
-// keepsHosts reports whether a pool keeps all its hosts since its owner is new and the peak of the service should go on. After a
+// keepsHosts reports whether a pool keeps all its hosts because its owner is new, so that its demand may be reported too low, and
+// the peak of its service is not expected to be over. After a
 // restart of all daemons all owners are new; the other pools lend hosts as usual then.
 func (p *Planner) keepsHosts(now time.Time, x *Pool) bool {
 	return x.Young && p.forecast.Peaking(now, x.Service)
--- a/straggler/straggler.go
+++ b/straggler/straggler.go
@@ -23,13 +23,13 @@
 	// minFree is the free share of the pool that is kept for new jobs.
 	minFree = 0.05
 	// evenFree is the free share of the pool at which a saved second is worth a second of a copy. In an emptier pool a
-	// copy costs less, in a fuller one more, down to minPrice and up to 1/(minFree/evenFree).
+	// copy costs less, in a fuller one more, down to minPrice and up to evenFree/minFree.
 	evenFree = 0.25
 	minPrice = 0.5
-	// slackValue is what a second saved is worth by which the job is in time anyway: it only frees the room of the slow run
-	// and brings the result earlier.
+	// slackValue is the worth of a second saved within the slack. The job is in time without it: it only frees the room of the
+	// slow run and brings the result earlier.
 	slackValue = 0.5
-	// budgetShare is the extra work, as a share of the core-seconds started. Three copies for 100 tasks need 3%.
+	// budgetShare bounds the extra work, as a share of the core-seconds started. Three copies for 100 tasks need 3%.
 	budgetShare = 0.05
 	// budgetTime is the time after which started and extra work count for 1/e.
 	budgetTime = 60 * time.Second
@@ -86,7 +86,7 @@
 	peers.sum += math.Log(ratio)
 }
 
-// ObserveStopped learns from a run that was stopped, since the other copy of its task has ended, when its duration had reached
+// ObserveStopped learns from a run that was stopped because the other copy of its task has ended, when its duration had reached
 // ratio times the expected one. It counts as if it had ended then, so that copies do not hide how many runs are slow.
 func (m *Model) ObserveStopped(name string, peers *Peers, ratio float64) {
 	if usual := peers.usual(); usual > 0 {
@@ -94,7 +94,7 @@
 	}
 }
 
-// image returns what is known of an image. The one that was not observed for longest makes way for a new one.
+// image returns what is known of an image. A new one replaces the least recently observed one if there are maxImages.
 func (m *Model) image(name string) *image {
 	m.count++
 	x, ok := m.images[name]
@@ -137,7 +137,7 @@
 	return budgetShare*m.started - m.extra
 }
 
-// decayStep is the time in which decay makes no difference, to save the exponential for most starts.
+// decayStep is the shortest time between two decays. Less makes no difference, and most starts are spared the exponential.
 const decayStep = 100 * time.Millisecond
 
 func (m *Model) decay(now time.Time) {
@@ -224,7 +224,7 @@
 // sums are weighted sums over the possible durations.
 type sums struct{ weight, remaining, fresh, gain, cost float64 }
 
-// weigh returns the expected times, gain and cost of a copy.
+// weigh returns the expected times, gain and cost of a copy, as means over the distributions of durations.
 func (x *image) weigh(r *Run) Decision {
 	var s sums
 	if usual := r.Peers.usual(); usual > 0 {
