State when the bound of an account may fall

Cause: a reader new to the code found the three-way update of Ledger.Report hard to follow, on which the safety of the limits rests. Change: a doc comment.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -117,6 +117,11 @@
 
 // Report enters the answer of an owner, which is that of the last grant to its service or of an announcement. It returns false if
 // the answer is of a former owner, or the owner knows a later controller.
+//
+// The bound of an account falls only with a settled answer that confirms the last grant: the owner has dropped its earlier share, and
+// no owner before it can start further tasks. Any other answer can only raise it. The first answer to a new controller sets it to
+// what the owner holds or uses, because the owner takes no grants of the earlier controller from then on. ownerReplaced has to see
+// the bound as it was before the answer of a new owner: that is what the owners before it may have used.
 func (l *Ledger) Report(now time.Time, service string, r Report) bool {
 	h := l.services[service]
 	if h == nil || r.Token < h.token || r.Controller != l.token {
