Add preview: where a job would go now, and why

Cause: an operator could only learn from logs where a job went, after it had been sent.

Change: cuminstairjobs preview asks a daemon on its internal port; it forwards to the owner of the service. The owner decides on a copy of its state. Admission gives the work ahead of the job, and place the terms of a score. The terms are now a struct that score adds up.

Runs: preview tests of dispatch, entry and cmd/cuminstairjobs pass; ./entry passes; in ./dispatch only the known red TestRecordOfAHostThatLagsBehindProvesNothing failed. Each of eight copies left out of previewCopy fails TestPreviewChangesNothing.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -93,6 +93,7 @@
 	Wait   time.Duration // if refused: time until a retry, equal to the greatest lateness that would result
 	// LateFinish is when a job that can't be on time is expected to finish as late.
 	LateFinish time.Time
+	Before     float64 // core-seconds of accepted and expected work that run before the job
 }
 
 // runsBefore reports whether work runs before a job.
@@ -143,15 +144,15 @@
 		lateness = max(lateness, late)
 	}
 	if lateness == 0 {
-		return Verdict{Accept: true, Finish: finish}
+		return Verdict{Accept: true, Finish: finish, Before: workBefore}
 	}
 	basePool := pool
 	basePool.ExtraCores = 0 // after a peak, the hosts added for it are moved to the pool with the next peak
 	lateFinish := now.Add(max(wait+job.CriticalPath, basePool.workTime(lateWorkFactor*(allWork+job.Work))))
 	if !lateFinish.After(job.Expiry) {
-		return Verdict{Accept: true, Late: true, Finish: lateFinish, LateFinish: lateFinish}
+		return Verdict{Accept: true, Late: true, Finish: lateFinish, LateFinish: lateFinish, Before: workBefore}
 	}
-	return Verdict{Finish: finish, Wait: lateness, LateFinish: lateFinish}
+	return Verdict{Finish: finish, Wait: lateness, LateFinish: lateFinish, Before: workBefore}
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/cmd/cuminstairjobs/main.go
+++ b/cmd/cuminstairjobs/main.go
@@ -46,7 +46,7 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
 		},
 		Action:          run,
-		Commands:        []*cli.Command{explainCommand()},
+		Commands:        []*cli.Command{explainCommand(), previewCommand()},
 		HideHelpCommand: true,
 	}
 	if err := app.Run(os.Args); err != nil {
--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"reflect"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -41,3 +43,48 @@
 
 // Slowdown returns the learned slowdown of a worker.
 func (s *Service) Slowdown(id string) float64 { return s.workers[id].slowdown }
+
+// Dump encodes the whole state, except for the log, so that two states can be compared.
+func (s *Service) Dump() string {
+	var b strings.Builder
+	dump(&b, reflect.ValueOf(s), map[any]int{})
+	return b.String()
+}
+
+func dump(b *strings.Builder, v reflect.Value, seen map[any]int) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		key := [2]any{v.Pointer(), v.Type()}
+		if n, ok := seen[key]; ok || v.IsNil() {
+			fmt.Fprintf(b, "#%d", n)
+			return
+		}
+		seen[key] = len(seen) + 1
+		dump(b, v.Elem(), seen)
+	case reflect.Interface:
+		dump(b, v.Elem(), seen)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if name := v.Type().Field(i).Name; name != "Log" {
+				b.WriteString("\n" + name + "=")
+				dump(b, v.Field(i), seen)
+			}
+		}
+	case reflect.Slice, reflect.Array:
+		fmt.Fprintf(b, "%d:", v.Len())
+		for i := range v.Len() {
+			dump(b, v.Index(i), seen)
+		}
+	case reflect.Map:
+		keys := v.MapKeys()
+		slices.SortFunc(keys, func(x, y reflect.Value) int { return strings.Compare(fmt.Sprint(x), fmt.Sprint(y)) })
+		for _, k := range keys {
+			fmt.Fprintf(b, "\n%v:", k)
+			dump(b, v.MapIndex(k), seen)
+		}
+	case reflect.Func, reflect.Chan, reflect.Invalid:
+		b.WriteString(v.Kind().String())
+	default:
+		fmt.Fprintf(b, "%v ", v)
+	}
+}
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -353,7 +353,7 @@
 
 // choose returns the candidate with the lowest score that may run the task and has room for it, or nil.
 func (s *Service) choose(st *step, t *task, racks spread) *worker {
-	want := place.Want{Room: st.room(), Spread: st.LongRunning, Quiet: st.LongRunning || st.BestEffort}
+	want := wantOf(st)
 	risky := !st.LongRunning && s.atRisk(s.now, st.occ.job.queue.Name)
 	var best *worker
 	low := 0.0
@@ -365,19 +365,7 @@
 			s.spaced = true
 			continue
 		}
-		c := place.Candidate{
-			Free: w.free(), Total: w.total, Slowdown: max(1, w.slowdown), LongRunning: w.longRunning,
-			MaintenanceDue: w.vacating, SameRack: racks[w.info.Rack],
-			RemoteData:  st.DataRack != "" && st.DataRack != w.info.Rack,
-			OtherCentre: st.occ.centre != "" && st.occ.centre != w.info.Centre,
-			Endangered:  risky && w.longRunning > 0,
-		}
-		if racks != nil {
-			c.SameStep = w.stepRuns[stepOf(t.id)]
-		}
-		if c.Interfering = w.bestEffort; st.BestEffort {
-			c.Interfering = w.longRunning
-		}
+		c := scored(st, w, racks, risky)
 		if score, ok := place.Score(&want, &c); ok && (best == nil || score < low) {
 			best, low = w, score
 		}
@@ -385,6 +373,28 @@
 	return best
 }
 
+func wantOf(st *step) place.Want {
+	return place.Want{Room: st.room(), Spread: st.LongRunning, Quiet: st.LongRunning || st.BestEffort}
+}
+
+// scored returns what the score of a worker for a task of a step depends on. risky is whether the task may crash the worker.
+func scored(st *step, w *worker, racks spread, risky bool) place.Candidate {
+	c := place.Candidate{
+		Free: w.free(), Total: w.total, Slowdown: max(1, w.slowdown), LongRunning: w.longRunning,
+		MaintenanceDue: w.vacating, SameRack: racks[w.info.Rack],
+		RemoteData:  st.DataRack != "" && st.DataRack != w.info.Rack,
+		OtherCentre: st.occ.centre != "" && st.occ.centre != w.info.Centre,
+		Endangered:  risky && w.longRunning > 0,
+	}
+	if racks != nil {
+		c.SameStep = w.stepRuns[stepOf(cuminstair.TaskID{Job: st.occ.job.id, Occurrence: st.occ.number, Step: st.index})]
+	}
+	if c.Interfering = w.bestEffort; st.BestEffort {
+		c.Interfering = w.longRunning
+	}
+	return c
+}
+
 // eligible reports whether a worker may run a task, regardless of its free room. Runs of the step count until they have ended,
 // also those that have another copy elsewhere or are being stopped.
 func (s *Service) eligible(st *step, t *task, w *worker) bool {
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -67,13 +67,8 @@
 	}
 	j.due = s.objective(j, j.firstSent)
 	s.observeOffer(now, j)
-	if s.storeDown || s.deposed || s.stopping {
-		s.refuse(now, id, Result{Outcome: Unavailable, Wait: s.spread(storeRetryWait), Why: "no store"}, reply)
-		return
-	}
-	if delay, ok := s.acceptanceDelay(); !ok {
-		wait := s.spread(min(max(delay, minWait), maxWait))
-		s.refuse(now, id, Result{Outcome: Unavailable, Wait: wait, Why: "the store is too slow to accept it in time"}, reply)
+	if r := s.readiness(); r.Outcome != Accepted {
+		s.refuse(now, id, r, reply)
 		return
 	}
 	if r := s.admit(now, j); r.Outcome != Accepted {
@@ -87,6 +82,17 @@
 	s.markDirty(j)
 }
 
+// readiness returns the refusal of any job that comes now, if the service can't accept work.
+func (s *Service) readiness() Result {
+	if s.storeDown || s.deposed || s.stopping {
+		return Result{Outcome: Unavailable, Wait: s.spread(storeRetryWait), Why: "no store"}
+	}
+	if delay, ok := s.acceptanceDelay(); !ok {
+		return Result{Outcome: Unavailable, Wait: s.spread(min(max(delay, minWait), maxWait)), Why: "the store is too slow to accept it in time"}
+	}
+	return Result{Outcome: Accepted}
+}
+
 // observeOffer adds a job that is submitted for the first time to the demand. Jobs that are refused because the store is
 // down count too: their callers come again, and hosts for them can be moved meanwhile.
 func (s *Service) observeOffer(now time.Time, j *job) {
@@ -194,10 +200,7 @@
 	if j.longRunning() || j.spec.Repeats > 0 || j.spec.First > 0 {
 		return Result{Outcome: Accepted}
 	}
-	request := admission.Job{Due: j.due, Expiry: usefulUntil(j.firstSent, j.due), CriticalPath: criticalPath(j.spec.Steps, func(i int) time.Duration {
-		return s.expectedDuration(j, i) + stepOverhead + adviceDuration(&j.queue, maxAdviceWorkers)
-	})}
-	request.Work, request.Width = s.totalWork(j), s.firstWidth(j)
+	request := s.admissionRequest(j)
 	pool := s.pool(now)
 	above := s.applyShare(now, j, pool, &request)
 	v := admission.Decide(now, pool, s.recentLoad(now), request)
@@ -220,6 +223,15 @@
 	return Result{Outcome: Refused, Wait: s.spread(wait), Why: "no room in time"}
 }
 
+// admissionRequest returns what admission is asked about a job, without the share of its account.
+func (s *Service) admissionRequest(j *job) admission.Job {
+	request := admission.Job{Due: j.due, Expiry: usefulUntil(j.firstSent, j.due), CriticalPath: criticalPath(j.spec.Steps, func(i int) time.Duration {
+		return s.expectedDuration(j, i) + stepOverhead + adviceDuration(&j.queue, maxAdviceWorkers)
+	})}
+	request.Work, request.Width = s.totalWork(j), s.firstWidth(j)
+	return request
+}
+
 // totalWork returns the work of one occurrence of a job in core-seconds.
 func (s *Service) totalWork(j *job) float64 {
 	work := 0.0
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -66,6 +66,7 @@
 	config      atomic.Pointer[cuminstair.JobConfig]
 	stopping    atomic.Bool
 	cutOff      atomic.Bool               // neither the store nor a daemon of another data centre answers
+	previewing  atomic.Bool               // a preview is being answered
 	readStarted atomic.Pointer[time.Time] // when the current read of the owner records began; nil: none is in progress
 	readAt      atomic.Pointer[time.Time] // start of the last successful read of the owner records
 	wroteAt     atomic.Pointer[time.Time] // start of the last write to the store that has been stored
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -188,6 +188,13 @@
 	return a, err
 }
 
+// preview asks the owner of a service for a preview. An answer without one is an error here.
+func (p *peerClient) preview(ctx context.Context, addr string, q PreviewRequest) (PreviewReply, error) {
+	var a PreviewReply
+	err := p.post(ctx, addr, PreviewPath, q, &a)
+	return a, err
+}
+
 // notify makes a daemon read the owner records at once and returns whether it answered. The daemon reads the records
 // regularly anyway, so a lost notification only costs time.
 func (p *peerClient) notify(ctx context.Context, addr string) bool {
@@ -258,6 +265,7 @@
 	e.POST(offerPath, d.serveOffer)
 	e.POST(openPath, d.serveOpen)
 	e.POST(closePath, d.serveClose)
+	e.POST(PreviewPath, d.servePreview)
 	e.POST(notifyPath, func(c echo.Context) error {
 		signal(d.readOwnersNow)
 		return c.NoContent(http.StatusOK)
--- a/fair/fair.go
+++ b/fair/fair.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -213,3 +214,15 @@
 
 // Accounts returns the number of accounts that are known.
 func (t *Tracker) Accounts() int { return len(t.accounts) }
+
+// Clone returns a copy that shares no state with the tracker.
+func (t *Tracker) Clone() Tracker {
+	c := *t
+	c.order = nil
+	c.accounts = maps.Clone(t.accounts)
+	for name, a := range c.accounts {
+		copied := *a
+		c.accounts[name] = &copied
+	}
+	return c
+}
--- a/place/place.go
+++ b/place/place.go
@@ -81,37 +81,61 @@
 	return score(want, c), true
 }
 
-// score is the share of processors that stays free, plus penalties, less longRunningWeight for a long-running task on a
-// worker that has such tasks already. A difference between the free shares of processors and memory is penalised, because
-// the surplus of one can't be used without the other.
+// Terms are the parts of a score. Those that do not apply are 0.
+type Terms struct {
+	FreeCPU     float64 `json:"free_cpu"`               // share of processors that stays free
+	Imbalance   float64 `json:"imbalance,omitempty"`    // the surplus of processors or memory can't be used without the other
+	Slowdown    float64 `json:"slowdown,omitempty"`     // of the worker
+	RemoteData  float64 `json:"remote_data,omitempty"`  // on another rack than the data
+	OtherCentre float64 `json:"other_centre,omitempty"` // in another data centre than the one preferred for the job
+	Endangered  float64 `json:"endangered,omitempty"`   // it has long-running tasks and the task may crash it
+	Maintenance float64 `json:"maintenance,omitempty"`  // its host is due for maintenance
+	Spread      float64 `json:"spread,omitempty"`       // tasks of the step on the worker and its rack
+	LongRunning float64 `json:"long_running,omitempty"` // below zero: a worker with long-running tasks gets another one
+	Interfering float64 `json:"interfering,omitempty"`  // tasks that slow each other down
+}
+
+// Sum returns the score.
+func (t *Terms) Sum() float64 {
+	return t.FreeCPU + t.Imbalance + t.Slowdown + t.RemoteData + t.OtherCentre + t.Endangered + t.Maintenance + t.Spread + t.LongRunning + t.Interfering
+}
+
 func score(want *Want, c *Candidate) float64 {
+	t := TermsOf(want, c)
+	return t.Sum()
+}
+
+// TermsOf returns the terms of the score of a candidate that has room: the share of processors that stays free, plus penalties,
+// less longRunningWeight for a long-running task on a worker that has such tasks already. A difference between the free shares
+// of processors and memory is penalised, because the surplus of one can't be used without the other.
+func TermsOf(want *Want, c *Candidate) Terms {
 	left := c.Free.Plus(want.Room, -1)
 	cpu := float64(left.CPU) / float64(c.Total.CPU)
 	memory := float64(left.Memory) / float64(c.Total.Memory)
-	s := cpu + imbalanceWeight*abs(cpu-memory) + slowdownWeight*max(0, c.Slowdown-1)
+	t := Terms{FreeCPU: cpu, Imbalance: imbalanceWeight * abs(cpu-memory), Slowdown: slowdownWeight * max(0, c.Slowdown-1)}
 	if c.RemoteData {
-		s += remoteDataWeight
+		t.RemoteData = remoteDataWeight
 	}
 	if c.OtherCentre {
-		s += otherCentreWeight
+		t.OtherCentre = otherCentreWeight
 	}
 	if c.Endangered {
-		s += endangeredWeight
+		t.Endangered = endangeredWeight
 	}
 	if want.Spread && c.MaintenanceDue {
-		s += maintenanceWeight
+		t.Maintenance = maintenanceWeight
 	}
 	if want.Spread {
-		s += sameStepWeight*float64(c.SameStep) + sameRackWeight*float64(c.SameRack)
+		t.Spread = sameStepWeight*float64(c.SameStep) + sameRackWeight*float64(c.SameRack)
 		if c.LongRunning > 0 {
 			// Keeps other workers free of long-running tasks, so that their hosts can be moved to another pool.
-			s -= longRunningWeight
+			t.LongRunning = -longRunningWeight
 		}
 	}
 	if want.Quiet {
-		s += interferingWeight * float64(c.Interfering)
+		t.Interfering = interferingWeight * float64(c.Interfering)
 	}
-	return s
+	return t
 }
 
 func abs(x float64) float64 {
