Reserve no room against a burst that has room in time

Cause: a job above the share had to leave room for all that the other accounts were expected to offer, also if none of them came. Change: it is accepted if it can be in time, and yields as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -34,7 +34,6 @@
 	CriticalPath time.Duration // duration of its longest chain of dependent steps if no step has to wait
 	Width        float64       // cores that its first steps can use
 	Class        int           // see Load
-	Reserve      float64       // core-seconds that are expected to be accepted after it and to run before it
 }
 
 // Pool is the capacity of the workers.
@@ -115,7 +114,7 @@
 		}
 		return load[i].Due.Before(load[j].Due)
 	})
-	workBefore, readyBefore, onTime, allWork, lateness := job.Reserve, 0.0, job.Reserve, job.Reserve, time.Duration(0)
+	workBefore, readyBefore, onTime, allWork, lateness := 0.0, 0.0, 0.0, 0.0, time.Duration(0)
 	for i := range load {
 		l := &load[i]
 		if l.Yields && job.Class < l.Class {
--- a/dispatch/fair.go
+++ b/dispatch/fair.go
@@ -76,8 +76,7 @@
 }
 
 // applyShare completes an admission request by the share of the job's account, and reports whether the account is above it.
-// The request of such an account leaves room for the work that the other accounts are expected to offer, within their shares,
-// until the job has to start. A caller that was promised room comes back below the share of its account.
+// A caller that was promised room comes back below the share of its account.
 func (s *Service) applyShare(now time.Time, j *job, pool admission.Pool, request *admission.Job) bool {
 	j.surplus = false
 	if s.accounts == nil {
@@ -86,9 +85,6 @@
 	s.fairShares.Fill(now, (pool.Cores+pool.ExtraCores)*pool.Utilization)
 	if s.hasShare(j) && !s.promised(now, j) {
 		j.surplus = s.fairShares.Above(now, j.account)
-		if j.surplus {
-			request.Reserve = s.fairShares.Standing(now, j.account).Others * max(0, j.due.Sub(now)-request.CriticalPath).Seconds()
-		}
 	}
 	request.Class = s.class(now, j)
 	return j.surplus
@@ -133,6 +129,6 @@
 	wait := s.waitForShare(now, j, request, lateFinish)
 	return Result{Outcome: Refused, Wait: s.spread(wait), Why: aboveShare, inputs: []any{
 		"account", j.account, "share", math.Round(standing.Share), "accepted", math.Round(standing.Accepted),
-		"offered", math.Round(standing.Offered), "others", math.Round(standing.Others), "reserve", math.Round(request.Reserve),
+		"offered", math.Round(standing.Offered), "others", math.Round(standing.Others),
 	}}
 }
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -291,7 +291,7 @@
 		Cores: max(0, 1-load.longRunning), Free: max(0, 1-s.limitShares.Used(j.account).Part(reach)), Utilization: limitUtilization,
 		MeanRemaining: time.Duration(remainingShare * float64(s.meanObjective)),
 	}
-	request.Work, request.Width, request.Class, request.Reserve = s.limitWork(j, reach), 0, 0, 0
+	request.Work, request.Width, request.Class = s.limitWork(j, reach), 0, 0
 	for i := range j.spec.Steps {
 		if st := &j.spec.Steps[i]; len(st.After) == 0 {
 			request.Width += float64(st.Count) * chargeOf(st).Part(reach)
