--- a/dispatch/fair_test.go
+++ b/dispatch/fair_test.go
@@ -310,3 +310,12 @@
 	p.run(4 * time.Second)
 	is.Equal(p.starts[cuminstair.TaskID{Job: jobA}], 1)
 }
+
+// Guards against a large job that waits for, or is refused because of, a long queue of small jobs of accounts above their share.
+func TestLargeJobAfterManySmallOnes(t *testing.T) {
+	is := is.New(t)
+	l := load{usual: 1, large: true, seeds: 8} // there are few large jobs
+	plain, fair := playSeeds(t, "large", l, false), playSeeds(t, "large", l, true)
+	is.True(fair.first >= plain.first)
+	is.True(fair.busy >= plain.busy-0.02)
+}
