--- a/review/sim-3/main.go
+++ b/review/sim-3/main.go
@@ -24,7 +24,7 @@
 	w := newWorld(record)
 	s := newSystem(w, abs)
 	trouble := os.Getenv("TROUBLE") != "0"
-	scenes := map[string]func(*system, bool){"reborn": reborn, "deadly": deadly, "ratios": ratios, "chaos": chaos, "aged": aged, "sweep": sweep}
+	scenes := map[string]func(*system, bool){"reborn": reborn, "deadly": deadly, "ratios": ratios, "chaos": chaos, "aged": aged, "flood": flood, "sweep": sweep}
 	scene := scenes[flag.Arg(0)]
 	if scene == nil {
 		fail("no scene %q", flag.Arg(0))
--- a/review/sim-3/scenes.go
+++ b/review/sim-3/scenes.go
@@ -287,6 +287,105 @@
 	}
 }
 
+// flood: a client hands in many large jobs of legal size at once, whole, which are due in an hour.
+func flood(s *system, trouble bool) {
+	w := s.w
+	w.quietStarts = true
+	s.enforceMemory = true
+	w.addMachines("alpha", 6, 32000, 131072, "a")
+	q := newQueue("alpha", "alpha", 3)
+	w.configure(3, []*queue{q}, []string{"alpha", "spare"})
+	s.start(3)
+	s.ready([]string{"alpha"})
+	large := func() *jobState {
+		var steps []*stepState
+		for i := range 64 {
+			x := &stepState{count: 1, cpu: 500, mem: 100, estimate: time.Second}
+			for a := range i {
+				x.after = append(x.after, a)
+			}
+			steps = append(steps, x)
+		}
+		j := w.job(q, steps...)
+		j.spec += strings.Repeat("x", 4000-len(j.spec))
+		j.repetitions, j.interval, j.first = 10, time.Hour, time.Now().Add(time.Hour)
+		return j
+	}
+	w.log("a body has %d bytes, at most 262144 are legal", len(large().encode()))
+	number := 7000
+	if n, err := strconv.Atoi(os.Getenv("JOBS")); err == nil {
+		number = n
+	}
+	answers := map[int]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	left := make(chan struct{}, number)
+	for range number {
+		left <- struct{}{}
+	}
+	close(left)
+	if trouble {
+		for range 48 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for range left {
+					if w.elapsed() > 65*time.Second {
+						return
+					}
+					j := large()
+					status, _ := s.call("POST", q.Prefix+j.id, j.encode())
+					mu.Lock()
+					answers[status]++
+					mu.Unlock()
+				}
+			}()
+		}
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	// Ordinary callers, one job a second.
+	var jobs []*jobState
+	accepted := 0
+	for w.elapsed() < 75*time.Second {
+		j := w.job(q, &stepState{count: 2, cpu: 500, mem: 100, estimate: time.Second, length: time.Second})
+		if s.submit(j) {
+			accepted++
+		}
+		jobs = append(jobs, j)
+		if len(jobs)%5 == 0 {
+			mu.Lock()
+			text := fmt.Sprint(answers)
+			mu.Unlock()
+			s.logMemory("with the large jobs answered " + text)
+		}
+		time.Sleep(time.Second)
+	}
+	<-done
+	time.Sleep(14 * time.Second)
+	completed := 0
+	for _, j := range jobs {
+		if !j.accepted {
+			continue
+		}
+		if _, state := s.state(j); state == "completed" {
+			completed++
+		}
+		if w.elapsed() > 110*time.Second {
+			break
+		}
+	}
+	s.logMemory("at the end")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.log("large jobs by answer: %v; of %d ordinary jobs, %d were accepted and %d are shown as completed", answers, len(jobs), accepted, completed)
+	for _, d := range s.daemons {
+		if d.overMemory > 0 {
+			w.violate("letter", "%s exceeded its memory of %d MB %d times", d.name, s.memory, d.overMemory)
+		}
+	}
+}
+
 // sweep: which finished jobs an owner deletes once status_s and its margin of 30 s have passed. Not a case.
 func sweep(s *system, _ bool) {
 	w := s.w
--- a/review/sim-3/world.go
+++ b/review/sim-3/world.go
@@ -120,6 +120,8 @@
 	fmt.Fprintf(w.record, "%7.3f s  "+format+"\n", append([]any{time.Since(w.begun).Seconds()}, args...)...)
 }
 
+func (w *world) elapsed() time.Duration { return time.Since(w.begun) }
+
 func (w *world) violate(rule, format string, args ...any) {
 	text := rule + ": " + fmt.Sprintf(format, args...)
 	w.broken = append(w.broken, text)
