--- a/review/sim-3/main.go
+++ b/review/sim-3/main.go
@@ -24,7 +24,7 @@
 	w := newWorld(record)
 	s := newSystem(w, abs)
 	trouble := os.Getenv("TROUBLE") != "0"
-	scenes := map[string]func(*system, bool){"reborn": reborn, "deadly": deadly, "ratios": ratios, "chaos": chaos, "aged": aged, "flood": flood, "sweep": sweep}
+	scenes := map[string]func(*system, bool){"reborn": reborn, "deadly": deadly, "ratios": ratios, "aged": aged, "flood": flood, "sweep": sweep}
 	scene := scenes[flag.Arg(0)]
 	if scene == nil {
 		fail("no scene %q", flag.Arg(0))
@@ -35,8 +35,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, d := range s.daemons {
-		if d.ends > 0 && d.overMemory == 0 {
-			w.violate("Fault", "%s ended by itself %d times", d.name, d.ends)
+		if d.ends > 0 {
+			w.log("%s ended by itself %d times, for example since its ports are taken", d.name, d.ends)
+			fail("%s ended by itself; see the record", d.name)
 		}
 	}
 	verdict, code := "held", 0
--- a/review/sim-3/minion.go
+++ b/review/sim-3/minion.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -375,5 +374,3 @@
 	n.w.mu.Unlock()
 	writeJSON(rw, http.StatusOK, body)
 }
-
-var _ sync.Locker
--- a/review/sim-3/system.go
+++ b/review/sim-3/system.go
@@ -288,17 +288,6 @@
 	return status, x.State
 }
 
-func (s *system) cancel(j *jobState) int {
-	status, _ := s.call("DELETE", j.queue.Prefix+j.id, nil)
-	s.w.mu.Lock()
-	s.w.log("DELETE of job %s: %d", j.id, status)
-	if status/100 == 2 || status == 410 {
-		j.cancelled = time.Now()
-	}
-	s.w.mu.Unlock()
-	return status
-}
-
 // watchMemory kills processes that exceed their memory, as the platform does.
 func (s *system) watchMemory() {
 	for {
