Withhold only the record that the store refuses

Cause: an owner wrote the same batch again when the store answered 400, so that one record that the store never takes kept all others of its service from being stored. After an attempt without an answer it sent the same transaction for ever. The first record of workers, which is in each such batch, also had the mean durations of all queues that the service had ever run. Change: a batch consists of units. One that was refused is written again in halves until one unit is left, which is withheld, logged with table, key, size and limit, counted, and written again later in a batch of its own. A job that was not accepted yet is refused. Workers are in records of up to 100, each of which keeps its workers, so that a change writes one of them. The durations are not stored. Progress that has not changed is not written again.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -1,10 +1,7 @@
 package dispatch
 
 import (
-	"encoding/json"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -16,14 +13,22 @@
 	Puts    []cuminstair.RecordPut
 	Deletes []cuminstair.RecordKey
 
-	created   []*job
+	now      time.Time
+	units    []unit
+	size     int // bytes of all values
+	maxUnits int // 0: no bound
+	created  []*job
+	// list has the jobs in states, in the order in which they were added.
+	list      []*job
 	states    map[*job]cuminstair.JobState // job states that the batch writes
 	changes   map[*job]int                 // by job that is written completely: job.changes at the time of the batch
 	parts     map[*job][]string            // by job: keys of the records of split progress that are written or deleted
 	swept     []*job
-	processed map[*worker]endPosition  // the task ends up to this position count as stored once the batch is stored
-	workers   map[*worker]workerRecord // as written; nil if the batch does not write the workers
+	processed map[*worker]endPosition // the task ends up to this position count as stored once the batch is stored
+	rows      []*workerRow
+	workers   map[*worker]workerRecord // those in rows, as written
 
+	averages   bool                     // the batch writes the running averages
 	unanswered bool                     // the batch writes the starts without an answer
 	closings   map[assignment.Key]int64 // versions of the closed queues as written; nil if the batch does not write them
 }
@@ -59,10 +64,11 @@
 		return nil
 	}
 	s.lastBatch = now
-	b := &Batch{states: map[*job]cuminstair.JobState{}, changes: map[*job]int{}, parts: map[*job][]string{}, processed: map[*worker]endPosition{}}
-	if s.workersDirty {
-		s.putWorkers(b)
+	if b := s.retryBatch(now); b != nil {
+		return b
 	}
+	b := s.newBatch(now)
+	s.putWorkers(b)
 	s.putUnanswered(b)
 	s.putClosings(b)
 	s.dirty = s.putJobs(b, s.dirty)
@@ -72,9 +78,20 @@
 		}
 	}
 	s.sweep(now, b)
+	if b.Empty() {
+		s.Stored(now, b) // the store has it all
+		return nil
+	}
 	return b
 }
 
+func (s *Service) newBatch(now time.Time) *Batch {
+	return &Batch{
+		now: now, maxUnits: s.unitLimit, states: map[*job]cuminstair.JobState{}, changes: map[*job]int{}, parts: map[*job][]string{},
+		processed: map[*worker]endPosition{},
+	}
+}
+
 // batchDue reports whether a batch should be written now.
 func (s *Service) batchDue(now time.Time) bool {
 	if len(s.dirty) == 0 && !s.workersDirty && !s.unansweredDirty && !s.closingsDirty && !slices.ContainsFunc(s.unanswered, (*attempt).isResolved) && now.Sub(s.lastSweep) < sweepInterval {
@@ -127,48 +144,90 @@
 		byClass[class] = append(byClass[class], j)
 	}
 	others := len(byClass[classEnded]) + len(byClass[classProgress])
-	awaited, size := s.putSome(b, byClass[classAwaited], batchPuts-1-min(others, progressPuts), 0)
-	ended, size := s.putSome(b, byClass[classEnded], batchPuts-1, size)
-	progress, size := s.putSome(b, byClass[classProgress], batchPuts-1, size)
-	awaited, _ = s.putSome(b, awaited, batchPuts-1, size)
+	awaited := s.putSome(b, byClass[classAwaited], batchPuts-1-min(others, progressPuts))
+	ended := s.putSome(b, byClass[classEnded], batchPuts-1)
+	progress := s.putSome(b, byClass[classProgress], batchPuts-1)
+	awaited = s.putSome(b, awaited, batchPuts-1)
 	return append(append(awaited, ended...), progress...)
 }
 
 // putSome adds the records of jobs while the batch has fewer than limit records, and returns the other jobs, the first of
-// which may be in the batch in part, and the size of the batch in bytes.
-func (s *Service) putSome(b *Batch, list []*job, limit, size int) ([]*job, int) {
+// which may be in the batch in part.
+func (s *Service) putSome(b *Batch, list []*job, limit int) []*job {
 	for i, j := range list {
-		if _, inBatch := b.states[j]; inBatch || b.entries() >= limit || size > batchBytes {
-			return list[i:], size
-		}
-		added, complete := s.putJob(b, j, size)
-		size += added
-		if !complete {
-			return list[i:], size
+		if _, inBatch := b.states[j]; inBatch || b.entries() >= limit || b.isFull() || !s.putJob(b, j) {
+			return list[i:]
 		}
 	}
-	return nil, size
+	return nil
 }
 
-// putJob adds the records of a job to the batch, which has size bytes, and returns their size in bytes and whether all have
-// found room.
-func (s *Service) putJob(b *Batch, j *job, size int) (added int, complete bool) {
-	complete = true
+// putJob adds the records of a job to the batch, and reports whether all have found room. Of the progress only what has changed is added.
+func (s *Service) putJob(b *Batch, j *job) bool {
+	var p progress
+	var c progressChange
+	u := unit{again: func(b *Batch) bool { return s.putAgain(b, j) }, refused: func(now time.Time) bool {
+		s.refuseUnstored(now, j)
+		return false
+	}}
 	if j.stored || j.finished() {
-		added, complete = s.putProgress(b, j, size)
-	}
-	if !complete {
-		return added, false
+		p = j.progress()
+		c = j.changeOf(&p)
+		u.puts, u.deletes = s.headOf(j, &p, &c)
 	}
 	if !j.stored {
-		value := j.jobValue()
-		b.Puts = append(b.Puts, s.put(JobTable, j.id, value))
+		u.puts = append(u.puts, s.put(JobTable, j.id, j.jobValue()))
+	}
+	result := unitAdded
+	if u.entries() > 0 {
+		result = s.add(b, u)
+	}
+	switch {
+	case result == unitNoRoom:
+		return false
+	case result == unitWithheld:
+		j.dirty = false
+		s.refuseUnstored(b.now, j)
+		return true
+	case !j.stored:
 		b.created = append(b.created, j)
-		added += len(value)
+	}
+	b.states[j] = j.state
+	b.list = append(b.list, j)
+	j.headAdded(b, &p, &c)
+	if !s.putTasks(b, j, &p, &c) {
+		return false
 	}
 	j.dirty = false
-	b.states[j], b.changes[j] = j.state, j.changes
-	return added, true
+	b.changes[j] = j.changes
+	return true
+}
+
+// putAgain adds the records of a job that the store has refused to a batch. It returns false if the job was deleted.
+func (s *Service) putAgain(b *Batch, j *job) bool {
+	if s.jobs[j.id] != j {
+		return false
+	}
+	s.dirty = slices.DeleteFunc(s.dirty, func(x *job) bool { return x == j })
+	j.dirty = false
+	if !s.putJob(b, j) {
+		s.markDirty(j)
+	}
+	return true
+}
+
+// refuseUnstored refuses a job whose record the store does not take, unless the job was accepted before.
+func (s *Service) refuseUnstored(now time.Time, j *job) {
+	if j.stored {
+		return
+	}
+	delete(s.jobs, j.id)
+	s.dirty = slices.DeleteFunc(s.dirty, func(x *job) bool { return x == j })
+	r := Result{Outcome: Impossible, Wait: maxWait, Why: "the store refuses its record"}
+	s.recordRefusal(now, j.id, j.firstSent)
+	s.Log.Info("dispatch: job refused", "service", s.Name, "job", j.id, "why", r.Why)
+	answerAll(&j.submitWaiters, r)
+	answerAll(&j.cancelWaiters, Result{Outcome: NotFound, Why: r.Why})
 }
 
 // entries returns the number of entries of the transaction, without that of the owner.
@@ -182,77 +241,6 @@
 	return cuminstair.RecordKey{Table: table, Part: s.Name, Key: key}
 }
 
-// workersPerRecord bounds the size of a record of workers; the platform accepts values of 64 KB.
-const workersPerRecord = 400
-
-// putWorkers adds the records of the workers, and removes those that are no longer needed.
-func (s *Service) putWorkers(b *Batch) {
-	s.workersDirty = false
-	b.workers = map[*worker]workerRecord{}
-	var list []workerRecord
-	for _, w := range s.workers {
-		if w.gone && len(w.attempts) == 0 {
-			continue
-		}
-		b.workers[w] = w.identity()
-		list = append(list, b.workers[w])
-	}
-	slices.SortFunc(list, func(x, y workerRecord) int { return strings.Compare(x.ID, y.ID) })
-	r := workersRecord{Ratio: s.ratio, Objective: s.meanObjective.Milliseconds(), Cores: s.maxCores}
-	n := 0
-	for part := range slices.Chunk(list, workersPerRecord) {
-		r.Workers = part
-		s.putWorkerRecord(b, n, r)
-		r = workersRecord{}
-		n++
-	}
-	if n == 0 {
-		s.putWorkerRecord(b, n, r)
-		n++
-	}
-	for ; n < s.workerRecords; n++ {
-		b.Deletes = append(b.Deletes, s.key(WorkerTable, workersRecordKey(n)))
-	}
-}
-
-func (s *Service) putWorkerRecord(b *Batch, n int, r workersRecord) {
-	// Encoding this type never fails.
-	data, _ := json.Marshal(r)
-	b.Puts = append(b.Puts, s.put(WorkerTable, workersRecordKey(n), data))
-	s.workerRecords = max(s.workerRecords, n+1)
-}
-
-// workersRecordKey returns the key of a record of workers. The first one also has the running averages.
-func workersRecordKey(n int) string {
-	if n == 0 {
-		return workersKey
-	}
-	return workersKey + strconv.Itoa(n)
-}
-
-// recoverWorkers reads a record of the workers that an earlier owner may have used, and the earlier owner's running averages.
-func (s *Service) recoverWorkers(r cuminstair.Record) {
-	var c workersRecord
-	if err := json.Unmarshal(r.Value, &c); err != nil {
-		s.Log.Error("dispatch: can't decode the worker record", "service", s.Name, "version", r.Version, "error", err)
-		return
-	}
-	for _, x := range c.Workers {
-		w := newWorker(s.takenOverAt, cuminstair.WorkerInfo{ID: x.ID, Service: s.Name, Addr: x.Addr, Incarnation: x.Born, Host: x.Host})
-		w.shares = s.limitShares
-		w.recorded, w.longLease, w.leaseUnsure = true, x.Long, x.Long
-		s.workers[x.ID] = w
-		s.inherited[x.ID] = true
-	}
-	for queue, ratio := range c.Ratio {
-		s.ratio[queue] = ratio
-	}
-	s.workerRecords++
-	if r.Key == workersKey {
-		s.meanObjective, s.maxCores = time.Duration(c.Objective)*time.Millisecond, c.Cores
-	}
-}
-
 // sweep deletes finished jobs after the retention period.
 func (s *Service) sweep(now time.Time, b *Batch) {
 	if now.Sub(s.lastSweep) < sweepInterval {
@@ -260,11 +248,14 @@
 	}
 	s.lastSweep = now
 	for _, j := range s.jobs {
-		if len(b.Puts)+len(b.Deletes) >= batchPuts-2 || len(b.swept) >= sweepLimit {
+		if b.entries() >= batchPuts-2 || len(b.swept) >= sweepLimit {
 			return
 		}
-		if j.finished() && !j.dirty && j.stored && b.states[j] == 0 && now.Sub(j.finishedAt) > s.Bounds.StateRetention+keepMargin {
-			b.Deletes = append(b.Deletes, s.key(JobTable, j.id), s.key(RunTable, j.id))
+		if !j.finished() || j.dirty || !j.stored || b.states[j] != 0 || now.Sub(j.finishedAt) <= s.Bounds.StateRetention+keepMargin {
+			continue
+		}
+		u := unit{deletes: []cuminstair.RecordKey{s.key(JobTable, j.id), s.key(RunTable, j.id)}, again: func(*Batch) bool { return false }}
+		if s.add(b, u) == unitAdded {
 			b.swept = append(b.swept, j)
 		}
 	}
@@ -275,6 +266,7 @@
 
 // Stored is called when a batch has been written to the store.
 func (s *Service) Stored(now time.Time, b *Batch) {
+	s.unitsStored(b)
 	for _, j := range b.created {
 		j.stored = true
 		s.Log.Info("dispatch: job accepted", "service", s.Name, "job", j.id, "queue", j.queue.Name,
@@ -305,12 +297,7 @@
 			w.nextRenewal = now
 		}
 	}
-	for w, identity := range b.workers {
-		if !w.recorded && !w.gone && w.identity() == identity {
-			w.recorded = true
-			s.changed = true
-		}
-	}
+	s.rowsStored(b)
 	for _, j := range b.swept {
 		delete(s.jobs, j.id)
 	}
@@ -319,12 +306,21 @@
 
 // NotStored is called when a batch was definitely not stored and never will be. Its records are written again.
 func (s *Service) NotStored(b *Batch) {
-	for j := range b.states {
+	var dirty []*job
+	for _, j := range b.list {
 		j.partsNotStored(b.parts[j])
-		s.markDirty(j)
+		j.changes++
+		if !j.dirty {
+			j.dirty = true
+			dirty = append(dirty, j)
+		}
+	}
+	s.dirty = append(dirty, s.dirty...)
+	for _, r := range b.rows {
+		s.markRow(r)
 	}
-	if b.workers != nil {
-		s.workersDirty = true
+	if b.averages {
+		s.averagesDirty, s.averagesPut = true, averagesRecord{}
 	}
 	s.unansweredDirty = s.unansweredDirty || b.unanswered
 	s.closingsDirty = s.closingsDirty || b.closings != nil
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,6 +36,7 @@
 	token         int64               // fencing token of the owner that accepted the job; 0: not known
 	scheduled     bool                // listed in Service.scheduled
 	split         bool                // its progress is in several records
+	mainSum       uint64              // checksum of the main record of the progress as last written; 0: to be written
 	parts         map[string]uint64   // by key: checksum of a record of split progress as last written; 0: to be written again
 	inherited     bool                // accepted by an earlier owner: unknown runs of its tasks may exist
 }
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -10,14 +10,15 @@
 	"cuminstair.org/cuminstair/dispatch"
 )
 
-// workerRecord returns the stored record of workers, from which the next owner learns whom to ask.
+// workerRecord returns the stored records of workers, from which the next owner learns whom to ask.
 func (p *pool) workerRecord() string {
+	var all []string
 	for key, value := range p.store {
-		if key.Table == dispatch.WorkerTable {
-			return string(value)
+		if key.Table == dispatch.WorkerTable && strings.HasPrefix(key.Key, "worker") {
+			all = append(all, string(value))
 		}
 	}
-	return ""
+	return strings.Join(all, "\n")
 }
 
 // restart starts a worker again under its id.
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -80,8 +80,10 @@
 	workers        []*fakeWorker
 	list           []cuminstair.WorkerInfo
 	store          map[cuminstair.RecordKey][]byte
-	storeDown      bool // the store answers nothing
-	withhold       int  // so many acknowledgements are withheld
+	storeDown      bool                            // the store answers nothing
+	refuses        func(cuminstair.RecordPut) bool // records that the store takes in no transaction
+	refusals       int                             // transactions that the store has refused
+	withhold       int                             // so many acknowledgements are withheld
 	batch          *dispatch.Batch
 	duration       func(id cuminstair.TaskID) time.Duration
 	slowOn         func(id cuminstair.TaskID, w *fakeWorker) bool // whether a task takes 7 times as long on a worker
@@ -117,6 +119,7 @@
 		duration: func(cuminstair.TaskID) time.Duration { return 600 * time.Millisecond },
 		slowOn:   func(cuminstair.TaskID, *fakeWorker) bool { return false },
 		fails:    func(cuminstair.TaskID, *fakeWorker) bool { return false },
+		refuses:  func(cuminstair.RecordPut) bool { return false },
 		crashes:  func(cuminstair.TaskID) bool { return false }, crashCount: map[cuminstair.TaskID]int{},
 		crashDelay: 10 * time.Millisecond,
 	}
@@ -186,6 +189,12 @@
 		p.s.AnswerLate(p.now, p.batch)
 		return
 	}
+	if slices.ContainsFunc(p.batch.Puts, p.refuses) {
+		p.refusals++
+		p.s.Refused(p.now, p.batch)
+		p.batch = nil
+		return
+	}
 	for _, put := range p.batch.Puts {
 		p.store[put.RecordKey] = put.Value
 	}
--- a/dispatch/queues.go
+++ b/dispatch/queues.go
@@ -119,27 +119,27 @@
 	if !s.closingsDirty {
 		return
 	}
-	s.closingsDirty, b.closings = false, map[assignment.Key]int64{}
-	var r closedRecord
+	var list []closedQueue
+	versions := map[assignment.Key]int64{}
 	for key, c := range s.closings {
-		b.closings[key] = c.version
-		r.Queues = append(r.Queues, closedQueue{key, c.version})
+		versions[key] = c.version
+		list = append(list, closedQueue{key, c.version})
 	}
-	slices.SortFunc(r.Queues, func(a, b closedQueue) int { return cmp.Compare(b.Version, a.Version) })
-	r.Queues = r.Queues[:min(len(r.Queues), maxClosed)]
-	b.Puts = append(b.Puts, s.put(WorkerTable, closedKey, r.encode()))
-}
-
-// encode encodes as many of the entries, the latest first, as a value may have.
-func (r closedRecord) encode() []byte {
-	for {
-		// Encoding this type never fails.
-		data, _ := json.Marshal(r)
-		if len(data) <= maxValue {
-			return data
-		}
-		r.Queues = r.Queues[:len(r.Queues)/2]
+	slices.SortFunc(list, func(a, b closedQueue) int { return cmp.Compare(b.Version, a.Version) })
+	value := fitValue(min(len(list), maxClosed), func(n int) any { return closedRecord{Queues: list[:n]} })
+	again := func(b *Batch) bool {
+		s.closingsDirty = true
+		s.putClosings(b)
+		return true
+	}
+	switch s.add(b, unit{puts: []cuminstair.RecordPut{s.put(WorkerTable, closedKey, value)}, again: again}) {
+	case unitNoRoom:
+		return
+	case unitAdded:
+		b.closings = versions
+	case unitWithheld:
 	}
+	s.closingsDirty = false
 }
 
 // closingsStored is called when a batch has been written to the store.
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -15,7 +15,7 @@
 	JobTable = "job"
 	// RunTable has a record per job with its progress, and further ones for large jobs.
 	RunTable = "run"
-	// WorkerTable has the workers that may run tasks of the service, in records of up to workersPerRecord workers.
+	// WorkerTable has the workers that may run tasks of the service, and other state that is not of one job.
 	WorkerTable = "worker"
 	workersKey  = "worker"
 )
@@ -61,22 +61,6 @@
 	Crashes    []crash `json:"x,omitempty"` // runs whose workers crashed, or may have crashed
 }
 
-// workersRecord is the value of a record of WorkerTable.
-type workersRecord struct {
-	Workers   []workerRecord     `json:"workers"`
-	Ratio     map[string]float64 `json:"ratio,omitempty"`     // by queue: mean ratio of durations to estimates
-	Objective int64              `json:"objective,omitempty"` // mean objective in milliseconds
-	Cores     float64            `json:"cores,omitempty"`     // largest size of the pool so far, in cores
-}
-
-type workerRecord struct {
-	ID   string `json:"id"`
-	Addr string `json:"addr"`
-	Born int64  `json:"born"`
-	Host string `json:"host,omitempty"`
-	Long bool   `json:"long,omitempty"` // it may have the longest lease, since it has restarted
-}
-
 const allTasksDone = "*"
 
 func (j *job) jobValue() []byte {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -82,18 +82,23 @@
 	offered         []offeredWork
 	loads           []admission.Load // see recentLoad
 	loadsAt         time.Time
-	maxCores        float64              // largest size of the pool so far, in cores
-	incoming        int                  // workers being moved to the pool
-	available       int                  // hosts that could be moved to the pool
-	meanObjective   time.Duration        // moving mean of the objectives of jobs without long-running tasks; 0: none yet
-	ratio           map[string]float64   // by queue: mean ratio of durations to estimates
-	cutOff          map[string]time.Time // by data centre: until when it counts as cut off
-	adviceCallsOpen int                  // open calls to the adviser
-	workerRecords   int                  // records of workers that may be in the store
-	workersDirty    bool                 // the worker record in the store is out of date
-	unanswered      []*attempt           // runs whose start had no answer, and others since resolved; see listUnanswered
-	unansweredPut   []unansweredStart    // as last written
-	unansweredDirty bool                 // their record is to be written at once
+	maxCores        float64                           // largest size of the pool so far, in cores
+	incoming        int                               // workers being moved to the pool
+	available       int                               // hosts that could be moved to the pool
+	meanObjective   time.Duration                     // moving mean of the objectives of jobs without long-running tasks; 0: none yet
+	ratio           map[string]float64                // by queue: mean ratio of durations to estimates
+	cutOff          map[string]time.Time              // by data centre: until when it counts as cut off
+	adviceCallsOpen int                               // open calls to the adviser
+	workerRows      []*workerRow                      // by number
+	workersDirty    bool                              // a record of workers in the store is out of date
+	averagesPut     averagesRecord                    // as last written
+	averagesDirty   bool                              // they are to be written
+	refused         map[cuminstair.RecordKey]*refusal // by unit.key
+	unitLimit       int                               // most units of a batch, since the store has refused larger ones; 0: no bound
+	retriedAt       time.Time                         // when a refused unit was last looked for
+	unanswered      []*attempt                        // runs whose start had no answer, and others since resolved; see listUnanswered
+	unansweredPut   []unansweredStart                 // as last written
+	unansweredDirty bool                              // their record is to be written at once
 	closings        map[assignment.Key]*closing
 	closingsDirty   bool          // their record is to be written at once
 	changed         bool          // placement has to run again
@@ -135,6 +140,7 @@
 	AboveShare                                           int // refusals of jobs of accounts above their share
 	Crashes                                              int // of workers that ran tasks
 	Contradictions                                       int // answers of workers that could not be true
+	Withheld                                             int // units of records that the store refuses
 	// Second copies of slow tasks: started, those that completed their task or replaced the first run, and the others.
 	Copies, CopiesWon, CopiesWasted int
 	WastedCoreSeconds               float64 // of the work of copies that did not complete their task, while two copies ran
@@ -152,7 +158,7 @@
 func New(name string, token int64, now time.Time, log hclog.Logger) *Service {
 	return &Service{
 		Name: name, Token: token, Log: log, takenOverAt: now, jobs: map[string]*job{}, active: map[string]*job{},
-		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, closings: map[assignment.Key]*closing{},
+		workers: map[string]*worker{}, inherited: map[string]bool{}, denied: map[string]denial{}, refused: map[cuminstair.RecordKey]*refusal{}, closings: map[assignment.Key]*closing{},
 		ratio: map[string]float64{}, cutOff: map[string]time.Time{}, centreFree: map[string]float64{}, riskUntil: map[string]time.Time{},
 		limitShares: quota.NewShare(uint64(token)), limitBlocked: map[string]time.Time{}, stragglers: straggler.New(),
 		Rand: rand.New(rand.NewPCG(uint64(token), 1)),
@@ -161,17 +167,7 @@
 
 // Recover restores the state from the records of the service, read at the takeover.
 func (s *Service) Recover(now time.Time, jobs, runs, workers []cuminstair.Record) {
-	var unanswered []cuminstair.Record
-	for _, r := range workers {
-		switch r.Key {
-		case unansweredKey:
-			unanswered = append(unanswered, r)
-		case closedKey:
-			s.recoverClosings(r)
-		default:
-			s.recoverWorkers(r)
-		}
-	}
+	unanswered := s.recoverWorkerTable(workers)
 	main, parts := map[string][]byte{}, map[string][]cuminstair.Record{}
 	for _, r := range runs {
 		if id, _, split := strings.Cut(r.Key, partSeparator); split {
--- a/dispatch/split.go
+++ b/dispatch/split.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"cuminstair.org/cuminstair"
 )
@@ -27,9 +28,11 @@
 	headBytes = 24 << 10
 	// blockTasks is the number of tasks of a step whose progress shares a record.
 	blockTasks = 64
-	// maxSavedCheckpoint bounds the bytes of a stored checkpoint. After a takeover, a task whose checkpoint is longer starts
-	// from the beginning.
+	// maxSavedCheckpoint bounds the bytes of an encoded checkpoint in a record. After a takeover, a task whose checkpoint is
+	// longer starts from the beginning.
 	maxSavedCheckpoint = 256
+	// escapedBytes is the most bytes that a byte of a text takes when it is encoded.
+	escapedBytes = 6
 )
 
 // partSeparator follows the ID of a job in the keys of its split progress. IDs do not have it.
@@ -45,7 +48,7 @@
 type progress struct {
 	main        []byte
 	occurrences []part // to be written together with main
-	tasks       []part
+	tasks       []part // of tasks and gangs
 }
 
 func (j *job) progress() progress {
@@ -57,7 +60,11 @@
 	j.split = true
 	for i := range r.Runs {
 		p.tasks = append(p.tasks, j.taskParts(&r.Runs[i])...)
-		r.Runs[i].Tasks = nil
+		if gangs := r.Runs[i].Gangs; len(gangs) > 0 {
+			key := j.id + partSeparator + "g" + strconv.Itoa(r.Runs[i].Number)
+			p.tasks = append(p.tasks, part{key: key, value: encodeRun(runRecord{Runs: []occRecord{{Number: r.Runs[i].Number, Gangs: gangs}}})})
+		}
+		r.Runs[i].Tasks, r.Runs[i].Gangs = nil, nil
 	}
 	p.occurrences = j.occurrenceParts(r.Runs)
 	r.Runs = nil
@@ -123,12 +130,26 @@
 	return data
 }
 
-// savedCheckpoint returns a checkpoint as it is stored.
+// savedCheckpoint returns a checkpoint as it is stored; empty: it is too long.
 func savedCheckpoint(value string) string {
-	if len(value) > maxSavedCheckpoint {
-		return ""
+	if len(value)*escapedBytes <= maxSavedCheckpoint || len(value) <= maxSavedCheckpoint && encodedBytes(value) <= maxSavedCheckpoint {
+		return value
 	}
-	return value
+	return ""
+}
+
+// encodedBytes returns the most bytes that a text takes when it is encoded.
+func encodedBytes(text string) int {
+	n := 0
+	for _, c := range []byte(text) {
+		switch {
+		case c < ' ', c >= utf8.RuneSelf, strings.IndexByte(`"\\<>&`, c) >= 0:
+			n += escapedBytes
+		default:
+			n++
+		}
+	}
+	return n
 }
 
 func checksum(value []byte) uint64 {
@@ -137,81 +158,112 @@
 	return h.Sum64()
 }
 
-// putProgress adds the records of a job's progress to the batch, as far as it has room, and returns their size in bytes and
-// whether the progress is complete.
-func (s *Service) putProgress(b *Batch, j *job, size int) (added int, complete bool) {
-	p := j.progress()
+// progressChange is what of a job's progress differs from the store.
+type progressChange struct {
+	main        bool // the main record has changed
+	occurrences []part
+	stale       []string // keys of records of occurrences that are no longer needed
+	staleTasks  []string // keys of records of tasks that are no longer needed
+}
+
+// changeOf returns what of the progress differs from the store.
+func (j *job) changeOf(p *progress) progressChange {
+	c := progressChange{main: j.mainSum != checksum(p.main)}
 	current := map[string]bool{}
 	for _, x := range slices.Concat(p.occurrences, p.tasks) {
 		current[x.key] = true
 	}
-	var stale, staleTasks []string
 	for key := range j.parts {
 		switch {
 		case current[key]:
 		case strings.HasPrefix(key, j.id+partSeparator+"o"):
-			stale = append(stale, key)
+			c.stale = append(c.stale, key)
 		default:
-			staleTasks = append(staleTasks, key)
+			c.staleTasks = append(c.staleTasks, key)
 		}
 	}
-	together := len(p.main)
 	for _, x := range p.occurrences {
-		together += len(x.value)
+		if j.parts[x.key] != checksum(x.value) {
+			c.occurrences = append(c.occurrences, x)
+		}
+	}
+	return c
+}
+
+// headOf returns the changes of the records of a job that are stored together: the main record, and those of occurrences.
+func (s *Service) headOf(j *job, p *progress, c *progressChange) (puts []cuminstair.RecordPut, deletes []cuminstair.RecordKey) {
+	if !c.main && len(c.occurrences) == 0 && len(c.stale) == 0 {
+		return nil, nil
 	}
-	if b.entries()+1+len(p.occurrences)+len(stale) > batchPuts || size > 0 && size+together > batchBytes {
-		return 0, false
+	puts = append(puts, s.put(RunTable, j.id, p.main))
+	for _, x := range c.occurrences {
+		puts = append(puts, s.put(RunTable, x.key, x.value))
 	}
-	b.states[j] = j.state
-	b.Puts = append(b.Puts, s.put(RunTable, j.id, p.main))
-	added = len(p.main)
-	for _, x := range p.occurrences {
-		added += s.putPart(b, j, x)
+	for _, key := range c.stale {
+		deletes = append(deletes, s.key(RunTable, key))
+	}
+	return puts, deletes
+}
+
+// headAdded records that a batch has the records that headOf has returned.
+func (j *job) headAdded(b *Batch, p *progress, c *progressChange) {
+	j.mainSum = checksum(p.main)
+	for _, x := range c.occurrences {
+		j.setPart(b, x)
 	}
-	for _, key := range stale {
-		s.deletePart(b, j, key)
+	for _, key := range c.stale {
+		j.dropPart(b, key)
+	}
+}
+
+// putTasks adds the changed records of a job's tasks to the batch, and reports whether all have found room.
+func (s *Service) putTasks(b *Batch, j *job, p *progress, c *progressChange) bool {
+	again := func(*Batch) bool {
+		if s.jobs[j.id] != j {
+			return false
+		}
+		s.markDirty(j)
+		return true
 	}
 	for _, x := range p.tasks {
 		if j.parts[x.key] == checksum(x.value) {
 			continue
 		}
-		if b.entries() >= batchPuts || size+added > batchBytes {
-			return added, false
+		switch s.add(b, unit{puts: []cuminstair.RecordPut{s.put(RunTable, x.key, x.value)}, again: again}) {
+		case unitNoRoom:
+			return false
+		case unitAdded:
+			j.setPart(b, x)
+		case unitWithheld:
 		}
-		added += s.putPart(b, j, x)
 	}
-	for _, key := range staleTasks {
-		if b.entries() >= batchPuts {
-			return added, false
+	for _, key := range c.staleTasks {
+		if s.add(b, unit{deletes: []cuminstair.RecordKey{s.key(RunTable, key)}, again: again}) == unitNoRoom {
+			return false
 		}
-		s.deletePart(b, j, key)
+		j.dropPart(b, key)
 	}
-	return added, true
+	return true
 }
 
-// putPart adds a record of split progress to the batch unless the store has it, and returns its size in bytes.
-func (s *Service) putPart(b *Batch, j *job, x part) int {
-	sum := checksum(x.value)
-	if j.parts[x.key] == sum {
-		return 0
-	}
+// setPart records that a batch has a record of split progress.
+func (j *job) setPart(b *Batch, x part) {
 	if j.parts == nil {
 		j.parts = map[string]uint64{}
 	}
-	j.parts[x.key] = sum
+	j.parts[x.key] = checksum(x.value)
 	b.parts[j] = append(b.parts[j], x.key)
-	b.Puts = append(b.Puts, s.put(RunTable, x.key, x.value))
-	return len(x.value)
 }
 
-func (s *Service) deletePart(b *Batch, j *job, key string) {
+// dropPart records that a batch deletes a record of split progress.
+func (j *job) dropPart(b *Batch, key string) {
 	delete(j.parts, key)
 	b.parts[j] = append(b.parts[j], key)
-	b.Deletes = append(b.Deletes, s.key(RunTable, key))
 }
 
-// partsNotStored makes the next batch write or delete the records of split progress again that a batch has not changed.
+// partsNotStored makes the next batch write or delete the records of progress again that a batch has not changed.
 func (j *job) partsNotStored(keys []string) {
+	j.mainSum = 0
 	for _, key := range keys {
 		j.parts[key] = 0
 	}
@@ -223,7 +275,7 @@
 		return nil
 	}
 	j.split, j.parts = true, map[string]uint64{}
-	tasks := map[int][]taskRecord{}
+	tasks, gangs := map[int][]taskRecord{}, map[int][]gangRecord{}
 	for _, p := range parts {
 		j.parts[p.Key] = checksum(p.Value)
 		var x runRecord
@@ -236,11 +288,13 @@
 				continue
 			}
 			tasks[o.Number] = append(tasks[o.Number], o.Tasks...)
+			gangs[o.Number] = append(gangs[o.Number], o.Gangs...)
 		}
 	}
 	slices.SortFunc(r.Runs, func(a, b occRecord) int { return cmp.Compare(a.Number, b.Number) })
 	for i := range r.Runs {
-		r.Runs[i].Tasks = append(r.Runs[i].Tasks, tasks[r.Runs[i].Number]...)
+		o := &r.Runs[i]
+		o.Tasks, o.Gangs = append(o.Tasks, tasks[o.Number]...), append(o.Gangs, gangs[o.Number]...)
 	}
 	return nil
 }
--- a/dispatch/split_test.go
+++ b/dispatch/split_test.go
@@ -16,10 +16,13 @@
 // Limits of the platform's store.
 const (
 	rowBytes         = 64 << 10 // of a value after base64
+	keyBytes         = 200
 	transactionBytes = 1 << 20
 	transactionRows  = 100 // including that of the owner
 )
 
+const jobBB = "00000000000000bb"
+
 // splitScene is a service with one job of many tasks, and a store with its records.
 type splitScene struct {
 	is      *is.I
@@ -76,7 +79,8 @@
 	for _, put := range b.Puts {
 		n := base64.StdEncoding.EncodedLen(len(put.Value))
 		x.is.True(n <= rowBytes)
-		size += n
+		x.is.True(len(put.Key) <= keyBytes)
+		size += n + len(put.Table) + len(put.Part) + len(put.Key)
 	}
 	x.is.True(size <= transactionBytes)
 	x.is.True(b.entries() < transactionRows)
@@ -250,11 +254,9 @@
 	for k := range 8000 {
 		x.j.runs = append(x.j.runs, x.j.occurrence(k+1, make([]time.Duration, 1)))
 	}
-	b := &Batch{states: map[*job]cuminstair.JobState{}, parts: map[*job][]string{}}
-	added, complete := x.s.putProgress(b, x.j, batchBytes)
-	x.is.Equal(added, 0)
-	x.is.True(!complete)
-	x.is.Equal(b.entries(), 0)
-	_, complete = x.s.putProgress(b, x.j, 0)
-	x.is.True(complete)
+	b := x.s.newBatch(x.now)
+	x.is.Equal(x.s.add(b, unit{puts: []cuminstair.RecordPut{x.s.put(JobTable, jobBB, make([]byte, batchBytes))}}), unitAdded)
+	x.is.True(!x.s.putJob(b, x.j))
+	x.is.Equal(b.entries(), 1)
+	x.is.True(x.s.putJob(x.s.newBatch(x.now), x.j))
 }
--- a/dispatch/unanswered.go
+++ b/dispatch/unanswered.go
@@ -15,7 +15,7 @@
 // unansweredKey is the key in WorkerTable of the record of starts without an answer.
 const unansweredKey = "unanswered"
 
-// maxUnanswered bounds the size of this record; the platform accepts values of 64 KB.
+// maxUnanswered is the most entries of this record, which is also bounded by maxValue; the oldest are dropped.
 const maxUnanswered = 300
 
 // unansweredRecord is the value of this record.
@@ -55,10 +55,20 @@
 	if !s.unansweredDirty && slices.Equal(list, s.unansweredPut) {
 		return
 	}
-	s.unansweredDirty, s.unansweredPut, b.unanswered = false, list, true
-	// Encoding this type never fails.
-	data, _ := json.Marshal(unansweredRecord{Starts: list})
-	b.Puts = append(b.Puts, s.put(WorkerTable, unansweredKey, data))
+	value := fitValue(len(list), func(n int) any { return unansweredRecord{Starts: list[len(list)-n:]} })
+	again := func(b *Batch) bool {
+		s.unansweredDirty = true
+		s.putUnanswered(b)
+		return true
+	}
+	switch s.add(b, unit{puts: []cuminstair.RecordPut{s.put(WorkerTable, unansweredKey, value)}, again: again}) {
+	case unitNoRoom:
+		return
+	case unitAdded:
+		b.unanswered = true
+	case unitWithheld:
+	}
+	s.unansweredDirty, s.unansweredPut = false, list
 }
 
 // recoverUnanswered restores the starts without an answer of earlier owners, the latest run of each task.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -83,6 +83,7 @@
 	suspects      []*task   // tasks that may have crashed it
 	suspectsKnown bool      // suspects has been set since it last answered
 
+	row      *workerRow   // record that it is in; nil: none yet
 	shares   *quota.Share // of the service; nil in tests without accounts
 	slowdown float64      // moving mean of actual to expected durations; 0: unknown
 }
@@ -101,7 +102,7 @@
 // recordAgain makes the worker wait for tasks until its present identity is stored.
 func (s *Service) recordAgain(w *worker) {
 	w.recorded = false
-	s.workersDirty = true
+	s.recordWorker(w)
 }
 
 func (w *worker) setInfo(info cuminstair.WorkerInfo) {
@@ -214,7 +215,7 @@
 				w.listedAt = now // it is new; at a takeover the age of the entry is not known
 			}
 			s.workers[info.ID] = w
-			s.workersDirty = true
+			s.recordWorker(w)
 			s.changed = true
 		}
 		s.updateWorker(now, w, info)
@@ -233,7 +234,7 @@
 		if w.idle() && len(w.lateStarts) == 0 && s.inheritedResolved() {
 			s.settleSuspects(now, w)
 			delete(s.workers, id)
-			s.workersDirty = true
+			s.forgetWorker(w)
 		}
 	}
 	s.maxCores = max(s.maxCores, cores)
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -91,12 +91,14 @@
 			return
 		}
 		r.state.Depose("the store has another owner record: " + o.Name)
+	case errors.Is(err, cuminstair.ErrMalformed):
+		// The store refuses every attempt at this transaction, the earlier ones too.
+		r.logRefused(r.sentTx)
+		r.inflight = nil
+		r.state.Refused(now, b)
 	case !errors.Is(err, cuminstair.ErrUncertain) && !r.uncertain && r.hedges == 0:
 		// No attempt took effect, so the jobs of the batch may be refused.
 		r.writeFailed(now, err)
-		if errors.Is(err, cuminstair.ErrMalformed) {
-			r.logRefused(r.sentTx)
-		}
 		r.state.NotStored(b)
 		r.inflight, r.retryAt = nil, now.Add(commitRetry)
 	default:
@@ -107,10 +109,11 @@
 	}
 }
 
-// logRefused logs the largest record of a transaction that the store refuses as malformed: most likely it exceeds a row.
+// logRefused logs the largest record of a transaction that the store refuses as malformed: most likely it exceeds a row. The owner then
+// writes smaller transactions, and logs the record that the store refuses alone.
 func (r *runner) logRefused(tx cuminstair.Tx) {
 	largest := slices.MaxFunc(tx.Puts, func(a, b cuminstair.RecordPut) int { return cmp.Compare(len(a.Value), len(b.Value)) })
-	r.d.Log.Error("entry: the store refuses a transaction", "service", r.service, "entries", len(tx.Puts)+len(tx.Deletes),
+	r.d.Log.Warn("entry: the store refuses a transaction", "service", r.service, "entries", len(tx.Puts)+len(tx.Deletes),
 		"largest", largest.Table+"/"+largest.Key, "bytes", len(largest.Value))
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -43,7 +43,7 @@
 			Name: "cuminstair_store_write_seconds", Help: "Transactions of services.", Buckets: buckets,
 		}, []string{"outcome"}),
 		Events: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped, workers that crashed, shares of limits granted, accounts and tasks that limits kept waiting.",
+			Name: "cuminstair_job_events_total", Help: "Jobs accepted and refused, runs started, done, failed, lost and stopped, workers that crashed, records that the store refuses, shares of limits granted, accounts and tasks that limits kept waiting.",
 		}, []string{"event"}),
 		Takeover: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cuminstair_takeover_seconds", Help: "Time from the decision to take a service to its first order.", Buckets: buckets,
@@ -97,6 +97,7 @@
 		{"stopped", now.Stops - before.Stops},
 		{"crashed", now.Crashes - before.Crashes},
 		{"contradicted", now.Contradictions - before.Contradictions},
+		{"withheld", now.Withheld - before.Withheld},
 		{"granted", now.Grants - before.Grants},
 		{"blocked", now.LimitBlocks - before.LimitBlocks},
 		{"held back", now.LimitTasks - before.LimitTasks},
