Bound what the records of a service grow with

Cause: six kinds of records grew with what a service had seen, or with the length of names, beyond what a row or a transaction of the store may have: the durations by queue (in memory too), workers and starts without an answer with long names, checkpoints of gangs of many occurrences, failed runs and crashes of a task, and the state of the planner with services that are gone. The stand-in of the store refuses what exceeds the limits of the pages, so that the soak shows it.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -31,6 +31,8 @@
 	crashLimit = 2
 	// maxCrashes is the number of crashes after which a task is given up in any case.
 	maxCrashes = 4
+	// maxListedCrashes bounds the crashes that are kept of a task, the latest.
+	maxListedCrashes = 2 * maxCrashes
 	// settleTime is the age at which a run of a long-running task has proved not to crash its worker.
 	settleTime = 5 * time.Second
 	// riskTime is how long a queue is at risk after one of its tasks was given up. Its short tasks start one at a time on
@@ -183,6 +185,7 @@
 // addCrash adds a crash to a task, which starts again only when that is stored.
 func (s *Service) addCrash(t *task, c crash) {
 	t.crashes = append(t.crashes, c)
+	t.crashes = t.crashes[max(0, len(t.crashes)-maxListedCrashes):]
 	j := t.step.occ.job
 	s.markDirty(j)
 	j.crashChange = j.changes
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -133,11 +133,11 @@
 		if slices.Contains(t.failed, e.Run) {
 			return
 		}
-		t.failed = append(t.failed, e.Run)
+		t.addFailure(e.Run)
 		s.counts.Failed++
 		s.Log.Info("dispatch: run has failed", "service", s.Name, "job", j.id, "step", t.step.index, "task", t.id.Index,
-			"run", e.Run, "worker", w.info.ID, "fails", len(t.failed), "limit", j.queue.Attempts)
-		if len(t.failed) >= j.queue.Attempts {
+			"run", e.Run, "worker", w.info.ID, "fails", t.failures(), "limit", j.queue.Attempts)
+		if t.failures() >= j.queue.Attempts {
 			s.finish(now, j, cuminstair.JobFailed, "a task has used up its attempts")
 			return
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -74,29 +75,47 @@
 	rack           stepRack        // of a step that wants a rack
 }
 
+// maxListedFailures is the most failed runs of a task that are kept.
+const maxListedFailures = 64
+
+// failures returns the number of failed runs of the task.
+func (t *task) failures() int { return t.earlierFailures + len(t.failed) }
+
+// addFailure records a failed run.
+func (t *task) addFailure(run int64) {
+	if len(t.failed) == maxListedFailures {
+		t.failed = slices.Delete(t.failed, 0, 1)
+		t.earlierFailures++
+	}
+	t.failed = append(t.failed, run)
+}
+
 // task is the owner's state of one task of a step: its failed runs, its newest checkpoint and its current attempt.
 type task struct {
-	id          cuminstair.TaskID
-	step        *step
-	done        bool
-	failed      []int64 // failed runs; a list, since workers report ends in any order, and again after a takeover
-	run         int64   // highest run number started or seen
-	checkpoint  string  // newest known checkpoint; a gang has one for all, see step.saved
-	attempt     *attempt
-	lostAt      time.Time  // when its last run was lost without a report of its end; zero: it was not
-	stuckStops  int        // how often it was stopped for lack of progress
-	avoidWorker string     // worker on which the last run failed
-	avoidUntil  time.Time  // until when the next run has to be on another worker
-	awaySince   time.Time  // of a long-running task: since when it is down; zero: it is serving
-	plannedMove bool       // it is down because the owner moved it
-	reserved    *worker    // worker last reserved for it
-	crashes     []crash    // runs whose workers crashed, or may have crashed, the latest last
-	trialSince  time.Time  // since when a trial finds no worker without long-running tasks; zero: it does not
-	copies      []*attempt // detached runs that have not been released
-	pair        *copyPair  // a slow run and its second copy, as long as both may run; nil: there is none
-	copied      int        // number of second copies that were started because a run was slow
-	adopted     bool       // this owner found its first run, by the owner that accepted the job, on a worker that answered
-	rackWait    locality.Waiting
+	id   cuminstair.TaskID
+	step *step
+	done bool
+	// failed has the latest failed runs, at most maxListedFailures; a list, since workers report ends in any order, and again
+	// after a takeover. earlierFailures is the number of the others.
+	failed          []int64
+	earlierFailures int
+	run             int64  // highest run number started or seen
+	checkpoint      string // newest known checkpoint; a gang has one for all, see step.saved
+	attempt         *attempt
+	lostAt          time.Time  // when its last run was lost without a report of its end; zero: it was not
+	stuckStops      int        // how often it was stopped for lack of progress
+	avoidWorker     string     // worker on which the last run failed
+	avoidUntil      time.Time  // until when the next run has to be on another worker
+	awaySince       time.Time  // of a long-running task: since when it is down; zero: it is serving
+	plannedMove     bool       // it is down because the owner moved it
+	reserved        *worker    // worker last reserved for it
+	crashes         []crash    // runs whose workers crashed, or may have crashed, the latest last
+	trialSince      time.Time  // since when a trial finds no worker without long-running tasks; zero: it does not
+	copies          []*attempt // detached runs that have not been released
+	pair            *copyPair  // a slow run and its second copy, as long as both may run; nil: there is none
+	copied          int        // number of second copies that were started because a run was slow
+	adopted         bool       // this owner found its first run, by the owner that accepted the job, on a worker that answered
+	rackWait        locality.Waiting
 }
 
 // attempt is a run of a task on a worker. Its room on the worker stays taken until the run has certainly ended.
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -56,7 +56,8 @@
 type taskRecord struct {
 	Step       int     `json:"s"`
 	Index      int     `json:"i"`
-	Failed     []int64 `json:"f,omitempty"` // failed runs
+	Failed     []int64 `json:"f,omitempty"` // latest failed runs
+	Earlier    int     `json:"n,omitempty"` // number of other failed runs
 	Checkpoint string  `json:"c,omitempty"`
 	Crashes    []crash `json:"x,omitempty"` // runs whose workers crashed, or may have crashed
 }
@@ -98,7 +99,7 @@
 				bits[i/8] |= 1 << (i % 8)
 				any = true
 			} else if checkpoint := savedCheckpoint(t.checkpoint); len(t.failed) > 0 || checkpoint != "" || len(t.crashes) > 0 {
-				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Checkpoint: checkpoint, Crashes: t.crashes})
+				r.Tasks = append(r.Tasks, taskRecord{Step: s.index, Index: i, Failed: t.failed, Earlier: t.earlierFailures, Checkpoint: checkpoint, Crashes: t.crashes})
 			}
 		}
 		text := ""
@@ -183,7 +184,7 @@
 		}
 		x := o.steps[t.Step].tasks[t.Index]
 		x.step.started = true
-		x.failed, x.crashes = t.Failed, t.Crashes
+		x.failed, x.earlierFailures, x.crashes = t.Failed, t.Earlier, t.Crashes
 		x.savedBy(0, 0, t.Checkpoint)
 		for _, c := range t.Crashes {
 			x.run = max(x.run, c.Run)
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -50,7 +50,7 @@
 	}
 	j := t.step.occ.job
 	return !j.finished() && a.stopSentAt.IsZero() && !a.answeredAt.IsZero() && !a.worker.suspect() && s.now.Sub(a.readAt) <= maxReadAge && len(t.crashes) == 0 &&
-		len(t.failed)+1 < j.queue.Attempts && (!j.inherited || s.settled)
+		t.failures()+1 < j.queue.Attempts && (!j.inherited || s.settled)
 }
 
 // stragglerRun returns a run as the model sees it. The age of a run that was found after a takeover is a lower bound.
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -28,6 +31,8 @@
 	stepOverhead = 80 * time.Millisecond
 	// ratioWeight is the weight of a new observation in the ratio of durations to estimates.
 	ratioWeight = 0.03
+	// maxRatios bounds the queues whose ratio is kept. A new owner learns the ratios again.
+	maxRatios = 4096
 	// slowdownWeight is the weight of a new observation in the slowdown of a worker.
 	slowdownWeight = 0.2
 	// maxRatio bounds an observed ratio of duration to estimate, and that of a worker's duration to the queue's mean.
@@ -480,6 +485,7 @@
 	}
 	name := t.step.occ.job.queue.Name
 	if s.ratio[name] == 0 {
+		s.forgetRatios()
 		s.ratio[name] = 1
 	}
 	took := now.Sub(a.sentAt).Seconds() / t.step.Estimate.Seconds()
@@ -491,6 +497,20 @@
 	s.ratio[name] += ratioWeight * (min(maxRatio, took) - s.ratio[name])
 }
 
+// forgetRatios keeps the ratios within maxRatios: it drops half of them, those nearest to 1.
+func (s *Service) forgetRatios() {
+	if len(s.ratio) < maxRatios {
+		return
+	}
+	distance := func(queue string) float64 { return math.Abs(math.Log(s.ratio[queue])) }
+	names := slices.SortedFunc(maps.Keys(s.ratio), func(x, y string) int {
+		return cmp.Or(cmp.Compare(distance(x), distance(y)), cmp.Compare(x, y))
+	})
+	for _, name := range names[:maxRatios/2] {
+		delete(s.ratio, name)
+	}
+}
+
 // recordSlowdown updates the slowdown of a worker from the ratio of a run's actual to expected duration.
 func (w *worker) recordSlowdown(ratio float64) {
 	if w.slowdown == 0 {
--- a/entry/moves.go
+++ b/entry/moves.go
@@ -118,6 +118,7 @@
 	}
 	key := cuminstair.RecordKey{Table: waveTable, Part: ownership.HostsPart, Key: planKey}
 	if h.planSnapshot == nil || h.planRevision != revision {
+		h.forgetPools()
 		h.planRevision, h.planSnapshot = revision, h.planner.Snapshot()
 	}
 	if h.records.save(ctx, key, h.planSnapshot) {
@@ -125,6 +126,19 @@
 	}
 }
 
+// forgetPools keeps the planner state from growing with the pools of earlier configurations.
+func (h *hostController) forgetPools() {
+	c := h.d.config.Load()
+	if c == nil || len(c.Pools) == 0 {
+		return
+	}
+	var names []string
+	for _, p := range c.Pools {
+		names = append(names, p.Name)
+	}
+	h.planner.Keep(names)
+}
+
 func sparePool(c *cuminstair.JobConfig) string {
 	for _, p := range c.Pools {
 		if p.Spare {
--- a/pools/memory.go
+++ b/pools/memory.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -38,6 +40,14 @@
 	return sum
 }
 
+// Keep forgets the services that are not in a list.
+func (p *Planner) Keep(services []string) {
+	gone := func(name string) bool { return !slices.Contains(services, name) }
+	maps.DeleteFunc(p.history, func(name string, _ *poolHistory) bool { return gone(name) })
+	maps.DeleteFunc(p.forecast.services, func(name string, _ *series) bool { return gone(name) })
+	maps.DeleteFunc(p.forecast.successors, func(name, next string) bool { return gone(name) || gone(next) })
+}
+
 // Snapshot returns the encoded State of the planner.
 func (p *Planner) Snapshot() []byte {
 	f := p.forecast
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -265,6 +266,17 @@
 	is.Equal(n["spare>b"], 0)
 }
 
+// Guards against a saved state that grows with each service that there has ever been, until the store refuses it.
+func TestStateOfFormerServicesIsForgotten(t *testing.T) {
+	is := is.New(t)
+	p := pools.New("spare")
+	rotate(p, []string{"a", "b", "c"}, 3)
+	p.Keep([]string{"a", "c"})
+	state := string(p.Snapshot())
+	is.True(strings.Contains(state, `"a"`))
+	is.True(!strings.Contains(state, `"b"`))
+}
+
 // Guards against an invalid saved state that is not reported as an error.
 func TestBrokenMemory(t *testing.T) {
 	is.New(t).True(pools.New("").Restore(start, []byte("[")) != nil)
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -4,14 +4,25 @@
 package site
 
 import (
+	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
 	"time"
 )
 
+// Limits of the store.
+const (
+	maxRow     = 64 << 10 // bytes of a value after base64
+	maxText    = 200      // bytes of each text of a key
+	maxEntries = 100      // of a transaction
+	maxTx      = 1 << 20  // bytes of the body of a transaction
+)
+
 // row is a row of the store.
 type row struct {
 	Table   string `json:"table"`
@@ -24,6 +35,11 @@
 
 type rowKey struct{ table, part, key string }
 
+// fits reports whether the row is within the limits.
+func (r row) fits() bool {
+	return base64.StdEncoding.EncodedLen(len(r.Value)) <= maxRow && max(len(r.Table), len(r.Part), len(r.Key)) <= maxText
+}
+
 func (r row) key() rowKey { return rowKey{r.Table, r.Part, r.Key} }
 
 // Store is the platform's store. Its faults may be set while it is serving.
@@ -127,7 +143,9 @@
 		Writes []row `json:"writes"`
 		Remove []row `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) > maxTx || json.Unmarshal(body, &q) != nil || len(q.Checks)+len(q.Writes)+len(q.Remove) > maxEntries ||
+		slices.ContainsFunc(slices.Concat(q.Checks, q.Writes, q.Remove), func(x row) bool { return !x.fits() }) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
