Start no task on a restarted worker before its new entry is read

Cause: an owner learns of a new incarnation by an answer to a renewal too. That set the incarnation and left the labels, the rack and the capacity of the earlier one, which placement used until the list was read again, 0.3 s later at most. Ruled out: the check of the incarnation before a start (it is the new one), and old entries (they are ignored by their incarnation). Change: what is known of an incarnation is one value (incarnation in worker.go), which a restart replaces as a whole. A worker without an entry of its present incarnation is no candidate; the list is read at once when an answer shows a restart. Fields that survived before: labels, rack, capacity, the time at which it was seen leaving, reservations, refused connections and the time of the clock reading. Admission still counts the cores that the worker had, and rules no job out meanwhile. The last known rack keeps counting for copies and limits per rack. Failed before: dispatch.TestRestartedWorkerGetsNoTasksBeforeItsEntryIsRead (4 of 4 cases), dispatch.TestWorkerWithARunOfUnknownSizeGetsNoTasks. In the fake pool of tests an early read of the list shows the entries that workers have written; tests that restarted a worker without an entry relied on the fault.

--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -36,6 +36,8 @@
 	// AliveTime is how long after a write of this daemon to the store there can't be a new owner that has read the workers: other
 	// daemons take it for alive longer than that.
 	AliveTime = 700 * time.Millisecond
+	// listGap is the minimum time between two early reads of the list of workers.
+	listGap = 50 * time.Millisecond
 	// renewalBackoff is the pause after a failed renewal.
 	renewalBackoff = 300 * time.Millisecond
 	// suspectAfter is how many calls have to fail in a row for a worker to get no new tasks.
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -77,7 +77,7 @@
 		if st.PerWorker > 0 {
 			most = st.PerWorker - w.stepRuns[stepOf(t.id)]
 		}
-		f := fits[w.info.Rack]
+		f := fits[w.rack]
 		f.later += min(most, tasksFitting(st, w.free().Plus(w.short, 1)))
 		if risky { // one start at a time
 			most = min(most, 1)
@@ -89,7 +89,7 @@
 			f.now += min(most, tasksFitting(st, w.free()))
 			f.cores += w.freeCores()
 		}
-		fits[w.info.Rack] = f
+		fits[w.rack] = f
 	}
 	return fits
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -129,6 +129,7 @@
 	account     string       // client account of its job; empty: none, or the job is not known
 	charge      quota.Amount // what it takes of the limit of the account
 	found       bool         // an earlier owner started it
+	unsized     bool         // its room is not known, since its job is not
 	longRunning bool
 	bestEffort  bool
 	runTimes
--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -64,11 +64,11 @@
 	}
 	clear(s.rackRooms)
 	for _, w := range s.candidates {
-		s.racks.Add(w.info.Rack, w.coresOf(w.total), w.coresOf(w.short))
-		room := s.rackRooms[w.info.Rack]
+		s.racks.Add(w.rack, w.coresOf(w.total), w.coresOf(w.short))
+		room := s.rackRooms[w.rack]
 		room.free = room.free.Max(w.free())
 		room.later = room.later.Max(w.free().Plus(w.short, 1))
-		s.rackRooms[w.info.Rack] = room
+		s.rackRooms[w.rack] = room
 	}
 }
 
@@ -127,13 +127,13 @@
 	w = p.remote
 	if w == nil || !ordinary || w.attempts[t.id] != nil {
 		w = s.choose(st, t, racks)
-		if w == nil || w.info.Rack == st.DataRack {
+		if w == nil || w.rack == st.DataRack {
 			p.reset()
 			return w, false
 		}
 		p.usable = s.rackUsable(st, t)
 	}
-	if p.usable && s.waitsForData(now, st, t, s.racks.Price(w.info.Rack, s.Bounds.RemoteFactor)) {
+	if p.usable && s.waitsForData(now, st, t, s.racks.Price(w.rack, s.Bounds.RemoteFactor)) {
 		p.remote = nil
 		if ordinary {
 			p.remote = w
@@ -196,7 +196,7 @@
 func (s *Service) rackUsable(st *step, t *task) bool {
 	usable := false
 	for _, w := range s.candidates {
-		if w.info.Rack != st.DataRack || !s.fitsLater(st, w) {
+		if w.rack != st.DataRack || !s.fitsLater(st, w) {
 			continue
 		}
 		if st.room().Fits(w.free()) && s.admits(w, t) {
@@ -243,16 +243,16 @@
 	if s.Bounds.RemoteFactor <= 1 || st.LongRunning {
 		return false
 	}
-	return st.DataRack != "" && st.DataRack != w.info.Rack || st.OneRack && st.rack.split
+	return st.DataRack != "" && st.DataRack != w.rack || st.OneRack && st.rack.split
 }
 
 // recordRack records that a run of a step is on a worker.
 func (st *step) recordRack(w *worker) {
 	switch {
-	case !st.OneRack:
+	case !st.OneRack, w.rack == "":
 	case st.rack.first == "":
-		st.rack.first = w.info.Rack
-	case st.rack.first != w.info.Rack:
+		st.rack.first = w.rack
+	case st.rack.first != w.rack:
 		st.rack.split = true
 	}
 }
@@ -282,5 +282,5 @@
 	if s.Bounds.RemoteFactor <= 1 || a.longRunning || a.bestEffort || a.adopted {
 		return
 	}
-	s.racks.Freed(now, a.worker.info.Rack, a.worker.coresOf(a.room), now.Sub(a.sentAt))
+	s.racks.Freed(now, a.worker.rack, a.worker.coresOf(a.room), now.Sub(a.sentAt))
 }
--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -37,5 +37,15 @@
 // SetListRead records when the last successful read of the list of workers was sent.
 func (s *Service) SetListRead(sent time.Time) { s.listReadAt = sent }
 
+// ListDue reports, once, that a worker has restarted and gets no tasks until its entry has been read: the list of workers should be read
+// early.
+func (s *Service) ListDue(now time.Time) bool {
+	if !s.listDue || now.Sub(s.listAskedAt) < listGap {
+		return false
+	}
+	s.listDue, s.listAskedAt = false, now
+	return true
+}
+
 // SetOutageEnd records when the store answered this daemon again after an outage before the takeover.
 func (s *Service) SetOutageEnd(at time.Time) { s.outage.endedAt = at }
--- a/dispatch/placing.go
+++ b/dispatch/placing.go
@@ -297,7 +297,7 @@
 
 func (n spread) add(w *worker) {
 	if n != nil {
-		n[w.info.Rack]++
+		n[w.rack]++
 	}
 }
 
@@ -358,7 +358,7 @@
 	var best *worker
 	low := 0.0
 	for _, w := range s.candidates {
-		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w) || (st.rack.only != "" && st.rack.only != w.info.Rack) {
+		if !want.Room.Fits(w.free()) || !s.admits(w, t) || !s.eligible(st, t, w) || (st.rack.only != "" && st.rack.only != w.rack) {
 			continue
 		}
 		if risky && !t.needsTrial() && s.now.Sub(w.riskyStart) < startSpacing {
@@ -381,8 +381,8 @@
 func scored(st *step, w *worker, racks spread, risky bool) place.Candidate {
 	c := place.Candidate{
 		Free: w.free(), Total: w.total, Slowdown: max(1, w.slowdown), LongRunning: w.longRunning,
-		MaintenanceDue: w.vacating, SameRack: racks[w.info.Rack],
-		RemoteData:  st.DataRack != "" && st.DataRack != w.info.Rack,
+		MaintenanceDue: w.vacating, SameRack: racks[w.rack],
+		RemoteData:  st.DataRack != "" && st.DataRack != w.rack,
 		OtherCentre: st.occ.centre != "" && st.occ.centre != w.info.Centre,
 		Endangered:  risky && w.longRunning > 0,
 	}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -80,6 +80,8 @@
 	workers        []*fakeWorker
 	list           []cuminstair.WorkerInfo
 	store          map[cuminstair.RecordKey][]byte
+	verifies       bool                            // starts do not reach a later incarnation, as with the client of workers
+	entriesLate    bool                            // early reads of the list of workers show no new entries
 	storeDown      bool                            // the store answers nothing
 	refuses        func(cuminstair.RecordPut) bool // records that the store takes in no transaction
 	refusals       int                             // transactions that the store has refused
@@ -181,7 +183,21 @@
 	}
 }
 
+// readList passes the list of workers to the owner, with the entries that the workers have written by now.
+func (p *pool) readList() {
+	for i, info := range p.list {
+		if w := p.worker(info.ID); w != nil {
+			p.list[i] = w.info
+		}
+	}
+	p.s.SetWorkers(p.now, p.list)
+}
+
+// writeBatch makes the calls to the store that are due.
 func (p *pool) writeBatch() {
+	if p.s.ListDue(p.now) && !p.entriesLate {
+		p.readList()
+	}
 	if p.batch == nil {
 		p.batch = p.s.Batch(p.now)
 	}
@@ -348,6 +364,10 @@
 	w.token = o.Token
 	switch o.Kind {
 	case dispatch.OrderStart:
+		if p.verifies && o.Worker.Incarnation != w.info.Incarnation {
+			p.deliver(o, cuminstair.ErrRestarted, nil)
+			return
+		}
 		p.executeStart(w, o)
 	case dispatch.OrderStop:
 		if r, ok := w.runs[o.Task]; ok && r.run <= o.Run {
--- a/dispatch/preview.go
+++ b/dispatch/preview.go
@@ -217,8 +217,12 @@
 // whyUnusable returns why a worker gets no new tasks at all.
 func (s *Service) whyUnusable(now time.Time, w *worker) string {
 	switch {
+	case w.entryDue():
+		return "its entry is not read since its restart"
 	case w.gone || !w.listed:
 		return "gone or not listed"
+	case w.unsized > 0:
+		return "has a run of unknown size"
 	case !w.leavingSince.IsZero():
 		return "leaving"
 	case w.suspect():
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -45,6 +45,7 @@
 			return
 		}
 		s.workerRestarted(now, w, r.Incarnation, running)
+		s.listDue = true
 	}
 	if r.Clock+leaseMargin < w.clock {
 		s.contradicts(w, "its clock went back", w.clock.Milliseconds(), r.Clock.Milliseconds())
@@ -189,7 +190,7 @@
 		a.room, a.longRunning, a.bestEffort = st.room(), st.LongRunning, st.BestEffort
 		a.account, a.charge, a.found = j.account, chargeOf(&st.JobStep), t.Run < s.Token*runsPerToken
 	default:
-		a.room = w.free() // its size is unknown: the worker gets no tasks until it has ended
+		a.unsized = true
 	}
 	if x != nil {
 		x.run = max(x.run, t.Run)
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -21,13 +21,10 @@
 	s.workerCrashed(now, w, "it has restarted", kept)
 	s.Log.Info("dispatch: worker restarted", "service", s.Name, "worker", w.info.ID, "born", incarnation, "tasks", len(w.attempts),
 		"acknowledging", w.ackSent)
-	w.info.Incarnation, w.knownSince = incarnation, now
-	w.processed, w.stored, w.acknowledged, w.ackSent, w.failedCalls, w.failedRuns, w.slowdown = 0, 0, 0, 0, 0, 0, 0
-	w.synced, w.moreEnds, w.gone, w.hostTaken, w.clock, w.lease, w.failingSince = false, false, false, false, 0, 0, time.Time{}
-	w.leaseUnsure = len(kept) > 0 || len(w.lateStarts) > 0 || w.leaseSentAt.After(w.lastRenewal) || s.earlierOwnerMayReach(w)
-	w.heldLease, w.restarted = 0, true
+	leaseUnsure := len(kept) > 0 || len(w.lateStarts) > 0 || w.leaseSentAt.After(w.lastRenewal) || s.earlierOwnerMayReach(w)
+	w.begin(now, incarnation)
+	w.leaseUnsure, w.nextRenewal = leaseUnsure, now
 	s.recordAgain(w)
-	w.blockedUntil, w.nextRenewal = time.Time{}, now
 	for _, a := range w.attempts {
 		if kept[a] {
 			a.mayHaveEnded, a.seen = true, false
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -489,3 +490,74 @@
 	p.is.Equal(p.starts[start.Task], 1)
 	p.is.Equal(p.duplicateRuns, 0)
 }
+
+// Guards against starts by the label, the room or the rack that an earlier incarnation of a worker had: it comes back under its ID as another
+// kind, and answers calls before the owner has read its new entry.
+func TestRestartedWorkerGetsNoTasksBeforeItsEntryIsRead(t *testing.T) {
+	large := step(1, 20000)
+	labelled := step(1, 2000)
+	labelled.Label = "b"
+	for name, c := range map[string]struct {
+		step   cuminstair.JobStep
+		change func(*cuminstair.WorkerInfo)
+	}{
+		"label": {labelled, func(info *cuminstair.WorkerInfo) { info.Labels = []string{"c"} }},
+		"room":  {large, func(info *cuminstair.WorkerInfo) { info.CPU = 8000 }},
+	} {
+		for _, takeover := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, takeover %v", name, takeover), func(t *testing.T) {
+				p := newPool(t, 1)
+				w := p.workers[0]
+				w.info.Labels = []string{"b"}
+				p.readList()
+				p.run(200 * time.Millisecond)
+				p.entriesLate, p.verifies = true, true
+				before := w.info
+				w.restart(p.now)
+				c.change(&w.info)
+				if takeover {
+					p.takeOver(200, 0)
+				}
+				p.submit(jobA, c.step)
+				p.run(500 * time.Millisecond)
+				p.list[0] = before // a list that was asked for before the restart
+				p.s.SetWorkers(p.now, p.list)
+				p.submit(jobB, c.step)
+				p.run(500 * time.Millisecond)
+				p.is.Equal(len(p.starts), 0)
+
+				w.info.CPU, w.info.Labels = before.CPU, before.Labels
+				w.restart(p.now)
+				p.run(500 * time.Millisecond)
+				p.is.Equal(len(p.starts), 0) // its entry has not come either
+				p.readList()
+				p.run(500 * time.Millisecond)
+				p.is.True(len(p.starts) > 0)
+			})
+		}
+	}
+}
+
+// Guards against tasks on a worker whose room is taken by a run of unknown size that the owner found before the worker's entry.
+func TestWorkerWithARunOfUnknownSizeGetsNoTasks(t *testing.T) {
+	p := newPool(t, 1)
+	w := p.workers[0]
+	p.run(200 * time.Millisecond)
+	list := p.list
+	p.list = nil
+	p.takeOver(200, 0)
+	unknown := cuminstair.TaskID{Job: jobA}
+	p.specs[jobA] = &cuminstair.JobSpec{Steps: []cuminstair.JobStep{step(1, hostCPU)}}
+	w.runs[unknown] = &fakeRun{run: 1, started: p.now, cpu: hostCPU}
+	w.stopDuration = 2 * time.Second
+	w.lease = w.clock(p.now) + maxLease
+	p.run(200 * time.Millisecond)
+	p.list = list
+	p.s.SetWorkers(p.now, p.list)
+	p.submit(jobB, step(1, 2000))
+	p.run(300 * time.Millisecond)
+	p.is.Equal(p.overCapacity, 0)
+	p.is.Equal(p.running(), 1) // the unknown run only
+	p.run(5 * time.Second)
+	p.is.Equal(p.s.State(jobB), cuminstair.JobCompleted)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -62,6 +62,8 @@
 	confirmedAt     time.Time // when the store last confirmed this owner
 	aliveAt         time.Time // see SetAlive
 	listReadAt      time.Time // see SetListRead
+	listDue         bool      // a worker has restarted, and its entry has not been asked for since
+	listAskedAt     time.Time // see ListDue
 	outage          outage
 	jobs            map[string]*job
 	active          map[string]*job // stored jobs that have not finished
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -246,11 +246,17 @@
 	return work
 }
 
-// whyImpossible returns the reason why no worker can ever run a job, or "". Without known workers no job is ruled out.
+// whyImpossible returns the reason why no worker can ever run a job, or "". Without known workers, or while a worker may have come back as
+// another kind, no job is ruled out.
 func (s *Service) whyImpossible(j *job) string {
 	if len(s.workers) == 0 {
 		return ""
 	}
+	for _, w := range s.workers {
+		if w.entryDue() {
+			return ""
+		}
+	}
 	for i := range j.spec.Steps {
 		st := &j.spec.Steps[i]
 		probe := step{JobStep: *st}
@@ -285,7 +291,11 @@
 	p := admission.Pool{Utilization: usableShare}
 	largest := 0
 	for _, w := range s.workers {
-		largest = max(largest, w.total.CPU)
+		largest = max(largest, w.cpu)
+		if w.entryDue() {
+			p.Cores += float64(w.cpu) / 1000 // most workers come back as they were
+			continue
+		}
 		if !w.listed || w.gone || !w.leavingSince.IsZero() || w.suspect() || s.isCutOff(now, w) {
 			continue
 		}
--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -120,6 +121,7 @@
 	slow        *rand.Rand  // draws steps that allow copies and slow runs
 	limits      *rand.Rand  // draws checkpoints, labels and limits of tasks per worker
 	racks       *rand.Rand  // draws which steps want a rack; nil: none does
+	kinds       *rand.Rand  // draws the label and the size of a worker that restarts; nil: they stay
 	remote      float64     // Bounds.RemoteFactor
 	quotas      *walkLimits // nil: no account has a limit
 }
@@ -223,7 +225,16 @@
 // label returns the label of the workers of a host.
 func (h *modelHost) label() string {
 	n, _ := strconv.Atoi(strings.TrimPrefix(h.name, "h"))
-	return "l" + strconv.Itoa(n%walkLabels)
+	return "l" + strconv.Itoa((n+h.kind)%walkLabels)
+}
+
+// drawKind gives a host whose worker restarts another label or another size.
+func (w *walk) drawKind(h *modelHost) {
+	if w.kinds == nil {
+		return
+	}
+	h.kind += w.kinds.IntN(2)
+	h.cpu = []int{8000, 16000, 32000}[w.kinds.IntN(3)]
 }
 
 // newLife returns a new worker id.
@@ -238,6 +249,7 @@
 		h.cpu = []int{8000, 16000, 32000}[w.sim.rand.IntN(3)]
 	}
 	cpu := h.cpu
+	h.first = cmp.Or(h.first, cpu)
 	p := &process{w: w, host: h, startedAt: w.sim.now, rate: 1 - 0.02*w.sim.rand.Float64(), barred: map[cuminstair.TaskID]int64{}}
 	if w.sim.chance(0.3) {
 		p.rate = 0.98
@@ -806,7 +818,11 @@
 // drawLimits gives some steps checkpoints, a label or a limit of tasks per worker.
 func (w *walk) drawLimits(st *cuminstair.JobStep) {
 	st.Checkpoints = w.limits.Float64() < 0.5
-	limited, labelled, most := w.limits.Float64() < 0.3, w.limits.Float64() < 0.1, 1+w.limits.IntN(2)
+	share := 0.1
+	if w.kinds != nil {
+		share = 0.6
+	}
+	limited, labelled, most := w.limits.Float64() < 0.3, w.limits.Float64() < share, 1+w.limits.IntN(2)
 	if st.Gang || w.many {
 		return // it may need all workers
 	}
@@ -954,6 +970,16 @@
 // end. The order of Go's maps varies, so that a seed does not always take the same course.
 func TestWalk(t *testing.T) { playWalks(t, newWalk) }
 
+// TestWalkWithOtherKinds is TestWalk with workers that restart under their ID with another label or another size, and jobs of which many want
+// a label. It guards against starts by what is known of an earlier incarnation.
+func TestWalkWithOtherKinds(t *testing.T) {
+	playWalks(t, func(seed uint64) *walk {
+		w := newWalk(seed)
+		w.kinds = rand.New(rand.NewPCG(seed, 11))
+		return w
+	})
+}
+
 // playWalks plays the walks of the seeds that the flags name.
 func playWalks(t *testing.T, create func(seed uint64) *walk) {
 	began := time.Now()
--- a/dispatch/walkdaemon_test.go
+++ b/dispatch/walkdaemon_test.go
@@ -312,18 +312,22 @@
 
 // listLoop passes the list of workers to the runner.
 func (d *daemon) listLoop() {
-	var list []cuminstair.WorkerInfo
 	next := func() { d.after(listInterval, d.listLoop) }
 	if d.runner == nil {
 		next()
 		return
 	}
+	d.readList(next)
+}
+
+func (d *daemon) readList(then func()) {
+	var list []cuminstair.WorkerInfo
 	d.storeCall(storeTimeout, func() { list = d.w.workerList() }, func(err error) {
 		d.after(d.w.sim.between(0, d.w.listAge), func() {
 			if r := d.runner; err == nil && r != nil {
 				r.post(func(now time.Time) { r.state.SetWorkers(now, list) })
 			}
-			next()
+			then()
 		})
 	})
 }
@@ -463,6 +467,9 @@
 	now := r.d.now()
 	r.state.SetAlive(r.aliveAt())
 	orders := r.state.Decide(now, r.confirmedAt)
+	if r.state.ListDue(now) {
+		r.d.readList(func() {})
+	}
 	sort.SliceStable(orders, func(i, j int) bool { return orderLess(&orders[i], &orders[j]) })
 	for _, o := range orders {
 		r.execute(o)
--- a/dispatch/walkfaults_test.go
+++ b/dispatch/walkfaults_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"time"
 
 	"cuminstair.org/cuminstair"
@@ -69,6 +70,7 @@
 		}
 		w.unregister(p, s.between(time.Second, 3*time.Second))
 		w.counts.restarts++
+		w.drawKind(h)
 		s.after(s.between(30*time.Millisecond, 4*time.Second), func() { w.startIfFree(h, id) })
 	case n < 50: // another worker replaces it
 		w.crash(p)
@@ -262,9 +264,25 @@
 	for _, h := range w.hosts {
 		w.sim.after(w.sim.between(0, 6*time.Second), func() { w.startIfFree(h, w.newLife(h)) })
 	}
+	w.restoreHosts()
 	w.sim.after(12*time.Second, w.cancelLasting)
 }
 
+// restoreHosts adds hosts of each label and of the sizes that there were at the start, since jobs may need them.
+func (w *walk) restoreHosts() {
+	if w.kinds == nil {
+		return
+	}
+	for _, h := range slices.Clone(w.hosts) {
+		if h.cpu < h.first {
+			w.addHost(h.first)
+		}
+	}
+	for range 2 * walkLabels {
+		w.addHost(largeHost)
+	}
+}
+
 // cancelLasting cancels the jobs with long-running tasks, which would not end otherwise.
 func (w *walk) cancelLasting() {
 	for _, j := range w.list {
--- a/dispatch/walkmodel_test.go
+++ b/dispatch/walkmodel_test.go
@@ -132,6 +132,8 @@
 	pool    string
 	proc    *process // process at its address; nil: none
 	cpu     int      // of its workers
+	first   int      // of its first worker
+	kind    int      // number of times that its workers came back with another label
 	changes int      // of its state
 	shown   int      // number of the change that the list of hosts shows
 	refuses bool     // connections are refused while there is no process
@@ -570,8 +572,9 @@
 	var err error
 	switch o.Kind {
 	case dispatch.OrderStart:
-		// The client does not send a start to a later incarnation. Every other one is carried out all the same, as a late copy would be.
-		if p.info.Incarnation != o.Worker.Incarnation && !late && o.Run%2 == 0 {
+		// The client does not send a start to a later incarnation. Every other one is carried out all the same, as a late copy would be,
+		// but not where that would be a start on a worker of another kind.
+		if p.info.Incarnation != o.Worker.Incarnation && (w.kinds != nil || !late && o.Run%2 == 0) {
 			err = cuminstair.ErrRestarted
 			break
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -16,65 +16,63 @@
 
 func stepOf(t cuminstair.TaskID) stepID { return stepID{t.Job, t.Occurrence, t.Step} }
 
-// worker is the owner's state of a worker.
-type worker struct {
-	info          cuminstair.WorkerInfo
-	total         place.Room
-	used          place.Room // by all attempts, including those being stopped
-	short         place.Room // the part of used that is of short tasks
-	attempts      map[cuminstair.TaskID]*attempt
-	stepRuns      map[stepID]int // by step: number of attempts
-	lateStarts    []*attempt     // released without an answer to their start, which a later incarnation may carry out
-	longRunning   int            // number of long-running attempts that are not best-effort
-	bestEffort    int            // number of best-effort attempts
-	listed        bool           // in the platform's list
-	leavingSince  time.Time      // when it was first seen leaving; zero: it is not
-	hostTaken     bool           // its host was taken for another pool or for maintenance, and it has not answered since
-	cordonedUntil time.Time      // no new tasks until then: its host is due for maintenance or a move
-	mayHaveMoved  bool           // it was reported as idle for a move: no new tasks until it answers after the cordon
-	vacateUntil   time.Time      // no new long-running tasks until then: its host is due for maintenance later
-	vacating      bool           // whether vacateUntil was in the future at the last decision
-	recorded      bool           // the stored worker record has its present identity, so that the next owner will contact it
-	synced        bool           // this owner has read the lists of running and ended tasks of the present incarnation
-	moreEnds      bool           // its last report lacked ends, so that a missing run may have ended
-	gone          bool           // this incarnation has ended
-
+// incarnation is what the owner knows of one incarnation of a worker. A restart replaces it as a whole, so that nothing that was known of an
+// earlier incarnation is used for a later one.
+type incarnation struct {
+	// info is its entry in the platform's list. While none has been read, only the fields that identity uses, the data centre and the
+	// version are set.
+	info         cuminstair.WorkerInfo
+	total        place.Room    // according to info
+	listed       bool          // its entry is in the platform's list
+	leavingSince time.Time     // when it was first seen leaving; zero: it is not
+	knownSince   time.Time     // when this owner learned of it
+	restarted    bool          // this owner has known an earlier incarnation
+	recorded     bool          // the stored worker record has its identity, so that the next owner will contact it
+	synced       bool          // this owner has read its lists of running and ended tasks
+	moreEnds     bool          // its last report lacked ends, so that a missing run may have ended
+	gone         bool          // it has ended
+	unread       bool          // a later incarnation is known to be there, and has not been read
+	hostTaken    bool          // its host was taken for another pool or for maintenance, and it has not answered since
 	clock        time.Duration // lower bound of its clock at clockAt
 	clockAt      time.Time
 	lease        time.Duration // latest lease sent, as a time on its clock
-	heldLease    time.Duration // latest lease that it may have got by an order, of any owner, for its earlier incarnation
-	leaseSentAt  time.Time     // when the last order with a lease was sent
-	longLease    bool          // an earlier owner has seen it restart
-	restarted    bool          // it has restarted since this owner learned of it
+	heldLease    time.Duration // latest lease that it may have got by an order for an earlier incarnation, of any owner
 	leaseUnsure  bool          // heldLease is to be set by its next report
-	lateUntil    time.Time     // until when a start that was sent before its restart was known may extend its lease
 	processed    int64         // sequence number up to which ends are processed
 	stored       int64         // sequence number up to which ends are stored
 	acknowledged int64         // sequence number up to which ends are acknowledged
 	ackSent      int64         // the acknowledgement in the renewal in flight, 0 if none
-	unread       bool          // a later incarnation is known to be there, and has not been read
-
-	renewing     bool      // a renewal is in flight
-	renewalWaits bool      // the renewal in flight waits for an end
-	askAgain     bool      // the next renewal does not wait; see reportMayBeStale
-	lastRenewal  time.Time // when the last successful renewal was sent
-	listsReadAt  time.Time // when the last renewal was sent whose lists were read; see reportMayBeStale
-	answeredAt   time.Time // when it last answered a call
-	knownSince   time.Time // when this owner learned of the present incarnation
-	listedAt     time.Time // when its entry was last seen with a new version
-	nextRenewal  time.Time // when the next renewal may be sent
-	failedCalls  int       // consecutive failed renewals, and starts that did not reach it
-	failingSince time.Time // first of the failedCalls; zero: none
-	connRefused  bool      // the last failed renewal was a refused connection, so the host is not cut off
-	blockedUntil time.Time // no new tasks until then, after refusals or failures
-	failedRuns   int       // consecutive failed runs
-	candidate    bool      // it might be given tasks at the last decision
-	askFirst     bool      // it would be a candidate if it had answered lately; see restartMayBeMissed
-	idleSince    time.Time // since when it has no tasks
+	failedCalls  int           // consecutive failed renewals, and starts that did not reach it
+	failingSince time.Time     // first of the failedCalls; zero: none
+	connRefused  bool          // the last failed renewal was a refused connection, so the host is not cut off
+	blockedUntil time.Time     // no new tasks until then, after refusals or failures
+	failedRuns   int           // consecutive failed runs
+	slowdown     float64       // moving mean of actual to expected durations; 0: unknown
+	candidate    bool          // it might be given tasks at the last decision
+	askFirst     bool          // it would be a candidate if it had answered lately; see restartMayBeMissed
 
 	reservedFor   *task     // only this task may be placed on it; nil: any
 	reservedUntil time.Time // when the reservation ends unless it is renewed
+}
+
+// worker is the owner's state of a worker. What belongs to its present incarnation is embedded.
+type worker struct {
+	incarnation
 
+	// Its runs, some of which may be of earlier incarnations until the present one has listed its own.
+	used        place.Room // by all attempts, including those being stopped
+	short       place.Room // the part of used that is of short tasks
+	attempts    map[cuminstair.TaskID]*attempt
+	stepRuns    map[stepID]int // by step: number of attempts
+	lateStarts  []*attempt     // released without an answer to their start, which a later incarnation may carry out
+	longRunning int            // number of long-running attempts that are not best-effort
+	bestEffort  int            // number of best-effort attempts
+	unsized     int            // number of attempts whose room is not known: it gets no tasks
+	idleSince   time.Time      // since when it has no tasks
+	shares      *quota.Share   // of the service; nil in tests without accounts
+	row         *workerRow     // record that it is in; nil: none yet
+
+	// Tasks that may crash it.
 	riskyStart    time.Time // last start of a task whose queue is at risk
 	trials        int       // runs whose start may crash the worker, which gets no other tasks meanwhile
 	trialAt       time.Time // when the last trial was started
@@ -83,17 +81,49 @@
 	suspects      []*task   // tasks that may have crashed it
 	suspectsKnown bool      // suspects has been set since it last answered
 
-	row      *workerRow   // record that it is in; nil: none yet
-	shares   *quota.Share // of the service; nil in tests without accounts
-	slowdown float64      // moving mean of actual to expected durations; 0: unknown
+	// Its host.
+	rack          string    // according to the last entry of any incarnation
+	cpu           int       // likewise, in thousandths of a core
+	cordonedUntil time.Time // no new tasks until then: its host is due for maintenance or a move
+	mayHaveMoved  bool      // it was reported as idle for a move: no new tasks until it answers after the cordon
+	vacateUntil   time.Time // no new long-running tasks until then: its host is due for maintenance later
+	vacating      bool      // whether vacateUntil was in the future at the last decision
+
+	// The calls of this owner and of others.
+	longLease    bool      // an earlier owner has seen it restart
+	lateUntil    time.Time // until when a start that was sent before its restart was known may extend its lease
+	leaseSentAt  time.Time // when the last order with a lease was sent
+	renewing     bool      // a renewal is in flight
+	renewalWaits bool      // the renewal in flight waits for an end
+	askAgain     bool      // the next renewal does not wait; see reportMayBeStale
+	lastRenewal  time.Time // when the last successful renewal was sent
+	listsReadAt  time.Time // when the last renewal was sent whose lists were read; see reportMayBeStale
+	answeredAt   time.Time // when it last answered a call
+	listedAt     time.Time // when its entry was last seen with a new version
+	nextRenewal  time.Time // when the next renewal may be sent
 }
 
 func newWorker(now time.Time, info cuminstair.WorkerInfo) *worker {
-	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, stepRuns: map[stepID]int{}, knownSince: now}
+	w := &worker{attempts: map[cuminstair.TaskID]*attempt{}, stepRuns: map[stepID]int{}}
+	w.knownSince = now
 	w.setInfo(info)
 	return w
 }
 
+// begin replaces the incarnation by a later one that has answered at the same address: on the same host, of whatever kind and capacity.
+func (w *worker) begin(now time.Time, born int64) {
+	old := w.info
+	w.incarnation = incarnation{
+		info: cuminstair.WorkerInfo{
+			ID: old.ID, Service: old.Service, Addr: old.Addr, Centre: old.Centre, Host: old.Host, Incarnation: born, Version: old.Version,
+		},
+		knownSince: now, restarted: true,
+	}
+}
+
+// entryDue reports whether the worker has restarted, and its entry has not been read since.
+func (w *worker) entryDue() bool { return w.restarted && !w.listed && !w.gone }
+
 // identity is what the next owner needs to contact the worker.
 func (w *worker) identity() workerRecord {
 	return workerRecord{ID: w.info.ID, Addr: w.info.Addr, Born: w.info.Incarnation, Host: w.info.Host, Long: w.restarted || w.longLease}
@@ -106,7 +136,7 @@
 }
 
 func (w *worker) setInfo(info cuminstair.WorkerInfo) {
-	w.info = info
+	w.info, w.rack, w.cpu = info, info.Rack, info.CPU
 	w.total = place.Room{CPU: info.CPU, Memory: info.Memory, Accel: info.Accel}
 }
 
@@ -128,7 +158,7 @@
 
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.gone && w.synced && !w.unread && !w.moreEnds && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
+	return w.listed && w.unsized == 0 && !w.gone && w.synced && !w.unread && !w.moreEnds && w.recorded && w.leavingSince.IsZero() && !w.suspect() &&
 		now.After(w.blockedUntil) && now.After(w.cordonedUntil) && !w.mayHaveMoved
 }
 
@@ -169,6 +199,9 @@
 // adjustUsage adds n times the room of an attempt to the usage of the worker.
 func (w *worker) adjustUsage(a *attempt, n int) {
 	w.used = w.used.Plus(a.room, n)
+	if a.unsized {
+		w.unsized += n
+	}
 	if a.account != "" {
 		w.shares.Charge(a.account, a.charge, n)
 		if a.found {
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -176,6 +176,9 @@
 		for _, o := range r.state.Decide(now, r.confirmedAt) {
 			go r.execute(ctx, o)
 		}
+		if r.state.ListDue(now) {
+			signal(r.d.listNow)
+		}
 		r.state.SetStoreDown(!r.failingSince.IsZero() && now.Sub(r.failingSince) > storeDownAfter)
 		r.state.SetWriteLatency(r.writeLatency(now))
 		r.state.AnswerLate(now, r.inflight)
