Delete finished jobs as fast as they come

Change: finished jobs are queued in the order in which they ended. Each batch deletes up to 40 whose time is over, and a batch is written for them alone once there are as many; there is no pass over all jobs. Not done: a takeover still reads all records of a service at once, so that a backlog of an earlier release has to be worked off by an owner that could read it.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -43,9 +43,11 @@
 	// storeDownTimeout since the answer Uncertain is final for the caller.
 	storeDownTimeout = 1200 * time.Millisecond
 	storeSlowTimeout = 2400 * time.Millisecond
-	// sweepInterval is the time between two sweeps of finished jobs, and sweepLimit the most jobs that one sweep deletes.
+	// sweepInterval is the longest time between two looks for what is no longer needed.
 	sweepInterval = 5 * time.Second
-	sweepLimit    = 20
+	// sweepLimit is the most finished jobs that one batch deletes. If there are as many, they are deleted after sweepGap.
+	sweepLimit = 40
+	sweepGap   = 150 * time.Millisecond
 )
 
 // Batch returns the changes to write now, or nil. The caller reports the result with Stored or NotStored before the next
@@ -94,7 +96,8 @@
 
 // batchDue reports whether a batch should be written now.
 func (s *Service) batchDue(now time.Time) bool {
-	if len(s.dirty) == 0 && !s.workersDirty && !s.unansweredDirty && !s.closingsDirty && !slices.ContainsFunc(s.unanswered, (*attempt).isResolved) && now.Sub(s.lastSweep) < sweepInterval {
+	if len(s.dirty) == 0 && !s.workersDirty && !s.unansweredDirty && !s.closingsDirty && !slices.ContainsFunc(s.unanswered, (*attempt).isResolved) &&
+		now.Sub(s.lastSweep) < sweepInterval && !s.sweepDue(now) {
 		return false
 	}
 	if now.Sub(s.lastBatch) >= batchGap {
@@ -241,22 +244,41 @@
 	return cuminstair.RecordKey{Table: table, Part: s.Name, Key: key}
 }
 
-// sweep deletes finished jobs after the retention period.
+// expired reports whether the state of a finished job need not be known any more.
+func (s *Service) expired(now time.Time, j *job) bool {
+	return now.Sub(j.finishedAt) > s.Bounds.StateRetention+keepMargin
+}
+
+// sweepDue reports whether finished jobs should be deleted although nothing else is written.
+func (s *Service) sweepDue(now time.Time) bool {
+	return now.Sub(s.lastSweep) >= sweepGap && s.ended.len() >= sweepLimit && s.expired(now, s.ended.at(sweepLimit-1))
+}
+
+// sweep deletes finished jobs after the retention period, in the order in which they ended.
 func (s *Service) sweep(now time.Time, b *Batch) {
-	if now.Sub(s.lastSweep) < sweepInterval {
-		return
-	}
 	s.lastSweep = now
-	for _, j := range s.jobs {
-		if b.entries() >= batchPuts-2 || len(b.swept) >= sweepLimit {
+	for range min(s.ended.len(), sweepLimit) {
+		j := s.ended.at(0)
+		if !s.expired(now, j) || b.isFull() {
 			return
 		}
-		if !j.finished() || j.dirty || !j.stored || b.states[j] != 0 || now.Sub(j.finishedAt) <= s.Bounds.StateRetention+keepMargin {
+		if s.jobs[j.id] != j {
+			s.ended.pop() // it was refused
+			continue
+		}
+		if _, inBatch := b.states[j]; inBatch || j.dirty || !j.stored || j.storedState != j.state {
+			s.ended.push(s.ended.pop()) // its end is not stored yet
 			continue
 		}
 		u := unit{deletes: []cuminstair.RecordKey{s.key(JobTable, j.id), s.key(RunTable, j.id)}, again: func(*Batch) bool { return false }}
-		if s.add(b, u) == unitAdded {
+		switch s.add(b, u) {
+		case unitNoRoom:
+			return
+		case unitAdded:
+			s.ended.pop()
 			b.swept = append(b.swept, j)
+		case unitWithheld:
+			s.ended.push(s.ended.pop())
 		}
 	}
 }
@@ -319,6 +341,9 @@
 	for _, r := range b.rows {
 		s.markRow(r)
 	}
+	for _, j := range b.swept {
+		s.ended.push(j)
+	}
 	if b.averages {
 		s.averagesDirty, s.averagesPut = true, averagesRecord{}
 	}
--- a/dispatch/end.go
+++ b/dispatch/end.go
@@ -223,6 +223,7 @@
 func (s *Service) finish(now time.Time, j *job, state cuminstair.JobState, why string) {
 	j.state, j.finishedAt = state, now
 	s.markDirty(j)
+	s.ended.push(j)
 	delete(s.active, j.id)
 	for _, o := range j.runs {
 		for _, st := range o.steps {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -67,6 +67,7 @@
 	outage          outage
 	jobs            map[string]*job
 	active          map[string]*job // stored jobs that have not finished
+	ended           fifo[*job]      // finished jobs that have not been deleted, in the order in which they ended
 	workers         map[string]*worker
 	inherited       map[string]bool   // workers that an earlier owner may have used
 	denied          map[string]denial // by job
@@ -178,6 +179,7 @@
 			main[r.Key] = r.Value
 		}
 	}
+	var ended []*job
 	for _, r := range jobs {
 		j, err := restore(r.Key, r.Value, main[r.Key], parts[r.Key], s.pathsAfter)
 		if err != nil {
@@ -189,10 +191,17 @@
 		if !j.finished() {
 			s.activate(now, j)
 			s.recoverCrashes(now, j)
-		} else if len(j.parts) > 0 {
+			continue
+		}
+		ended = append(ended, j)
+		if len(j.parts) > 0 {
 			s.markDirty(j) // to delete these records
 		}
 	}
+	slices.SortStableFunc(ended, func(x, y *job) int { return x.finishedAt.Compare(y.finishedAt) })
+	for _, j := range ended {
+		s.ended.push(j)
+	}
 	for _, r := range unanswered {
 		s.recoverUnanswered(now, r)
 	}
--- a/dispatch/walk_test.go
+++ b/dispatch/walk_test.go
@@ -976,6 +976,7 @@
 	playWalks(t, func(seed uint64) *walk {
 		w := newWalk(seed)
 		w.kinds = rand.New(rand.NewPCG(seed, 11))
+		w.quotas = nil // TestWalk draws limits of accounts
 		return w
 	})
 }
