Give up a task that crashes workers before they answer

An unanswered start that was sent in the instant in which calls began to fail did not count as one that the worker may have had. Change: four crashes end the job in any case, also if the starts were not answered. Fewer count only if they were, since a lost answer beside a crash from another cause must not give a sound job up. Failed before: dispatch.TestTaskThatCrashesWorkersIsGivenUpAtEveryDelay at a crash before the answer, with and without other lost answers.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -29,7 +29,7 @@
 	crashNotice = 300 * time.Millisecond
 	// crashLimit is the number of crashes after which a task is given up if no other run can have caused one of them.
 	crashLimit = 2
-	// maxCrashes is the number of crashes after which a task is given up in any case.
+	// maxCrashes is the number of crashes after which a task is given up in any case, also if its starts were not answered.
 	maxCrashes = 4
 	// maxListedCrashes bounds the crashes that are kept of a task, the latest.
 	maxListedCrashes = 2 * maxCrashes
@@ -71,18 +71,23 @@
 	return n
 }
 
-// crashesWorkers reports whether the task is to be given up.
+// crashesWorkers reports whether the task is to be given up. A start that was not answered may not have reached its worker, so that such
+// crashes count only if there are many.
 func (t *task) crashesWorkers() bool {
-	n := 0
+	started, unanswered := 0, 0
 	for _, c := range t.crashes {
-		if c.Confirmed && c.Started {
-			n++
+		switch {
+		case !c.Confirmed:
+		case c.Started:
+			started++
+		case c.Early:
+			unanswered++
 		}
 	}
-	if n < crashLimit {
-		return false
+	if started+unanswered >= maxCrashes {
+		return true
 	}
-	return n >= maxCrashes || t.step.Gang || t.aloneOnce()
+	return started >= crashLimit && (t.step.Gang || t.aloneOnce())
 }
 
 // hasCrash reports whether a run of the task is recorded as a crash.
@@ -97,7 +102,7 @@
 
 // mayHaveRun reports whether a run may have been on its worker when that stopped answering.
 func (a *attempt) mayHaveRun() bool {
-	return !a.answeredAt.IsZero() || a.worker.failingSince.IsZero() || a.sentAt.Before(a.worker.failingSince)
+	return !a.answeredAt.IsZero() || a.worker.failingSince.IsZero() || !a.sentAt.After(a.worker.failingSince)
 }
 
 // early reports whether a run may have crashed its worker by its start: this was not answered, or hardly before the worker
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -156,6 +156,35 @@
 	}
 }
 
+// Guards against a task that crashes one worker after the other without end: before the worker has answered the start, or at any time
+// after it, also if other answers are lost.
+func TestTaskThatCrashesWorkersIsGivenUpAtEveryDelay(t *testing.T) {
+	for _, delay := range []time.Duration{-1, 0, 10, 100, 1000} {
+		for _, lossy := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d ms, answers are lost %v", delay, lossy), func(t *testing.T) {
+				p := newPool(t, 8)
+				p.crashes, p.crashDelay = crashesWorkers, delay*time.Millisecond
+				p.duration = func(cuminstair.TaskID) time.Duration { return 1500 * time.Millisecond }
+				p.run(200 * time.Millisecond)
+				p.submit(jobA, step(crashTask.Index+1, 2000))
+				for i := range 40 {
+					p.submit(fmt.Sprintf("%016x", 1000+i), step(2, 2000))
+					for _, w := range p.workers {
+						w.dropReplies = lossy && i%10 == 0
+					}
+					p.run(500 * time.Millisecond)
+				}
+				p.run(40 * time.Second)
+				p.is.Equal(p.s.State(jobA), cuminstair.JobFailed)
+				p.is.True(p.crashCount[crashTask] < maxCrashes+3) // the third start after the third crash is one too many
+				for i := range 40 {
+					p.is.Equal(p.s.State(fmt.Sprintf("%016x", 1000+i)), cuminstair.JobCompleted)
+				}
+			})
+		}
+	}
+}
+
 // Guards against giving up a task under which one worker has crashed, since the start on a second one was not answered:
 // that may have crashed before it had the task.
 func TestUnansweredStartIsNoCrash(t *testing.T) {
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -94,7 +94,7 @@
 	fails          func(id cuminstair.TaskID, w *fakeWorker) bool
 	crashes        func(id cuminstair.TaskID) bool // whether a task crashes the worker that starts it
 	lostStarts     int                             // so many starts are lost, each with its worker, which crashes
-	crashDelay     time.Duration                   // from the start of such a task to the crash
+	crashDelay     time.Duration                   // from the start of such a task to the crash; negative: the start is not answered
 	crashCount     map[cuminstair.TaskID]int       // by task: workers that it has crashed
 	replacements   int                             // workers started in the place of crashed ones
 	runsLost       int                             // runs of other tasks that ended with a worker that a task has crashed
@@ -433,7 +433,10 @@
 		return
 	}
 	p.launch(w, o)
-	if w.dropReplies {
+	if p.crashDelay < 0 {
+		p.crashWorkers()
+	}
+	if w.dropReplies || w.crashed {
 		p.s.Started(p.now, o, 0, cuminstair.ErrUncertain)
 		return
 	}
