Start nothing above a limit that was cut while its controller changed

A new controller counted a service that has not answered it yet with an even part of the present limit. If the limit had been cut, that service could still run most of the limit before, by a grant of the earlier controller, and others kept shares beside it. It counts with what the others leave of the highest limit that a share may be of now; owners report the limit of which they hold a share. 2. A daemon that wakes from a freeze started tasks by its grant, which is valid for 6 s, before it had read a configuration that cut the limit meanwhile. A grant is not used after a second without a decision; the next one follows within a round. Failed before: quota.TestNewControllerReservesWhatASilentServiceMayUseOfACutLimit, dispatch.TestNoStartsByAGrantFromBeforeAFreeze.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -51,6 +51,9 @@
 		return nil
 	}
 	s.outage.observe(now, s.listReadAt)
+	if !s.now.IsZero() && now.Sub(s.now) > pauseLimit {
+		s.limitShares.Expire() // the limits may have been cut while this daemon stood still
+	}
 	s.now, s.confirmedAt = now, confirmed
 	s.answerUnknownCancels(now)
 	s.answerClosings()
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -36,6 +36,9 @@
 	// AliveTime is how long after a write of this daemon to the store there can't be a new owner that has read the workers: other
 	// daemons take it for alive longer than that.
 	AliveTime = 700 * time.Millisecond
+	// pauseLimit is the time between two decisions after which a grant of shares in limits is not used any more. The next one follows
+	// within a round of the controller.
+	pauseLimit = time.Second
 	// listGap is the minimum time between two early reads of the list of workers.
 	listGap = 50 * time.Millisecond
 	// renewalBackoff is the pause after a failed renewal.
--- a/dispatch/quota_test.go
+++ b/dispatch/quota_test.go
@@ -70,6 +70,20 @@
 	p.is.True(p.s.LimitReport().Accounts[limitedAccount].Used.IsZero())
 }
 
+// Guards against starts by a grant from before a freeze of the daemon, during which the limit may have been cut.
+func TestNoStartsByAGrantFromBeforeAFreeze(t *testing.T) {
+	p := newPool(t, 4)
+	p.limitAccount(accountCPU)
+	p.run(200 * time.Millisecond)
+	p.now = p.now.Add(2 * time.Second)
+	p.submitFor(jobA, time.Minute, step(2, 2000))
+	p.run(300 * time.Millisecond)
+	p.is.Equal(p.running(), 0)
+	p.grant(2, accountCPU)
+	p.run(300 * time.Millisecond)
+	p.is.Equal(p.running(), 2)
+}
+
 // Guards against a gang that starts in part, or beyond the share.
 func TestGangNeedsRoomForAllOfItInTheLimit(t *testing.T) {
 	p := newPool(t, 4)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -53,6 +53,7 @@
 
 type account struct {
 	limit    Amount
+	highest  Amount // highest limit of which a service may hold a share, as far as is known
 	activeAt time.Time
 	listed   bool // in the configuration
 }
@@ -74,9 +75,9 @@
 		case limit.IsZero():
 			delete(l.accounts, name)
 		case a == nil:
-			l.accounts[name] = &account{limit: limit, activeAt: now, listed: true}
+			l.accounts[name] = &account{limit: limit, highest: limit, activeAt: now, listed: true}
 		default:
-			a.limit, a.listed = limit, true
+			a.limit, a.highest, a.listed = limit, a.highest.Max(limit), true
 		}
 	}
 }
@@ -186,6 +187,7 @@
 	if !a.listed {
 		a.limit = a.limit.Max(u.Limit)
 	}
+	a.highest = a.highest.Max(u.Limit).Max(u.Of)
 	if !u.Wanted.IsZero() {
 		a.activeAt = now
 	}
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -88,6 +88,9 @@
 		l.rows = append(l.rows, l.rowOf(h, name, a, quiet))
 	}
 	divide(l.rows, a.limit, quiet)
+	if !mayRaise {
+		reserveUnknown(l.rows, a.highest)
+	}
 	var total, demand Amount
 	for i := range l.rows {
 		total, demand = total.Plus(l.rows[i].bound, 1), demand.Plus(l.rows[i].demand, 1)
@@ -149,6 +152,24 @@
 	return r
 }
 
+// reserveUnknown raises the bound of a service of which nothing is known to what the others leave of the highest limit: an earlier controller
+// may have granted it that, and a cut of the limit takes nothing from what runs. It is the first of such services, since
+// together they have no more.
+func reserveUnknown(rows []row, highest Amount) {
+	unknown := -1
+	for i := range rows {
+		switch r := &rows[i]; {
+		case r.h.heard:
+			highest = highest.Plus(r.bound, -1)
+		case unknown < 0:
+			unknown = i
+		}
+	}
+	if unknown >= 0 {
+		rows[unknown].bound = rows[unknown].bound.Max(highest)
+	}
+}
+
 // divide sets the targets of the rows.
 func divide(rows []row, limit Amount, quiet bool) {
 	left, surplus := limit, limit
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -105,6 +105,7 @@
 type Use struct {
 	Limit  Amount `json:"l"` // as the owner knows it
 	Held   Amount `json:"h"` // share granted
+	Of     Amount `json:"o"` // limit of which Held is a share; zero: no grant, or an owner of an earlier version
 	Used   Amount `json:"u"` // by runs that the owner knows
 	Unsure Amount `json:"m"` // by runs that an earlier owner may have started
 	Wanted Amount `json:"w"` // by the runs and the tasks that wait
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -284,6 +284,23 @@
 	f.True(f.total > 95)
 }
 
+// Guards against a new controller that takes a cut of a limit for a cut of what a service has running that has not answered it yet.
+func TestNewControllerReservesWhatASilentServiceMayUseOfACutLimit(t *testing.T) {
+	for _, c := range []struct{ limit, share int }{{40, 0}, {60, 10}, {100, 50}, {200, 50}} {
+		t.Run(fmt.Sprint(c.limit), func(t *testing.T) {
+			is, now := is.New(t), time.Unix(1000, 0)
+			l := quota.NewLedger(7, now)
+			l.SetLimits(now, map[string]quota.Amount{account: {c.limit}})
+			l.SetServices(now, []string{"a", "b"}, []string{"a", "b"})
+			// An earlier controller has granted a service 50 of 100, and the silent one the rest.
+			use := quota.Use{Limit: quota.Amount{c.limit}, Of: quota.Amount{100}, Held: quota.Amount{50}, Used: quota.Amount{50}, Wanted: quota.Amount{500}, Unit: quota.Amount{1}}
+			is.True(l.Report(now, "a", quota.Report{Token: 1, Controller: 7, Accounts: map[string]quota.Use{account: use}}))
+			l.Plan(now)
+			is.Equal(l.Grant("a").Shares[account].Share[0], c.share)
+		})
+	}
+}
+
 // Guards against a new owner that starts nothing beside a long queue of inherited tasks, of which its predecessor could run few.
 func TestNewOwnerStartsBesideAnInheritedQueue(t *testing.T) {
 	f := newField(t, 100, 3)
--- a/quota/share.go
+++ b/quota/share.go
@@ -69,6 +69,9 @@
 	return true
 }
 
+// Expire ends the validity of the last grant, but for what already runs.
+func (s *Share) Expire() { s.until = time.Time{} }
+
 // Charge adds n times an amount to what an account uses.
 func (s *Share) Charge(account string, amount Amount, n int) {
 	if used := s.used[account].Plus(amount, n); used.IsZero() {
@@ -164,7 +167,7 @@
 func (s *Share) Report(unsettled bool, waiting map[string]Waiting) Report {
 	r := Report{Token: s.token, Controller: s.controller, Seq: s.seq, Unsettled: unsettled, Accounts: map[string]Use{}}
 	for name, limit := range s.limits {
-		u := Use{Limit: limit, Held: s.allowances[name].Share, Used: s.used[name], Unsure: s.unsureUse(name), Unit: waiting[name].Unit}
+		u := Use{Limit: limit, Held: s.allowances[name].Share, Of: s.allowances[name].Limit, Used: s.used[name], Unsure: s.unsureUse(name), Unit: waiting[name].Unit}
 		u.Wanted = s.Used(name).Plus(waiting[name].Total, 1)
 		if !u.Held.IsZero() || !u.Wanted.IsZero() {
 			r.Accounts[name] = u
