--- a/dispatch/rows_test.go
+++ b/dispatch/rows_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"cuminstair.org/cuminstair"
 	"cuminstair.org/cuminstair/assignment"
 )
@@ -30,26 +28,11 @@
 
 // writeAll writes batches until nothing is left to write, and returns the state of the next owner.
 func (x *splitScene) writeAll() *Service {
-	for range 10_000 {
-		b := x.batch()
-		if b == nil {
-			break
-		}
-		for _, put := range b.Puts {
-			x.store[put.RecordKey] = put.Value
-		}
-		for _, key := range b.Deletes {
-			delete(x.store, key)
-		}
+	for b := x.batch(); b != nil; b = x.batch() {
+		x.apply(b)
 		x.s.Stored(x.now, b)
 	}
-	records := map[string][]cuminstair.Record{}
-	for key, value := range x.store {
-		records[key.Table] = append(records[key.Table], cuminstair.Record{RecordKey: key, Value: value})
-	}
-	next := New("s", 300, x.now, hclog.NewNullLogger())
-	next.Recover(x.now, records[JobTable], records[RunTable], records[WorkerTable])
-	return next
+	return x.nextOwner()
 }
 
 // Guards against a record, or a transaction, that grows with what a service has seen until the store refuses it, and with it
--- a/dispatch/split_test.go
+++ b/dispatch/split_test.go
@@ -93,30 +93,36 @@
 	x.puts = 0
 	for len(x.s.dirty) > 0 {
 		b := x.batch()
-		for _, put := range b.Puts {
-			x.store[put.RecordKey] = put.Value
-		}
-		for _, key := range b.Deletes {
-			delete(x.store, key)
-		}
+		x.apply(b)
 		x.puts += len(b.Puts)
 		x.s.Stored(x.now, b)
 	}
 }
 
-// recover returns the job as the next owner reads it.
-func (x *splitScene) recover() *job {
+// apply changes the store as a batch says.
+func (x *splitScene) apply(b *Batch) {
+	for _, put := range b.Puts {
+		x.store[put.RecordKey] = put.Value
+	}
+	for _, key := range b.Deletes {
+		delete(x.store, key)
+	}
+}
+
+// nextOwner returns the state of a new owner.
+func (x *splitScene) nextOwner() *Service {
 	next := New("s", 300, x.now, hclog.NewNullLogger())
-	var jobs, runs []cuminstair.Record
+	records := map[string][]cuminstair.Record{}
 	for key, value := range x.store {
-		r := cuminstair.Record{RecordKey: key, Value: value}
-		if key.Table == JobTable {
-			jobs = append(jobs, r)
-		} else {
-			runs = append(runs, r)
-		}
+		records[key.Table] = append(records[key.Table], cuminstair.Record{RecordKey: key, Value: value})
 	}
-	next.Recover(x.now, jobs, runs, nil)
+	next.Recover(x.now, records[JobTable], records[RunTable], records[WorkerTable])
+	return next
+}
+
+// recover returns the job as the next owner reads it.
+func (x *splitScene) recover() *job {
+	next := x.nextOwner()
 	x.is.Equal(len(next.jobs), 1)
 	return next.jobs[x.j.id]
 }
@@ -174,12 +180,7 @@
 
 	x.s.finish(x.now, x.j, cuminstair.JobCancelled, "test")
 	b = x.batch()
-	for _, put := range b.Puts {
-		x.store[put.RecordKey] = put.Value
-	}
-	for _, key := range b.Deletes {
-		delete(x.store, key)
-	}
+	x.apply(b)
 	x.is.True(len(x.s.dirty) > 0)
 	j := x.recover()
 	x.is.True(j.dirty) // the next owner deletes the rest
